Build scaffold, common types and the platform interface

Cause: an empty repository. Ruled out: CppUTest's leak detector (its new macro does not compile with RapidCheck).

--- /dev/null
+++ b/cmake/RunshelfTargets.cmake
@@ -0,0 +1,46 @@
+# Helpers that give every target of the project the same warnings, include paths and sanitizers.
+
+set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Werror)
+
+function(runshelf_target_defaults target)
+  target_compile_options(${target} PRIVATE ${RUNSHELF_WARNINGS})
+  target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
+  if(RUNSHELF_SANITIZE)
+    target_compile_options(${target} PRIVATE -fsanitize=${RUNSHELF_SANITIZE} -fno-omit-frame-pointer
+                                             -fno-sanitize-recover=all)
+    target_link_options(${target} PRIVATE -fsanitize=${RUNSHELF_SANITIZE})
+  endif()
+endfunction()
+
+# runshelf_library(<name> SOURCES <file>... [DEPENDS <target>...])
+# A static library of one part of the product: public headers under include/runshelf/<part>,
+# implementation under source/<part>.
+function(runshelf_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+  runshelf_target_defaults(${name})
+endfunction()
+
+# runshelf_program(<name> SOURCES <file>... [DEPENDS <target>...])
+function(runshelf_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+  target_compile_definitions(${name} PRIVATE RUNSHELF_VERSION="${PROJECT_VERSION}")
+  runshelf_target_defaults(${name})
+endfunction()
+
+# runshelf_test(<name> SOURCES <file>... [DEPENDS <target>...])
+# One CppUTest program per directory below tests/, run by ctest with a fixed RapidCheck seed.
+function(runshelf_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/test_main.cc)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} CppUTest rapidcheck)
+  # The leak detector replaces `new` by a macro, which RapidCheck does not survive.
+  target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+  runshelf_target_defaults(${name})
+  add_test(NAME ${name} COMMAND ${name} -v)
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202" TIMEOUT 240)
+endfunction()
--- /dev/null
+++ b/include/runshelf/common/clock.h
@@ -0,0 +1,46 @@
+// Time as the decision code sees it.
+//
+// Every decision takes `now` as an argument; only process shells read a real clock. That lets the
+// simulator run the production code under virtual time, with a different clock rate on every node.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace runshelf {
+
+// The clock of one machine: monotonic, counts while the machine is suspended, and is shared by all
+// processes of that machine. Instants of different machines must never be compared.
+struct MachineClock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MachineClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+using Duration = std::chrono::microseconds;
+using Instant = MachineClock::time_point;
+
+// Returns the microseconds since the start of the machine's clock; for messages and logs.
+constexpr int64_t ToMicroseconds(Instant instant) { return instant.time_since_epoch().count(); }
+
+// The inverse of ToMicroseconds.
+constexpr Instant InstantFromMicroseconds(int64_t microseconds) {
+  return Instant(Duration(microseconds));
+}
+
+// Source of instants. Implementations are safe to call from any thread.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Instant Now() const = 0;
+};
+
+// Reads CLOCK_BOOTTIME of the machine that the process runs on.
+class SystemClock : public Clock {
+ public:
+  Instant Now() const override;
+};
+
+}  // namespace runshelf
--- /dev/null
+++ b/include/runshelf/common/random.h
@@ -0,0 +1,48 @@
+// Randomness behind an interface, so that a simulated run is repeatable from its seed.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "runshelf/common/clock.h"
+
+namespace runshelf {
+
+// Source of random numbers. Not safe for use by several threads at once.
+class Random {
+ public:
+  virtual ~Random() = default;
+
+  // Returns 64 uniformly distributed bits.
+  virtual uint64_t Next() = 0;
+
+  // Returns a number in [0, bound); `bound` must not be zero.
+  uint64_t Below(uint64_t bound) { return Next() % bound; }
+
+  // Returns a duration in [low, high).
+  Duration Between(Duration low, Duration high) {
+    return high <= low ? low : low + Duration(static_cast<int64_t>(Below((high - low).count())));
+  }
+};
+
+// The same seed yields the same numbers on every machine.
+class SeededRandom : public Random {
+ public:
+  explicit SeededRandom(uint64_t seed) : engine_(seed) {}
+  uint64_t Next() override { return engine_(); }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+// Seeds itself from the operating system.
+class SystemRandom : public Random {
+ public:
+  SystemRandom();
+  uint64_t Next() override { return engine_(); }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace runshelf
