--- a/include/runshelf/common/slot.h
+++ b/include/runshelf/common/slot.h
@@ -36,7 +36,8 @@
 struct FencingToken {
   uint64_t generation = 0;  // Of the replica group; raised by each recovery through the platform.
   uint64_t term = 0;        // Of the leader that issued the grant.
-  uint64_t sequence = 0;    // Log index of the last assignment that the grant reflects.
+  uint64_t sequence = 0;    // Orders the grants of one term: the log index of the last assignment
+                            // that the grant reflects, then changes made by the holder itself.
 
   auto operator<=>(const FencingToken&) const = default;
 
--- a/include/runshelf/coordination/messages.h
+++ b/include/runshelf/coordination/messages.h
@@ -114,6 +114,9 @@
 // What the platform keeps of a replica group. A new generation starts from the checkpoint.
 struct GroupRecord {
   uint64_t generation = 0;
+  // True when the generation was created by this record: its voters start from the checkpoint.
+  // False once the leader has refreshed it: voters wait for the leader to bring them up to date.
+  bool initial = false;
   std::vector<GroupMember> voters;
   uint64_t checkpoint_index = 0;
   uint64_t checkpoint_term = 0;
--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -19,6 +19,7 @@
 #include "runshelf/common/slot.h"
 #include "runshelf/consensus/replica.h"
 #include "runshelf/coordination/messages.h"
+#include "runshelf/ownership/grant_holder.h"
 #include "runshelf/platform/machine_list.h"
 #include "runshelf/routing/routing_snapshot.h"
 
@@ -33,12 +34,19 @@
   std::string forward_address;  // "ip:port"
   uint32_t slots_per_service = 256;
   uint32_t voter_count = 5;
+  // Peers to ask for the group while the platform is away ("ip:port").
+  std::vector<std::string> seed_addresses;
 
   // A grant lasts this long from the moment its renewal was requested. Shorter: keys of a lost
   // server are served again sooner. Longer: more pauses and losses are ridden out without a move.
   Duration grant_duration = std::chrono::milliseconds(900);
   Duration renewal_interval = std::chrono::milliseconds(150);
   double clock_rate_margin = 0.02;
+  // After an instance's grant has run out, its slots stay with it for this long. Longer: fewer
+  // moves when an instance was only paused. Shorter: less unavailable time when it was lost.
+  Duration eviction_delay = std::chrono::milliseconds(0);
+  // A process that notices a pause longer than this gives up its identity.
+  Duration max_pause = std::chrono::seconds(5);
 
   // A voter that the leader has not heard from for this long is replaced.
   Duration voter_replacement_delay = std::chrono::milliseconds(1500);
@@ -82,13 +90,7 @@
 };
 
 // The grant to give to the server beside this daemon, as a whole; it replaces the one before.
-struct ServerGrant {
-  FencingToken token;
-  Instant expires_at;
-  std::vector<SlotRange> slots;
-
-  bool operator==(const ServerGrant&) const = default;
-};
+using ServerGrant = ownership::HeldGrant;
 
 // Actions for the shell.
 struct SendMessage {
@@ -112,7 +114,13 @@
   std::vector<std::pair<std::string, std::string>> fields;
   bool warning = false;
 };
-using Action = std::variant<SendMessage, PushGrant, ReadGroupRecord, WriteGroupRecord, LogAction>;
+// This instance can no longer speak under its identity. The shell discards the Node and makes a new
+// one with a new InstanceId, as after a restart of the process.
+struct RestartInstance {
+  std::string reason;
+};
+using Action = std::variant<SendMessage, PushGrant, ReadGroupRecord, WriteGroupRecord, LogAction,
+                            RestartInstance>;
 
 // Load of the server beside this daemon since the last report.
 struct LoadReport {
--- a/include/runshelf/ownership/assignment.h
+++ b/include/runshelf/ownership/assignment.h
@@ -115,7 +115,9 @@
   AssignmentVersion version_ = 0;
   std::map<std::string, NodeRecord> nodes_;  // By node name: at most one instance of each node.
   std::map<std::string, ServiceAssignment> services_;
-  std::deque<RememberedCommand> recent_;  // Bounded; for UpdateSince. Not part of equality.
+  // For UpdateSince, bounded; not part of equality. Complete for versions above recent_floor_.
+  std::deque<RememberedCommand> recent_;
+  AssignmentVersion recent_floor_ = 0;
 };
 
 // Log command as text; kInvalidArgument for anything that Encode did not produce.
