--- a/include/runshelf/ownership/grant_holder.h
+++ b/include/runshelf/ownership/grant_holder.h
@@ -48,6 +48,9 @@
   // The server has accepted `grant`.
   void OnAccepted(Instant now, const HeldGrant& grant);
 
+  // Nothing may be served until the next renewal; the server may still believe in what it was sent.
+  void Revoke();
+
   // The server holds nothing any more: its process has ended, or its last grant has run out.
   void OnServerEmpty();
 
--- a/source/ownership/grant_holder.cc
+++ b/source/ownership/grant_holder.cc
@@ -70,14 +70,19 @@
   held_since_ = std::move(held_since);
 }
 
-void GrantHolder::OnServerEmpty() {
+void GrantHolder::Revoke() {
+  if (accepted_.token != FencingToken{}) unanswered_.push_back(accepted_);
   accepted_ = {};
-  unanswered_.clear();
   held_since_.clear();
   owned_.clear();
   releases_.clear();
-  // The version and the revision stay: a server that was only frozen remembers the highest token.
   target_ = {};
+}
+
+void GrantHolder::OnServerEmpty() {
+  Revoke();
+  unanswered_.clear();
+  // The version and the revision stay: a server that was only frozen remembers the highest token.
   expires_at_ = {};
   last_pushed_expiry_ = {};
 }
