--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -89,9 +89,9 @@
 void AssignmentLeader::Register(Instant now, consensus::Replica& replica,
                                 const AssignmentState& state, const NodeRecord& record) {
   const std::string& name = record.instance.node;
-  const bool under_way = std::any_of(
-      proposals_.begin(), proposals_.end(),
-      [&](const Proposal& proposal) { return proposal.registering.contains(name); });
+  const bool under_way =
+      std::any_of(proposals_.begin(), proposals_.end(),
+                  [&](const Proposal& proposal) { return proposal.registering.contains(name); });
   if (under_way) return;
   const auto existing = state.nodes().find(name);
   if (existing != state.nodes().end()) {
@@ -119,8 +119,7 @@
 void AssignmentLeader::EvictExpired(Instant now, consensus::Replica& replica,
                                     const AssignmentState& state) {
   std::erase_if(members_, [&](const auto& entry) {
-    return now - entry.second.last_seen > kMemberMemory &&
-           state.FindNode(entry.first) == nullptr;
+    return now - entry.second.last_seen > kMemberMemory && state.FindNode(entry.first) == nullptr;
   });
   AssignmentCommand command;
   Proposal proposal;
@@ -185,8 +184,8 @@
 }
 
 bool AssignmentLeader::MayAssign(Instant now, const AssignmentState& state) const {
-  const bool any_owner = std::any_of(
-      state.services().begin(), state.services().end(), [](const auto& service) {
+  const bool any_owner =
+      std::any_of(state.services().begin(), state.services().end(), [](const auto& service) {
         const auto& owners = service.second.owners;
         return std::any_of(owners.begin(), owners.end(),
                            [](const InstanceId& owner) { return !owner.empty(); });
@@ -241,9 +240,8 @@
 }
 
 bool AssignmentLeader::IsBlocked(const InstanceId& instance) const {
-  return std::any_of(proposals_.begin(), proposals_.end(), [&](const Proposal& proposal) {
-    return proposal.blocked.contains(instance);
-  });
+  return std::any_of(proposals_.begin(), proposals_.end(),
+                     [&](const Proposal& proposal) { return proposal.blocked.contains(instance); });
 }
 
 bool AssignmentLeader::CanOwn(Instant now, const InstanceId& instance) const {
--- a/source/coordination/assignment_leader.h
+++ b/source/coordination/assignment_leader.h
@@ -1,9 +1,9 @@
 // The leader's part: answers renewals with grants, and changes the assignment when instances join,
 // leave, fail or carry uneven load.
 //
-// Invariant: a slot gets a new owner only by a committed command, and such a command is proposed only
-// when the previous owner has released the slot, or certainly holds no grant any more. From the
-// proposal until the command is applied the previous owner is not renewed.
+// Invariant: a slot gets a new owner only by a committed command, and such a command is proposed
+// only when the previous owner has released the slot, or certainly holds no grant any more. From
+// the proposal until the command is applied the previous owner is not renewed.
 #pragma once
 
 #include <map>
--- a/source/coordination/group_lifecycle.cc
+++ b/source/coordination/group_lifecycle.cc
@@ -152,8 +152,8 @@
   record.generation = 1;
   record.initial = true;
   for (const InstanceId& voter : SpreadOverZones(candidates, context_.config.voter_count)) {
-    const auto address = voter == context_.self ? context_.config.peer_address
-                                                : greeted_.at(voter).peer_address;
+    const auto address =
+        voter == context_.self ? context_.config.peer_address : greeted_.at(voter).peer_address;
     record.voters.push_back({voter, address});
   }
   record.checkpoint = ownership::AssignmentState().Encode();
@@ -239,8 +239,8 @@
 
 // ---- Recovery by a new generation ----
 
-void GroupLifecycle::Recover(Instant now, Instant last_leader_contact,
-                             const NodeRecord& own_record, const RecoveryState& own_state) {
+void GroupLifecycle::Recover(Instant now, Instant last_leader_contact, const NodeRecord& own_record,
+                             const RecoveryState& own_state) {
   const Instant last_sign = std::max(last_leader_contact, adopted_at_);
   if (now - last_sign < context_.config.recovery_delay) {
     recovery_.reset();
@@ -319,9 +319,8 @@
 bool GroupLifecycle::EveryMachineAccountedFor(Instant now) const {
   if (now - machines_read_at_ > kFreshness) return false;
   const std::set<std::string> listed = ListedNodes();
-  return std::all_of(listed.begin(), listed.end(), [&](const std::string& node) {
-    return recovery_->sealed.contains(node);
-  });
+  return std::all_of(listed.begin(), listed.end(),
+                     [&](const std::string& node) { return recovery_->sealed.contains(node); });
 }
 
 void GroupLifecycle::WriteNewGeneration(Instant now) {
--- a/source/coordination/group_lifecycle.h
+++ b/source/coordination/group_lifecycle.h
@@ -1,12 +1,12 @@
 // The replica group as a whole: its first generation, the knowledge of which generation is current,
 // and recovery by a new generation when the majority of its voters is lost.
 //
-// Recovery never gives a slot to two servers: before a new generation is written, every machine that
-// could still act for the old one has either given it up for good (sealed) or is gone from the
+// Recovery never gives a slot to two servers: before a new generation is written, every machine
+// that could still act for the old one has either given it up for good (sealed) or is gone from the
 // platform's machine list. The write is a compare-and-swap on the revision of the old record, so at
 // most one recovery succeeds; and the new leader waits out all grants that may still be in force.
-// Broken by: a machine list that drops a machine which still runs and can be reached by the servers'
-// callers, for longer than NodeConfig::max_pause.
+// Broken by: a machine list that drops a machine which still runs and can be reached by the
+// servers' callers, for longer than NodeConfig::max_pause.
 #pragma once
 
 #include <map>
@@ -54,8 +54,8 @@
   // A message of a higher generation than ours arrived.
   void OnNewerGeneration() { next_read_ = {}; }
 
-  // At the leader: whether the platform's record should be brought up to date now, so that newcomers
-  // find the group and a recovery starts from a fresh checkpoint.
+  // At the leader: whether the platform's record should be brought up to date now, so that
+  // newcomers find the group and a recovery starts from a fresh checkpoint.
   bool WantsRefresh(Instant now, const std::vector<InstanceId>& voters, uint64_t version);
   void RefreshRecord(Instant now, GroupRecord record);
 
--- a/source/coordination/load_tracker.cc
+++ b/source/coordination/load_tracker.cc
@@ -36,8 +36,7 @@
   if (slots.empty()) return;
   // Slots outside the report share what it leaves.
   const double others = static_cast<double>(slots.size()) - static_cast<double>(reported.size());
-  const double rest =
-      others > 0 ? std::max(0.0, requests_per_second - reported_sum) / others : 0.0;
+  const double rest = others > 0 ? std::max(0.0, requests_per_second - reported_sum) / others : 0.0;
   ServiceRates& rates = services_[service];
   for (const SlotNumber slot : slots) {
     const auto found = reported.find(slot);
--- a/source/coordination/message_json.cc
+++ b/source/coordination/message_json.cc
@@ -16,8 +16,8 @@
 using nlohmann::json;
 
 // Value of the field "k" of an envelope, in the order of MessageBody's alternatives.
-constexpr std::array<const char*, 9> kKinds = {"consensus", "renew",    "reply", "redirect", "now",
-                                               "hello",     "seal", "sealed", "group"};
+constexpr std::array<const char*, 9> kKinds = {"consensus", "renew", "reply",  "redirect", "now",
+                                               "hello",     "seal",  "sealed", "group"};
 
 // ---- Parts ----
 
@@ -100,14 +100,12 @@
   request.server = static_cast<ServerState>(server);
   if (reader.Find("r") != nullptr) reader.Read("r", request.released);
   if (reader.Find("h") != nullptr) {
-    reader.ReadArray("h", request.hottest_slots, [](const json& element, SlotLoad& item) {
-      return FromJson(element, item);
-    });
+    reader.ReadArray("h", request.hottest_slots,
+                     [](const json& element, SlotLoad& item) { return FromJson(element, item); });
   }
   if (reader.Find("d") != nullptr) {
-    reader.ReadArray("d", request.demands, [](const json& element, CellRate& item) {
-      return FromJson(element, item);
-    });
+    reader.ReadArray("d", request.demands,
+                     [](const json& element, CellRate& item) { return FromJson(element, item); });
   }
   if (reader.Find("u") != nullptr) reader.Read("u", request.table_update);
   return reader.ok();
@@ -146,9 +144,8 @@
   if (reader.Find("w") != nullptr) reader.Read("w", reply.wanted_table_since.emplace());
   if (reader.Find("cv") != nullptr) {
     reader.Read("cv", reply.shares_valid_us)
-        .ReadArray("c", reply.shares, [](const json& element, CellRate& item) {
-          return FromJson(element, item);
-        });
+        .ReadArray("c", reply.shares,
+                   [](const json& element, CellRate& item) { return FromJson(element, item); });
   }
   return reader.ok();
 }
@@ -227,9 +224,8 @@
       .Read("checkpoint_index", record.checkpoint_index)
       .Read("checkpoint_term", record.checkpoint_term)
       .Read("checkpoint", record.checkpoint)
-      .ReadArray("voters", record.voters, [](const json& element, GroupMember& item) {
-        return FromJson(element, item);
-      });
+      .ReadArray("voters", record.voters,
+                 [](const json& element, GroupMember& item) { return FromJson(element, item); });
   return reader.ok() && record.generation > 0;
 }
 
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -291,8 +291,7 @@
 
 RecoveryState NodeImpl::OwnRecoveryState() const {
   const ownership::AssignmentState& view = renewals_.view();
-  const bool replica_is_newer =
-      replica_ != nullptr && replicated_.version() >= view.version();
+  const bool replica_is_newer = replica_ != nullptr && replicated_.version() >= view.version();
   const ownership::AssignmentState& newest = replica_is_newer ? replicated_ : view;
   const uint64_t term = replica_is_newer ? replica_->LastLogTerm() : renewals_.term();
   return {term, newest.version(), &newest};
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -42,8 +42,7 @@
   // Whether the process was paused for so long that it must give up its identity.
   bool WasPausedTooLong(Instant now);
   void Dispatch(Instant now, const Envelope& envelope);
-  void OnConsensusMessage(Instant now, const Envelope& envelope,
-                          const consensus::Message& message);
+  void OnConsensusMessage(Instant now, const Envelope& envelope, const consensus::Message& message);
   void OnRenewalRequest(Instant now, const Envelope& envelope, const RenewalRequest& request);
   void OnSealRequest(Instant now, const Envelope& envelope, const SealRequest& request);
   // Joins the generation of `record`, if one is given.
--- a/source/coordination/voter_manager.cc
+++ b/source/coordination/voter_manager.cc
@@ -94,8 +94,7 @@
   }
   const NodeRecord* best = nullptr;
   for (const auto& [name, record] : state.nodes()) {
-    const bool is_voter =
-        std::find(voters.begin(), voters.end(), record.instance) != voters.end();
+    const bool is_voter = std::find(voters.begin(), voters.end(), record.instance) != voters.end();
     if (is_voter || record.leaving || !leader.IsHealthy(now, record.instance)) continue;
     if (!listed.empty() && !listed.contains(name)) continue;
     if (best == nullptr || voters_of_zone[record.zone] < voters_of_zone[best->zone]) {
--- a/source/coordination/voter_manager.h
+++ b/source/coordination/voter_manager.h
@@ -13,8 +13,8 @@
 
 namespace runshelf::coordination {
 
-// Picks up to `count` instances, each from the zone that has fewest picks so far; in the order given
-// within a zone.
+// Picks up to `count` instances, each from the zone that has fewest picks so far; in the order
+// given within a zone.
 std::vector<InstanceId> SpreadOverZones(const std::vector<ownership::NodeRecord>& candidates,
                                         size_t count);
 
