--- a/include/runshelf/ownership/assignment.h
+++ b/include/runshelf/ownership/assignment.h
@@ -63,13 +63,13 @@
   bool operator==(const ServiceAssignment&) const = default;
 };
 
-// The difference between two versions, or the whole state when `from_version` is zero.
+// The difference between two versions, or the whole state.
 struct AssignmentUpdate {
   AssignmentVersion from_version = 0;
   AssignmentVersion to_version = 0;
   std::vector<AssignmentCommand> commands;  // To apply in order. Empty when nothing changed.
   std::vector<AssignmentVersion> versions;  // Of each command.
-  std::string whole_state;                  // Encoded state, when from_version is zero.
+  std::string whole_state;                  // Encoded state; empty when `commands` are enough.
 };
 
 class AssignmentState {
--- a/include/runshelf/ownership/planner.h
+++ b/include/runshelf/ownership/planner.h
@@ -16,7 +16,7 @@
 namespace runshelf::ownership {
 
 struct PlannerConfig {
-  double rebalance_threshold = 0.2;  // Of the mean load, above which slots are moved away.
+  double rebalance_threshold = 0.2;  // Largest deviation from the mean load, as a fraction of it.
   uint32_t max_moving_slots = 32;    // Slots of planned moves under way at a time.
   Duration slot_move_cooldown = std::chrono::seconds(30);
 };
--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -63,6 +63,7 @@
   for (const Proposal& proposal : proposals_) {
     if (proposal.index > state.version()) continue;
     for (const uint64_t release_id : proposal.release_ids) handovers_.erase(release_id);
+    if (proposal.release_ids.empty()) continue;  // Not a planned move.
     for (const SlotMove& move : proposal.moves) {
       for (const SlotNumber slot : FromRanges(move.ranges)) last_moved_[move.service][slot] = now;
     }
--- a/source/coordination/renewal_client.cc
+++ b/source/coordination/renewal_client.cc
@@ -91,10 +91,7 @@
   last_accepted_sent_ = sent_at;
   last_contact_ = now;
   leader_ = envelope.from;
-  if (view_generation_ != context_.generation) {
-    if (reply.assignment.from_version != 0) return;
-    view_ = {};
-  }
+  if (view_generation_ != context_.generation) view_ = {};
   const ownership::AssignmentVersion version_before = view_.version();
   const bool first_of_generation = view_generation_ != context_.generation;
   view_generation_ = context_.generation;
--- a/source/ownership/assignment.cc
+++ b/source/ownership/assignment.cc
@@ -106,7 +106,7 @@
 
 absl::Status AssignmentState::ApplyUpdate(const AssignmentUpdate& update) {
   if (update.to_version <= version_) return absl::OkStatus();
-  if (update.from_version == 0) {
+  if (!update.whole_state.empty()) {
     absl::StatusOr<AssignmentState> whole = Decode(update.whole_state);
     if (!whole.ok()) return whole.status();
     *this = std::move(*whole);
--- a/source/ownership/planner.cc
+++ b/source/ownership/planner.cc
@@ -138,7 +138,9 @@
       const auto [least, most] = std::minmax_element(
           load_of_.begin(), load_of_.end(),
           [](const auto& left, const auto& right) { return left.second < right.second; });
-      if (most->second <= mean * (1 + config_.rebalance_threshold)) return;
+      const bool even = most->second <= mean * (1 + config_.rebalance_threshold) &&
+                        least->second >= mean * (1 - config_.rebalance_threshold);
+      if (even) return;
       const std::optional<SlotNumber> slot = BestSlot(most->first, least->first);
       if (!slot) return;
       handovers.Add(most->first, least->first, *slot);
