--- /dev/null
+++ b/source/ctl/command.cc
@@ -0,0 +1,275 @@
+#include "source/ctl/command.h"
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <functional>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "source/ctl/files.h"
+
+namespace runshelf::ctl {
+namespace {
+
+constexpr const char* kOverview =
+    R"(runshelfctl edits the operators' table and shows the state of the fleet.
+
+  runshelfctl table show     --platform IP:PORT
+  runshelfctl table set      --platform IP:PORT SERVICE CLASS [--weight N] [--limit N | --no-limit]
+  runshelfctl table delete   --platform IP:PORT SERVICE CLASS
+  runshelfctl table import   --platform IP:PORT [--base EXPORTED.csv] FILE.csv
+  runshelfctl table export   --platform IP:PORT [--output FILE.csv]
+  runshelfctl table history  --platform IP:PORT [--edit ID]
+  runshelfctl status         --daemon IP:PORT
+
+Example:
+  runshelfctl table set --platform 127.0.0.1:2379 dispatch issuer --weight 100 --limit 500
+
+Each command prints its options with --help.
+)";
+
+constexpr const char* kExitCodes = R"(
+Exit codes:
+  0  done
+  1  refused or conflict, nothing was changed
+  2  wrong command line
+  3  the platform or the daemon is away, nothing was changed
+  4  undetermined: the edit may be in force, look at `runshelfctl table history`
+)";
+
+// Collects TCLAP's texts in place of printing them.
+class TextOutput : public TCLAP::StdOutput {
+ public:
+  void usage(TCLAP::CmdLineInterface& command_line) override {
+    std::ostringstream text;
+    text << command_line.getMessage() << "\n\nUsage:\n";
+    _shortUsage(command_line, text);
+    text << "\nOptions:\n";
+    _longUsage(command_line, text);
+    text << kExitCodes;
+    output = text.str();
+  }
+
+  void version(TCLAP::CmdLineInterface& command_line) override {
+    output = fmt::format("runshelfctl {}\n", command_line.getVersion());
+  }
+
+  std::string output;
+};
+
+// TCLAP takes either "--name value" or "--name=value"; this makes the second form the first.
+void AppendArgument(const std::string& argument, std::vector<std::string>& arguments) {
+  const size_t separator = argument.find('=');
+  if (!argument.starts_with("--") || separator == std::string::npos) {
+    arguments.push_back(argument);
+    return;
+  }
+  arguments.push_back(argument.substr(0, separator));
+  arguments.push_back(argument.substr(separator + 1));
+}
+
+struct CommandLine {
+  CommandLine(const std::string& name, const std::string& example)
+      : tclap(fmt::format("Example: runshelfctl {}", example), ' ', RUNSHELF_VERSION),
+        program(fmt::format("runshelfctl {}", name)) {
+    tclap.setExceptionHandling(false);
+    tclap.setOutput(&output);
+  }
+
+  void Parse(const std::vector<std::string>& arguments) {
+    std::vector<std::string> with_program = {program};
+    for (const std::string& argument : arguments) AppendArgument(argument, with_program);
+    tclap.parse(with_program);
+  }
+
+  TCLAP::CmdLine tclap;
+  std::string program;
+  TextOutput output;
+};
+
+// Options that all table commands share.
+struct TableOptions {
+  TableOptions(CommandLine& line, const std::string& default_author)
+      : platform("p", "platform", "Address of the platform's key-value service", true, "",
+                 "IP:PORT", line.tclap),
+        author("", "author", "Name that the history shows for an edit", false, default_author,
+               "NAME", line.tclap) {}
+
+  Invocation ToInvocation(Command command) {
+    return {std::move(command), platform.getValue(), author.getValue()};
+  }
+
+  TCLAP::ValueArg<std::string> platform;
+  TCLAP::ValueArg<std::string> author;
+};
+
+// Positional arguments that name a cell.
+struct CellArguments {
+  explicit CellArguments(CommandLine& line)
+      : service("service", "Service, a row of the table", true, "", "SERVICE", line.tclap),
+        caller_class("class", "Caller class, a column of the table", true, "", "CLASS",
+                     line.tclap) {}
+
+  table::CellKey ToKey() { return {service.getValue(), caller_class.getValue()}; }
+
+  TCLAP::UnlabeledValueArg<std::string> service;
+  TCLAP::UnlabeledValueArg<std::string> caller_class;
+};
+
+// What a parser of one command gets.
+struct ParseRequest {
+  CommandLine& line;
+  const std::vector<std::string>& arguments;
+  const std::string& default_author;
+};
+
+Invocation ParseShow(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  request.line.Parse(request.arguments);
+  return options.ToInvocation(ShowCommand{});
+}
+
+Invocation ParseSet(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  TCLAP::ValueArg<int64_t> weight("w", "weight", "1 to 1000000; higher is served first", false, 0,
+                                  "N", request.line.tclap);
+  TCLAP::ValueArg<int64_t> limit("l", "limit",
+                                 "Requests per second across the fleet, 0 to 100000000", false, 0,
+                                 "N", request.line.tclap);
+  TCLAP::SwitchArg no_limit("", "no-limit", "Take the limit away", request.line.tclap);
+  CellArguments cell(request.line);
+  request.line.Parse(request.arguments);
+  SetCommand command{cell.ToKey(), std::nullopt, std::nullopt, no_limit.getValue()};
+  if (weight.isSet()) command.weight = weight.getValue();
+  if (limit.isSet()) command.limit = limit.getValue();
+  if (limit.isSet() && no_limit.isSet()) {
+    throw TCLAP::CmdLineParseException("--limit and --no-limit exclude each other");
+  }
+  if (!weight.isSet() && !limit.isSet() && !no_limit.isSet()) {
+    throw TCLAP::CmdLineParseException("give --weight, --limit or --no-limit");
+  }
+  return options.ToInvocation(command);
+}
+
+Invocation ParseDelete(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  CellArguments cell(request.line);
+  request.line.Parse(request.arguments);
+  return options.ToInvocation(DeleteCommand{cell.ToKey()});
+}
+
+Invocation ParseImport(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  TCLAP::ValueArg<std::string> base(
+      "b", "base",
+      "The file as exported, before it was changed: only the changes between the two are made, and "
+      "rows that are gone are deleted. Without it, every row that differs is written and cells "
+      "without a row stay",
+      false, "", "FILE", request.line.tclap);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "CSV file, - for standard input", true, "",
+                                             "FILE", request.line.tclap);
+  request.line.Parse(request.arguments);
+  ImportCommand command{file.getValue(), std::nullopt};
+  if (base.isSet()) command.base_file = base.getValue();
+  return options.ToInvocation(command);
+}
+
+Invocation ParseExport(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  TCLAP::ValueArg<std::string> file("o", "output", "CSV file to write; standard output without it",
+                                    false, std::string(kStandardStream), "FILE",
+                                    request.line.tclap);
+  request.line.Parse(request.arguments);
+  return options.ToInvocation(ExportCommand{file.getValue()});
+}
+
+Invocation ParseHistory(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  TCLAP::ValueArg<std::string> edit("e", "edit", "Show this edit only", false, "", "ID",
+                                    request.line.tclap);
+  request.line.Parse(request.arguments);
+  HistoryCommand command;
+  if (edit.isSet()) command.edit_id = edit.getValue();
+  return options.ToInvocation(command);
+}
+
+Invocation ParseStatus(const ParseRequest& request) {
+  TCLAP::ValueArg<std::string> daemon("d", "daemon", "http_address of any daemon", true, "",
+                                      "IP:PORT", request.line.tclap);
+  request.line.Parse(request.arguments);
+  return {StatusCommand{daemon.getValue()}, "", request.default_author};
+}
+
+struct CommandParser {
+  std::string example;
+  std::function<Invocation(const ParseRequest&)> parse;
+};
+
+const std::map<std::string, CommandParser>& CommandParsers() {
+  static const auto* const parsers = new std::map<std::string, CommandParser>{
+      {"table show", {"table show --platform 127.0.0.1:2379", ParseShow}},
+      {"table set",
+       {"table set --platform 127.0.0.1:2379 dispatch issuer --weight 100 --limit 500", ParseSet}},
+      {"table delete", {"table delete --platform 127.0.0.1:2379 dispatch trial", ParseDelete}},
+      {"table import",
+       {"table import --platform 127.0.0.1:2379 --base exported.csv changed.csv", ParseImport}},
+      {"table export", {"table export --platform 127.0.0.1:2379 --output table.csv", ParseExport}},
+      {"table history", {"table history --platform 127.0.0.1:2379", ParseHistory}},
+      {"status", {"status --daemon 127.0.0.1:7101", ParseStatus}},
+  };
+  return *parsers;
+}
+
+ParseExit UsageError(const std::string& message) {
+  return {kExitUsage, fmt::format("runshelfctl: {}; see runshelfctl --help\n", message)};
+}
+
+std::variant<Invocation, ParseExit> ParseCommand(const std::string& name,
+                                                 const CommandParser& parser,
+                                                 const std::vector<std::string>& arguments,
+                                                 const std::string& default_author) {
+  CommandLine line(name, parser.example);
+  try {
+    return parser.parse({line, arguments, default_author});
+  } catch (const TCLAP::ArgException& exception) {
+    const std::string argument = exception.argId();
+    const std::string subject = argument.empty() || argument == " " ? "" : argument + ": ";
+    return UsageError(fmt::format("{}: {}{}", name, subject, exception.error()));
+  } catch (const TCLAP::ExitException& exception) {
+    return ParseExit{exception.getExitStatus(), line.output.output};
+  }
+}
+
+}  // namespace
+
+std::variant<Invocation, ParseExit> ParseCommandLine(const std::vector<std::string>& arguments,
+                                                     const std::string& default_author) {
+  if (arguments.empty()) return UsageError("no command given");
+  const std::string& first = arguments.front();
+  if (first == "--help" || first == "-h") {
+    return ParseExit{kExitOk, std::string(kOverview) + kExitCodes};
+  }
+  if (first == "--version") {
+    return ParseExit{kExitOk, fmt::format("runshelfctl {}\n", RUNSHELF_VERSION)};
+  }
+  std::string name = first;
+  size_t name_length = 1;
+  if (first == "table" && arguments.size() > 1) {
+    if (arguments[1] == "--help" || arguments[1] == "-h") {
+      return ParseExit{kExitOk, std::string(kOverview) + kExitCodes};
+    }
+    name += " " + arguments[1];
+    name_length = 2;
+  }
+  const auto parser = CommandParsers().find(name);
+  if (parser == CommandParsers().end()) {
+    return UsageError(fmt::format("there is no command '{}'", name));
+  }
+  const std::vector<std::string> rest(arguments.begin() + static_cast<std::ptrdiff_t>(name_length),
+                                      arguments.end());
+  return ParseCommand(name, parser->second, rest, default_author);
+}
+
+}  // namespace runshelf::ctl
