--- /dev/null
+++ b/source/transport/guarded_socket.h
@@ -0,0 +1,77 @@
+// A stream socket whose reads and writes together keep one deadline, and which records what POCO's
+// HTTP streams hide: whether the peer ended the stream early, and whether any byte was handed over.
+//
+// POCO restarts its receive timeout with every byte, so that a peer that sends one byte now and
+// then could hold a thread for ever. Here the deadline covers the whole exchange.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/ServerSocketImpl.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "runshelf/common/clock.h"
+#include "runshelf/transport/peer_watch.h"
+
+namespace runshelf::transport {
+
+enum class SocketFailure { kNone, kEndOfStream, kTimedOut, kPeerGone, kError };
+
+// Not safe for use by several threads at once.
+class GuardedSocketImpl : public Poco::Net::StreamSocketImpl {
+ public:
+  // A socket that is not connected yet.
+  explicit GuardedSocketImpl(const Clock& clock) : clock_(clock) {}
+
+  // Takes over a connected descriptor. When `read_allowance` is given, everything read between two
+  // writes must arrive within it, counted from the first read.
+  GuardedSocketImpl(const Clock& clock, int descriptor, std::optional<Duration> read_allowance)
+      : StreamSocketImpl(descriptor), clock_(clock), read_allowance_(read_allowance) {}
+
+  // Starts an exchange that must end by `deadline`, and is given up once `watch` reports its peer
+  // gone. Resets what has been recorded.
+  void BeginExchange(Instant deadline, PeerWatch watch);
+
+  // Ends the exchange: no deadline applies until the next one.
+  void EndExchange();
+
+  SocketFailure failure() const { return failure_; }
+  uint64_t bytes_sent() const { return bytes_sent_; }
+
+  // The last bytes received, at most kTailBytes.
+  std::string_view received_tail() const { return received_tail_; }
+
+  int receiveBytes(void* buffer, int length, int flags) override;
+  int sendBytes(const void* buffer, int length, int flags) override;
+
+  static constexpr size_t kTailBytes = 8;
+
+ private:
+  void WaitFor(short events, std::optional<Instant> deadline);
+  std::optional<Instant> ReadDeadline();
+  void RecordTail(const char* data, size_t length);
+  [[noreturn]] void Fail(SocketFailure failure);
+
+  const Clock& clock_;
+  std::optional<Duration> read_allowance_;
+  std::optional<Instant> allowance_end_;
+  std::optional<Instant> deadline_;
+  PeerWatch watch_;
+  SocketFailure failure_ = SocketFailure::kNone;
+  uint64_t bytes_sent_ = 0;
+  std::string received_tail_;
+};
+
+// A listening socket whose accepted connections are GuardedSocketImpl with a read allowance.
+class GuardedServerSocket : public Poco::Net::ServerSocket {
+ public:
+  // Binds and listens. Throws Poco::Exception when the address cannot be bound.
+  GuardedServerSocket(const Clock& clock, const Poco::Net::SocketAddress& address, int backlog,
+                      Duration read_allowance);
+};
+
+}  // namespace runshelf::transport
--- /dev/null
+++ b/source/transport/http_connection.h
@@ -0,0 +1,51 @@
+// One client connection that sends each request at most once.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "runshelf/common/clock.h"
+#include "runshelf/transport/http_connection_pool.h"
+#include "runshelf/transport/http_message.h"
+#include "runshelf/transport/peer_watch.h"
+
+namespace runshelf::transport {
+
+class SingleUseSession;
+
+// Not safe for use by several threads at once.
+class HttpConnection {
+ public:
+  // Connects to `address` ("ip:port"). kUnavailable when that fails within `timeout`.
+  static absl::StatusOr<std::unique_ptr<HttpConnection>> Connect(const Clock& clock,
+                                                                 const std::string& address,
+                                                                 Duration timeout);
+  ~HttpConnection();
+
+  // Whether the idle connection can take another request: the peer has neither closed it nor sent
+  // anything unasked.
+  bool IsIdle() const;
+
+  // Sends `request` and receives the response. After any outcome but kAnswered, and when
+  // reusable() is false, the connection must be dropped.
+  HttpResult Exchange(const HttpRequest& request, Instant deadline, PeerWatch caller,
+                      size_t max_response_bytes);
+
+  bool reusable() const { return reusable_; }
+
+ private:
+  HttpConnection(std::string address, std::unique_ptr<SingleUseSession> session);
+
+  void Send(const HttpRequest& request);
+  HttpResult Receive(const HttpRequest& request, size_t max_response_bytes);
+  HttpResult Failed(std::string detail) const;
+
+  const std::string address_;
+  std::unique_ptr<SingleUseSession> session_;
+  bool reusable_ = false;
+};
+
+}  // namespace runshelf::transport
