--- a/source/transport/guarded_socket.cc
+++ b/source/transport/guarded_socket.cc
@@ -162,7 +162,8 @@
                                          const Poco::Net::SocketAddress& address, int backlog,
                                          Duration read_allowance)
     : ServerSocket(new GuardedServerSocketImpl(clock, read_allowance), true) {
-  impl()->bind(address, true);
+  // Without the last argument POCO would let a second process share the port.
+  impl()->bind(address, true, false);
   impl()->listen(backlog);
 }
 
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -14,6 +14,7 @@
 #include <ostream>
 #include <utility>
 
+#include "runshelf/transport/ip_address.h"
 #include "source/transport/body_reader.h"
 #include "source/transport/guarded_socket.h"
 
@@ -67,6 +68,10 @@
 absl::StatusOr<std::unique_ptr<HttpConnection>> HttpConnection::Connect(const Clock& clock,
                                                                         const std::string& address,
                                                                         Duration timeout) {
+  absl::Status valid = CheckIpAddress(address);
+  if (!valid.ok()) {
+    return valid;
+  }
   try {
     auto* guard = new GuardedSocketImpl(clock);
     Poco::Net::StreamSocket stream(guard);
