--- a/include/runshelf/transport/http_connection_pool.h
+++ b/include/runshelf/transport/http_connection_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -38,6 +39,9 @@
 
 class HttpConnection;
 
+// Whether a response answers the request that was sent.
+using ResponseCheck = std::function<bool(const HttpResponse& response)>;
+
 // Safe for use by several threads at once.
 class HttpConnectionPool {
  public:
@@ -50,8 +54,9 @@
 
   // Sends `request` to `address` ("ip:port") and waits for the whole response until `deadline`, or
   // until `caller` reports its peer gone. A connection whose response was given up is closed.
+  // A complete response that `accept` refuses belongs to another request: kConnectionLost.
   HttpResult Call(const std::string& address, const HttpRequest& request, Instant deadline,
-                  PeerWatch caller = PeerWatch());
+                  PeerWatch caller = PeerWatch(), const ResponseCheck& accept = nullptr);
 
  private:
   struct IdleConnection {
@@ -59,6 +64,9 @@
     Instant since;
   };
 
+  HttpResult ExchangeOn(std::unique_ptr<HttpConnection> connection, const std::string& address,
+                        const HttpRequest& request, Instant deadline, PeerWatch caller,
+                        const ResponseCheck& accept);
   std::unique_ptr<HttpConnection> TakeIdle(const std::string& address, Instant now);
   void Return(const std::string& address, std::unique_ptr<HttpConnection> connection, Instant now);
   void DropOldConnections(Instant now);
--- a/source/transport/http_connection_pool.cc
+++ b/source/transport/http_connection_pool.cc
@@ -13,15 +13,13 @@
 HttpConnectionPool::~HttpConnectionPool() = default;
 
 HttpResult HttpConnectionPool::Call(const std::string& address, const HttpRequest& request,
-                                    Instant deadline, PeerWatch caller) {
-  const Instant now = clock_.Now();
-  std::unique_ptr<HttpConnection> connection = TakeIdle(address, now);
-  if (connection != nullptr) {
-    HttpResult result =
-        connection->Exchange(request, deadline, caller, options_.max_response_bytes);
+                                    Instant deadline, PeerWatch caller,
+                                    const ResponseCheck& accept) {
+  std::unique_ptr<HttpConnection> idle = TakeIdle(address, clock_.Now());
+  if (idle != nullptr) {
+    HttpResult result = ExchangeOn(std::move(idle), address, request, deadline, caller, accept);
     // An idle connection that the peer closed in this instant took no byte: a new one may be used.
     if (result.outcome != HttpOutcome::kConnectFailed) {
-      Return(address, std::move(connection), clock_.Now());
       return result;
     }
   }
@@ -33,9 +31,22 @@
   if (!connected.ok()) {
     return {HttpOutcome::kConnectFailed, {}, std::string(connected.status().message())};
   }
+  return ExchangeOn(std::move(*connected), address, request, deadline, caller, accept);
+}
+
+HttpResult HttpConnectionPool::ExchangeOn(std::unique_ptr<HttpConnection> connection,
+                                          const std::string& address, const HttpRequest& request,
+                                          Instant deadline, PeerWatch caller,
+                                          const ResponseCheck& accept) {
   HttpResult result =
-      (*connected)->Exchange(request, deadline, caller, options_.max_response_bytes);
-  Return(address, std::move(*connected), clock_.Now());
+      connection->Exchange(request, deadline, caller, options_.max_response_bytes);
+  if (result.outcome != HttpOutcome::kAnswered) {
+    return result;
+  }
+  if (accept != nullptr && !accept(result.response)) {
+    return {HttpOutcome::kConnectionLost, {}, "the response belongs to another request"};
+  }
+  Return(address, std::move(connection), clock_.Now());
   return result;
 }
 
