--- a/source/daemon/caller_request.cc
+++ b/source/daemon/caller_request.cc
@@ -59,7 +59,7 @@
   parsed.service = target.substr(begin, end - begin);
   parsed.target = target.substr(end);
   if (!parsed.target.starts_with('/')) {
-    parsed.target.insert(0, "/");
+    parsed.target.insert(0, 1, '/');
   }
 }
 
--- a/source/daemon/egress_handler.h
+++ b/source/daemon/egress_handler.h
@@ -53,11 +53,11 @@
   // How one request ended, as it is answered to the daemon that forwarded it.
   struct Result {
     Verdict verdict = Verdict::kNotRun;
-    std::string refused;    // Value of Runshelf-Refused, or empty.
-    std::string failed;     // Value of Runshelf-Failed, or empty.
+    std::string refused;  // Value of Runshelf-Refused, or empty.
+    std::string failed;   // Value of Runshelf-Failed, or empty.
     Duration retry_after{0};
     std::shared_ptr<const routing::RecordedAnswer> answer;  // With kRan.
-    transport::HttpResponse response;                       // With kRan; moved from `answer` later.
+    std::optional<uint64_t> announced_length;               // Of an answer to HEAD.
   };
 
   struct Context {
@@ -71,12 +71,17 @@
 
   Result Serve(const ForwardedRequest& forwarded, const transport::HttpRequest& original,
                transport::PeerWatch caller);
-  Result ServeOnce(const Context& context);
+  Result ServeOwned(Context& context);
+  Result ServeRepeatable(const Context& context, Instant slot_held_since);
+  Result FollowEarlier(const Context& context, const routing::IdempotentRequest& request);
   Result Admit(const Context& context);
   Result CallServer(const Context& context, uint64_t admission_id);
-  Result FollowEarlier(const Context& context, const routing::IdempotentRequest& request);
-  routing::IdempotentRequest IdempotentRequestOf(const Context& context) const;
-  transport::HttpResponse ToResponse(Result result, const std::string& request_id) const;
+  transport::HttpResponse ToResponse(const Result& result, const std::string& request_id) const;
+
+  static Result Refused(const char* reason, Duration retry_after = Duration::zero());
+  static Result Failed(const char* reason);
+  static Result Mismatch();
+  static Result ResultOf(ServerResult server, bool by_ownership);
 
   const std::string service_;
   EgressParts parts_;
--- a/source/daemon/router_response.cc
+++ b/source/daemon/router_response.cc
@@ -34,8 +34,7 @@
   return response;
 }
 
-void SetVerdict(transport::HttpResponse& response, Verdict verdict,
-                const std::string& request_id) {
+void SetVerdict(transport::HttpResponse& response, Verdict verdict, const std::string& request_id) {
   response.headers.Set(kVerdictHeader, std::string(VerdictName(verdict)));
   response.headers.Set(kRequestIdHeader, request_id);
 }
--- a/source/daemon/server_client.h
+++ b/source/daemon/server_client.h
@@ -22,7 +22,7 @@
 // How the server answered.
 enum class ServerOutcome {
   kAnswered,
-  kNotOwner,    // Refused: certainly not run; likewise the next four.
+  kNotOwner,  // Refused: certainly not run; likewise the next four.
   kOverloaded,
   kDeadline,
   kDraining,
--- a/source/ownership/assignment_json.cc
+++ b/source/ownership/assignment_json.cc
@@ -58,9 +58,12 @@
 }  // namespace
 
 json ToJson(const NodeRecord& record) {
-  return {{"i", record.instance.ToString()}, {"z", record.zone},
-          {"s", record.service},             {"p", record.peer_address},
-          {"f", record.forward_address},     {"n", record.slot_count},
+  return {{"i", record.instance.ToString()},
+          {"z", record.zone},
+          {"s", record.service},
+          {"p", record.peer_address},
+          {"f", record.forward_address},
+          {"n", record.slot_count},
           {"l", record.leaving}};
 }
 
@@ -128,8 +131,7 @@
   for (const auto& [name, record] : nodes_) nodes.push_back(ToJson(record));
   json services = json::object();
   for (const auto& [name, service] : services_) services[name] = ToJson(service);
-  const json value = {
-      {"v", version_}, {"n", std::move(nodes)}, {"s", std::move(services)}};
+  const json value = {{"v", version_}, {"n", std::move(nodes)}, {"s", std::move(services)}};
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/source/ownership/grant_holder.cc
+++ b/source/ownership/grant_holder.cc
@@ -10,9 +10,8 @@
 
 bool Overlap(const std::vector<SlotRange>& left, const std::vector<SlotRange>& right) {
   return std::any_of(left.begin(), left.end(), [&](const SlotRange& a) {
-    return std::any_of(right.begin(), right.end(), [&](const SlotRange& b) {
-      return a.first <= b.last && b.first <= a.last;
-    });
+    return std::any_of(right.begin(), right.end(),
+                       [&](const SlotRange& b) { return a.first <= b.last && b.first <= a.last; });
   });
 }
 
@@ -83,14 +82,13 @@
 }
 
 bool GrantHolder::IsReleasing(SlotNumber slot) const {
-  return std::any_of(releases_.begin(), releases_.end(), [&](const Release& release) {
-    return Contains(release.ranges, slot);
-  });
+  return std::any_of(releases_.begin(), releases_.end(),
+                     [&](const Release& release) { return Contains(release.ranges, slot); });
 }
 
 bool GrantHolder::MayServe(Instant now, SlotNumber slot) const {
-  return now < accepted_.expires_at && Contains(accepted_.slots, slot) &&
-         Contains(owned_, slot) && !IsReleasing(slot);
+  return now < accepted_.expires_at && Contains(accepted_.slots, slot) && Contains(owned_, slot) &&
+         !IsReleasing(slot);
 }
 
 std::optional<FencingToken> GrantHolder::Enter(Instant now, SlotNumber slot) {
@@ -124,9 +122,9 @@
 std::vector<uint64_t> GrantHolder::FulfilledReleases(Instant now) const {
   std::vector<uint64_t> fulfilled;
   for (const Release& release : releases_) {
-    const bool busy =
-        std::any_of(in_progress_.begin(), in_progress_.end(),
-                    [&](const auto& entry) { return Contains(release.ranges, entry.first); });
+    const bool busy = std::any_of(in_progress_.begin(), in_progress_.end(), [&](const auto& entry) {
+      return Contains(release.ranges, entry.first);
+    });
     if (!busy && !ServerMayHold(now, release.ranges)) fulfilled.push_back(release.release_id);
   }
   return fulfilled;
--- a/source/transport/http_connection_pool.cc
+++ b/source/transport/http_connection_pool.cc
@@ -38,8 +38,7 @@
                                           const std::string& address, const HttpRequest& request,
                                           Instant deadline, PeerWatch caller,
                                           const ResponseCheck& accept) {
-  HttpResult result =
-      connection->Exchange(request, deadline, caller, options_.max_response_bytes);
+  HttpResult result = connection->Exchange(request, deadline, caller, options_.max_response_bytes);
   if (result.outcome != HttpOutcome::kAnswered) {
     return result;
   }
