Load tool and report: open-loop callers, and a judge over the servers' records

runshelf-load sends calls that are due by a seeded Poisson process, whatever became of the earlier ones; each call is traceable from the caller's attempt to the executions by its path. runshelf-report joins both on one timeline and exits 1 when a promise was broken.

--- /dev/null
+++ b/tools/load/evidence.h
@@ -0,0 +1,69 @@
+// Everything that the report judges: what callers saw and what servers recorded.
+#pragma once
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "runshelf/common/clock.h"
+#include "runshelf/common/slot.h"
+#include "tools/load/attempt_record.h"
+#include "tools/server_standin/execution_record.h"
+
+namespace runshelf::load {
+
+using server_standin::AcceptedGrant;
+using server_standin::Execution;
+
+// A server that was ended on purpose during the run.
+struct LostServer {
+  std::string server;
+  Instant at;
+  bool record_lost = false;  // Its record ended with it, so what it executed is not known.
+};
+
+// All instants are of one machine's clock.
+struct Evidence {
+  std::vector<AttemptRecord> attempts;
+  std::vector<Execution> executions;  // Ascending by time once SortByTime was called.
+  std::vector<AcceptedGrant> grants;  // Likewise.
+  std::vector<LostServer> lost;
+  std::map<std::string, std::string> service_of_server;
+};
+
+// Appends the attempts in a result file of runshelf-load. kNotFound, or kInvalidArgument with the
+// line.
+absl::Status ReadAttempts(const std::string& file, Evidence& evidence);
+
+// Appends the entries of a server's record. A last line that was cut short by a kill is passed
+// over.
+absl::Status ReadServerRecord(const std::string& file, Evidence& evidence);
+
+void SortByTime(Evidence& evidence);
+
+// The call that an execution belongs to, from the query of its path; empty when there is none.
+std::string CallOfPath(const std::string& path);
+
+// A slot of a service.
+struct SlotId {
+  std::string service;
+  SlotNumber slot = 0;
+
+  auto operator<=>(const SlotId&) const = default;
+};
+
+// A period in which a server held a slot by its grants: from the acceptance of the first one that
+// names the slot to the expiry, or the replacement, of the last one.
+struct Tenure {
+  std::string server;
+  Instant start;
+  Instant end;
+};
+
+// The tenures of every slot, ascending by start. `evidence` must be sorted by time.
+std::map<SlotId, std::vector<Tenure>> TenuresBySlot(const Evidence& evidence);
+
+}  // namespace runshelf::load
--- a/tools/server_standin/http_server.cc
+++ b/tools/server_standin/http_server.cc
@@ -61,6 +61,8 @@
 
 // Reads the body up to the limit; nullopt when it is longer.
 std::optional<std::string> ReadBody(HTTPServerRequest& request) {
+  // Without a length POCO would read a POST until the peer closes; HTTP says that it has no body.
+  if (!request.hasContentLength() && !request.getChunkedTransferEncoding()) return std::string();
   std::string body;
   std::array<char, 8192> buffer{};
   std::istream& stream = request.stream();
--- a/tools/server_standin/main.cc
+++ b/tools/server_standin/main.cc
@@ -47,6 +47,7 @@
                                        command);
   TCLAP::ValueArg<std::string> record("", "record", "File to append the record to", false, "",
                                       "FILE", command);
+  command.setExceptionHandling(false);  // Errors end the program with its own exit code.
   command.parse(argc, argv);
   Options options;
   options.listen = listen.getValue();
