--- a/include/runshelf/ownership/assignment.h
+++ b/include/runshelf/ownership/assignment.h
@@ -63,13 +63,13 @@
   bool operator==(const ServiceAssignment&) const = default;
 };
 
-// The difference between two versions, or the whole state when `from_version` is zero.
+// The difference between two versions, or the whole state.
 struct AssignmentUpdate {
   AssignmentVersion from_version = 0;
   AssignmentVersion to_version = 0;
   std::vector<AssignmentCommand> commands;  // To apply in order. Empty when nothing changed.
   std::vector<AssignmentVersion> versions;  // Of each command.
-  std::string whole_state;                  // Encoded state, when from_version is zero.
+  std::string whole_state;                  // Encoded state; empty when `commands` are enough.
 };
 
 class AssignmentState {
@@ -115,7 +115,9 @@
   AssignmentVersion version_ = 0;
   std::map<std::string, NodeRecord> nodes_;  // By node name: at most one instance of each node.
   std::map<std::string, ServiceAssignment> services_;
-  std::deque<RememberedCommand> recent_;  // Bounded; for UpdateSince. Not part of equality.
+  // For UpdateSince, bounded; not part of equality. Complete for versions above recent_floor_.
+  std::deque<RememberedCommand> recent_;
+  AssignmentVersion recent_floor_ = 0;
 };
 
 // Log command as text; kInvalidArgument for anything that Encode did not produce.
