--- a/tools/sim/callers.cc
+++ b/tools/sim/callers.cc
@@ -169,8 +169,8 @@
   told.answered_operation = answer.answered_operation;
   judge_.requests().OnTold(told);
   const CallerRequest& request = sending->request;
-  const bool may_repeat = request.repeatable || request.idempotency_key ||
-                          answer.verdict == Verdict::kNotRun;
+  const bool may_repeat =
+      request.repeatable || request.idempotency_key || answer.verdict == Verdict::kNotRun;
   if (answer.verdict != Verdict::kRan && may_repeat) {
     Repeat(sending->operation, answer.retry_after);
   }
--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -37,7 +37,6 @@
 
 void Daemon::Start() {
   process_.Start();
-  instance_ = NewInstanceId(config_.node, random_);
   ingress_.reset();
   egress_.reset();
   node_.reset();
@@ -46,23 +45,23 @@
   table_read_ = false;
   health_check_pending_ = false;
   server_cold_ = false;
+  server_state_ = coordination::ServerState::kUnknown;
   table_ = std::make_unique<table::TableMirror>();
   replica_ = std::make_unique<MirrorReplica>(*table_);
-  node_ = environment_.make_node(config_, instance_, Now(), *replica_, nullptr, random_);
-  const EgressParts egress_parts{environment_.queue, process_, clock_, *node_, *table_, server_};
+  MakeNewInstance();
+  const EgressParts egress_parts{environment_.queue, process_, clock_, node_, *table_, server_};
   egress_ = std::make_unique<Egress>(egress_parts, !environment_.naive.no_idempotency);
   const IngressParts ingress_parts{environment_.queue,
                                    process_,
                                    clock_,
                                    environment_.network,
                                    host_,
-                                   *node_,
+                                   node_,
                                    random_,
                                    environment_.find_target,
                                    environment_.next_request_id,
                                    environment_.naive.retry_any_error};
   ingress_ = std::make_unique<Ingress>(ingress_parts, config_.zone);
-  Trace("start", instance_.ToString());
   CarryOut();
   process_.After(random_.Between(Duration(0), kTickInterval), [this] { Tick(); });
   ReadMachines();
@@ -71,6 +70,12 @@
   ReportLoad();
 }
 
+void Daemon::MakeNewInstance() {
+  instance_ = NewInstanceId(config_.node, random_);
+  node_ = environment_.make_node(config_, instance_, Now(), *replica_, nullptr, random_);
+  Trace("start", instance_.ToString());
+}
+
 void Daemon::Kill() {
   if (!process_.alive()) {
     return;
@@ -118,14 +123,18 @@
   if (environment_.naive.no_expiry_wait) {
     given.expires_at += std::chrono::seconds(10);
   }
+  const std::shared_ptr<coordination::Node> giver = node_;
   const uint64_t run = process_.run();
-  server_.PushGrant(given, [this, run, grant = push.grant](std::optional<bool> accepted) {
+  server_.PushGrant(given, [this, run, giver, grant = push.grant](std::optional<bool> accepted) {
     if (process_.run() != run) {
       return;
     }
-    process_.Post([this, grant, accepted] {
+    process_.Post([this, giver, grant, accepted] {
+      if (node_ != giver) {
+        return;
+      }
       if (!accepted) {
-        node_->OnServerState(Now(), coordination::ServerState::kStopped);
+        SetServerState(coordination::ServerState::kStopped);
       } else if (*accepted) {
         node_->OnGrantAccepted(Now(), grant);
       }
@@ -160,21 +169,21 @@
   std::vector<platform::Condition> conditions = {{key, write.expected_revision}};
   std::vector<platform::Write> writes = {{key, EncodeStoredGroupRecord(write.record), 0}};
   const uint64_t run = process_.run();
-  environment_.platform.Commit(
-      host_, std::move(conditions), std::move(writes),
-      [this, run](absl::StatusOr<platform::CommitResult> result) {
-        if (process_.run() != run) {
-          return;
-        }
-        process_.Post([this, result = std::move(result)] {
-          if (result.ok()) {
-            node_->OnGroupRecordWritten(Now(), result->succeeded, result->revision);
-            CarryOut();
-          } else {
-            ReadGroup();
-          }
-        });
-      });
+  environment_.platform.Commit(host_, std::move(conditions), std::move(writes),
+                               [this, run](absl::StatusOr<platform::CommitResult> result) {
+                                 if (process_.run() != run) {
+                                   return;
+                                 }
+                                 process_.Post([this, result = std::move(result)] {
+                                   if (result.ok()) {
+                                     node_->OnGroupRecordWritten(Now(), result->succeeded,
+                                                                 result->revision);
+                                     CarryOut();
+                                   } else {
+                                     ReadGroup();
+                                   }
+                                 });
+                               });
 }
 
 void Daemon::Perform(const coordination::LogAction& log) {
@@ -188,6 +197,23 @@
   Trace(log.event, text);
 }
 
+// The process goes on as another instance, once the actions under way are carried out.
+void Daemon::Perform(const coordination::RestartInstance& restart) {
+  Trace("restart_instance", instance_.ToString() + " reason=" + restart.reason);
+  process_.After(Duration(0), [this, old = node_] {
+    if (node_ != old) {
+      return;
+    }
+    const bool leaving = node_->Status(Now()).leaving;
+    MakeNewInstance();
+    node_->OnServerState(Now(), server_state_);
+    if (leaving) {
+      node_->BeginLeave(Now());
+    }
+    CarryOut();
+  });
+}
+
 void Daemon::ReadMachines() {
   const uint64_t run = process_.run();
   environment_.platform.ReadMachines(
@@ -271,8 +297,8 @@
         egress_->SetCold();
       }
       server_cold_ = cold;
-      node_->OnServerState(Now(), health ? coordination::ServerState::kServing
-                                         : coordination::ServerState::kStopped);
+      SetServerState(health ? coordination::ServerState::kServing
+                            : coordination::ServerState::kStopped);
       CarryOut();
     });
   });
@@ -282,11 +308,16 @@
     }
     health_check_pending_ = false;
     ++health_check_;
-    node_->OnServerState(Now(), coordination::ServerState::kSilent);
+    SetServerState(coordination::ServerState::kSilent);
     CarryOut();
   });
 }
 
+void Daemon::SetServerState(coordination::ServerState state) {
+  server_state_ = state;
+  node_->OnServerState(Now(), state);
+}
+
 void Daemon::ReportLoad() {
   process_.After(kLoadInterval, [this] { ReportLoad(); });
   const double seconds = std::chrono::duration<double>(kLoadInterval).count();
--- a/tools/sim/daemon.h
+++ b/tools/sim/daemon.h
@@ -95,11 +95,14 @@
   void Perform(const coordination::ReadGroupRecord& read);
   void Perform(const coordination::WriteGroupRecord& write);
   void Perform(const coordination::LogAction& log);
+  void Perform(const coordination::RestartInstance& restart);
+  void MakeNewInstance();
   void ReadGroup();
   void ReadMachines();
   void FollowTable();
   void ReadTableRange();
   void CheckServer();
+  void SetServerState(coordination::ServerState state);
   void ReportLoad();
   void CheckMayStop();
 
@@ -115,7 +118,7 @@
   InstanceId instance_;
   std::unique_ptr<table::TableMirror> table_;
   std::unique_ptr<MirrorReplica> replica_;
-  std::unique_ptr<coordination::Node> node_;
+  std::shared_ptr<coordination::Node> node_;
   std::unique_ptr<Egress> egress_;
   std::unique_ptr<Ingress> ingress_;
   std::map<uint64_t, std::function<void()>> lost_handlers_;  // Of forwarded requests.
@@ -124,6 +127,7 @@
   bool health_check_pending_ = false;
   uint64_t health_check_ = 0;
   bool server_cold_ = false;
+  coordination::ServerState server_state_ = coordination::ServerState::kUnknown;
 };
 
 }  // namespace runshelf::sim
--- a/tools/sim/deployment.h
+++ b/tools/sim/deployment.h
@@ -13,8 +13,8 @@
 struct ServiceLayout {
   std::string name;
   uint32_t servers = 4;
-  bool keyed = false;      // Divided by key; the others go by load.
-  double load_share = 0;   // Of all requests.
+  bool keyed = false;     // Divided by key; the others go by load.
+  double load_share = 0;  // Of all requests.
 };
 
 struct Deployment {
--- a/tools/sim/egress.cc
+++ b/tools/sim/egress.cc
@@ -90,7 +90,8 @@
   if (!pending.request.slot) {
     return true;
   }
-  pending.token = parts_.node.Enter(Now(), *pending.request.slot);
+  pending.entered_at = parts_.node;
+  pending.token = pending.entered_at->Enter(Now(), *pending.request.slot);
   return pending.token.has_value();
 }
 
@@ -106,7 +107,7 @@
   request.slot = slot;
   request.attempt = pending.request.request.Attempt();
   request.fingerprint = pending.request.request.operation;
-  request.slot_held_since = parts_.node.HeldSince(Now(), slot).value_or(Now());
+  request.slot_held_since = parts_.node->HeldSince(Now(), slot).value_or(Now());
   const routing::BeginResult begun = cache_.Begin(Now(), request);
   switch (begun.outcome) {
     case routing::BeginOutcome::kRun:
@@ -159,12 +160,12 @@
   request.token = pending.token;
   request.time_left = pending.deadline - Now();
   const uint64_t run = parts_.process.run();
-  parts_.server.Submit(request, [this, id, run, &process = parts_.process](
-                                    const ServerAnswer& answer) {
-    if (process.run() == run) {
-      process.Post([this, id, answer] { OnServerAnswer(id, answer); });
-    }
-  });
+  parts_.server.Submit(request,
+                       [this, id, run, &process = parts_.process](const ServerAnswer& answer) {
+                         if (process.run() == run) {
+                           process.Post([this, id, answer] { OnServerAnswer(id, answer); });
+                         }
+                       });
   parts_.process.After(request.time_left, [this, id] { OnServerTimeout(id); });
 }
 
@@ -217,7 +218,7 @@
     }
   }
   if (pending.token) {
-    parts_.node.Leave(Now(), *pending.request.slot);
+    pending.entered_at->Leave(Now(), *pending.request.slot);
   }
   answer.result.load = Load();
   pending.reply(answer);
--- a/tools/sim/egress.h
+++ b/tools/sim/egress.h
@@ -21,7 +21,7 @@
   EventQueue& queue;
   Process& process;  // Of the daemon.
   const DriftingClock& clock;
-  coordination::Node& node;
+  std::shared_ptr<coordination::Node>& node;  // Replaced when the instance restarts.
   table::TableMirror& table;
   Server& server;
 };
@@ -47,8 +47,9 @@
     ForwardAnswerHandler reply;
     Instant deadline{};
     std::optional<FencingToken> token;  // Present while the slot is entered.
-    bool runs_under_key = false;        // The cache's Complete is due.
-    bool started = false;               // Admission's OnCompleted is due.
+    std::shared_ptr<coordination::Node> entered_at;
+    bool runs_under_key = false;  // The cache's Complete is due.
+    bool started = false;         // Admission's OnCompleted is due.
     Instant started_at{};
   };
   using PendingMap = std::map<uint64_t, Pending>;
--- a/tools/sim/faults.h
+++ b/tools/sim/faults.h
@@ -10,29 +10,29 @@
 namespace runshelf::sim {
 
 enum class FaultKind {
-  kPartition,           // The fleet falls into two parts.
-  kOneWayPartition,     // One part does not hear the other.
-  kIsolation,           // One machine is cut off from all others.
-  kPlatformPartition,   // Some machines do not reach the platform.
-  kPauseDaemon,         // Pauses of any length.
-  kPauseServer,         //
-  kPauseMachine,        // Server and daemon together.
-  kCrashDaemon,         // The process ends and is started again as a new instance.
-  kCrashServer,         //
-  kCrashMachine,        // Both, and nobody answers on the network.
-  kPlannedLeave,        // SIGTERM, with the machine list saying so.
-  kUnlistedLeave,       // SIGTERM that the machine list never shows.
-  kListedLeave,         // The machine list says so before anybody tells the daemon.
-  kJoin,                // One more machine.
-  kPlatformOutage,      // The platform refuses, or does not answer.
-  kPlatformSlow,        // Slower than clients wait, or less.
-  kPlatformRateLimit,   //
-  kPlatformLostAnswers, // Writes take effect, their answers are lost.
-  kLossyNetwork,        // Loss, duplication and reordering of datagrams.
-  kLostAnswers,         // Servers execute requests and cut the connection.
-  kSlowServer,          // A slow dependency.
-  kHotKeyShift,         //
-  kMajorityLoss,        // Most replicas of the ownership log are lost at once.
+  kPartition,            // The fleet falls into two parts.
+  kOneWayPartition,      // One part does not hear the other.
+  kIsolation,            // One machine is cut off from all others.
+  kPlatformPartition,    // Some machines do not reach the platform.
+  kPauseDaemon,          // Pauses of any length.
+  kPauseServer,          //
+  kPauseMachine,         // Server and daemon together.
+  kCrashDaemon,          // The process ends and is started again as a new instance.
+  kCrashServer,          //
+  kCrashMachine,         // Both, and nobody answers on the network.
+  kPlannedLeave,         // SIGTERM, with the machine list saying so.
+  kUnlistedLeave,        // SIGTERM that the machine list never shows.
+  kListedLeave,          // The machine list says so before anybody tells the daemon.
+  kJoin,                 // One more machine.
+  kPlatformOutage,       // The platform refuses, or does not answer.
+  kPlatformSlow,         // Slower than clients wait, or less.
+  kPlatformRateLimit,    //
+  kPlatformLostAnswers,  // Writes take effect, their answers are lost.
+  kLossyNetwork,         // Loss, duplication and reordering of datagrams.
+  kLostAnswers,          // Servers execute requests and cut the connection.
+  kSlowServer,           // A slow dependency.
+  kHotKeyShift,          //
+  kMajorityLoss,         // Most replicas of the ownership log are lost at once.
 };
 
 // Every kind but kMajorityLoss, which is more than the tolerated loss.
--- a/tools/sim/fleet.cc
+++ b/tools/sim/fleet.cc
@@ -51,9 +51,9 @@
 }
 
 void Fleet::List(const Machine& machine, platform::MachineState state) {
-  environment_.platform.SetMachine(
-      machine.config().name, platform::Machine{machine.config().name, machine.peer_address(),
-                                               machine.config().zone, state});
+  environment_.platform.SetMachine(machine.config().name,
+                                   platform::Machine{machine.config().name, machine.peer_address(),
+                                                     machine.config().zone, state});
 }
 
 void Fleet::Unlist(const Machine& machine) {
--- a/tools/sim/ingress.cc
+++ b/tools/sim/ingress.cc
@@ -38,7 +38,7 @@
 };
 
 Ingress::Ingress(const IngressParts& parts, const std::string& zone)
-    : parts_(parts), state_(routing::RouterStateConfig{}), snapshot_(parts.node.Routes()) {
+    : parts_(parts), state_(routing::RouterStateConfig{}), snapshot_(parts.node->Routes()) {
   config_.own_zone = zone;
 }
 
@@ -57,8 +57,7 @@
   info.attempt = request.Attempt();
   info.repeatable = request.repeatable || parts_.retry_any_error;
   info.deadline = Now() + request.time_limit;
-  exchange->router =
-      std::make_unique<routing::RequestRouter>(info, config_, state_, parts_.random);
+  exchange->router = std::make_unique<routing::RequestRouter>(info, config_, state_, parts_.random);
   routing::RequestRouter& router = *exchange->router;
   exchanges_[handle] = std::move(exchange);
   Perform(handle, router.Start(Now(), Snapshot()));
@@ -111,8 +110,8 @@
   attempt->deadline = step.attempt_deadline;
   exchanges_[handle]->attempt = attempt;
   parts_.process.After(UntilInstant(step.attempt_deadline), [this, attempt] {
-    EndAttempt(attempt, attempt->handed_over ? AttemptOutcome::kTimedOut
-                                             : AttemptOutcome::kConnectFailed);
+    EndAttempt(attempt,
+               attempt->handed_over ? AttemptOutcome::kTimedOut : AttemptOutcome::kConnectFailed);
   });
   const ForwardTarget& target = *attempt->target;
   if (target.alive() && connected_.contains({target.host(), target.run()})) {
@@ -133,16 +132,17 @@
       Send(attempt);
     }
   });
-  const Handler failed = parts_.process.Bind(
-      [this, attempt] { EndAttempt(attempt, AttemptOutcome::kConnectFailed); });
-  parts_.network.SendStream(parts_.host, target->host(), [this, target, attempt, connected,
-                                                          failed] {
-    if (!target->host_up()) {
-      return;
-    }
-    attempt->target_run = target->run();
-    parts_.network.SendStream(target->host(), parts_.host, target->alive() ? connected : failed);
-  });
+  const Handler failed =
+      parts_.process.Bind([this, attempt] { EndAttempt(attempt, AttemptOutcome::kConnectFailed); });
+  parts_.network.SendStream(parts_.host, target->host(),
+                            [this, target, attempt, connected, failed] {
+                              if (!target->host_up()) {
+                                return;
+                              }
+                              attempt->target_run = target->run();
+                              parts_.network.SendStream(target->host(), parts_.host,
+                                                        target->alive() ? connected : failed);
+                            });
   parts_.process.After(kConnectTimeout, [this, attempt] {
     if (!attempt->handed_over) {
       EndAttempt(attempt, AttemptOutcome::kConnectFailed);
@@ -234,10 +234,10 @@
 }
 
 void Ingress::OnRoutesMayHaveChanged() {
-  if (parts_.node.Routes() == snapshot_) {
+  if (parts_.node->Routes() == snapshot_) {
     return;
   }
-  snapshot_ = parts_.node.Routes();
+  snapshot_ = parts_.node->Routes();
   std::vector<std::pair<uint64_t, uint64_t>> waiting;
   for (const auto& [handle, exchange] : exchanges_) {
     if (exchange->wait != 0) {
@@ -261,7 +261,7 @@
 }
 
 const routing::RoutingSnapshot& Ingress::Snapshot() {
-  snapshot_ = parts_.node.Routes();
+  snapshot_ = parts_.node->Routes();
   return *snapshot_;
 }
 
--- a/tools/sim/ingress.h
+++ b/tools/sim/ingress.h
@@ -43,10 +43,10 @@
   const DriftingClock& clock;
   Network& network;
   HostIndex host;
-  coordination::Node& node;
+  std::shared_ptr<coordination::Node>& node;  // Replaced when the instance restarts.
   Random& random;
   TargetLookup find_target;
-  uint64_t& next_request_id;  // Shared by all of the simulation.
+  uint64_t& next_request_id;     // Shared by all of the simulation.
   bool retry_any_error = false;  // The naive router: every failure counts as "not run".
 };
 
--- a/tools/sim/naive_node.cc
+++ b/tools/sim/naive_node.cc
@@ -83,7 +83,7 @@
 }  // namespace
 
 NodeFactory EarlyReleases(NodeFactory make_node) {
-  return [make_node = std::move(make_node)](const auto&... arguments) {
+  return [make_node = std::move(make_node)](auto&&... arguments) {
     return std::make_unique<EarlyReleaseNode>(make_node(arguments...));
   };
 }
--- a/tools/sim/network.h
+++ b/tools/sim/network.h
@@ -22,9 +22,9 @@
   Duration same_zone = std::chrono::microseconds(100);
   Duration between_zones = std::chrono::microseconds(500);
   Duration to_clients = std::chrono::milliseconds(8);
-  double loss = 0;               // Of datagrams.
-  double duplication = 0;        // Of datagrams.
-  double reordering = 0;         // Share of datagrams that are held back for up to `held_back`.
+  double loss = 0;         // Of datagrams.
+  double duplication = 0;  // Of datagrams.
+  double reordering = 0;   // Share of datagrams that are held back for up to `held_back`.
   Duration held_back = std::chrono::milliseconds(40);
   Duration stream_give_up = std::chrono::seconds(6);  // Retransmission of a stream ends.
 };
--- a/tools/sim/operators.cc
+++ b/tools/sim/operators.cc
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include "tools/sim/simulated_store.h"
 #include "tools/sim/trace.h"
 
 namespace runshelf::sim {
--- a/tools/sim/operators.h
+++ b/tools/sim/operators.h
@@ -11,6 +11,7 @@
 #include "tools/sim/judge.h"
 #include "tools/sim/naive.h"
 #include "tools/sim/platform.h"
+#include "tools/sim/simulated_store.h"
 
 namespace runshelf::sim {
 
--- a/tools/sim/ownership_judge.cc
+++ b/tools/sim/ownership_judge.cc
@@ -73,12 +73,12 @@
       if (!overlaps_.emplace(grant.server, other_run, slot).second) {
         continue;
       }
-      violations_.Add(ViolationKind::kDoubleOwner, grant.at,
-                      fmt::format("service={} slot={} granted_to={} token={} held_by={} token={} "
-                                  "until_us={}",
-                                  service, slot, servers_[grant.server].name,
-                                  grant.token.ToString(), other.name, other.token.ToString(),
-                                  ToMicroseconds(other.until)));
+      violations_.Add(
+          ViolationKind::kDoubleOwner, grant.at,
+          fmt::format("service={} slot={} granted_to={} token={} held_by={} token={} "
+                      "until_us={}",
+                      service, slot, servers_[grant.server].name, grant.token.ToString(),
+                      other.name, other.token.ToString(), ToMicroseconds(other.until)));
     }
   }
 }
--- a/tools/sim/ownership_judge.h
+++ b/tools/sim/ownership_judge.h
@@ -102,7 +102,7 @@
   std::map<ServerRun, Server> servers_;
   std::map<std::string, std::vector<Slot>> slots_;
   std::set<std::tuple<ServerRun, ServerRun, SlotNumber>> overlaps_;  // Counted already.
-  UnavailableTime unavailable_;  // Of gaps that have ended.
+  UnavailableTime unavailable_;                                      // Of gaps that have ended.
   Churn churn_;
 };
 
--- a/tools/sim/request_judge.cc
+++ b/tools/sim/request_judge.cc
@@ -104,10 +104,10 @@
 void RequestJudge::JudgeEnd(TrueTime at) {
   for (const auto& [id, operation] : operations_) {
     if (operation.first_executed_sending <= operation.last_not_run_sending) {
-      violations_.Add(ViolationKind::kFalseNotRun, at,
-                      fmt::format("operation={} executed_sending={} told_not_run_sending={}", id,
-                                  operation.first_executed_sending,
-                                  operation.last_not_run_sending));
+      violations_.Add(
+          ViolationKind::kFalseNotRun, at,
+          fmt::format("operation={} executed_sending={} told_not_run_sending={}", id,
+                      operation.first_executed_sending, operation.last_not_run_sending));
     }
   }
 }
--- a/tools/sim/schedule.cc
+++ b/tools/sim/schedule.cc
@@ -180,7 +180,8 @@
     return;
   }
   machine->CrashDaemon();
-  Later(random_.Between(kShortestRestart, kLongestRestart), [machine] { machine->RestartDaemon(); });
+  Later(random_.Between(kShortestRestart, kLongestRestart),
+        [machine] { machine->RestartDaemon(); });
 }
 
 void Schedule::BeginCrashServer() {
@@ -189,7 +190,8 @@
     return;
   }
   machine->CrashServer();
-  Later(random_.Between(kShortestRestart, kLongestRestart), [machine] { machine->RestartServer(); });
+  Later(random_.Between(kShortestRestart, kLongestRestart),
+        [machine] { machine->RestartServer(); });
 }
 
 void Schedule::BeginCrashMachine() {
@@ -339,9 +341,8 @@
 // replaced after a while.
 bool Schedule::MayLoseDaemon(const Machine& machine) const {
   const std::vector<Machine*> voters = Voters();
-  const bool is_voter =
-      std::any_of(voters.begin(), voters.end(),
-                  [&machine](const Machine* voter) { return voter == &machine; });
+  const bool is_voter = std::any_of(voters.begin(), voters.end(),
+                                    [&machine](const Machine* voter) { return voter == &machine; });
   const coordination::Node* node = const_cast<Machine&>(machine).daemon().node();
   return node != nullptr && (!is_voter || voters.size() > kMajority);
 }
--- a/tools/sim/simulated_store.h
+++ b/tools/sim/simulated_store.h
@@ -24,11 +24,10 @@
   absl::Status KeepLeaseAlive(int64_t lease) override;
   absl::Status RevokeLease(int64_t lease) override;
   // kUnavailable: editors do not watch.
-  absl::Status Watch(
-      const std::string& prefix, int64_t start_revision,
-      const std::function<void(int64_t revision, const std::vector<platform::WatchEvent>&)>&
-          on_events,
-      const std::function<bool()>& stop) override;
+  absl::Status Watch(const std::string& prefix, int64_t start_revision,
+                     const std::function<void(int64_t revision,
+                                              const std::vector<platform::WatchEvent>&)>& on_events,
+                     const std::function<bool()>& stop) override;
 
  private:
   BlockingTask& task_;
--- a/tools/sim/simulation.cc
+++ b/tools/sim/simulation.cc
@@ -30,7 +30,7 @@
 }
 
 NodeFactory MakeFactory(const SimulationConfig& config) {
-  const NodeFactory production = [](const auto&... arguments) {
+  const NodeFactory production = [](auto&&... arguments) {
     return coordination::MakeNode(arguments...);
   };
   NodeFactory factory = config.make_node ? config.make_node : production;
--- a/tools/sim/table_judge.cc
+++ b/tools/sim/table_judge.cc
@@ -76,10 +76,10 @@
   if (expected == table.content || !known_.emplace(table.instance, -table.revision).second) {
     return;
   }
-  violations_.Add(ViolationKind::kRevertedEdit, at,
-                  fmt::format("instance={} revision={} cells={} expected_cells={} content=differs",
-                              table.instance, table.revision, table.content.size(),
-                              expected.size()));
+  violations_.Add(
+      ViolationKind::kRevertedEdit, at,
+      fmt::format("instance={} revision={} cells={} expected_cells={} content=differs",
+                  table.instance, table.revision, table.content.size(), expected.size()));
 }
 
 void TableJudge::CheckInForce(TrueTime at, const TableInForce& table, TrueTime platform_up_since) {
@@ -87,10 +87,10 @@
   for (auto commit = commits_.upper_bound(table.revision); commit != commits_.end(); ++commit) {
     const bool due = std::max(commit->second.at, since) + kInForceWithin < at;
     if (due && known_.emplace(table.instance, commit->first).second) {
-      violations_.Add(ViolationKind::kRevertedEdit, at,
-                      fmt::format("instance={} revision={} lacks={} accepted_us={}",
-                                  table.instance, table.revision, commit->first,
-                                  ToMicroseconds(commit->second.at)));
+      violations_.Add(
+          ViolationKind::kRevertedEdit, at,
+          fmt::format("instance={} revision={} lacks={} accepted_us={}", table.instance,
+                      table.revision, commit->first, ToMicroseconds(commit->second.at)));
     }
   }
 }
@@ -116,10 +116,10 @@
   }
   const bool accepted = edit.result.outcome == table::EditOutcome::kAccepted;
   if (accepted != found) {
-    violations_.Add(ViolationKind::kRevertedEdit, at,
-                    fmt::format("cell={} edit={} told={} in_platform={}", edit.store_key,
-                                edit.result.edit_id, table::EditOutcomeName(edit.result.outcome),
-                                found));
+    violations_.Add(
+        ViolationKind::kRevertedEdit, at,
+        fmt::format("cell={} edit={} told={} in_platform={}", edit.store_key, edit.result.edit_id,
+                    table::EditOutcomeName(edit.result.outcome), found));
   }
 }
 
--- a/tools/sim/table_judge.h
+++ b/tools/sim/table_judge.h
@@ -55,8 +55,8 @@
  private:
   struct Commit {
     TrueTime at{};
-    TableContent content;                // Of the whole table after it.
-    std::vector<std::string> changed;    // Cells whose value differs from before.
+    TableContent content;              // Of the whole table after it.
+    std::vector<std::string> changed;  // Cells whose value differs from before.
   };
   struct ToldEdit {
     std::string store_key;
@@ -69,8 +69,8 @@
   void JudgeOverwrites(TrueTime at);
 
   ViolationLog& violations_;
-  std::map<int64_t, Commit> commits_;              // By revision.
-  std::map<std::string, int64_t> last_revisions_;  // Of each instance.
+  std::map<int64_t, Commit> commits_;                // By revision.
+  std::map<std::string, int64_t> last_revisions_;    // Of each instance.
   std::set<std::pair<std::string, int64_t>> known_;  // Violations that were counted.
   std::map<std::string, int> open_edits_;            // By cell.
   std::set<std::string> undetermined_cells_;
