--- a/tools/sim/callers.cc
+++ b/tools/sim/callers.cc
@@ -64,7 +64,8 @@
 void Callers::BeginOperation() {
   auto operation = std::make_shared<Operation>();
   operation->request = DrawRequest();
-  judge_.requests().OnOperation(operation->request.operation, operation->request.repeatable);
+  judge_.requests().OnOperation(operation->request.operation, operation->request.repeatable,
+                                operation->request.idempotency_key.has_value());
   Send(operation);
 }
 
--- a/tools/sim/fleet.cc
+++ b/tools/sim/fleet.cc
@@ -51,11 +51,20 @@
 }
 
 void Fleet::List(const Machine& machine, platform::MachineState state) {
+  if (state == platform::MachineState::kLeaving) {
+    leaving_.insert(machine.config().name);
+  } else {
+    leaving_.erase(machine.config().name);
+  }
   environment_.platform.SetMachine(machine.config().name,
                                    platform::Machine{machine.config().name, machine.peer_address(),
                                                      machine.config().zone, state});
 }
 
+bool Fleet::IsLeaving(const Machine& machine) const {
+  return leaving_.contains(machine.config().name);
+}
+
 void Fleet::Unlist(const Machine& machine) {
   environment_.platform.SetMachine(machine.config().name, std::nullopt);
 }
--- a/tools/sim/fleet.h
+++ b/tools/sim/fleet.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   void List(const Machine& machine, platform::MachineState state);
   void Unlist(const Machine& machine);
 
+  // Whether the last word to the list was that the machine is leaving.
+  bool IsLeaving(const Machine& machine) const;
+
   // To be called whenever partitions have changed.
   void OnPartitionsChanged();
 
@@ -52,6 +56,7 @@
   std::map<std::string, Machine*> by_peer_address_;
   std::map<std::string, Machine*> by_forward_address_;
   std::map<std::string, Machine*> by_name_;
+  std::set<std::string> leaving_;  // Names.
 };
 
 }  // namespace runshelf::sim
