Coordination: probe before sealing; leave notices by change of the list, told by any daemon

Change: recovery asks everybody first whether they would give up the generation; a seal without a new generation is left after 3 s by a write that voids recoveries; a change from live to leaving in any daemon's list marks the process that ran there at that moment. Ruled out: trusting the list's word leaving as it stands.

--- a/include/runshelf/coordination/messages.h
+++ b/include/runshelf/coordination/messages.h
@@ -55,6 +55,8 @@
   double requests_per_second = 0;  // Of the server beside the sender.
   std::vector<SlotLoad> hottest_slots;
   std::vector<CellRate> demands;
+  std::vector<InstanceId>
+      leaving;               // Others that the platform's machine list began to call leaving.
   std::string table_update;  // Encoded table delta that the leader asked for; empty otherwise.
 };
 
@@ -86,21 +88,24 @@
   bool reply_wanted = false;
 };
 
-// Asks the receiver to give up generation `generation` for good, because its group seems lost.
+// Asks the receiver to give up generation `generation` for good, because its group seems lost; or,
+// as a probe, whether it would.
 struct SealRequest {
   uint64_t generation = 0;
+  bool probe = false;
   int64_t record_revision = 0;  // Of the group record in the platform that is to be replaced.
 };
 
-// `sealed` false: the receiver is still in touch with a leader and refuses.
+// `agreed` false: the receiver is still in touch with a leader and refuses.
 struct SealReply {
   uint64_t generation = 0;
+  bool probe = false;  // As in the request.
   int64_t record_revision = 0;
-  bool sealed = false;
+  bool agreed = false;
   ownership::NodeRecord node;
   uint64_t log_term = 0;  // Of the newest assignment known to the receiver.
   uint64_t log_index = 0;
-  std::string assignment;  // Encoded AssignmentState.
+  std::string assignment;  // Encoded AssignmentState; empty in the answer to a probe.
 };
 
 // A member of the replica group with its address.
--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -54,7 +54,6 @@
                             const AssignmentState& state) {
   EvictExpired(now, replica, state);
   DisownEmptyServers(now, replica, state);
-  MarkLeaving(now, replica, state);
   CancelHopelessHandovers(now, state);
   RunPlanner(now, replica, state);
 }
@@ -105,8 +104,11 @@
   if (service != state.services().end()) {
     accepted.slot_count = static_cast<uint32_t>(service->second.owners.size());
   }
-  accepted.leaving = record.leaving || leaving_nodes_.contains(name);
-  if (existing != state.nodes().end() && existing->second == accepted) return;
+  if (existing != state.nodes().end()) {
+    // Who leaves does not come back under the same identity.
+    accepted.leaving = record.leaving || existing->second.leaving;
+    if (existing->second == accepted) return;
+  }
   AssignmentCommand command;
   command.registered.push_back(accepted);
   Proposal proposal;
@@ -163,12 +165,12 @@
   if (!command.moves.empty()) Propose(now, replica, std::move(command), std::move(proposal));
 }
 
-void AssignmentLeader::MarkLeaving(Instant now, consensus::Replica& replica,
-                                   const AssignmentState& state) {
-  for (const std::string& name : leaving_nodes_) {
-    const auto found = state.nodes().find(name);
-    if (found == state.nodes().end() || found->second.leaving) continue;
-    NodeRecord record = found->second;
+void AssignmentLeader::MarkLeaving(Instant now, const std::vector<InstanceId>& instances,
+                                   consensus::Replica& replica, const AssignmentState& state) {
+  for (const InstanceId& instance : instances) {
+    const NodeRecord* registered = state.FindNode(instance);
+    if (registered == nullptr || registered->leaving) continue;
+    NodeRecord record = *registered;
     record.leaving = true;
     Register(now, replica, state, record);
   }
@@ -301,6 +303,7 @@
   member.last_seen = now;
   member.server = request.server;
   Register(now, replica, state, request.node);
+  MarkLeaving(now, request.leaving, replica, state);
   OnReleased(now, instance, request.released, replica);
 
   const NodeRecord* record = state.FindNode(instance);
--- a/source/coordination/assignment_leader.h
+++ b/source/coordination/assignment_leader.h
@@ -38,9 +38,6 @@
   void OnRenewal(Instant now, const Envelope& envelope, const RenewalRequest& request,
                  consensus::Replica& replica, const ownership::AssignmentState& state);
 
-  // The platform says that these nodes leave.
-  void SetLeavingNodes(std::set<std::string> nodes) { leaving_nodes_ = std::move(nodes); }
-
   // Whether `instance` has renewed lately and can be relied on as a voter.
   bool IsHealthy(Instant now, const InstanceId& instance) const;
 
@@ -76,8 +73,9 @@
                     const ownership::AssignmentState& state);
   void DisownEmptyServers(Instant now, consensus::Replica& replica,
                           const ownership::AssignmentState& state);
-  void MarkLeaving(Instant now, consensus::Replica& replica,
-                   const ownership::AssignmentState& state);
+  // Instances that the platform's machine list began to call leaving, as some daemon saw it.
+  void MarkLeaving(Instant now, const std::vector<InstanceId>& instances,
+                   consensus::Replica& replica, const ownership::AssignmentState& state);
   void RunPlanner(Instant now, consensus::Replica& replica,
                   const ownership::AssignmentState& state);
   void CancelHopelessHandovers(Instant now, const ownership::AssignmentState& state);
@@ -104,7 +102,6 @@
   std::map<InstanceId, Member> members_;
   std::map<uint64_t, Handover> handovers_;
   std::vector<Proposal> proposals_;
-  std::set<std::string> leaving_nodes_;
   std::map<std::string, std::map<SlotNumber, Instant>> last_moved_;
 };
 
--- a/source/coordination/group_lifecycle.cc
+++ b/source/coordination/group_lifecycle.cc
@@ -14,7 +14,8 @@
 constexpr Duration kHelloInterval = std::chrono::milliseconds(200);
 constexpr Duration kSealInterval = std::chrono::milliseconds(200);
 constexpr Duration kWriteTimeout = std::chrono::seconds(3);
-constexpr Duration kRecoveryTimeout = std::chrono::seconds(10);
+// A phase of a recovery that is not through by then is given up.
+constexpr Duration kRecoveryPhaseTimeout = std::chrono::milliseconds(1500);
 
 // A recovery relies on a record and a machine list at most this old.
 constexpr Duration kFreshness = std::chrono::seconds(3);
@@ -23,8 +24,9 @@
 constexpr Duration kVotersRefreshInterval = std::chrono::seconds(2);
 constexpr Duration kStateRefreshInterval = std::chrono::seconds(30);
 
-// After giving up a generation that then was not replaced, a daemon asks to join it again.
-constexpr int kSealedRecoveryDelays = 3;
+// When a generation that was given up is not replaced within this time, a daemon asks to join it
+// again.
+constexpr Duration kSealTimeout = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -42,10 +44,7 @@
     return;
   }
   Recover(now, last_leader_contact, own_record, own_state);
-  if (IsSealed() && !recovery_ &&
-      now - sealed_at_ > kSealedRecoveryDelays * context_.config.recovery_delay) {
-    LeaveSeal(now);
-  }
+  if (IsSealed() && now - sealed_at_ > kSealTimeout) LeaveSeal(now);
 }
 
 void GroupLifecycle::ReadRecordWhenDue(Instant now, Instant last_leader_contact) {
@@ -114,15 +113,6 @@
   return nodes;
 }
 
-std::set<std::string> GroupLifecycle::LeavingNodes() const {
-  std::set<std::string> nodes;
-  if (!machines_) return nodes;
-  for (const platform::Machine& machine : machines_->machines) {
-    if (machine.state == platform::MachineState::kLeaving) nodes.insert(machine.node);
-  }
-  return nodes;
-}
-
 // ---- First generation ----
 
 void GroupLifecycle::Bootstrap(Instant now, const NodeRecord& own_record) {
@@ -195,7 +185,7 @@
   if (!succeeded) {
     leaving_seal_ = false;
     recovery_.reset();
-    next_recovery_ = now + context_.random.Between(Duration(0), kRecoveryTimeout / 5);
+    next_recovery_ = now + context_.random.Between(Duration(0), kRecoveryPhaseTimeout);
     return std::nullopt;
   }
   record_absent_ = false;
@@ -246,43 +236,56 @@
     recovery_.reset();
     return;
   }
-  if (recovery_ && now - recovery_->started > kRecoveryTimeout) recovery_.reset();
-  if (!recovery_) {
-    const bool record_is_fresh = record_ && record_->generation == context_.generation &&
-                                 now - record_read_at_ < kFreshness && record_revision_ > 0;
-    if (!record_is_fresh || !machines_ || being_written_ || now < next_recovery_) return;
-    if (now - machines_read_at_ > kFreshness) return;
-    recovery_ = Recovery{record_revision_, now, now, {}};
-    // Daemons start at different times, so that one recovery is usually through before the next.
-    next_recovery_ = now + kRecoveryTimeout + context_.random.Between(Duration(0), kReadInterval);
-    context_.Log("recovery_started", {{"generation", std::to_string(context_.generation)}}, true);
-    SealSelf(own_record, own_state);
-  }
-  SendSealRequests(now);
-  if (!being_written_ && EveryMachineAccountedFor(now)) WriteNewGeneration(now);
+  if (recovery_ && now - recovery_->started > kRecoveryPhaseTimeout) recovery_.reset();
+  if (!recovery_) StartRecovery(now);
+  if (recovery_) ContinueRecovery(now, own_record, own_state);
 }
 
-void GroupLifecycle::SealSelf(const NodeRecord& own_record, const RecoveryState& own_state) {
-  if (!IsSealed()) sealed_at_ = last_tick_;
+void GroupLifecycle::StartRecovery(Instant now) {
+  const bool record_is_fresh = record_ && record_->generation == context_.generation &&
+                               now - record_read_at_ < kFreshness && record_revision_ > 0;
+  if (!record_is_fresh || !machines_ || being_written_ || now < next_recovery_) return;
+  if (now - machines_read_at_ > kFreshness) return;
+  recovery_ = Recovery{record_revision_, true, now, now, {}};
+  // Daemons start at different times, so that one recovery is usually through before the next.
+  next_recovery_ =
+      now + kRecoveryPhaseTimeout + context_.random.Between(Duration(0), kReadInterval);
+  context_.Log("recovery_started", {{"generation", std::to_string(context_.generation)}}, true);
+}
+
+void GroupLifecycle::ContinueRecovery(Instant now, const NodeRecord& own_record,
+                                      const RecoveryState& own_state) {
+  const SealRequest request{context_.generation, recovery_->probing, recovery_->record_revision};
+  recovery_->agreed[context_.self.node] = MakeSealReply(request, true, own_record, own_state);
+  if (now >= recovery_->next_send) {
+    recovery_->next_send = now + kSealInterval;
+    for (const std::string& address : PeerAddresses()) {
+      context_.SendToAddress(address, {}, request);
+    }
+  }
+  if (being_written_ || !EveryMachineAccountedFor(now)) return;
+  if (!recovery_->probing) {
+    WriteNewGeneration(now);
+    return;
+  }
+  recovery_ = Recovery{recovery_->record_revision, false, now, now, {}};
+  if (!IsSealed()) sealed_at_ = now;
   sealed_generation_ = context_.generation;
+}
+
+SealReply GroupLifecycle::MakeSealReply(const SealRequest& request, bool agreed,
+                                        const NodeRecord& own_record,
+                                        const RecoveryState& own_state) const {
   SealReply reply;
-  reply.generation = context_.generation;
-  reply.record_revision = recovery_->record_revision;
-  reply.sealed = true;
+  reply.generation = request.generation;
+  reply.probe = request.probe;
+  reply.record_revision = request.record_revision;
+  reply.agreed = agreed;
   reply.node = own_record;
   reply.log_term = own_state.term;
   reply.log_index = own_state.index;
-  reply.assignment = own_state.assignment->Encode();
-  recovery_->sealed[context_.self.node] = std::move(reply);
-}
-
-void GroupLifecycle::SendSealRequests(Instant now) {
-  if (now < recovery_->next_send) return;
-  recovery_->next_send = now + kSealInterval;
-  for (const std::string& address : PeerAddresses()) {
-    context_.SendToAddress(address, {},
-                           SealRequest{context_.generation, recovery_->record_revision});
-  }
+  if (!request.probe) reply.assignment = own_state.assignment->Encode();
+  return reply;
 }
 
 bool GroupLifecycle::OnSealRequest(Instant now, const Envelope& envelope,
@@ -290,44 +293,36 @@
                                    const NodeRecord& own_record, const RecoveryState& own_state) {
   if (request.generation != context_.generation) return false;
   const Instant last_sign = std::max(last_leader_contact, adopted_at_);
-  SealReply reply;
-  reply.generation = request.generation;
-  reply.record_revision = request.record_revision;
-  reply.sealed = IsSealed() || now - last_sign > context_.config.recovery_delay / 2;
-  reply.node = own_record;
-  reply.log_term = own_state.term;
-  reply.log_index = own_state.index;
-  reply.assignment = own_state.assignment->Encode();
-  const bool newly_sealed = reply.sealed && !IsSealed();
+  const bool agreed = IsSealed() || now - last_sign > context_.config.recovery_delay / 2;
+  const bool newly_sealed = agreed && !request.probe && !IsSealed();
   if (newly_sealed) {
     sealed_generation_ = context_.generation;
     sealed_at_ = now;
     context_.Log("generation_sealed", {{"by", envelope.from.ToString()}}, true);
   }
-  context_.Send(envelope.from, std::move(reply));
+  context_.Send(envelope.from, MakeSealReply(request, agreed, own_record, own_state));
   return newly_sealed;
 }
 
-void GroupLifecycle::OnSealReply(Instant now, const Envelope& envelope, const SealReply& reply) {
-  if (!recovery_ || !reply.sealed || reply.generation != context_.generation) return;
+void GroupLifecycle::OnSealReply(const Envelope& envelope, const SealReply& reply) {
+  if (!recovery_ || !reply.agreed || reply.generation != context_.generation) return;
   if (reply.record_revision != recovery_->record_revision) return;
-  if (reply.node.instance != envelope.from) return;
-  recovery_->sealed[envelope.from.node] = reply;
-  if (!being_written_ && EveryMachineAccountedFor(now)) WriteNewGeneration(now);
+  if (reply.probe != recovery_->probing || reply.node.instance != envelope.from) return;
+  recovery_->agreed[envelope.from.node] = reply;
 }
 
 bool GroupLifecycle::EveryMachineAccountedFor(Instant now) const {
   if (now - machines_read_at_ > kFreshness) return false;
   const std::set<std::string> listed = ListedNodes();
   return std::all_of(listed.begin(), listed.end(),
-                     [&](const std::string& node) { return recovery_->sealed.contains(node); });
+                     [&](const std::string& node) { return recovery_->agreed.contains(node); });
 }
 
 void GroupLifecycle::WriteNewGeneration(Instant now) {
   const SealReply* newest = nullptr;
   std::vector<NodeRecord> candidates;
   GroupRecord record;
-  for (const auto& [node, reply] : recovery_->sealed) {
+  for (const auto& [node, reply] : recovery_->agreed) {
     candidates.push_back(reply.node);
     const auto position = std::make_pair(reply.log_term, reply.log_index);
     if (newest == nullptr || position > std::make_pair(newest->log_term, newest->log_index)) {
--- a/source/coordination/group_lifecycle.h
+++ b/source/coordination/group_lifecycle.h
@@ -49,7 +49,7 @@
   bool OnSealRequest(Instant now, const Envelope& envelope, const SealRequest& request,
                      Instant last_leader_contact, const ownership::NodeRecord& own_record,
                      const RecoveryState& own_state);
-  void OnSealReply(Instant now, const Envelope& envelope, const SealReply& reply);
+  void OnSealReply(const Envelope& envelope, const SealReply& reply);
 
   // A message of a higher generation than ours arrived.
   void OnNewerGeneration() { next_read_ = {}; }
@@ -65,14 +65,16 @@
   // Addresses of all machines that may know the group.
   std::vector<std::string> PeerAddresses() const;
   std::set<std::string> ListedNodes() const;
-  std::set<std::string> LeavingNodes() const;
 
  private:
+  // An attempt to start a new generation. First everybody is asked whether they would give up the
+  // old one: a daemon that is merely cut off finds others silent or content, and nobody is sealed.
   struct Recovery {
     int64_t record_revision = 0;
-    Instant started;
+    bool probing = true;
+    Instant started;  // Of the phase.
     Instant next_send;
-    std::map<std::string, SealReply> sealed;  // By node name.
+    std::map<std::string, SealReply> agreed;  // By node name; of the phase.
   };
 
   bool IsKnown() const { return context_.generation != 0; }
@@ -83,7 +85,12 @@
   void Bootstrap(Instant now, const ownership::NodeRecord& own_record);
   void Recover(Instant now, Instant last_leader_contact, const ownership::NodeRecord& own_record,
                const RecoveryState& own_state);
-  void SealSelf(const ownership::NodeRecord& own_record, const RecoveryState& own_state);
+  void StartRecovery(Instant now);
+  void ContinueRecovery(Instant now, const ownership::NodeRecord& own_record,
+                        const RecoveryState& own_state);
+  SealReply MakeSealReply(const SealRequest& request, bool agreed,
+                          const ownership::NodeRecord& own_record,
+                          const RecoveryState& own_state) const;
   void SendSealRequests(Instant now);
   bool EveryMachineAccountedFor(Instant now) const;
   void WriteNewGeneration(Instant now);
--- a/source/coordination/message_json.cc
+++ b/source/coordination/message_json.cc
@@ -82,6 +82,7 @@
   if (!request.released.empty()) value["r"] = request.released;
   if (!request.hottest_slots.empty()) value["h"] = ToJson(request.hottest_slots);
   if (!request.demands.empty()) value["d"] = ToJson(request.demands);
+  if (!request.leaving.empty()) value["l"] = runshelf::ToJson(request.leaving);
   if (!request.table_update.empty()) value["u"] = request.table_update;
   return value;
 }
@@ -107,6 +108,7 @@
     reader.ReadArray("d", request.demands,
                      [](const json& element, CellRate& item) { return FromJson(element, item); });
   }
+  if (reader.Find("l") != nullptr) reader.Read("l", request.leaving);
   if (reader.Find("u") != nullptr) reader.Read("u", request.table_update);
   return reader.ok();
 }
@@ -176,19 +178,23 @@
 }
 
 json BodyToJson(const SealRequest& request) {
-  return {{"g", request.generation}, {"r", request.record_revision}};
+  return {{"g", request.generation}, {"p", request.probe}, {"r", request.record_revision}};
 }
 
 bool BodyFromJson(const json& value, SealRequest& request) {
   JsonReader reader(value);
-  reader.Read("g", request.generation).Read("r", request.record_revision);
+  reader.Read("g", request.generation).Read("p", request.probe).Read("r", request.record_revision);
   return reader.ok();
 }
 
 json BodyToJson(const SealReply& reply) {
-  return {{"g", reply.generation}, {"r", reply.record_revision},
-          {"s", reply.sealed},     {"n", ownership::ToJson(reply.node)},
-          {"t", reply.log_term},   {"i", reply.log_index},
+  return {{"g", reply.generation},
+          {"p", reply.probe},
+          {"r", reply.record_revision},
+          {"s", reply.agreed},
+          {"n", ownership::ToJson(reply.node)},
+          {"t", reply.log_term},
+          {"i", reply.log_index},
           {"a", reply.assignment}};
 }
 
@@ -197,7 +203,8 @@
   const json* node = reader.Require("n");
   reader.Read("g", reply.generation)
       .Read("r", reply.record_revision)
-      .Read("s", reply.sealed)
+      .Read("p", reply.probe)
+      .Read("s", reply.agreed)
       .Read("t", reply.log_term)
       .Read("i", reply.log_index)
       .Read("a", reply.assignment);
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -13,6 +13,7 @@
       leader_(context_, table, limits),
       voters_(context_),
       lifecycle_(context_),
+      notices_(self, now),
       last_event_(now) {}
 
 bool NodeImpl::WasPausedTooLong(Instant now) {
@@ -67,7 +68,7 @@
     return;
   }
   if (const auto* reply = std::get_if<SealReply>(&envelope.body)) {
-    lifecycle_.OnSealReply(now, envelope, *reply);
+    lifecycle_.OnSealReply(envelope, *reply);
     return;
   }
   if (lifecycle_.IsSealed() || context_.generation == 0) return;
@@ -142,10 +143,9 @@
 void NodeImpl::OnMachineList(Instant now, const platform::MachineListSnapshot& machines) {
   if (WasPausedTooLong(now)) return;
   lifecycle_.OnMachineList(now, machines);
-  leader_.SetLeavingNodes(lifecycle_.LeavingNodes());
-  if (lifecycle_.LeavingNodes().contains(context_.self.node) && !renewals_.leaving()) {
-    BeginLeave(now);
-  }
+  notices_.OnMachineList(now, machines, renewals_.view());
+  if (notices_.SelfIsLeaving()) BeginLeave(now);
+  renewals_.SetLeavingNotices(notices_.Leaving());
   Settle(now);
 }
 
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -9,6 +9,7 @@
 #include "runshelf/coordination/node.h"
 #include "source/coordination/assignment_leader.h"
 #include "source/coordination/group_lifecycle.h"
+#include "source/coordination/leave_notices.h"
 #include "source/coordination/node_context.h"
 #include "source/coordination/renewal_client.h"
 #include "source/coordination/voter_manager.h"
@@ -61,6 +62,7 @@
   AssignmentLeader leader_;
   VoterManager voters_;
   GroupLifecycle lifecycle_;
+  LeaveNotices notices_;
 
   std::unique_ptr<consensus::Replica> replica_;  // Null while this node knows of no group.
   ownership::AssignmentState replicated_;        // What the replica's log amounts to.
--- a/source/coordination/renewal_client.cc
+++ b/source/coordination/renewal_client.cc
@@ -53,6 +53,7 @@
   request.released = holder_.FulfilledReleases(now);
   request.requests_per_second = load_.requests_per_second;
   request.hottest_slots = load_.hottest_slots;
+  request.leaving = leaving_notices_;
   if (limits_ != nullptr) request.demands = limits_->Demands(now);
   if (wanted_table_since_) {
     request.table_update = table_.ChangesSince(*wanted_table_since_);
@@ -101,6 +102,8 @@
   }
   if (first_of_generation || view_.version() != version_before) RebuildRoutes();
   departed_ = reply.departed;
+  const NodeRecord* own_record = view_.FindNode(context_.self);
+  if (own_record != nullptr && own_record->leaving) leaving_ = true;
   if (!reply.table_update.empty()) table_.Apply(reply.table_update);
   wanted_table_since_ = reply.wanted_table_since;
   if (wanted_table_since_) next_renewal_ = {};
@@ -205,6 +208,11 @@
   next_renewal_ = {};
 }
 
+void RenewalClient::SetLeavingNotices(std::vector<InstanceId> instances) {
+  if (instances != leaving_notices_) next_renewal_ = {};
+  leaving_notices_ = std::move(instances);
+}
+
 bool RenewalClient::MayStop() const {
   if (!leaving_ || holder_.HasRequestsInProgress()) return false;
   return departed_ || context_.generation == 0;
--- a/source/coordination/renewal_client.h
+++ b/source/coordination/renewal_client.h
@@ -42,6 +42,8 @@
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const;
 
   void BeginLeave();
+  // Others that leave, to be told to the leader.
+  void SetLeavingNotices(std::vector<InstanceId> instances);
   bool leaving() const { return leaving_; }
   bool MayStop() const;
 
@@ -86,6 +88,7 @@
   ServerState reported_ = ServerState::kUnknown;  // As the leader is told.
   LoadReport load_;
   std::optional<int64_t> wanted_table_since_;
+  std::vector<InstanceId> leaving_notices_;
   bool leaving_ = false;
   bool departed_ = false;
 };
