--- a/source/table/table_mirror.cc
+++ b/source/table/table_mirror.cc
@@ -13,7 +13,6 @@
 
 bool TableMirror::ReplaceByRange(const platform::RangeResult& range) {
   const std::lock_guard lock(mutex_);
-  if (range.revision <= current_->revision()) return false;
   DecodedCells decoded = DecodeStoredCells(range);
   for (MalformedRecord& record : decoded.malformed) {
     const absl::StatusOr<CellKey> key = CellKeyOfStoreKey(record.store_key);
--- a/tests/table/table_test.cc
+++ b/tests/table/table_test.cc
@@ -66,8 +66,19 @@
   CHECK(table.ChangesSince(11).changes.empty());
   CHECK(table.ChangesSince(9).complete);
   CHECK(table.ChangesSince(12) == (TableDelta{12, 12, false, {}}));
-  // An earlier value does not come back.
-  CHECK(table.WithChanges({{{"s", "a"}, CellValue{}, 10, kEditId}}).cells().empty());
+}
+
+TEST(Table, AnEarlierValueDoesNotComeBack) {
+  const CellChange newer{{"s", "b"}, CellValue{2, {}}, 12, kEditId};
+  const auto table =
+      Table(8, {MakeCell("b", 1, 5)}).Apply({8, 12, false, {Deletion("a", 11), newer}});
+  const auto with_value_at = [&](const char* caller_class, int64_t revision) {
+    return table->WithChanges({{{"s", caller_class}, CellValue{9, {}}, revision, kEditId}}).cells();
+  };
+  CHECK(with_value_at("a", 10) == table->cells());
+  CHECK(with_value_at("b", 9) == table->cells());
+  CHECK(with_value_at("c", 7) == table->cells());
+  CHECK(with_value_at("c", 9) != table->cells());
 }
 
 TEST(Table, TombstonesAreBoundedAndOlderReadersGetTheWholeTable) {
