Table: clang-tidy clean

clang-tidy 14 takes the defaulted three-way comparison of CellKey for a null pointer constant when a map compares keys; that one line is marked.

--- a/include/runshelf/table/cell.h
+++ b/include/runshelf/table/cell.h
@@ -23,7 +23,7 @@
   std::string service;
   std::string caller_class;
 
-  auto operator<=>(const CellKey&) const = default;
+  auto operator<=>(const CellKey&) const = default;  // NOLINT(modernize-use-nullptr): false alarm.
 
   // "service/class", for messages.
   std::string ToString() const;
--- a/source/table/edit_transaction.cc
+++ b/source/table/edit_transaction.cc
@@ -30,7 +30,7 @@
   const std::string record_key = EditRecordKey(record_.edit_id);
   conditions_.push_back({record_key, 0});
   writes_.push_back({record_key, EncodeEditRecord(record_), lease_});
-  const TransactionResult result = Send();
+  TransactionResult result = Send();
   const bool lease_unused = !may_be_under_way_ && result.outcome != TransactionOutcome::kApplied;
   // The lease lapses by itself if this fails.
   if (lease_unused) store_.RevokeLease(lease_).IgnoreError();
--- a/source/table/table.cc
+++ b/source/table/table.cc
@@ -38,7 +38,7 @@
   }
   std::set<CellKey> seen;
   for (const CellChange& change : delta.changes) {
-    const absl::Status status = ValidateChange(delta, change);
+    absl::Status status = ValidateChange(delta, change);
     if (!status.ok()) return status;
     if (!seen.insert(change.key).second) {
       return absl::InvalidArgumentError(fmt::format("{} appears twice", change.key.ToString()));
@@ -149,7 +149,8 @@
   if (tombstones_.size() <= kMaxTombstones) return;
   std::vector<int64_t> revisions;
   for (const auto& [key, deleted_at] : tombstones_) revisions.push_back(deleted_at);
-  const auto newest_dropped = revisions.begin() + (revisions.size() - kMaxTombstones - 1);
+  const auto dropped = static_cast<std::ptrdiff_t>(revisions.size() - kMaxTombstones);
+  const auto newest_dropped = revisions.begin() + (dropped - 1);
   std::nth_element(revisions.begin(), newest_dropped, revisions.end());
   floor_revision_ = std::max(floor_revision_, *newest_dropped);
   std::erase_if(tombstones_, [&](const auto& entry) { return entry.second <= floor_revision_; });
--- a/source/table/table_editor.cc
+++ b/source/table/table_editor.cc
@@ -125,6 +125,7 @@
 
 EditResult TableEditor::Import(const EditOrigin& origin, const std::vector<CsvCell>& rows) {
   std::vector<CellEdit> edits;
+  edits.reserve(rows.size());
   for (const CsvCell& row : rows) edits.push_back({row.key, row.value, std::nullopt});
   return Apply(origin, edits);
 }
--- a/source/table/table_source.cc
+++ b/source/table/table_source.cc
@@ -38,7 +38,7 @@
 // Watches once, after reading the range if that is needed.
 absl::Status TableSource::Follow(const std::function<bool()>& stop) {
   if (next_revision_ != 0) return Watch(stop);
-  const absl::Status status = ReadRange();
+  absl::Status status = ReadRange();
   if (!status.ok()) return status;
   return Watch(stop);
 }
@@ -59,7 +59,7 @@
 
 absl::Status TableSource::Watch(const std::function<bool()>& stop) {
   const Instant end = clock_.Now() + options_.watch_duration;
-  const absl::Status status = store_.Watch(
+  absl::Status status = store_.Watch(
       std::string(kTablePrefix), next_revision_,
       [this](int64_t, const std::vector<platform::WatchEvent>& events) { HandleEvents(events); },
       [&] { return stop() || clock_.Now() >= end; });
--- a/tests/table/concurrent_edit_test.cc
+++ b/tests/table/concurrent_edit_test.cc
@@ -39,7 +39,7 @@
     store_.before_call = [](Operation) {};
     while (!store_.delayed.empty()) store_.ApplyDelayed();
     for (const CellKey& key : kCells) {
-      const std::string violation = CheckCell(key);
+      std::string violation = CheckCell(key);
       if (!violation.empty()) return violation;
     }
     return CheckMore();
--- a/tests/table/table_mirror_test.cc
+++ b/tests/table/table_mirror_test.cc
@@ -33,6 +33,7 @@
     }
   }
   std::vector<Cell> result;
+  result.reserve(cells.size());
   for (const auto& [key, cell] : cells) result.push_back(cell);
   return result;
 }
