--- a/source/ctl/table_commands.cc
+++ b/source/ctl/table_commands.cc
@@ -23,9 +23,11 @@
 };
 
 int ReportUnreadable(const Context& context, const absl::Status& status) {
-  fmt::print(context.streams.err,
-             "runshelfctl: the platform could not be read: {}; check --platform and try again\n",
-             std::string(status.message()));
+  fmt::print(
+      context.streams.err,
+      "runshelfctl: the platform could not be read, nothing was changed: {}; check --platform and "
+      "try again\n",
+      std::string(status.message()));
   return kExitUnavailable;
 }
 
