--- a/include/runshelf/consensus/replica.h
+++ b/include/runshelf/consensus/replica.h
@@ -15,7 +15,11 @@
 //    reality, or two processes that share an InstanceId.
 //
 // Deterministic and free of input and output: callers pass `now`, hand in messages, and take
-// outputs. Not thread-safe.
+// outputs. Not thread-safe. Two duties of the caller, on which the lease rests:
+//  - `now` of Receive is read after the message came in from the network, and `now` of HoldsLease
+//    after whatever the answer is meant to cover.
+//  - One InstanceId has at most one Replica in a generation, ever: one that was dropped is not made
+//    again.
 #pragma once
 
 #include <absl/status/statusor.h>
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,7 +22,7 @@
 
 // Replicas whose messages arrive at once, and whose clocks are equal.
 struct Group {
-  explicit Group(size_t count) {
+  explicit Group(size_t count, uint64_t seed = 7) : random(seed) {
     Snapshot initial;
     for (size_t i = 0; i < count; ++i) initial.voters.push_back({"n" + std::to_string(i), i + 1});
     for (const InstanceId& id : initial.voters) Add(id, initial);
@@ -57,6 +58,18 @@
     }
   }
 
+  static std::vector<InstanceId> Without(std::vector<InstanceId> voters, const InstanceId& id) {
+    voters.erase(std::find(voters.begin(), voters.end(), id));
+    return voters;
+  }
+
+  InstanceId AnyFollower() {
+    for (auto& [id, replica] : replicas) {
+      if (!replica->IsLeader()) return id;
+    }
+    return {};
+  }
+
   Replica* Leader() {
     for (auto& [id, replica] : replicas) {
       if (replica->IsLeader() && replica->HoldsLease(now)) return replica.get();
@@ -65,7 +78,7 @@
   }
 
   ReplicaConfig config;
-  SeededRandom random{7};
+  SeededRandom random;
   Instant now = Instant(1h);
   std::map<InstanceId, std::unique_ptr<Replica>> replicas;
   std::map<InstanceId, std::string> states;
@@ -141,10 +154,7 @@
   group.Run(2s);
   Replica* leader = group.Leader();
   const InstanceId id = leader->Leader();
-  std::vector<InstanceId> voters;
-  for (const InstanceId& voter : leader->Voters()) {
-    if (voter != id) voters.push_back(voter);
-  }
+  const std::vector<InstanceId> voters = Group::Without(leader->Voters(), id);
   CHECK(leader->ProposeVoters(group.now, voters).ok());
   CHECK(leader->IsLeader());
   group.Deliver();
@@ -153,3 +163,141 @@
   CHECK(group.Leader() != nullptr);
   CHECK_FALSE(leader->IsLeader());
 }
+
+TEST(Replica, ALossOfTheLeaderIsMendedWithinASecond) {
+  Duration longest{0};
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    Group group(5, seed);
+    group.Run(2s);
+    group.replicas.erase(group.Leader()->Leader());
+    const Instant lost_at = group.now;
+    while (group.Leader() == nullptr && group.now < lost_at + 10s) group.Run(kTick);
+    longest = std::max(longest, group.now - lost_at);
+  }
+  UT_PRINT(StringFromFormat("longest time without a lease: %d ms of virtual time",
+                            static_cast<int>(longest.count() / 1000)));
+  CHECK(longest < 1s);
+}
+
+TEST(Replica, APartitionedLeaderLosesTheLeaseBeforeAnotherGetsIt) {
+  Group group(3);
+  group.Run(2s);
+  Replica* old_leader = group.Leader();
+  group.cut_off.insert(old_leader->Leader());
+  while (group.Leader() == old_leader) group.Run(kTick);
+  CHECK(group.Leader() == nullptr);
+  group.Run(2s);
+  CHECK(group.Leader() != nullptr);
+  CHECK_FALSE(old_leader->HoldsLease(group.now));
+  CHECK_FALSE(old_leader->IsLeader());
+}
+
+TEST(Replica, ARemovedReplicaDisturbsNobody) {
+  Group group(4);
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  const Term term = leader->CurrentTerm();
+  const InstanceId removed = group.AnyFollower();
+  // Cut off, so that it does not learn of its removal and keeps campaigning.
+  group.cut_off.insert(removed);
+  CHECK(leader->ProposeVoters(group.now, Group::Without(leader->Voters(), removed)).ok());
+  group.Run(2s);
+  group.cut_off.clear();
+  group.Run(5s);
+  CHECK(group.Leader() == leader);
+  LONGS_EQUAL(term, leader->CurrentTerm());
+}
+
+TEST(Replica, AnUnknownProcessDisturbsNobody) {
+  Group group(3);
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  const Term term = leader->CurrentTerm();
+  const InstanceId stranger{"stranger", 1};
+  VoteRequest vote{.term = 1000, .last_log_index = 1000, .last_log_term = 1000};
+  for (auto& [id, replica] : group.replicas) {
+    replica->Receive(group.now, stranger, vote);
+    replica->Receive(group.now, stranger, VoteResponse{.term = 1000});
+    replica->Receive(group.now, stranger, AppendResponse{.term = 1000});
+  }
+  group.Run(2s);
+  CHECK(group.Leader() == leader);
+  LONGS_EQUAL(term, leader->CurrentTerm());
+}
+
+TEST(Replica, APassiveReplicaNeverCampaigns) {
+  Group group(0);
+  group.Add({"n1", 1}, Snapshot());
+  group.Run(10s);
+  LONGS_EQUAL(0, group.replicas.begin()->second->CurrentTerm());
+}
+
+TEST(Replica, AFollowerBehindTheCompactedLogGetsTheSnapshot) {
+  Group group(3);
+  group.config.max_log_entries = 4;
+  Snapshot initial;
+  initial.voters = group.replicas.begin()->second->Voters();
+  for (const InstanceId& voter : initial.voters) group.Add(voter, initial);
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  const InstanceId behind = group.AnyFollower();
+  group.cut_off.insert(behind);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(leader->Propose(group.now, "x").ok());
+    group.Deliver();
+  }
+  CHECK(leader->NeedsSnapshot());
+  leader->Compact(leader->CommitIndex(), group.states[leader->Leader()]);
+  CHECK_FALSE(leader->NeedsSnapshot());
+  LONGS_EQUAL(3, leader->Voters().size());
+  group.cut_off.clear();
+  group.Run(1s);
+  STRCMP_EQUAL("xxxxxxxxxx", group.states[behind].c_str());
+  LONGS_EQUAL(leader->CommitIndex(), group.replicas[behind]->CommitIndex());
+}
+
+TEST(Replica, RefusedChangesOfVotersSayWhy) {
+  Group group(3);
+  Replica* first = group.replicas.begin()->second.get();
+  const std::vector<InstanceId> three = first->Voters();
+  CHECK(absl::IsFailedPrecondition(first->ProposeVoters(group.now, three).status()));
+  CHECK(absl::IsFailedPrecondition(first->Propose(group.now, "x").status()));
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  std::vector<InstanceId> five = three;
+  five.push_back({"n8", 8});
+  std::vector<InstanceId> doubled = five;
+  doubled.push_back({"n8", 8});
+  five.push_back({"n9", 9});
+  CHECK(absl::IsInvalidArgument(leader->ProposeVoters(group.now, three).status()));
+  CHECK(absl::IsInvalidArgument(leader->ProposeVoters(group.now, five).status()));
+  CHECK(absl::IsInvalidArgument(leader->ProposeVoters(group.now, doubled).status()));
+  CHECK(absl::IsInvalidArgument(leader->ProposeVoters(group.now, {}).status()));
+  const std::vector<InstanceId> two = Group::Without(three, group.AnyFollower());
+  CHECK(leader->ProposeVoters(group.now, two).ok());
+  CHECK(absl::IsFailedPrecondition(leader->ProposeVoters(group.now, three).status()));
+}
+
+TEST(Replica, MalformedRequestsOfALeaderChangeNothing) {
+  Group group(3);
+  Replica* replica = group.replicas.begin()->second.get();
+  const InstanceId sender = std::next(group.replicas.begin())->first;
+  AppendRequest gap;
+  gap.term = 1;
+  gap.entries.emplace_back().index = 7;
+  AppendRequest future = gap;
+  future.entries.front().index = 1;
+  future.entries.front().term = 2;
+  AppendRequest no_voters = future;
+  no_voters.entries.front().term = 1;
+  no_voters.entries.front().kind = EntryKind::kVoters;
+  for (const AppendRequest& request : {gap, future, no_voters}) {
+    replica->Receive(group.now, sender, request);
+  }
+  SnapshotRequest snapshot;
+  snapshot.term = 1;
+  snapshot.snapshot.index = 9;
+  replica->Receive(group.now, sender, snapshot);
+  LONGS_EQUAL(0, replica->CurrentTerm());
+  LONGS_EQUAL(0, replica->LastLogIndex());
+}
