Consensus tests: answers of an older term, votes of a deposed leader

Cause: of eight defects put in by hand, the runs missed two: counting answers of an older term, and voting right after stepping down with a lease that still runs (a second line of defence). Each has a direct test now, seen to fail with the defect put in.

--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -301,3 +301,38 @@
   LONGS_EQUAL(0, replica->CurrentTerm());
   LONGS_EQUAL(0, replica->LastLogIndex());
 }
+
+TEST(Replica, AnswersOfAnOlderTermCommitNothing) {
+  Group group(3);
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  const InstanceId follower = group.AnyFollower();
+  group.cut_off.insert(leader->Leader());
+  const LogIndex index = *leader->Propose(group.now, "x");
+  AppendResponse answer{.term = leader->CurrentTerm() - 1, .accepted = true, .match_index = index};
+  leader->Receive(group.now, follower, answer);
+  CHECK(leader->CommitIndex() < index);
+  answer.term = leader->CurrentTerm();
+  leader->Receive(group.now, follower, answer);
+  LONGS_EQUAL(index, leader->CommitIndex());
+}
+
+TEST(Replica, ADeposedLeaderRefusesVotesUntilItsLeaseHasRunOut) {
+  Group group(3);
+  group.Run(2s);
+  Replica* leader = group.Leader();
+  const InstanceId follower = group.AnyFollower();
+  const VoteRequest request{.term = leader->CurrentTerm() + 2,
+                            .last_log_index = leader->LastLogIndex(),
+                            .last_log_term = leader->CurrentTerm() + 1};
+  const auto is_granted = [&](Instant now) {
+    leader->TakeOutput();
+    leader->Receive(now, follower, request);
+    return std::get<VoteResponse>(leader->TakeOutput().messages.back().message).granted;
+  };
+  leader->Receive(group.now, follower, AppendResponse{.term = leader->CurrentTerm() + 1});
+  CHECK_FALSE(leader->IsLeader());
+  CHECK_FALSE(leader->HoldsLease(group.now));
+  CHECK_FALSE(is_granted(group.now));
+  CHECK(is_granted(group.now + group.config.election_timeout_min));
+}
