--- a/include/runshelf/routing/request_router.h
+++ b/include/runshelf/routing/request_router.h
@@ -10,12 +10,15 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "runshelf/common/clock.h"
 #include "runshelf/common/random.h"
 #include "runshelf/common/slot.h"
 #include "runshelf/common/verdict.h"
+#include "runshelf/routing/router_state.h"
 #include "runshelf/routing/routing_snapshot.h"
+#include "runshelf/routing/target_load.h"
 
 namespace runshelf::routing {
 
@@ -23,9 +26,10 @@
 struct RequestInfo {
   std::string service;
   std::string caller_class;
-  std::optional<std::string> key;              // Of the service's key space.
+  std::optional<std::string> key;              // Only where the service is divided by key.
   std::optional<std::string> idempotency_key;  // The caller repeats the request under this key.
-  bool repeatable = false;                     // Running twice does no harm.
+  uint32_t attempt = 1;     // 1 for the caller's first sending, 2 and up for its own repeats.
+  bool repeatable = false;  // Running twice does no harm.
   Instant deadline;
 };
 
@@ -44,7 +48,8 @@
 
 struct AttemptResult {
   AttemptOutcome outcome = AttemptOutcome::kConnectionLost;
-  Duration retry_after{0};  // As the instance asked, with kOverloaded.
+  Duration retry_after{0};         // As the instance asked, with kOverloaded.
+  std::optional<TargetLoad> load;  // As the instance reported with its response, if it did.
 };
 
 // Returns what `outcome` says about the request.
@@ -75,4 +80,79 @@
 
 using Step = std::variant<ForwardStep, WaitStep, DeliverStep, GiveUpStep>;
 
+struct RouterConfig {
+  std::string own_zone;
+  Duration backoff_min = std::chrono::milliseconds(5);   // First wait for an owner.
+  Duration backoff_max = std::chrono::milliseconds(50);  // Waits double up to this.
+  // A request with less time left than this is not forwarded: it could not be answered in time.
+  Duration attempt_time_min = std::chrono::milliseconds(2);
+  // Part of the remaining time that an attempt of a repeatable request may take, so that a frozen
+  // instance leaves time for another attempt. Others may take all of it.
+  double repeatable_attempt_share = 0.5;
+  uint32_t attempts_max = 4;  // Of requests that go by load, the first one included.
+  Duration retry_after_no_owner = std::chrono::milliseconds(500);
+  Duration retry_after_default = std::chrono::milliseconds(1000);
+};
+
+// Routes one request. Requests with a key, and requests with only an idempotency key, go to the
+// owner of the slot of that key; all others go to an instance chosen by load.
+//
+// Invariants:
+//  - After an attempt that may have run, nothing is sent again unless the request is repeatable.
+//  - A GiveUpStep with kNotRun is returned only if every attempt certainly did not run. Of a
+//    caller's own repeat (attempt >= 2) it never is, since an earlier sending may have run.
+// Broken by: a shell that reports a kNotRun outcome after bytes reached a server, or sends again by
+// itself.
+//
+// Every call returns the next step; after DeliverStep or GiveUpStep the object is finished. Not
+// thread-safe; shares RouterState with the other requests of the process, so the shell holds one
+// lock during each call and during destruction.
+class RequestRouter {
+ public:
+  // `config`, `state` and `random` must outlive the router.
+  RequestRouter(RequestInfo info, const RouterConfig& config, RouterState& state, Random& random);
+  ~RequestRouter();
+  RequestRouter(const RequestRouter&) = delete;
+  RequestRouter& operator=(const RequestRouter&) = delete;
+
+  Step Start(Instant now, const RoutingSnapshot& snapshot);
+
+  // To be called once for each ForwardStep.
+  Step OnAttemptResult(Instant now, const RoutingSnapshot& snapshot, const AttemptResult& result);
+
+  // To be called after a WaitStep, when its time has come or the snapshot has changed.
+  Step OnWaitOver(Instant now, const RoutingSnapshot& snapshot);
+
+  // The slot whose owner takes the request; nullopt when it goes by load or the service is unknown.
+  std::optional<SlotNumber> Slot(const RoutingSnapshot& snapshot) const;
+
+  // Attempts forwarded so far.
+  uint32_t attempts() const { return attempts_; }
+
+ private:
+  Step Next(Instant now, const RoutingSnapshot& snapshot);
+  Step NextByOwner(Instant now, const ServiceRoutes& routes, SlotNumber slot);
+  Step NextByLoad(Instant now, const ServiceRoutes& routes);
+  Step Forward(Instant now, const RouteTarget& target, std::optional<SlotNumber> slot);
+  Step WaitForOwner(Instant now, std::optional<Instant> probe_at);
+  Step AfterNotRun(Instant now, const RoutingSnapshot& snapshot, const AttemptResult& result);
+  Step AfterMayHaveRun(Instant now, const RoutingSnapshot& snapshot, AttemptOutcome outcome);
+  Step GiveUp(int http_status, const std::string& reason, Duration retry_after) const;
+  void EndAttempt(Instant now, const AttemptResult& result);
+  bool TooLate(Instant now, Duration ahead) const;
+  bool PayForResend(Instant now, const InstanceId& target);
+
+  RequestInfo info_;
+  const RouterConfig& config_;
+  RouterState& state_;
+  Random& random_;
+  Duration backoff_;
+  uint32_t attempts_ = 0;
+  bool may_have_run_;
+  AttemptOutcome last_outcome_ = AttemptOutcome::kAnswered;
+  Duration last_retry_after_{0};
+  std::optional<InstanceId> in_progress_;  // Target of the attempt under way.
+  std::vector<InstanceId> tried_;          // Targets of all attempts, in order.
+};
+
 }  // namespace runshelf::routing
