--- a/include/runshelf/admission/admission_queue.h
+++ b/include/runshelf/admission/admission_queue.h
@@ -125,12 +125,14 @@
   struct ClassState {
     uint32_t running = 0;
     uint32_t weight = 0;  // Of its latest request.
+    bool offered = false;
     Instant last_offer{};
   };
 
   void Start(const AdmissionRequest& request, AdmissionChanges& changes);
   void StartAllowed(Instant now, AdmissionChanges& changes);
   void RefuseLate(Instant now, AdmissionChanges& changes);
+  void RefuseOneOfTooMany(Instant now, const AdmissionRequest& newcomer, AdmissionChanges& changes);
   void Erase(Waiting::iterator position);
   void NoteClass(Instant now, const AdmissionRequest& request);
   uint32_t ClassCap(Instant now, const std::string& caller_class) const;
--- a/include/runshelf/admission/limit_allocator.h
+++ b/include/runshelf/admission/limit_allocator.h
@@ -77,7 +77,8 @@
   };
 
   double FloorFor(Instant now, const ShareReport& report, size_t known_instances);
-  double ShareFor(Instant now, const ShareReport& report, const CellDemand& demand, double limit);
+  double ShareFor(Instant now, const ShareReport& report, const CellDemand& demand, double limit,
+                  size_t known_instances);
   Duration WithMargin(Duration duration) const;
 
   ShareConfig config_;
--- a/include/runshelf/admission/rate_limiter.h
+++ b/include/runshelf/admission/rate_limiter.h
@@ -16,6 +16,8 @@
   Duration burst = std::chrono::milliseconds(100);  // Of the rate; at least one request.
   double demand_smoothing = 0.5;                    // Weight of the latest interval.
   Duration retry_after_max = std::chrono::seconds(5);
+  Duration demand_interval_min = std::chrono::milliseconds(250);  // Shortest one measured over.
+  Duration early_report_interval = std::chrono::milliseconds(50);
 };
 
 struct RateDecision {
@@ -41,6 +43,10 @@
   // known is not sent.
   ShareReport MakeReport(Instant now, uint64_t leader_term);
 
+  // Whether to send a report before the regular renewal: a cell without a share was refused, and
+  // its demand has not been reported yet. At most every `early_report_interval`.
+  bool WantsEarlyReport(Instant now) const;
+
   // Applies the answer to the report with the same sequence. Answers older than the newest applied
   // one, and answers to reports that this object never made, are ignored.
   void ApplyGrant(Instant now, const ShareGrant& grant);
@@ -49,6 +55,7 @@
   double Rate(Instant now, const std::string& service, const std::string& caller_class) const;
 
  private:
+  static constexpr size_t kSentReportsMax = 16;  // Older reports are taken for lost.
   using CellKey = std::pair<std::string, std::string>;
   struct Bucket {
     double limit = 0;  // Of the table, as of the latest request.
@@ -70,7 +77,9 @@
   RateLimiterConfig config_;
   std::map<CellKey, Bucket> buckets_;
   double floor_fraction_ = 0;
+  Instant floor_since_{};
   Instant floor_until_{};
+  bool refused_without_share_ = false;  // Since the last report.
   uint64_t sequence_ = 0;
   uint64_t applied_sequence_ = 0;
   std::map<uint64_t, Instant> sent_reports_;  // When each report without an answer was made.
--- a/include/runshelf/routing/failure_detector.h
+++ b/include/runshelf/routing/failure_detector.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "runshelf/common/clock.h"
@@ -16,15 +15,11 @@
   uint32_t failures_to_eject = 3;  // Consecutive failures that eject a target.
   Duration ejection_min = std::chrono::milliseconds(500);  // First ejection; doubles with each.
   Duration ejection_max = std::chrono::seconds(30);
-  Duration probe_interval_min = std::chrono::milliseconds(5);  // Of an unreachable owner; doubles.
-  Duration probe_interval_max = std::chrono::milliseconds(50);
 };
 
-// Keeps, for each target, its consecutive failures and until when it is left out.
-//
-// Two uses with different rules: a target chosen by load is ejected, but never more than half of a
-// service's targets; the owner of a slot has no substitute, so it is never ejected, only attempts
-// are spaced out while it cannot be reached. Deterministic; not thread-safe.
+// Keeps, for each target, its consecutive failures and until when choice by load leaves it out:
+// never more than half of a service's targets. The owner of a slot has no substitute, so it is
+// never ejected; see ProbePacer. Deterministic; not thread-safe.
 class FailureDetector {
  public:
   explicit FailureDetector(const FailureDetectorConfig& config) : config_(config) {}
@@ -32,27 +27,21 @@
   // A complete answer or an orderly refusal came.
   void OnReachable(const InstanceId& target);
 
-  // A connection failed or was lost, or an attempt timed out. `connect_failed`: nothing was sent.
-  void OnFailure(Instant now, const InstanceId& target, bool connect_failed);
+  // A connection failed or was lost, or an attempt timed out.
+  void OnFailure(Instant now, const InstanceId& target);
 
   // For each of `targets`, whether choice by load skips it. At most half are; those whose ejection
   // ends last.
   std::vector<bool> Ejected(Instant now, const std::vector<RouteTarget>& targets) const;
 
-  // Whether an owner may be tried now. While it cannot be reached, one caller per probe interval
-  // gets nullopt (go ahead); the others get the instant to ask again.
-  std::optional<Instant> AskToTryOwner(Instant now, const InstanceId& target);
-
   // Drops what is kept about all other targets.
   void KeepOnly(const std::vector<InstanceId>& sorted_targets);
 
  private:
   struct State {
     uint32_t consecutive_failures = 0;
-    uint32_t ejections = 0;  // In a row.
+    Duration ejection{0};  // Length of the latest one; doubles until the target is reachable.
     Instant ejected_until{};
-    Duration probe_interval{0};  // Zero while reachable.
-    Instant next_probe{};
   };
 
   FailureDetectorConfig config_;
--- a/include/runshelf/routing/idempotency_cache.h
+++ b/include/runshelf/routing/idempotency_cache.h
@@ -14,7 +14,6 @@
 #pragma once
 
 #include <cstdint>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -123,6 +122,7 @@
   size_t bytes() const { return bytes_; }
 
  private:
+  using ByAge = std::multimap<Instant, std::string>;  // Keys by when the request finished.
   struct Record {
     SlotNumber slot = 0;
     uint64_t fingerprint = 0;
@@ -131,7 +131,7 @@
     std::shared_ptr<const RecordedAnswer> answer;
     size_t bytes = 0;
     std::vector<std::string> attached;
-    std::list<std::string>::iterator age_position;  // In `by_age_`, when finished.
+    ByAge::iterator age_position;  // When finished.
   };
   struct ImportedHistory {
     Instant slot_held_since;
@@ -140,15 +140,17 @@
   using Records = std::unordered_map<std::string, Record>;
 
   void DropExpired(Instant now);
-  bool MakeRoom(Instant now);
+  bool HasRoomFor(size_t bytes) const;
+  bool MakeRoomFor(size_t bytes);
   void DropOldest();
+  void Erase(Records::iterator record);
   void Finish(Instant finished_at, Records::iterator record,
               std::shared_ptr<const RecordedAnswer> answer);
   Instant KnownSince(SlotNumber slot, Instant slot_held_since) const;
 
   IdempotencyConfig config_;
   Records records_;
-  std::list<std::string> by_age_;  // Finished records, the oldest first.
+  ByAge by_age_;  // Of finished records only.
   size_t bytes_ = 0;
   // Records that finished up to here may have been dropped before their retention was over.
   std::optional<Instant> evicted_until_;
--- a/include/runshelf/routing/request_router.h
+++ b/include/runshelf/routing/request_router.h
@@ -134,24 +134,30 @@
   Step NextByOwner(Instant now, const ServiceRoutes& routes, SlotNumber slot);
   Step NextByLoad(Instant now, const ServiceRoutes& routes);
   Step Forward(Instant now, const RouteTarget& target, std::optional<SlotNumber> slot);
-  Step WaitForOwner(Instant now, std::optional<Instant> probe_at);
-  Step AfterNotRun(Instant now, const RoutingSnapshot& snapshot, const AttemptResult& result);
+  Step WaitForOwner(Instant now, std::optional<Instant> not_before);
+  Step AfterNotRun(Instant now, const RoutingSnapshot& snapshot, AttemptOutcome outcome);
   Step AfterMayHaveRun(Instant now, const RoutingSnapshot& snapshot, AttemptOutcome outcome);
+  Step GiveUpTooLate() const;
+  Step GiveUpAfterLastOutcome() const;
   Step GiveUp(int http_status, const std::string& reason, Duration retry_after) const;
   void EndAttempt(Instant now, const AttemptResult& result);
-  bool TooLate(Instant now, Duration ahead) const;
-  bool PayForResend(Instant now, const InstanceId& target);
+  Instant AttemptDeadline(Instant now) const;
+  bool GoesByOwner() const;
+  bool TooLate(Instant now) const;
+  bool PayForResend(Instant now);
+  void NoteOutcome(Instant now, const InstanceId& target);
 
   RequestInfo info_;
   const RouterConfig& config_;
   RouterState& state_;
   Random& random_;
-  Duration backoff_;
+  Duration backoff_;  // Next wait for an owner.
   uint32_t attempts_ = 0;
-  bool may_have_run_;
+  bool may_have_run_;  // Some attempt, or an earlier sending of the caller, may have run.
   AttemptOutcome last_outcome_ = AttemptOutcome::kAnswered;
   Duration last_retry_after_{0};
   std::optional<InstanceId> in_progress_;  // Target of the attempt under way.
+  SlotNumber slot_ = 0;                    // Of the latest attempt that went by ownership.
   std::vector<InstanceId> tried_;          // Targets of all attempts, in order.
 };
 
--- a/include/runshelf/routing/router_state.h
+++ b/include/runshelf/routing/router_state.h
@@ -1,6 +1,7 @@
 // What all requests of one process share: load, failures and the retry budget.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +11,7 @@
 #include "runshelf/common/slot.h"
 #include "runshelf/routing/failure_detector.h"
 #include "runshelf/routing/load_balancer.h"
+#include "runshelf/routing/probe_pacer.h"
 #include "runshelf/routing/retry_budget.h"
 #include "runshelf/routing/routing_snapshot.h"
 
@@ -19,6 +21,16 @@
   LoadBalancerConfig load_balancer;
   FailureDetectorConfig failure_detector;
   RetryBudgetConfig retry_budget;
+  ProbePacerConfig owner_probes;
+};
+
+// A slot as one instance answers for it.
+struct SlotAtInstance {
+  InstanceId instance;
+  std::string service;
+  SlotNumber slot = 0;
+
+  auto operator<=>(const SlotAtInstance&) const = default;
 };
 
 // One per process. Deterministic; not thread-safe: the shell holds one lock around RequestRouter
@@ -28,7 +40,9 @@
   explicit RouterState(const RouterStateConfig& config)
       : load_balancer(config.load_balancer),
         failure_detector(config.failure_detector),
-        retry_budget(config.retry_budget) {}
+        retry_budget(config.retry_budget),
+        unreachable_owners(config.owner_probes),
+        refusing_owners(config.owner_probes) {}
 
   // Adopts the targets of a snapshot with another version than the last one. RequestRouter calls
   // it; cheap when the version is the same.
@@ -37,6 +51,8 @@
   LoadBalancer load_balancer;
   FailureDetector failure_detector;
   RetryBudget retry_budget;
+  ProbePacer<InstanceId> unreachable_owners;   // Connections fail.
+  ProbePacer<SlotAtInstance> refusing_owners;  // Do not hold the slot, or are leaving.
 
  private:
   std::optional<uint64_t> version_;
