--- a/include/runshelf/admission/limit_allocator.h
+++ b/include/runshelf/admission/limit_allocator.h
@@ -50,9 +50,10 @@
 // such a report was sent after the predecessor's last grant. Deterministic; not thread-safe.
 class LimitAllocator {
  public:
-  // Takes office at `now` as the leader of `term`.
-  LimitAllocator(const ShareConfig& config, uint64_t term, Instant now)
-      : config_(config), term_(term), took_office_(now) {}
+  // Takes office at `now` as the leader of `term`. `has_predecessor` is false only for the first
+  // leader that a fleet ever had: first generation, and an empty log when it was elected.
+  LimitAllocator(const ShareConfig& config, uint64_t term, Instant now, bool has_predecessor = true)
+      : config_(config), term_(term), took_office_(now), has_predecessor_(has_predecessor) {}
 
   // Answers a report; nullopt: it is for another leader or not newer than one answered before.
   // `known_instances` is the number of instances in the fleet, the reporting one included.
@@ -80,10 +81,12 @@
   double ShareFor(Instant now, const ShareReport& report, const CellDemand& demand, double limit,
                   size_t known_instances);
   Duration WithMargin(Duration duration) const;
+  bool PredecessorLapsed(Instant now, Duration valid_for) const;
 
   ShareConfig config_;
   uint64_t term_;
   Instant took_office_;
+  bool has_predecessor_;
   std::map<InstanceId, FloorHolder> floors_;
   std::map<CellKey, Cell> cells_;
 };
--- a/include/runshelf/routing/idempotency_cache.h
+++ b/include/runshelf/routing/idempotency_cache.h
@@ -59,6 +59,7 @@
   SlotNumber slot = 0;
   uint32_t attempt = 1;      // 1 for the first sending, 2 and up for repeats.
   uint64_t fingerprint = 0;  // Of method, path and body; see FingerprintOf.
+  bool repeatable = false;   // Running twice does no harm: never answered kUnknownRepeat.
   Instant slot_held_since;   // From SlotGate::HeldSince.
 };
 
@@ -139,6 +140,8 @@
   };
   using Records = std::unordered_map<std::string, Record>;
 
+  static BeginResult BeginKnown(const IdempotentRequest& request, Record& record);
+  Records::iterator AddRunning(const std::string& key, SlotNumber slot, uint64_t fingerprint);
   void DropExpired(Instant now);
   bool HasRoomFor(size_t bytes) const;
   bool MakeRoomFor(size_t bytes);
--- a/source/admission/limit_allocator.cc
+++ b/source/admission/limit_allocator.cc
@@ -55,7 +55,6 @@
   FloorHolder& holder = floors_[report.instance];
   if (report.sequence <= holder.last_sequence) return std::nullopt;
   holder.last_sequence = report.sequence;
-  Tick(now);
   ShareGrant grant;
   grant.sequence = report.sequence;
   grant.floor_fraction = FloorFor(now, report, std::max<size_t>(known_instances, 1));
@@ -70,9 +69,10 @@
 }
 
 double LimitAllocator::FloorFor(Instant now, const ShareReport& report, size_t known_instances) {
-  const bool predecessor_lapsed = now >= took_office_ + WithMargin(config_.floor_valid_for);
+  const bool predecessor_lapsed = PredecessorLapsed(now, config_.floor_valid_for);
   double given_to_others = 0;
-  for (const auto& [instance, holder] : floors_) {
+  for (auto& [instance, holder] : floors_) {
+    holder.grants.DropExpired(now);
     if (instance != report.instance) given_to_others += holder.grants.Largest();
   }
   double fraction = 1.0 / static_cast<double>(known_instances);
@@ -86,7 +86,7 @@
 
 double LimitAllocator::ShareFor(Instant now, const ShareReport& report, const CellDemand& demand,
                                 double limit, size_t known_instances) {
-  const bool predecessor_lapsed = now >= took_office_ + WithMargin(config_.share_valid_for);
+  const bool predecessor_lapsed = PredecessorLapsed(now, config_.share_valid_for);
   Cell& cell = cells_[CellKey(demand.service, demand.caller_class)];
   CellHolder& own = cell[report.instance];
   own.demand = std::min(demand.requests_per_second, limit);
@@ -95,7 +95,8 @@
   double given_to_others = 0;
   double demand_of_all = 0;
   const Duration remembered = config_.renewal_interval * kRenewalsRemembered;
-  for (const auto& [instance, holder] : cell) {
+  for (auto& [instance, holder] : cell) {
+    holder.grants.DropExpired(now);
     if (instance != report.instance) given_to_others += holder.grants.Largest();
     if (now - holder.reported_at <= remembered) demand_of_all += holder.demand;
   }
@@ -124,6 +125,11 @@
   }
   std::erase_if(cells_, [](const auto& entry) { return entry.second.empty(); });
   for (auto& [instance, holder] : floors_) holder.grants.DropExpired(now);
+  std::erase_if(floors_, [](const auto& entry) { return entry.second.grants.empty(); });
+}
+
+bool LimitAllocator::PredecessorLapsed(Instant now, Duration valid_for) const {
+  return !has_predecessor_ || now >= took_office_ + WithMargin(valid_for);
 }
 
 // How long a grant may be in force at its holder, on this machine's clock.
--- a/source/routing/idempotency_cache.cc
+++ b/source/routing/idempotency_cache.cc
@@ -21,28 +21,40 @@
   DropExpired(now);
   const auto found = records_.find(request.key);
   if (found != records_.end()) {
-    Record& record = found->second;
-    if (record.fingerprint != request.fingerprint) return {BeginOutcome::kMismatch, nullptr, {}};
-    if (record.running) {
-      record.attached.push_back(request.request_id);
-      return {BeginOutcome::kAttach, nullptr, {}};
-    }
-    if (record.answer == nullptr) return {BeginOutcome::kUnknownRepeat, nullptr, {}};
-    return {BeginOutcome::kReplay, record.answer, {}};
+    const BeginResult known = BeginKnown(request, found->second);
+    if (known.outcome != BeginOutcome::kUnknownRepeat || !request.repeatable) return known;
+    Erase(found);
+  } else if (request.attempt > 1 && !request.repeatable) {
+    const Instant known_since = KnownSince(request.slot, request.slot_held_since);
+    const bool would_remember = known_since + config_.retention <= now;
+    if (!would_remember) return {BeginOutcome::kUnknownRepeat, nullptr, {}};
   }
-  const bool would_remember =
-      KnownSince(request.slot, request.slot_held_since) + config_.retention <= now;
-  if (request.attempt > 1 && !would_remember) return {BeginOutcome::kUnknownRepeat, nullptr, {}};
   if (!MakeRoomFor(request.key.size())) {
     return {BeginOutcome::kFull, nullptr, config_.retry_after_full};
   }
+  AddRunning(request.key, request.slot, request.fingerprint);
+  return {BeginOutcome::kRun, nullptr, {}};
+}
+
+BeginResult IdempotencyCache::BeginKnown(const IdempotentRequest& request, Record& record) {
+  if (record.fingerprint != request.fingerprint) return {BeginOutcome::kMismatch, nullptr, {}};
+  if (record.running) {
+    record.attached.push_back(request.request_id);
+    return {BeginOutcome::kAttach, nullptr, {}};
+  }
+  if (record.answer == nullptr) return {BeginOutcome::kUnknownRepeat, nullptr, {}};
+  return {BeginOutcome::kReplay, record.answer, {}};
+}
+
+IdempotencyCache::Records::iterator IdempotencyCache::AddRunning(const std::string& key,
+                                                                 SlotNumber slot,
+                                                                 uint64_t fingerprint) {
   Record record;
-  record.slot = request.slot;
-  record.fingerprint = request.fingerprint;
-  record.bytes = request.key.size();
+  record.slot = slot;
+  record.fingerprint = fingerprint;
+  record.bytes = key.size();
   bytes_ += record.bytes;
-  records_.emplace(request.key, std::move(record));
-  return {BeginOutcome::kRun, nullptr, {}};
+  return records_.emplace(key, std::move(record)).first;
 }
 
 std::vector<std::string> IdempotencyCache::Complete(Instant now, const std::string& key,
@@ -95,12 +107,7 @@
       evicted_until_ = std::max(evicted_until_.value_or(finished_at), finished_at);
       continue;
     }
-    Record record;
-    record.slot = records.slot;
-    record.fingerprint = imported.fingerprint;
-    record.bytes = imported.key.size();
-    bytes_ += record.bytes;
-    const auto position = records_.emplace(imported.key, std::move(record)).first;
+    const auto position = AddRunning(imported.key, records.slot, imported.fingerprint);
     Finish(finished_at, position, imported.answer);
   }
 }
