--- a/source/admission/limit_allocator.cc
+++ b/source/admission/limit_allocator.cc
@@ -12,7 +12,7 @@
 // Headroom over the reported demand while the demand of all is below the limit.
 constexpr double kDemandHeadroom = 2;
 // A demand that was not reported for this many renewals is forgotten.
-constexpr int kRenewalsRemembered = 4;
+constexpr int kRenewalsRemembered = 3;
 
 double HeldShare(const ShareReport& report, const CellDemand& demand) {
   for (const CellShare& share : report.held) {
--- a/source/admission/rate_limiter.cc
+++ b/source/admission/rate_limiter.cc
@@ -110,7 +110,6 @@
     }
     const double rate = RateAt(bucket.refilled_at, bucket);
     bucket.tokens += rate * Seconds(until - bucket.refilled_at);
-    bucket.tokens = std::min(bucket.tokens, BurstOf(rate));
     bucket.refilled_at = until;
   }
   bucket.tokens = std::min(bucket.tokens, BurstOf(RateAt(now, bucket)));
