--- a/source/routing/idempotency_cache.cc
+++ b/source/routing/idempotency_cache.cc
@@ -21,7 +21,7 @@
   DropExpired(now);
   const auto found = records_.find(request.key);
   if (found != records_.end()) {
-    const BeginResult known = BeginKnown(request, found->second);
+    BeginResult known = BeginKnown(request, found->second);
     if (known.outcome != BeginOutcome::kUnknownRepeat || !request.repeatable) return known;
     Erase(found);
   } else if (request.attempt > 1 && !request.repeatable) {
--- a/tests/admission/rate_limiter_test.cc
+++ b/tests/admission/rate_limiter_test.cc
@@ -75,6 +75,13 @@
   DOUBLES_EQUAL(0, limiter.Rate(kStart + std::chrono::seconds(2), "billing", "desk"), 0);
 }
 
+TEST(RateLimiter, NothingAccruesFromAShareAfterItLapsed) {
+  Admit(kStart);
+  limiter.MakeReport(kStart, 1);
+  limiter.ApplyGrant(kStart, Grant(1, 0, 0.4));
+  CHECK_FALSE(Admit(kStart + std::chrono::seconds(3)));  // 0.8 of a request.
+}
+
 TEST(RateLimiter, NeverAdmitsMoreThanTheIntegralOfItsRatePlusTheBurst) {
   CHECK(rc::check("admitted <= integral of rate + burst over every window", [this] {
     RateLimiter fresh({"node", 1}, RateLimiterConfig{});
@@ -86,19 +93,19 @@
     const auto steps = *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 100));
     for (const int step : steps) {
       double integral = integrals.back();
-      for (int millisecond = 0; millisecond < step; ++millisecond) {
+      for (int millisecond = 0; millisecond < step * step / 20; ++millisecond) {
         const double rate = limiter.Rate(now, "billing", "desk");
         largest_rate = std::max(largest_rate, rate);
         integral += rate / 1000;
         now += std::chrono::milliseconds(1);
       }
       int taken = 0;
-      while (taken < step && Admit(now)) ++taken;
+      while (step % 3 == 0 && Admit(now)) ++taken;
       integrals.push_back(integral);
       admitted.push_back(admitted.back() + taken);
-      if (step % 10 == 0) {
+      if (step % 7 == 0) {
         const ShareReport report = limiter.MakeReport(now, 1);
-        limiter.ApplyGrant(now, Grant(report.sequence, step / 100.0, step % 7 * 10));
+        limiter.ApplyGrant(now, Grant(report.sequence, step / 100.0, step % 9 * 10));
       }
       const double burst = std::max(1.0, largest_rate * 0.1);
       for (size_t from = 0; from < integrals.size(); ++from) {
