--- a/include/runshelf/admission/admission_queue.h
+++ b/include/runshelf/admission/admission_queue.h
@@ -2,7 +2,8 @@
 // refused. See docs/ADMISSION.md for what was weighed.
 //
 // Order: strictly by weight, then by the earliest deadline. A request that cannot be answered by
-// its deadline, given the measured service time and what is ahead of it, is refused at once.
+// its deadline, given the measured service time of its class, what is ahead of it and how fast the
+// slots become free, is refused at once.
 #pragma once
 
 #include <cstdint>
@@ -113,7 +114,7 @@
   // At least 1 while there are slots.
   uint32_t ConcurrencyLimit(Instant now) const;
 
-  // Smoothed service time; zero until the first measurement.
+  // Smoothed service time of all classes; zero until the first measurement.
   Duration ServiceTime() const;
 
  private:
@@ -127,19 +128,25 @@
     uint32_t weight = 0;  // Of its latest request.
     bool offered = false;
     Instant last_offer{};
+    double service_time_us = 0;  // Smoothed; zero until the first measurement.
   };
 
+  struct Outlook;  // What waiting requests of each class have to expect.
+
   void Start(const AdmissionRequest& request, AdmissionChanges& changes);
   void StartAllowed(Instant now, AdmissionChanges& changes);
   void RefuseLate(Instant now, AdmissionChanges& changes);
-  void RefuseOneOfTooMany(Instant now, const AdmissionRequest& newcomer, AdmissionChanges& changes);
+  void RefuseOneOfTooMany(const AdmissionRequest& newcomer, AdmissionChanges& changes);
   void Erase(Waiting::iterator position);
   void NoteClass(Instant now, const AdmissionRequest& request);
   uint32_t ClassCap(Instant now, const std::string& caller_class) const;
-  Duration ExpectedWait(Instant now, size_t ahead) const;
-  Refusal MakeRefusal(Instant now, uint64_t id, RefusalReason reason) const;
+  Outlook MakeOutlook(Instant now) const;
+  double ServiceTimeOf(const ClassState& state) const;
+  double CompletionsPerMicrosecond() const;
+  Duration WaitBehind(size_t requests) const;
+  Refusal MakeRefusal(uint64_t id, RefusalReason reason) const;
   void OnShed(Instant now);
-  void OnServed(Duration service_time);
+  void OnServed(ClassState& state, Duration service_time);
 
   AdmissionConfig config_;
   uint32_t slots_;
--- a/include/runshelf/routing/router_state.h
+++ b/include/runshelf/routing/router_state.h
@@ -30,7 +30,7 @@
   std::string service;
   SlotNumber slot = 0;
 
-  auto operator<=>(const SlotAtInstance&) const = default;
+  auto operator<=>(const SlotAtInstance&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // One per process. Deterministic; not thread-safe: the shell holds one lock around RequestRouter
--- a/source/admission/admission_queue.cc
+++ b/source/admission/admission_queue.cc
@@ -7,6 +7,31 @@
 
 namespace runshelf::admission {
 
+// Classes that hold all slots that they may wait for their own; all others wait for any slot.
+struct AdmissionQueue::Outlook {
+  struct ClassOutlook {
+    uint32_t cap = 1;
+    bool at_cap = false;
+    double service_time_us = 0;
+    size_t ahead = 0;  // Waiting requests of this class that were looked at, when at its cap.
+  };
+
+  double WaitUs(const ClassOutlook& expected) const {
+    if (expected.at_cap) {
+      return expected.service_time_us * static_cast<double>(expected.ahead + 1) / expected.cap;
+    }
+    if (ahead < free || completions_per_us <= 0) return 0;
+    return static_cast<double>(ahead + 1 - free) / completions_per_us;
+  }
+
+  void CountAhead(ClassOutlook& expected) { ++(expected.at_cap ? expected.ahead : ahead); }
+
+  std::map<std::string, ClassOutlook> classes;
+  size_t ahead = 0;  // Waiting requests of all classes that are not at their cap.
+  size_t free = 0;   // Slots.
+  double completions_per_us = 0;
+};
+
 const char* RefusalName(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kQueueFull:
@@ -32,7 +57,7 @@
 AdmissionChanges AdmissionQueue::Offer(Instant now, const AdmissionRequest& request) {
   AdmissionChanges changes;
   if (draining_) {
-    changes.refused.push_back(MakeRefusal(now, request.id, RefusalReason::kDraining));
+    changes.refused.push_back(MakeRefusal(request.id, RefusalReason::kDraining));
     return changes;
   }
   NoteClass(now, request);
@@ -40,7 +65,7 @@
   waiting_by_id_.emplace(request.id, position);
   StartAllowed(now, changes);
   RefuseLate(now, changes);
-  if (waiting_.size() > config_.queue_max) RefuseOneOfTooMany(now, request, changes);
+  if (waiting_.size() > config_.queue_max) RefuseOneOfTooMany(request, changes);
   return changes;
 }
 
@@ -49,9 +74,10 @@
   AdmissionChanges changes;
   const auto running = running_.find(id);
   if (running == running_.end()) return changes;
-  --classes_[running->second].running;
+  ClassState& state = classes_[running->second];
+  --state.running;
   running_.erase(running);
-  if (completion == Completion::kServed) OnServed(service_time);
+  if (completion == Completion::kServed) OnServed(state, service_time);
   if (completion == Completion::kShed) OnShed(now);
   RefuseLate(now, changes);
   StartAllowed(now, changes);
@@ -112,7 +138,7 @@
     const auto next = std::next(position);
     const std::string& caller_class = position->caller_class;
     if (position->deadline <= now) {
-      changes.refused.push_back(MakeRefusal(now, position->id, RefusalReason::kDeadline));
+      changes.refused.push_back(MakeRefusal(position->id, RefusalReason::kDeadline));
       Erase(position);
     } else if (classes_[caller_class].running < ClassCap(now, caller_class)) {
       Start(*position, changes);
@@ -123,22 +149,25 @@
 }
 
 void AdmissionQueue::RefuseLate(Instant now, AdmissionChanges& changes) {
-  size_t ahead = 0;
+  if (waiting_.empty()) return;
+  Outlook outlook = MakeOutlook(now);
   auto position = waiting_.begin();
   while (position != waiting_.end()) {
     const auto next = std::next(position);
-    const Instant answered_at = now + ExpectedWait(now, ahead) + ServiceTime();
+    Outlook::ClassOutlook& expected = outlook.classes.at(position->caller_class);
+    const double needed_us = outlook.WaitUs(expected) + expected.service_time_us;
+    const Instant answered_at = now + Duration(static_cast<int64_t>(needed_us));
     if (position->deadline <= now || answered_at > position->deadline) {
-      changes.refused.push_back(MakeRefusal(now, position->id, RefusalReason::kDeadline));
+      changes.refused.push_back(MakeRefusal(position->id, RefusalReason::kDeadline));
       Erase(position);
     } else {
-      ++ahead;
+      outlook.CountAhead(expected);
     }
     position = next;
   }
 }
 
-void AdmissionQueue::RefuseOneOfTooMany(Instant now, const AdmissionRequest& newcomer,
+void AdmissionQueue::RefuseOneOfTooMany(const AdmissionRequest& newcomer,
                                         AdmissionChanges& changes) {
   auto refused = std::prev(waiting_.end());
   RefusalReason reason = RefusalReason::kDisplaced;
@@ -146,7 +175,7 @@
     refused = waiting_by_id_.at(newcomer.id);
     reason = RefusalReason::kQueueFull;
   }
-  changes.refused.push_back(MakeRefusal(now, refused->id, reason));
+  changes.refused.push_back(MakeRefusal(refused->id, reason));
   Erase(refused);
 }
 
@@ -175,17 +204,45 @@
   return std::max(1U, static_cast<uint32_t>(ConcurrencyLimit(now) * share));
 }
 
-Duration AdmissionQueue::ExpectedWait(Instant now, size_t ahead) const {
-  const size_t limit = std::max(1U, ConcurrencyLimit(now));
-  const size_t free = limit > running_.size() ? limit - running_.size() : 0;
-  if (ahead < free) return Duration::zero();
-  const double turns = static_cast<double>(ahead + 1 - free) / static_cast<double>(limit);
-  return Duration(static_cast<int64_t>(service_time_us_ * turns));
+AdmissionQueue::Outlook AdmissionQueue::MakeOutlook(Instant now) const {
+  Outlook outlook;
+  const size_t limit = ConcurrencyLimit(now);
+  outlook.free = limit > running_.size() ? limit - running_.size() : 0;
+  outlook.completions_per_us = CompletionsPerMicrosecond();
+  // Free slots are about to be taken by those that wait ahead.
+  const auto free = static_cast<double>(outlook.free);
+  if (service_time_us_ > 0) outlook.completions_per_us += free / service_time_us_;
+  for (const auto& [name, state] : classes_) {
+    const uint32_t cap = ClassCap(now, name);
+    const bool at_cap = cap < limit && state.running >= cap;
+    outlook.classes.emplace(name, Outlook::ClassOutlook{cap, at_cap, ServiceTimeOf(state), 0});
+  }
+  return outlook;
 }
 
-Refusal AdmissionQueue::MakeRefusal(Instant now, uint64_t id, RefusalReason reason) const {
+double AdmissionQueue::ServiceTimeOf(const ClassState& state) const {
+  return state.service_time_us > 0 ? state.service_time_us : service_time_us_;
+}
+
+// Zero when nothing runs or nothing was measured yet.
+double AdmissionQueue::CompletionsPerMicrosecond() const {
+  double completions = 0;
+  for (const auto& [name, state] : classes_) {
+    const double service_time_us = ServiceTimeOf(state);
+    if (service_time_us > 0) completions += state.running / service_time_us;
+  }
+  return completions;
+}
+
+Duration AdmissionQueue::WaitBehind(size_t requests) const {
+  const double completions = CompletionsPerMicrosecond();
+  if (completions <= 0) return Duration::zero();
+  return Duration(static_cast<int64_t>(static_cast<double>(requests) / completions));
+}
+
+Refusal AdmissionQueue::MakeRefusal(uint64_t id, RefusalReason reason) const {
   if (reason == RefusalReason::kDraining) return {id, reason, config_.retry_after_draining};
-  const Duration wait = ExpectedWait(now, waiting_.size());
+  const Duration wait = WaitBehind(waiting_.size() + 1);
   return {id, reason, std::max(wait, config_.retry_after_min)};
 }
 
@@ -197,10 +254,12 @@
   shed_limit_ = std::max(1.0, std::min(shed_limit_, reached) * config_.shed_factor);
 }
 
-void AdmissionQueue::OnServed(Duration service_time) {
+void AdmissionQueue::OnServed(ClassState& state, Duration service_time) {
   const auto measured = static_cast<double>(service_time.count());
-  const double weight = service_time_us_ == 0 ? 1 : config_.service_time_smoothing;
-  service_time_us_ += (measured - service_time_us_) * weight;
+  for (double* smoothed : {&service_time_us_, &state.service_time_us}) {
+    const double weight = *smoothed == 0 ? 1 : config_.service_time_smoothing;
+    *smoothed += (measured - *smoothed) * weight;
+  }
   shed_limit_ = std::min<double>(slots_, shed_limit_ + 1 / std::max(1.0, shed_limit_));
 }
 
--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 #include "runshelf/common/random.h"
 
@@ -52,9 +51,11 @@
   }
 
   AdmissionChanges Complete(Instant now, uint64_t id, Duration service_time) {
-    running_.erase(id);
     const auto measured = static_cast<double>(service_time.count());
-    mean_ = mean_ == 0 ? measured : mean_ + (measured - mean_) * 0.1;
+    for (double* mean : {&mean_, &means_[running_.at(id)]}) {
+      *mean = *mean == 0 ? measured : *mean + (measured - *mean) * 0.1;
+    }
+    running_.erase(id);
     return Tick(now);
   }
 
@@ -71,7 +72,7 @@
       if (list_.front().deadline <= now) {
         changes.refused.push_back({list_.front().id, RefusalReason::kDeadline, {}});
       } else {
-        running_.insert(list_.front().id);
+        running_[list_.front().id] = list_.front().weight;
         changes.started.push_back(list_.front().id);
       }
       list_.erase(list_.begin());
@@ -82,8 +83,12 @@
     std::vector<AdmissionRequest> kept;
     for (const AdmissionRequest& request : list_) {
       const size_t free = slots_ - running_.size();
-      const double turns = kept.size() < free ? 0 : double(kept.size() + 1 - free) / double(slots_);
-      const Duration needed = Duration(int64_t(mean_ * turns)) + Duration(int64_t(mean_));
+      double wait = 0;
+      if (kept.size() >= free && mean_ > 0) {
+        const double completions = CompletionsPerMicrosecond() + static_cast<double>(free) / mean_;
+        wait = static_cast<double>(kept.size() + 1 - free) / completions;
+      }
+      const Duration needed(static_cast<int64_t>(wait + MeanOf(request.weight)));
       if (request.deadline <= now || now + needed > request.deadline) {
         changes.refused.push_back({request.id, RefusalReason::kDeadline, {}});
       } else {
@@ -93,11 +98,20 @@
     list_ = kept;
   }
 
+  double MeanOf(uint32_t weight) { return means_[weight] > 0 ? means_[weight] : mean_; }
+
+  double CompletionsPerMicrosecond() {
+    double completions = 0;
+    for (const auto& [id, weight] : running_) completions += 1 / MeanOf(weight);
+    return completions;
+  }
+
   size_t slots_;
   size_t queue_max_;
   double mean_ = 0;
+  std::map<uint32_t, double> means_;  // By weight, which is by class here.
   std::vector<AdmissionRequest> list_;
-  std::set<uint64_t> running_;
+  std::map<uint64_t, uint32_t> running_;  // Id to weight.
 };
 
 AdmissionChanges WithoutRetryAfter(AdmissionChanges changes) {
