--- a/include/runshelf/transport/http_connection_pool.h
+++ b/include/runshelf/transport/http_connection_pool.h
@@ -26,6 +26,7 @@
 struct HttpResult {
   HttpOutcome outcome = HttpOutcome::kConnectFailed;
   HttpResponse response;  // Meaningful with kAnswered only.
+  bool refused = false;   // With kConnectFailed: the peer's machine refused; nobody listens there.
   std::string detail;     // For logs: what failed.
 };
 
--- /dev/null
+++ b/source/daemon/coordinator.h
@@ -0,0 +1,81 @@
+// Drives coordination::Node: one mutex around it, a thread that ticks it, and what it asks for
+// carried out.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "runshelf/common/clock.h"
+#include "runshelf/coordination/node.h"
+#include "runshelf/ownership/slot_gate.h"
+#include "runshelf/routing/routing_snapshot.h"
+#include "source/daemon/published.h"
+
+namespace runshelf::daemon {
+
+// Who carries out the node's actions. None may block for long; PushGrant is called with the node
+// locked, so that grants are handed over in order, and must not call the coordinator.
+struct NodeEffects {
+  std::function<void(const std::string& address, const std::string& message)> send;
+  std::function<void(const coordination::ServerGrant& grant)> push_grant;
+  std::function<void()> read_group_record;
+  std::function<void(const coordination::WriteGroupRecord& write)> write_group_record;
+};
+
+// Safe for use by several threads at once.
+class Coordinator : public ownership::SlotGate {
+ public:
+  // `clock` and `routes` must outlive the coordinator.
+  Coordinator(const Clock& clock, std::unique_ptr<coordination::Node> node, std::string group,
+              Published<routing::RoutingSnapshot>& routes);
+  ~Coordinator() override;
+
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
+  // Starts to tick. To be called once.
+  void Start(NodeEffects effects);
+
+  // Stops to tick; no effect is called after it returns.
+  void Stop();
+
+  // A message of another daemon.
+  void OnMessage(const std::string& message);
+
+  // Calls `event` with the node and the present time, then carries out what the node asks for.
+  void With(const std::function<void(coordination::Node& node, Instant now)>& event);
+
+  coordination::NodeStatus Status() const;
+  bool MayStop() const;
+
+  // Of ownership::SlotGate.
+  std::optional<FencingToken> Enter(Instant now, SlotNumber slot) override;
+  void Leave(SlotNumber slot) override;
+  std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const override;
+
+ private:
+  // Takes what has to be done and hands grants over; the caller holds `mutex_`.
+  std::vector<coordination::Action> TakeActionsLocked();
+  void CarryOut(const std::vector<coordination::Action>& actions);
+  void TickLoop();
+
+  const Clock& clock_;
+  const std::string group_;
+  Published<routing::RoutingSnapshot>& routes_;
+  mutable std::mutex mutex_;
+  std::condition_variable stop_changed_;
+  std::unique_ptr<coordination::Node> node_;  // Guarded by `mutex_`.
+  NodeEffects effects_;
+  bool started_ = false;
+  bool stopping_ = false;
+  std::thread tick_thread_;
+};
+
+}  // namespace runshelf::daemon
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -79,6 +79,8 @@
     stream.setNoDelay(true);
     auto session = std::make_unique<SingleUseSession>(stream, *guard);
     return std::unique_ptr<HttpConnection>(new HttpConnection(address, std::move(session)));
+  } catch (const Poco::Net::ConnectionRefusedException& exception) {
+    return absl::FailedPreconditionError(exception.displayText());
   } catch (const Poco::Exception& exception) {
     return absl::UnavailableError(exception.displayText());
   }
--- a/source/transport/http_connection.h
+++ b/source/transport/http_connection.h
@@ -19,7 +19,8 @@
 // Not safe for use by several threads at once.
 class HttpConnection {
  public:
-  // Connects to `address` ("ip:port"). kUnavailable when that fails within `timeout`.
+  // Connects to `address` ("ip:port"). kFailedPrecondition: refused, nobody listens there.
+  // kUnavailable: any other failure, also when `timeout` passes.
   static absl::StatusOr<std::unique_ptr<HttpConnection>> Connect(const Clock& clock,
                                                                  const std::string& address,
                                                                  Duration timeout);
--- a/source/transport/http_connection_pool.cc
+++ b/source/transport/http_connection_pool.cc
@@ -25,11 +25,12 @@
   }
   const Duration timeout = std::min(options_.connect_timeout, deadline - clock_.Now());
   if (timeout <= Duration::zero()) {
-    return {HttpOutcome::kConnectFailed, {}, "the deadline passed before connecting"};
+    return {HttpOutcome::kConnectFailed, {}, false, "the deadline passed before connecting"};
   }
   auto connected = HttpConnection::Connect(clock_, address, timeout);
   if (!connected.ok()) {
-    return {HttpOutcome::kConnectFailed, {}, std::string(connected.status().message())};
+    const bool refused = absl::IsFailedPrecondition(connected.status());
+    return {HttpOutcome::kConnectFailed, {}, refused, std::string(connected.status().message())};
   }
   return ExchangeOn(std::move(*connected), address, request, deadline, caller, accept);
 }
@@ -43,7 +44,7 @@
     return result;
   }
   if (accept != nullptr && !accept(result.response)) {
-    return {HttpOutcome::kConnectionLost, {}, "the response belongs to another request"};
+    return {HttpOutcome::kConnectionLost, {}, false, "the response belongs to another request"};
   }
   Return(address, std::move(connection), clock_.Now());
   return result;
--- a/tests/transport/http_connection_pool_test.cc
+++ b/tests/transport/http_connection_pool_test.cc
@@ -111,7 +111,9 @@
     ScriptedPeer peer([](auto&, const auto&, int, int) { return false; });
     address = peer.address();
   }
-  CHECK(pool.Call(address, Post("x"), clock.Now() + kAmple).outcome == HttpOutcome::kConnectFailed);
+  const HttpResult refused = pool.Call(address, Post("x"), clock.Now() + kAmple);
+  CHECK(refused.outcome == HttpOutcome::kConnectFailed);
+  CHECK(refused.refused);
   CHECK(pool.Call("localhost:80", Post("x"), clock.Now() + kAmple).outcome ==
         HttpOutcome::kConnectFailed);
 }
