--- a/source/daemon/coordinator.cc
+++ b/source/daemon/coordinator.cc
@@ -39,9 +39,13 @@
 
 }  // namespace
 
-Coordinator::Coordinator(const Clock& clock, std::unique_ptr<coordination::Node> node,
-                         std::string group, Published<routing::RoutingSnapshot>& routes)
-    : clock_(clock), group_(std::move(group)), routes_(routes), node_(std::move(node)) {}
+Coordinator::Coordinator(const Clock& clock, NodeFactory make_node, std::string group,
+                         Published<routing::RoutingSnapshot>& routes)
+    : clock_(clock),
+      group_(std::move(group)),
+      routes_(routes),
+      make_node_(std::move(make_node)),
+      node_(make_node_()) {}
 
 Coordinator::~Coordinator() { Stop(); }
 
@@ -77,7 +81,7 @@
 
 void Coordinator::With(const std::function<void(coordination::Node& node, Instant now)>& event) {
   std::unique_lock lock(mutex_);
-  if (!started_ || stopping_) {
+  if (!started_ || stopping_ || restarting_) {
     return;
   }
   event(*node_, clock_.Now());
@@ -99,12 +103,18 @@
 // The clock is read again under the lock: `now` may be old when the thread waited for it.
 std::optional<FencingToken> Coordinator::Enter(Instant, SlotNumber slot) {
   const std::lock_guard lock(mutex_);
-  return node_->Enter(clock_.Now(), slot);
+  if (restarting_) {
+    return std::nullopt;
+  }
+  const std::optional<FencingToken> token = node_->Enter(clock_.Now(), slot);
+  entered_ += token.has_value() ? 1 : 0;
+  return token;
 }
 
 void Coordinator::Leave(SlotNumber slot) {
   const std::lock_guard lock(mutex_);
   node_->Leave(clock_.Now(), slot);
+  --entered_;
 }
 
 std::optional<Instant> Coordinator::HeldSince(Instant, SlotNumber slot) const {
@@ -117,6 +127,9 @@
   for (const coordination::Action& action : actions) {
     if (const auto* push = std::get_if<coordination::PushGrant>(&action)) {
       effects_.push_grant(push->grant);
+    } else if (const auto* restart = std::get_if<coordination::RestartInstance>(&action)) {
+      LogEvent(LogLevel::kWarning, "instance_restarting", {{"reason", restart->reason}});
+      restarting_ = true;
     }
   }
   routes_.Publish(node_->Routes());
@@ -137,10 +150,20 @@
   }
 }
 
+void Coordinator::RestartIfDue() {
+  if (restarting_ && entered_ == 0) {
+    node_ = make_node_();
+    restarting_ = false;
+  }
+}
+
 void Coordinator::TickLoop() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    node_->Tick(clock_.Now());
+    RestartIfDue();
+    if (!restarting_) {
+      node_->Tick(clock_.Now());
+    }
     const std::vector<coordination::Action> actions = TakeActionsLocked();
     lock.unlock();
     CarryOut(actions);
--- a/source/daemon/coordinator.h
+++ b/source/daemon/coordinator.h
@@ -29,11 +29,14 @@
   std::function<void(const coordination::WriteGroupRecord& write)> write_group_record;
 };
 
+// Makes a node with a new identity.
+using NodeFactory = std::function<std::unique_ptr<coordination::Node>()>;
+
 // Safe for use by several threads at once.
 class Coordinator : public ownership::SlotGate {
  public:
   // `clock` and `routes` must outlive the coordinator.
-  Coordinator(const Clock& clock, std::unique_ptr<coordination::Node> node, std::string group,
+  Coordinator(const Clock& clock, NodeFactory make_node, std::string group,
               Published<routing::RoutingSnapshot>& routes);
   ~Coordinator() override;
 
@@ -65,13 +68,19 @@
   std::vector<coordination::Action> TakeActionsLocked();
   void CarryOut(const std::vector<coordination::Action>& actions);
   void TickLoop();
+  // Replaces a node that asked for it, once no request is under way on its grants.
+  void RestartIfDue();
 
   const Clock& clock_;
   const std::string group_;
   Published<routing::RoutingSnapshot>& routes_;
   mutable std::mutex mutex_;
   std::condition_variable stop_changed_;
-  std::unique_ptr<coordination::Node> node_;  // Guarded by `mutex_`.
+  // The rest is guarded by `mutex_`.
+  const NodeFactory make_node_;
+  std::unique_ptr<coordination::Node> node_;
+  int64_t entered_ = 0;      // Requests that Enter admitted and Leave has not been called for.
+  bool restarting_ = false;  // The node asked to be replaced: it gets no more events.
   NodeEffects effects_;
   bool started_ = false;
   bool stopping_ = false;
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -83,7 +83,8 @@
         table_(mirror_.Current()),
         routes_(std::make_shared<const routing::RoutingSnapshot>()),
         table_replica_(mirror_, table_),
-        coordinator_(clock, MakeNode(), settings_.group, routes_),
+        coordinator_(
+            clock, [this] { return MakeNode(); }, settings_.group, routes_),
         admission_(clock, AdmissionConfigOf(settings_)),
         repeats_(clock, routing::IdempotencyConfig{}),
         load_(clock.Now()),
@@ -128,8 +129,11 @@
   }
 
  private:
+  // The first node speaks as `self_`; one that replaces it gets an identity of its own.
   std::unique_ptr<coordination::Node> MakeNode() {
-    return coordination::MakeNode(NodeConfigOf(settings_), self_, clock_.Now(), table_replica_,
+    const InstanceId identity =
+        std::exchange(first_node_, false) ? self_ : NewInstanceId(settings_.node, random_);
+    return coordination::MakeNode(NodeConfigOf(settings_), identity, clock_.Now(), table_replica_,
                                   nullptr, random_);
   }
 
@@ -252,6 +256,7 @@
   const Settings settings_;
   SystemRandom random_;
   const InstanceId self_;
+  bool first_node_ = true;
   table::TableMirror mirror_;
   Published<table::Table> table_;
   Published<routing::RoutingSnapshot> routes_;
