daemon: limits of the table shared out over the fleet

Cause: RateLimiter and LimitAllocator speak in reports and grants with sequences, which LimitShares of the node (plain rates) cannot carry. Ruled out: changing the node's seam while it is being worked on; the reports go as messages of their own over the same transport.

--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "source/daemon/admission_gate.h"
 #include "source/daemon/coordinator.h"
 #include "source/daemon/egress_handler.h"
+#include "source/daemon/fleet_limits.h"
 #include "source/daemon/ingress_handler.h"
 #include "source/daemon/load_reporter.h"
 #include "source/daemon/platform_agent.h"
@@ -91,6 +92,8 @@
         server_client_(clock, settings_.server_address),
         forward_pool_(clock, {}),
         limiter_(self_),
+        fleet_limits_(clock, coordinator_, limiter_, table_, settings_.group,
+                      settings_.clock_rate_margin),
         forwarder_(clock, RouterConfigOf(settings_), routes_, forward_pool_, metrics_),
         ingress_(clock, self_, KeyedServices(), table_, limiter_, forwarder_, metrics_,
                  [this] { return Status(); }),
@@ -158,10 +161,18 @@
     return absl::OkStatus();
   }
 
+  void OnControlMessage(const std::string& message) {
+    if (IsLimitMessage(message)) {
+      fleet_limits_.OnMessage(message);
+    } else {
+      coordinator_.OnMessage(message);
+    }
+  }
+
   absl::Status OpenServers() {
     auto control = transport::ControlTransport::Start(
         clock_, settings_.peer_address,
-        [this](const std::string& message) { coordinator_.OnMessage(message); });
+        [this](const std::string& message) { OnControlMessage(message); });
     if (!control.ok()) {
       return control.status();
     }
@@ -207,6 +218,9 @@
     }
     platform_->Start();
     load_reporter_.Start();
+    fleet_limits_.Start([this](const std::string& address, const std::string& message) {
+      control_->Send(address, message);
+    });
     LogEvent(LogLevel::kInfo, "daemon_started",
              {{"instance", self_.ToString()}, {"http_address", settings_.http_address}});
   }
@@ -239,6 +253,7 @@
         server->Stop();
       }
     }
+    fleet_limits_.Stop();
     load_reporter_.Stop();
     coordinator_.Stop();
     if (platform_ != nullptr) {
@@ -269,6 +284,7 @@
   ServerClient server_client_;
   transport::HttpConnectionPool forward_pool_;
   SharedRateLimiter limiter_;
+  FleetLimits fleet_limits_;
   RequestForwarder forwarder_;
   IngressHandler ingress_;
   EgressHandler egress_;
