--- a/tools/load/attempt_record.cc
+++ b/tools/load/attempt_record.cc
@@ -65,6 +65,7 @@
       {"key", record.key},
       {"idempotency_key", record.idempotency_key},
       {"repeatable", record.repeatable},
+      {"warm_up", record.warm_up},
       {"direct", record.direct},
       {"endpoint", record.endpoint},
       {"scheduled_us", ToMicroseconds(record.scheduled_at)},
@@ -91,6 +92,7 @@
   reader.Read("key", record.key);
   reader.Read("idempotency_key", record.idempotency_key);
   reader.Read("repeatable", record.repeatable);
+  reader.Read("warm_up", record.warm_up);
   reader.Read("direct", record.direct);
   reader.Read("endpoint", record.endpoint);
   reader.Read("scheduled_us", record.scheduled_at);
--- a/tools/load/attempt_record.h
+++ b/tools/load/attempt_record.h
@@ -22,6 +22,7 @@
   std::string key;              // Empty when the service is not divided by key.
   std::string idempotency_key;  // Empty when the call has none.
   bool repeatable = false;
+  bool warm_up = false;  // Sent before the measured load: judged, but not measured.
   bool direct = false;   // Sent to a server itself, without a daemon.
   std::string endpoint;  // "ip:port" that the attempt was sent to.
   Instant scheduled_at;  // When the open loop meant to send it.
--- a/tools/load/load_main.cc
+++ b/tools/load/load_main.cc
@@ -113,6 +113,8 @@
                                     "SHARE", command);
   TCLAP::ValueArg<uint64_t> seed("", "seed", "Seed of the calls", false, 1, "N", command);
   TCLAP::SwitchArg direct("", "direct", "The endpoints are servers, not daemons", command);
+  TCLAP::SwitchArg warm_up("", "warm-up", "The report judges these calls but measures others",
+                           command);
   command.setExceptionHandling(false);  // Errors end the program with its own exit code.
   command.parse(argc, argv);
 
@@ -140,6 +142,7 @@
   load.generator.duplicate_share = duplicate.getValue();
   load.generator.seed = seed.getValue();
   load.direct = direct.getValue();
+  load.warm_up = warm_up.getValue();
   load.length = std::chrono::seconds(seconds.getValue());
   load.deadline = std::chrono::milliseconds(deadline.getValue());
   load.threads = threads.getValue();
--- a/tools/load/load_runner.cc
+++ b/tools/load/load_runner.cc
@@ -65,6 +65,7 @@
       sent.abandon = call.abandon && attempt == 1;
       AttemptRecord record = caller_.Send(sent, attempt);
       record.scheduled_at = scheduled_at;
+      record.warm_up = config_.warm_up;
       const bool again = SendsAgain(call, record);
       {
         const std::lock_guard lock(mutex_);
--- a/tools/load/load_runner.h
+++ b/tools/load/load_runner.h
@@ -15,6 +15,7 @@
   GeneratorConfig generator;
   std::vector<Endpoint> endpoints;
   bool direct = false;
+  bool warm_up = false;  // Marks the records, see AttemptRecord.
   Duration length = std::chrono::seconds(10);
   Duration deadline = std::chrono::seconds(2);  // Of each call.
   size_t threads = 64;                          // Calls under way at the same time.
--- a/tools/load/measures.cc
+++ b/tools/load/measures.cc
@@ -31,7 +31,7 @@
 std::optional<Instant> LoadStart(const Evidence& evidence) {
   std::optional<Instant> start;
   for (const AttemptRecord& attempt : evidence.attempts) {
-    if (attempt.direct) continue;
+    if (attempt.direct || attempt.warm_up) continue;
     if (!start || attempt.scheduled_at < *start) start = attempt.scheduled_at;
   }
   return start;
@@ -152,7 +152,7 @@
   // Keys that were never executed stand alone, by name; the others go by slot.
   std::map<std::pair<std::string, std::string>, std::vector<const AttemptRecord*>> groups;
   for (const AttemptRecord& attempt : evidence.attempts) {
-    if (attempt.direct) continue;
+    if (attempt.direct || attempt.warm_up) continue;
     const auto slot = slots.find({attempt.service, attempt.key});
     const std::string group =
         slot == slots.end() ? attempt.key : "slot " + std::to_string(slot->second);
@@ -170,6 +170,7 @@
   std::vector<Duration> through_daemons;
   std::vector<Duration> direct;
   for (const AttemptRecord& attempt : evidence.attempts) {
+    if (attempt.warm_up) continue;
     if (attempt.direct) {
       if (attempt.Succeeded()) direct.push_back(attempt.Latency());
       continue;
