--- a/tools/load/http_caller.cc
+++ b/tools/load/http_caller.cc
@@ -87,7 +87,7 @@
 
  protected:
   int write(const char* buffer, std::streamsize length) override {
-    return HTTPSession::write(buffer, length);
+    return HTTPSession::write(buffer, length);  // NOLINT(bugprone-parent-virtual-call)
   }
 
  private:
