--- a/source/platform/etcd_key_value_store.cc
+++ b/source/platform/etcd_key_value_store.cc
@@ -15,8 +15,8 @@
 
 class EtcdKeyValueStore : public KeyValueStore {
  public:
-  EtcdKeyValueStore(Poco::Net::SocketAddress address, Duration timeout)
-      : address_(std::move(address)), timeout_(timeout) {}
+  EtcdKeyValueStore(const Poco::Net::SocketAddress& address, Duration timeout)
+      : address_(address), timeout_(timeout) {}
 
   absl::StatusOr<RangeResult> Range(const std::string& prefix) override {
     return Exchange("/v3/kv/range", EncodeRangeRequest(prefix), CallKind::kRead, DecodeRangeAnswer);
@@ -115,7 +115,7 @@
   if (timeout <= Duration::zero()) return absl::InvalidArgumentError("the timeout is not positive");
   absl::StatusOr<Poco::Net::SocketAddress> parsed = ParseAddress(address);
   if (!parsed.ok()) return parsed.status();
-  return std::make_unique<EtcdKeyValueStore>(*std::move(parsed), timeout);
+  return std::make_unique<EtcdKeyValueStore>(*parsed, timeout);
 }
 
 }  // namespace runshelf::platform
--- a/source/platform/http_call.cc
+++ b/source/platform/http_call.cc
@@ -81,7 +81,7 @@
 // Reads to the end. Unlike std::istream, a stream buffer lets exceptions through.
 std::string ReadAll(std::streambuf& buffer, size_t max_bytes) {
   std::string text;
-  constexpr size_t kBlockBytes = 16 * 1024;
+  constexpr size_t kBlockBytes = 16UL * 1024;
   char block[kBlockBytes];
   while (true) {
     const std::streamsize count = buffer.sgetn(block, kBlockBytes);
--- a/source/platform/http_call.h
+++ b/source/platform/http_call.h
@@ -13,7 +13,7 @@
 namespace runshelf::platform {
 
 // Largest answer in bytes that is read.
-inline constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+inline constexpr size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 
 struct HttpRequest {
   std::string method;
--- a/source/platform/http_machine_list.cc
+++ b/source/platform/http_machine_list.cc
@@ -56,8 +56,8 @@
 
 class HttpMachineList : public MachineList {
  public:
-  HttpMachineList(Poco::Net::SocketAddress address, Duration timeout)
-      : address_(std::move(address)), timeout_(timeout) {}
+  HttpMachineList(const Poco::Net::SocketAddress& address, Duration timeout)
+      : address_(address), timeout_(timeout) {}
 
   absl::StatusOr<MachineListSnapshot> Read() override {
     const absl::StatusOr<HttpAnswer> answer = Call(address_, {"GET", "/machines", ""}, timeout_);
@@ -82,7 +82,7 @@
   if (timeout <= Duration::zero()) return absl::InvalidArgumentError("the timeout is not positive");
   absl::StatusOr<Poco::Net::SocketAddress> parsed = ParseAddress(address);
   if (!parsed.ok()) return parsed.status();
-  return std::make_unique<HttpMachineList>(*std::move(parsed), timeout);
+  return std::make_unique<HttpMachineList>(*parsed, timeout);
 }
 
 }  // namespace runshelf::platform
--- a/tools/platform_standin/request_handler.cc
+++ b/tools/platform_standin/request_handler.cc
@@ -32,7 +32,7 @@
 
 constexpr const char* kWatchPath = "/v3/watch";
 constexpr std::string_view kEtcdPathPrefix = "/v3/";
-constexpr size_t kMaxDiscardedBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxDiscardedBytes = 16UL * 1024 * 1024;
 constexpr Duration kDelayStep = std::chrono::milliseconds(20);
 
 // Reads what is left of a body that is refused, so that the client gets to read the answer rather
