--- a/tools/sim/machine.cc
+++ b/tools/sim/machine.cc
@@ -55,7 +55,8 @@
   up_ = false;
   stopping_ = false;
   daemon_->SetHostUp(false);
-  CountMustMove();
+  BeginDisturbance();
+  CountDisturbance();
   daemon_->Kill();
   server_->Kill();
   OnStateChanged();
@@ -75,7 +76,8 @@
 
 void Machine::CrashServer() {
   Trace("crash_server", config_.name);
-  CountMustMove();
+  BeginDisturbance();
+  CountDisturbance();
   server_->Kill();
   OnStateChanged();
 }
@@ -114,15 +116,25 @@
   }
   Trace("planned_stop", config_.name);
   stopping_ = true;
-  judge_.requests().OnLeaveNotice(environment_.queue.Now(), server_->run());
+  OnLeaveNotice();
   daemon_->BeginLeave([this, stopped = std::move(stopped)] { FinishPlannedStop(stopped); });
 }
 
+void Machine::OnLeaveNotice() {
+  if (!server_->process().alive()) {
+    return;
+  }
+  judge_.requests().OnLeaveNotice(environment_.queue.Now(), server_->run());
+  if (leaving_run_ != server_->run()) {
+    leaving_run_ = server_->run();
+    judge_.ownership().OnMustMove(judge_.ownership().SlotsLastOwnedBy(leaving_run_));
+  }
+}
+
 void Machine::FinishPlannedStop(const Handler& stopped) {
   const TrueTime now = environment_.queue.Now();
   judge_.requests().OnPlannedStopCut(now, server_->run(),
                                      server_->in_progress() + daemon_->in_progress());
-  CountMustMove();
   Trace("stopped", config_.name);
   daemon_->Kill();
   server_->Kill();
@@ -141,9 +153,11 @@
 
 void Machine::StartServer(bool first) {
   server_->Start(!first);
-  serving_ = true;
-  if (!first) {
-    judge_.ownership().OnJoined(server_->run());
+  if (first) {
+    serving_ = true;
+  } else {
+    disturbance_counted_ = true;  // It takes its share once it serves.
+    judge_.ownership().OnServingChanged(environment_.queue.Now(), server_->run(), false);
   }
 }
 
@@ -153,11 +167,17 @@
   if (serving == serving_) {
     return;
   }
-  serving_ = serving;
-  ++serving_changes_;
   if (serving) {
     undisturbed_since_ = now;
+    if (disturbance_counted_) {
+      judge_.ownership().OnJoined(server_->run());
+    }
+    disturbance_counted_ = false;
+  } else {
+    BeginDisturbance();
   }
+  serving_ = serving;
+  ++serving_changes_;
   if (!server_->process().alive()) {
     return;
   }
@@ -165,17 +185,26 @@
   if (!serving) {
     environment_.queue.After(kMustMoveAfter, [this, change = serving_changes_] {
       if (change == serving_changes_) {
-        CountMustMove();
+        CountDisturbance();
       }
     });
   }
 }
 
-void Machine::CountMustMove() {
-  if (server_->process().alive() && counted_run_ != server_->run()) {
-    counted_run_ = server_->run();
-    judge_.ownership().OnMustMove(counted_run_);
+// Notes what the server owned when it stopped serving, once for each disturbance.
+void Machine::BeginDisturbance() {
+  if (serving_ && server_->process().alive()) {
+    disturbed_slots_ = judge_.ownership().SlotsLastOwnedBy(server_->run());
+    disturbance_counted_ = false;
+  }
+}
+
+void Machine::CountDisturbance() {
+  const bool counted_as_leaving = leaving_run_ == server_->run();
+  if (!disturbance_counted_ && !counted_as_leaving) {
+    judge_.ownership().OnMustMove(disturbed_slots_);
   }
+  disturbance_counted_ = true;
 }
 
 }  // namespace runshelf::sim
--- a/tools/sim/machine.h
+++ b/tools/sim/machine.h
@@ -11,8 +11,8 @@
 
 namespace runshelf::sim {
 
-// Longer than a grant: who cannot serve for this long has to give up its slots.
-inline constexpr Duration kMustMoveAfter = std::chrono::milliseconds(1000);
+// As long as a grant: who cannot serve for this long has to give up its slots.
+inline constexpr Duration kMustMoveAfter = std::chrono::milliseconds(900);
 
 struct MachineConfig {
   std::string name;
@@ -44,6 +44,8 @@
   // SIGTERM to the daemon; when it may stop, both processes end. `stopped` runs then.
   void PlannedStop(Handler stopped);
   bool stopping() const { return stopping_; }
+  // Somebody was told that the machine is leaving; its slots have to move.
+  void OnLeaveNotice();
 
   // Whether the network lets it talk with most of the fleet.
   void SetConnected(bool connected);
@@ -62,7 +64,8 @@
  private:
   void StartServer(bool first);
   void OnStateChanged();
-  void CountMustMove();
+  void BeginDisturbance();
+  void CountDisturbance();
   void FinishPlannedStop(const Handler& stopped);
 
   DaemonEnvironment& environment_;
@@ -77,7 +80,9 @@
   bool stopping_ = false;
   bool serving_ = false;
   uint64_t serving_changes_ = 0;
-  ServerRun counted_run_ = 0;  // Whose slots were counted as having to move.
+  uint64_t disturbed_slots_ = 0;       // Owned when the server stopped serving.
+  bool disturbance_counted_ = false;   // They were counted as having to move.
+  ServerRun leaving_run_ = 0;          // Whose slots were counted when it began to leave.
   TrueTime undisturbed_since_{};
 };
 
--- a/tools/sim/ownership_judge.cc
+++ b/tools/sim/ownership_judge.cc
@@ -136,20 +136,21 @@
   if (!changed.alive || changed.serving == serving) {
     return;
   }
+  if (!serving) {
+    Uncover(at, changed, {});
+  }
   changed.serving = serving;
   if (serving) {
     CoverAll(at, changed);
-  } else {
-    Uncover(at, changed, {});
   }
 }
 
-void OwnershipJudge::OnMustMove(ServerRun server) {
+uint64_t OwnershipJudge::SlotsLastOwnedBy(ServerRun server) {
+  uint64_t owned = 0;
   for (const Slot& slot : SlotsOf(servers_[server].service)) {
-    if (slot.last_owner == server) {
-      ++churn_.least_necessary;
-    }
+    owned += slot.last_owner == server ? 1U : 0U;
   }
+  return owned;
 }
 
 void OwnershipJudge::OnJoined(ServerRun server) {
--- a/tools/sim/ownership_judge.h
+++ b/tools/sim/ownership_judge.h
@@ -54,10 +54,12 @@
   // are not cut off. Only the measures depend on it.
   void OnServingChanged(TrueTime at, ServerRun server, bool serving);
 
-  // The server is gone, gives up its slots, or cannot serve for longer than a grant lasts: its
-  // slots have to move.
-  void OnMustMove(ServerRun server);
-  // The server should take its share.
+  // Slots that were granted to the server last; they have to move when it is lost or leaves.
+  uint64_t SlotsLastOwnedBy(ServerRun server);
+  // That many slots have to move, because their server is gone, gives them up, or cannot serve for
+  // longer than a grant lasts.
+  void OnMustMove(uint64_t slots) { churn_.least_necessary += slots; }
+  // The server is there, or there again, and should take its share.
   void OnJoined(ServerRun server);
 
   // Counts slots that nobody holds at `at`, for services with a living server.
--- a/tools/sim/simulation.cc
+++ b/tools/sim/simulation.cc
@@ -133,7 +133,7 @@
     Machine* machine = fleet_.FindByName(node);
     if (machine != nullptr && fleet_.IsLeaving(*machine) && machine->server().process().alive()) {
       Trace("leave_notice", node);
-      judge_.requests().OnLeaveNotice(queue_.Now(), machine->server().run());
+      machine->OnLeaveNotice();
     }
   });
 }
