--- a/tools/sim/ownership_judge.h
+++ b/tools/sim/ownership_judge.h
@@ -4,7 +4,7 @@
 // double_owner: two servers of a service whose grant check would succeed for one slot at the same
 // moment, or an execution under a token lower than one that another server executed under before.
 // lost_assignment: a slot granted under a lower token than it was granted under before, or a slot
-// that nobody holds at the end although servers of its service live.
+// that nobody has held for 2 s at the end although servers of its service live.
 #pragma once
 
 #include <cstdint>
@@ -62,7 +62,7 @@
   // The server is there, or there again, and should take its share.
   void OnJoined(ServerRun server);
 
-  // Counts slots that nobody holds at `at`, for services with a living server.
+  // Counts slots that nobody has held for 2 s at `at`, of services with a living server.
   void JudgeEnd(TrueTime at);
 
   // Whether each slot of each service is held by a serving server at `at`.
@@ -94,7 +94,8 @@
   void CheckOverlap(const GrantRecord& grant);
   void CheckTokens(const GrantRecord& grant, const std::string& service);
   void CountMoves(const GrantRecord& grant, const std::string& service);
-  void Cover(TrueTime from, TrueTime until, Slot& slot);
+  // Returns the gap in which nobody could serve the slot before.
+  Duration Cover(TrueTime from, TrueTime until, Slot& slot);
   void CoverAll(TrueTime from, const Server& server);
   void Uncover(TrueTime at, const Server& server, const std::vector<SlotRange>& kept);
   uint64_t LivingServers(const std::string& service) const;
