Report: measures of the load's own period; slots without a living owner by the grants

The demo's first whole run counted moves of its own teardown as churn, and took the latency of the daemons over the failure. Both are now taken from the load's period, and the latency from before the first loss; the whole run's stands beside it.

--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -16,6 +16,7 @@
 MACHINE_LIST_LAG_MS = 3000
 START_SECONDS = 60
 STOP_SECONDS = 20
+DAEMON_STOP_TIMEOUT_MS = 5000  # When the whole fleet stops, nobody is left to hand over to.
 
 
 class FleetError(Exception):
@@ -251,6 +252,7 @@
             "keyed_services": keyed,
             "slots_per_service": SLOTS_PER_SERVICE,
             "server_slots": SERVER_SLOTS,
+            "stop_timeout_ms": DAEMON_STOP_TIMEOUT_MS,
         }
         # JSON's strings, numbers and arrays of strings are TOML's too.
         return "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items())
--- a/tools/load/measures.h
+++ b/tools/load/measures.h
@@ -19,12 +19,20 @@
   size_t windows = 0;
 };
 
-// Changes of owner after the load began.
+// Changes of owner while the load ran.
 struct Churn {
   size_t moved_slots = 0;
   size_t least_necessary = 0;  // Slots that lost servers held when they were lost.
 };
 
+// Periods in which a slot had no living owner while the load ran, by the servers' grants: from the
+// loss of its server, or the end of its tenure, to the next tenure.
+struct Ownerless {
+  Duration longest{0};
+  Duration sum{0};  // Over all slots.
+  size_t slots = 0;
+};
+
 // Periods in which a slot, or a service without keys, did not serve callers. One begins when a
 // request is sent that fails for want of a server or that waits longer than `kSlowAnswer`, and ends
 // with the next success.
@@ -60,9 +68,11 @@
 struct Measures {
   std::map<std::string, Imbalance> imbalance;            // By service.
   std::map<std::string, Churn> churn;                    // By service that is divided by key.
+  std::map<std::string, Ownerless> ownerless;            // By service with slots.
   std::map<std::string, Unavailability> unavailability;  // By service.
   std::map<ServiceAndClass, AnswerCounts> answers;       // Through daemons.
-  Latency through_daemons;                               // Successes of first attempts.
+  Latency through_daemons;  // Successes of first attempts that ended before any server was lost.
+  Latency whole_run;        // Successes of first attempts.
   Latency direct;
   size_t executions = 0;
 };
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -39,6 +39,10 @@
   text += fmt::format("latency_daemons_samples={}\nlatency_daemons_p50_ms={:.2f}\n",
                       daemons.samples, Milliseconds(daemons.p50));
   text += fmt::format("latency_daemons_p99_ms={:.2f}\n", Milliseconds(daemons.p99));
+  const Latency& whole_run = measures.whole_run;
+  text += fmt::format("latency_whole_run_samples={}\nlatency_whole_run_p50_ms={:.2f}\n",
+                      whole_run.samples, Milliseconds(whole_run.p50));
+  text += fmt::format("latency_whole_run_p99_ms={:.2f}\n", Milliseconds(whole_run.p99));
   if (direct.samples == 0) return text;
   text += fmt::format("latency_direct_samples={}\nlatency_direct_p50_ms={:.2f}\n", direct.samples,
                       Milliseconds(direct.p50));
@@ -61,6 +65,12 @@
     text += fmt::format("churn_slots[{0}]={1}\nchurn_least_slots[{0}]={2}\n", service,
                         churn.moved_slots, churn.least_necessary);
   }
+  for (const auto& [service, ownerless] : measures.ownerless) {
+    text += fmt::format(
+        "ownerless_longest_ms[{0}]={1:.0f}\nownerless_sum_ms[{0}]={2:.0f}\n"
+        "ownerless_slots[{0}]={3}\n",
+        service, Milliseconds(ownerless.longest), Milliseconds(ownerless.sum), ownerless.slots);
+  }
   for (const auto& [service, unavailable] : measures.unavailability) {
     text += fmt::format(
         "unavailable_longest_ms[{0}]={1:.0f}\nunavailable_sum_ms[{0}]={2:.0f}\n"
