Report: a connection cut in a run without a lost machine breaks a promise

Failures that the caller sees of its own daemon no longer count as time without service of a slot: with a paused machine they gave 10 s to slots that others served.

--- a/scripts/fleet/demo.py
+++ b/scripts/fleet/demo.py
@@ -184,6 +184,8 @@
                 arguments += ["--record", machine.record_file]
         for node, lost_at in self.fleet.lost.items():
             arguments += ["--lost", f"{node}={lost_at}"]
+        for node, stopped_at in self.fleet.planned_stops.items():
+            arguments += ["--planned-stop", f"{node}={stopped_at}"]
         report = self.fleet.run("runshelf-report", arguments, "report")
         code = report.wait(120)
         with open(report.log_file, encoding="utf-8") as text:
--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -102,7 +102,8 @@
         self.platform_address = self.addresses.take()
         self.platform = None
         self.machines = [m for service in deployment.services for m in self._plan(service)]
-        self.lost = {}  # Node to the instant at which it was ended, in microseconds.
+        self.lost = {}  # Node to the instant at which it was lost or paused, in microseconds.
+        self.planned_stops = {}  # Likewise, of planned stops.
         self.killed_at_stop = []
         self._children = []
 
@@ -167,7 +168,7 @@
         self._post_machines({"machines": [machine.listing("leaving")]})
         machine.daemon.ended_on_purpose = True
         machine.daemon.send(signal.SIGTERM)
-        self.lost[machine.node] = boot_time_us()
+        self.planned_stops[machine.node] = boot_time_us()
 
     def set_platform_outage(self, outage):
         if call(self.platform_address, "POST", "/faults", {"outage": outage}) is None:
--- a/tests/load/judge_test.cc
+++ b/tests/load/judge_test.cc
@@ -99,7 +99,7 @@
 TEST(Judge, RanWithoutExecutionIsFoundUnlessTheRecordIsLost) {
   evidence.attempts = {Attempt("c", Verdict::kRan)};
   Expect(Violation::kFalseRan, 1);
-  evidence.lost = {{"a", At(5), true}};
+  evidence.lost = {{"a", At(5), false, true}};
   ExpectClean();
 }
 
@@ -122,3 +122,13 @@
   evidence.executions = {Executed("c", "a", 10)};
   Expect(Violation::kUnknownExecution, 1);
 }
+
+TEST(Judge, CutConnectionIsFoundUnlessAMachineWasLost) {
+  evidence.attempts = {Attempt("c", std::nullopt), Attempt("d", Verdict::kMayHaveRun)};
+  evidence.attempts[0].error = kErrorConnectionLost;
+  evidence.attempts[1].error = "connection_lost";
+  evidence.lost = {{"a", At(5), true, false}};
+  Expect(Violation::kCutRequest, 2);
+  evidence.lost[0].planned = false;
+  ExpectClean();
+}
--- a/tests/load/load_runner_test.cc
+++ b/tests/load/load_runner_test.cc
@@ -64,9 +64,13 @@
   config.generator.idempotent_share = 1.0;
   Run(executor);
   size_t repeated = 0;
+  size_t cut = 0;
   for (const Finding& finding : Judge(evidence)) {
-    CHECK(finding.violation == Violation::kRepeatedRun);
-    ++repeated;
+    CHECK(finding.violation == Violation::kRepeatedRun ||
+          finding.violation == Violation::kCutRequest);
+    if (finding.violation == Violation::kRepeatedRun) ++repeated;
+    if (finding.violation == Violation::kCutRequest) ++cut;
   }
   CHECK(repeated > 0);
+  UNSIGNED_LONGS_EQUAL(20, cut);
 }
--- a/tests/load/measures_test.cc
+++ b/tests/load/measures_test.cc
@@ -40,7 +40,7 @@
   evidence.grants = {Granted("a", {{0, 3}}, 0, 20), Granted("b", {{0, 3}}, 30, 100),
                      Granted("c", {{0, 3}}, 100, 200), Granted("d", {{9, 9}}, 100, 200),
                      Granted("a", {{0, 3}}, 200, 300)};
-  evidence.lost = {{"b", At(70), false}};
+  evidence.lost = {{"b", At(70), false, false}};
   const Churn result = Measure(evidence).churn["feedread"];
   UNSIGNED_LONGS_EQUAL(4, result.moved_slots);
   UNSIGNED_LONGS_EQUAL(4, result.least_necessary);
@@ -49,7 +49,7 @@
 TEST(Measures, OwnerlessFromTheLossToTheNextGrant) {
   AddAttempt(50, 500, true);
   evidence.grants = {Granted("a", {{0, 1}}, 0, 100), Granted("b", {{0, 0}}, 130, 900)};
-  evidence.lost = {{"a", At(70), false}};
+  evidence.lost = {{"a", At(70), false, false}};
   const Ownerless result = Measure(evidence).ownerless["feedread"];
   UNSIGNED_LONGS_EQUAL(2, result.slots);
   CHECK(result.longest == Duration(milliseconds(430)));
@@ -59,7 +59,7 @@
 TEST(Measures, ImbalanceIsTheLargestOverTheMeanOfLiveWorkers) {
   AddAttempt(0, 10, true);
   evidence.service_of_server = {{"a", "feedread"}, {"b", "feedread"}, {"lost", "feedread"}};
-  evidence.lost = {{"lost", At(0), false}};
+  evidence.lost = {{"lost", At(0), false, false}};
   evidence.attempts.back().done_at = At(900);
   for (int index = 0; index < 30; ++index) evidence.executions.push_back(Executed("c", "a", 500));
   for (int index = 0; index < 90; ++index) evidence.executions.push_back(Executed("c", "a", 950));
@@ -70,7 +70,7 @@
 }
 
 TEST(Measures, LatencyOfTheDaemonsIsTakenBeforeTheFirstLoss) {
-  evidence.lost = {{"a", At(100), false}};
+  evidence.lost = {{"a", At(100), false, false}};
   AddAttempt(50, 60, true);
   AddAttempt(90, 140, true);
   const Measures measures = Measure(evidence);
--- a/tools/load/evidence.h
+++ b/tools/load/evidence.h
@@ -18,10 +18,11 @@
 using server_standin::AcceptedGrant;
 using server_standin::Execution;
 
-// A server that was ended on purpose during the run.
+// A server that was ended or paused during the run.
 struct LostServer {
   std::string server;
   Instant at;
+  bool planned = false;      // Stopped as planned, which must cut no request.
   bool record_lost = false;  // Its record ended with it, so what it executed is not known.
 };
 
--- a/tools/load/judge.cc
+++ b/tools/load/judge.cc
@@ -125,6 +125,19 @@
   }
 }
 
+void CheckCuts(const std::string& call, const CallHistory& history,
+               std::vector<Finding>& findings) {
+  for (const AttemptRecord* attempt : history.attempts) {
+    const bool cut = attempt->error == kErrorConnectionLost || attempt->error == "connection_lost";
+    if (!cut) continue;
+    findings.push_back(
+        {Violation::kCutRequest,
+         fmt::format("call={} attempt={} endpoint={} error={} sent_us={} cut_us={}", call,
+                     attempt->attempt, attempt->endpoint, attempt->error,
+                     ToMicroseconds(attempt->sent_at), ToMicroseconds(attempt->done_at))});
+  }
+}
+
 }  // namespace
 
 std::string_view ViolationName(Violation violation) {
@@ -143,6 +156,8 @@
       return "wrong_answer";
     case Violation::kUnknownExecution:
       return "unknown_execution";
+    case Violation::kCutRequest:
+      return "cut_request";
   }
   return "unknown";
 }
@@ -154,6 +169,8 @@
   const bool records_complete =
       std::none_of(evidence.lost.begin(), evidence.lost.end(),
                    [](const LostServer& lost) { return lost.record_lost; });
+  const bool machine_lost = std::any_of(evidence.lost.begin(), evidence.lost.end(),
+                                        [](const LostServer& lost) { return !lost.planned; });
   for (const auto& [call, history] : HistoriesOf(evidence)) {
     if (history.attempts.empty()) {
       findings.push_back({Violation::kUnknownExecution,
@@ -165,6 +182,7 @@
     CheckRan(call, history, records_complete, findings);
     CheckRepeats(call, history, findings);
     CheckAnswers(call, history, findings);
+    if (!machine_lost) CheckCuts(call, history, findings);
   }
   return findings;
 }
--- a/tools/load/judge.h
+++ b/tools/load/judge.h
@@ -25,12 +25,14 @@
   kWrongAnswer,
   // A server executed something that no caller had sent.
   kUnknownExecution,
+  // A connection was cut under a request though no machine was lost.
+  kCutRequest,
 };
 
 constexpr std::initializer_list<Violation> kAllViolations = {
-    Violation::kDoubleOwner,     Violation::kOverlappingGrants, Violation::kFalseNotRun,
-    Violation::kFalseRan,        Violation::kRepeatedRun,       Violation::kWrongAnswer,
-    Violation::kUnknownExecution};
+    Violation::kDoubleOwner,      Violation::kOverlappingGrants, Violation::kFalseNotRun,
+    Violation::kFalseRan,         Violation::kRepeatedRun,       Violation::kWrongAnswer,
+    Violation::kUnknownExecution, Violation::kCutRequest};
 
 // Stable identifier, the key of the report's line.
 std::string_view ViolationName(Violation violation);
--- a/tools/load/measures.cc
+++ b/tools/load/measures.cc
@@ -11,10 +11,11 @@
 constexpr Duration kImbalanceWindow = std::chrono::seconds(1);
 constexpr size_t kLeastExecutionsPerWorker = 10;  // In a window, on average.
 
-// Failures for want of a server, as opposed to limits, priorities and the caller's own mistakes.
-constexpr std::array<std::string_view, 8> kUnavailableErrors = {
-    "no_owner",          "no_target",       "no_table",           "retry_budget_exhausted",
-    "deadline_exceeded", "connection_lost", kErrorConnectionLost, kErrorTimeout};
+// Failures for want of a server, as opposed to limits, priorities, the caller's own mistakes and
+// the loss of the daemon that the caller spoke to.
+constexpr std::array<std::string_view, 6> kUnavailableErrors = {
+    "no_owner",          "no_target",      "no_table", "retry_budget_exhausted",
+    "deadline_exceeded", "connection_lost"};
 
 bool IsUnavailable(const AttemptRecord& attempt) {
   return std::find(kUnavailableErrors.begin(), kUnavailableErrors.end(), attempt.error) !=
--- a/tools/load/report_main.cc
+++ b/tools/load/report_main.cc
@@ -19,16 +19,16 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitBadEvidence = 3;
 
-LostServer ParseLost(const std::string& text) {
+LostServer ParseLost(const std::string& text, const std::string& flag) {
   const size_t separator = text.rfind('=');
   int64_t microseconds = 0;
   const char* const end = text.data() + text.size();
   const char* const begin = separator == std::string::npos ? end : text.data() + separator + 1;
   const auto [last, error] = std::from_chars(begin, end, microseconds);
   if (error != std::errc() || last != end) {
-    throw TCLAP::ArgException(fmt::format("\"{}\" is not SERVER=MICROSECONDS", text), "--lost");
+    throw TCLAP::ArgException(fmt::format("\"{}\" is not SERVER=MICROSECONDS", text), flag);
   }
-  return {text.substr(0, separator), runshelf::InstantFromMicroseconds(microseconds), false};
+  return {text.substr(0, separator), runshelf::InstantFromMicroseconds(microseconds)};
 }
 
 struct Options {
@@ -51,15 +51,22 @@
                                     "Server that was ended during the run, and when on the "
                                     "machine's CLOCK_BOOTTIME",
                                     false, "SERVER=MICROSECONDS", command);
+  TCLAP::MultiArg<std::string> planned("", "planned-stop",
+                                       "Server that was stopped as planned, and when", false,
+                                       "SERVER=MICROSECONDS", command);
   TCLAP::SwitchArg record_lost("", "lost-records",
                                "The records of lost servers are not among those given", command);
   command.setExceptionHandling(false);  // Errors end the program with its own exit code.
   command.parse(argc, argv);
   Options options{results.getValue(), records.getValue(), {}};
   for (const std::string& text : lost.getValue()) {
-    options.lost.push_back(ParseLost(text));
+    options.lost.push_back(ParseLost(text, "--lost"));
     options.lost.back().record_lost = record_lost.getValue();
   }
+  for (const std::string& text : planned.getValue()) {
+    options.lost.push_back(ParseLost(text, "--planned-stop"));
+    options.lost.back().planned = true;
+  }
   return options;
 }
 
