--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -16,6 +16,7 @@
 MACHINE_LIST_LAG_MS = 3000
 START_SECONDS = 60
 STOP_SECONDS = 20
+DAEMON_STOP_TIMEOUT_MS = 5000  # When the whole fleet stops, nobody is left to hand over to.
 
 
 class FleetError(Exception):
@@ -101,7 +102,8 @@
         self.platform_address = self.addresses.take()
         self.platform = None
         self.machines = [m for service in deployment.services for m in self._plan(service)]
-        self.lost = {}  # Node to the instant at which it was ended, in microseconds.
+        self.lost = {}  # Node to the instant at which it was lost or paused, in microseconds.
+        self.planned_stops = {}  # Likewise, of planned stops.
         self.killed_at_stop = []
         self._children = []
 
@@ -166,7 +168,7 @@
         self._post_machines({"machines": [machine.listing("leaving")]})
         machine.daemon.ended_on_purpose = True
         machine.daemon.send(signal.SIGTERM)
-        self.lost[machine.node] = boot_time_us()
+        self.planned_stops[machine.node] = boot_time_us()
 
     def set_platform_outage(self, outage):
         if call(self.platform_address, "POST", "/faults", {"outage": outage}) is None:
@@ -251,6 +253,7 @@
             "keyed_services": keyed,
             "slots_per_service": SLOTS_PER_SERVICE,
             "server_slots": SERVER_SLOTS,
+            "stop_timeout_ms": DAEMON_STOP_TIMEOUT_MS,
         }
         # JSON's strings, numbers and arrays of strings are TOML's too.
         return "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items())
