A daemon that the machine list calls leaving takes no new work; a whole fleet may stop

Demo: on SIGTERM of all daemons none stopped, since nobody was left to hand over to. Ruled out: letting the forwarder decide (its view is stale by definition).

--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -178,6 +178,8 @@
 
   // Starts a planned stop: takes no new work, hands over all slots and its seat as a voter.
   virtual void BeginLeave(Instant now) = 0;
+  // Whether this daemon leaves: by BeginLeave, or because the machine list said so.
+  virtual bool IsLeaving() const = 0;
   // Whether everything is handed over and the daemon may stop.
   virtual bool MayStop(Instant now) const = 0;
 
--- a/include/runshelf/ownership/slot_gate.h
+++ b/include/runshelf/ownership/slot_gate.h
@@ -19,6 +19,9 @@
   virtual std::optional<FencingToken> Enter(Instant now, SlotNumber slot) = 0;
   virtual void Leave(SlotNumber slot) = 0;
 
+  // Whether the local server leaves: it takes no new work that does not go by ownership.
+  virtual bool IsLeaving() const { return false; }
+
   // Since when the local server has held `slot` without a break; nullopt when it does not hold it.
   virtual std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const = 0;
 };
--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -290,7 +290,16 @@
   if (!record.leaving) return false;
   const std::vector<InstanceId>& voters = replica.Voters();
   const bool is_voter = std::find(voters.begin(), voters.end(), record.instance) != voters.end();
-  return !is_voter && state.SlotsOf(record.service, record.instance).empty();
+  const bool owns_slots = !state.SlotsOf(record.service, record.instance).empty();
+  // When the whole fleet stops, there is nobody left to hand over to.
+  bool seat_can_move = false;
+  bool slots_can_move = false;
+  for (const auto& [name, other] : state.nodes()) {
+    if (other.leaving) continue;
+    seat_can_move = true;
+    slots_can_move = slots_can_move || other.service == record.service;
+  }
+  return !(is_voter && seat_can_move) && !(owns_slots && slots_can_move);
 }
 
 void AssignmentLeader::OnRenewal(Instant now, const Envelope& envelope,
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -202,6 +202,8 @@
   Settle(now);
 }
 
+bool NodeImpl::IsLeaving() const { return renewals_.leaving(); }
+
 bool NodeImpl::MayStop(Instant) const { return ended_ || renewals_.MayStop(); }
 
 std::shared_ptr<const routing::RoutingSnapshot> NodeImpl::Routes() const {
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -34,6 +34,7 @@
   void Leave(Instant now, SlotNumber slot) override;
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const override;
   void BeginLeave(Instant now) override;
+  bool IsLeaving() const override;
   bool MayStop(Instant now) const override;
   std::shared_ptr<const routing::RoutingSnapshot> Routes() const override;
   NodeStatus Status(Instant now) const override;
--- a/source/daemon/coordinator.h
+++ b/source/daemon/coordinator.h
@@ -61,6 +61,7 @@
   // Of ownership::SlotGate.
   std::optional<FencingToken> Enter(Instant now, SlotNumber slot) override;
   void Leave(SlotNumber slot) override;
+  bool IsLeaving() const override;
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const override;
 
  private:
--- a/source/daemon/egress_handler.cc
+++ b/source/daemon/egress_handler.cc
@@ -109,7 +109,8 @@
   if (forwarded.idempotency_key.has_value()) {
     return Refused(kRefusedNotOwner);
   }
-  return leaving_ ? Refused(kRefusedLeaving) : Admit(context);
+  const bool leaving = leaving_ || parts_.gate.IsLeaving();
+  return leaving ? Refused(kRefusedLeaving) : Admit(context);
 }
 
 EgressHandler::Result EgressHandler::ServeOwned(Context& context) {
--- a/tests/coordination/node_test.cc
+++ b/tests/coordination/node_test.cc
@@ -107,6 +107,19 @@
   CHECK(AllServed());
 }
 
+TEST(Node, AWholeFleetThatLeavesAtOnceMayStop) {
+  StartEight();
+  cluster.Run(2s);
+  for (auto& [name, member] : cluster.members()) member->node->BeginLeave(cluster.now());
+  const auto all_may_stop = [&] {
+    for (auto& [name, member] : cluster.members()) {
+      if (!member->node->MayStop(cluster.now())) return false;
+    }
+    return true;
+  };
+  CHECK(cluster.RunUntil(5s, all_may_stop));
+}
+
 TEST(Node, OnlySlotsOfTheLostServerMove) {
   StartEight();
   cluster.Run(2s);
--- a/tools/sim/egress.cc
+++ b/tools/sim/egress.cc
@@ -77,7 +77,8 @@
     End(id, AttemptOutcome::kNotOwner, std::nullopt);
     return;
   }
-  if (leaving_ && !request.slot) {
+  const bool leaving = leaving_ || parts_.node->IsLeaving();
+  if (leaving && !request.slot) {
     End(id, AttemptOutcome::kLeaving, std::nullopt);
     return;
   }
--- a/tools/sim/naive_node.cc
+++ b/tools/sim/naive_node.cc
@@ -69,6 +69,8 @@
     return node_->HeldSince(now, slot);
   }
   void BeginLeave(Instant now) override { node_->BeginLeave(now); }
+  bool IsLeaving() const override { return node_->IsLeaving(); }
+
   bool MayStop(Instant now) const override { return node_->MayStop(now); }
   std::shared_ptr<const routing::RoutingSnapshot> Routes() const override {
     return node_->Routes();
