--- a/tools/load/evidence.h
+++ b/tools/load/evidence.h
@@ -53,7 +53,7 @@
   std::string service;
   SlotNumber slot = 0;
 
-  auto operator<=>(const SlotId&) const = default;
+  auto operator<=>(const SlotId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // A period in which a server held a slot by its grants: from the acceptance of the first one that
--- a/tools/load/measures.h
+++ b/tools/load/measures.h
@@ -62,7 +62,7 @@
   std::string service;
   std::string caller_class;
 
-  auto operator<=>(const ServiceAndClass&) const = default;
+  auto operator<=>(const ServiceAndClass&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 struct Measures {
