--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -181,7 +181,9 @@
     const Handover& handover = entry.second;
     if (handover.proposed) return false;
     const NodeRecord* from = state.FindNode(handover.move.from);
-    if (from == nullptr || !CanOwn(now, handover.move.to)) return true;
+    // An owner that lost its server has nothing left to release; its slots are given out anew.
+    if (from == nullptr || !CanOwn(now, from->instance)) return true;
+    if (!CanOwn(now, handover.move.to)) return true;
     return !from->leaving && now - handover.started > kHandoverTimeout;
   });
 }
