--- a/source/daemon/repeat_guard.cc
+++ b/source/daemon/repeat_guard.cc
@@ -40,7 +40,7 @@
 }
 
 void RepeatGuard::Complete(const std::string& key, Verdict verdict,
-                           std::shared_ptr<const routing::RecordedAnswer> answer) {
+                           const std::shared_ptr<const routing::RecordedAnswer>& answer) {
   const std::lock_guard lock(mutex_);
   for (const std::string& request_id : cache_.Complete(clock_.Now(), key, verdict, answer)) {
     const auto waiting = attached_.find(request_id);
--- a/source/daemon/repeat_guard.h
+++ b/source/daemon/repeat_guard.h
@@ -34,7 +34,7 @@
                                               Instant deadline, transport::PeerWatch caller);
 
   void Complete(const std::string& key, Verdict verdict,
-                std::shared_ptr<const routing::RecordedAnswer> answer);
+                const std::shared_ptr<const routing::RecordedAnswer>& answer);
 
  private:
   const Clock& clock_;
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -39,7 +39,8 @@
   }
   bool mustReconnect() const override { return false; }
   int write(const char* buffer, std::streamsize length) override {
-    return HTTPSession::write(buffer, length);
+    // Past HTTPClientSession::write, which is what sends a second time.
+    return HTTPSession::write(buffer, length);  // NOLINT(bugprone-parent-virtual-call)
   }
 
  private:
