--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -54,7 +54,6 @@
                             const AssignmentState& state) {
   EvictExpired(now, replica, state);
   DisownEmptyServers(now, replica, state);
-  MarkLeaving(now, replica, state);
   CancelHopelessHandovers(now, state);
   RunPlanner(now, replica, state);
 }
@@ -105,8 +104,11 @@
   if (service != state.services().end()) {
     accepted.slot_count = static_cast<uint32_t>(service->second.owners.size());
   }
-  accepted.leaving = record.leaving || leaving_nodes_.contains(name);
-  if (existing != state.nodes().end() && existing->second == accepted) return;
+  if (existing != state.nodes().end()) {
+    // Who leaves does not come back under the same identity.
+    accepted.leaving = record.leaving || existing->second.leaving;
+    if (existing->second == accepted) return;
+  }
   AssignmentCommand command;
   command.registered.push_back(accepted);
   Proposal proposal;
@@ -163,12 +165,12 @@
   if (!command.moves.empty()) Propose(now, replica, std::move(command), std::move(proposal));
 }
 
-void AssignmentLeader::MarkLeaving(Instant now, consensus::Replica& replica,
-                                   const AssignmentState& state) {
-  for (const std::string& name : leaving_nodes_) {
-    const auto found = state.nodes().find(name);
-    if (found == state.nodes().end() || found->second.leaving) continue;
-    NodeRecord record = found->second;
+void AssignmentLeader::MarkLeaving(Instant now, const std::vector<InstanceId>& instances,
+                                   consensus::Replica& replica, const AssignmentState& state) {
+  for (const InstanceId& instance : instances) {
+    const NodeRecord* registered = state.FindNode(instance);
+    if (registered == nullptr || registered->leaving) continue;
+    NodeRecord record = *registered;
     record.leaving = true;
     Register(now, replica, state, record);
   }
@@ -288,7 +290,16 @@
   if (!record.leaving) return false;
   const std::vector<InstanceId>& voters = replica.Voters();
   const bool is_voter = std::find(voters.begin(), voters.end(), record.instance) != voters.end();
-  return !is_voter && state.SlotsOf(record.service, record.instance).empty();
+  const bool owns_slots = !state.SlotsOf(record.service, record.instance).empty();
+  // When the whole fleet stops, there is nobody left to hand over to.
+  bool seat_can_move = false;
+  bool slots_can_move = false;
+  for (const auto& [name, other] : state.nodes()) {
+    if (other.leaving) continue;
+    seat_can_move = true;
+    slots_can_move = slots_can_move || other.service == record.service;
+  }
+  return !(is_voter && seat_can_move) && !(owns_slots && slots_can_move);
 }
 
 void AssignmentLeader::OnRenewal(Instant now, const Envelope& envelope,
@@ -301,6 +312,7 @@
   member.last_seen = now;
   member.server = request.server;
   Register(now, replica, state, request.node);
+  MarkLeaving(now, request.leaving, replica, state);
   OnReleased(now, instance, request.released, replica);
 
   const NodeRecord* record = state.FindNode(instance);
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -9,6 +9,7 @@
 #include "runshelf/coordination/node.h"
 #include "source/coordination/assignment_leader.h"
 #include "source/coordination/group_lifecycle.h"
+#include "source/coordination/leave_notices.h"
 #include "source/coordination/node_context.h"
 #include "source/coordination/renewal_client.h"
 #include "source/coordination/voter_manager.h"
@@ -33,6 +34,7 @@
   void Leave(Instant now, SlotNumber slot) override;
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const override;
   void BeginLeave(Instant now) override;
+  bool IsLeaving() const override;
   bool MayStop(Instant now) const override;
   std::shared_ptr<const routing::RoutingSnapshot> Routes() const override;
   NodeStatus Status(Instant now) const override;
@@ -61,6 +63,7 @@
   AssignmentLeader leader_;
   VoterManager voters_;
   GroupLifecycle lifecycle_;
+  LeaveNotices notices_;
 
   std::unique_ptr<consensus::Replica> replica_;  // Null while this node knows of no group.
   ownership::AssignmentState replicated_;        // What the replica's log amounts to.
