Platform: a test that the stand-in's limit on nesting does fail without the limit

The limit was tried out with the defect put in, and no test failed: the other bodies that nest deeply are refused for their types too.

--- a/tests/platform/platform_server_test.cc
+++ b/tests/platform/platform_server_test.cc
@@ -134,6 +134,17 @@
   CHECK_TRUE(stand_in.store->Range("").ok());
 }
 
+TEST(PlatformServer, DeepNestingIsRefusedWhereverItStands) {
+  const auto nested = [](size_t depth) {
+    return R"({"key":"YQ==","unknown":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+  };
+  for (const char* path : {"/v3/kv/range", "/v3/kv/txn"}) {
+    CHECK_EQUAL(200, Post(path, nested(20)));
+    CHECK_EQUAL(400, Post(path, nested(40)));
+    CHECK_EQUAL(400, Post(path, nested(200'000)));
+  }
+}
+
 TEST(PlatformServer, CutConnectionsHarmNobody) {
   const Poco::Net::SocketAddress address(stand_in.server->address());
   for (const std::string& text :
