Suspended instances: the end of a lost server's grant is known to every replica

A leader that left resigned amid its own handovers. Change: a silent instance is marked suspended in the log; no leader grants it anything until it is registered anew, so a successor counts its wait from when it learnt of the mark. Slots go only to instances heard of within 1.5 renewal intervals. Grants last 700 ms (900 before). A leader resigns after its handovers; an instance has departed once the takers know what they own.

--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -39,7 +39,9 @@
 
   // A grant lasts this long from the moment its renewal was requested. Shorter: keys of a lost
   // server are served again sooner. Longer: more pauses and losses are ridden out without a move.
-  Duration grant_duration = std::chrono::milliseconds(900);
+  // Twice this and an election have to fit into the time within which keys must be served again,
+  // because a leader may be lost just before it would have moved the slots of a lost server.
+  Duration grant_duration = std::chrono::milliseconds(700);
   Duration renewal_interval = std::chrono::milliseconds(150);
   double clock_rate_margin = 0.02;
   // After an instance's grant has run out, its slots stay with it for this long. Longer: fewer
--- a/include/runshelf/ownership/assignment.h
+++ b/include/runshelf/ownership/assignment.h
@@ -31,6 +31,9 @@
   std::string forward_address;  // "ip:port" for forwarded requests.
   uint32_t slot_count = 0;      // Slots of the service; the first registration fixes it.
   bool leaving = false;         // Gives up its slots and takes no new ones.
+  // Stopped renewing. No leader grants it anything until it is registered anew without this mark,
+  // so every replica knows from its own clock by when the instance's last grant has run out.
+  bool suspended = false;
 
   bool operator==(const NodeRecord&) const = default;
 };
--- a/include/runshelf/ownership/grant_ledger.h
+++ b/include/runshelf/ownership/grant_ledger.h
@@ -22,6 +22,10 @@
   // Forgets everything: leadership begins at `now`.
   void BeginLeadership(Instant now);
 
+  // This replica learnt at `learnt_at`, before its leadership, that `instance` is suspended: no
+  // leader has granted it anything since.
+  void OnSuspended(const InstanceId& instance, Instant learnt_at);
+
   // A renewal received at `now` is answered with a grant.
   void OnIssued(Instant now, const InstanceId& instance);
 
@@ -29,12 +33,13 @@
   Instant ExpiryOf(const InstanceId& instance) const;
 
   // Drops what is recorded for an instance whose expiry has passed.
-  void Forget(const InstanceId& instance) { expiry_.erase(instance); }
+  void Forget(const InstanceId& instance);
 
  private:
   Duration duration_with_margin_;
   Instant expiry_of_unknown_;
-  std::map<InstanceId, Instant> expiry_;
+  std::map<InstanceId, Instant> expiry_;            // Of grants issued by this leader.
+  std::map<InstanceId, Instant> suspended_expiry_;  // Of earlier grants of suspended instances.
 };
 
 }  // namespace runshelf::ownership
--- a/include/runshelf/routing/routing_snapshot.h
+++ b/include/runshelf/routing/routing_snapshot.h
@@ -19,7 +19,7 @@
   InstanceId instance;
   std::string zone;
   std::string forward_address;  // IP number and port that takes forwarded requests.
-  bool leaving = false;         // Takes no new work.
+  bool leaving = false;         // Takes no new work, or has fallen silent.
 };
 
 struct ServiceRoutes {
--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -21,6 +21,9 @@
 // What is known of an instance that is not registered is dropped after this long without a renewal.
 constexpr Duration kMemberMemory = std::chrono::seconds(10);
 
+// An instance is suspended after this many renewal intervals without a renewal.
+constexpr int kSilentIntervals = 2;
+
 constexpr Duration kRebalanceInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -31,13 +34,15 @@
       limits_(limits),
       ledger_(context.config.grant_duration, context.config.clock_rate_margin) {}
 
-void AssignmentLeader::Begin(Instant now, consensus::Term term) {
+void AssignmentLeader::Begin(Instant now, consensus::Term term,
+                             const std::map<InstanceId, Instant>& suspended_since) {
   End();
   term_ = term;
   began_ = now;
   last_registration_ = now;
   last_rebalance_ = now;
   ledger_.BeginLeadership(now);
+  for (const auto& [instance, since] : suspended_since) ledger_.OnSuspended(instance, since);
   if (limits_ != nullptr) limits_->OnLeadership(now);
   context_.Log("leadership_began", {{"term", std::to_string(term)}});
 }
@@ -45,6 +50,7 @@
 void AssignmentLeader::End() {
   members_.clear();
   handovers_.clear();
+  handed_over_.clear();
   proposals_.clear();
   last_moved_.clear();
   loads_.Clear();
@@ -52,6 +58,7 @@
 
 void AssignmentLeader::Tick(Instant now, consensus::Replica& replica,
                             const AssignmentState& state) {
+  SuspendSilent(now, replica, state);
   EvictExpired(now, replica, state);
   DisownEmptyServers(now, replica, state);
   CancelHopelessHandovers(now, state);
@@ -64,6 +71,7 @@
     for (const uint64_t release_id : proposal.release_ids) handovers_.erase(release_id);
     if (proposal.release_ids.empty()) continue;  // Not a planned move.
     for (const SlotMove& move : proposal.moves) {
+      handed_over_[move.from] = proposal.index;
       for (const SlotNumber slot : FromRanges(move.ranges)) last_moved_[move.service][slot] = now;
     }
   }
@@ -119,6 +127,22 @@
                {{"instance", record.instance.ToString()}, {"service", record.service}});
 }
 
+void AssignmentLeader::SuspendSilent(Instant now, consensus::Replica& replica,
+                                     const AssignmentState& state) {
+  AssignmentCommand command;
+  Proposal proposal;
+  for (const auto& [name, record] : state.nodes()) {
+    if (record.suspended || IsBlocked(record.instance)) continue;
+    const auto member = members_.find(record.instance);
+    const Instant last_seen = member == members_.end() ? began_ : member->second.last_seen;
+    if (now - last_seen < kSilentIntervals * context_.config.renewal_interval) continue;
+    command.registered.push_back(record);
+    command.registered.back().suspended = true;
+    proposal.blocked.insert(record.instance);
+  }
+  if (!command.registered.empty()) Propose(now, replica, std::move(command), std::move(proposal));
+}
+
 void AssignmentLeader::EvictExpired(Instant now, consensus::Replica& replica,
                                     const AssignmentState& state) {
   std::erase_if(members_, [&](const auto& entry) {
@@ -208,7 +232,7 @@
   ownership::PlanInput input;
   input.state = &state;
   for (const auto& [instance, member] : members_) {
-    input.conditions[instance].can_own = CanOwn(now, instance);
+    input.conditions[instance].can_own = CanOwn(now, instance) && IsFresh(now, instance);
   }
   input.loads = loads_.Loads();
   input.last_moved = last_moved_;
@@ -255,6 +279,12 @@
          IsHealthy(now, instance) && !IsBlocked(instance);
 }
 
+bool AssignmentLeader::IsFresh(Instant now, const InstanceId& instance) const {
+  const auto member = members_.find(instance);
+  return member != members_.end() &&
+         now - member->second.last_seen < context_.config.renewal_interval * 3 / 2;
+}
+
 bool AssignmentLeader::IsHealthy(Instant now, const InstanceId& instance) const {
   const auto member = members_.find(instance);
   return member != members_.end() &&
@@ -287,21 +317,36 @@
   for (const uint64_t release_id : proposed) handovers_[release_id].proposed = true;
 }
 
+bool AssignmentLeader::HasHandedOver(const AssignmentState& state, const NodeRecord& record) const {
+  if (state.SlotsOf(record.service, record.instance).empty()) {
+    // The takers know by now what they own.
+    const auto version = handed_over_.find(record.instance);
+    return version == handed_over_.end() ||
+           std::all_of(members_.begin(), members_.end(), [&](const auto& member) {
+             const NodeRecord* taker = state.FindNode(member.first);
+             return taker == nullptr || taker->suspended || taker->service != record.service ||
+                    member.second.version >= version->second;
+           });
+  }
+  // Where nobody else may own the service's slots, there is nobody to hand over to.
+  return std::none_of(state.nodes().begin(), state.nodes().end(), [&](const auto& node) {
+    return !node.second.leaving && node.second.service == record.service;
+  });
+}
+
 bool AssignmentLeader::HasDeparted(const consensus::Replica& replica, const AssignmentState& state,
                                    const NodeRecord& record) const {
-  if (!record.leaving) return false;
+  if (!record.leaving || !HasHandedOver(state, record)) return false;
   const std::vector<InstanceId>& voters = replica.Voters();
   const bool is_voter = std::find(voters.begin(), voters.end(), record.instance) != voters.end();
-  const bool owns_slots = !state.SlotsOf(record.service, record.instance).empty();
-  // When the whole fleet stops, there is nobody left to hand over to.
-  bool seat_can_move = false;
-  bool slots_can_move = false;
-  for (const auto& [name, other] : state.nodes()) {
-    if (other.leaving) continue;
-    seat_can_move = true;
-    slots_can_move = slots_can_move || other.service == record.service;
-  }
-  return !(is_voter && seat_can_move) && !(owns_slots && slots_can_move);
+  // When the whole fleet stops, the last voters keep their seats.
+  return !is_voter || std::all_of(state.nodes().begin(), state.nodes().end(),
+                                  [](const auto& node) { return node.second.leaving; });
+}
+
+bool AssignmentLeader::MayResign(const AssignmentState& state) const {
+  const NodeRecord* self = state.FindNode(context_.self);
+  return handovers_.empty() && (self == nullptr || HasHandedOver(state, *self));
 }
 
 void AssignmentLeader::OnRenewal(Instant now, const Envelope& envelope,
@@ -313,6 +358,7 @@
   member.last_sent_at_us = request.sent_at_us;
   member.last_seen = now;
   member.server = request.server;
+  member.version = request.assignment_version;
   Register(now, replica, state, request.node);
   MarkLeaving(now, request.leaving, replica, state);
   OnReleased(now, instance, request.released, replica);
@@ -324,7 +370,8 @@
   reply.assignment = state.UpdateSince(request.assignment_version);
   if (record != nullptr) {
     reply.departed = HasDeparted(replica, state, *record);
-    if (request.server == ServerState::kServing && !IsBlocked(instance)) {
+    const bool may_grant = !record->suspended && !IsBlocked(instance);
+    if (request.server == ServerState::kServing && may_grant) {
       reply.grant_duration_us = context_.config.grant_duration.count();
       reply.releases = ReleasesOf(instance);
       ledger_.OnIssued(now, instance);
--- a/source/coordination/assignment_leader.h
+++ b/source/coordination/assignment_leader.h
@@ -26,7 +26,9 @@
   AssignmentLeader(NodeContext& context, TableReplica& table, LimitShares* limits);
 
   // Leadership with a valid lease begins (or is regained after a gap) at `now`.
-  void Begin(Instant now, consensus::Term term);
+  // `suspended_since`: when this replica learnt of each suspended instance.
+  void Begin(Instant now, consensus::Term term,
+             const std::map<InstanceId, Instant>& suspended_since);
   void End();
 
   void Tick(Instant now, consensus::Replica& replica, const ownership::AssignmentState& state);
@@ -38,6 +40,10 @@
   void OnRenewal(Instant now, const Envelope& envelope, const RenewalRequest& request,
                  consensus::Replica& replica, const ownership::AssignmentState& state);
 
+  // Whether this node, which is leaving, may give up leading: its own slots are handed over and no
+  // other handover would be interrupted.
+  bool MayResign(const ownership::AssignmentState& state) const;
+
   // Whether `instance` has renewed lately and can be relied on as a voter.
   bool IsHealthy(Instant now, const InstanceId& instance) const;
 
@@ -47,6 +53,7 @@
     int64_t last_sent_at_us = 0;
     Instant last_seen;
     ServerState server = ServerState::kUnknown;
+    ownership::AssignmentVersion version = 0;  // That it follows.
   };
 
   // A move from a living owner that has been told to release.
@@ -69,6 +76,8 @@
                Proposal proposal);
   void Register(Instant now, consensus::Replica& replica, const ownership::AssignmentState& state,
                 const ownership::NodeRecord& record);
+  void SuspendSilent(Instant now, consensus::Replica& replica,
+                     const ownership::AssignmentState& state);
   void EvictExpired(Instant now, consensus::Replica& replica,
                     const ownership::AssignmentState& state);
   void DisownEmptyServers(Instant now, consensus::Replica& replica,
@@ -83,10 +92,14 @@
                   consensus::Replica& replica);
 
   bool IsBlocked(const InstanceId& instance) const;
+  // Whether `instance` renewed so lately that slots may be entrusted to it.
+  bool IsFresh(Instant now, const InstanceId& instance) const;
   bool CanOwn(Instant now, const InstanceId& instance) const;
   bool MayAssign(Instant now, const ownership::AssignmentState& state) const;
   std::map<std::string, std::vector<SlotRange>> MovingSlots() const;
   std::vector<ReleaseOrder> ReleasesOf(const InstanceId& instance) const;
+  bool HasHandedOver(const ownership::AssignmentState& state,
+                     const ownership::NodeRecord& record) const;
   bool HasDeparted(const consensus::Replica& replica, const ownership::AssignmentState& state,
                    const ownership::NodeRecord& record) const;
 
@@ -101,6 +114,7 @@
   Instant last_rebalance_;
   std::map<InstanceId, Member> members_;
   std::map<uint64_t, Handover> handovers_;
+  std::map<InstanceId, ownership::AssignmentVersion> handed_over_;  // Last handover by its giver.
   std::vector<Proposal> proposals_;
   std::map<std::string, std::map<SlotNumber, Instant>> last_moved_;
 };
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -30,6 +30,8 @@
   if (WasPausedTooLong(now)) return;
   lifecycle_.Tick(now, renewals_.LastLeaderContact(), renewals_.OwnRecord(), OwnRecoveryState());
   if (replica_ != nullptr && !lifecycle_.IsSealed()) replica_->Tick(now);
+  // Whatever is committed must be applied before leadership is acted on.
+  ApplyReplicaOutput(now);
   UpdateLeadership(now);
   LeadWhenDue(now);
   Settle(now);
@@ -135,6 +137,8 @@
   }
   replica_ = consensus::MakeReplica(context_.config.replica, context_.self, std::move(snapshot),
                                     now, context_.random);
+  suspended_since_.clear();
+  NoteSuspensions(now);
   leads_ = false;
   leader_.End();
   renewals_.OnGeneration();
@@ -234,6 +238,7 @@
   if (output.installed_snapshot) {
     auto state = ownership::AssignmentState::Decode(output.installed_snapshot->state);
     if (state.ok()) replicated_ = std::move(*state);
+    NoteSuspensions(now);
   }
   bool changed = false;
   for (const consensus::LogEntry& entry : output.committed) {
@@ -243,6 +248,7 @@
     replicated_.Apply(entry.index, *command);
     changed = true;
   }
+  if (changed) NoteSuspensions(now);
   if (changed && leads_) {
     leader_.OnApplied(now, replicated_);
     LeadWhenDue(now);
@@ -250,13 +256,23 @@
   if (replica_->NeedsSnapshot()) replica_->Compact(replica_->CommitIndex(), replicated_.Encode());
 }
 
+void NodeImpl::NoteSuspensions(Instant now) {
+  std::map<InstanceId, Instant> suspended;
+  for (const auto& [name, record] : replicated_.nodes()) {
+    if (!record.suspended) continue;
+    const auto known = suspended_since_.find(record.instance);
+    suspended[record.instance] = known == suspended_since_.end() ? now : known->second;
+  }
+  suspended_since_ = std::move(suspended);
+}
+
 void NodeImpl::UpdateLeadership(Instant now) {
   const bool holds_lease =
       replica_ != nullptr && !lifecycle_.IsSealed() && replica_->HoldsLease(now);
   if (holds_lease && (!leads_ || leading_term_ != replica_->CurrentTerm())) {
     // Also after a gap within one term: what was heard of the others is out of date.
     leading_term_ = replica_->CurrentTerm();
-    leader_.Begin(now, leading_term_);
+    leader_.Begin(now, leading_term_, suspended_since_);
     voters_.Begin(now);
     renewals_.SuggestLeader(context_.self);
     for (const auto& [name, record] : replicated_.nodes()) {
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -1,6 +1,7 @@
 // Composes the parts of a Node and passes events between them.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,6 +53,7 @@
   // Carries out what the replica and this node's own messages ask for; ends every event.
   void Settle(Instant now);
   void ApplyReplicaOutput(Instant now);
+  void NoteSuspensions(Instant now);
   void UpdateLeadership(Instant now);
   void LeadWhenDue(Instant now);
   void RefreshGroupRecord(Instant now);
@@ -65,9 +67,10 @@
   GroupLifecycle lifecycle_;
   LeaveNotices notices_;
 
-  std::unique_ptr<consensus::Replica> replica_;  // Null while this node knows of no group.
-  ownership::AssignmentState replicated_;        // What the replica's log amounts to.
-  bool leads_ = false;                           // The lease was held at the last event.
+  std::unique_ptr<consensus::Replica> replica_;    // Null while this node knows of no group.
+  ownership::AssignmentState replicated_;          // What the replica's log amounts to.
+  std::map<InstanceId, Instant> suspended_since_;  // When each suspension was applied here.
+  bool leads_ = false;                             // The lease was held at the last event.
   consensus::Term leading_term_ = 0;
   Instant last_event_;
   bool ended_ = false;  // A RestartInstance has been asked for; nothing is done any more.
--- a/source/coordination/renewal_client.cc
+++ b/source/coordination/renewal_client.cc
@@ -228,7 +228,7 @@
     routing::ServiceRoutes& service = routes->services[record.service];
     target_index[record.instance] = static_cast<uint32_t>(service.targets.size());
     service.targets.push_back(
-        {record.instance, record.zone, record.forward_address, record.leaving});
+        {record.instance, record.zone, record.forward_address, record.leaving || record.suspended});
   }
   for (const auto& [name, assignment] : view_.services()) {
     routing::ServiceRoutes& service = routes->services[name];
--- a/source/coordination/voter_manager.cc
+++ b/source/coordination/voter_manager.cc
@@ -72,7 +72,9 @@
   const auto leaving = std::find_if(voters.begin(), voters.end(), [&](const InstanceId& voter) {
     return is_leaving(voter) && voter != context_.self;
   });
-  return Without(voters, leaving != voters.end() ? *leaving : context_.self);
+  if (leaving != voters.end()) return Without(voters, *leaving);
+  if (!leader.MayResign(state)) return std::nullopt;
+  return Without(voters, context_.self);
 }
 
 bool VoterManager::IsLost(Instant now, const consensus::Replica& replica,
--- a/source/ownership/assignment_json.cc
+++ b/source/ownership/assignment_json.cc
@@ -58,13 +58,15 @@
 }  // namespace
 
 json ToJson(const NodeRecord& record) {
-  return {{"i", record.instance.ToString()},
-          {"z", record.zone},
-          {"s", record.service},
-          {"p", record.peer_address},
-          {"f", record.forward_address},
-          {"n", record.slot_count},
-          {"l", record.leaving}};
+  json value = {{"i", record.instance.ToString()},
+                {"z", record.zone},
+                {"s", record.service},
+                {"p", record.peer_address},
+                {"f", record.forward_address},
+                {"n", record.slot_count}};
+  if (record.leaving) value["l"] = true;
+  if (record.suspended) value["u"] = true;
+  return value;
 }
 
 bool FromJson(const json& value, NodeRecord& record) {
@@ -74,8 +76,9 @@
       .Read("s", record.service)
       .Read("p", record.peer_address)
       .Read("f", record.forward_address)
-      .Read("n", record.slot_count)
-      .Read("l", record.leaving);
+      .Read("n", record.slot_count);
+  if (reader.Find("l") != nullptr) reader.Read("l", record.leaving);
+  if (reader.Find("u") != nullptr) reader.Read("u", record.suspended);
   return reader.ok() && !record.instance.empty() && record.slot_count <= kMaxSlotCount;
 }
 
--- a/tests/coordination/node_test.cc
+++ b/tests/coordination/node_test.cc
@@ -82,6 +82,21 @@
   CHECK(TimeUntilServed(5s) < 2s);
 }
 
+TEST(Node, ALeaderLostJustBeforeItWouldHaveMovedTheSlotsCostsNoSecondWait) {
+  StartEight();
+  cluster.Run(2s);
+  ClusterMember* leader = cluster.Leader();
+  const char* other = leader->config.node == "feedread-3" ? "feedread-4" : "feedread-3";
+  cluster.Kill(other);
+  cluster.Run(600ms);
+  cluster.Kill(leader->config.node);
+  const auto all_of_lost_served = [&] { return cluster.ServedSlots("feedread") == kSlots; };
+  const runshelf::Instant start = cluster.now();
+  CHECK(cluster.RunUntil(5s, all_of_lost_served));
+  CHECK(cluster.now() - start < 1400ms);
+  CHECK_FALSE(cluster.HasDoubleOwner());
+}
+
 TEST(Node, VotersLostOneAfterAnotherAreReplaced) {
   StartEight();
   cluster.Run(2s);
--- a/tests/ownership/grant_ledger_test.cc
+++ b/tests/ownership/grant_ledger_test.cc
@@ -69,6 +69,20 @@
   CHECK(slow_holder.At(true_us) < slow_holder.At(5000000) + kGrant);
 }
 
+TEST(GrantLedger, ASuspendedInstanceIsWaitedForFromItsSuspensionOnly) {
+  GrantLedger ledger(kGrant, kMargin);
+  const Instant suspended(std::chrono::seconds(4));
+  const Instant began(std::chrono::seconds(5));
+  ledger.BeginLeadership(began);
+  ledger.OnSuspended({"silent", 1}, suspended);
+  CHECK(ledger.ExpiryOf({"silent", 1}) >= suspended + kGrant);
+  CHECK(ledger.ExpiryOf({"silent", 1}) < began + kGrant);
+  CHECK(ledger.ExpiryOf({"other", 1}) >= began + kGrant);
+  // Once this leader has granted it something again, that counts.
+  ledger.OnIssued(began, {"silent", 1});
+  CHECK(ledger.ExpiryOf({"silent", 1}) >= began + kGrant);
+}
+
 TEST(GrantLedger, ANewLeaderHonoursGrantsThatItHasNotSeen) {
   GrantLedger ledger(kGrant, kMargin);
   const Instant began(std::chrono::seconds(5));
