--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -228,6 +228,9 @@
             }
           }
           node_->OnMachineList(Now(), machines);
+          if (node_->Status(Now()).leaving) {
+            egress_->BeginLeave();
+          }
           CarryOut();
         });
       });
--- a/tools/sim/ingress.cc
+++ b/tools/sim/ingress.cc
@@ -134,15 +134,15 @@
   });
   const Handler failed =
       parts_.process.Bind([this, attempt] { EndAttempt(attempt, AttemptOutcome::kConnectFailed); });
-  parts_.network.SendStream(parts_.host, target->host(),
-                            [this, target, attempt, connected, failed] {
-                              if (!target->host_up()) {
-                                return;
-                              }
-                              attempt->target_run = target->run();
-                              parts_.network.SendStream(target->host(), parts_.host,
-                                                        target->alive() ? connected : failed);
-                            });
+  Network& network = parts_.network;
+  const HostIndex self = parts_.host;
+  network.SendStream(self, target->host(), [&network, self, target, attempt, connected, failed] {
+    if (!target->host_up()) {
+      return;
+    }
+    attempt->target_run = target->run();
+    network.SendStream(target->host(), self, target->alive() ? connected : failed);
+  });
   parts_.process.After(kConnectTimeout, [this, attempt] {
     if (!attempt->handed_over) {
       EndAttempt(attempt, AttemptOutcome::kConnectFailed);
--- a/tools/sim/main.cc
+++ b/tools/sim/main.cc
@@ -47,6 +47,8 @@
                                       false, "", "list", command);
   TCLAP::ValueArg<std::string> naive("", "naive", "Part that is replaced by its naive version",
                                      false, "none", "part", command);
+  TCLAP::ValueArg<double> rate("", "rate", "First sendings of all callers, per second", false, 400,
+                               "number", command);
   TCLAP::SwitchArg trace("", "trace", "Write each event to standard error", command);
   try {
     command.parse(argc, argv);
@@ -74,6 +76,7 @@
   simulation.naive = *naive_parts;
   simulation.seed = seed.getValue();
   simulation.steps = steps.getValue();
+  simulation.requests_per_second = rate.getValue();
   simulation.trace = trace.getValue();
   options.seeds = seeds.getValue();
   return 0;
--- a/tools/sim/schedule.cc
+++ b/tools/sim/schedule.cc
@@ -350,9 +350,10 @@
 // At least one undisturbed server of the service remains.
 bool Schedule::MayLoseServer(const Machine& machine) const {
   for (const auto& other : fleet_.machines()) {
-    const bool remains = other.get() != &machine && other->undisturbed() && !other->stopping();
+    const bool remains = other.get() != &machine && other->undisturbed() && !other->stopping() &&
+                         !fleet_.IsLeaving(*other);
     if (remains && other->config().service == machine.config().service) {
-      return machine.up() && !machine.stopping();
+      return machine.up() && !machine.stopping() && !fleet_.IsLeaving(machine);
     }
   }
   return false;
