--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -1,5 +1,7 @@
 #include "tools/sim/daemon.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -192,7 +194,7 @@
   }
   std::string text = instance_.ToString();
   for (const auto& [key, value] : log.fields) {
-    text += " " + key + "=" + value;
+    text += fmt::format(" {}={}", key, value);
   }
   Trace(log.event, text);
 }
--- a/tools/sim/network.cc
+++ b/tools/sim/network.cc
@@ -22,7 +22,7 @@
   return zones_.size() - 1;
 }
 
-void Network::SendDatagram(HostIndex from, HostIndex to, Handler deliver) {
+void Network::SendDatagram(HostIndex from, HostIndex to, const Handler& deliver) {
   ++datagrams_sent_;
   if (Chance(config_.loss)) {
     return;
--- a/tools/sim/network.h
+++ b/tools/sim/network.h
@@ -48,7 +48,7 @@
 
   HostIndex AddHost(const std::string& zone);
 
-  void SendDatagram(HostIndex from, HostIndex to, Handler deliver);
+  void SendDatagram(HostIndex from, HostIndex to, const Handler& deliver);
 
   // `deliver` runs at arrival, unless the path stays cut until the stream is given up.
   void SendStream(HostIndex from, HostIndex to, Handler deliver);
