--- /dev/null
+++ b/tools/scale/report.cc
@@ -0,0 +1,121 @@
+#include "tools/scale/report.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <cmath>
+#include <fstream>
+#include <thread>
+
+namespace runshelf::scale {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// Digits enough for a figure that a fit was made of; more would be noise.
+double Rounded(double value) {
+  constexpr int kSignificantDigits = 5;
+  if (value == 0 || !std::isfinite(value)) return 0;
+  const double scale =
+      std::pow(10, kSignificantDigits - 1 - std::floor(std::log10(std::abs(value))));
+  return std::round(value * scale) / scale;
+}
+
+constexpr std::array<std::string_view, 13> kTableColumns = {"leader.wire_bytes_in",
+                                                            "leader.wire_bytes_out",
+                                                            "leader.cpu",
+                                                            "leader.codec_cpu",
+                                                            "leader.memory_bytes",
+                                                            "voter.wire_bytes_in",
+                                                            "voter.cpu",
+                                                            "plain.wire_bytes_in",
+                                                            "plain.wire_bytes_out",
+                                                            "plain.cpu",
+                                                            "plain.tick_cpu",
+                                                            "plain.memory_bytes",
+                                                            "record_bytes"};
+
+double Find(const std::vector<NamedFigure>& figures, std::string_view name) {
+  for (const NamedFigure& figure : figures) {
+    if (figure.name == name) return figure.value;
+  }
+  return std::nan("");
+}
+
+}  // namespace
+
+Json ToJson(const FleetConfig& config) {
+  return {{"nodes", config.nodes},
+          {"zones", config.zones},
+          {"services", config.services},
+          {"slots_per_service", config.slots_per_service},
+          {"table_cells", config.table_cells},
+          {"limited_cells", config.limited_cells},
+          {"edits_per_second", config.edits_per_second},
+          {"losses_per_hour", config.losses_per_hour},
+          {"requests_per_second", config.requests_per_second},
+          {"renewal_interval_us", config.renewal_interval.count()},
+          {"grant_duration_us", config.grant_duration.count()},
+          {"network_delay_us", config.network_delay.count()},
+          {"seed", config.seed}};
+}
+
+Json ToJson(const SweepResult& result) {
+  Json json = {{"dimension", result.dimension}, {"base", ToJson(result.base)}};
+  for (const SweepPoint& point : result.points) {
+    Json figures = {{"size", Rounded(point.size)}, {"settled", point.figures.settled}};
+    for (const NamedFigure& figure : NamedFigures(point.figures)) {
+      figures[figure.name] = Rounded(figure.value);
+    }
+    for (const KindFigures& kind : point.figures.kinds) {
+      figures["kinds"][kind.kind] = {{"messages", Rounded(kind.messages)},
+                                     {"mean_payload_bytes", Rounded(kind.mean_payload)}};
+    }
+    json["points"].push_back(figures);
+  }
+  for (const NamedFit& fit : result.fits) {
+    json["fits"][fit.figure] = {{"slope", Rounded(fit.line.slope)},
+                                {"intercept", Rounded(fit.line.intercept)},
+                                {"r_squared", Rounded(fit.line.r_squared)},
+                                {"max_residual", Rounded(fit.line.max_residual)},
+                                {"exponent", Rounded(fit.exponent)}};
+  }
+  return json;
+}
+
+std::string Format(const SweepResult& result) {
+  std::string text = fmt::format("{:>20}", result.dimension);
+  for (const std::string_view column : kTableColumns) text += fmt::format(" {:>21}", column);
+  text += '\n';
+  for (const SweepPoint& point : result.points) {
+    text += fmt::format("{:>20.5g}", point.size);
+    const std::vector<NamedFigure> figures = NamedFigures(point.figures);
+    for (const std::string_view column : kTableColumns) {
+      text += fmt::format(" {:>21.5g}", Find(figures, column));
+    }
+    text += point.figures.settled ? "\n" : "  NOT SETTLED\n";
+  }
+  for (const NamedFit& fit : result.fits) {
+    text += fmt::format(
+        "fit dimension={} figure={} slope={:.5g} intercept={:.5g} r_squared={:.4f} "
+        "max_residual={:.4g} exponent={:.2f}\n",
+        result.dimension, fit.figure, fit.line.slope, fit.line.intercept, fit.line.r_squared,
+        fit.line.max_residual, fit.exponent);
+  }
+  return text;
+}
+
+Json DescribeMachine() {
+  std::string processor = "unknown";
+  std::ifstream cpuinfo("/proc/cpuinfo");
+  for (std::string line; std::getline(cpuinfo, line);) {
+    if (line.rfind("model name", 0) != 0) continue;
+    processor = line.substr(line.find(':') + 2);
+    break;
+  }
+  return {{"processor", processor},
+          {"cores", std::thread::hardware_concurrency()},
+          {"compiler", __VERSION__}};
+}
+
+}  // namespace runshelf::scale
