--- a/tools/scale/hollow_fleet.cc
+++ b/tools/scale/hollow_fleet.cc
@@ -26,6 +26,10 @@
 constexpr double kSecondsPerHour = 3600;
 constexpr size_t kVoters = 5;
 
+// Without a cold start, so many nodes found the group and as many join at a time.
+constexpr size_t kFounders = 16;
+constexpr Duration kJoinInterval = std::chrono::milliseconds(100);
+
 Duration Seconds(double seconds) { return Duration(static_cast<int64_t>(seconds * 1e6)); }
 
 table::CellChange MakeCell(size_t number, int64_t revision) {
@@ -46,7 +50,8 @@
 
 HollowFleet::HollowFleet(const FleetConfig& config) : config_(config), random_(config.seed) {
   FillTable();
-  for (size_t i = 0; i < config_.nodes; ++i) AddNode();
+  const size_t founders = config_.cold_start ? config_.nodes : std::min(config_.nodes, kFounders);
+  for (size_t i = 0; i < founders; ++i) AddNode();
   if (config_.edits_per_second > 0) ScheduleEdits();
   if (config_.losses_per_hour > 0) ScheduleLosses();
 }
@@ -183,7 +188,7 @@
 void HollowFleet::Kill(HollowNode& node) {
   node.running = false;
   by_address_.erase(node.config.peer_address);
-  PublishList();
+  queue_.After(config_.list_lag, [this] { PublishList(); });
 }
 
 void HollowFleet::Destroy(HollowNode& node) {
@@ -259,6 +264,16 @@
 }
 
 bool HollowFleet::Settle(Duration limit) {
+  const sim::TrueTime end = queue_.Now() + limit;
+  while (nodes_.size() < config_.nodes) {
+    if (!RunUntilSettled(end - queue_.Now())) return false;
+    for (size_t i = 0; i < kFounders && nodes_.size() < config_.nodes; ++i) AddNode();
+    Run(kJoinInterval);
+  }
+  return RunUntilSettled(end - queue_.Now());
+}
+
+bool HollowFleet::RunUntilSettled(Duration limit) {
   return RunUntil(limit, [this] { return ServedSlots() == TotalSlots() && IsSettled(); });
 }
 
--- a/tools/scale/hollow_fleet.h
+++ b/tools/scale/hollow_fleet.h
@@ -33,7 +33,10 @@
   Duration renewal_interval = std::chrono::milliseconds(150);
   Duration grant_duration = std::chrono::milliseconds(900);
   Duration network_delay = std::chrono::microseconds(500);
+  Duration list_lag = std::chrono::seconds(2);  // A lost machine stays listed for this long.
   uint64_t seed = 1;
+  // True: all processes start at once. False: a few found the group and the others join it.
+  bool cold_start = false;
 };
 
 enum class Role { kLeader, kVoter, kPlain };
@@ -76,13 +79,14 @@
   // Runs in steps of a millisecond until `condition` holds; false when `limit` has passed before.
   bool RunUntil(Duration limit, const std::function<bool()>& condition);
 
-  // Runs until every slot is served, every node registered and every voter in place.
+  // Starts the nodes that are left, and runs until every slot is served, every node registered and
+  // every voter in place.
   bool Settle(Duration limit);
 
   // Sets all counters to zero and fixes the roles.
   void StartWindow();
 
-  // Ends daemon and server of `node` at once.
+  // Ends daemon and server of `node` at once; the machine list lags behind.
   void Kill(HollowNode& node);
   // Adds a node that is listed from now on.
   HollowNode& AddNode();
@@ -98,6 +102,7 @@
   int64_t TableRevision() const { return platform_table_.Current()->revision(); }
 
   const std::vector<std::unique_ptr<HollowNode>>& nodes() const { return nodes_; }
+  const FleetConfig& config() const { return config_; }
   const PlatformUse& platform_use() const { return platform_use_; }
   Instant Now() const { return Instant(queue_.Now().time_since_epoch() + kEpoch); }
 
@@ -125,6 +130,7 @@
   void Send(HollowNode& node, const coordination::SendMessage& message);
   void Deliver(const std::string& address, const std::string& bytes, MessageKind kind);
   bool IsSettled() const;
+  bool RunUntilSettled(Duration limit);
 
   FleetConfig config_;
   SeededRandom random_;
--- a/tools/scale/report.cc
+++ b/tools/scale/report.cc
@@ -57,6 +57,7 @@
           {"renewal_interval_us", config.renewal_interval.count()},
           {"grant_duration_us", config.grant_duration.count()},
           {"network_delay_us", config.network_delay.count()},
+          {"list_lag_us", config.list_lag.count()},
           {"seed", config.seed}};
 }
 
@@ -83,6 +84,82 @@
   return json;
 }
 
+Json ToJson(const LossFigures& figures) {
+  return {{"loss", LossName(figures.loss)},
+          {"nodes", figures.nodes},
+          {"lost_nodes", figures.lost_nodes},
+          {"lost_slots", figures.lost_slots},
+          {"recovered", figures.recovered},
+          {"leader_seconds", Rounded(figures.leader_seconds)},
+          {"served_seconds", Rounded(figures.served_seconds)},
+          {"messages_per_node", Rounded(figures.messages_per_node)},
+          {"largest_wire_bytes_in", Rounded(figures.largest_wire_bytes_in)},
+          {"largest_messages_in", Rounded(figures.largest_messages_in)},
+          {"largest_cpu_seconds", Rounded(figures.largest_cpu_seconds)}};
+}
+
+Json ToJson(const ColdStartFigures& figures) {
+  return {{"nodes", figures.nodes},
+          {"settled", figures.settled},
+          {"served_seconds", Rounded(figures.served_seconds)},
+          {"messages_per_node", Rounded(figures.messages_per_node)},
+          {"cpu_per_node", Rounded(figures.cpu_per_node)}};
+}
+
+Json ToJson(const EncodingFigures& figures) {
+  return {{"kind", figures.kind},
+          {"encoding", figures.encoding},
+          {"samples", figures.samples},
+          {"mean_bytes", Rounded(figures.mean_bytes)},
+          {"encode_us", Rounded(figures.encode_microseconds)},
+          {"decode_us", Rounded(figures.decode_microseconds)}};
+}
+
+Json ToJson(const AssignmentFigures& figures) {
+  return {{"nodes", figures.nodes},
+          {"slots", figures.slots},
+          {"memory_bytes", figures.memory_bytes},
+          {"encoded_bytes", figures.encoded_bytes},
+          {"encode_ms", Rounded(figures.encode_milliseconds)},
+          {"decode_ms", Rounded(figures.decode_milliseconds)},
+          {"move_us", Rounded(figures.move_microseconds)},
+          {"move_update_bytes", figures.move_update_bytes}};
+}
+
+Json ToJson(const TableFigures& figures) {
+  return {{"cells", figures.cells},
+          {"memory_bytes", figures.memory_bytes},
+          {"complete_delta_bytes", figures.complete_delta_bytes},
+          {"edit_delta_bytes", figures.edit_delta_bytes},
+          {"edit_us", Rounded(figures.edit_microseconds)},
+          {"lookup_ns", Rounded(figures.lookup_nanoseconds)}};
+}
+
+Json ToJson(const RequestFigures& figures) {
+  return {{"targets", figures.targets},
+          {"by_owner_us", Rounded(figures.by_owner_microseconds)},
+          {"by_load_us", Rounded(figures.by_load_microseconds)},
+          {"admission_us", Rounded(figures.admission_microseconds)}};
+}
+
+Json ToJson(const SubsetFigures& figures) {
+  return {{"clients", figures.clients},
+          {"servers", figures.servers},
+          {"subset", figures.subset},
+          {"random_imbalance", Rounded(figures.random_imbalance)},
+          {"random_idle_servers", figures.random_idle_servers},
+          {"deterministic_imbalance", Rounded(figures.deterministic_imbalance)}};
+}
+
+std::string FormatLine(const std::string& part, const Json& object) {
+  std::string line = part;
+  for (const auto& [key, value] : object.items()) {
+    const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+    line += fmt::format(" {}={}", key, text);
+  }
+  return line + "\n";
+}
+
 std::string Format(const SweepResult& result) {
   std::string text = fmt::format("{:>20}", result.dimension);
   for (const std::string_view column : kTableColumns) text += fmt::format(" {:>21}", column);
