runshelf-scale: measure groups at rest, fits of losses and structures, tests

Trial figures while slots still moved after joining were up to 4.4 times too high at the leader (2.5 MB/s out against 0.57 MB/s at 256 nodes): a window now begins only when no slot has moved for 2.5 s. Tests: the fit on data with a known answer and against nearby lines, counters against an independent count of the sent envelopes, small runs of each part.

--- a/tools/scale/hollow_fleet.cc
+++ b/tools/scale/hollow_fleet.cc
@@ -30,6 +30,9 @@
 constexpr size_t kFounders = 16;
 constexpr Duration kJoinInterval = std::chrono::milliseconds(100);
 
+// A group whose assignment did not change for this long is at rest.
+constexpr Duration kQuietTime = std::chrono::milliseconds(2500);
+
 Duration Seconds(double seconds) { return Duration(static_cast<int64_t>(seconds * 1e6)); }
 
 table::CellChange MakeCell(size_t number, int64_t revision) {
@@ -265,12 +268,26 @@
 
 bool HollowFleet::Settle(Duration limit) {
   const sim::TrueTime end = queue_.Now() + limit;
+  if (!RunUntil(limit, [this] { return Leader() != nullptr; })) return false;
+  // The first assignment waits for joiners that come in quick succession, so that none of its slots
+  // has to move again.
   while (nodes_.size() < config_.nodes) {
-    if (!RunUntilSettled(end - queue_.Now())) return false;
     for (size_t i = 0; i < kFounders && nodes_.size() < config_.nodes; ++i) AddNode();
     Run(kJoinInterval);
   }
-  return RunUntilSettled(end - queue_.Now());
+  return RunUntilSettled(end - queue_.Now()) && RunUntilQuiet(end - queue_.Now());
+}
+
+bool HollowFleet::RunUntilQuiet(Duration limit) {
+  uint64_t version = 0;
+  Instant changed = Now();
+  return RunUntil(limit, [&] {
+    const HollowNode* leader = Leader();
+    const uint64_t current = leader == nullptr ? 0 : leader->node->Status(Now()).assignment_version;
+    if (current != version) changed = Now();
+    version = current;
+    return version != 0 && Now() - changed >= kQuietTime;
+  });
 }
 
 bool HollowFleet::RunUntilSettled(Duration limit) {
--- a/tools/scale/hollow_fleet.h
+++ b/tools/scale/hollow_fleet.h
@@ -79,8 +79,8 @@
   // Runs in steps of a millisecond until `condition` holds; false when `limit` has passed before.
   bool RunUntil(Duration limit, const std::function<bool()>& condition);
 
-  // Starts the nodes that are left, and runs until every slot is served, every node registered and
-  // every voter in place.
+  // Starts the nodes that are left, and runs until every slot is served, every node registered,
+  // every voter in place and no slot moves any more.
   bool Settle(Duration limit);
 
   // Sets all counters to zero and fixes the roles.
@@ -131,6 +131,7 @@
   void Deliver(const std::string& address, const std::string& bytes, MessageKind kind);
   bool IsSettled() const;
   bool RunUntilSettled(Duration limit);
+  bool RunUntilQuiet(Duration limit);
 
   FleetConfig config_;
   SeededRandom random_;
--- a/tools/scale/loss_run.cc
+++ b/tools/scale/loss_run.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration kSettleLimit = std::chrono::seconds(60);
-constexpr Duration kWarmUp = std::chrono::seconds(2);
 constexpr Duration kRecoveryLimit = std::chrono::seconds(60);
 
 double InSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
@@ -96,10 +95,11 @@
 LossFigures MeasureLoss(const FleetConfig& config, Loss loss) {
   LossFigures figures;
   figures.loss = loss;
+  figures.renewal_interval = config.renewal_interval;
+  figures.grant_duration = config.grant_duration;
   figures.nodes = config.nodes;
   HollowFleet fleet(config);
   if (!fleet.Settle(kSettleLimit)) return figures;
-  fleet.Run(kWarmUp);
   fleet.StartWindow();
   const Instant lost_at = fleet.Now();
   const uint64_t generation = fleet.Leader()->node->Status(lost_at).generation;
@@ -113,7 +113,7 @@
       fleet.RunUntil(kRecoveryLimit, [&] { return HasLeader(fleet, loss, generation); });
   figures.leader_seconds = InSeconds(fleet.Now() - lost_at);
   const bool served =
-      fleet.RunUntil(kRecoveryLimit, [&] { return fleet.ServedSlots() == ServableSlots(fleet); });
+      fleet.RunUntil(kRecoveryLimit, [&] { return fleet.ServedSlots() >= ServableSlots(fleet); });
   figures.recovered = figures.recovered && served;
   figures.served_seconds = InSeconds(fleet.Now() - lost_at);
   ReduceTraffic(fleet, std::max(figures.served_seconds, 1e-3), figures);
--- a/tools/scale/loss_run.h
+++ b/tools/scale/loss_run.h
@@ -20,6 +20,8 @@
 
 struct LossFigures {
   Loss loss = Loss::kNode;
+  Duration renewal_interval{0};
+  Duration grant_duration{0};
   size_t nodes = 0;
   size_t lost_nodes = 0;
   size_t lost_slots = 0;
--- a/tools/scale/main.cc
+++ b/tools/scale/main.cc
@@ -125,20 +125,60 @@
   return options.sizes.empty() ? usual : options.sizes;
 }
 
+// Prints the fits of `rows` and adds them to the results.
+void RecordFits(const std::string& part, const Json& rows, const std::string& size,
+                const std::vector<std::string>& fields, Json& results) {
+  const Json fits = FitFields(rows, size, fields);
+  for (const auto& [field, fit] : fits.items()) {
+    Print(FormatLine("fit part=" + part + " figure=" + field, fit));
+  }
+  results["fits"][part] = fits;
+}
+
 // Returns whether every fleet recovered.
+bool RunLosses(const Options& options, const FleetConfig& base, const std::vector<Loss>& losses,
+               Json& results) {
+  bool recovered = true;
+  for (const Loss loss : losses) {
+    for (uint64_t seed = 1; seed <= kSeedsOfLosses; ++seed) {
+      FleetConfig config = base;
+      config.seed = options.base.seed + seed;
+      const LossFigures figures = MeasureLoss(config, loss);
+      recovered = recovered && figures.recovered;
+      Record("loss", figures, results);
+    }
+  }
+  return recovered;
+}
+
+void FitLosses(Json& results) {
+  for (const Loss loss : AllLosses()) {
+    Json rows;
+    for (const Json& row : results["loss"]) {
+      if (row["loss"] == LossName(loss)) rows.push_back(row);
+    }
+    RecordFits("loss_" + std::string(LossName(loss)), rows, "nodes",
+               {"leader_seconds", "served_seconds", "messages_per_node", "largest_messages_in",
+                "largest_wire_bytes_in", "largest_cpu_seconds"},
+               results);
+  }
+}
+
 bool RunLosses(const Options& options, Json& results) {
   bool recovered = true;
   for (const double size : Sizes(options, {10, 20, 40, 80})) {
-    for (const Loss loss : AllLosses()) {
-      for (uint64_t seed = 1; seed <= kSeedsOfLosses; ++seed) {
-        FleetConfig config = options.base;
-        config.nodes = static_cast<size_t>(size);
-        config.seed = options.base.seed + seed;
-        const LossFigures figures = MeasureLoss(config, loss);
-        recovered = recovered && figures.recovered;
-        Record("loss", figures, results);
-      }
-    }
+    FleetConfig config = options.base;
+    config.nodes = static_cast<size_t>(size);
+    recovered = RunLosses(options, config, AllLosses(), results) && recovered;
+  }
+  FitLosses(results);
+  // What other intervals would cost in time; grants last six of them throughout.
+  for (const int milliseconds : {75, 200, 250, 300}) {
+    FleetConfig config = options.base;
+    config.renewal_interval = std::chrono::milliseconds(milliseconds);
+    config.grant_duration = 6 * config.renewal_interval;
+    const std::vector<Loss> losses = {Loss::kNode, Loss::kLeaderAndNode};
+    recovered = RunLosses(options, config, losses, results) && recovered;
   }
   return recovered;
 }
@@ -152,6 +192,8 @@
     settled = settled && figures.settled;
     Record("cold_start", figures, results);
   }
+  RecordFits("cold_start", results["cold_start"], "nodes",
+             {"served_seconds", "messages_per_node", "cpu_per_node"}, results);
   return settled;
 }
 
@@ -161,12 +203,17 @@
     Record("assignment", MeasureAssignment(nodes, kServices, kSlotsPerNode * nodes / kServices),
            results);
   }
+  RecordFits("assignment", results["assignment"], "nodes",
+             {"memory_bytes", "encoded_bytes", "encode_ms", "decode_ms"}, results);
   for (const uint64_t cells : {100, 1000, 10'000, 50'000}) {
     Record("table", MeasureTable(cells), results);
   }
+  RecordFits("table", results["table"], "cells",
+             {"memory_bytes", "complete_delta_bytes", "edit_us", "lookup_ns"}, results);
   for (const uint64_t targets : {16, 128, 1024, 4096}) {
     Record("request", MeasureRequests(targets), results);
   }
+  RecordFits("request", results["request"], "targets", {"by_owner_us", "by_load_us"}, results);
   for (const uint64_t subset : {4, 8, 16, 32, 64}) {
     Record("subset", MeasureSubsets(kSubsetClients, kSubsetServers, subset, options.base.seed),
            results);
--- a/tools/scale/measurement.h
+++ b/tools/scale/measurement.h
@@ -33,11 +33,10 @@
 struct FleetFigures {
   std::array<RoleFigures, kRoles> roles;
   std::vector<KindFigures> kinds;
-  double record_bytes = 0;          // Group record in the platform.
-  double platform_reads = 0;        // Of the group record, per second.
-  double platform_writes = 0;       // Of the group record, per second.
-  double list_reads = 0;            // Of the machine list, per second.
-  double settle_seconds = 0;        // From the start of the first process until all is served.
+  double platform_reads = 0;   // Of the group record, per second.
+  double platform_writes = 0;  // Of the group record, per second.
+  double list_reads = 0;       // Of the machine list, per second.
+  double settle_seconds = 0;   // From the start of the first process until the group is at rest.
   double table_spread_seconds = 0;  // From an edit at the leader until it is in force everywhere.
   bool settled = false;             // False: the other figures do not describe a steady state.
 };
--- a/tools/scale/report.cc
+++ b/tools/scale/report.cc
@@ -21,7 +21,7 @@
   return std::round(value * scale) / scale;
 }
 
-constexpr std::array<std::string_view, 13> kTableColumns = {"leader.wire_bytes_in",
+constexpr std::array<std::string_view, 12> kTableColumns = {"leader.wire_bytes_in",
                                                             "leader.wire_bytes_out",
                                                             "leader.cpu",
                                                             "leader.codec_cpu",
@@ -32,8 +32,15 @@
                                                             "plain.wire_bytes_out",
                                                             "plain.cpu",
                                                             "plain.tick_cpu",
-                                                            "plain.memory_bytes",
-                                                            "record_bytes"};
+                                                            "plain.memory_bytes"};
+
+Json ToJson(const LinearFit& line, double exponent) {
+  return {{"slope", Rounded(line.slope)},
+          {"intercept", Rounded(line.intercept)},
+          {"r_squared", Rounded(line.r_squared)},
+          {"max_residual", Rounded(line.max_residual)},
+          {"exponent", Rounded(exponent)}};
+}
 
 double Find(const std::vector<NamedFigure>& figures, std::string_view name) {
   for (const NamedFigure& figure : figures) {
@@ -75,17 +82,15 @@
     json["points"].push_back(figures);
   }
   for (const NamedFit& fit : result.fits) {
-    json["fits"][fit.figure] = {{"slope", Rounded(fit.line.slope)},
-                                {"intercept", Rounded(fit.line.intercept)},
-                                {"r_squared", Rounded(fit.line.r_squared)},
-                                {"max_residual", Rounded(fit.line.max_residual)},
-                                {"exponent", Rounded(fit.exponent)}};
+    json["fits"][fit.figure] = ToJson(fit.line, fit.exponent);
   }
   return json;
 }
 
 Json ToJson(const LossFigures& figures) {
   return {{"loss", LossName(figures.loss)},
+          {"renewal_interval_ms", figures.renewal_interval.count() / 1000},
+          {"grant_duration_ms", figures.grant_duration.count() / 1000},
           {"nodes", figures.nodes},
           {"lost_nodes", figures.lost_nodes},
           {"lost_slots", figures.lost_slots},
@@ -151,6 +156,18 @@
           {"deterministic_imbalance", Rounded(figures.deterministic_imbalance)}};
 }
 
+Json FitFields(const Json& rows, const std::string& size, const std::vector<std::string>& fields) {
+  Json fits;
+  for (const std::string& field : fields) {
+    std::vector<Point> points;
+    for (const Json& row : rows) {
+      points.push_back({row.at(size).get<double>(), row.at(field).get<double>()});
+    }
+    fits[field] = ToJson(FitLine(points), FitExponent(points));
+  }
+  return fits;
+}
+
 std::string FormatLine(const std::string& part, const Json& object) {
   std::string line = part;
   for (const auto& [key, value] : object.items()) {
--- a/tools/scale/report.h
+++ b/tools/scale/report.h
@@ -24,6 +24,10 @@
 // A small table of the points, then one line key=value for each fit.
 std::string Format(const SweepResult& result);
 
+// Fits each field of the rows, which are flat objects, to their field `size`.
+nlohmann::ordered_json FitFields(const nlohmann::ordered_json& rows, const std::string& size,
+                                 const std::vector<std::string>& fields);
+
 // One line of `part` and key=value pairs, of a flat JSON object.
 std::string FormatLine(const std::string& part, const nlohmann::ordered_json& object);
 
--- a/tools/scale/sweep.cc
+++ b/tools/scale/sweep.cc
@@ -15,7 +15,7 @@
       {"table_cells", {16, 64, 256, 1024}},
       {"limited_cells", {0, 4, 16, 64}},
       {"edits_per_second", {0, 1, 2, 4, 8}},
-      {"losses_per_hour", {0, 720, 1440, 2880, 5760}},
+      {"losses_per_hour", {0, 120, 240, 480, 960}, 6},
       {"renewals_per_second",
        {kBaseRenewalRate / 8, kBaseRenewalRate / 4, kBaseRenewalRate / 2, kBaseRenewalRate}},
   };
@@ -63,7 +63,6 @@
     named.push_back({prefix + "codec_cpu", of_role.codec_cpu});
     named.push_back({prefix + "memory_bytes", of_role.memory_bytes});
   }
-  named.push_back({"record_bytes", figures.record_bytes});
   named.push_back({"platform_reads", figures.platform_reads});
   named.push_back({"platform_writes", figures.platform_writes});
   named.push_back({"list_reads", figures.list_reads});
@@ -77,7 +76,7 @@
   for (const double size : sweep.sizes) {
     FleetConfig config = base;
     if (!SetDimension(config, sweep.dimension, size)) return result;
-    result.points.push_back({size, MeasureFleet(config, window)});
+    result.points.push_back({size, MeasureFleet(config, sweep.windows * window)});
   }
   if (result.points.empty()) return result;
   const std::vector<NamedFigure> first = NamedFigures(result.points.front().figures);
--- a/tools/scale/sweep.h
+++ b/tools/scale/sweep.h
@@ -12,6 +12,7 @@
 struct Sweep {
   std::string dimension;  // As SetDimension takes it.
   std::vector<double> sizes;
+  int windows = 1;  // Measured windows of each run; more where the events are rare.
 };
 
 // The sweeps of a whole run, each with its default sizes.
