--- a/tools/scale/loss_run.h
+++ b/tools/scale/loss_run.h
@@ -37,7 +37,8 @@
 
 LossFigures MeasureLoss(const FleetConfig& config, Loss loss);
 
-// Start of all processes at once: time until all is served and what each process spends on it.
+// Start of all processes at once: time until the group is at rest, its quiet time included, and
+// what each process spends on it.
 struct ColdStartFigures {
   size_t nodes = 0;
   bool settled = false;
