--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -30,6 +30,10 @@
                 preexec_fn=_end_with_parent,
             )
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     def is_running(self):
         return self._process.poll() is None
 
--- a/tests/scale/linear_fit_test.cc
+++ b/tests/scale/linear_fit_test.cc
@@ -48,6 +48,7 @@
   SeededRandom random(7);
   for (int round = 0; round < 200; ++round) {
     std::vector<Point> points;
+    points.reserve(6);
     for (int i = 0; i < 6; ++i) {
       points.push_back({static_cast<double>(1 << i), static_cast<double>(random.Below(1000))});
     }
--- a/tools/scale/linear_fit.cc
+++ b/tools/scale/linear_fit.cc
@@ -44,6 +44,7 @@
 
 double FitExponent(const std::vector<Point>& points) {
   std::vector<Point> logarithms;
+  logarithms.reserve(points.size());
   for (const Point& point : points) {
     if (point.x <= 0 || point.y <= 0) return 0;
     logarithms.push_back({std::log(point.x), std::log(point.y)});
--- a/tools/scale/main.cc
+++ b/tools/scale/main.cc
@@ -130,7 +130,7 @@
                 const std::vector<std::string>& fields, Json& results) {
   const Json fits = FitFields(rows, size, fields);
   for (const auto& [field, fit] : fits.items()) {
-    Print(FormatLine("fit part=" + part + " figure=" + field, fit));
+    Print(FormatLine(fmt::format("fit part={} figure={}", part, field), fit));
   }
   results["fits"][part] = fits;
 }
--- a/tools/sim/machine.h
+++ b/tools/sim/machine.h
@@ -80,9 +80,9 @@
   bool stopping_ = false;
   bool serving_ = false;
   uint64_t serving_changes_ = 0;
-  uint64_t disturbed_slots_ = 0;       // Owned when the server stopped serving.
-  bool disturbance_counted_ = false;   // They were counted as having to move.
-  ServerRun leaving_run_ = 0;          // Whose slots were counted when it began to leave.
+  uint64_t disturbed_slots_ = 0;      // Owned when the server stopped serving.
+  bool disturbance_counted_ = false;  // They were counted as having to move.
+  ServerRun leaving_run_ = 0;         // Whose slots were counted when it began to leave.
   TrueTime undisturbed_since_{};
 };
 
