Leader: a lease regained in the same term keeps what was proposed

It began anew and forgot a handover that was proposed but not committed, told the giver no more of the release, and renewed its slots; then the handover was committed and the taker was granted, too. Change: handovers and proposals live as long as the leadership of the term; a regained lease only gives the instances a fresh chance to renew. Ruled out: re-reading pending entries from the log (the leader's own list is exact within its term).

--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -134,7 +134,8 @@
   for (const auto& [name, record] : state.nodes()) {
     if (record.suspended || IsBlocked(record.instance)) continue;
     const auto member = members_.find(record.instance);
-    const Instant last_seen = member == members_.end() ? began_ : member->second.last_seen;
+    const Instant last_seen =
+        member == members_.end() ? began_ : std::max(began_, member->second.last_seen);
     if (now - last_seen < kSilentIntervals * context_.config.renewal_interval) continue;
     command.registered.push_back(record);
     command.registered.back().suspended = true;
@@ -153,7 +154,8 @@
   for (const auto& [name, record] : state.nodes()) {
     const InstanceId& instance = record.instance;
     if (IsBlocked(instance)) continue;
-    Instant expiry = ledger_.ExpiryOf(instance);
+    Instant expiry = std::max(ledger_.ExpiryOf(instance),
+                              began_ + kSilentIntervals * context_.config.renewal_interval);
     const auto member = members_.find(instance);
     if (member != members_.end()) {
       // An instance without a grant still counts as alive while it renews.
--- a/source/coordination/assignment_leader.h
+++ b/source/coordination/assignment_leader.h
@@ -25,10 +25,13 @@
   // All references must outlive this object.
   AssignmentLeader(NodeContext& context, TableReplica& table, LimitShares* limits);
 
-  // Leadership with a valid lease begins (or is regained after a gap) at `now`.
+  // Leadership of a new term begins, with a valid lease, at `now`.
   // `suspended_since`: when this replica learnt of each suspended instance.
   void Begin(Instant now, consensus::Term term,
              const std::map<InstanceId, Instant>& suspended_since);
+  // The lease of the same term is held again after a gap. What was proposed before may still be
+  // committed, so handovers and proposals go on; instances get a fresh chance to renew.
+  void Resume(Instant now) { began_ = now; }
   void End();
 
   void Tick(Instant now, consensus::Replica& replica, const ownership::AssignmentState& state);
@@ -109,7 +112,7 @@
   ownership::GrantLedger ledger_;
   LoadTracker loads_;
   consensus::Term term_ = 0;
-  Instant began_;
+  Instant began_;  // Since when the lease has been held without a gap.
   Instant last_registration_;
   Instant last_rebalance_;
   std::map<InstanceId, Member> members_;
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -140,6 +140,7 @@
   suspended_since_.clear();
   NoteSuspensions(now);
   leads_ = false;
+  leading_term_ = 0;
   leader_.End();
   renewals_.OnGeneration();
 }
@@ -249,7 +250,7 @@
     changed = true;
   }
   if (changed) NoteSuspensions(now);
-  if (changed && leads_) {
+  if (changed && leading_term_ != 0) {
     leader_.OnApplied(now, replicated_);
     LeadWhenDue(now);
   }
@@ -267,21 +268,25 @@
 }
 
 void NodeImpl::UpdateLeadership(Instant now) {
-  const bool holds_lease =
-      replica_ != nullptr && !lifecycle_.IsSealed() && replica_->HoldsLease(now);
-  if (holds_lease && (!leads_ || leading_term_ != replica_->CurrentTerm())) {
-    // Also after a gap within one term: what was heard of the others is out of date.
+  const bool may_lead = replica_ != nullptr && !lifecycle_.IsSealed() && replica_->IsLeader();
+  if (leading_term_ != 0 && (!may_lead || replica_->CurrentTerm() != leading_term_)) {
+    leader_.End();
+    leading_term_ = 0;
+  }
+  const bool held_lease = std::exchange(leads_, may_lead && replica_->HoldsLease(now));
+  if (!leads_ || held_lease) return;
+  if (leading_term_ == replica_->CurrentTerm()) {
+    leader_.Resume(now);
+  } else {
     leading_term_ = replica_->CurrentTerm();
     leader_.Begin(now, leading_term_, suspended_since_);
-    voters_.Begin(now);
-    renewals_.SuggestLeader(context_.self);
-    for (const auto& [name, record] : replicated_.nodes()) {
-      context_.Learn(record.instance, record.peer_address);
-      context_.Send(record.instance, RenewNow{});
-    }
   }
-  if (!holds_lease && leads_) leader_.End();
-  leads_ = holds_lease;
+  voters_.Begin(now);
+  renewals_.SuggestLeader(context_.self);
+  for (const auto& [name, record] : replicated_.nodes()) {
+    context_.Learn(record.instance, record.peer_address);
+    context_.Send(record.instance, RenewNow{});
+  }
 }
 
 void NodeImpl::LeadWhenDue(Instant now) {
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -71,6 +71,7 @@
   ownership::AssignmentState replicated_;          // What the replica's log amounts to.
   std::map<InstanceId, Instant> suspended_since_;  // When each suspension was applied here.
   bool leads_ = false;                             // The lease was held at the last event.
+  // Of the leadership that `leader_` serves, which outlasts gaps of the lease; zero when none.
   consensus::Term leading_term_ = 0;
   Instant last_event_;
   bool ended_ = false;  // A RestartInstance has been asked for; nothing is done any more.
