Few follow the platform; a process on a leaving machine does not join; less work per event

Change: voters follow the platform; while none of them reaches it the leader asks three others, in turns. A new process waits for its first look at the list and stays out while the list calls its machine leaving. Addresses are kept, a search asks the voters for the first second, moves are planned on change or every 100 ms. Ruled out: all daemons following at a slower pace (the load still grows with the fleet).

--- a/include/runshelf/coordination/messages.h
+++ b/include/runshelf/coordination/messages.h
@@ -51,6 +51,7 @@
   uint64_t assignment_version = 0;
   int64_t table_revision = 0;
   ServerState server = ServerState::kUnknown;
+  bool platform_reached = false;   // Lately, by the sender.
   std::vector<uint64_t> released;  // Ids of release orders that are fulfilled.
   double requests_per_second = 0;  // Of the server beside the sender.
   std::vector<SlotLoad> hottest_slots;
@@ -67,6 +68,7 @@
   ownership::AssignmentUpdate assignment;
   std::vector<ReleaseOrder> releases;  // All that are open for this node.
   bool departed = false;               // A leaving node owns nothing and is no voter: it may stop.
+  bool follow_platform = false;        // No voter reaches the platform: try to follow it yourself.
   std::string table_update;            // Encoded table delta; empty when the sender is up to date.
   std::optional<int64_t> wanted_table_since;  // The leader's revision, when the sender's is higher.
   std::vector<CellRate> shares;
--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -159,6 +159,12 @@
   // The platform's machine list, whenever it was read.
   virtual void OnMachineList(Instant now, const platform::MachineListSnapshot& machines) = 0;
 
+  // The platform answered some call of this daemon.
+  virtual void OnPlatformContact(Instant now) = 0;
+  // Whether this daemon should follow the table and the machine list at the platform now. Only the
+  // voters do, to spare the platform; others while no voter or no leader is in touch.
+  virtual bool FollowsPlatform(Instant now) const = 0;
+
   // Answer to ReadGroupRecord. `revision` is the record's mod_revision; zero: there is no record.
   virtual void OnGroupRecord(Instant now, const std::optional<GroupRecord>& record,
                              int64_t revision) = 0;
--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -1,6 +1,9 @@
 #include "source/coordination/assignment_leader.h"
 
 #include <algorithm>
+#include <string>
+
+#include "runshelf/common/json_reader.h"
 
 namespace runshelf::coordination {
 namespace {
@@ -21,9 +24,18 @@
 // What is known of an instance that is not registered is dropped after this long without a renewal.
 constexpr Duration kMemberMemory = std::chrono::seconds(10);
 
+// When no voter has reached the platform for this long, a few other daemons are asked to try, and
+// others after each turn.
+constexpr Duration kPlatformSilence = std::chrono::milliseconds(1500);
+constexpr Duration kPlatformTurn = std::chrono::seconds(2);
+constexpr int kPlatformSearchers = 3;
+
 // An instance is suspended after this many renewal intervals without a renewal.
 constexpr int kSilentIntervals = 2;
 
+// Without a change of the assignment, moves are planned this often.
+constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
+
 constexpr Duration kRebalanceInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -41,6 +53,7 @@
   began_ = now;
   last_registration_ = now;
   last_rebalance_ = now;
+  platform_reached_ = now;
   ledger_.BeginLeadership(now);
   for (const auto& [instance, since] : suspended_since) ledger_.OnSuspended(instance, since);
   if (limits_ != nullptr) limits_->OnLeadership(now);
@@ -66,6 +79,7 @@
 }
 
 void AssignmentLeader::OnApplied(Instant now, const AssignmentState& state) {
+  plan_wanted_ = true;
   for (const Proposal& proposal : proposals_) {
     if (proposal.index > state.version()) continue;
     for (const uint64_t release_id : proposal.release_ids) handovers_.erase(release_id);
@@ -226,7 +240,10 @@
 
 void AssignmentLeader::RunPlanner(Instant now, consensus::Replica& replica,
                                   const AssignmentState& state) {
-  if (!MayAssign(now, state)) return;
+  const bool due = plan_wanted_ || now - last_plan_ >= kPlanInterval;
+  if (!due || !MayAssign(now, state)) return;
+  plan_wanted_ = false;
+  last_plan_ = now;
   ownership::PlannerConfig config;
   config.rebalance_threshold = context_.config.rebalance_threshold;
   config.max_moving_slots = context_.config.max_moving_slots;
@@ -275,6 +292,20 @@
                      [&](const Proposal& proposal) { return proposal.blocked.contains(instance); });
 }
 
+bool AssignmentLeader::ShouldFollowPlatform(Instant now, const InstanceId& instance) const {
+  if (now - platform_reached_ < kPlatformSilence) return false;
+  // Others take their turn after a while: those that were asked first may be cut off as well.
+  const auto turn = static_cast<uint64_t>(now.time_since_epoch() / kPlatformTurn);
+  const auto rank = [turn](const InstanceId& member) {
+    return SlotOfKey(member.ToString() + std::to_string(turn), kMaxSlotCount);
+  };
+  const SlotNumber own_rank = rank(instance);
+  const auto ahead = std::count_if(members_.begin(), members_.end(), [&](const auto& member) {
+    return rank(member.first) < own_rank;
+  });
+  return ahead < kPlatformSearchers;
+}
+
 bool AssignmentLeader::CanOwn(Instant now, const InstanceId& instance) const {
   const auto member = members_.find(instance);
   return member != members_.end() && member->second.server == ServerState::kServing &&
@@ -362,6 +393,7 @@
   member.server = request.server;
   member.version = request.assignment_version;
   Register(now, replica, state, request.node);
+  if (request.platform_reached) platform_reached_ = now;
   MarkLeaving(now, request.leaving, replica, state);
   OnReleased(now, instance, request.released, replica);
 
@@ -372,6 +404,7 @@
   reply.assignment = state.UpdateSince(request.assignment_version);
   if (record != nullptr) {
     reply.departed = HasDeparted(replica, state, *record);
+    reply.follow_platform = ShouldFollowPlatform(now, instance);
     const bool may_grant = !record->suspended && !IsBlocked(instance);
     if (request.server == ServerState::kServing && may_grant) {
       reply.grant_duration_us = context_.config.grant_duration.count();
--- a/source/coordination/assignment_leader.h
+++ b/source/coordination/assignment_leader.h
@@ -95,6 +95,8 @@
                   consensus::Replica& replica);
 
   bool IsBlocked(const InstanceId& instance) const;
+  // Whether `instance` is one of the few who look for the platform while no voter reaches it.
+  bool ShouldFollowPlatform(Instant now, const InstanceId& instance) const;
   // Whether `instance` renewed so lately that slots may be entrusted to it.
   bool IsFresh(Instant now, const InstanceId& instance) const;
   bool CanOwn(Instant now, const InstanceId& instance) const;
@@ -114,7 +116,10 @@
   consensus::Term term_ = 0;
   Instant began_;  // Since when the lease has been held without a gap.
   Instant last_registration_;
+  Instant platform_reached_;  // When some daemon was last in touch with the platform.
   Instant last_rebalance_;
+  Instant last_plan_;
+  bool plan_wanted_ = false;
   std::map<InstanceId, Member> members_;
   std::map<uint64_t, Handover> handovers_;
   std::map<InstanceId, ownership::AssignmentVersion> handed_over_;  // Last handover by its giver.
--- a/source/coordination/group_lifecycle.cc
+++ b/source/coordination/group_lifecycle.cc
@@ -14,6 +14,9 @@
 constexpr Duration kHelloInterval = std::chrono::milliseconds(200);
 constexpr Duration kSealInterval = std::chrono::milliseconds(200);
 constexpr Duration kWriteTimeout = std::chrono::seconds(3);
+// A daemon that lost its leader asks the recorded voters for so long, then every machine.
+constexpr Duration kVoterSearchTime = std::chrono::seconds(1);
+
 // A phase of a recovery that is not through by then is given up.
 constexpr Duration kRecoveryPhaseTimeout = std::chrono::milliseconds(1500);
 
@@ -72,6 +75,7 @@
   if (record.generation < context_.generation) return std::nullopt;
   if (revision > 0) record_revision_ = std::max(record_revision_, revision);
   record_ = record;
+  RebuildAddresses();
   for (const GroupMember& voter : record.voters) context_.Learn(voter.instance, voter.address);
   if (record.generation == context_.generation) return std::nullopt;
   context_.generation = record.generation;
@@ -89,21 +93,32 @@
 
 void GroupLifecycle::OnMachineList(Instant now, const platform::MachineListSnapshot& machines) {
   machines_ = machines;
+  RebuildAddresses();
   machines_read_at_ = now;
 }
 
-std::vector<std::string> GroupLifecycle::PeerAddresses() const {
-  std::set<std::string> addresses(context_.config.seed_addresses.begin(),
-                                  context_.config.seed_addresses.end());
+void GroupLifecycle::RebuildAddresses() {
+  std::set<std::string> voters(context_.config.seed_addresses.begin(),
+                               context_.config.seed_addresses.end());
   if (record_) {
-    for (const GroupMember& voter : record_->voters) addresses.insert(voter.address);
+    for (const GroupMember& voter : record_->voters) voters.insert(voter.address);
   }
+  std::set<std::string> peers = voters;
   if (machines_) {
-    for (const platform::Machine& machine : machines_->machines) addresses.insert(machine.address);
+    for (const platform::Machine& machine : machines_->machines) peers.insert(machine.address);
+  }
+  for (std::set<std::string>* addresses : {&voters, &peers}) {
+    addresses->erase(context_.config.peer_address);
+    addresses->erase("");
   }
-  addresses.erase(context_.config.peer_address);
-  addresses.erase("");
-  return {addresses.begin(), addresses.end()};
+  voter_addresses_.assign(voters.begin(), voters.end());
+  peer_addresses_.assign(peers.begin(), peers.end());
+}
+
+const std::vector<std::string>& GroupLifecycle::LeaderSearchAddresses(
+    Instant now, Instant last_leader_contact) const {
+  const bool voters_may_know = now - last_leader_contact < kVoterSearchTime;
+  return voters_may_know && !voter_addresses_.empty() ? voter_addresses_ : peer_addresses_;
 }
 
 std::set<std::string> GroupLifecycle::ListedNodes() const {
--- a/source/coordination/group_lifecycle.h
+++ b/source/coordination/group_lifecycle.h
@@ -29,7 +29,7 @@
 
 class GroupLifecycle {
  public:
-  explicit GroupLifecycle(NodeContext& context) : context_(context) {}
+  explicit GroupLifecycle(NodeContext& context) : context_(context) { RebuildAddresses(); }
 
   // `last_leader_contact`: when a leader of the current generation was last heard of.
   void Tick(Instant now, Instant last_leader_contact, const ownership::NodeRecord& own_record,
@@ -62,8 +62,11 @@
   // Whether this daemon has given up its current generation.
   bool IsSealed() const { return sealed_generation_ == context_.generation && IsKnown(); }
 
-  // Addresses of all machines that may know the group.
-  std::vector<std::string> PeerAddresses() const;
+  // Addresses of all machines that may know the group, ascending.
+  const std::vector<std::string>& PeerAddresses() const { return peer_addresses_; }
+  // Where to ask for the leader: the voters at first, after a while everybody.
+  const std::vector<std::string>& LeaderSearchAddresses(Instant now,
+                                                        Instant last_leader_contact) const;
   std::set<std::string> ListedNodes() const;
 
  private:
@@ -80,6 +83,7 @@
   bool IsKnown() const { return context_.generation != 0; }
   bool IsSelf(const std::string& address) const { return address == context_.config.peer_address; }
   void Announce(const GroupRecord& record);
+  void RebuildAddresses();
   std::optional<GroupRecord> Adopt(const GroupRecord& record, int64_t revision);
   void ReadRecordWhenDue(Instant now, Instant last_leader_contact);
   void Bootstrap(Instant now, const ownership::NodeRecord& own_record);
@@ -99,7 +103,9 @@
 
   NodeContext& context_;
   std::optional<GroupRecord> record_;  // Newest known.
-  int64_t record_revision_ = 0;        // Of the record in the platform as last read or written.
+  std::vector<std::string> peer_addresses_;
+  std::vector<std::string> voter_addresses_;
+  int64_t record_revision_ = 0;  // Of the record in the platform as last read or written.
   Instant record_read_at_;
   bool record_absent_ = false;
   Instant absent_since_;
--- a/source/coordination/leave_notices.cc
+++ b/source/coordination/leave_notices.cc
@@ -11,6 +11,9 @@
 // process.
 constexpr Duration kLongestLag = std::chrono::seconds(15);
 
+// How long a new process waits for its first look at the list.
+constexpr Duration kFirstListWait = std::chrono::seconds(1);
+
 }  // namespace
 
 LeaveNotices::LeaveNotices(InstanceId self, Instant now) : self_(std::move(self)), started_(now) {}
@@ -26,6 +29,8 @@
     if (machine.node == self_.node) {
       const bool still = machine.state == MachineState::kLeaving && now - started_ > kLongestLag;
       self_is_leaving_ = self_is_leaving_ || began || still;
+      const bool leaving = machine.state == MachineState::kLeaving;
+      self_was_leaving_at_first_ = leaving && (last_seen_.empty() || self_was_leaving_at_first_);
       continue;
     }
     if (machine.state == MachineState::kLive) leaving_.erase(machine.node);
@@ -38,6 +43,11 @@
   last_seen_ = std::move(seen);
 }
 
+bool LeaveNotices::HoldsBack(Instant now) const {
+  if (last_seen_.empty()) return now - started_ < kFirstListWait;
+  return self_was_leaving_at_first_ && !self_is_leaving_;
+}
+
 std::vector<InstanceId> LeaveNotices::Leaving() const {
   std::vector<InstanceId> instances;
   for (const auto& [node, instance] : leaving_) instances.push_back(instance);
--- a/source/coordination/leave_notices.h
+++ b/source/coordination/leave_notices.h
@@ -29,12 +29,18 @@
   std::vector<InstanceId> Leaving() const;
   bool SelfIsLeaving() const { return self_is_leaving_; }
 
+  // Whether this process should not join yet: the list has not been read, or calls the machine
+  // leaving since before this process started. That costs a restarted machine the lag of the list,
+  // and keeps a restarted daemon on a leaving machine from taking new work.
+  bool HoldsBack(Instant now) const;
+
  private:
   const InstanceId self_;
   const Instant started_;
   std::map<std::string, platform::MachineState> last_seen_;  // By node.
   std::map<std::string, InstanceId> leaving_;                // By node.
   bool self_is_leaving_ = false;
+  bool self_was_leaving_at_first_ = false;  // And has not been called live since.
 };
 
 }  // namespace runshelf::coordination
--- a/source/coordination/message_json.cc
+++ b/source/coordination/message_json.cc
@@ -79,6 +79,7 @@
                 {"t", request.table_revision},
                 {"s", static_cast<uint64_t>(request.server)},
                 {"q", request.requests_per_second}};
+  if (request.platform_reached) value["p"] = true;
   if (!request.released.empty()) value["r"] = request.released;
   if (!request.hottest_slots.empty()) value["h"] = ToJson(request.hottest_slots);
   if (!request.demands.empty()) value["d"] = ToJson(request.demands);
@@ -99,6 +100,7 @@
   if (!reader.ok() || !ownership::FromJson(*node, request.node)) return false;
   if (server > static_cast<uint64_t>(ServerState::kSilent)) return false;
   request.server = static_cast<ServerState>(server);
+  if (reader.Find("p") != nullptr) reader.Read("p", request.platform_reached);
   if (reader.Find("r") != nullptr) reader.Read("r", request.released);
   if (reader.Find("h") != nullptr) {
     reader.ReadArray("h", request.hottest_slots,
@@ -122,6 +124,7 @@
     value["r"].push_back({{"i", order.release_id}, {"r", runshelf::ToJson(order.ranges)}});
   }
   if (reply.departed) value["x"] = true;
+  if (reply.follow_platform) value["f"] = true;
   if (!reply.table_update.empty()) value["u"] = reply.table_update;
   if (reply.wanted_table_since) value["w"] = *reply.wanted_table_since;
   if (reply.shares_valid_us > 0) {
@@ -142,6 +145,7 @@
     });
   }
   if (reader.Find("x") != nullptr) reader.Read("x", reply.departed);
+  if (reader.Find("f") != nullptr) reader.Read("f", reply.follow_platform);
   if (reader.Find("u") != nullptr) reader.Read("u", reply.table_update);
   if (reader.Find("w") != nullptr) reader.Read("w", reply.wanted_table_since.emplace());
   if (reader.Find("cv") != nullptr) {
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -154,6 +154,13 @@
   Settle(now);
 }
 
+void NodeImpl::OnPlatformContact(Instant now) { renewals_.OnPlatformContact(now); }
+
+bool NodeImpl::FollowsPlatform(Instant now) const {
+  const bool is_voter = replica_ != nullptr && replica_->IsVoter();
+  return is_voter || renewals_.MustFollowPlatform(now);
+}
+
 void NodeImpl::OnGroupRecord(Instant now, const std::optional<GroupRecord>& record,
                              int64_t revision) {
   if (WasPausedTooLong(now)) return;
@@ -225,7 +232,11 @@
     }
     ApplyReplicaOutput(now);
     UpdateLeadership(now);
-    if (!lifecycle_.IsSealed()) renewals_.Tick(now, lifecycle_.PeerAddresses());
+    const bool has_joined = renewals_.LastLeaderContact() != Instant{};
+    const bool may_renew = has_joined || !notices_.HoldsBack(now);
+    if (may_renew && !lifecycle_.IsSealed()) {
+      renewals_.Tick(now, lifecycle_.LeaderSearchAddresses(now, renewals_.LastLeaderContact()));
+    }
   } while (!context_.local_messages.empty());
 }
 
--- a/source/coordination/renewal_client.cc
+++ b/source/coordination/renewal_client.cc
@@ -10,6 +10,12 @@
 // While no leader answers, renewals go out this much more often, to all who may know the leader.
 constexpr int kSearchFactor = 3;
 
+// A call that the platform answered counts as being in touch with it for this long.
+constexpr Duration kPlatformContactMemory = std::chrono::seconds(1);
+
+// Without a leader for this long, a daemon looks at the platform itself.
+constexpr Duration kLeaderSilence = std::chrono::seconds(1);
+
 // Events that ask for a renewal at once never cause more than one in this time.
 constexpr Duration kShortestInterval = std::chrono::milliseconds(2);
 
@@ -53,6 +59,8 @@
   request.released = holder_.FulfilledReleases(now);
   request.requests_per_second = load_.requests_per_second;
   request.hottest_slots = load_.hottest_slots;
+  request.platform_reached =
+      platform_contact_ != Instant{} && now - platform_contact_ < kPlatformContactMemory;
   request.leaving = leaving_notices_;
   if (limits_ != nullptr) request.demands = limits_->Demands(now);
   if (wanted_table_since_) {
@@ -102,6 +110,7 @@
   }
   if (first_of_generation || view_.version() != version_before) RebuildRoutes();
   departed_ = reply.departed;
+  follow_platform_ = reply.follow_platform;
   const NodeRecord* own_record = view_.FindNode(context_.self);
   if (own_record != nullptr && own_record->leaving) leaving_ = true;
   if (!reply.table_update.empty()) table_.Apply(reply.table_update);
@@ -203,6 +212,10 @@
   return holder_.HeldSince(now, slot);
 }
 
+bool RenewalClient::MustFollowPlatform(Instant now) const {
+  return follow_platform_ || now - last_contact_ > kLeaderSilence;
+}
+
 void RenewalClient::BeginLeave() {
   leaving_ = true;
   next_renewal_ = {};
--- a/source/coordination/renewal_client.h
+++ b/source/coordination/renewal_client.h
@@ -41,6 +41,10 @@
   void Leave(Instant now, SlotNumber slot);
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const;
 
+  void OnPlatformContact(Instant now) { platform_contact_ = now; }
+  // Whether the leader asked this node to follow the platform, or is not in touch itself.
+  bool MustFollowPlatform(Instant now) const;
+
   void BeginLeave();
   // Others that leave, to be told to the leader.
   void SetLeavingNotices(std::vector<InstanceId> instances);
@@ -89,6 +93,8 @@
   LoadReport load_;
   std::optional<int64_t> wanted_table_since_;
   std::vector<InstanceId> leaving_notices_;
+  Instant platform_contact_;  // When the platform last answered; the epoch when never.
+  bool follow_platform_ = false;
   bool leaving_ = false;
   bool departed_ = false;
 };
--- a/source/daemon/coordinator.cc
+++ b/source/daemon/coordinator.cc
@@ -95,6 +95,11 @@
   return node_->Status(clock_.Now());
 }
 
+bool Coordinator::FollowsPlatform() const {
+  const std::lock_guard lock(mutex_);
+  return node_->FollowsPlatform(clock_.Now());
+}
+
 bool Coordinator::IsLeaving() const {
   const std::lock_guard lock(mutex_);
   return node_->IsLeaving();
--- a/source/daemon/coordinator.h
+++ b/source/daemon/coordinator.h
@@ -57,6 +57,7 @@
 
   coordination::NodeStatus Status() const;
   bool MayStop() const;
+  bool FollowsPlatform() const;
 
   // Of ownership::SlotGate.
   std::optional<FencingToken> Enter(Instant now, SlotNumber slot) override;
--- a/source/daemon/platform_agent.cc
+++ b/source/daemon/platform_agent.cc
@@ -12,6 +12,13 @@
 namespace {
 
 constexpr size_t kMaxGroupTasks = 16;
+
+// How often a daemon that does not follow the platform looks whether it should.
+constexpr Duration kFollowCheckInterval = std::chrono::milliseconds(200);
+
+// How often such a daemon reads the machine list.
+constexpr Duration kRareMachineListInterval = std::chrono::seconds(10);
+
 constexpr char kGroupRecordPrefix[] = "/runshelf/group/";
 
 }  // namespace
@@ -84,7 +91,12 @@
   callbacks.on_platform = [this](bool reachable) { NoteReachable(reachable); };
   table::TableSource source(
       store_, mirror_, clock_, random_, [this](Duration duration) { Pause(duration); }, callbacks);
-  source.Run([this] { return IsStopping(); });
+  // Daemons that do not follow the platform get the table from their leader.
+  do {
+    if (coordinator_.FollowsPlatform()) {
+      source.Run([this] { return IsStopping() || !coordinator_.FollowsPlatform(); });
+    }
+  } while (Pause(kFollowCheckInterval));
 }
 
 void PlatformAgent::MachineListLoop() {
@@ -92,8 +104,10 @@
   do {
     const absl::StatusOr<platform::MachineListSnapshot> machines = machines_.Read();
     if (machines.ok()) {
-      coordinator_.With(
-          [&](coordination::Node& node, Instant now) { node.OnMachineList(now, *machines); });
+      coordinator_.With([&](coordination::Node& node, Instant now) {
+        node.OnPlatformContact(now);
+        node.OnMachineList(now, *machines);
+      });
     }
     if (machines.ok() != reachable) {
       LogEvent(machines.ok() ? LogLevel::kInfo : LogLevel::kWarning,
@@ -101,7 +115,8 @@
                {{"reason", std::string(machines.status().message())}});
     }
     reachable = machines.ok();
-  } while (Pause(options_.machine_list_interval));
+  } while (Pause(coordinator_.FollowsPlatform() ? options_.machine_list_interval
+                                                : kRareMachineListInterval));
 }
 
 void PlatformAgent::GroupRecordLoop() {
@@ -184,6 +199,9 @@
     LogEvent(reachable ? LogLevel::kInfo : LogLevel::kWarning,
              reachable ? "platform_back" : "platform_away", {});
   }
+  if (reachable) {
+    coordinator_.With([](coordination::Node& node, Instant now) { node.OnPlatformContact(now); });
+  }
 }
 
 // Returns false when the agent stops.
--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -17,6 +17,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kMachineListInterval = std::chrono::milliseconds(500);
+// Of daemons that do not follow the platform.
+constexpr Duration kRareMachineListInterval = std::chrono::seconds(10);
 constexpr Duration kTableInterval = std::chrono::milliseconds(300);
 constexpr Duration kHealthInterval = std::chrono::milliseconds(50);
 constexpr Duration kHealthTimeout = std::chrono::milliseconds(200);
@@ -229,6 +231,7 @@
               machine.state = platform::MachineState::kLive;
             }
           }
+          node_->OnPlatformContact(Now());
           node_->OnMachineList(Now(), machines);
           if (node_->Status(Now()).leaving) {
             egress_->BeginLeave();
@@ -236,7 +239,9 @@
           CarryOut();
         });
       });
-  process_.After(kMachineListInterval, [this] { ReadMachines(); });
+  const bool follows = node_->FollowsPlatform(Now());
+  process_.After(follows ? kMachineListInterval : kRareMachineListInterval,
+                 [this] { ReadMachines(); });
 }
 
 // Voters and daemons without a table follow the platform; the others get the table from them.
@@ -246,7 +251,7 @@
     ReadTableRange();
     return;
   }
-  if (!node_->Status(Now()).is_voter) {
+  if (!node_->FollowsPlatform(Now())) {
     return;
   }
   const int64_t revision = table_->Current()->revision();
@@ -258,6 +263,7 @@
           return;
         }
         process_.Post([this, changes = *std::move(changes)] {
+          node_->OnPlatformContact(Now());
           for (const std::vector<platform::WatchEvent>& events : changes.transactions) {
             table_->ApplyEvents(events);
           }
--- a/tools/sim/naive_node.cc
+++ b/tools/sim/naive_node.cc
@@ -69,6 +69,10 @@
     return node_->HeldSince(now, slot);
   }
   void BeginLeave(Instant now) override { node_->BeginLeave(now); }
+  void OnPlatformContact(Instant now) override { node_->OnPlatformContact(now); }
+
+  bool FollowsPlatform(Instant now) const override { return node_->FollowsPlatform(now); }
+
   bool IsLeaving() const override { return node_->IsLeaving(); }
 
   bool MayStop(Instant now) const override { return node_->MayStop(now); }
