Scale tests: slices of the ring take parts of servers

The test of even slices did not notice slices that were rounded to whole servers; a case worked out by hand does (seen to fail with that defect put in).

--- a/tests/scale/structure_test.cc
+++ b/tests/scale/structure_test.cc
@@ -29,6 +29,12 @@
   DOUBLES_EQUAL(1, MeasureSubsets(40, 100, 10, 1).deterministic_imbalance, 1e-9);
 }
 
+TEST(StructureRun, SlicesTakePartsOfServers) {
+  // By hand: slices [0, 2), [4/3, 10/3) and [8/3, 14/3) of four servers load them by 5/6, 5/6, 2/3
+  // and 2/3, of a mean of 3/4.
+  DOUBLES_EQUAL(10.0 / 9, MeasureSubsets(3, 4, 2, 1).deterministic_imbalance, 1e-9);
+}
+
 TEST(StructureRun, SubsetOfAllServersIsEven) {
   const SubsetFigures figures = MeasureSubsets(5, 8, 8, 1);
   DOUBLES_EQUAL(1, figures.random_imbalance, 1e-9);
