--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -103,7 +103,7 @@
 }
 
 void ReadOwnership(SettingsReader& reader, Settings& settings) {
-  reader.ReadMilliseconds("grant_duration_ms", settings.grant_duration, 100, 60'000, 900);
+  reader.ReadMilliseconds("grant_duration_ms", settings.grant_duration, 100, 60'000, 700);
   reader.ReadMilliseconds("renewal_interval_ms", settings.renewal_interval, 20, 20'000, 150);
   if (settings.renewal_interval * kRenewalsPerGrant > settings.grant_duration) {
     reader.Fail("renewal_interval_ms", "must be at most a third of grant_duration_ms");
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fstream>
+#include <sstream>
 #include <string>
 
 namespace runshelf::daemon {
@@ -26,6 +28,28 @@
   return lines;
 }
 
+// Returns the text of a file of the repository; empty when it cannot be read.
+std::string TextOf(const std::string& path) {
+  std::ifstream file(std::string(RUNSHELF_SOURCE_DIRECTORY) + "/" + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Returns the settings that docs/SETTINGS.md has a row for, in its order, one a line.
+std::string DocumentedSettings() {
+  const std::string row_begin = "| `";
+  std::istringstream page(TextOf("docs/SETTINGS.md"));
+  std::string keys;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with(row_begin)) {
+      keys += line.substr(row_begin.size(), line.find('`', row_begin.size()) - row_begin.size());
+      keys += "\n";
+    }
+  }
+  return keys;
+}
+
 }  // namespace
 
 TEST_GROUP(Settings){};
@@ -96,6 +120,23 @@
   }
 }
 
+TEST(Settings, ThePageListsEverySettingAndNoOther) {
+  std::string keys;
+  for (const SettingDescription& described : DescribeSettings()) {
+    keys += described.key + "\n";
+  }
+  STRCMP_EQUAL(keys.c_str(), DocumentedSettings().c_str());
+}
+
+TEST(Settings, ExampleFilesNameEverySetting) {
+  for (const char* name : {"himalwire", "lagesse"}) {
+    const std::string text = "\n" + TextOf(std::string("etc/") + name + ".example.toml");
+    for (const SettingDescription& described : DescribeSettings()) {
+      STRCMP_CONTAINS(("\n" + described.key + " = ").c_str(), text.c_str());
+    }
+  }
+}
+
 TEST(Settings, ExampleFilesAreValid) {
   for (const char* name : {"himalwire", "lagesse"}) {
     const auto result =
