--- a/include/runshelf/common/instance_id.h
+++ b/include/runshelf/common/instance_id.h
@@ -17,8 +17,8 @@
   std::string node;          // Name of the machine, unique in the fleet.
   uint64_t incarnation = 0;  // Drawn at random when the process starts; never zero for a real one.
 
-  auto operator<=>(const InstanceId&) const =
-      default;  // NOLINT(modernize-use-nullptr): false alarm.
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14 on `= default`.
+  auto operator<=>(const InstanceId&) const = default;
 
   bool empty() const { return node.empty(); }
 
--- a/include/runshelf/common/slot.h
+++ b/include/runshelf/common/slot.h
@@ -20,6 +20,7 @@
   SlotNumber first = 0;
   SlotNumber last = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14 on `= default`.
   auto operator<=>(const SlotRange&) const = default;
 };
 
@@ -39,6 +40,7 @@
   uint64_t sequence = 0;    // Orders the grants of one term: the log index of the last assignment
                             // that the grant reflects, then changes made by the holder itself.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14 on `= default`.
   auto operator<=>(const FencingToken&) const = default;
 
   // "generation.term.sequence", the value of the request header Runshelf-Fencing-Token.
--- a/include/runshelf/platform/machine_list.h
+++ b/include/runshelf/platform/machine_list.h
@@ -19,6 +19,7 @@
   std::string zone;
   MachineState state = MachineState::kLive;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14 on `= default`.
   auto operator<=>(const Machine&) const = default;
 };
 
--- a/source/coordination/group_lifecycle.cc
+++ b/source/coordination/group_lifecycle.cc
@@ -196,7 +196,7 @@
     context_.actions.emplace_back(RestartInstance{"sealed generation is still in use"});
     return std::nullopt;
   }
-  const std::optional<GroupRecord> adopted = Adopt(record, revision);
+  std::optional<GroupRecord> adopted = Adopt(record, revision);
   if (adopted) Announce(*adopted);
   return adopted;
 }
