--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -2,6 +2,13 @@
 
 set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Werror)
 
+# Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
+if(RUNSHELF_SANITIZE)
+  set(RUNSHELF_TEST_TIMEOUT 600)
+else()
+  set(RUNSHELF_TEST_TIMEOUT 240)
+endif()
+
 function(runshelf_target_defaults target)
   target_compile_options(${target} PRIVATE ${RUNSHELF_WARNINGS})
   target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
@@ -42,5 +49,6 @@
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   runshelf_target_defaults(${name})
   add_test(NAME ${name} COMMAND ${name} -v)
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202" TIMEOUT 240)
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202"
+                       TIMEOUT ${RUNSHELF_TEST_TIMEOUT})
 endfunction()
