--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -1,6 +1,9 @@
 # Helpers that give every target of the project the same warnings, include paths and sanitizers.
 
-set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Werror)
+set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast)
+if(RUNSHELF_WARNINGS_AS_ERRORS)
+  list(APPEND RUNSHELF_WARNINGS -Werror)
+endif()
 
 # Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
 if(RUNSHELF_SANITIZE)
@@ -12,6 +15,9 @@
 function(runshelf_target_defaults target)
   target_compile_options(${target} PRIVATE ${RUNSHELF_WARNINGS})
   target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
+  if(RUNSHELF_FUZZ)
+    target_compile_options(${target} PRIVATE -fsanitize=fuzzer-no-link)
+  endif()
   if(RUNSHELF_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${RUNSHELF_SANITIZE} -fno-omit-frame-pointer
                                              -fno-sanitize-recover=all)
