--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -24,23 +24,33 @@
 
 
 class AddressBook:
-    """Hands out free ports of 127.0.0.1, each once."""
+    """Hands out free ports of 127.0.0.1, each once, and keeps them from others until closed.
+
+    A port stays bound by a socket that never listens. Servers may bind it too, since they set
+    SO_REUSEADDR as this socket does, but no outgoing connection and no other AddressBook gets it.
+    """
 
     def __init__(self):
-        self._taken = set()
+        self._reservations = []
 
     def take(self):
         while True:
-            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-                tcp.bind(("127.0.0.1", 0))
-                port = tcp.getsockname()[1]
+            reservation = socket.socket()
+            reservation.bind(("127.0.0.1", 0))
+            reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._reservations.append(reservation)
+            port = reservation.getsockname()[1]
+            with socket.socket(type=socket.SOCK_DGRAM) as udp:
                 try:
                     udp.bind(("127.0.0.1", port))
                 except OSError:
                     continue
-            if port not in self._taken:
-                self._taken.add(port)
-                return f"127.0.0.1:{port}"
+            return f"127.0.0.1:{port}"
+
+    def close(self):
+        for reservation in self._reservations:
+            reservation.close()
+        self._reservations = []
 
 
 def call(address, method, path, body=None, seconds=2.0):
@@ -94,14 +104,20 @@
 class Fleet:
     """Everything that one run starts. Use it in a `with` statement: leaving it stops all."""
 
-    def __init__(self, deployment, programs, directory):
+    def __init__(self, deployment, programs, directory, settings=None):
+        """`settings` go over those that every daemon gets."""
         self.deployment = deployment
+        self.settings = settings or {}
         self.programs = programs
         self.directory = directory
         self.addresses = AddressBook()
         self.platform_address = self.addresses.take()
         self.platform = None
-        self.machines = [m for service in deployment.services for m in self._plan(service)]
+        self.machines = [
+            self._plan(service, index)
+            for service in deployment.services
+            for index in range(service.workers)
+        ]
         self.lost = {}  # Node to the instant at which it was lost or paused, in microseconds.
         self.planned_stops = {}  # Likewise, of planned stops.
         self.killed_at_stop = []
@@ -117,12 +133,50 @@
         """Starts platform, servers and daemons, and waits until each answers."""
         self._start_platform()
         for machine in self.machines:
-            self._start_server(machine)
+            self.start_server(machine)
         for machine in self.machines:
-            self._start_daemon(machine)
+            self.start_daemon(machine)
         for machine in self.machines:
-            self._await_http(machine.server, machine.server_address, "/health")
-            self._await_http(machine.daemon, machine.http_address, "/status")
+            self.await_machine(machine)
+
+    def start_server(self, machine):
+        """Starts the machine's server, also anew after it has ended."""
+        arguments = [
+            "--listen", machine.server_address,
+            "--service", machine.service,
+            "--name", machine.node,
+            "--slots", str(SERVER_SLOTS),
+            "--service-time-ms", str(SERVICE_TIME_MS),
+            "--record", machine.record_file,
+        ]  # fmt: skip
+        machine.server = self._spawn("runshelf-server", arguments, f"server-{machine.node}")
+
+    def start_daemon(self, machine):
+        """Starts the machine's daemon, also anew after it has ended."""
+        settings_file = self._path(f"{machine.node}.toml")
+        with open(settings_file, "w", encoding="utf-8") as settings:
+            settings.write(self._settings(machine))
+        machine.daemon = self._spawn(
+            "runshelfd", ["--settings", settings_file], f"daemon-{machine.node}"
+        )
+
+    def await_machine(self, machine):
+        """Waits until server and daemon answer."""
+        self._await_http(machine.server, machine.server_address, "/health")
+        self._await_http(machine.daemon, machine.http_address, "/status")
+
+    def add_machine(self, service):
+        """Starts a further machine of the service, which the platform does not list yet."""
+        machine = self._plan(service, len(self.machines_of(service)))
+        self.machines.append(machine)
+        self.start_server(machine)
+        self.start_daemon(machine)
+        self.await_machine(machine)
+        return machine
+
+    def list_machine(self, machine):
+        """The platform lists the machine as live."""
+        self._post_machines({"machines": [machine.listing()]})
 
     def import_table(self):
         """Loads the operators' table through runshelfctl."""
@@ -166,8 +220,7 @@
     def retire(self, machine):
         """A planned stop: the platform lists the machine as leaving, and the daemon is asked to."""
         self._post_machines({"machines": [machine.listing("leaving")]})
-        machine.daemon.ended_on_purpose = True
-        machine.daemon.send(signal.SIGTERM)
+        machine.daemon.terminate()
         self.planned_stops[machine.node] = boot_time_us()
 
     def set_platform_outage(self, outage):
@@ -188,24 +241,27 @@
         self.killed_at_stop += stop_all(daemons, STOP_SECONDS)
         self.killed_at_stop += stop_all(self._children, STOP_SECONDS)
         self._children = []
+        self.addresses.close()
 
-    def _plan(self, service):
-        machines = []
-        for index in range(service.workers):
-            node = f"{service.name}-{index + 1}"
-            machines.append(
-                Machine(
-                    node=node,
-                    zone=f"zone-{index % self.deployment.zones + 1}",
-                    service=service.name,
-                    server_address=self.addresses.take(),
-                    http_address=self.addresses.take(),
-                    peer_address=self.addresses.take(),
-                    forward_address=self.addresses.take(),
-                    record_file=self._path(f"{node}.record.jsonl"),
-                )
-            )
-        return machines
+    def kill_all(self):
+        """Ends everything at once."""
+        for child in self._children:
+            child.kill()
+        self._children = []
+        self.addresses.close()
+
+    def _plan(self, service, index):
+        node = f"{service.name}-{index + 1}"
+        return Machine(
+            node=node,
+            zone=f"zone-{index % self.deployment.zones + 1}",
+            service=service.name,
+            server_address=self.addresses.take(),
+            http_address=self.addresses.take(),
+            peer_address=self.addresses.take(),
+            forward_address=self.addresses.take(),
+            record_file=self._path(f"{node}.record.jsonl"),
+        )
 
     def _start_platform(self):
         self.platform = self._spawn(
@@ -218,25 +274,6 @@
         self._await_http(self.platform, self.platform_address, "/machines")
         self._post_machines({"machines": [machine.listing() for machine in self.machines]})
 
-    def _start_server(self, machine):
-        arguments = [
-            "--listen", machine.server_address,
-            "--service", machine.service,
-            "--name", machine.node,
-            "--slots", str(SERVER_SLOTS),
-            "--service-time-ms", str(SERVICE_TIME_MS),
-            "--record", machine.record_file,
-        ]  # fmt: skip
-        machine.server = self._spawn("runshelf-server", arguments, f"server-{machine.node}")
-
-    def _start_daemon(self, machine):
-        settings_file = self._path(f"{machine.node}.toml")
-        with open(settings_file, "w", encoding="utf-8") as settings:
-            settings.write(self._settings(machine))
-        machine.daemon = self._spawn(
-            "runshelfd", ["--settings", settings_file], f"daemon-{machine.node}"
-        )
-
     def _settings(self, machine):
         keyed = [service.name for service in self.deployment.services if service.keyed]
         values = {
@@ -255,6 +292,7 @@
             "server_slots": SERVER_SLOTS,
             "stop_timeout_ms": DAEMON_STOP_TIMEOUT_MS,
         }
+        values.update(self.settings)
         # JSON's strings, numbers and arrays of strings are TOML's too.
         return "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items())
 
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -48,6 +48,11 @@
         self.send(signal.SIGKILL)
         self._process.wait()
 
+    def terminate(self):
+        """Asks the process to end."""
+        self.ended_on_purpose = True
+        self.send(signal.SIGTERM)
+
     def wait(self, seconds):
         """The exit code, or None when the process still runs after that time."""
         try:
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -40,6 +40,7 @@
   config.service = settings.service;
   config.peer_address = settings.peer_address;
   config.forward_address = settings.forward_address;
+  config.seed_addresses = settings.seed_addresses;
   config.slots_per_service = static_cast<uint32_t>(settings.slots_per_service);
   config.voter_count = static_cast<uint32_t>(settings.voter_count);
   config.grant_duration = settings.grant_duration;
--- a/source/daemon/settings.cc
+++ b/source/daemon/settings.cc
@@ -75,6 +75,17 @@
   ReadName(reader, "service", settings.service, "");
 }
 
+void ReadAddressList(SettingsReader& reader, const std::string& key,
+                     std::vector<std::string>& target) {
+  reader.ReadTextList(key, target);
+  for (const std::string& address : target) {
+    const absl::Status valid = transport::CheckIpAddress(address);
+    if (!valid.ok()) {
+      reader.Fail(key, std::string(valid.message()));
+    }
+  }
+}
+
 void ReadAddresses(SettingsReader& reader, Settings& settings) {
   ReadAddress(reader, "server_address", settings.server_address, "");
   ReadAddress(reader, "http_address", settings.http_address, std::nullopt);
@@ -83,6 +94,7 @@
   ReadAddress(reader, "platform_address", settings.platform_address, std::nullopt);
   ReadAddress(reader, "machine_list_address", settings.machine_list_address,
               settings.platform_address);
+  ReadAddressList(reader, "seed_addresses", settings.seed_addresses);
   if (!settings.service.empty() && settings.server_address.empty()) {
     reader.Fail("server_address", "is required when service is set");
   }
@@ -159,6 +171,8 @@
       {"forward_address", "IP:PORT for requests that other daemons forward"},
       {"platform_address", "IP:PORT of the platform's key-value service"},
       {"machine_list_address", "IP:PORT of the platform's machine list"},
+      {"seed_addresses",
+       "IP:PORT of other daemons' control messages, asked while the platform is away"},
       {"keyed_services", "services divided by key"},
       {"slots_per_service", "slots that the keys of a service are spread over"},
       {"server_slots", "requests that the server runs at once"},
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -26,6 +26,8 @@
   std::string forward_address;       // Takes requests that other daemons forward.
   std::string platform_address;      // The platform's key-value service.
   std::string machine_list_address;  // The platform's machine list.
+  // Other daemons' peer addresses, asked for group and table while the platform is away.
+  std::vector<std::string> seed_addresses;
 
   std::vector<std::string> keyed_services;  // Services divided by key.
   int64_t slots_per_service = 0;
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -68,6 +68,8 @@
                error_of("clock_rate_margin = nan").c_str());
   STRCMP_EQUAL("f.toml:9: machine_list_address: 'localhost' is not an IP number\n",
                error_of("machine_list_address = \"localhost:80\"").c_str());
+  STRCMP_EQUAL("f.toml:9: seed_addresses: 'localhost' is not an IP number\n",
+               error_of("seed_addresses = [\"127.0.0.1:8082\", \"localhost:8082\"]").c_str());
   STRCMP_EQUAL("f.toml:9: keyed_services: must be a list of texts\n",
                error_of("keyed_services = \"feedread\"").c_str());
   STRCMP_EQUAL("f.toml:9: log_level: must be debug, info, warning or error\n",
--- a/tests/load/load_runner_test.cc
+++ b/tests/load/load_runner_test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <sstream>
 
 #include "tools/load/judge.h"
@@ -17,6 +18,7 @@
   runshelf::SystemClock clock;
   runshelf::server_standin::ServerConfig server_config;
   LoadConfig config;
+  std::atomic<bool> stop = false;
   Evidence evidence;
 
   void setup() override {
@@ -35,7 +37,7 @@
     const auto server = HttpServer::Start("127.0.0.1:0", executor);
     CHECK(server.ok());
     config.endpoints = {{"127.0.0.1:" + std::to_string((*server)->port()), "dispatch"}};
-    evidence.attempts = RunLoad(config, clock);
+    evidence.attempts = RunLoad(config, clock, stop);
     std::istringstream lines(executor.RecordLines(0));
     for (std::string line; std::getline(lines, line);) {
       const auto entry = runshelf::server_standin::ParseRecordLine(line);
@@ -55,6 +57,14 @@
   CHECK(Judge(evidence).empty());
 }
 
+TEST(LoadRunner, AStoppedLoadSendsNothing) {
+  RequestExecutor executor(server_config, clock);
+  stop = true;
+  Run(executor);
+  CHECK(evidence.attempts.empty());
+  CHECK(evidence.executions.empty());
+}
+
 TEST(LoadRunner, LostAnswersAreRepeatedUnderTheirKeyAndTheJudgeSeesIt) {
   RequestExecutor executor(server_config, clock);
   runshelf::server_standin::Faults faults;
--- a/tools/load/load_main.cc
+++ b/tools/load/load_main.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include <atomic>
 #include <charconv>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <optional>
@@ -20,6 +22,11 @@
 using runshelf::load::LoadConfig;
 using runshelf::load::ServiceMix;
 
+std::atomic<bool> stop_requested = false;
+static_assert(std::atomic<bool>::is_always_lock_free);
+
+void RequestStop(int) { stop_requested = true; }
+
 constexpr int kExitUsage = 2;
 constexpr int kExitFailure = 1;
 
@@ -75,9 +82,9 @@
 
 Options ParseOptions(int argc, char** argv) {
   TCLAP::CmdLine command(
-      "Sends an open-loop load to daemons and writes what callers saw. Example: runshelf-load "
-      "--endpoint 127.0.0.1:8001 --service feedread:keyed:0.2:1 --class newsroom:1 --seconds 10 "
-      "--result load.jsonl",
+      "Sends an open-loop load to daemons and writes what callers saw. SIGTERM ends the load "
+      "early. Example: runshelf-load --endpoint 127.0.0.1:8001 --service feedread:keyed:0.2:1 "
+      "--class newsroom:1 --seconds 10 --result load.jsonl",
       ' ', RUNSHELF_VERSION);
   TCLAP::MultiArg<std::string> endpoints("", "endpoint",
                                          "Daemon to send to; for servers, the service in front",
@@ -179,6 +186,8 @@
     fmt::print(stderr, "runshelf-load: {} {}\n", error.error(), error.argId());
     return kExitUsage;
   }
+  std::signal(SIGTERM, RequestStop);
   const runshelf::SystemClock clock;
-  return WriteResult(options.result_file, runshelf::load::RunLoad(options.load, clock));
+  return WriteResult(options.result_file,
+                     runshelf::load::RunLoad(options.load, clock, stop_requested));
 }
--- a/tools/load/load_runner.cc
+++ b/tools/load/load_runner.cc
@@ -23,9 +23,10 @@
 
 class Runner {
  public:
-  Runner(const LoadConfig& config, const Clock& clock)
+  Runner(const LoadConfig& config, const Clock& clock, const std::atomic<bool>& stop)
       : config_(config),
         clock_(clock),
+        stop_(stop),
         generator_(config.generator),
         caller_(config.endpoints, config.direct, config.deadline, clock),
         start_(clock.Now()) {}
@@ -47,6 +48,7 @@
   void Work() {
     while (const std::optional<PlannedCall> call = Take()) {
       SleepUntil(start_ + call->due);
+      if (stop_) return;
       Carry(*call);
     }
   }
@@ -54,7 +56,7 @@
   std::optional<PlannedCall> Take() {
     const std::lock_guard lock(mutex_);
     PlannedCall call = generator_.Next();
-    if (call.due >= config_.length) return std::nullopt;
+    if (stop_ || call.due >= config_.length) return std::nullopt;
     return call;
   }
 
@@ -85,6 +87,7 @@
 
   const LoadConfig& config_;
   const Clock& clock_;
+  const std::atomic<bool>& stop_;
   std::mutex mutex_;
   CallGenerator generator_;
   HttpCaller caller_;
@@ -94,8 +97,9 @@
 
 }  // namespace
 
-std::vector<AttemptRecord> RunLoad(const LoadConfig& config, const Clock& clock) {
-  return Runner(config, clock).Run();
+std::vector<AttemptRecord> RunLoad(const LoadConfig& config, const Clock& clock,
+                                   const std::atomic<bool>& stop) {
+  return Runner(config, clock, stop).Run();
 }
 
 }  // namespace runshelf::load
--- a/tools/load/load_runner.h
+++ b/tools/load/load_runner.h
@@ -2,6 +2,7 @@
 // whatever became of the earlier ones.
 #pragma once
 
+#include <atomic>
 #include <vector>
 
 #include "runshelf/common/clock.h"
@@ -21,8 +22,9 @@
   size_t threads = 64;                          // Calls under way at the same time.
 };
 
-// Blocks until all calls that are due within `config.length` have ended. The records are in order
-// of their due times.
-std::vector<AttemptRecord> RunLoad(const LoadConfig& config, const Clock& clock);
+// Blocks until all calls that are due within `config.length` have ended. Once `stop` is true no
+// further call is sent; those under way are ended. The records are in order of their due times.
+std::vector<AttemptRecord> RunLoad(const LoadConfig& config, const Clock& clock,
+                                   const std::atomic<bool>& stop);
 
 }  // namespace runshelf::load
