--- a/tests/process/machine_loss_test.py
+++ b/tests/process/machine_loss_test.py
@@ -7,10 +7,8 @@
 from tests.process.support import WITHOUT_BALANCING, ProcessTest
 
 
-class MachineLossTest(ProcessTest):
-    """A keyed machine, or a part of it, ends at once without notice."""
-
-    SETTINGS = WITHOUT_BALANCING
+class LossTest(ProcessTest):
+    """A keyed machine under load, or a part of it, ends at once without notice."""
 
     def setUp(self):
         super().setUp()
@@ -18,16 +16,22 @@
         self.victim = self.keyed_machines()[1]
         self.survivors = [m for m in self.keyed_machines() if m is not self.victim]
 
-    def assert_only_slots_of_victim_moved(self, before, since_us):
-        for slot, nodes in records.owners_since(self.survivors, since_us).items():
-            if before[slot] != self.victim.node:
-                self.assertEqual({before[slot]}, nodes, f"slot {slot} moved")
-
     def finish(self):
         self.await_executions(self.survivors)
         self.load.stop()
         self.assert_promises_kept()
 
+
+class MachineLossTest(LossTest):
+    """The whole machine is lost for good."""
+
+    SETTINGS = WITHOUT_BALANCING
+
+    def assert_only_slots_of_victim_moved(self, before, since_us):
+        for slot, nodes in records.owners_since(self.survivors, since_us).items():
+            if before[slot] != self.victim.node:
+                self.assertEqual({before[slot]}, nodes, f"slot {slot} moved")
+
     def test_machine_killed(self):
         before = records.owners(self.keyed_machines())
         started_us = boot_time_us()
@@ -36,6 +40,10 @@
         self.finish()
         self.assert_only_slots_of_victim_moved(before, started_us)
 
+
+class ProcessLossTest(LossTest):
+    """One of the two processes ends and is started again; balancing gives it slots again."""
+
     def test_daemon_killed(self):
         self.victim.daemon.kill()
         self.note_lost(self.victim)
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -22,6 +22,7 @@
 GRANT_SECONDS = 0.9
 MAX_PAUSE_SECONDS = 5.0  # Beyond it a daemon gives up its identity.
 LIMIT_SECONDS = 90  # Of each wait, against hanging.
+STOP_TIMEOUT_MS = 60000  # A planned stop that takes longer is cut short and fails its test.
 LOAD_SECONDS = 600  # Loads are ended long before.
 
 DEPLOYMENT = Deployment(
@@ -87,7 +88,7 @@
         return result
 
     def setUp(self):
-        settings = {"slots_per_service": SLOTS, "stop_timeout_ms": LIMIT_SECONDS * 1000}
+        settings = {"slots_per_service": SLOTS, "stop_timeout_ms": STOP_TIMEOUT_MS}
         settings.update(self.SETTINGS)
         self.fleet = Fleet(DEPLOYMENT, PROGRAMS, self.directory, settings)
         self.addCleanup(self.fleet.kill_all)
