--- a/tests/load/judge_test.cc
+++ b/tests/load/judge_test.cc
@@ -75,6 +75,16 @@
   ExpectClean();
 }
 
+TEST(Judge, GrantsEndWithTheirProcess) {
+  evidence.grants = {Granted("a", {{0, 3}}, 10, 100), Granted("b", {{0, 3}}, 50, 200)};
+  evidence.ended = {{"a", At(50)}};
+  ExpectClean();
+  evidence.ended = {{"a", At(51)}};
+  Expect(Violation::kOverlappingGrants, 4);
+  evidence.ended = {{"a", At(9)}, {"b", At(10)}};  // An earlier process of that name; another.
+  Expect(Violation::kOverlappingGrants, 4);
+}
+
 TEST(Judge, LongTenureIsNotHiddenByAShorterOneBetween) {
   evidence.grants = {Granted("a", {{0, 0}}, 10, 500), Granted("b", {{0, 0}}, 20, 30),
                      Granted("c", {{0, 0}}, 100, 110)};
--- a/tests/process/machine_loss_test.py
+++ b/tests/process/machine_loss_test.py
@@ -55,6 +55,7 @@
         self.finish()
 
     def test_server_killed(self):
+        self.ended[self.victim.node] = boot_time_us()
         self.victim.server.kill()
         self.note_lost(self.victim)
         self.await_owned(self.survivors)
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -94,6 +94,7 @@
         self.addCleanup(self.fleet.kill_all)
         self.caller = Caller(self.path("probes.jsonl"))
         self.results = [self.caller.result_file]
+        self.ended = {}  # Node to the instant at which its server alone was ended.
         self.fleet.start()
         self.fleet.import_table()
         self.await_served()
@@ -183,6 +184,8 @@
             arguments += ["--lost", f"{node}={at}"]
         for node, at in self.fleet.planned_stops.items():
             arguments += ["--planned-stop", f"{node}={at}"]
+        for node, at in self.ended.items():
+            arguments += ["--ended-process", f"{node}={at}"]
         report = self.fleet.run("runshelf-report", arguments, "report")
         code = report.wait(LIMIT_SECONDS)
         self.assertEqual(0, code, report.log_tail(lines=200))
--- a/tools/load/evidence.cc
+++ b/tools/load/evidence.cc
@@ -45,6 +45,15 @@
   }
 }
 
+// When the grant ended before its expiry because the process that held it was ended.
+Instant EndOfProcess(const Evidence& evidence, const AcceptedGrant& grant) {
+  Instant end = grant.expires_at;
+  for (const EndedServer& ended : evidence.ended) {
+    if (ended.server == grant.server && ended.at >= grant.at) end = std::min(end, ended.at);
+  }
+  return end;
+}
+
 }  // namespace
 
 absl::Status ReadAttempts(const std::string& file, Evidence& evidence) {
@@ -93,7 +102,7 @@
   for (const auto& [server, grants] : grants_by_server) {
     for (size_t index = 0; index < grants.size(); ++index) {
       const AcceptedGrant& grant = *grants[index];
-      Instant end = grant.expires_at;
+      Instant end = EndOfProcess(evidence, grant);
       if (index + 1 < grants.size()) end = std::min(end, grants[index + 1]->at);
       if (end <= grant.at) continue;
       for (const SlotNumber slot : FromRanges(grant.slots)) {
--- a/tools/load/evidence.h
+++ b/tools/load/evidence.h
@@ -26,12 +26,19 @@
   bool record_lost = false;  // Its record ended with it, so what it executed is not known.
 };
 
+// A server process that was ended on purpose: its grants ended with it, whatever their expiry.
+struct EndedServer {
+  std::string server;
+  Instant at;
+};
+
 // All instants are of one machine's clock.
 struct Evidence {
   std::vector<AttemptRecord> attempts;
   std::vector<Execution> executions;  // Ascending by time once SortByTime was called.
   std::vector<AcceptedGrant> grants;  // Likewise.
   std::vector<LostServer> lost;
+  std::vector<EndedServer> ended;
   std::map<std::string, std::string> service_of_server;
 };
 
@@ -57,7 +64,7 @@
 };
 
 // A period in which a server held a slot by its grants: from the acceptance of the first one that
-// names the slot to the expiry, or the replacement, of the last one.
+// names the slot to the expiry, or the replacement, of the last one, or the end of the process.
 struct Tenure {
   std::string server;
   Instant start;
--- a/tools/load/report_main.cc
+++ b/tools/load/report_main.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+using runshelf::load::EndedServer;
 using runshelf::load::Evidence;
 using runshelf::load::LostServer;
 
@@ -35,6 +36,7 @@
   std::vector<std::string> results;
   std::vector<std::string> records;
   std::vector<LostServer> lost;
+  std::vector<EndedServer> ended;
 };
 
 Options ParseOptions(int argc, char** argv) {
@@ -54,11 +56,15 @@
   TCLAP::MultiArg<std::string> planned("", "planned-stop",
                                        "Server that was stopped as planned, and when", false,
                                        "SERVER=MICROSECONDS", command);
+  TCLAP::MultiArg<std::string> ended("", "ended-process",
+                                     "Server whose process, but not the daemon beside it, was "
+                                     "ended, and when: its grants ended with it",
+                                     false, "SERVER=MICROSECONDS", command);
   TCLAP::SwitchArg record_lost("", "lost-records",
                                "The records of lost servers are not among those given", command);
   command.setExceptionHandling(false);  // Errors end the program with its own exit code.
   command.parse(argc, argv);
-  Options options{results.getValue(), records.getValue(), {}};
+  Options options{results.getValue(), records.getValue(), {}, {}};
   for (const std::string& text : lost.getValue()) {
     options.lost.push_back(ParseLost(text, "--lost"));
     options.lost.back().record_lost = record_lost.getValue();
@@ -67,6 +73,10 @@
     options.lost.push_back(ParseLost(text, "--planned-stop"));
     options.lost.back().planned = true;
   }
+  for (const std::string& text : ended.getValue()) {
+    const LostServer server = ParseLost(text, "--ended-process");
+    options.ended.push_back({server.server, server.at});
+  }
   return options;
 }
 
@@ -82,6 +92,7 @@
     }
   }
   evidence.lost = options.lost;
+  evidence.ended = options.ended;
   runshelf::load::SortByTime(evidence);
   return absl::OkStatus();
 }
