--- a/tools/sim/fleet.cc
+++ b/tools/sim/fleet.cc
@@ -7,12 +7,22 @@
 namespace runshelf::sim {
 namespace {
 
+// Machines whose addresses are in the settings of all daemons.
+constexpr size_t kSeedPeers = 4;
+
+std::string IpOf(size_t number) {
+  return fmt::format("10.0.{}.{}", number / 250, number % 250 + 1);
+}
+
 constexpr uint64_t kSkewSteps = 2001;
 constexpr Duration kLargestClockOffset = std::chrono::hours(1000);
 
 }  // namespace
 
 void Fleet::Install(const Deployment& deployment) {
+  for (size_t number = 1; number <= kSeedPeers; ++number) {
+    base_.seed_addresses.push_back(IpOf(number) + kPeerPort);
+  }
   size_t next_zone = 0;
   for (const ServiceLayout& service : deployment.services) {
     for (uint32_t server = 0; server < service.servers; ++server) {
@@ -35,7 +45,7 @@
   config.name = fmt::format("{}-{}", service, number);
   config.zone = zone;
   config.service = service;
-  config.ip = fmt::format("10.0.{}.{}", number / 250, number % 250 + 1);
+  config.ip = IpOf(number);
   const auto step = static_cast<double>(random_.Below(kSkewSteps));
   config.clock_rate =
       1 + largest_clock_skew_ * (2 * step / static_cast<double>(kSkewSteps - 1) - 1);
--- a/tools/sim/machine.h
+++ b/tools/sim/machine.h
@@ -24,6 +24,9 @@
   uint64_t seed = 0;
 };
 
+// Port of every daemon for messages of other daemons, with the colon.
+inline constexpr const char* kPeerPort = ":7101";
+
 class Machine {
  public:
   Machine(DaemonEnvironment& environment, Judge& judge, Random& random,
--- a/tools/sim/request_judge.h
+++ b/tools/sim/request_judge.h
@@ -47,6 +47,8 @@
 
   // The machine of `server` is leaving, and somebody was told so.
   void OnLeaveNotice(TrueTime at, ServerRun server);
+  // The daemon that had been told ended, and the next one knows nothing of it.
+  void OnLeaveForgotten(ServerRun server) { leave_notices_.erase(server); }
   void OnArrival(TrueTime at, ServerRun server, uint64_t operation);
   void OnPlannedStopCut(TrueTime at, ServerRun server, uint64_t requests);
 
