--- a/source/coordination/assignment_leader.cc
+++ b/source/coordination/assignment_leader.cc
@@ -26,9 +26,9 @@
 
 // When no voter has reached the platform for this long, a few other daemons are asked to try, and
 // others after each turn.
-constexpr Duration kPlatformSilence = std::chrono::milliseconds(1500);
-constexpr Duration kPlatformTurn = std::chrono::seconds(2);
-constexpr int kPlatformSearchers = 3;
+constexpr Duration kPlatformSilence = std::chrono::seconds(1);
+constexpr Duration kPlatformTurn = std::chrono::milliseconds(500);
+constexpr int kPlatformSearchers = 4;
 
 // An instance is suspended after this many renewal intervals without a renewal.
 constexpr int kSilentIntervals = 2;
--- a/source/daemon/platform_agent.cc
+++ b/source/daemon/platform_agent.cc
@@ -14,7 +14,7 @@
 constexpr size_t kMaxGroupTasks = 16;
 
 // How often a daemon that does not follow the platform looks whether it should.
-constexpr Duration kFollowCheckInterval = std::chrono::milliseconds(200);
+constexpr Duration kFollowCheckInterval = std::chrono::milliseconds(100);
 
 // How often such a daemon reads the machine list.
 constexpr Duration kRareMachineListInterval = std::chrono::seconds(10);
