Request path test: flags of a handler live as long as its server

AddressSanitizer reported a stack-use-after-return in RequestPath.CallerThatGoesAwayCancelsAtTheServer: the handler of the fake server polls the flag `finish`, a local of the test's body, and may do so once more after the body has returned. The flags are members of the test group now, declared before the server, so that they outlive its threads. A fault of the test only; the product is not concerned. The checks are the same.

--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -53,6 +53,9 @@
 
 TEST_GROUP(RequestPath) {
   SystemClock clock;
+  // For handlers of `server`, which may still run when the body of a test has ended.
+  std::atomic<bool> started{false};
+  std::atomic<bool> finish{false};
   FakeServer server{clock};
   TestFleet fleet{server.address()};
 
@@ -198,7 +201,6 @@
 }
 
 TEST(RequestPath, TimeoutIsMayHaveRunAndCancelsAtTheServer) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -217,8 +219,6 @@
 }
 
 TEST(RequestPath, CallerThatGoesAwayCancelsAtTheServer) {
-  std::atomic<bool> started{false};
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     started = true;
     while (!finish) {
@@ -239,7 +239,6 @@
 }
 
 TEST(RequestPath, CallerThatGoesAwayLeavesTheQueue) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -267,7 +266,6 @@
 }
 
 TEST(RequestPath, HigherWeightIsServedFirst) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -316,7 +314,6 @@
 }
 
 TEST(RequestPath, RepeatDuringTheFirstSendingWaitsForItsAnswer) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
