transport, daemon: a planned stop cuts no request of a caller

Cause: PocoHttpServer::Stop left the listening socket open until the process ended, so that the kernel went on completing connections that nobody read (the requests cut 30 to 140 ms after they were sent); POCO's stopAll also cleared the queue of accepted connections and shut idle ones down without regard to requests that had arrived on them.

The connection loop is our own (HttpServerConnection) in place of POCO's.

--- a/include/runshelf/transport/http_connection_pool.h
+++ b/include/runshelf/transport/http_connection_pool.h
@@ -17,7 +17,7 @@
 
 enum class HttpOutcome {
   kAnswered,        // `response` is complete.
-  kConnectFailed,   // No byte of the request was handed over.
+  kConnectFailed,   // No byte was handed over, or the peer said that it read none.
   kConnectionLost,  // Bytes were handed over; no complete response came.
   kTimedOut,        // As kConnectionLost; the deadline passed.
   kCancelled,       // As kConnectionLost; the watched caller went away.
--- a/include/runshelf/transport/http_server.h
+++ b/include/runshelf/transport/http_server.h
@@ -21,6 +21,10 @@
 
   // Returns the response. `caller` tells when the other end has gone away.
   virtual HttpResponse Handle(HttpRequest request, PeerWatch caller) = 0;
+
+  // Returns the response to a request that could not be read whole: 400. Its parts may be missing;
+  // without a method nothing is known of it.
+  virtual HttpResponse RefuseUnreadable(const HttpRequest& request, int status);
 };
 
 struct HttpServerOptions {
@@ -30,6 +34,12 @@
   // A request must arrive whole within this time, and each write of a response must be taken.
   Duration read_allowance = std::chrono::seconds(10);
   Duration keep_alive_timeout = std::chrono::seconds(15);
+  // Drain() goes on to accept until no request has come for the first time, at most for the second:
+  // waiting does not end callers that do not mind the closed connections.
+  Duration drain_quiet_time = std::chrono::milliseconds(500);
+  Duration drain_longest_wait = std::chrono::seconds(2);
+  // Then it closes connections on which nothing arrives for this long.
+  Duration drain_idle_time = std::chrono::seconds(1);
 };
 
 class HttpServer {
@@ -47,7 +57,14 @@
   // The bound address, "ip:port".
   virtual std::string address() const = 0;
 
-  // Accepts no more connections, lets each request in progress finish, then closes.
+  // Ends the service without cutting a request: from now on every response closes its connection.
+  // Once no request has come for a short while, or callers keep coming anyway, accepts no more
+  // connections, answers what arrives on the others and closes them when they are idle. Returns
+  // whether that was done by `deadline`. Stop() is still needed.
+  virtual bool Drain(Instant deadline) = 0;
+
+  // Accepts no more connections, lets each request that has arrived finish, then closes. A caller
+  // that sends at this instant finds its connection cut; Drain() before avoids that.
   virtual void Stop() = 0;
 };
 
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -126,6 +126,7 @@
       std::this_thread::sleep_for(kStopCheckInterval);
       clean = coordinator_.MayStop() && egress_.in_progress() == 0 && admission_.Idle();
     }
+    clean = DrainServers(deadline) && clean;
     LogEvent(clean ? LogLevel::kInfo : LogLevel::kWarning,
              clean ? "leave_finished" : "leave_cut_short", {{"instance", self_.ToString()}});
     Stop();
@@ -247,6 +248,15 @@
     return EncodeStatus(report);
   }
 
+  // Cuts no request of callers and of other daemons; false when that took longer than `deadline`.
+  bool DrainServers(Instant deadline) {
+    bool forward_drained = false;
+    std::thread forward([&] { forward_drained = forward_server_->Drain(deadline); });
+    const bool http_drained = http_server_->Drain(deadline);
+    forward.join();
+    return http_drained && forward_drained;
+  }
+
   // Callers first, so that their requests can still be forwarded; then what serves other daemons.
   void Stop() {
     for (transport::HttpServer* server : {http_server_.get(), forward_server_.get()}) {
--- a/source/transport/guarded_socket.cc
+++ b/source/transport/guarded_socket.cc
@@ -3,6 +3,8 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Thread.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -10,6 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <utility>
 
 namespace runshelf::transport {
 namespace {
@@ -22,10 +25,22 @@
   return static_cast<int>(std::clamp<int64_t>(left, 0, kLongestPollMilliseconds));
 }
 
+// A stopped listener stays readable: its owner's loop must not spin.
+constexpr int64_t kPauseOfStoppedListener = 50;  // Milliseconds.
+
+// Flags in byte 13 of the TCP header.
+constexpr uint32_t kFlagsOffset = 13;
+constexpr uint32_t kSynAck = 0x12;
+constexpr uint32_t kSyn = 0x02;
+
+}  // namespace
+
 class GuardedServerSocketImpl : public Poco::Net::ServerSocketImpl {
  public:
   GuardedServerSocketImpl(const Clock& clock, Duration read_allowance)
-      : clock_(clock), read_allowance_(read_allowance) {}
+      : clock_(clock),
+        read_allowance_(read_allowance),
+        open_connections_(std::make_shared<ConnectionCount>(0)) {}
 
   Poco::Net::SocketImpl* acceptConnection(Poco::Net::SocketAddress& client_address) override {
     sockaddr_storage storage{};
@@ -36,18 +51,44 @@
           ::accept4(sockfd(), reinterpret_cast<sockaddr*>(&storage), &length, SOCK_CLOEXEC);
     } while (descriptor < 0 && errno == EINTR);
     if (descriptor < 0) {
-      error();
+      const int code = errno;
+      if (stopped_) {
+        Poco::Thread::sleep(kPauseOfStoppedListener);
+      }
+      error(code);
     }
     client_address = Poco::Net::SocketAddress(reinterpret_cast<sockaddr*>(&storage), length);
-    return new GuardedSocketImpl(clock_, descriptor, read_allowance_);
+    return new GuardedSocketImpl(clock_, descriptor, read_allowance_, open_connections_);
   }
 
+  void StopListening() {
+    stopped_ = true;
+    ::shutdown(sockfd(), SHUT_RDWR);
+  }
+
+  int64_t open_connections() const { return *open_connections_; }
+
  private:
   const Clock& clock_;
-  Duration read_allowance_;
+  const Duration read_allowance_;
+  const std::shared_ptr<ConnectionCount> open_connections_;
+  std::atomic<bool> stopped_{false};
 };
 
-}  // namespace
+GuardedSocketImpl::GuardedSocketImpl(const Clock& clock, int descriptor, Duration read_allowance,
+                                     std::shared_ptr<ConnectionCount> count)
+    : StreamSocketImpl(descriptor),
+      clock_(clock),
+      read_allowance_(read_allowance),
+      count_(std::move(count)) {
+  ++*count_;
+}
+
+GuardedSocketImpl::~GuardedSocketImpl() {
+  if (count_ != nullptr) {
+    --*count_;
+  }
+}
 
 void GuardedSocketImpl::BeginExchange(Instant deadline, PeerWatch watch) {
   deadline_ = deadline;
@@ -161,10 +202,37 @@
 GuardedServerSocket::GuardedServerSocket(const Clock& clock,
                                          const Poco::Net::SocketAddress& address, int backlog,
                                          Duration read_allowance)
-    : ServerSocket(new GuardedServerSocketImpl(clock, read_allowance), true) {
+    : GuardedServerSocket(new GuardedServerSocketImpl(clock, read_allowance)) {
   // Without the last argument POCO would let a second process share the port.
   impl()->bind(address, true, false);
   impl()->listen(backlog);
 }
 
+GuardedServerSocket::GuardedServerSocket(GuardedServerSocketImpl* guard)
+    : ServerSocket(guard, true), guard_(*guard) {}
+
+// A packet filter on a listening socket sees the packets of handshakes, from the TCP header on. It
+// drops those that ask for a new connection and lets those that complete a handshake pass.
+void GuardedServerSocket::IgnoreNewConnections() {
+  std::array<sock_filter, 5> program = {
+      sock_filter{BPF_LD | BPF_B | BPF_ABS, 0, 0, kFlagsOffset},
+      sock_filter{BPF_ALU | BPF_AND | BPF_K, 0, 0, kSynAck},
+      sock_filter{BPF_JMP | BPF_JEQ | BPF_K, 0, 1, kSyn},
+      sock_filter{BPF_RET | BPF_K, 0, 0, 0},
+      sock_filter{BPF_RET | BPF_K, 0, 0, UINT32_MAX},
+  };
+  const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+  // On failure a connection that is opened at the instant of StopListening may be reset.
+  ::setsockopt(guard_.sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
+bool GuardedServerSocket::HasWaitingConnection() const {
+  pollfd polled{guard_.sockfd(), POLLIN, 0};
+  return ::poll(&polled, 1, 0) > 0;
+}
+
+void GuardedServerSocket::StopListening() { guard_.StopListening(); }
+
+int64_t GuardedServerSocket::open_connections() const { return guard_.open_connections(); }
+
 }  // namespace runshelf::transport
--- a/source/transport/guarded_socket.h
+++ b/source/transport/guarded_socket.h
@@ -9,7 +9,9 @@
 #include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
+#include <atomic>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,16 +23,19 @@
 
 enum class SocketFailure { kNone, kEndOfStream, kTimedOut, kPeerGone, kError };
 
+// How many connections a listening socket has accepted that are not closed yet.
+using ConnectionCount = std::atomic<int64_t>;
+
 // Not safe for use by several threads at once.
 class GuardedSocketImpl : public Poco::Net::StreamSocketImpl {
  public:
   // A socket that is not connected yet.
   explicit GuardedSocketImpl(const Clock& clock) : clock_(clock) {}
 
-  // Takes over a connected descriptor. When `read_allowance` is given, everything read between two
-  // writes must arrive within it, counted from the first read.
-  GuardedSocketImpl(const Clock& clock, int descriptor, std::optional<Duration> read_allowance)
-      : StreamSocketImpl(descriptor), clock_(clock), read_allowance_(read_allowance) {}
+  // Takes over an accepted descriptor and counts it in `count` while the object lives. Everything
+  // read between two writes must arrive within `read_allowance`, counted from the first read.
+  GuardedSocketImpl(const Clock& clock, int descriptor, Duration read_allowance,
+                    std::shared_ptr<ConnectionCount> count);
 
   // Starts an exchange that must end by `deadline`, and is given up once `watch` reports its peer
   // gone. Resets what has been recorded.
@@ -50,6 +55,9 @@
 
   static constexpr size_t kTailBytes = 8;
 
+ protected:
+  ~GuardedSocketImpl() override;
+
  private:
   void WaitFor(short events, std::optional<Instant> deadline);
   std::optional<Instant> ReadDeadline();
@@ -58,6 +66,7 @@
 
   const Clock& clock_;
   std::optional<Duration> read_allowance_;
+  std::shared_ptr<ConnectionCount> count_;  // Null unless accepted.
   std::optional<Instant> allowance_end_;
   std::optional<Instant> deadline_;
   PeerWatch watch_;
@@ -66,12 +75,32 @@
   std::string received_tail_;
 };
 
+class GuardedServerSocketImpl;
+
 // A listening socket whose accepted connections are GuardedSocketImpl with a read allowance.
 class GuardedServerSocket : public Poco::Net::ServerSocket {
  public:
   // Binds and listens. Throws Poco::Exception when the address cannot be bound.
   GuardedServerSocket(const Clock& clock, const Poco::Net::SocketAddress& address, int backlog,
                       Duration read_allowance);
+
+  // From now on requests for new connections get no answer; those whose handshake is under way can
+  // still be accepted. The caller's system asks again after a second or so.
+  void IgnoreNewConnections();
+
+  // Whether a connection waits to be accepted.
+  bool HasWaitingConnection() const;
+
+  // Refuses all connections from now on, also those that wait to be accepted. The address stays
+  // bound until the socket is closed.
+  void StopListening();
+
+  int64_t open_connections() const;
+
+ private:
+  explicit GuardedServerSocket(GuardedServerSocketImpl* guard);
+
+  GuardedServerSocketImpl& guard_;  // Owned by the base class.
 };
 
 }  // namespace runshelf::transport
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -16,6 +16,7 @@
 
 #include "runshelf/transport/ip_address.h"
 #include "source/transport/body_reader.h"
+#include "source/transport/closing_notice.h"
 #include "source/transport/guarded_socket.h"
 
 namespace runshelf::transport {
@@ -157,6 +158,10 @@
     return Failed("bytes after the last chunk");
   }
   session_->guard().EndExchange();
+  if (IsClosingNotice(result.response)) {
+    // The request crossed it and was not read; another connection may take it.
+    return {HttpOutcome::kConnectFailed, {}, false, "the peer closed the idle connection"};
+  }
   result.outcome = HttpOutcome::kAnswered;
   return result;
 }
--- a/source/transport/http_server.cc
+++ b/source/transport/http_server.cc
@@ -1,155 +1,32 @@
 #include "runshelf/transport/http_server.h"
 
-#include <Poco/Buffer.h>
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
-#include <array>
-#include <istream>
-#include <ostream>
+#include <algorithm>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 #include "runshelf/common/log.h"
-#include "source/transport/body_reader.h"
 #include "source/transport/guarded_socket.h"
+#include "source/transport/http_server_connection.h"
+#include "source/transport/server_lifecycle.h"
 
 namespace runshelf::transport {
 namespace {
 
-using Poco::Net::HTTPServerRequest;
-using Poco::Net::HTTPServerRequestImpl;
-using Poco::Net::HTTPServerResponse;
-
 constexpr int kMinThreads = 2;
 constexpr int kThreadStackBytes = 512 * 1024;
 constexpr int kListenBacklog = 512;
 
-// Of a body over the limit, at most this much is read and discarded, so that the caller gets to
-// read the answer before its own writes fail.
-constexpr size_t kMaxDiscardedBytes = size_t{8} << 20;
-
-// What the body of one request turned out to be.
-struct ReceivedRequest {
-  HttpRequest request;
-  bool complete = false;
-};
-
-void Discard(std::istream& stream) {
-  std::array<char, 16384> buffer{};
-  size_t discarded = 0;
-  while (stream.good() && discarded < kMaxDiscardedBytes) {
-    stream.read(buffer.data(), buffer.size());
-    discarded += static_cast<size_t>(stream.gcount());
-  }
-}
-
-bool HasBufferedBytes(HTTPServerRequestImpl& request) {
-  Poco::Buffer<char> rest(0);
-  request.session().drainBuffer(rest);
-  return !rest.empty();
-}
-
-ReceivedRequest ReceiveRequest(HTTPServerRequestImpl& incoming, const GuardedSocketImpl& socket,
-                               size_t max_body_bytes) {
-  ReceivedRequest received;
-  received.request.method = incoming.getMethod();
-  received.request.target = incoming.getURI();
-  for (const auto& [name, value] : incoming) {
-    received.request.headers.Add(name, value);
-  }
-  const bool chunked = incoming.getChunkedTransferEncoding();
-  // POCO takes a header that ends with the connection for a whole one.
-  if (socket.failure() != SocketFailure::kNone) {
-    return received;
-  }
-  if (!chunked && !incoming.hasContentLength()) {
-    received.complete = true;
-    return received;
-  }
-  const BodyLimits limits{
-      max_body_bytes,
-      chunked ? std::nullopt : std::optional<int64_t>(incoming.getContentLength64())};
-  const BodyEnd end = ReadBody(incoming.stream(), limits, socket, received.request.body);
-  if (end == BodyEnd::kTooLarge) {
-    received.request.body.clear();
-    received.request.body_too_large = true;
-    Discard(incoming.stream());
-  }
-  received.complete = end != BodyEnd::kCutShort && !(chunked && HasBufferedBytes(incoming));
-  return received;
-}
-
-void SendResponse(const HttpRequest& request, const HttpResponse& response,
-                  HTTPServerResponse& outgoing) {
-  outgoing.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status));
-  for (const HttpHeader& field : response.headers.All()) {
-    outgoing.add(field.name, field.value);
-  }
-  if (response.status == 204 || response.status == 304) {
-    outgoing.send();
-  } else if (request.method == "HEAD") {
-    const uint64_t length = response.announced_length.value_or(response.body.size());
-    outgoing.setContentLength64(static_cast<Poco::Int64>(length));
-    outgoing.send();
-  } else {
-    outgoing.sendBuffer(response.body.data(), response.body.size());
-  }
-}
+// Handshakes that are under way are completed within this time.
+constexpr Duration kHandshakeTime = std::chrono::milliseconds(50);
 
-class RequestHandler : public Poco::Net::HTTPRequestHandler {
- public:
-  RequestHandler(HttpHandler& handler, size_t max_body_bytes)
-      : handler_(handler), max_body_bytes_(max_body_bytes) {}
-
-  void handleRequest(HTTPServerRequest& incoming, HTTPServerResponse& outgoing) override {
-    auto& connection = dynamic_cast<HTTPServerRequestImpl&>(incoming);
-    auto& socket = dynamic_cast<GuardedSocketImpl&>(*connection.socket().impl());
-    ReceivedRequest received = ReceiveRequest(connection, socket, max_body_bytes_);
-    // A chunked body may be followed by bytes that belong to nothing; never read on after one.
-    bool keep_alive = !incoming.getChunkedTransferEncoding() && !received.request.body_too_large;
-    if (!received.complete) {
-      outgoing.setKeepAlive(false);
-      outgoing.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
-      outgoing.add("Runshelf-Verdict", "not-run");
-      outgoing.sendBuffer("", 0);
-      return;
-    }
-    HttpRequest head;
-    head.method = received.request.method;
-    const HttpResponse response =
-        handler_.Handle(std::move(received.request), PeerWatch(socket.sockfd()));
-    keep_alive = keep_alive && !response.close_connection;
-    if (!keep_alive) {
-      outgoing.setKeepAlive(false);
-    }
-    SendResponse(head, response, outgoing);
-  }
-
- private:
-  HttpHandler& handler_;
-  const size_t max_body_bytes_;
-};
-
-class RequestHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  RequestHandlerFactory(HttpHandler& handler, size_t max_body_bytes)
-      : handler_(handler), max_body_bytes_(max_body_bytes) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(const HTTPServerRequest&) override {
-    return new RequestHandler(handler_, max_body_bytes_);
-  }
-
- private:
-  HttpHandler& handler_;
-  const size_t max_body_bytes_;
-};
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(5);
 
 Poco::Net::HTTPServerParams::Ptr ServerParams(const HttpServerOptions& options) {
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
@@ -165,11 +42,14 @@
  public:
   PocoHttpServer(const Clock& clock, const Poco::Net::SocketAddress& address,
                  const HttpServerOptions& options, HttpHandler& handler)
-      : threads_(kMinThreads, options.max_threads, 60, kThreadStackBytes),
-        server_(new RequestHandlerFactory(handler, options.max_body_bytes), threads_,
-                GuardedServerSocket(clock, address, kListenBacklog, options.read_allowance),
-                ServerParams(options)),
-        address_(server_.socket().address().toString()) {
+      : clock_(clock),
+        lifecycle_(clock.Now()),
+        context_{clock, handler, options, lifecycle_},
+        threads_(kMinThreads, options.max_threads, 60, kThreadStackBytes),
+        listener_(clock, address, kListenBacklog, options.read_allowance),
+        server_(new HttpServerConnectionFactory(context_, ServerParams(options)), threads_,
+                listener_, ServerParams(options)),
+        address_(listener_.address().toString()) {
     server_.start();
   }
 
@@ -177,26 +57,70 @@
 
   std::string address() const override { return address_; }
 
+  bool Drain(Instant deadline) override {
+    lifecycle_.Advance(clock_.Now(), ServerPhase::kDraining);
+    AwaitQuiet(std::min(deadline, clock_.Now() + context_.options.drain_longest_wait));
+    AcceptTheLast(deadline);
+    lifecycle_.Advance(clock_.Now(), ServerPhase::kClosing);
+    while (listener_.open_connections() > 0 && clock_.Now() < deadline) {
+      std::this_thread::sleep_for(kDrainCheckInterval);
+    }
+    return listener_.open_connections() == 0;
+  }
+
   void Stop() override { StopNow(); }
 
  private:
+  void AwaitQuiet(Instant latest) const {
+    const Instant begun = clock_.Now();
+    const Duration quiet_time = context_.options.drain_quiet_time;
+    while (clock_.Now() < latest &&
+           clock_.Now() < std::max(begun, lifecycle_.last_request()) + quiet_time) {
+      std::this_thread::sleep_for(kDrainCheckInterval);
+    }
+  }
+
+  // A connection that the system has completed for us, and those on the way, are reset when the
+  // listening socket is closed: they are accepted before.
+  void AcceptTheLast(Instant deadline) {
+    listener_.IgnoreNewConnections();
+    std::this_thread::sleep_for(kHandshakeTime);
+    while (listener_.HasWaitingConnection() && clock_.Now() < deadline) {
+      std::this_thread::sleep_for(kDrainCheckInterval);
+    }
+    listener_.StopListening();
+  }
+
   void StopNow() {
     try {
-      server_.stopAll(false);
+      lifecycle_.Advance(clock_.Now(), ServerPhase::kStopped);
+      listener_.StopListening();
+      server_.stop();
       threads_.joinAll();
+      listener_.close();
     } catch (const Poco::Exception& exception) {
       LogEvent(LogLevel::kWarning, "http_server_stop_failed",
                {{"address", address_}, {"reason", exception.displayText()}});
     }
   }
 
+  const Clock& clock_;
+  ServerLifecycle lifecycle_;
+  const ServerContext context_;
   Poco::ThreadPool threads_;
-  Poco::Net::HTTPServer server_;
+  GuardedServerSocket listener_;
+  Poco::Net::TCPServer server_;
   const std::string address_;
 };
 
 }  // namespace
 
+HttpResponse HttpHandler::RefuseUnreadable(const HttpRequest&, int status) {
+  HttpResponse response;
+  response.status = status;
+  return response;
+}
+
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Start(const Clock& clock,
                                                               const std::string& address,
                                                               HttpServerOptions options,
--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -216,6 +216,8 @@
                server.cancelled().at(0).c_str());
   finish = true;
   CHECK(Eventually([&] { return fleet.gate.entered == 0 && fleet.admission.Idle(); }));
+  // The server's thread reads `finish` until then.
+  CHECK(Eventually([&] { return server.executed().size() == 1; }));
 }
 
 TEST(RequestPath, CallerThatGoesAwayCancelsAtTheServer) {
@@ -236,6 +238,7 @@
   CHECK(Eventually([&] { return server.cancelled().size() == 1; }));
   CHECK(Eventually([&] { return fleet.gate.entered == 0 && fleet.admission.Idle(); }));
   finish = true;
+  CHECK(Eventually([&] { return server.executed().size() == 1; }));
 }
 
 TEST(RequestPath, CallerThatGoesAwayLeavesTheQueue) {
--- a/tests/transport/http_connection_pool_test.cc
+++ b/tests/transport/http_connection_pool_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "source/transport/closing_notice.h"
 #include "tests/transport/scripted_peer.h"
 
 namespace runshelf::transport {
@@ -89,6 +90,21 @@
   CHECK_EQUAL(1, peer.connections());
 }
 
+TEST(HttpConnectionPool, SendsAgainWhenThePeerSaysThatItReadNothing) {
+  ScriptedPeer peer([](auto& socket, const auto&, int, int request_number) {
+    if (request_number == 2) {
+      SendAll(socket, ClosingNotice());
+      return false;
+    }
+    SendAll(socket, Answer("ok"));
+    return true;
+  });
+  CHECK(Call(peer, Post("first")).outcome == HttpOutcome::kAnswered);
+  CHECK(Call(peer, Post("second")).outcome == HttpOutcome::kAnswered);
+  CHECK_EQUAL(3, peer.requests());
+  CHECK_EQUAL(2, peer.connections());
+}
+
 TEST(HttpConnectionPool, NeverSendsAgainWhenPeerResetsEveryKeptConnection) {
   // The peer closes right after each answer, at the very moment the next request may be under way.
   ScriptedPeer peer([](auto& socket, const auto&, int, int) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -9,6 +10,7 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "runshelf/transport/http_connection_pool.h"
 #include "tests/transport/scripted_peer.h"
@@ -72,6 +74,14 @@
     server = std::move(*started);
   }
 
+  void StartWithShortDrain() {
+    HttpServerOptions options;
+    options.drain_quiet_time = std::chrono::milliseconds(20);
+    options.drain_longest_wait = std::chrono::milliseconds(40);
+    options.drain_idle_time = std::chrono::milliseconds(20);
+    Start(options);
+  }
+
   HttpResult Call(const std::string& method, const std::string& target, const std::string& body) {
     HttpRequest request;
     request.method = method;
@@ -167,6 +177,95 @@
   CHECK(result.outcome == HttpOutcome::kAnswered);
 }
 
+TEST(HttpServer, DrainCutsNoRequestOfCallersThatKeepComing) {
+  for (int round = 0; round < 5; ++round) {
+    StartWithShortDrain();
+    const int begun = handler.handled;
+    std::atomic<int> answered{0};
+    std::atomic<int> cut{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 4; ++i) {
+      callers.emplace_back([&] {
+        HttpOutcome outcome = HttpOutcome::kAnswered;
+        while (outcome == HttpOutcome::kAnswered) {
+          outcome = Call("GET", "/", "").outcome;
+          answered += outcome == HttpOutcome::kAnswered ? 1 : 0;
+        }
+        cut += outcome == HttpOutcome::kConnectFailed ? 0 : 1;
+      });
+    }
+    while (handler.handled < begun + 20) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(server->Drain(clock.Now() + kAmple));
+    server->Stop();
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CHECK_EQUAL(0, cut);
+    CHECK_EQUAL(answered, handler.handled - begun);
+  }
+}
+
+TEST(HttpServer, DrainAnswersConnectionsThatWaitForAThread) {
+  HttpServerOptions options;
+  options.max_threads = 2;
+  options.drain_quiet_time = std::chrono::milliseconds(1);
+  Start(options);
+  std::atomic<int> answered{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back([&] {
+      HttpConnectionPool own(clock, HttpConnectionPoolOptions{});
+      HttpRequest request;
+      request.method = "GET";
+      request.target = "/slow";
+      const HttpResult result = own.Call(server->address(), request, clock.Now() + kAmple);
+      answered += result.outcome == HttpOutcome::kAnswered ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));  // All have connected.
+  CHECK(server->Drain(clock.Now() + kAmple));
+  server->Stop();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK_EQUAL(10, answered);
+}
+
+TEST(HttpServer, DrainTellsIdleCallersThatNothingRan) {
+  StartWithShortDrain();
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(server->address())};
+  socket.setReceiveTimeout(Poco::Timespan(20, 0));
+  SendAll(socket, "GET / HTTP/1.1\r\n\r\n");
+  while (handler.handled == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  CHECK(server->Drain(clock.Now() + kAmple));
+  const std::string received = ReadToEnd(socket);
+  STRCMP_CONTAINS("HTTP/1.1 200", received.c_str());
+  STRCMP_CONTAINS("HTTP/1.1 408", received.c_str());
+  STRCMP_CONTAINS("Runshelf-Verdict: not-run", received.c_str());
+}
+
+TEST(HttpServer, DrainGivesUpAtItsDeadline) {
+  StartWithShortDrain();
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(server->address())};
+  SendAll(socket, "GET /wait-for-close HTTP/1.1\r\n\r\n");
+  while (handler.handled == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  CHECK_FALSE(server->Drain(clock.Now() + std::chrono::milliseconds(200)));
+  socket.close();
+}
+
+TEST(HttpServer, StoppedServerRefusesConnections) {
+  Start();
+  server->Stop();
+  CHECK_THROWS(Poco::Net::ConnectionRefusedException,
+               Poco::Net::StreamSocket(Poco::Net::SocketAddress(server->address())));
+}
+
 TEST(HttpServer, AddressInUseIsReported) {
   Start();
   const auto second = HttpServer::Start(clock, server->address(), {}, handler);
