--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -182,6 +182,7 @@
   });
   std::atomic<int> wrong{0};
   std::vector<std::thread> callers;
+  callers.reserve(16);
   for (int caller = 0; caller < 16; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; i < 20; ++i) {
@@ -330,6 +331,7 @@
   request.headers.Set("Runshelf-Deadline-Ms", "60000");
   std::vector<HttpResult> results(4);
   std::vector<std::thread> callers;
+  callers.reserve(results.size());
   for (HttpResult& result : results) {
     callers.emplace_back([&] { result = fleet.Call(request); });
   }
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -184,6 +184,7 @@
     std::atomic<int> answered{0};
     std::atomic<int> cut{0};
     std::vector<std::thread> callers;
+    callers.reserve(4);
     for (int i = 0; i < 4; ++i) {
       callers.emplace_back([&] {
         HttpOutcome outcome = HttpOutcome::kAnswered;
@@ -214,6 +215,7 @@
   Start(options);
   std::atomic<int> answered{0};
   std::vector<std::thread> callers;
+  callers.reserve(10);
   for (int i = 0; i < 10; ++i) {
     callers.emplace_back([&] {
       HttpConnectionPool own(clock, HttpConnectionPoolOptions{});
