daemon: an unreadable request is refused with a verdict

Cause: the new connection loop answered a bare 400 where every response has to carry Runshelf-Verdict. Ruled out: not-run as before: without headers it is not known whether the request repeats an earlier one.

--- a/source/daemon/ingress_handler.cc
+++ b/source/daemon/ingress_handler.cc
@@ -62,6 +62,13 @@
   return std::move(answer.response);
 }
 
+HttpResponse IngressHandler::RefuseUnreadable(const HttpRequest& request, int status) {
+  const Verdict verdict =
+      request.method.empty() ? Verdict::kMayHaveRun : VerdictBeforeForwarding(request);
+  return ErrorResponse({status, "bad_request", "the request could not be read", verdict},
+                       NextRequestId());
+}
+
 IngressHandler::Answer IngressHandler::Route(const HttpRequest& request,
                                              const std::string& request_id, Instant received,
                                              transport::PeerWatch caller) {
--- a/source/daemon/ingress_handler.h
+++ b/source/daemon/ingress_handler.h
@@ -42,6 +42,10 @@
   transport::HttpResponse Handle(transport::HttpRequest request,
                                  transport::PeerWatch caller) override;
 
+  // Says not-run only where the request's headers show that it is no repeat.
+  transport::HttpResponse RefuseUnreadable(const transport::HttpRequest& request,
+                                           int status) override;
+
   // From now on every response closes its connection, so that callers move elsewhere.
   void BeginLeave() { leaving_ = true; }
 
--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -346,6 +346,23 @@
   CHECK_EQUAL(1U, server.executed().size());
 }
 
+TEST(RequestPath, UnreadableRequestIsRefusedWithAVerdict) {
+  Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(fleet.ingress_address())};
+  const std::string garbage = std::string(200, 'A') + "\r\n\r\n";
+  caller.sendBytes(garbage.data(), static_cast<int>(garbage.size()));
+  caller.shutdownSend();
+  std::string answer;
+  char buffer[1024];
+  for (int read = 1; read > 0;) {
+    read = caller.receiveBytes(buffer, sizeof(buffer));
+    answer.append(buffer, static_cast<size_t>(read));
+  }
+  STRCMP_CONTAINS(" 400 ", answer.c_str());
+  // Whether it repeats an earlier sending is not known, so that it did not run is not said.
+  STRCMP_CONTAINS("Runshelf-Verdict: may-have-run", answer.c_str());
+  CHECK_EQUAL(0U, server.executed().size());
+}
+
 TEST(RequestPath, OwnPages) {
   CHECK_EQUAL(200, fleet.Call(Request("GET", "/feedread/x")).response.status);
   CHECK_EQUAL(200, fleet.Call(Request("GET", "/healthz")).response.status);
