--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -347,8 +347,9 @@
   });
 }
 
-void Daemon::BeginLeave(Handler may_stop) {
-  process_.Post([this, may_stop = std::move(may_stop)] {
+void Daemon::BeginLeave(Handler noticed, Handler may_stop) {
+  process_.Post([this, noticed = std::move(noticed), may_stop = std::move(may_stop)] {
+    noticed();
     Trace("leave", instance_.ToString());
     may_stop_ = may_stop;
     if (environment_.naive.no_drain) {
--- a/tools/sim/daemon.h
+++ b/tools/sim/daemon.h
@@ -59,8 +59,9 @@
   void Resume() { process_.Resume(); }
   void SetHostUp(bool up) { host_up_ = up; }
 
-  // SIGTERM. `may_stop` runs once everything is handed over and no request is in progress.
-  void BeginLeave(Handler may_stop);
+  // SIGTERM. `noticed` runs when the process takes the signal, `may_stop` once everything is handed
+  // over and no request is in progress.
+  void BeginLeave(Handler noticed, Handler may_stop);
 
   void TakeRequest(const CallerRequest& request, CallerAnswerHandler reply,
                    std::function<void(uint64_t handle)> taken);
--- a/tools/sim/machine.cc
+++ b/tools/sim/machine.cc
@@ -117,8 +117,8 @@
   }
   Trace("planned_stop", config_.name);
   stopping_ = true;
-  OnLeaveNotice();
-  daemon_->BeginLeave([this, stopped = std::move(stopped)] { FinishPlannedStop(stopped); });
+  daemon_->BeginLeave([this] { OnLeaveNotice(); },
+                      [this, stopped = std::move(stopped)] { FinishPlannedStop(stopped); });
 }
 
 void Machine::OnLeaveNotice() {
--- a/tools/sim/platform.cc
+++ b/tools/sim/platform.cc
@@ -96,8 +96,23 @@
 }
 
 void Platform::ReadMachines(HostIndex from, Done<platform::MachineListSnapshot> done) {
+  const auto observed =
+      [this, done = std::move(done)](absl::StatusOr<platform::MachineListSnapshot> machines) {
+        if (machines.ok()) {
+          ReportLeaving(*machines);
+        }
+        done(std::move(machines));
+      };
   Call<platform::MachineListSnapshot>(
-      from, false, [this] { return MachinesNow(); }, std::move(done));
+      from, false, [this] { return MachinesNow(); }, observed);
+}
+
+void Platform::ReportLeaving(const platform::MachineListSnapshot& machines) const {
+  for (const platform::Machine& machine : machines.machines) {
+    if (machine.state == platform::MachineState::kLeaving && on_leaving_) {
+      on_leaving_(machine.node);
+    }
+  }
 }
 
 void Platform::SetMachine(const std::string& node, std::optional<platform::Machine> machine) {
@@ -189,15 +204,11 @@
   return changes;
 }
 
-platform::MachineListSnapshot Platform::MachinesNow() {
+platform::MachineListSnapshot Platform::MachinesNow() const {
   platform::MachineListSnapshot snapshot;
   snapshot.version = list_version_;
   for (const auto& [node, machine] : listed_) {
     snapshot.machines.push_back(machine);
-    const bool leaving = machine.state == platform::MachineState::kLeaving;
-    if (leaving && on_leaving_) {
-      on_leaving_(node);
-    }
   }
   return snapshot;
 }
--- a/tools/sim/platform.h
+++ b/tools/sim/platform.h
@@ -62,8 +62,8 @@
   // Since when the service has worked normally without a break; nullopt while it does not.
   std::optional<TrueTime> up_since() const { return up_since_; }
 
-  // Observers for the judge; called when a commit took effect, and whenever a reader is shown that
-  // a machine is leaving.
+  // Observers for the judge; called when a commit took effect, and whenever an answer
+  // that says that a machine is leaving has reached its reader.
   void ObserveCommits(CommitObserver observer) { on_commit_ = std::move(observer); }
   void ObserveLeaving(LeavingObserver observer) { on_leaving_ = std::move(observer); }
 
@@ -85,7 +85,8 @@
   void Call(HostIndex from, bool is_write, std::function<Result()> serve, Done<Result> done);
 
   Changes ChangesNow(const std::string& prefix, int64_t revision) const;
-  platform::MachineListSnapshot MachinesNow();
+  platform::MachineListSnapshot MachinesNow() const;
+  void ReportLeaving(const platform::MachineListSnapshot& machines) const;
   bool Chance(double probability);
 
   EventQueue& queue_;
