--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -1,10 +1,23 @@
 # Helpers that give every target of the project the same warnings, include paths and sanitizers.
 
-set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Werror)
+set(RUNSHELF_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast)
+if(RUNSHELF_WARNINGS_AS_ERRORS)
+  list(APPEND RUNSHELF_WARNINGS -Werror)
+endif()
+
+# Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
+if(RUNSHELF_SANITIZE)
+  set(RUNSHELF_TEST_TIMEOUT 600)
+else()
+  set(RUNSHELF_TEST_TIMEOUT 240)
+endif()
 
 function(runshelf_target_defaults target)
   target_compile_options(${target} PRIVATE ${RUNSHELF_WARNINGS})
   target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
+  if(RUNSHELF_FUZZ)
+    target_compile_options(${target} PRIVATE -fsanitize=fuzzer-no-link)
+  endif()
   if(RUNSHELF_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${RUNSHELF_SANITIZE} -fno-omit-frame-pointer
                                              -fno-sanitize-recover=all)
@@ -18,7 +31,8 @@
 function(runshelf_library name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_library(${name} STATIC ${ARG_SOURCES})
-  target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  target_include_directories(${name} PUBLIC
+    $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/include> $<INSTALL_INTERFACE:include>)
   target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
   runshelf_target_defaults(${name})
 endfunction()
@@ -42,5 +56,6 @@
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   runshelf_target_defaults(${name})
   add_test(NAME ${name} COMMAND ${name} -v)
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202" TIMEOUT 240)
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202"
+                       TIMEOUT ${RUNSHELF_TEST_TIMEOUT})
 endfunction()
--- a/tools/sim/fleet.cc
+++ b/tools/sim/fleet.cc
@@ -65,6 +65,7 @@
     leaving_.insert(machine.config().name);
   } else {
     leaving_.erase(machine.config().name);
+    judge_.requests().OnLeaveForgotten(machine.server().run());
   }
   environment_.platform.SetMachine(machine.config().name,
                                    platform::Machine{machine.config().name, machine.peer_address(),
