--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -53,6 +53,9 @@
 
 TEST_GROUP(RequestPath) {
   SystemClock clock;
+  // For handlers of `server`, which may still run when the body of a test has ended.
+  std::atomic<bool> started{false};
+  std::atomic<bool> finish{false};
   FakeServer server{clock};
   TestFleet fleet{server.address()};
 
@@ -179,6 +182,7 @@
   });
   std::atomic<int> wrong{0};
   std::vector<std::thread> callers;
+  callers.reserve(16);
   for (int caller = 0; caller < 16; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; i < 20; ++i) {
@@ -198,7 +202,6 @@
 }
 
 TEST(RequestPath, TimeoutIsMayHaveRunAndCancelsAtTheServer) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -214,11 +217,11 @@
                server.cancelled().at(0).c_str());
   finish = true;
   CHECK(Eventually([&] { return fleet.gate.entered == 0 && fleet.admission.Idle(); }));
+  // The server's thread reads `finish` until then.
+  CHECK(Eventually([&] { return server.executed().size() == 1; }));
 }
 
 TEST(RequestPath, CallerThatGoesAwayCancelsAtTheServer) {
-  std::atomic<bool> started{false};
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     started = true;
     while (!finish) {
@@ -236,10 +239,10 @@
   CHECK(Eventually([&] { return server.cancelled().size() == 1; }));
   CHECK(Eventually([&] { return fleet.gate.entered == 0 && fleet.admission.Idle(); }));
   finish = true;
+  CHECK(Eventually([&] { return server.executed().size() == 1; }));
 }
 
 TEST(RequestPath, CallerThatGoesAwayLeavesTheQueue) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -267,7 +270,6 @@
 }
 
 TEST(RequestPath, HigherWeightIsServedFirst) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -316,7 +318,6 @@
 }
 
 TEST(RequestPath, RepeatDuringTheFirstSendingWaitsForItsAnswer) {
-  std::atomic<bool> finish{false};
   server.Behave([&](const HttpRequest&) {
     while (!finish) {
       std::this_thread::sleep_for(kPause);
@@ -330,6 +331,7 @@
   request.headers.Set("Runshelf-Deadline-Ms", "60000");
   std::vector<HttpResult> results(4);
   std::vector<std::thread> callers;
+  callers.reserve(results.size());
   for (HttpResult& result : results) {
     callers.emplace_back([&] { result = fleet.Call(request); });
   }
