--- a/tools/sim/machine.h
+++ b/tools/sim/machine.h
@@ -62,6 +62,7 @@
   HostIndex host() const { return host_; }
   Daemon& daemon() { return *daemon_; }
   Server& server() { return *server_; }
+  const Server& server() const { return *server_; }
   const std::string& peer_address() const { return daemon_->config().peer_address; }
 
  private:
