--- a/source/coordination/voter_manager.cc
+++ b/source/coordination/voter_manager.cc
@@ -40,11 +40,20 @@
   return picked;
 }
 
+void VoterManager::Begin(Instant now) {
+  began_ = now;
+  added_.clear();
+}
+
 void VoterManager::Tick(Instant now, consensus::Replica& replica, const AssignmentState& state,
                         const AssignmentLeader& leader, const std::set<std::string>& listed) {
   const auto voters = NextVoters(now, replica, state, leader, listed);
   if (!voters) return;
+  const std::vector<InstanceId> before = replica.Voters();
   if (!replica.ProposeVoters(now, *voters).ok()) return;
+  for (const InstanceId& voter : *voters) {
+    if (std::find(before.begin(), before.end(), voter) == before.end()) added_[voter] = now;
+  }
   context_.Log("voters_changed", {{"voters", std::to_string(voters->size())}});
 }
 
@@ -80,7 +89,10 @@
 bool VoterManager::IsLost(Instant now, const consensus::Replica& replica,
                           const InstanceId& voter) const {
   if (voter == context_.self) return false;
-  const Instant heard = std::max(began_, replica.LastContact(voter));
+  // A voter that was just added gets its time to answer, too.
+  const auto added = added_.find(voter);
+  const Instant known_since = added == added_.end() ? began_ : std::max(began_, added->second);
+  const Instant heard = std::max(known_since, replica.LastContact(voter));
   return now - heard > context_.config.voter_replacement_delay;
 }
 
--- a/source/coordination/voter_manager.h
+++ b/source/coordination/voter_manager.h
@@ -2,6 +2,7 @@
 // spreads them over zones. Runs at the leader.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,7 +23,7 @@
  public:
   explicit VoterManager(NodeContext& context) : context_(context) {}
 
-  void Begin(Instant now) { began_ = now; }
+  void Begin(Instant now);
 
   // `listed` are the nodes of the platform's machine list; only they may become voters, because the
   // recovery of a lost group accounts for every listed machine. Empty: the list is not known yet.
@@ -42,6 +43,7 @@
 
   NodeContext& context_;
   Instant began_;
+  std::map<InstanceId, Instant> added_;  // When this leader added a voter.
 };
 
 }  // namespace runshelf::coordination
