--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -9,7 +9,7 @@
 if(RUNSHELF_SANITIZE)
   set(RUNSHELF_TEST_TIMEOUT 600)
 else()
-  set(RUNSHELF_TEST_TIMEOUT 600)
+  set(RUNSHELF_TEST_TIMEOUT 240)
 endif()
 
 function(runshelf_target_defaults target)
