Envelope codec: hostile CBOR and MessagePack are refused, not fatal

libFuzzer ended envelope_fuzz within 30 s: an array of CBOR that announces more elements than fit the address space makes nlohmann/json throw out_of_range although it was told not to throw. By reading, a second one: its binary readers recurse without a bound, so that 200,000 nested arrays end the process by a stack overflow (seen: SIGSEGV in the usual build, both encodings). DecodeEnvelope promises neither.

Daemons speak JSON text, whose depth was bounded already; only callers that choose a binary encoding were concerned. The bytes are now visited once without building values, with a bound on depth and on announced sizes, before they are parsed. The three inputs are in the corpus; before the change each ended the target, now all are refused, and 228,403 further runs of libFuzzer in 31 s found nothing.

--- a/source/coordination/message_json.cc
+++ b/source/coordination/message_json.cc
@@ -9,6 +9,7 @@
 #include "runshelf/common/json_reader.h"
 #include "runshelf/consensus/message_json.h"
 #include "runshelf/ownership/assignment_json.h"
+#include "source/coordination/binary_bounds.h"
 
 namespace runshelf::coordination {
 namespace {
@@ -272,17 +273,22 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+// A discarded value, which no reader accepts, for anything malformed or out of bounds.
 json ParseBytes(const std::string& bytes, Encoding encoding) {
+  using Format = json::input_format_t;
+  json value(json::value_t::discarded);
   switch (encoding) {
     case Encoding::kJson:
-      return HasBoundedDepth(bytes) ? json::parse(bytes, nullptr, false)
-                                    : json(json::value_t::discarded);
+      if (HasBoundedDepth(bytes)) value = json::parse(bytes, nullptr, false);
+      break;
     case Encoding::kCbor:
-      return json::from_cbor(bytes, true, false);
+      if (IsBoundedBinary(bytes, Format::cbor)) value = json::from_cbor(bytes, true, false);
+      break;
     case Encoding::kMessagePack:
-      return json::from_msgpack(bytes, true, false);
+      if (IsBoundedBinary(bytes, Format::msgpack)) value = json::from_msgpack(bytes, true, false);
+      break;
   }
-  return {json::value_t::discarded};
+  return value;
 }
 
 }  // namespace
