--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import time
@@ -26,20 +27,27 @@
 class AddressBook:
     """Hands out free ports of 127.0.0.1, each once, and keeps them from others until closed.
 
-    A port stays bound by a socket that never listens. Servers may bind it too, since they set
-    SO_REUSEADDR as this socket does, but no outgoing connection and no other AddressBook gets it.
+    Ports lie below those that the kernel gives to outgoing connections and to binds of port 0. Each
+    stays bound by a socket that never listens: servers may bind it too, since they set SO_REUSEADDR
+    as this socket does, but no other AddressBook gets it.
     """
 
+    PORTS = range(10000, 32000)
+
     def __init__(self):
         self._reservations = []
 
     def take(self):
         while True:
+            port = random.choice(self.PORTS)
             reservation = socket.socket()
-            reservation.bind(("127.0.0.1", 0))
+            try:
+                reservation.bind(("127.0.0.1", port))
+            except OSError:
+                reservation.close()
+                continue
             reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self._reservations.append(reservation)
-            port = reservation.getsockname()[1]
             with socket.socket(type=socket.SOCK_DGRAM) as udp:
                 try:
                     udp.bind(("127.0.0.1", port))
