--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -7,7 +7,7 @@
 
 # Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
 if(RUNSHELF_SANITIZE)
-  set(RUNSHELF_TEST_TIMEOUT 600)
+  set(RUNSHELF_TEST_TIMEOUT 1200)
 else()
   set(RUNSHELF_TEST_TIMEOUT 240)
 endif()
