--- a/include/runshelf/routing/retry_budget.h
+++ b/include/runshelf/routing/retry_budget.h
@@ -21,6 +21,9 @@
  public:
   explicit RetryBudget(const RetryBudgetConfig& config) : config_(config) {}
 
+  // Changes the retries allowed besides those earned by first attempts.
+  void set_floor(uint32_t floor) { config_.floor = floor; }
+
   void OnFirstAttempt(Instant now);
 
   // Takes one retry from the budget; false: none is left, and nothing is taken.
--- /dev/null
+++ b/source/event/tcp_stream.cc
@@ -0,0 +1,264 @@
+#include "source/event/tcp_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace runshelf::event {
+namespace {
+
+constexpr int kListenBacklog = 512;
+// How long bytes may stay unacknowledged before a connection counts as broken.
+constexpr unsigned kUserTimeoutMs = 1500;
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr size_t kReadBufferBytes = size_t{64} * 1024;
+
+// One buffer serves all connections: libuv fills it and the observer consumes it in one step.
+char* SharedReadBuffer() {
+  static std::vector<char> buffer(kReadBufferBytes);
+  return buffer.data();
+}
+
+enum class Side { kOutgoing, kAccepted };
+
+// An accepted connection gets no bound on unacknowledged bytes: a client may read slowly.
+void SetSocketOptions(uv_tcp_t* tcp, Side side) {
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(tcp), &descriptor) != 0) return;
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof(int));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds, sizeof(int));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(int));
+  if (side == Side::kOutgoing) {
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+  }
+}
+
+}  // namespace
+
+std::string Endpoint::ToString() const { return ip + ":" + std::to_string(port); }
+
+bool Endpoint::Parse(std::string_view text, Endpoint* endpoint) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return false;
+  const std::string_view digits = text.substr(colon + 1);
+  uint16_t port = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size()) return false;
+  const std::string ip(text.substr(0, colon));
+  sockaddr_in address{};
+  if (uv_ip4_addr(ip.c_str(), port, &address) != 0) return false;
+  endpoint->ip = ip;
+  endpoint->port = port;
+  return true;
+}
+
+struct TcpStream::Handle {
+  uv_tcp_t tcp{};
+  uv_connect_t connect{};
+  uv_shutdown_t shutdown{};
+  uv_write_t write{};
+  StreamObserver* observer = nullptr;
+  std::string writing;  // Being written by libuv.
+  std::string pending;  // To be written after it.
+  bool connected = false;
+  bool write_active = false;
+  bool shutdown_wanted = false;
+  bool ended = false;
+  bool closed = false;
+
+  void End(StreamEnd end) {
+    if (ended || closed) return;
+    ended = true;
+    uv_read_stop(Stream());
+    if (observer != nullptr) observer->OnEnd(end);
+  }
+
+  uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
+
+  void WritePending() {
+    if (write_active || !connected || closed) return;
+    if (pending.empty()) {
+      MaybeShutdown();
+      return;
+    }
+    writing.swap(pending);
+    pending.clear();
+    uv_buf_t buffer = uv_buf_init(writing.data(), static_cast<unsigned>(writing.size()));
+    write.data = this;
+    write_active = true;
+    const int result = uv_write(&write, Stream(), &buffer, 1, &OnWritten);
+    if (result != 0) {
+      write_active = false;
+      End(StreamEnd::kReset);
+    }
+  }
+
+  void MaybeShutdown() {
+    if (!shutdown_wanted || closed) return;
+    shutdown_wanted = false;
+    shutdown.data = this;
+    uv_shutdown(&shutdown, Stream(), [](uv_shutdown_t*, int) {});
+  }
+
+  void Read() {
+    uv_read_start(
+        Stream(),
+        [](uv_handle_t*, size_t, uv_buf_t* buffer) {
+          *buffer = uv_buf_init(SharedReadBuffer(), kReadBufferBytes);
+        },
+        [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+          auto* handle = static_cast<Handle*>(stream->data);
+          if (handle->closed || count == 0) return;
+          if (count == UV_EOF) {
+            handle->End(StreamEnd::kClosed);
+          } else if (count < 0) {
+            handle->End(StreamEnd::kReset);
+          } else if (handle->observer != nullptr) {
+            handle->observer->OnData({buffer->base, static_cast<size_t>(count)});
+          }
+        });
+  }
+
+  static void OnWritten(uv_write_t* request, int status) {
+    auto* handle = static_cast<Handle*>(request->data);
+    handle->write_active = false;
+    handle->writing.clear();
+    if (handle->closed) return;
+    if (status != 0) {
+      handle->End(StreamEnd::kReset);
+      return;
+    }
+    if (!handle->pending.empty()) {
+      handle->WritePending();
+      return;
+    }
+    handle->MaybeShutdown();
+    if (handle->observer != nullptr) handle->observer->OnDrained();
+  }
+};
+
+std::unique_ptr<TcpStream> TcpStream::Connect(EventLoop& loop, const Endpoint& endpoint,
+                                              StreamObserver* observer) {
+  auto* handle = new Handle;
+  handle->observer = observer;
+  uv_tcp_init(loop.raw(), &handle->tcp);
+  handle->tcp.data = handle;
+  std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+  sockaddr_in address{};
+  uv_ip4_addr(endpoint.ip.c_str(), endpoint.port, &address);
+  handle->connect.data = handle;
+  uv_tcp_connect(&handle->connect, &handle->tcp, reinterpret_cast<const sockaddr*>(&address),
+                 [](uv_connect_t* request, int status) {
+                   auto* connecting = static_cast<Handle*>(request->data);
+                   if (connecting->closed) return;
+                   if (status != 0) {
+                     connecting->End(StreamEnd::kReset);
+                     return;
+                   }
+                   connecting->connected = true;
+                   SetSocketOptions(&connecting->tcp, Side::kOutgoing);
+                   connecting->Read();
+                   connecting->WritePending();
+                   if (!connecting->closed && connecting->observer != nullptr) {
+                     connecting->observer->OnConnected();
+                   }
+                 });
+  return stream;
+}
+
+TcpStream::~TcpStream() {
+  handle_->closed = true;
+  handle_->observer = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+void TcpStream::set_observer(StreamObserver* observer) { handle_->observer = observer; }
+
+void TcpStream::StartReading() {
+  if (handle_->connected && !handle_->ended) handle_->Read();
+}
+
+void TcpStream::StopReading() { uv_read_stop(handle_->Stream()); }
+
+void TcpStream::Write(std::string_view bytes) {
+  if (handle_->ended || bytes.empty()) return;
+  if (handle_->connected && !handle_->write_active && handle_->pending.empty()) {
+    uv_buf_t buffer =
+        uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+    const int written = uv_try_write(handle_->Stream(), &buffer, 1);
+    if (written > 0) bytes.remove_prefix(static_cast<size_t>(written));
+    if (bytes.empty()) return;
+  }
+  handle_->pending.append(bytes);
+  handle_->WritePending();
+}
+
+size_t TcpStream::unsent_bytes() const {
+  return handle_->pending.size() + (handle_->write_active ? handle_->writing.size() : 0);
+}
+
+void TcpStream::ShutdownWriting() {
+  handle_->shutdown_wanted = true;
+  if (!handle_->write_active) handle_->WritePending();
+}
+
+struct TcpListener::Handle {
+  uv_tcp_t tcp{};
+  AcceptCallback callback;
+  EventLoop* loop = nullptr;
+};
+
+TcpListener::TcpListener(EventLoop& loop, AcceptCallback callback) : handle_(new Handle) {
+  handle_->callback = std::move(callback);
+  handle_->loop = &loop;
+  uv_tcp_init(loop.raw(), &handle_->tcp);
+  handle_->tcp.data = handle_;
+}
+
+TcpListener::~TcpListener() {
+  handle_->callback = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+int TcpListener::Listen(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  int result = uv_ip4_addr(endpoint.ip.c_str(), endpoint.port, &address);
+  if (result != 0) return result;
+  result = uv_tcp_bind(&handle_->tcp, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (result != 0) return result;
+  return uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->tcp), kListenBacklog,
+                   [](uv_stream_t* server, int status) {
+                     auto* listener = static_cast<Handle*>(server->data);
+                     if (status != 0 || !listener->callback) return;
+                     auto* accepted = new TcpStream::Handle;
+                     uv_tcp_init(listener->loop->raw(), &accepted->tcp);
+                     accepted->tcp.data = accepted;
+                     std::unique_ptr<TcpStream> stream(new TcpStream(accepted));
+                     if (uv_accept(server, accepted->Stream()) != 0) return;
+                     accepted->connected = true;
+                     SetSocketOptions(&accepted->tcp, Side::kAccepted);
+                     listener->callback(std::move(stream));
+                   });
+}
+
+uint16_t TcpListener::bound_port() const {
+  sockaddr_in address{};
+  int length = sizeof address;
+  if (uv_tcp_getsockname(&handle_->tcp, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+    return 0;
+  }
+  return ntohs(address.sin_port);
+}
+
+}  // namespace runshelf::event
--- /dev/null
+++ b/source/http/client.cc
@@ -0,0 +1,310 @@
+#include "source/http/client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::http {
+namespace {
+
+// Share of the server's Keep-Alive time after which an idle connection is not used any more: the
+// server counts from when it sent its answer, and may close early.
+constexpr double kKeepAliveShare = 0.7;
+constexpr size_t kMaxIdlePerEndpoint = 32;
+
+// The "timeout" of a Keep-Alive header, in whole seconds.
+std::optional<Duration> KeepAliveTimeout(const Headers& headers) {
+  const std::string* value = headers.Find("keep-alive");
+  if (value == nullptr) return std::nullopt;
+  const size_t start = value->find("timeout=");
+  if (start == std::string::npos) return std::nullopt;
+  std::string_view digits = std::string_view(*value).substr(start + 8);
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const auto seconds = ParseNumber(digits);
+  if (!seconds.has_value()) return std::nullopt;
+  return std::chrono::seconds(*seconds);
+}
+
+}  // namespace
+
+// A connection to one endpoint. Owned by its call while a request is under way, else by the pool.
+class ClientConnection : public event::StreamObserver,
+                         public ParserObserver,
+                         public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(ConnectionPool* pool, event::Endpoint endpoint)
+      : pool_(pool),
+        endpoint_(std::move(endpoint)),
+        parser_(ParserKind::kResponse, this),
+        timer_(pool->loop_, [this] { OnTimeout(); }) {}
+
+  const event::Endpoint& endpoint() const { return endpoint_; }
+  bool reused() const { return requests_ > 1; }
+
+  void Begin(std::string_view request, const CallOptions& options, ResponseObserver* observer) {
+    observer_ = observer;
+    options_ = options;
+    reusable_ = true;
+    skipping_ = false;
+    head_seen_ = false;
+    ++requests_;
+    parser_.set_response_to_head(options.head_request);
+    if (stream_ == nullptr) {
+      stream_ = event::TcpStream::Connect(pool_->loop_, endpoint_, this);
+      timer_.Start(options.connect_timeout);
+    } else {
+      timer_.Stop();
+    }
+    stream_->Write(request);
+  }
+
+  // The call that sent request number `request` was destroyed; closes the connection when that
+  // request is still under way.
+  void CancelRequest(uint64_t request) {
+    if (observer_ == nullptr || request != requests_) return;
+    observer_ = nullptr;
+    Close();
+  }
+
+  uint64_t requests() const { return requests_; }
+
+  void Close() {
+    timer_.Stop();
+    stream_.reset();
+  }
+
+  void Pause() {
+    if (stream_ != nullptr) stream_->StopReading();
+  }
+
+  void Resume() {
+    if (stream_ != nullptr) stream_->StartReading();
+  }
+
+  void OnConnected() override {
+    connected_ = true;
+    timer_.Stop();
+  }
+
+  void OnData(std::string_view data) override {
+    const auto self = shared_from_this();
+    if (observer_ == nullptr) {
+      // Bytes that no request asked for.
+      Discard();
+      return;
+    }
+    while (!data.empty() && stream_ != nullptr) {
+      const ParseResult result = parser_.Feed(data);
+      data.remove_prefix(std::min(result.consumed, data.size()));
+      if (result.status == ParseStatus::kMalformed || result.status == ParseStatus::kHeadTooLarge) {
+        Fail(ClientFailure::kIncomplete);
+        return;
+      }
+      if (!message_complete_) continue;
+      message_complete_ = false;
+      if (skipping_) {
+        skipping_ = false;
+        reusable_ = false;
+        continue;
+      }
+      if (!data.empty()) reusable_ = false;
+      Complete();
+      return;
+    }
+  }
+
+  void OnEnd(event::StreamEnd end) override {
+    const auto self = shared_from_this();
+    if (observer_ == nullptr) {
+      Discard();
+      return;
+    }
+    if (!connected_) {
+      Fail(ClientFailure::kNotSent);
+      return;
+    }
+    if (end == event::StreamEnd::kClosed && head_seen_ && !skipping_) {
+      // An answer without a length is whole when the connection closes in order.
+      if (parser_.Finish() && message_complete_) {
+        reusable_ = false;
+        Complete();
+        return;
+      }
+    }
+    Fail(head_seen_ ? ClientFailure::kIncomplete : ClientFailure::kBroken);
+  }
+
+  void OnResponseHead(ResponseHead&& head) override {
+    if (observer_ == nullptr) return;
+    if (!options_.id_header.empty()) {
+      const std::string* id = head.headers.Find(options_.id_header);
+      if (id != nullptr && *id != options_.expected_id) {
+        skipping_ = true;
+        return;
+      }
+    }
+    head_seen_ = true;
+    idle_timeout_ = options_.idle_timeout;
+    if (const auto stated = KeepAliveTimeout(head.headers)) {
+      const auto usable = std::chrono::duration_cast<Duration>(*stated * kKeepAliveShare);
+      idle_timeout_ = std::min(idle_timeout_, usable);
+    }
+    observer_->OnResponseHead(std::move(head));
+  }
+
+  void OnBody(std::string_view data) override {
+    if (skipping_ || observer_ == nullptr) return;
+    observer_->OnResponseBody(data);
+  }
+
+  void OnMessageComplete(bool keep_alive) override {
+    message_complete_ = true;
+    if (!keep_alive) reusable_ = false;
+  }
+
+  Duration idle_timeout() const { return idle_timeout_; }
+  void StartIdleTimer() { timer_.Start(idle_timeout_); }
+  bool usable() const { return stream_ != nullptr; }
+
+ private:
+  void Complete() {
+    ResponseObserver* observer = std::exchange(observer_, nullptr);
+    // A server may answer before it has read the whole request: the rest must not be followed by
+    // another one.
+    if (stream_ == nullptr || stream_->unsent_bytes() > 0) reusable_ = false;
+    if (reusable_ && idle_timeout_ > Duration(0)) {
+      stream_->StartReading();
+      pool_->OnIdle(shared_from_this());
+    } else {
+      Close();
+    }
+    if (observer != nullptr) observer->OnResponseComplete();
+  }
+
+  void Fail(ClientFailure failure) {
+    ResponseObserver* observer = std::exchange(observer_, nullptr);
+    Close();
+    if (observer != nullptr) observer->OnClientFailure(failure);
+  }
+
+  // Leaves the pool's idle connections and closes.
+  void Discard() {
+    Close();
+    pool_->Forget(this);
+  }
+
+  void OnTimeout() {
+    const auto self = shared_from_this();
+    if (observer_ != nullptr) {
+      Fail(ClientFailure::kNotSent);
+    } else {
+      Discard();
+    }
+  }
+
+  ConnectionPool* pool_;
+  event::Endpoint endpoint_;
+  std::unique_ptr<event::TcpStream> stream_;
+  Parser parser_;
+  event::Timer timer_;  // Of the connect, then of idleness.
+  ResponseObserver* observer_ = nullptr;
+  CallOptions options_;
+  Duration idle_timeout_{0};
+  uint64_t requests_ = 0;
+  bool connected_ = false;
+  bool reusable_ = true;
+  bool skipping_ = false;
+  bool head_seen_ = false;
+  bool message_complete_ = false;
+};
+
+ClientCall::ClientCall(std::shared_ptr<ClientConnection> connection)
+    : connection_(std::move(connection)), request_number_(connection_->requests()) {}
+
+ClientCall::~ClientCall() { connection_->CancelRequest(request_number_); }
+
+void ClientCall::Pause() { connection_->Pause(); }
+void ClientCall::Resume() { connection_->Resume(); }
+bool ClientCall::on_reused_connection() const { return connection_->reused(); }
+
+ConnectionPool::ConnectionPool(event::EventLoop& loop) : loop_(loop) {}
+
+ConnectionPool::~ConnectionPool() {
+  for (auto& [endpoint, connections] : idle_) {
+    for (const auto& connection : connections) connection->Close();
+  }
+}
+
+std::unique_ptr<ClientCall> ConnectionPool::Send(const event::Endpoint& endpoint,
+                                                 std::string_view request,
+                                                 const CallOptions& options,
+                                                 ResponseObserver* observer) {
+  std::shared_ptr<ClientConnection> connection;
+  if (auto found = idle_.find(endpoint); found != idle_.end()) {
+    // The latest one used: the others grow old and are closed.
+    if (!found->second.empty()) {
+      connection = std::move(found->second.back());
+      found->second.pop_back();
+    }
+    if (found->second.empty()) idle_.erase(found);
+  }
+  if (connection == nullptr) {
+    ++opened_;
+    connection = std::make_shared<ClientConnection>(this, endpoint);
+  }
+  connection->Begin(request, options, observer);
+  return std::make_unique<ClientCall>(std::move(connection));
+}
+
+void ConnectionPool::CloseIdle(const event::Endpoint& endpoint) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) return;
+  for (const auto& connection : found->second) connection->Close();
+  idle_.erase(found);
+}
+
+void ConnectionPool::OnIdle(const std::shared_ptr<ClientConnection>& connection) {
+  auto& connections = idle_[connection->endpoint()];
+  connection->StartIdleTimer();
+  connections.push_back(connection);
+  if (connections.size() > kMaxIdlePerEndpoint) {
+    connections.front()->Close();
+    connections.pop_front();
+  }
+}
+
+void ConnectionPool::Forget(const ClientConnection* connection) {
+  const auto found = idle_.find(connection->endpoint());
+  if (found == idle_.end()) return;
+  std::erase_if(found->second, [&](const auto& other) { return other.get() == connection; });
+  if (found->second.empty()) idle_.erase(found);
+}
+
+SimpleCall::SimpleCall(event::EventLoop& loop, ConnectionPool& pool,
+                       const event::Endpoint& endpoint, std::string_view request,
+                       const CallOptions& options, Duration timeout, Callback callback)
+    : callback_(std::move(callback)),
+      timer_(loop, [this] { OnClientFailure(ClientFailure::kBroken); }) {
+  timer_.Start(timeout);
+  call_ = pool.Send(endpoint, request, options, this);
+}
+
+void SimpleCall::OnResponseHead(ResponseHead&& head) {
+  response_.status = head.status;
+  response_.headers = std::move(head.headers);
+}
+
+void SimpleCall::OnResponseBody(std::string_view data) { response_.body.append(data); }
+
+void SimpleCall::OnResponseComplete() { Finish(std::move(response_), ClientFailure::kBroken); }
+
+void SimpleCall::OnClientFailure(ClientFailure failure) { Finish(std::nullopt, failure); }
+
+void SimpleCall::Finish(std::optional<Response> response, ClientFailure failure) {
+  timer_.Stop();
+  call_.reset();
+  // The callback may destroy this object.
+  const Callback callback = std::move(callback_);
+  callback(std::move(response), failure);
+}
+
+}  // namespace runshelf::http
--- /dev/null
+++ b/source/http/client.h
@@ -0,0 +1,119 @@
+// HTTP/1.1 client connections on the event loop, kept and reused per endpoint.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "source/event/tcp_stream.h"
+#include "source/http/message.h"
+
+namespace runshelf::http {
+
+// Why no complete answer came.
+enum class ClientFailure {
+  kNotSent,     // No connection could be made: certainly no byte of the request left.
+  kBroken,      // The connection broke before the first byte of the answer.
+  kIncomplete,  // The answer began and broke off, or was no message of the protocol.
+};
+
+// Receives the answer to one request. Exactly one of OnResponseComplete and OnClientFailure is
+// called, last, unless the call is cancelled.
+class ResponseObserver {
+ public:
+  virtual ~ResponseObserver() = default;
+  virtual void OnResponseHead(ResponseHead&& head) = 0;
+  virtual void OnResponseBody(std::string_view data) = 0;
+  virtual void OnResponseComplete() = 0;
+  virtual void OnClientFailure(ClientFailure failure) = 0;
+};
+
+struct CallOptions {
+  Duration connect_timeout = std::chrono::milliseconds(400);
+  // A connection without a request for this long is closed; a shorter Keep-Alive of the server
+  // wins.
+  Duration idle_timeout = std::chrono::seconds(4);
+  bool head_request = false;  // The method is HEAD.
+  // When set, an answer that carries this header with another value belongs to an earlier request
+  // and is skipped.
+  std::string id_header;
+  std::string expected_id;
+};
+
+class ClientConnection;
+
+// One request under way. Destroying it cancels the request by closing its connection.
+class ClientCall {
+ public:
+  explicit ClientCall(std::shared_ptr<ClientConnection> connection);
+  ~ClientCall();
+  ClientCall(const ClientCall&) = delete;
+  ClientCall& operator=(const ClientCall&) = delete;
+
+  // Stops and restarts reading, to bound what is held for a slow reader.
+  void Pause();
+  void Resume();
+  // True when the request went out on a connection that had served another one before.
+  bool on_reused_connection() const;
+
+ private:
+  std::shared_ptr<ClientConnection> connection_;
+  uint64_t request_number_;  // Among those of the connection.
+};
+
+// Keeps idle connections for each endpoint and opens new ones when none is left. Must outlive its
+// calls.
+class ConnectionPool {
+ public:
+  explicit ConnectionPool(event::EventLoop& loop);
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  // Sends the serialized request; the observer must stay until the call is over or destroyed.
+  std::unique_ptr<ClientCall> Send(const event::Endpoint& endpoint, std::string_view request,
+                                   const CallOptions& options, ResponseObserver* observer);
+  // Closes the idle connections to an endpoint.
+  void CloseIdle(const event::Endpoint& endpoint);
+  uint64_t opened() const { return opened_; }
+
+ private:
+  friend class ClientConnection;
+  void OnIdle(const std::shared_ptr<ClientConnection>& connection);
+  void Forget(const ClientConnection* connection);
+
+  event::EventLoop& loop_;
+  std::map<event::Endpoint, std::deque<std::shared_ptr<ClientConnection>>> idle_;
+  uint64_t opened_ = 0;
+};
+
+// Sends one request and collects its whole answer; calls back exactly once, unless destroyed.
+class SimpleCall : public ResponseObserver {
+ public:
+  // The response is absent when the call failed or took longer than `timeout`.
+  using Callback = std::function<void(std::optional<Response>, ClientFailure)>;
+  SimpleCall(event::EventLoop& loop, ConnectionPool& pool, const event::Endpoint& endpoint,
+             std::string_view request, const CallOptions& options, Duration timeout,
+             Callback callback);
+
+  void OnResponseHead(ResponseHead&& head) override;
+  void OnResponseBody(std::string_view data) override;
+  void OnResponseComplete() override;
+  void OnClientFailure(ClientFailure failure) override;
+
+ private:
+  void Finish(std::optional<Response> response, ClientFailure failure);
+
+  Callback callback_;
+  Response response_;
+  event::Timer timer_;
+  std::unique_ptr<ClientCall> call_;
+};
+
+}  // namespace runshelf::http
--- /dev/null
+++ b/source/http/message.h
@@ -0,0 +1,133 @@
+// HTTP/1.1 messages and an incremental parser without sockets of its own (http_parser underneath).
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace runshelf::http {
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+// The headers of one message, in order. Names are compared without regard to case.
+class Headers {
+ public:
+  void Add(std::string_view name, std::string_view value);
+  // Removes every header of this name.
+  void Remove(std::string_view name);
+  // Replaces every header of this name by one.
+  void Set(std::string_view name, std::string_view value);
+  // The first value; nullptr when there is none.
+  const std::string* Find(std::string_view name) const;
+  bool Has(std::string_view name) const { return Find(name) != nullptr; }
+  const std::vector<Header>& all() const { return headers_; }
+  std::vector<Header>& all() { return headers_; }
+
+  // Removes the headers that pertain to one connection only, those that Connection names included.
+  void RemoveConnectionHeaders();
+
+ private:
+  std::vector<Header> headers_;
+};
+
+bool EqualsIgnoreCase(std::string_view left, std::string_view right);
+
+// Parses a whole non-negative number; nullopt when `text` has another form.
+std::optional<int64_t> ParseNumber(std::string_view text);
+
+struct RequestHead {
+  std::string method;
+  std::string target;
+  Headers headers;
+};
+
+struct ResponseHead {
+  int status = 0;
+  Headers headers;
+  // Of the body; absent when it is chunked or ends with the connection.
+  std::optional<uint64_t> content_length;
+};
+
+struct Request {
+  RequestHead head;
+  std::string body;
+};
+
+struct Response {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
+std::string_view ReasonPhrase(int status);
+
+// Serializes a request with Content-Length (left out for a GET without a body).
+std::string SerializeRequest(const RequestHead& head, std::string_view body);
+
+// Serializes the head of a response; the caller has set its framing headers.
+std::string SerializeResponseHead(int status, const Headers& headers);
+
+// Receives the pieces of messages as they are parsed.
+class ParserObserver {
+ public:
+  virtual ~ParserObserver() = default;
+  virtual void OnRequestHead(RequestHead&&) {}
+  virtual void OnResponseHead(ResponseHead&&) {}
+  virtual void OnBody(std::string_view data) = 0;
+  // `keep_alive`: by its head, the connection may carry another message.
+  virtual void OnMessageComplete(bool keep_alive) = 0;
+};
+
+enum class ParserKind { kRequest, kResponse };
+
+enum class ParseStatus {
+  kOk,            // Everything was consumed.
+  kPaused,        // Stopped after a complete message; the rest was not consumed.
+  kMalformed,     // The bytes are no message of the protocol.
+  kHeadTooLarge,  // The head exceeds the limit.
+};
+
+struct ParseResult {
+  ParseStatus status = ParseStatus::kOk;
+  size_t consumed = 0;
+};
+
+// Parses a sequence of messages and pauses after each complete one.
+class Parser {
+ public:
+  // A response of a HEAD request has no body; `observer` must outlive the parser.
+  Parser(ParserKind kind, ParserObserver* observer);
+  ~Parser();
+  Parser(const Parser&) = delete;
+  Parser& operator=(const Parser&) = delete;
+
+  void set_max_head_bytes(size_t bytes) { max_head_bytes_ = bytes; }
+  void set_response_to_head(bool value) { response_to_head_ = value; }
+  ParseResult Feed(std::string_view data);
+  // The connection closed in order: completes a body that ends with it. False: it ended early.
+  bool Finish();
+  // True while a message has begun and is not complete.
+  bool in_message() const { return in_message_; }
+  bool head_complete() const { return head_complete_; }
+
+ private:
+  struct Implementation;
+  friend struct Implementation;
+  std::unique_ptr<Implementation> implementation_;
+  ParserObserver* observer_;
+  ParserKind kind_;
+  size_t max_head_bytes_ = size_t{64} * 1024;
+  size_t head_bytes_ = 0;
+  bool response_to_head_ = false;
+  bool in_message_ = false;
+  bool head_complete_ = false;
+};
+
+}  // namespace runshelf::http
--- /dev/null
+++ b/source/sharding/shard_planner.cc
@@ -0,0 +1,255 @@
+#include "source/sharding/shard_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace runshelf::sharding {
+namespace {
+
+const PlannerWorker* FindWorker(const PlannerInput& input, const std::string& node) {
+  for (const PlannerWorker& worker : input.workers) {
+    if (worker.id.node == node) return &worker;
+  }
+  return nullptr;
+}
+
+std::vector<const PlannerWorker*> Accepting(const PlannerInput& input,
+                                            const std::string& except_node = "") {
+  std::vector<const PlannerWorker*> accepting;
+  for (const PlannerWorker& worker : input.workers) {
+    if (!worker.accepting || worker.id.worker.empty() || worker.id.node == except_node) continue;
+    accepting.push_back(&worker);
+  }
+  std::sort(accepting.begin(), accepting.end(),
+            [](const auto* left, const auto* right) { return left->id.node < right->id.node; });
+  return accepting;
+}
+
+// Load of every bucket in requests a second, from the reports of all owners. What a report does not
+// list is spread evenly over the keys of its node.
+class BucketLoads {
+ public:
+  BucketLoads(const ShardMap& map, const PlannerInput& input) : rates_(kBucketCount, 0) {
+    std::map<std::string, double> rest;
+    std::map<std::string, double> keys;
+    for (const auto& [node, report] : input.loads) {
+      double listed = 0;
+      for (const auto& [bucket, rate] : report.buckets) {
+        rates_[bucket] += rate;
+        listed += rate;
+      }
+      rest[node] = std::max(0.0, report.requests_per_second - listed);
+    }
+    for (const Shard& shard : map.shards()) keys[shard.owner.node] += shard.size();
+    for (const Shard& shard : map.shards()) {
+      const double per_key = rest[shard.owner.node] / std::max(1.0, keys[shard.owner.node]);
+      for (ShardKey key = shard.first; key <= shard.last; key += kKeysPerBucket) {
+        rates_[BucketOf(key)] += per_key * kKeysPerBucket;
+      }
+    }
+  }
+
+  double Of(ShardKey first, ShardKey last) const {
+    double sum = 0;
+    for (size_t bucket = BucketOf(first); bucket <= BucketOf(last); ++bucket) sum += rates_[bucket];
+    return sum;
+  }
+
+ private:
+  std::vector<double> rates_;
+};
+
+struct Usage {
+  const PlannerWorker* worker = nullptr;
+  double rate = 0;             // Requests a second of its shards.
+  double service_seconds = 0;  // Of one request there.
+
+  double Utilization() const {
+    return rate * service_seconds / std::max<uint32_t>(1, worker->slots);
+  }
+};
+
+// The nodes' smoothed service times; those that report none get the mean of the others.
+double ServiceSeconds(const PlannerInput& input, const std::string& node) {
+  constexpr double kUnknownServiceSeconds = 0.1;
+  const auto own = input.loads.find(node);
+  if (own != input.loads.end() && own->second.service_seconds > 0) {
+    return own->second.service_seconds;
+  }
+  double sum = 0;
+  size_t count = 0;
+  for (const auto& [name, report] : input.loads) {
+    if (report.service_seconds <= 0) continue;
+    sum += report.service_seconds;
+    ++count;
+  }
+  return count == 0 ? kUnknownServiceSeconds : sum / static_cast<double>(count);
+}
+
+// Part of a shard that may move: whole buckets within it.
+struct Piece {
+  ShardKey first = 0;
+  ShardKey last = 0;
+  double rate = 0;
+};
+
+// The busiest run of keys of `node` whose load is at most `limit`: whole shards, or halves of them,
+// down to one bucket.
+std::optional<Piece> BestPiece(const ShardMap& map, const BucketLoads& loads,
+                               const std::string& node, double limit) {
+  std::optional<Piece> best;
+  for (const Shard& shard : map.shards()) {
+    if (shard.owner.node != node || !shard.move_to_node.empty()) continue;
+    std::vector<Piece> candidates{{shard.first, shard.last, 0}};
+    while (!candidates.empty()) {
+      Piece piece = candidates.back();
+      candidates.pop_back();
+      piece.rate = loads.Of(piece.first, piece.last);
+      if (piece.rate <= 0 || (best.has_value() && piece.rate <= best->rate)) continue;
+      if (piece.rate <= limit) {
+        best = piece;
+        continue;
+      }
+      if (BucketOf(piece.first) == BucketOf(piece.last)) continue;
+      const ShardKey middle_key = piece.first + (piece.last - piece.first) / 2;
+      const ShardKey middle = (middle_key / kKeysPerBucket + 1) * kKeysPerBucket;
+      if (middle > piece.last || middle <= piece.first) continue;
+      candidates.push_back({piece.first, middle - 1, 0});
+      candidates.push_back({middle, piece.last, 0});
+    }
+  }
+  return best;
+}
+
+void MarkMove(ShardMap* map, const Piece& piece, const std::string& to_node) {
+  map->Split(piece.first);
+  if (piece.last < kMaxShardKey) map->Split(piece.last + 1);
+  for (Shard& shard : map->shards()) {
+    if (piece.first <= shard.first && shard.last <= piece.last) shard.move_to_node = to_node;
+  }
+}
+
+ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerConfig& config) {
+  ShardMap map;
+  const FencingToken token = map.NextToken();
+  const size_t count = workers.size() * config.initial_shards_per_worker;
+  for (size_t index = 0; index < count; ++index) {
+    Shard shard;
+    // Borders are borders of buckets.
+    shard.first = static_cast<ShardKey>(index * kBucketCount / count * kKeysPerBucket);
+    shard.last = static_cast<ShardKey>((index + 1) * kBucketCount / count * kKeysPerBucket - 1);
+    ShardMap::Assign(&shard, workers[index % workers.size()]->id, token, "");
+    map.shards().push_back(std::move(shard));
+  }
+  return map;
+}
+
+}  // namespace
+
+std::vector<WorkerId> SpreadOver(const ShardMap& map, const PlannerInput& input,
+                                 const std::string& leaving_node, size_t shard_count) {
+  const auto accepting = Accepting(input, leaving_node);
+  std::vector<WorkerId> targets;
+  if (accepting.empty()) return targets;
+  const BucketLoads loads(map, input);
+  std::map<std::string, double> burden;
+  for (const Shard& shard : map.shards()) {
+    burden[shard.owner.node] += loads.Of(shard.first, shard.last);
+  }
+  double total = 0;
+  for (const auto& [node, rate] : burden) total += rate;
+  const double per_shard =
+      std::max(1.0, burden[leaving_node] / std::max<double>(1, static_cast<double>(shard_count)));
+  for (size_t index = 0; index < shard_count; ++index) {
+    const auto lightest = std::min_element(
+        accepting.begin(), accepting.end(), [&](const auto* left, const auto* right) {
+          return burden[left->id.node] / std::max(1U, left->slots) <
+                 burden[right->id.node] / std::max(1U, right->slots);
+        });
+    targets.push_back((*lightest)->id);
+    burden[(*lightest)->id.node] += per_shard;
+  }
+  return targets;
+}
+
+Plan PlanRepair(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config) {
+  Plan plan;
+  const auto accepting = Accepting(input);
+  if (accepting.empty()) return plan;
+  if (map.empty()) {
+    plan.changed = true;
+    plan.map = InitialMap(accepting, config);
+    plan.reason = "first-assignment";
+    return plan;
+  }
+  std::map<std::string, size_t> orphans;  // Shards to be taken, by their node.
+  for (const Shard& shard : map.shards()) {
+    const bool given_up = shard.owner.worker.empty();
+    if (given_up || input.departed_nodes.contains(shard.owner.node)) ++orphans[shard.owner.node];
+  }
+  if (orphans.empty()) return plan;
+  plan.map = map;
+  const FencingToken token = plan.map.NextToken();
+  for (const auto& [node, count] : orphans) {
+    const std::vector<WorkerId> targets = SpreadOver(map, input, node, count);
+    if (targets.empty()) continue;
+    size_t next = 0;
+    for (Shard& shard : plan.map.shards()) {
+      const bool given_up = shard.owner.worker.empty();
+      if (shard.owner.node != node) continue;
+      if (!given_up && !input.departed_nodes.contains(node)) continue;
+      if (!given_up) plan.relies_on_absence.insert(node);
+      // A shard that was given up may have been released with a handover, which stays.
+      ShardMap::Assign(&shard, targets[next++ % targets.size()], token,
+                       given_up ? shard.handover : std::string());
+      plan.changed = true;
+    }
+  }
+  plan.reason = "takeover";
+  return plan;
+}
+
+Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config) {
+  Plan plan;
+  const auto accepting = Accepting(input);
+  if (map.empty() || accepting.size() < 2 || map.shards().size() > config.max_shards) return plan;
+  for (const Shard& shard : map.shards()) {
+    if (!shard.move_to_node.empty() || FindWorker(input, shard.owner.node) == nullptr) return plan;
+  }
+  const BucketLoads loads(map, input);
+  std::vector<Usage> usages;
+  for (const PlannerWorker* worker : accepting) {
+    Usage usage;
+    usage.worker = worker;
+    usage.service_seconds = ServiceSeconds(input, worker->id.node);
+    for (const Shard& shard : map.shards()) {
+      if (shard.owner.node == worker->id.node) usage.rate += loads.Of(shard.first, shard.last);
+    }
+    usages.push_back(usage);
+  }
+  plan.map = map;
+  const auto by_utilization = [](const Usage& left, const Usage& right) {
+    return left.Utilization() < right.Utilization();
+  };
+  for (size_t move = 0; move < config.moves_per_round; ++move) {
+    Usage& most = *std::max_element(usages.begin(), usages.end(), by_utilization);
+    Usage& least = *std::min_element(usages.begin(), usages.end(), by_utilization);
+    const double gap = most.Utilization() - least.Utilization();
+    if (most.Utilization() < config.busy_utilization || gap < config.utilization_gap) break;
+    // Moving `rate` lowers one and raises the other; half of the gap makes them even.
+    const double slope = most.service_seconds / std::max(1U, most.worker->slots) +
+                         least.service_seconds / std::max(1U, least.worker->slots);
+    const auto piece = BestPiece(plan.map, loads, most.worker->id.node, gap / slope);
+    if (!piece.has_value() || piece->rate * slope < gap / 8) break;
+    MarkMove(&plan.map, *piece, least.worker->id.node);
+    most.rate -= piece->rate;
+    least.rate += piece->rate;
+    plan.changed = true;
+  }
+  plan.reason = "balance";
+  return plan;
+}
+
+}  // namespace runshelf::sharding
--- /dev/null
+++ b/source/sharding/shard_planner.h
@@ -0,0 +1,58 @@
+// Decides which changes a shard map needs: first assignment, workers that are gone, and balance of
+// the measured load. Free of input and output; any node may plan, compare-and-swap decides.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "source/sharding/key_load.h"
+#include "source/sharding/shard_map.h"
+
+namespace runshelf::sharding {
+
+struct PlannerWorker {
+  WorkerId id;
+  uint32_t slots = 0;
+  bool accepting = true;  // False: known, and takes no further keys.
+};
+
+struct PlannerInput {
+  std::vector<PlannerWorker> workers;       // Of the live nodes, each with its current worker.
+  std::set<std::string> departed_nodes;     // Without a lease in the store.
+  std::map<std::string, LoadReport> loads;  // The latest report of each node.
+};
+
+struct PlannerConfig {
+  uint32_t initial_shards_per_worker = 8;
+  // Balance starts when the most and the least used worker differ by more than this part of their
+  // slots, and the most used one is above `busy_utilization`.
+  double utilization_gap = 0.15;
+  double busy_utilization = 0.35;
+  size_t moves_per_round = 6;
+  size_t max_shards = 400;
+};
+
+struct Plan {
+  bool changed = false;
+  ShardMap map;
+  std::set<std::string> relies_on_absence;  // Nodes whose shards were taken without their consent.
+  std::string reason;                       // For the log.
+};
+
+// Changes of ownership that must not wait: the first assignment, shards that were given up, shards
+// of departed nodes. Shards of live nodes are never touched.
+Plan PlanRepair(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
+
+// Marks shards to be moved from busy workers to idle ones, splitting them where needed. Returns no
+// change while a move is under way.
+Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
+
+// The worker that should take the next shard of `worker` when that one leaves; spread by what each
+// owns. Empty when no other accepts.
+std::vector<WorkerId> SpreadOver(const ShardMap& map, const PlannerInput& input,
+                                 const std::string& leaving_node, size_t shard_count);
+
+}  // namespace runshelf::sharding
--- /dev/null
+++ b/source/sidecar/attempt.cc
@@ -0,0 +1,38 @@
+#include "source/sidecar/attempt.h"
+
+#include <array>
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr std::array<std::pair<FailureReason, std::string_view>, 10> kReasonNames{{
+    {FailureReason::kUnreachable, "unreachable"},
+    {FailureReason::kNoWorker, "no-worker"},
+    {FailureReason::kWrongWorker, "wrong-worker"},
+    {FailureReason::kDraining, "draining"},
+    {FailureReason::kNotOwner, "not-owner"},
+    {FailureReason::kFull, "full"},
+    {FailureReason::kWorkerRefused, "worker-refused"},
+    {FailureReason::kExpired, "expired"},
+    {FailureReason::kBroken, "broken"},
+    {FailureReason::kIncomplete, "incomplete"},
+}};
+
+}  // namespace
+
+std::string_view FailureReasonName(FailureReason reason) {
+  for (const auto& [known, name] : kReasonNames) {
+    if (known == reason) return name;
+  }
+  return "unknown";
+}
+
+std::optional<FailureReason> ParseFailureReason(std::string_view name) {
+  for (const auto& [reason, known] : kReasonNames) {
+    if (known == name) return reason;
+  }
+  return std::nullopt;
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/inbound_handler.cc
@@ -0,0 +1,124 @@
+#include "source/sidecar/inbound_handler.h"
+
+#include <utility>
+
+#include "source/sidecar/answer_relay.h"
+#include "source/sidecar/peer_protocol.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kServiceUnavailable = 503;
+constexpr int kBadGateway = 502;
+// Longest time that a call to the store is passed on for; watches of peers are short.
+constexpr Duration kStoreCallTimeout = std::chrono::seconds(4);
+
+}  // namespace
+
+// One forwarded request, until its answer is complete.
+class InboundHandler::Forward : public AttemptObserver,
+                                public std::enable_shared_from_this<Forward> {
+ public:
+  Forward(InboundHandler* handler, http::ExchangePtr exchange, const AttemptRequest& request)
+      : handler_(handler),
+        exchange_(std::move(exchange)),
+        relay_(exchange_),
+        request_id_(request.request_id),
+        attempt_(handler->gate_.Submit(request, this)) {}
+
+  void Begin() {
+    const auto self = shared_from_this();
+    relay_.set_attempt(attempt_.get());
+    exchange_->set_on_client_gone([this] { End(); });
+    attempt_->Begin();
+  }
+
+  void OnAnswerHead(http::ResponseHead&& head) override {
+    peer_protocol::AddLoad(handler_->gate_.load(), &head.headers);
+    relay_.OnHead(std::move(head));
+  }
+
+  void OnAnswerBody(std::string_view data) override { relay_.OnBody(data); }
+
+  void OnAnswerComplete() override {
+    const auto self = shared_from_this();
+    relay_.OnComplete();
+    End();
+  }
+
+  void OnAttemptFailure(const AttemptFailure& failure) override {
+    const auto self = shared_from_this();
+    handler_->log_.Write(LogLevel::kInfo, "forwarded_request_failed",
+                         {{"request", request_id_},
+                          {"reason", std::string(FailureReasonName(failure.reason))},
+                          {"verdict", std::string(VerdictName(failure.verdict))},
+                          {"running", handler_->gate_.load().running},
+                          {"queued", handler_->gate_.load().queued},
+                          {"worker", handler_->gate_.worker_id()}});
+    if (relay_.streaming()) {
+      exchange_->Abort();
+    } else {
+      http::Headers headers = peer_protocol::FailureHeaders(failure);
+      peer_protocol::AddLoad(handler_->gate_.load(), &headers);
+      const bool not_run = failure.verdict == Verdict::kNotRun;
+      exchange_->Respond(not_run ? kServiceUnavailable : kBadGateway, headers, "");
+    }
+    End();
+  }
+
+ private:
+  void End() {
+    const auto self = shared_from_this();
+    exchange_->set_on_client_gone(nullptr);
+    relay_.set_attempt(nullptr);
+    handler_->Forget(this);
+    attempt_.reset();
+  }
+
+  InboundHandler* handler_;
+  http::ExchangePtr exchange_;
+  AnswerRelay relay_;
+  std::string request_id_;
+  std::unique_ptr<Attempt> attempt_;
+};
+
+InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
+                               LogWriter& log)
+    : loop_(loop), gate_(gate), store_(store), log_(log) {}
+
+InboundHandler::~InboundHandler() = default;
+
+void InboundHandler::Handle(const http::ExchangePtr& exchange) {
+  if (peer_protocol::IsStoreCall(exchange->request().head.headers)) {
+    PassToStore(exchange);
+    return;
+  }
+  const auto attempt = peer_protocol::ReadAttempt(std::move(exchange->request()), loop_.Now());
+  if (!attempt.has_value()) {
+    exchange->Respond(kBadRequest, {}, "");
+    return;
+  }
+  auto forward = std::make_shared<Forward>(this, exchange, *attempt);
+  forwards_[forward.get()] = forward;
+  forward->Begin();
+}
+
+void InboundHandler::Forget(Forward* forward) { forwards_.erase(forward); }
+
+void InboundHandler::PassToStore(const http::ExchangePtr& exchange) {
+  http::Request request = std::move(exchange->request());
+  peer_protocol::RemoveHeaders(&request.head.headers);
+  request.head.headers.RemoveConnectionHeaders();
+  request.head.headers.Remove("Host");
+  store_.PassOn(request, kStoreCallTimeout, [exchange](std::optional<http::Response> response) {
+    if (!response.has_value()) {
+      exchange->Abort();
+      return;
+    }
+    response->headers.RemoveConnectionHeaders();
+    exchange->Respond(response->status, response->headers, response->body);
+  });
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/ingress.h
@@ -0,0 +1,78 @@
+// Serves the clients and the worker of this machine: finds the route and the worker, retries what
+// may be retried, and always gives a final answer in time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "runshelf/common/random.h"
+#include "runshelf/routing/retry_budget.h"
+#include "source/http/server.h"
+#include "source/routes/routing_configuration.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/peer_directory.h"
+#include "source/sidecar/settings.h"
+#include "source/sidecar/shard_directory.h"
+#include "source/sidecar/wire_format.h"
+#include "source/sidecar/worker_gate.h"
+
+namespace runshelf::sidecar {
+
+struct IngressCounters {
+  uint64_t requests = 0;
+  uint64_t served = 0;   // Answers of workers, whatever their status.
+  uint64_t refused = 0;  // 429 and 503: certainly not run.
+  uint64_t failed = 0;   // 502 and 504.
+  uint64_t unknown_route = 0;
+  uint64_t retries = 0;
+  uint64_t cancelled = 0;  // The client left first.
+};
+
+// Everything that requests need of the node around them. Outlives the ingress.
+struct IngressContext {
+  event::EventLoop& loop;
+  http::ConnectionPool& pool;
+  const WireFormat& wire;
+  const Settings& settings;
+  PeerDirectory& peers;
+  ShardDirectory& shards;
+  WorkerGate& gate;
+  LogWriter& log;
+  Random& random;
+};
+
+class RequestFlow;
+
+class Ingress {
+ public:
+  explicit Ingress(const IngressContext& context);
+  ~Ingress();
+  Ingress(const Ingress&) = delete;
+  Ingress& operator=(const Ingress&) = delete;
+
+  // The configuration in force; nullptr while none is known.
+  void SetConfiguration(std::shared_ptr<const routes::RoutingConfiguration> configuration);
+  void Handle(const http::ExchangePtr& exchange);
+  // The owner of some keys changed: requests that wait for one look again.
+  void OnShardsChanged();
+
+  const IngressCounters& counters() const { return counters_; }
+  size_t under_way() const { return flows_.size(); }
+
+ private:
+  friend class RequestFlow;
+  void Forget(RequestFlow* flow);
+  // Of one service; its floor follows the number of live nodes that share it.
+  routing::RetryBudget& RetryBudgetOf(const std::string& service);
+
+  IngressContext context_;
+  std::shared_ptr<const routes::RoutingConfiguration> configuration_;
+  std::map<std::string, routing::RetryBudget> retry_budgets_;
+  IngressCounters counters_;
+  std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/node_record.cc
@@ -0,0 +1,70 @@
+#include "source/sidecar/node_record.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "runshelf/common/json_reader.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+std::string_view StateName(WorkerState state) {
+  switch (state) {
+    case WorkerState::kReady:
+      return "ready";
+    case WorkerState::kDraining:
+      return "draining";
+    case WorkerState::kAbsent:
+      break;
+  }
+  return "absent";
+}
+
+std::optional<WorkerState> ParseState(const std::string& name) {
+  for (const WorkerState state :
+       {WorkerState::kAbsent, WorkerState::kReady, WorkerState::kDraining}) {
+    if (name == StateName(state)) return state;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string NodeRecord::Serialize() const {
+  return nlohmann::json{{"node", node},
+                        {"incarnation", incarnation},
+                        {"inbound", inbound.ToString()},
+                        {"zone", zone},
+                        {"service", service},
+                        {"worker", worker_id},
+                        {"slots", slots},
+                        {"worker_state", StateName(worker_state)},
+                        {"stopping", stopping}}
+      .dump();
+}
+
+std::optional<NodeRecord> NodeRecord::Parse(const std::string& text) {
+  if (!HasBoundedDepth(text)) return std::nullopt;
+  const auto value = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  JsonReader reader(value);
+  if (!reader.ok()) return std::nullopt;
+  NodeRecord record;
+  std::string inbound;
+  std::string state;
+  reader.Read("node", record.node)
+      .Read("incarnation", record.incarnation)
+      .Read("inbound", inbound)
+      .Read("zone", record.zone)
+      .Read("service", record.service)
+      .Read("worker", record.worker_id)
+      .Read("slots", record.slots)
+      .Read("worker_state", state)
+      .Read("stopping", record.stopping);
+  const auto parsed_state = ParseState(state);
+  if (!reader.ok() || !parsed_state.has_value()) return std::nullopt;
+  if (!event::Endpoint::Parse(inbound, &record.inbound)) return std::nullopt;
+  record.worker_state = *parsed_state;
+  return record;
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/node_record.h
@@ -0,0 +1,40 @@
+// What each node announces of itself and of the worker beside it, in an item under its lease.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "source/event/tcp_stream.h"
+
+namespace runshelf::sidecar {
+
+// Whether the worker beside a node takes new work.
+enum class WorkerState {
+  kAbsent,  // None is known, or it stopped answering.
+  kReady,
+  kDraining,  // Leaving: it finishes what it has.
+};
+
+struct NodeRecord {
+  std::string node;
+  uint64_t incarnation = 0;  // Drawn when the process started.
+  event::Endpoint inbound;   // Takes requests of other nodes.
+  std::string zone;
+  std::string service;  // Of the worker.
+  std::string worker_id;
+  uint32_t slots = 0;
+  WorkerState worker_state = WorkerState::kAbsent;
+  bool stopping = false;  // The node is about to end.
+
+  bool operator==(const NodeRecord&) const = default;
+
+  // The worker takes new requests through this node.
+  bool accepting() const { return worker_state == WorkerState::kReady && !stopping; }
+
+  std::string Serialize() const;
+  // nullopt when `text` is no record.
+  static std::optional<NodeRecord> Parse(const std::string& text);
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/peer_directory.cc
@@ -0,0 +1,163 @@
+#include "source/sidecar/peer_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+// A node without an item is kept while it answers: leases run out when the store is away.
+constexpr Duration kKeptWhileAnswering = std::chrono::seconds(3);
+// Answers younger than this make a node a candidate for passing calls to the store on.
+constexpr Duration kRelayAnswerAge = std::chrono::seconds(10);
+
+routing::LoadBalancerConfig BalancerConfig() {
+  routing::LoadBalancerConfig config;
+  config.report_lifetime = std::chrono::seconds(2);
+  config.default_slots = 16;
+  config.zone_load_factor = 1.3;
+  config.zone_load_margin = 3;
+  config.slow_start.weight_min = 0.4;
+  config.slow_start.ramp = std::chrono::seconds(4);
+  return config;
+}
+
+routing::FailureDetectorConfig DetectorConfig() {
+  routing::FailureDetectorConfig config;
+  config.failures_to_eject = 2;
+  config.ejection_min = std::chrono::milliseconds(400);
+  config.ejection_max = std::chrono::seconds(3);
+  return config;
+}
+
+}  // namespace
+
+PeerDirectory::PeerDirectory(std::string own_node, std::string own_zone)
+    : own_node_(std::move(own_node)),
+      own_zone_(std::move(own_zone)),
+      balancer_(BalancerConfig()),
+      failures_(DetectorConfig()) {}
+
+InstanceId PeerDirectory::InstanceOf(const std::string& node) const {
+  // Load and failures are kept by node: the worker beside it may change.
+  return InstanceId{node, 1};
+}
+
+void PeerDirectory::OnRecord(Instant now, const NodeRecord& record) {
+  removed_.erase(record.node);
+  Peer& peer = peers_[record.node];
+  peer.record = record;
+  peer.listed = true;
+  Rebuild(now);
+}
+
+void PeerDirectory::OnRemoved(Instant now, const std::string& node) {
+  removed_.emplace(node, now);
+  const auto found = peers_.find(node);
+  if (found == peers_.end()) return;
+  found->second.listed = false;
+  found->second.unlisted_since = now;
+  if (found->second.record.stopping) peers_.erase(found);
+  Rebuild(now);
+}
+
+void PeerDirectory::OnAnswer(Instant now, const std::string& node) {
+  failures_.OnReachable(InstanceOf(node));
+  const auto found = peers_.find(node);
+  if (found != peers_.end()) found->second.answered_at = now;
+}
+
+void PeerDirectory::OnFailure(Instant now, const std::string& node) {
+  failures_.OnFailure(now, InstanceOf(node));
+}
+
+void PeerDirectory::OnLoad(Instant now, const std::string& node, const routing::TargetLoad& load) {
+  balancer_.OnLoad(now, InstanceOf(node), load);
+}
+
+void PeerDirectory::OnAttemptStart(const std::string& node) {
+  balancer_.OnAttemptStart(InstanceOf(node));
+}
+
+void PeerDirectory::OnAttemptEnd(const std::string& node) {
+  balancer_.OnAttemptEnd(InstanceOf(node));
+}
+
+void PeerDirectory::Sweep(Instant now) {
+  const size_t before = peers_.size();
+  std::erase_if(peers_, [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return !peer.listed && now - peer.unlisted_since > kKeptWhileAnswering &&
+           now - peer.answered_at > kKeptWhileAnswering;
+  });
+  if (peers_.size() != before) Rebuild(now);
+}
+
+const Peer* PeerDirectory::Find(const std::string& node) const {
+  const auto found = peers_.find(node);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+void PeerDirectory::Rebuild(Instant now) {
+  services_.clear();
+  std::vector<InstanceId> instances;
+  for (const auto& [node, peer] : peers_) {
+    instances.push_back(InstanceOf(node));
+    routing::RouteTarget target;
+    target.instance = InstanceOf(node);
+    target.zone = peer.record.zone;
+    target.forward_address = peer.record.inbound.ToString();
+    target.leaving = !peer.record.accepting();
+    services_[peer.record.service].targets.push_back(std::move(target));
+  }
+  std::sort(instances.begin(), instances.end());
+  balancer_.SetTargets(now, instances);
+  failures_.KeepOnly(instances);
+}
+
+std::optional<std::string> PeerDirectory::Choose(Instant now, const std::string& service,
+                                                 const std::vector<std::string>& excluded,
+                                                 Random& random) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return std::nullopt;
+  const auto& targets = found->second.targets;
+  std::vector<bool> skipped = failures_.Ejected(now, targets);
+  const auto exclude = [&](std::vector<bool>* flags) {
+    for (size_t index = 0; index < targets.size(); ++index) {
+      if (std::find(excluded.begin(), excluded.end(), targets[index].instance.node) !=
+          excluded.end()) {
+        (*flags)[index] = true;
+      }
+    }
+  };
+  exclude(&skipped);
+  auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random);
+  if (!choice.has_value()) {
+    // Better one that failed lately than none.
+    std::vector<bool> only_excluded(targets.size(), false);
+    exclude(&only_excluded);
+    choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random);
+  }
+  if (!choice.has_value()) return std::nullopt;
+  return targets[*choice].instance.node;
+}
+
+std::optional<event::Endpoint> PeerDirectory::ChooseRelay(Instant now, Random& random) const {
+  std::vector<const Peer*> fresh;
+  std::vector<const Peer*> any;
+  for (const auto& [node, peer] : peers_) {
+    if (node == own_node_ || peer.record.stopping) continue;
+    any.push_back(&peer);
+    if (now - peer.answered_at < kRelayAnswerAge) fresh.push_back(&peer);
+  }
+  const auto& candidates = fresh.empty() ? any : fresh;
+  if (candidates.empty()) return std::nullopt;
+  return candidates[random.Below(candidates.size())]->record.inbound;
+}
+
+bool PeerDirectory::Departed(Instant now, const std::string& node, Duration wait) const {
+  const auto removed = removed_.find(node);
+  return removed != removed_.end() && now - removed->second >= wait;
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/peer_protocol.cc
@@ -0,0 +1,139 @@
+#include "source/sidecar/peer_protocol.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::sidecar::peer_protocol {
+namespace {
+
+constexpr std::string_view kRequestId = "Runshelf-Request";
+constexpr std::string_view kService = "Runshelf-Service";
+constexpr std::string_view kWorker = "Runshelf-Worker";
+constexpr std::string_view kCaller = "Runshelf-Caller";
+constexpr std::string_view kClass = "Runshelf-Class";
+constexpr std::string_view kWeight = "Runshelf-Weight";
+constexpr std::string_view kDeadline = "Runshelf-Deadline-Ms";
+constexpr std::string_view kAnswerBy = "Runshelf-Answer-By-Ms";
+constexpr std::string_view kKey = "Runshelf-Key";
+constexpr std::string_view kLoad = "Runshelf-Load";
+constexpr std::string_view kVerdict = "Runshelf-Verdict";
+constexpr std::string_view kReason = "Runshelf-Reason";
+constexpr std::string_view kReachedWorker = "Runshelf-Reached-Worker";
+constexpr std::string_view kRetryAfter = "Runshelf-Retry-After-Ms";
+constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
+constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+
+int64_t ToMilliseconds(Duration duration) {
+  return std::max<int64_t>(0,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::optional<int64_t> ReadNumber(const http::Headers& headers, std::string_view name) {
+  const std::string* value = headers.Find(name);
+  return value == nullptr ? std::nullopt : http::ParseNumber(*value);
+}
+
+std::optional<Duration> ReadMilliseconds(const http::Headers& headers, std::string_view name) {
+  const auto number = ReadNumber(headers, name);
+  if (!number.has_value() || *number > kMaxMilliseconds) return std::nullopt;
+  return std::chrono::milliseconds(*number);
+}
+
+std::string ReadText(const http::Headers& headers, std::string_view name) {
+  const std::string* value = headers.Find(name);
+  return value == nullptr ? std::string() : *value;
+}
+
+std::optional<Verdict> ParseVerdict(std::string_view name) {
+  for (const Verdict verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
+    if (VerdictName(verdict) == name) return verdict;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void RemoveHeaders(http::Headers* headers) {
+  std::erase_if(headers->all(), [](const http::Header& header) {
+    return header.name.size() >= kHeaderPrefix.size() &&
+           http::EqualsIgnoreCase(std::string_view(header.name).substr(0, kHeaderPrefix.size()),
+                                  kHeaderPrefix);
+  });
+}
+
+void AddAttemptHeaders(const AttemptRequest& attempt, Instant now, http::Headers* headers) {
+  headers->Add(kRequestId, attempt.request_id);
+  headers->Add(kService, attempt.service);
+  headers->Add(kWorker, attempt.worker_id);
+  headers->Add(kCaller, attempt.caller_service);
+  headers->Add(kClass, attempt.caller_class);
+  headers->Add(kWeight, std::to_string(attempt.weight));
+  headers->Add(kDeadline, std::to_string(ToMilliseconds(attempt.deadline - now)));
+  headers->Add(kAnswerBy, std::to_string(ToMilliseconds(attempt.answer_by - now)));
+  if (attempt.key.has_value()) headers->Add(kKey, std::to_string(*attempt.key));
+}
+
+std::optional<AttemptRequest> ReadAttempt(http::Request request, Instant now) {
+  const http::Headers& headers = request.head.headers;
+  const auto deadline = ReadMilliseconds(headers, kDeadline);
+  const auto answer_by = ReadMilliseconds(headers, kAnswerBy);
+  const auto weight = ReadNumber(headers, kWeight);
+  if (!deadline || !answer_by || !weight || *weight > UINT32_MAX || !headers.Has(kService)) {
+    return std::nullopt;
+  }
+  AttemptRequest attempt;
+  attempt.request_id = ReadText(headers, kRequestId);
+  attempt.service = ReadText(headers, kService);
+  attempt.worker_id = ReadText(headers, kWorker);
+  attempt.caller_service = ReadText(headers, kCaller);
+  attempt.caller_class = ReadText(headers, kClass);
+  attempt.weight = static_cast<uint32_t>(*weight);
+  attempt.deadline = now + *deadline;
+  attempt.answer_by = now + *answer_by;
+  if (headers.Has(kKey)) {
+    const auto key = ReadNumber(headers, kKey);
+    if (!key.has_value() || *key > sharding::kMaxShardKey) return std::nullopt;
+    attempt.key = static_cast<sharding::ShardKey>(*key);
+  }
+  RemoveHeaders(&request.head.headers);
+  request.head.headers.RemoveConnectionHeaders();
+  attempt.request = std::make_shared<const http::Request>(std::move(request));
+  return attempt;
+}
+
+void AddLoad(const routing::TargetLoad& load, http::Headers* headers) {
+  headers->Add(kLoad, load.ToString());
+}
+
+std::optional<routing::TargetLoad> ReadLoad(const http::Headers& headers) {
+  const std::string* value = headers.Find(kLoad);
+  return value == nullptr ? std::nullopt : routing::TargetLoad::Parse(*value);
+}
+
+http::Headers FailureHeaders(const AttemptFailure& failure) {
+  http::Headers headers;
+  headers.Add(kVerdict, VerdictName(failure.verdict));
+  headers.Add(kReason, FailureReasonName(failure.reason));
+  if (failure.reached_worker) headers.Add(kReachedWorker, "1");
+  if (failure.retry_after > Duration(0)) {
+    headers.Add(kRetryAfter, std::to_string(ToMilliseconds(failure.retry_after)));
+  }
+  return headers;
+}
+
+std::optional<AttemptFailure> ReadFailure(const http::Headers& headers) {
+  const auto verdict = ParseVerdict(ReadText(headers, kVerdict));
+  if (!verdict.has_value()) return std::nullopt;
+  AttemptFailure failure;
+  failure.verdict = *verdict;
+  failure.reason = ParseFailureReason(ReadText(headers, kReason)).value_or(FailureReason::kBroken);
+  failure.reached_worker = headers.Has(kReachedWorker);
+  failure.retry_after = ReadMilliseconds(headers, kRetryAfter).value_or(Duration(0));
+  return failure;
+}
+
+void MarkStoreCall(http::Headers* headers) { headers->Add(kStoreCall, "1"); }
+
+bool IsStoreCall(const http::Headers& headers) { return headers.Has(kStoreCall); }
+
+}  // namespace runshelf::sidecar::peer_protocol
--- /dev/null
+++ b/source/sidecar/peer_protocol.h
@@ -0,0 +1,38 @@
+// What nodes say to each other over HTTP: forwarded requests, their answers, calls to the store
+// that one passes on for another. Spelled out in docs/PROTOCOLS.md.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "runshelf/routing/target_load.h"
+#include "source/http/message.h"
+#include "source/sidecar/attempt.h"
+
+namespace runshelf::sidecar::peer_protocol {
+
+// All headers of this protocol begin so; clients cannot set them.
+constexpr std::string_view kHeaderPrefix = "Runshelf-";
+
+// Removes the protocol's headers, from what clients send and from answers for them.
+void RemoveHeaders(http::Headers* headers);
+
+// Adds what the receiving node needs to know; the deadlines travel as what is left of them.
+void AddAttemptHeaders(const AttemptRequest& attempt, Instant now, http::Headers* headers);
+
+// Reads and removes those headers; nullopt when one is missing or broken. `request` becomes the
+// request of the attempt.
+std::optional<AttemptRequest> ReadAttempt(http::Request request, Instant now);
+
+// The answer of the worker, or why there is none.
+void AddLoad(const routing::TargetLoad& load, http::Headers* headers);
+std::optional<routing::TargetLoad> ReadLoad(const http::Headers& headers);
+http::Headers FailureHeaders(const AttemptFailure& failure);
+std::optional<AttemptFailure> ReadFailure(const http::Headers& headers);
+
+// A call to the store that the receiving node is to pass on.
+void MarkStoreCall(http::Headers* headers);
+bool IsStoreCall(const http::Headers& headers);
+
+}  // namespace runshelf::sidecar::peer_protocol
--- /dev/null
+++ b/source/sidecar/remote_attempt.cc
@@ -0,0 +1,84 @@
+#include "source/sidecar/remote_attempt.h"
+
+#include <utility>
+
+#include "source/sidecar/peer_protocol.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr Duration kPeerIdleTimeout = std::chrono::seconds(15);
+
+}  // namespace
+
+RemoteAttempt::RemoteAttempt(event::EventLoop& loop, http::ConnectionPool& pool,
+                             PeerDirectory& peers, std::string node, event::Endpoint endpoint,
+                             AttemptRequest request, AttemptObserver* observer)
+    : loop_(loop),
+      pool_(pool),
+      peers_(peers),
+      node_(std::move(node)),
+      endpoint_(std::move(endpoint)),
+      request_(std::move(request)),
+      observer_(observer) {}
+
+RemoteAttempt::~RemoteAttempt() = default;
+
+void RemoteAttempt::Begin() {
+  http::RequestHead head = request_.request->head;
+  peer_protocol::AddAttemptHeaders(request_, loop_.Now(), &head.headers);
+  http::CallOptions options;
+  options.idle_timeout = kPeerIdleTimeout;
+  options.head_request = head.method == "HEAD";
+  call_ =
+      pool_.Send(endpoint_, http::SerializeRequest(head, request_.request->body), options, this);
+}
+
+void RemoteAttempt::Pause() {
+  if (call_ != nullptr) call_->Pause();
+}
+
+void RemoteAttempt::Resume() {
+  if (call_ != nullptr) call_->Resume();
+}
+
+void RemoteAttempt::OnResponseHead(http::ResponseHead&& head) {
+  const Instant now = loop_.Now();
+  peers_.OnAnswer(now, node_);
+  if (const auto load = peer_protocol::ReadLoad(head.headers)) peers_.OnLoad(now, node_, *load);
+  failure_ = peer_protocol::ReadFailure(head.headers);
+  if (failure_.has_value()) return;
+  answering_ = true;
+  peer_protocol::RemoveHeaders(&head.headers);
+  head.headers.RemoveConnectionHeaders();
+  observer_->OnAnswerHead(std::move(head));
+}
+
+void RemoteAttempt::OnResponseBody(std::string_view data) {
+  if (answering_) observer_->OnAnswerBody(data);
+}
+
+void RemoteAttempt::OnResponseComplete() {
+  if (failure_.has_value()) {
+    observer_->OnAttemptFailure(*failure_);
+  } else {
+    observer_->OnAnswerComplete();
+  }
+}
+
+void RemoteAttempt::OnClientFailure(http::ClientFailure failure) {
+  peers_.OnFailure(loop_.Now(), node_);
+  AttemptFailure result;
+  if (failure == http::ClientFailure::kNotSent) {
+    result = {Verdict::kNotRun, FailureReason::kUnreachable, false, Duration(0)};
+  } else if (failure_.has_value()) {
+    result = *failure_;
+  } else {
+    const bool began = failure == http::ClientFailure::kIncomplete;
+    result = {Verdict::kMayHaveRun, began ? FailureReason::kIncomplete : FailureReason::kBroken,
+              true, Duration(0)};
+  }
+  observer_->OnAttemptFailure(result);
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/request_flow.cc
@@ -0,0 +1,377 @@
+#include "source/sidecar/request_flow.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "source/sidecar/peer_protocol.h"
+#include "source/sidecar/remote_attempt.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kInternalError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
+// A request that carries no deadline and whose route has none.
+constexpr Duration kDefaultTargetLatency = std::chrono::milliseconds(500);
+// How often a request that waits for the owner of its key looks again, besides changes of the map.
+constexpr Duration kOwnerPoll = std::chrono::milliseconds(25);
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+// A request goes to at most this many queues before it is refused.
+constexpr uint32_t kMaxQueueRefusals = 2;
+// Weights of the operators' table that routes give by default: priority 0 is served first.
+constexpr uint32_t kTopWeight = 1000;
+constexpr uint32_t kWeightStep = 100;
+
+uint32_t WeightOf(int priority) {
+  const auto steps = static_cast<uint32_t>(std::clamp(priority, 0, 9));
+  return kTopWeight - steps * kWeightStep;
+}
+
+int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route)
+    : ingress_(ingress),
+      context_(ingress->context_),
+      exchange_(std::move(exchange)),
+      route_(route),
+      relay_(exchange_),
+      timer_(context_.loop, [this] { OnTimer(); }),
+      wait_timer_(context_.loop, [this] {
+        waiting_for_owner_ = false;
+        TryNext();
+      }) {}
+
+void RequestFlow::Begin() {
+  const auto self = shared_from_this();
+  ReadRequest();
+  ChooseService();
+  exchange_->set_on_client_gone([this] { OnClientGone(); });
+  timer_.Start(deadline_ - context_.loop.Now());
+  ingress_->RetryBudgetOf(service_).OnFirstAttempt(context_.loop.Now());
+  TryNext();
+}
+
+void RequestFlow::ReadRequest() {
+  const HeaderNames& names = context_.wire.headers();
+  http::Request request = std::move(exchange_->request());
+  peer_protocol::RemoveHeaders(&request.head.headers);
+  request.head.headers.RemoveConnectionHeaders();
+  if (const std::string* id = request.head.headers.Find(names.request_id)) request_id_ = *id;
+  Duration allowed = route_.timeout.value_or(kDefaultTimeout);
+  if (const std::string* text = request.head.headers.Find(names.deadline)) {
+    const auto milliseconds = http::ParseNumber(*text);
+    if (milliseconds.has_value()) {
+      allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
+    }
+  }
+  if (const std::string* text = request.head.headers.Find(names.shard_key)) {
+    const auto key = http::ParseNumber(*text);
+    if (key.has_value() && *key <= sharding::kMaxShardKey) {
+      key_ = static_cast<sharding::ShardKey>(*key);
+    }
+  }
+  const Instant received = exchange_->received();
+  const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
+  deadline_ = received + allowed;
+  answer_by_ = std::min(deadline_, received + target);
+  refuse_by_ = std::min(deadline_, received + target / 4);
+  request_ = std::make_shared<const http::Request>(std::move(request));
+}
+
+// By weight; the choice stays the same for all attempts of the request.
+void RequestFlow::ChooseService() {
+  uint64_t total = 0;
+  for (const auto& part : route_.services) total += part.weight;
+  if (total == 0) {
+    service_ = route_.services.front().service;
+    return;
+  }
+  uint64_t point = context_.random.Below(total);
+  for (const auto& part : route_.services) {
+    if (point < part.weight) {
+      service_ = part.service;
+      return;
+    }
+    point -= part.weight;
+  }
+}
+
+void RequestFlow::TryNext() {
+  if (done_) return;
+  const Instant now = context_.loop.Now();
+  if (now >= deadline_) {
+    OnTimer();
+    return;
+  }
+  const routes::Service* service = ingress_->configuration_ == nullptr
+                                       ? nullptr
+                                       : ingress_->configuration_->FindService(service_);
+  if (service != nullptr && service->sharded && key_.has_value()) {
+    const sharding::Shard* shard = context_.shards.Find(service_, *key_);
+    const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
+    if (peer == nullptr || shard->owner.worker.empty()) {
+      WaitForOwner();
+      return;
+    }
+    StartAttempt(shard->owner.node, shard->owner.worker);
+    return;
+  }
+  const auto node = context_.peers.Choose(now, service_, tried_nodes_, context_.random);
+  if (!node.has_value()) {
+    Refuse(FailureReason::kNoWorker, Duration(0));
+    return;
+  }
+  const Peer* peer = context_.peers.Find(*node);
+  StartAttempt(*node, peer == nullptr ? "" : peer->record.worker_id);
+}
+
+void RequestFlow::StartAttempt(const std::string& node, const std::string& worker_id) {
+  AttemptRequest attempt;
+  attempt.request = request_;
+  attempt.request_id = request_id_;
+  attempt.service = service_;
+  attempt.worker_id = worker_id;
+  attempt.caller_service = context_.settings.worker_service;
+  attempt.caller_class = fmt::format("priority-{}", route_.priority);
+  attempt.weight = WeightOf(route_.priority);
+  attempt.deadline = deadline_;
+  attempt.answer_by = answer_by_;
+  attempt.key = key_;
+  relay_.Reset();
+  retry_worker_failure_ = false;
+  current_node_ = node;
+  context_.peers.OnAttemptStart(node);
+  if (node == context_.settings.node_name) {
+    attempt_ = context_.gate.Submit(attempt, this);
+  } else {
+    const Peer* peer = context_.peers.Find(node);
+    attempt_ = std::make_unique<RemoteAttempt>(context_.loop, context_.pool, context_.peers, node,
+                                               peer->record.inbound, std::move(attempt), this);
+  }
+  relay_.set_attempt(attempt_.get());
+  attempt_->Begin();
+}
+
+void RequestFlow::EndAttempt() {
+  if (current_node_.empty()) return;
+  context_.peers.OnAttemptEnd(current_node_);
+  current_node_.clear();
+  relay_.set_attempt(nullptr);
+  attempt_.reset();
+}
+
+void RequestFlow::OnAnswerHead(http::ResponseHead&& head) {
+  relay_.OnHead(std::move(head));
+  retry_worker_failure_ = WorkerFailureWorthRetry();
+}
+
+// The worker ran the request and failed: another one may do better, when it may run again.
+bool RequestFlow::WorkerFailureWorthRetry() const {
+  return relay_.head().status == kInternalError && routes::IsRepeatable(route_.kind) &&
+         arrivals_ + 1 < route_.max_attempts && context_.loop.Now() < answer_by_;
+}
+
+void RequestFlow::OnAnswerBody(std::string_view data) {
+  if (!retry_worker_failure_) relay_.OnBody(data);
+}
+
+void RequestFlow::OnAnswerComplete() {
+  const auto self = shared_from_this();
+  if (retry_worker_failure_ && TakeRetry()) {
+    ++arrivals_;
+    tried_nodes_.push_back(current_node_);
+    EndAttempt();
+    TryNext();
+    return;
+  }
+  ++ingress_->counters_.served;
+  relay_.OnComplete();
+  Finish();
+}
+
+bool RequestFlow::TakeRetry() {
+  if (!ingress_->RetryBudgetOf(service_).TryRetry(context_.loop.Now())) return false;
+  ++ingress_->counters_.retries;
+  return true;
+}
+
+void RequestFlow::OnAttemptFailure(const AttemptFailure& failure) {
+  const auto self = shared_from_this();
+  const std::string node = current_node_;
+  if (relay_.streaming()) {
+    // What the client has of the answer must not look complete.
+    ++ingress_->counters_.failed;
+    LogOutcome("answer_broken_off", relay_.head().status, FailureReasonName(failure.reason));
+    exchange_->Abort();
+    Finish();
+    return;
+  }
+  EndAttempt();
+  if (failure.reached_worker) ++arrivals_;
+  if (failure.verdict == Verdict::kNotRun) {
+    tried_nodes_.push_back(node);
+    OnNotRun(failure);
+    return;
+  }
+  may_have_run_ = true;
+  if (MayRunAgain(failure)) {
+    tried_nodes_.push_back(node);
+    TryNext();
+    return;
+  }
+  AnswerFailure(failure.reason == FailureReason::kExpired ? kGatewayTimeout : kBadGateway,
+                failure.reason);
+}
+
+bool RequestFlow::MayRunAgain(const AttemptFailure& failure) {
+  if (!routes::IsRepeatable(route_.kind) || failure.reason == FailureReason::kExpired) return false;
+  if (arrivals_ >= route_.max_attempts || context_.loop.Now() >= deadline_) return false;
+  return TakeRetry();
+}
+
+void RequestFlow::OnNotRun(const AttemptFailure& failure) {
+  switch (failure.reason) {
+    case FailureReason::kNotOwner:
+    case FailureReason::kWrongWorker:
+    case FailureReason::kUnreachable:
+    case FailureReason::kNoWorker:
+    case FailureReason::kDraining:
+      if (key_.has_value() && context_.shards.Find(service_, *key_) != nullptr) {
+        WaitForOwner();
+      } else {
+        TryNext();
+      }
+      return;
+    case FailureReason::kFull:
+      if (!key_.has_value() && ++refusals_ < kMaxQueueRefusals) {
+        TryNext();
+      } else {
+        Refuse(failure.reason, failure.retry_after);
+      }
+      return;
+    case FailureReason::kWorkerRefused:
+      if (arrivals_ < route_.max_attempts && TakeRetry()) {
+        TryNext();
+      } else {
+        Refuse(failure.reason, failure.retry_after);
+      }
+      return;
+    case FailureReason::kExpired:
+    case FailureReason::kBroken:
+    case FailureReason::kIncomplete:
+      Refuse(failure.reason, failure.retry_after);
+      return;
+  }
+}
+
+// A key that is changing hands, or whose owner is lost, is tried again shortly.
+void RequestFlow::WaitForOwner() {
+  if (context_.loop.Now() + kOwnerPoll >= refuse_by_) {
+    Refuse(FailureReason::kNotOwner, Duration(0));
+    return;
+  }
+  waiting_for_owner_ = true;
+  wait_timer_.Start(kOwnerPoll);
+}
+
+void RequestFlow::OnShardsChanged() {
+  if (!waiting_for_owner_) return;
+  const auto self = shared_from_this();
+  waiting_for_owner_ = false;
+  wait_timer_.Stop();
+  TryNext();
+}
+
+void RequestFlow::OnTimer() {
+  const auto self = shared_from_this();
+  if (done_) return;
+  if (relay_.streaming()) {
+    LogOutcome("answer_broken_off", relay_.head().status, "expired");
+    ++ingress_->counters_.failed;
+    exchange_->Abort();
+    Finish();
+    return;
+  }
+  if (current_node_.empty() && !may_have_run_) {
+    Refuse(FailureReason::kExpired, Duration(0));
+  } else {
+    AnswerFailure(kGatewayTimeout, FailureReason::kExpired);
+  }
+}
+
+void RequestFlow::OnClientGone() {
+  const auto self = shared_from_this();
+  ++ingress_->counters_.cancelled;
+  Finish();
+}
+
+// Certainly not run, unless an earlier attempt left a doubt.
+void RequestFlow::Refuse(FailureReason reason, Duration retry_after) {
+  if (may_have_run_) {
+    AnswerFailure(kBadGateway, reason);
+    return;
+  }
+  ++ingress_->counters_.refused;
+  Duration advice = retry_after == Duration(0) ? kDefaultRetryAfter : retry_after;
+  advice = std::min(advice, kMaxRetryAfter);
+  // Spread, so that those refused together do not come back together.
+  advice = context_.random.Between(advice, advice + advice / 2 + std::chrono::milliseconds(1));
+  http::Headers headers;
+  headers.Add(context_.wire.headers().retry_after,
+              fmt::format("{:.3f}", std::chrono::duration<double>(advice).count()));
+  LogOutcome("request_refused", kServiceUnavailable, FailureReasonName(reason));
+  exchange_->Respond(kServiceUnavailable, headers, "");
+  Finish();
+}
+
+void RequestFlow::AnswerFailure(int status, FailureReason reason) {
+  ++ingress_->counters_.failed;
+  LogOutcome("request_failed", status, FailureReasonName(reason));
+  exchange_->Respond(status, {}, "");
+  Finish();
+}
+
+void RequestFlow::Finish() {
+  if (done_) return;
+  done_ = true;
+  exchange_->set_on_client_gone(nullptr);
+  timer_.Stop();
+  wait_timer_.Stop();
+  EndAttempt();
+  ingress_->Forget(this);
+}
+
+Duration RequestFlow::Age() const { return context_.loop.Now() - exchange_->received(); }
+
+void RequestFlow::LogOutcome(std::string_view event, int status, std::string_view reason) {
+  const Peer* peer = tried_nodes_.empty() ? nullptr : context_.peers.Find(tried_nodes_.back());
+  context_.log.Write(
+      LogLevel::kInfo, event,
+      {{"request", request_id_},
+       {"route", route_.name},
+       {"service", service_},
+       {"status", status},
+       {"reason", std::string(reason)},
+       {"verdict",
+        std::string(VerdictName(may_have_run_ ? Verdict::kMayHaveRun : Verdict::kNotRun))},
+       {"age_ms", ToMilliseconds(Age())},
+       {"arrivals", arrivals_},
+       {"last_node", tried_nodes_.empty() ? current_node_ : tried_nodes_.back()},
+       {"worker", peer == nullptr ? std::string() : peer->record.worker_id},
+       {"key", key_.has_value() ? std::to_string(*key_) : std::string("none")},
+       {"shards_revision", context_.shards.RevisionOf(service_)},
+       {"configuration",
+        ingress_->configuration_ == nullptr ? 0 : ingress_->configuration_->version()}});
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/request_flow.h
@@ -0,0 +1,74 @@
+// One request of a client, from its arrival to its final answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "source/event/event_loop.h"
+#include "source/sidecar/answer_relay.h"
+#include "source/sidecar/ingress.h"
+
+namespace runshelf::sidecar {
+
+class RequestFlow : public AttemptObserver, public std::enable_shared_from_this<RequestFlow> {
+ public:
+  RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route);
+
+  void Begin();
+  // The owner of some keys changed.
+  void OnShardsChanged();
+  bool waiting_for_owner() const { return waiting_for_owner_; }
+
+  void OnAnswerHead(http::ResponseHead&& head) override;
+  void OnAnswerBody(std::string_view data) override;
+  void OnAnswerComplete() override;
+  void OnAttemptFailure(const AttemptFailure& failure) override;
+
+ private:
+  void ReadRequest();
+  void ChooseService();
+  void TryNext();
+  void StartAttempt(const std::string& node, const std::string& worker_id);
+  void EndAttempt();
+  void WaitForOwner();
+  bool MayRunAgain(const AttemptFailure& failure);
+  bool WorkerFailureWorthRetry() const;
+  bool TakeRetry();
+  void OnNotRun(const AttemptFailure& failure);
+  void OnTimer();
+  void OnClientGone();
+
+  void Refuse(FailureReason reason, Duration retry_after);
+  void AnswerFailure(int status, FailureReason reason);
+  void Finish();
+  void LogOutcome(std::string_view event, int status, std::string_view reason);
+  Duration Age() const;
+
+  Ingress* ingress_;
+  IngressContext& context_;
+  http::ExchangePtr exchange_;
+  routes::Route route_;  // A copy: the configuration may change meanwhile.
+  AnswerRelay relay_;
+  event::Timer timer_;
+  event::Timer wait_timer_;
+  std::shared_ptr<const http::Request> request_;
+  std::string request_id_;
+  std::string service_;
+  std::optional<sharding::ShardKey> key_;
+  Instant deadline_{};
+  Instant answer_by_{};
+  Instant refuse_by_{};  // Waits without being offered to a worker end then.
+  std::vector<std::string> tried_nodes_;
+  std::string current_node_;
+  std::unique_ptr<Attempt> attempt_;
+  uint32_t arrivals_ = 0;  // At workers, as far as is known.
+  uint32_t refusals_ = 0;  // By queues of nodes.
+  bool may_have_run_ = false;
+  bool waiting_for_owner_ = false;
+  bool done_ = false;
+  bool retry_worker_failure_ = false;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/shard_coordinator.cc
@@ -0,0 +1,158 @@
+#include "source/sidecar/shard_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+// Reports older than this are not used.
+constexpr Duration kReportLifetime = std::chrono::seconds(5);
+// Nodes that get the reports: the one that balances, and the one that would follow it.
+constexpr size_t kReportReceivers = 2;
+
+}  // namespace
+
+ShardCoordinator::ShardCoordinator(event::EventLoop& loop, PeerDirectory& peers, ShardStore& shards,
+                                   LogWriter& log, ShardCoordinatorConfig config)
+    : loop_(loop),
+      peers_(peers),
+      shards_(shards),
+      log_(log),
+      config_(std::move(config)),
+      timer_(loop, [this] { Tick(); }),
+      reports_(loop, [this](std::string_view data) { OnReport(data); }) {}
+
+void ShardCoordinator::SetActive(bool active) {
+  if (active == active_) return;
+  active_ = active;
+  if (!active) {
+    timer_.Stop();
+    return;
+  }
+  active_since_ = loop_.Now();
+  if (!bound_ && config_.report_port != 0) {
+    bound_ = reports_.Bind({config_.ip_address, config_.report_port}) == 0;
+  }
+  timer_.Start(config_.tick_interval);
+}
+
+void ShardCoordinator::Tick() {
+  timer_.Start(config_.tick_interval);
+  SendReport();
+  if (shards_.busy()) return;
+  Repair();
+  if (shards_.busy() || loop_.Now() - balanced_at_ < config_.balance_interval) return;
+  balanced_at_ = loop_.Now();
+  Balance();
+}
+
+sharding::PlannerInput ShardCoordinator::MakeInput() const {
+  const Instant now = loop_.Now();
+  sharding::PlannerInput input;
+  for (const auto& [node, peer] : peers_.peers()) {
+    if (peer.record.service != config_.service) continue;
+    sharding::PlannerWorker worker;
+    worker.id = {node, peer.record.worker_id};
+    worker.slots = peer.record.slots;
+    worker.accepting = peer.listed && peer.record.accepting();
+    input.workers.push_back(std::move(worker));
+  }
+  for (const sharding::Shard& shard : shards_.map().shards()) {
+    if (peers_.Departed(now, shard.owner.node, config_.departure_wait)) {
+      input.departed_nodes.insert(shard.owner.node);
+    } else if (peers_.Find(shard.owner.node) == nullptr &&
+               now - active_since_ > config_.settle_time) {
+      // Its item went before this node started to watch.
+      input.departed_nodes.insert(shard.owner.node);
+    }
+  }
+  for (const auto& [node, report] : loads_) {
+    const auto reported = reported_at_.find(node);
+    if (reported != reported_at_.end() && now - reported->second < kReportLifetime) {
+      input.loads[node] = report;
+    }
+  }
+  return input;
+}
+
+size_t ShardCoordinator::Rank() const {
+  size_t rank = 0;
+  for (const auto& [node, peer] : peers_.peers()) {
+    if (node >= config_.node) break;
+    if (peer.record.service == config_.service && peer.listed && peer.record.accepting()) ++rank;
+  }
+  return rank;
+}
+
+void ShardCoordinator::SendReport() {
+  const Instant now = loop_.Now();
+  if (!report_source_ || now - report_sent_at_ < kReportInterval) return;
+  report_sent_at_ = now;
+  sharding::LoadReport report;
+  report.node = config_.node;
+  report.service = config_.service;
+  report_source_(&report);
+  loads_[config_.node] = report;
+  reported_at_[config_.node] = now;
+  if (!bound_) return;
+  const std::string text = report.Serialize();
+  size_t sent = 0;
+  for (const auto& [node, peer] : peers_.peers()) {
+    if (sent >= kReportReceivers) break;
+    if (peer.record.service != config_.service || !peer.record.accepting()) continue;
+    ++sent;
+    if (node == config_.node) continue;
+    reports_.Send({peer.record.inbound.ip, config_.report_port}, text);
+  }
+}
+
+void ShardCoordinator::OnReport(std::string_view data) {
+  sharding::LoadReport report;
+  if (!sharding::LoadReport::Parse(std::string(data), &report)) return;
+  if (report.service != config_.service) return;
+  reported_at_[report.node] = loop_.Now();
+  loads_[report.node] = std::move(report);
+}
+
+void ShardCoordinator::Repair() {
+  const Instant now = loop_.Now();
+  if (shards_.map().empty() && now - active_since_ < config_.settle_time) return;
+  const sharding::Plan plan = PlanRepair(shards_.map(), MakeInput(), config_.planner);
+  if (!plan.changed) {
+    repair_needed_since_ = Instant{};
+    return;
+  }
+  if (repair_needed_since_ == Instant{}) repair_needed_since_ = now;
+  const auto wait = config_.rank_delay * static_cast<int64_t>(Rank());
+  if (now - repair_needed_since_ < wait) return;
+  Commit(plan);
+}
+
+void ShardCoordinator::Balance() {
+  if (Rank() != 0) return;
+  const sharding::Plan plan = PlanBalance(shards_.map(), MakeInput(), config_.planner);
+  if (plan.changed) Commit(plan);
+}
+
+void ShardCoordinator::Commit(const sharding::Plan& plan) {
+  std::vector<std::string> absent;
+  for (const std::string& node : plan.relies_on_absence) {
+    absent.push_back(config_.node_key_prefix + node);
+  }
+  const std::string reason = plan.reason;
+  const store::Revision before = shards_.revision();
+  const size_t count = plan.map.shards().size();
+  shards_.Replace(plan.map, absent, [this, reason, before, count](ShardStore::Outcome outcome) {
+    log_.Write(LogLevel::kInfo, "shard_map_planned",
+               {{"reason", reason},
+                {"committed", outcome == ShardStore::Outcome::kCommitted},
+                {"revision_before", before},
+                {"revision", shards_.revision()},
+                {"shards", count}});
+    if (on_committed_) on_committed_();
+  });
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/shard_coordinator.h
@@ -0,0 +1,83 @@
+// Runs the planner of shard maps on the nodes beside the workers of a sharded service.
+//
+// Any of them may repair the map; the first by name also balances load. Compare-and-swap in the
+// store decides between nodes that plan at the same time.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "source/event/event_loop.h"
+#include "source/event/udp_socket.h"
+#include "source/sharding/key_load.h"
+#include "source/sharding/shard_planner.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/peer_directory.h"
+#include "source/sidecar/shard_store.h"
+
+namespace runshelf::sidecar {
+
+struct ShardCoordinatorConfig {
+  std::string node;
+  std::string service;
+  std::string node_key_prefix;  // Of the items that announce nodes.
+  std::string ip_address;
+  uint16_t report_port = 0;  // The same on all nodes; zero: no reports.
+  // Before the first assignment, so that it covers the workers that start together.
+  Duration settle_time = std::chrono::milliseconds(2500);
+  // How long a node's item must be gone before its shards are taken.
+  Duration departure_wait = std::chrono::milliseconds(300);
+  // Each further node by name waits this much longer before it repairs the map.
+  Duration rank_delay = std::chrono::milliseconds(500);
+  Duration tick_interval = std::chrono::milliseconds(500);
+  Duration balance_interval = std::chrono::seconds(1);
+  sharding::PlannerConfig planner;
+};
+
+class ShardCoordinator {
+ public:
+  ShardCoordinator(event::EventLoop& loop, PeerDirectory& peers, ShardStore& shards, LogWriter& log,
+                   ShardCoordinatorConfig config);
+
+  // Starts or stops planning; `on_committed` is called after the map was changed from here.
+  void SetActive(bool active);
+  void set_on_committed(std::function<void()> callback) { on_committed_ = std::move(callback); }
+  // Fills in what this node measured of its own worker.
+  void set_report_source(std::function<void(sharding::LoadReport*)> source) {
+    report_source_ = std::move(source);
+  }
+
+  sharding::PlannerInput MakeInput() const;
+
+ private:
+  void Tick();
+  void SendReport();
+  void OnReport(std::string_view data);
+  void Repair();
+  void Balance();
+  void Commit(const sharding::Plan& plan);
+  // Place of this node among those of the service that accept work, by name.
+  size_t Rank() const;
+
+  event::EventLoop& loop_;
+  PeerDirectory& peers_;
+  ShardStore& shards_;
+  LogWriter& log_;
+  ShardCoordinatorConfig config_;
+  event::Timer timer_;
+  event::UdpSocket reports_;
+  std::function<void()> on_committed_;
+  std::function<void(sharding::LoadReport*)> report_source_;
+  std::map<std::string, sharding::LoadReport> loads_;
+  std::map<std::string, Instant> reported_at_;
+  Instant active_since_{};
+  Instant repair_needed_since_{};
+  Instant balanced_at_{};
+  Instant report_sent_at_{};
+  bool active_ = false;
+  bool bound_ = false;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/shard_directory.h
@@ -0,0 +1,43 @@
+// The shard maps of all sharded services, for finding the owner of a key.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "source/sharding/shard_map.h"
+#include "source/store/store_operations.h"
+
+namespace runshelf::sidecar {
+
+class ShardDirectory {
+ public:
+  // Takes over the map of a service when it is newer than the one known.
+  void OnItem(const std::string& service, const store::Item& item) {
+    Entry& entry = entries_[service];
+    if (item.revision <= entry.revision) return;
+    auto parsed = sharding::ShardMap::Parse(item.value);
+    if (!parsed.ok()) return;
+    entry.revision = item.revision;
+    entry.map = *std::move(parsed);
+  }
+
+  // The shard of a key; nullptr while the service has no map.
+  const sharding::Shard* Find(const std::string& service, sharding::ShardKey key) const {
+    const auto found = entries_.find(service);
+    return found == entries_.end() ? nullptr : found->second.map.Find(key);
+  }
+
+  store::Revision RevisionOf(const std::string& service) const {
+    const auto found = entries_.find(service);
+    return found == entries_.end() ? 0 : found->second.revision;
+  }
+
+ private:
+  struct Entry {
+    store::Revision revision = 0;
+    sharding::ShardMap map;
+  };
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/shard_holder.cc
@@ -0,0 +1,348 @@
+#include "source/sidecar/shard_holder.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+// A worker's clock may run slow by one part in this many.
+constexpr int kClockRateDivisor = 50;
+// Grants are not worth sending for less.
+constexpr Duration kMinHold = std::chrono::milliseconds(300);
+// Changes of the map that come together are committed together.
+constexpr Duration kCommitDelay = std::chrono::milliseconds(5);
+constexpr Duration kCommitRetry = std::chrono::milliseconds(50);
+
+}  // namespace
+
+ShardHolder::ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
+                         ShardStore& shards, ShardHolderContext& context, LogWriter& log,
+                         ShardHolderConfig config)
+    : loop_(loop),
+      pool_(pool),
+      wire_(wire),
+      shards_(shards),
+      context_(context),
+      log_(log),
+      config_(std::move(config)),
+      started_at_(loop.Now()),
+      timer_(loop, [this] { Tick(); }),
+      commit_timer_(loop, [this] { CommitChanges(); }) {}
+
+ShardHolder::~ShardHolder() = default;
+
+void ShardHolder::SetSharded(bool sharded) {
+  if (sharded == sharded_) return;
+  sharded_ = sharded;
+  if (sharded) {
+    Tick();
+  } else {
+    timer_.Stop();
+  }
+}
+
+void ShardHolder::SetWorker(const std::string& worker_id, bool gone) {
+  if (worker_id == worker_id_) return;
+  if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
+  gone_workers_.erase(worker_id);
+  worker_id_ = worker_id;
+  Reconcile();
+}
+
+void ShardHolder::SetLeaving(bool leaving) {
+  if (leaving == leaving_) return;
+  leaving_ = leaving;
+  Reconcile();
+}
+
+void ShardHolder::OnMapChanged() { Reconcile(); }
+
+void ShardHolder::Tick() {
+  timer_.Start(config_.tick_interval);
+  Reconcile();
+}
+
+void ShardHolder::Reconcile() {
+  if (!sharded_ || reconciling_) return;
+  reconciling_ = true;
+  AdoptShards();
+  RenewGrants();
+  ReleaseMoving();
+  reconciling_ = false;
+  if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(kCommitDelay);
+}
+
+bool ShardHolder::HasChangeToCommit() const {
+  const bool released = std::any_of(holdings_.begin(), holdings_.end(),
+                                    [](const auto& entry) { return entry.second.released; });
+  if (released) return true;
+  const auto& shards = shards_.map().shards();
+  return std::any_of(shards.begin(), shards.end(),
+                     [this](const sharding::Shard& shard) { return OfFormerWorker(shard); });
+}
+
+// The shard belongs to a worker of this machine that certainly holds it no more.
+bool ShardHolder::OfFormerWorker(const sharding::Shard& shard) const {
+  if (shard.owner.node != config_.node || shard.owner.worker.empty()) return false;
+  if (shard.owner.worker == worker_id_) return false;
+  // There is one worker on a machine: another one's presence tells that the former ended.
+  if (!worker_id_.empty() || gone_workers_.contains(shard.owner.worker)) return true;
+  // It fell silent: its grants, those of an earlier life of this process too, must have run out.
+  const Instant now = loop_.Now();
+  const auto found = holdings_.find({shard.first, shard.last, shard.token});
+  const bool grant_out = found != holdings_.end() && now <= found->second.held_until;
+  return !grant_out &&
+         now > started_at_ + config_.hold + config_.hold / kClockRateDivisor + config_.call_timeout;
+}
+
+// Brings the holdings in line with the map: new shards are added, lost ones are forgotten.
+void ShardHolder::AdoptShards() {
+  std::map<HoldingKey, Holding> wanted;
+  for (const sharding::Shard& shard : shards_.map().shards()) {
+    if (shard.owner.node != config_.node || shard.owner.worker.empty()) continue;
+    const HoldingKey key(shard.first, shard.last, shard.token);
+    Holding holding;
+    if (const auto known = holdings_.find(key); known != holdings_.end()) {
+      holding = known->second;
+    } else if (const Holding* parent = FindHolding(shard.first);
+               parent != nullptr && parent->shard.token == shard.token &&
+               parent->shard.last >= shard.last && !parent->releasing) {
+      // The shard was split: its parts are held as the whole was.
+      holding.usable_until = parent->usable_until;
+      holding.held_until = parent->held_until;
+    }
+    if (holding.worker_id != shard.owner.worker) holding.worker_id = shard.owner.worker;
+    holding.shard = shard;
+    wanted[key] = std::move(holding);
+  }
+  holdings_ = std::move(wanted);
+}
+
+bool ShardHolder::MustMove(const sharding::Shard& shard) const {
+  return leaving_ || !shard.move_to_node.empty();
+}
+
+void ShardHolder::RenewGrants() {
+  const Instant now = loop_.Now();
+  if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
+  for (auto& [key, holding] : holdings_) {
+    if (calls_.size() >= config_.calls_at_once) return;
+    if (holding.call != 0 || holding.releasing || holding.worker_id != worker_id_) continue;
+    // A shard that is to move is renewed until its release is sent.
+    if (MustMove(holding.shard)) continue;
+    const bool due =
+        holding.usable_until <= now || now - holding.sent_at >= config_.renewal_interval;
+    if (due) SendGrant(key, &holding);
+  }
+}
+
+void ShardHolder::SendGrant(const HoldingKey& key, Holding* holding) {
+  const Instant now = loop_.Now();
+  const Duration authority = context_.AuthorityUntil() - now;
+  // The worker's clock may run slow, and it counts from the arrival.
+  const Duration hold =
+      std::min(config_.hold, authority - authority / kClockRateDivisor - config_.call_timeout / 4);
+  if (hold < kMinHold) return;
+  KeyGrant grant;
+  grant.first = holding->shard.first;
+  grant.last = holding->shard.last;
+  grant.token = holding->shard.token;
+  grant.hold = hold;
+  grant.handover = holding->shard.handover;
+  holding->sent_at = now;
+  holding->held_until =
+      std::max(holding->held_until, now + hold + hold / kClockRateDivisor + config_.call_timeout);
+  ++grants_sent_;
+  holding->call = StartCall(
+      wire_.EncodeGrant(grant), config_.call_timeout,
+      [this, key, now, hold, call = next_call_](const std::optional<http::Response>& response) {
+        OnGrantAnswer(key, call, now, hold, response);
+      });
+}
+
+void ShardHolder::OnGrantAnswer(const HoldingKey& key, uint64_t call, Instant sent, Duration hold,
+                                const std::optional<http::Response>& response) {
+  const auto found = holdings_.find(key);
+  if (found == holdings_.end() || found->second.call != call) return;
+  Holding& holding = found->second;
+  holding.call = 0;
+  if (response.has_value() && response->status == kOk) {
+    holding.usable_until = std::max(holding.usable_until, sent + hold - hold / kClockRateDivisor);
+  } else if (response.has_value() && response->status == kConflict) {
+    log_.Write(LogLevel::kWarning, "grant_refused",
+               {{"first", holding.shard.first},
+                {"last", holding.shard.last},
+                {"token", holding.shard.token},
+                {"worker", holding.worker_id}});
+    holding.usable_until = Instant{};
+  } else {
+    holding.sent_at = Instant{};  // Again at once: the worker may not have it.
+  }
+  Reconcile();
+}
+
+void ShardHolder::ReleaseMoving() {
+  for (auto& [key, holding] : holdings_) {
+    if (!MustMove(holding.shard) || holding.released || holding.call != 0) continue;
+    if (holding.worker_id != worker_id_) continue;
+    if (calls_.size() >= config_.calls_at_once) return;
+    SendRelease(key, &holding);
+  }
+}
+
+void ShardHolder::SendRelease(const HoldingKey& key, Holding* holding) {
+  holding->releasing = true;
+  holding->usable_until = Instant{};
+  KeyRelease release;
+  release.first = holding->shard.first;
+  release.last = holding->shard.last;
+  release.token = holding->shard.token;
+  holding->call =
+      StartCall(wire_.EncodeRelease(release), config_.release_timeout,
+                [this, key, call = next_call_](const std::optional<http::Response>& response) {
+                  OnReleaseAnswer(key, call, response);
+                });
+}
+
+void ShardHolder::OnReleaseAnswer(const HoldingKey& key, uint64_t call,
+                                  const std::optional<http::Response>& response) {
+  const auto found = holdings_.find(key);
+  if (found == holdings_.end() || found->second.call != call) return;
+  Holding& holding = found->second;
+  holding.call = 0;
+  if (response.has_value() && response->status == kOk) {
+    holding.released = true;
+    const std::string* handover = response->headers.Find(wire_.headers().handover);
+    if (handover != nullptr) holding.handover = *handover;
+  }
+  Reconcile();
+}
+
+void ShardHolder::CommitChanges() {
+  if (!sharded_ || shards_.map().empty()) return;
+  if (shards_.busy()) {
+    commit_timer_.Start(kCommitRetry);
+    return;
+  }
+  sharding::ShardMap changed = shards_.map();
+  const bool reassigned = ReassignToOwnWorker(&changed);
+  const bool handed_over = HandOverReleased(&changed);
+  if (!reassigned && !handed_over) return;
+  shards_.Replace(changed, {}, [this](ShardStore::Outcome outcome) {
+    if (outcome == ShardStore::Outcome::kUnknown) commit_timer_.Start(kCommitRetry);
+    Reconcile();
+  });
+}
+
+// Shards of a former worker of this machine go to the one that is here now, or are given up.
+bool ShardHolder::ReassignToOwnWorker(sharding::ShardMap* map) {
+  bool changed = false;
+  sharding::FencingToken token = 0;
+  for (sharding::Shard& shard : map->shards()) {
+    if (!OfFormerWorker(shard)) continue;
+    if (!changed) token = map->NextToken();
+    changed = true;
+    if (worker_id_.empty() || leaving_) {
+      shard.owner.worker.clear();
+      shard.handover.clear();
+      shard.move_to_node.clear();
+    } else {
+      sharding::ShardMap::Assign(&shard, {config_.node, worker_id_}, token, "");
+    }
+  }
+  if (changed) {
+    log_.Write(LogLevel::kInfo, "shards_reassigned",
+               {{"worker", worker_id_}, {"token", token}, {"leaving", leaving_}});
+  }
+  return changed;
+}
+
+bool ShardHolder::HandOverReleased(sharding::ShardMap* map) {
+  size_t released = 0;
+  for (const auto& [key, holding] : holdings_) released += holding.released ? 1 : 0;
+  if (released == 0) return false;
+  const std::vector<sharding::WorkerId> successors =
+      leaving_ ? context_.ChooseSuccessors(released) : std::vector<sharding::WorkerId>();
+  bool changed = false;
+  sharding::FencingToken token = 0;
+  size_t next = 0;
+  for (sharding::Shard& shard : map->shards()) {
+    const auto found = holdings_.find({shard.first, shard.last, shard.token});
+    if (found == holdings_.end() || !found->second.released) continue;
+    if (shard.owner.node != config_.node) continue;
+    if (!changed) token = map->NextToken();
+    changed = true;
+    sharding::WorkerId successor = context_.WorkerOf(shard.move_to_node);
+    if (successor.worker.empty() && !successors.empty()) {
+      successor = successors[next++ % successors.size()];
+    }
+    if (successor.worker.empty() && !leaving_) {
+      // Nobody takes it: it stays here, under a new token.
+      successor = {config_.node, worker_id_};
+    }
+    const std::string handover = found->second.handover;
+    if (successor.worker.empty()) {
+      shard.owner.worker.clear();
+      shard.handover = handover;
+      shard.move_to_node.clear();
+    } else {
+      sharding::ShardMap::Assign(&shard, successor, token, handover);
+    }
+  }
+  return changed;
+}
+
+bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
+  if (now >= context_.AuthorityUntil()) return false;
+  const Holding* holding = FindHolding(key);
+  return holding != nullptr && !holding->releasing && holding->worker_id == worker_id_ &&
+         now < holding->usable_until;
+}
+
+const ShardHolder::Holding* ShardHolder::FindHolding(sharding::ShardKey key) const {
+  auto after = holdings_.upper_bound({key, UINT32_MAX, UINT64_MAX});
+  if (after == holdings_.begin()) return nullptr;
+  const Holding& holding = std::prev(after)->second;
+  return holding.shard.Contains(key) ? &holding : nullptr;
+}
+
+void ShardHolder::OnKeyRefused(sharding::ShardKey key) {
+  const Holding* found = FindHolding(key);
+  if (found == nullptr || found->releasing) return;
+  // An order that was carried out late has taken the keys away: grant them again.
+  Holding& holding = holdings_[{found->shard.first, found->shard.last, found->shard.token}];
+  holding.usable_until = Instant{};
+  holding.sent_at = Instant{};
+  Reconcile();
+}
+
+bool ShardHolder::HoldsNothing() const {
+  const auto& shards = shards_.map().shards();
+  return std::none_of(shards.begin(), shards.end(), [this](const sharding::Shard& shard) {
+    return shard.owner.node == config_.node && !shard.owner.worker.empty();
+  });
+}
+
+uint64_t ShardHolder::StartCall(const http::Request& request, Duration timeout,
+                                std::function<void(std::optional<http::Response>)> callback) {
+  const uint64_t id = next_call_++;
+  http::RequestHead head = request.head;
+  head.headers.Set("Host", config_.worker.ToString());
+  http::CallOptions options;
+  options.connect_timeout = config_.call_timeout;
+  calls_[id] = std::make_unique<http::SimpleCall>(
+      loop_, pool_, config_.worker, http::SerializeRequest(head, request.body), options, timeout,
+      [this, id, callback = std::move(callback)](std::optional<http::Response> response,
+                                                 http::ClientFailure) {
+        const auto finished = std::move(calls_[id]);
+        calls_.erase(id);
+        callback(std::move(response));
+      });
+  return id;
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/shard_holder.h
@@ -0,0 +1,134 @@
+// Keeps the worker of this machine in possession of the keys that the shard map gives it, and hands
+// them over when the map, a drain or a stop says so.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/sharding/key_load.h"
+#include "source/sharding/shard_map.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/shard_store.h"
+#include "source/sidecar/wire_format.h"
+#include "source/sidecar/worker_gate.h"
+
+namespace runshelf::sidecar {
+
+struct ShardHolderConfig {
+  std::string node;
+  event::Endpoint worker;
+  Duration hold = std::chrono::seconds(3);  // Of one grant; at most what the fleet allows.
+  Duration renewal_interval = std::chrono::seconds(1);
+  Duration call_timeout = std::chrono::milliseconds(400);
+  // A release answers when what runs on the keys has ended.
+  Duration release_timeout = std::chrono::seconds(2);
+  Duration tick_interval = std::chrono::milliseconds(200);
+  size_t calls_at_once = 4;
+};
+
+// What the holder asks of the node around it.
+class ShardHolderContext {
+ public:
+  virtual ~ShardHolderContext() = default;
+  // Until when this node may let its worker hold keys; Instant{} when it may not.
+  virtual Instant AuthorityUntil() const = 0;
+  // Workers that take the shards of this node when it gives all of them up, one for each; empty
+  // when there is none.
+  virtual std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) = 0;
+  // The worker beside `node` that takes keys; its worker is empty when there is none.
+  virtual sharding::WorkerId WorkerOf(const std::string& node) = 0;
+};
+
+class ShardHolder : public KeyAuthority {
+ public:
+  ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
+              ShardStore& shards, ShardHolderContext& context, LogWriter& log,
+              ShardHolderConfig config);
+  ~ShardHolder() override;
+
+  // The service of the worker is divided by key.
+  void SetSharded(bool sharded);
+  // Identity of the worker; empty while none is known. `gone`: the former one is certainly not
+  // running any more.
+  void SetWorker(const std::string& worker_id, bool gone);
+  // All shards are to be handed to others: the worker or this node is leaving.
+  void SetLeaving(bool leaving);
+  // The map in the store may have changed.
+  void OnMapChanged();
+
+  bool Sharded() const override { return sharded_; }
+  bool MaySend(Instant now, sharding::ShardKey key) const override;
+  void OnKeySent(sharding::ShardKey key) override { meter_.OnRequest(key); }
+  void OnKeyRefused(sharding::ShardKey key) override;
+
+  sharding::KeyLoadMeter& meter() { return meter_; }
+  // No shard of the map names this node as its owner.
+  bool HoldsNothing() const;
+  uint64_t grants_sent() const { return grants_sent_; }
+
+ private:
+  // What this process has told the worker about one shard.
+  struct Holding {
+    sharding::Shard shard;
+    std::string worker_id;
+    Instant usable_until{};  // The worker certainly holds the keys until then.
+    Instant held_until{};    // The worker may hold the keys until then.
+    Instant sent_at{};
+    uint64_t call = 0;  // Of the call under way; zero: none.
+    bool releasing = false;
+    bool released = false;
+    std::string handover;  // Of the release.
+  };
+  using HoldingKey = std::tuple<sharding::ShardKey, sharding::ShardKey, sharding::FencingToken>;
+
+  void Tick();
+  void Reconcile();
+  void AdoptShards();
+  void RenewGrants();
+  void SendGrant(const HoldingKey& key, Holding* holding);
+  void OnGrantAnswer(const HoldingKey& key, uint64_t call, Instant sent, Duration hold,
+                     const std::optional<http::Response>& response);
+  void ReleaseMoving();
+  void SendRelease(const HoldingKey& key, Holding* holding);
+  void OnReleaseAnswer(const HoldingKey& key, uint64_t call,
+                       const std::optional<http::Response>& response);
+  void CommitChanges();
+  bool ReassignToOwnWorker(sharding::ShardMap* map);
+  bool HandOverReleased(sharding::ShardMap* map);
+  bool MustMove(const sharding::Shard& shard) const;
+  bool HasChangeToCommit() const;
+  bool OfFormerWorker(const sharding::Shard& shard) const;
+  uint64_t StartCall(const http::Request& request, Duration timeout,
+                     std::function<void(std::optional<http::Response>)> callback);
+  const Holding* FindHolding(sharding::ShardKey key) const;
+
+  event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
+  const WireFormat& wire_;
+  ShardStore& shards_;
+  ShardHolderContext& context_;
+  LogWriter& log_;
+  ShardHolderConfig config_;
+  Instant started_at_;
+  event::Timer timer_;
+  event::Timer commit_timer_;
+  sharding::KeyLoadMeter meter_;
+  std::map<HoldingKey, Holding> holdings_;  // Ascending by key: shards do not overlap.
+  std::map<uint64_t, std::unique_ptr<http::SimpleCall>> calls_;
+  uint64_t next_call_ = 1;
+  uint64_t grants_sent_ = 0;
+  std::string worker_id_;
+  std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
+  bool sharded_ = false;
+  bool leaving_ = false;
+  bool reconciling_ = false;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/sidecar.cc
@@ -0,0 +1,342 @@
+#include "source/sidecar/sidecar.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "source/sidecar/peer_protocol.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+// Keys of the product's own state in the store.
+constexpr std::string_view kStatePrefix = "runshelf/";
+constexpr std::string_view kNodePrefix = "runshelf/nodes/";
+constexpr std::string_view kShardPrefix = "runshelf/shards/";
+constexpr std::string_view kDrainPrefix = "runshelf/drains/";
+constexpr Duration kTickInterval = std::chrono::seconds(1);
+constexpr Duration kLeaseTimeToLive = std::chrono::seconds(8);
+constexpr Duration kGrantHold = std::chrono::seconds(3);
+// After a stop was asked for, clients are still sent here until readiness was missed twice.
+constexpr Duration kStopMinimum = std::chrono::milliseconds(2300);
+// The worker beside a stopping node takes new work this much longer.
+constexpr Duration kStopAnnounceDelay = std::chrono::milliseconds(900);
+// Left of the grace period when a stop no longer waits for what runs.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+// Time without a turn of the loop after which everything known may be old.
+constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
+
+std::string KeyOf(std::string_view prefix, const std::string& name) {
+  return std::string(prefix) + name;
+}
+
+store::StoreClientConfig StoreConfig(const Settings& settings) {
+  store::StoreClientConfig config;
+  config.endpoint = settings.store;
+  return config;
+}
+
+store::LeaseKeeperConfig LeaseConfig(const Settings& settings) {
+  store::LeaseKeeperConfig config;
+  config.time_to_live = std::max(kLeaseTimeToLive, settings.store_min_time_to_live);
+  config.key = KeyOf(kNodePrefix, settings.node_name);
+  return config;
+}
+
+store::PrefixWatcherConfig WatchConfig(std::string prefix) {
+  store::PrefixWatcherConfig config;
+  config.prefix = std::move(prefix);
+  return config;
+}
+
+ShardHolderConfig HolderConfig(const Settings& settings) {
+  ShardHolderConfig config;
+  config.node = settings.node_name;
+  config.worker = settings.worker;
+  config.hold = std::min(kGrantHold, settings.bounds.max_hold);
+  return config;
+}
+
+ShardCoordinatorConfig CoordinatorConfig(const Settings& settings) {
+  ShardCoordinatorConfig config;
+  config.node = settings.node_name;
+  config.service = settings.worker_service;
+  config.node_key_prefix = kNodePrefix;
+  config.ip_address = settings.ip_address;
+  config.report_port = settings.peer_port_first;
+  return config;
+}
+
+// The part of `key` after `prefix`; empty when the key does not begin so.
+std::string NameAfter(const std::string& key, std::string_view prefix) {
+  return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string();
+}
+
+}  // namespace
+
+Sidecar::Sidecar(event::EventLoop& loop, Settings settings, const WireFormat& wire,
+                 store::StoreCodec& codec, Random& random, LogWriter& log)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      wire_(wire),
+      random_(random),
+      log_(log),
+      incarnation_(random.Next() >> 1U),
+      pool_(loop),
+      store_(loop, pool_, codec, StoreConfig(settings_)),
+      peers_(settings_.node_name, settings_.zone),
+      gate_(loop, pool_, wire, settings_.worker),
+      monitor_(loop, pool_, store_, wire, settings_, KeyOf(kDrainPrefix, settings_.node_name), log,
+               {[this](bool former_gone) { OnWorkerChanged(former_gone); }}),
+      shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
+      holder_(loop, pool_, wire, shard_store_, *this, log, HolderConfig(settings_)),
+      coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
+      lease_(loop, store_, LeaseConfig(settings_)),
+      configuration_watcher_(loop, store_, WatchConfig(wire.ConfigurationKey()),
+                             {[this](const store::Item& item) { OnConfigurationItem(item); },
+                              nullptr, nullptr, nullptr}),
+      state_watcher_(loop, store_, WatchConfig(std::string(kStatePrefix)),
+                     {[this](const store::Item& item) { OnStateItem(item); },
+                      [this](const std::string& key) { OnStateRemoved(key); },
+                      [this] { OnStateSynchronized(); }, nullptr}),
+      ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, gate_, log,
+                              random}),
+      inbound_handler_(loop, gate_, store_, log),
+      outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
+      inbound_(loop,
+               [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
+      readiness_(loop, [this](const http::ExchangePtr& exchange) { HandleReadiness(exchange); }),
+      control_plane_(
+          loop, [this](const http::ExchangePtr& exchange) { monitor_.HandleNotice(exchange); }),
+      tick_(loop, [this] { OnTick(); }),
+      stop_timer_(loop, [this] { ContinueStop(); }),
+      end_timer_(loop, [this] { on_stopped_(); }) {
+  gate_.set_key_authority(&holder_);
+  gate_.set_evidence(&monitor_);
+  store_.set_relay(this);
+  store_.set_on_reachable_changed([this](bool reachable) {
+    log_.Write(LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
+               {{"store_calls", store_.calls()}});
+  });
+  lease_.set_on_new_lease([this] {
+    lease_to_confirm_ = lease_.lease();
+    log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
+    state_watcher_.Refresh();
+  });
+  coordinator_.set_on_committed([this] { holder_.OnMapChanged(); });
+  coordinator_.set_report_source([this](sharding::LoadReport* report) {
+    holder_.meter().Fill(report);
+    report->service_seconds = std::chrono::duration<double>(gate_.ServiceTime()).count();
+    report->slots = gate_.load().slots;
+  });
+}
+
+Sidecar::~Sidecar() = default;
+
+absl::Status Sidecar::Listen(http::Server* server, const std::optional<event::Endpoint>& endpoint,
+                             const char* name) {
+  if (!endpoint.has_value()) return absl::OkStatus();
+  const int result = server->Listen(*endpoint);
+  if (result == 0) return absl::OkStatus();
+  return absl::UnavailableError(std::string("cannot listen on ") + name + " " +
+                                endpoint->ToString() + ": " + uv_strerror(result));
+}
+
+absl::Status Sidecar::Start() {
+  for (const absl::Status& status :
+       {Listen(&outbound_, settings_.outbound, "outbound"),
+        Listen(&inbound_, settings_.inbound, "inbound"),
+        Listen(&readiness_, settings_.readiness, "readiness"),
+        Listen(&control_plane_, settings_.control_plane, "control_plane")}) {
+    if (!status.ok()) return status;
+  }
+  // Other nodes keep their connections longer than clients do.
+  inbound_.limits().max_head_bytes = size_t{64} * 1024;
+  inbound_.limits().idle_timeout = std::chrono::minutes(2);
+  log_.Write(LogLevel::kInfo, "started",
+             {{"node", settings_.node_name},
+              {"zone", settings_.zone},
+              {"service", settings_.worker_service},
+              {"incarnation", incarnation_},
+              {"first_start", settings_.first_start}});
+  rolled_at_ = loop_.Now();
+  tick_.Start(kTickInterval);
+  configuration_watcher_.Start();
+  state_watcher_.Start();
+  Announce();
+  lease_.Start();
+  return absl::OkStatus();
+}
+
+bool Sidecar::ready() const {
+  return !stopping_ && configuration_ != nullptr && state_watcher_.synchronized();
+}
+
+void Sidecar::HandleReadiness(const http::ExchangePtr& exchange) {
+  exchange->Respond(
+      wire_.IsReadinessCheck(exchange->request()) && ready() ? kOk : kServiceUnavailable, {}, "");
+}
+
+void Sidecar::OnConfigurationItem(const store::Item& item) {
+  if (item.key != wire_.ConfigurationKey()) return;
+  auto decoded = wire_.DecodeConfiguration(item.value);
+  if (!decoded.ok()) {
+    log_.Write(LogLevel::kError, "configuration_refused",
+               {{"revision", item.revision}, {"reason", std::string(decoded.status().message())}});
+    return;
+  }
+  if (configuration_ != nullptr && decoded->version() <= configuration_->version()) return;
+  configuration_ = std::make_shared<const routes::RoutingConfiguration>(*std::move(decoded));
+  log_.Write(LogLevel::kInfo, "configuration_in_force",
+             {{"version", configuration_->version()},
+              {"revision", item.revision},
+              {"routes", configuration_->routes().size()}});
+  ApplyLimits(configuration_->limits());
+  const routes::Service* service = configuration_->FindService(settings_.worker_service);
+  const bool sharded = service != nullptr && service->sharded;
+  if (service != nullptr) monitor_.SetHealthPath(service->health_check_path);
+  ingress_.SetConfiguration(configuration_);
+  holder_.SetSharded(sharded);
+  coordinator_.SetActive(sharded && !stopping_);
+}
+
+void Sidecar::ApplyLimits(const routes::ClientLimits& limits) {
+  http::ServerLimits& server = outbound_.limits();
+  if (limits.max_header_bytes > 0)
+    server.max_head_bytes = static_cast<size_t>(limits.max_header_bytes);
+  if (limits.max_body_bytes > 0) server.max_body_bytes = static_cast<size_t>(limits.max_body_bytes);
+  if (limits.header_timeout > Duration(0)) server.request_timeout = limits.header_timeout;
+  if (limits.idle_timeout > Duration(0)) server.idle_timeout = limits.idle_timeout;
+}
+
+void Sidecar::OnStateItem(const store::Item& item) {
+  const Instant now = loop_.Now();
+  if (!NameAfter(item.key, kNodePrefix).empty()) {
+    const auto record = NodeRecord::Parse(item.value);
+    if (record.has_value()) peers_.OnRecord(now, *record);
+    ingress_.OnShardsChanged();
+    return;
+  }
+  if (const std::string service = NameAfter(item.key, kShardPrefix); !service.empty()) {
+    shard_directory_.OnItem(service, item);
+    if (shard_store_.OnItem(item)) holder_.OnMapChanged();
+    ingress_.OnShardsChanged();
+    return;
+  }
+  if (item.key == KeyOf(kDrainPrefix, settings_.node_name)) {
+    monitor_.OnDrainRecord(item.value, item.revision);
+  }
+}
+
+void Sidecar::OnStateRemoved(const std::string& key) {
+  const std::string node = NameAfter(key, kNodePrefix);
+  if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
+}
+
+void Sidecar::OnStateSynchronized() {
+  monitor_.OnSynchronized();
+  if (lease_to_confirm_ == 0 || lease_to_confirm_ == confirmed_lease_) return;
+  confirmed_lease_ = lease_to_confirm_;
+  holder_.OnMapChanged();
+}
+
+void Sidecar::OnWorkerChanged(bool former_gone) {
+  const WorkerState state = monitor_.state();
+  const std::string worker = monitor_.worker_id();
+  gate_.SetWorker(worker, settings_.worker_service, monitor_.slots());
+  gate_.SetColdUntil(monitor_.cold_until());
+  gate_.SetDraining(state == WorkerState::kDraining);
+  holder_.SetWorker(worker, former_gone);
+  holder_.SetLeaving(stopping_ || state == WorkerState::kDraining);
+  Announce();
+}
+
+void Sidecar::Announce() {
+  NodeRecord record;
+  record.node = settings_.node_name;
+  record.incarnation = incarnation_;
+  if (settings_.inbound.has_value()) record.inbound = *settings_.inbound;
+  record.zone = settings_.zone;
+  record.service = settings_.worker_service;
+  record.worker_id = monitor_.worker_id();
+  record.slots = monitor_.slots();
+  record.worker_state = monitor_.state();
+  record.stopping = stopping_ && loop_.Now() - stop_started_ >= kStopAnnounceDelay;
+  lease_.SetValue(record.Serialize());
+}
+
+Instant Sidecar::AuthorityUntil() const {
+  if (confirmed_lease_ == 0 || confirmed_lease_ != lease_.lease()) return Instant{};
+  return lease_.ValidUntil();
+}
+
+std::vector<sharding::WorkerId> Sidecar::ChooseSuccessors(size_t shard_count) {
+  return SpreadOver(shard_store_.map(), coordinator_.MakeInput(), settings_.node_name, shard_count);
+}
+
+sharding::WorkerId Sidecar::WorkerOf(const std::string& node) {
+  const Peer* peer = peers_.Find(node);
+  if (peer == nullptr || !peer->record.accepting()) return {};
+  return {node, peer->record.worker_id};
+}
+
+std::optional<event::Endpoint> Sidecar::ChoosePeer() {
+  return peers_.ChooseRelay(loop_.Now(), random_);
+}
+
+void Sidecar::MarkForRelay(http::Request* request) {
+  peer_protocol::MarkStoreCall(&request->head.headers);
+}
+
+void Sidecar::OnTick() {
+  const Instant now = loop_.Now();
+  const Duration elapsed = now - rolled_at_;
+  rolled_at_ = now;
+  tick_.Start(kTickInterval);
+  peers_.Sweep(now);
+  holder_.meter().Roll(elapsed);
+  if (elapsed > kPauseNoticed) {
+    log_.Write(
+        LogLevel::kWarning, "paused",
+        {{"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}});
+    state_watcher_.Refresh();
+    configuration_watcher_.Refresh();
+  }
+}
+
+void Sidecar::Stop(std::function<void()> on_stopped) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_started_ = loop_.Now();
+  on_stopped_ = std::move(on_stopped);
+  log_.Write(LogLevel::kInfo, "stopping", {{"requests", ingress_.under_way()}});
+  outbound_.StartClosing();
+  coordinator_.SetActive(false);
+  holder_.SetLeaving(true);
+  tick_.Stop();
+  ContinueStop();
+}
+
+void Sidecar::ContinueStop() {
+  const Duration elapsed = loop_.Now() - stop_started_;
+  Announce();
+  const bool idle =
+      ingress_.under_way() == 0 && inbound_handler_.under_way() == 0 && holder_.HoldsNothing();
+  const bool out_of_time = elapsed >= settings_.bounds.grace_period - kStopReserve;
+  if ((elapsed < kStopMinimum || !idle) && !out_of_time) {
+    stop_timer_.Start(kStopPoll);
+    return;
+  }
+  lease_.End();
+  log_.Write(
+      LogLevel::kInfo, "stopped",
+      {{"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()},
+       {"requests_cut", ingress_.under_way() + inbound_handler_.under_way()}});
+  // One turn of the loop sends the last call.
+  outbound_.StopListening();
+  end_timer_.Start(kStopPoll);
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/sidecar.h
@@ -0,0 +1,103 @@
+// A sidecar process: the parts of one node, wired together.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "runshelf/common/random.h"
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/http/server.h"
+#include "source/sidecar/inbound_handler.h"
+#include "source/sidecar/ingress.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/peer_directory.h"
+#include "source/sidecar/settings.h"
+#include "source/sidecar/shard_coordinator.h"
+#include "source/sidecar/shard_directory.h"
+#include "source/sidecar/shard_holder.h"
+#include "source/sidecar/shard_store.h"
+#include "source/sidecar/wire_format.h"
+#include "source/sidecar/worker_gate.h"
+#include "source/sidecar/worker_monitor.h"
+#include "source/store/lease_keeper.h"
+#include "source/store/prefix_watcher.h"
+#include "source/store/store_client.h"
+
+namespace runshelf::sidecar {
+
+// Not copyable; belongs to the thread of its loop.
+class Sidecar : private ShardHolderContext, private store::StoreRelay {
+ public:
+  Sidecar(event::EventLoop& loop, Settings settings, const WireFormat& wire,
+          store::StoreCodec& codec, Random& random, LogWriter& log);
+  ~Sidecar() override;
+
+  // Listens on all addresses of the settings; kUnavailable names one that cannot be had.
+  absl::Status Start();
+  // Finishes what runs, hands the worker's keys over, and calls `on_stopped`.
+  void Stop(std::function<void()> on_stopped);
+  bool ready() const;
+  const Ingress& ingress() const { return ingress_; }
+
+ private:
+  // ShardHolderContext
+  Instant AuthorityUntil() const override;
+  std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) override;
+  sharding::WorkerId WorkerOf(const std::string& node) override;
+  // StoreRelay
+  std::optional<event::Endpoint> ChoosePeer() override;
+  void MarkForRelay(http::Request* request) override;
+
+  absl::Status Listen(http::Server* server, const std::optional<event::Endpoint>& endpoint,
+                      const char* name);
+  void HandleReadiness(const http::ExchangePtr& exchange);
+  void OnConfigurationItem(const store::Item& item);
+  void ApplyLimits(const routes::ClientLimits& limits);
+  void OnStateItem(const store::Item& item);
+  void OnStateRemoved(const std::string& key);
+  void OnStateSynchronized();
+  void OnWorkerChanged(bool former_gone);
+  void Announce();
+  void OnTick();
+  void ContinueStop();
+
+  event::EventLoop& loop_;
+  Settings settings_;
+  const WireFormat& wire_;
+  Random& random_;
+  LogWriter& log_;
+  uint64_t incarnation_;
+  http::ConnectionPool pool_;
+  store::StoreClient store_;
+  PeerDirectory peers_;
+  ShardDirectory shard_directory_;
+  WorkerGate gate_;
+  WorkerMonitor monitor_;
+  ShardStore shard_store_;
+  ShardHolder holder_;
+  ShardCoordinator coordinator_;
+  store::LeaseKeeper lease_;
+  store::PrefixWatcher configuration_watcher_;
+  store::PrefixWatcher state_watcher_;
+  Ingress ingress_;
+  InboundHandler inbound_handler_;
+  http::Server outbound_;
+  http::Server inbound_;
+  http::Server readiness_;
+  http::Server control_plane_;
+  event::Timer tick_;
+  event::Timer stop_timer_;
+  event::Timer end_timer_;
+  std::shared_ptr<const routes::RoutingConfiguration> configuration_;
+  // Lease under which the state was read again: only then does the node act on what it owns.
+  store::LeaseId confirmed_lease_ = 0;
+  store::LeaseId lease_to_confirm_ = 0;
+  Instant rolled_at_{};
+  Instant stop_started_{};
+  bool stopping_ = false;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/wire_format.h
@@ -0,0 +1,94 @@
+// How the surroundings of a sidecar speak: names of headers, calls of and to workers, the
+// operators' configuration. One implementation for each kind of surroundings; implementations only
+// translate.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "runshelf/common/clock.h"
+#include "source/http/message.h"
+#include "source/routes/routing_configuration.h"
+#include "source/sharding/shard_map.h"
+
+namespace runshelf::sidecar {
+
+// Names of the headers that requests and answers carry.
+struct HeaderNames {
+  std::string request_id;       // Of one attempt of a client; echoed by workers.
+  std::string deadline;         // Milliseconds that the sender will wait.
+  std::string expected_worker;  // Every other worker refuses the request.
+  std::string caller_service;   // Service of the machine where the request began.
+  std::string shard_key;        // Key of a request to a sharded service.
+  std::string not_executed;     // On an answer: the worker did not run the request.
+  std::string worker_load;      // On an answer: running, waiting and slots, joined by commas.
+  std::string worker_id;        // On an answer to a health check.
+  std::string handover;         // On an answer to a release.
+  std::string retry_after;      // On a refusal: seconds, with a fraction.
+};
+
+// A worker says that it is well, or that it is leaving.
+struct WorkerHeartbeat {
+  std::string worker_id;
+  std::string service;
+  std::string address;
+  std::string zone;
+  uint32_t slots = 0;
+  bool draining = false;
+  Duration cold_remaining{0};  // How much longer it is slow from its start.
+  int64_t sequence = 0;        // Rises with each call of the worker.
+};
+
+// A worker has left or is about to.
+struct WorkerLeave {
+  std::string worker_id;
+};
+
+using WorkerNotice = std::variant<WorkerHeartbeat, WorkerLeave>;
+
+// Gives keys to a worker, or renews what it holds when repeated unchanged.
+struct KeyGrant {
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;  // Inside.
+  sharding::FencingToken token = 0;
+  Duration hold{0};      // Counted by the worker from the arrival.
+  std::string handover;  // Of the last holder; empty when there is none.
+};
+
+// Takes keys back.
+struct KeyRelease {
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;
+  sharding::FencingToken token = 0;
+};
+
+class WireFormat {
+ public:
+  virtual ~WireFormat() = default;
+
+  virtual const HeaderNames& headers() const = 0;
+
+  // True when the request asks whether this node takes new work.
+  virtual bool IsReadinessCheck(const http::Request& request) const = 0;
+
+  // kNotFound: the request is no call of a worker; kInvalidArgument: it is broken, and why.
+  virtual absl::StatusOr<WorkerNotice> DecodeWorkerNotice(const http::Request& request) const = 0;
+  // Body of the answer that acknowledges a notice.
+  virtual std::string EncodeAcknowledgement() const = 0;
+
+  virtual http::Request EncodeGrant(const KeyGrant& grant) const = 0;
+  virtual http::Request EncodeRelease(const KeyRelease& release) const = 0;
+  virtual http::Request EncodeHealthCheck(const std::string& path) const = 0;
+
+  // Where the operators' configuration lies in the store, and what it says.
+  virtual std::string ConfigurationKey() const = 0;
+  virtual absl::StatusOr<routes::RoutingConfiguration> DecodeConfiguration(
+      const std::string& value) const = 0;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/worker_gate.cc
@@ -0,0 +1,328 @@
+#include "source/sidecar/worker_gate.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+// How long after the deadline a request that nobody cancelled is given up.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(100);
+
+admission::AdmissionConfig QueueConfig() {
+  admission::AdmissionConfig config;
+  // Order by weight protects callers enough; a reserve would leave slots empty.
+  config.share_below_higher_weight = 1.0;
+  config.share_of_highest_weight = 1.0;
+  config.queue_max = 400;
+  return config;
+}
+
+int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+// A request that waits for a slot or is at the worker.
+class WorkerGate::GateAttempt : public Attempt, public http::ResponseObserver {
+ public:
+  GateAttempt(WorkerGate* gate, AttemptRequest request, AttemptObserver* observer)
+      : gate_(gate),
+        id_(gate->next_id_++),
+        request_(std::move(request)),
+        observer_(observer),
+        timer_(gate->loop_, [this] { OnDeadline(); }) {}
+
+  ~GateAttempt() override {
+    call_.reset();
+    if (registered_) {
+      registered_ = false;
+      gate_->attempts_.erase(id_);
+      gate_->Withdraw(id_, sent_, Elapsed());
+    }
+  }
+
+  uint64_t id() const { return id_; }
+  const AttemptRequest& request() const { return request_; }
+  bool sent() const { return sent_; }
+
+  void Begin() override {
+    if (const auto objection = gate_->Objection(request_)) {
+      Fail({Verdict::kNotRun, *objection, false, Duration(0)});
+      return;
+    }
+    registered_ = true;
+    gate_->attempts_[id_] = this;
+    timer_.Start(request_.deadline - gate_->loop_.Now() + kDeadlineSlack);
+    gate_->Offer(this);
+  }
+
+  void Pause() override {
+    if (call_ != nullptr) call_->Pause();
+  }
+
+  void Resume() override {
+    if (call_ != nullptr) call_->Resume();
+  }
+
+  // A slot is free.
+  void Send() {
+    const Instant now = gate_->loop_.Now();
+    if (const auto objection = gate_->Objection(request_)) {
+      GiveBackSlot(admission::Completion::kFailed);
+      Fail({Verdict::kNotRun, *objection, false, Duration(0)});
+      return;
+    }
+    sent_ = true;
+    sent_at_ = now;
+    if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
+      gate_->key_authority_->OnKeySent(*request_.key);
+    }
+    const HeaderNames& names = gate_->wire_.headers();
+    http::RequestHead head = request_.request->head;
+    head.headers.Set(names.deadline, std::to_string(ToMilliseconds(request_.deadline - now)));
+    head.headers.Set(names.expected_worker, gate_->worker_id_);
+    head.headers.Set(names.caller_service, request_.caller_service);
+    http::CallOptions options;
+    options.head_request = head.method == "HEAD";
+    options.id_header = names.request_id;
+    options.expected_id = request_.request_id;
+    call_ = gate_->pool_.Send(gate_->worker_, http::SerializeRequest(head, request_.request->body),
+                              options, this);
+  }
+
+  void Refuse(FailureReason reason, Duration retry_after) {
+    Unregister();
+    Fail({Verdict::kNotRun, reason, false, retry_after});
+  }
+
+  void OnResponseHead(http::ResponseHead&& head) override {
+    const HeaderNames& names = gate_->wire_.headers();
+    if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerAnswered();
+    if (head.status == kMisdirected) {
+      NoteMisdirected(head);
+      return;
+    }
+    if (head.headers.Has(names.not_executed)) {
+      refusal_ = FailureReason::kWorkerRefused;
+      overloaded_ = head.status == kServiceUnavailable;
+      return;
+    }
+    answering_ = true;
+    head.headers.RemoveConnectionHeaders();
+    observer_->OnAnswerHead(std::move(head));
+  }
+
+  void OnResponseBody(std::string_view data) override {
+    if (answering_) observer_->OnAnswerBody(data);
+  }
+
+  void OnResponseComplete() override {
+    if (refusal_.has_value()) {
+      GiveBackSlot(overloaded_ ? admission::Completion::kShed : admission::Completion::kFailed);
+      Fail({Verdict::kNotRun, *refusal_, true, Duration(0)});
+      return;
+    }
+    GiveBackSlot(admission::Completion::kServed);
+    observer_->OnAnswerComplete();
+  }
+
+  void OnClientFailure(http::ClientFailure failure) override {
+    if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerUnreachable();
+    GiveBackSlot(admission::Completion::kFailed);
+    if (failure == http::ClientFailure::kNotSent) {
+      Fail({Verdict::kNotRun, FailureReason::kUnreachable, false, Duration(0)});
+    } else if (refusal_.has_value()) {
+      Fail({Verdict::kNotRun, *refusal_, true, Duration(0)});
+    } else {
+      const bool began = failure == http::ClientFailure::kIncomplete;
+      Fail({Verdict::kMayHaveRun, began ? FailureReason::kIncomplete : FailureReason::kBroken, true,
+            Duration(0)});
+    }
+  }
+
+ private:
+  void NoteMisdirected(const http::ResponseHead& head) {
+    const std::string* other = head.headers.Find(gate_->wire_.headers().worker_id);
+    if (other != nullptr && *other != gate_->worker_id_) {
+      refusal_ = FailureReason::kWrongWorker;
+      if (gate_->evidence_ != nullptr) gate_->evidence_->OnOtherWorker(*other);
+    } else if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
+      refusal_ = FailureReason::kNotOwner;
+      gate_->key_authority_->OnKeyRefused(*request_.key);
+    } else {
+      refusal_ = FailureReason::kWorkerRefused;
+    }
+  }
+
+  Duration Elapsed() const { return sent_ ? gate_->loop_.Now() - sent_at_ : Duration(0); }
+
+  void Unregister() {
+    registered_ = false;
+    gate_->attempts_.erase(id_);
+    timer_.Stop();
+  }
+
+  void GiveBackSlot(admission::Completion completion) {
+    if (!registered_) return;
+    Unregister();
+    gate_->OnSlotFree(id_, completion, Elapsed());
+  }
+
+  void Fail(const AttemptFailure& failure) { observer_->OnAttemptFailure(failure); }
+
+  void OnDeadline() {
+    call_.reset();
+    const bool sent = sent_;
+    if (registered_) {
+      Unregister();
+      gate_->Withdraw(id_, sent, Elapsed());
+    }
+    Fail({sent ? Verdict::kMayHaveRun : Verdict::kNotRun, FailureReason::kExpired, sent,
+          Duration(0)});
+  }
+
+  WorkerGate* gate_;
+  uint64_t id_;
+  AttemptRequest request_;
+  AttemptObserver* observer_;
+  event::Timer timer_;
+  std::unique_ptr<http::ClientCall> call_;
+  std::optional<FailureReason> refusal_;
+  bool overloaded_ = false;
+  bool answering_ = false;
+  bool registered_ = false;
+  bool sent_ = false;
+  Instant sent_at_{};
+};
+
+WorkerGate::WorkerGate(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
+                       event::Endpoint worker)
+    : loop_(loop),
+      pool_(pool),
+      wire_(wire),
+      worker_(std::move(worker)),
+      queue_(QueueConfig()),
+      tick_(loop, [this] {
+        Apply(queue_.Tick(loop_.Now()));
+        ScheduleTick();
+      }) {}
+
+WorkerGate::~WorkerGate() = default;
+
+std::unique_ptr<Attempt> WorkerGate::Submit(const AttemptRequest& request,
+                                            AttemptObserver* observer) {
+  return std::make_unique<GateAttempt>(this, request, observer);
+}
+
+std::optional<FailureReason> WorkerGate::Objection(const AttemptRequest& request) const {
+  if (worker_id_.empty()) return FailureReason::kNoWorker;
+  if (request.service != service_) return FailureReason::kWrongWorker;
+  if (!request.worker_id.empty() && request.worker_id != worker_id_) {
+    return FailureReason::kWrongWorker;
+  }
+  if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
+  const bool sharded = key_authority_ != nullptr && key_authority_->Sharded();
+  if (sharded && request.key.has_value()) {
+    // A draining worker serves its keys until they have been handed over.
+    if (!key_authority_->MaySend(loop_.Now(), *request.key)) return FailureReason::kNotOwner;
+    return std::nullopt;
+  }
+  if (draining_) return FailureReason::kDraining;
+  return std::nullopt;
+}
+
+void WorkerGate::Offer(GateAttempt* attempt) {
+  const AttemptRequest& request = attempt->request();
+  admission::AdmissionRequest offer;
+  offer.id = attempt->id();
+  offer.caller_class = request.caller_class;
+  offer.weight = request.weight;
+  offer.deadline = std::min(request.answer_by, request.deadline);
+  Apply(queue_.Offer(loop_.Now(), offer));
+  ScheduleTick();
+}
+
+void WorkerGate::Apply(const admission::AdmissionChanges& changes) {
+  // Each step may destroy attempts, so every one is looked up again.
+  for (const uint64_t id : changes.started) {
+    const auto found = attempts_.find(id);
+    if (found != attempts_.end()) {
+      found->second->Send();
+    } else {
+      Apply(queue_.OnCompleted(loop_.Now(), id, admission::Completion::kFailed, Duration(0)));
+    }
+  }
+  for (const admission::Refusal& refusal : changes.refused) {
+    const auto found = attempts_.find(refusal.id);
+    if (found == attempts_.end()) continue;
+    found->second->Refuse(FailureReason::kFull, refusal.retry_after);
+  }
+}
+
+void WorkerGate::OnSlotFree(uint64_t id, admission::Completion completion, Duration service_time) {
+  Apply(queue_.OnCompleted(loop_.Now(), id, completion, service_time));
+}
+
+void WorkerGate::Withdraw(uint64_t id, bool sent, Duration service_time) {
+  if (sent) {
+    OnSlotFree(id, admission::Completion::kFailed, service_time);
+  } else {
+    queue_.Cancel(id);
+  }
+}
+
+void WorkerGate::ScheduleTick() {
+  if (queue_.queued() > 0 && !tick_.active()) tick_.Start(kTickInterval);
+}
+
+void WorkerGate::SetWorker(const std::string& worker_id, const std::string& service,
+                           uint32_t slots) {
+  const bool changed = worker_id != worker_id_;
+  worker_id_ = worker_id;
+  service_ = service;
+  if (slots != slots_ && slots > 0) {
+    slots_ = slots;
+    Apply(queue_.SetCapacity(loop_.Now(), slots));
+  }
+  if (changed) {
+    pool_.CloseIdle(worker_);
+    RefuseWaiting();
+  }
+}
+
+void WorkerGate::SetDraining(bool draining) {
+  draining_ = draining;
+  if (draining) RefuseWaiting();
+}
+
+void WorkerGate::RefuseWaiting() {
+  std::vector<uint64_t> waiting;
+  for (const auto& [id, attempt] : attempts_) {
+    if (!attempt->sent()) waiting.push_back(id);
+  }
+  for (const uint64_t id : waiting) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    const auto objection = Objection(found->second->request());
+    if (!objection.has_value()) continue;
+    queue_.Cancel(id);
+    found->second->Refuse(*objection, Duration(0));
+  }
+}
+
+routing::TargetLoad WorkerGate::load() const {
+  routing::TargetLoad load;
+  load.running = static_cast<uint32_t>(queue_.running());
+  load.queued = static_cast<uint32_t>(queue_.queued());
+  load.slots = slots_;
+  load.cold = loop_.Now() < cold_until_;
+  return load;
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/worker_gate.h
@@ -0,0 +1,96 @@
+// The only way to the worker of this machine: queue, checks and the connections to it.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "runshelf/admission/admission_queue.h"
+#include "runshelf/routing/target_load.h"
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/sidecar/attempt.h"
+#include "source/sidecar/wire_format.h"
+
+namespace runshelf::sidecar {
+
+// Tells whether the worker may be sent requests for a key now.
+class KeyAuthority {
+ public:
+  virtual ~KeyAuthority() = default;
+  // The service of the worker is divided by key.
+  virtual bool Sharded() const = 0;
+  virtual bool MaySend(Instant now, sharding::ShardKey key) const = 0;
+  // A request for the key is being sent; for measuring load.
+  virtual void OnKeySent(sharding::ShardKey key) = 0;
+  // The worker said that it does not hold the key.
+  virtual void OnKeyRefused(sharding::ShardKey key) = 0;
+};
+
+// What the gate learns about the worker, from its answers.
+class WorkerEvidence {
+ public:
+  virtual ~WorkerEvidence() = default;
+  virtual void OnWorkerAnswered() = 0;
+  // No connection could be made, or one was lost.
+  virtual void OnWorkerUnreachable() = 0;
+  // A worker with another identity is at the address.
+  virtual void OnOtherWorker(const std::string& worker_id) = 0;
+};
+
+class WorkerGate {
+ public:
+  WorkerGate(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
+             event::Endpoint worker);
+  ~WorkerGate();
+  WorkerGate(const WorkerGate&) = delete;
+  WorkerGate& operator=(const WorkerGate&) = delete;
+
+  void set_key_authority(KeyAuthority* authority) { key_authority_ = authority; }
+  void set_evidence(WorkerEvidence* evidence) { evidence_ = evidence; }
+
+  // Another worker, or none (an empty identity), is beside this node.
+  void SetWorker(const std::string& worker_id, const std::string& service, uint32_t slots);
+  // A draining worker gets nothing new: what waits is refused.
+  void SetDraining(bool draining);
+  void SetColdUntil(Instant cold_until) { cold_until_ = cold_until; }
+
+  std::unique_ptr<Attempt> Submit(const AttemptRequest& request, AttemptObserver* observer);
+
+  routing::TargetLoad load() const;
+  // Smoothed time that a request holds a slot; zero until one was measured.
+  Duration ServiceTime() const { return queue_.ServiceTime(); }
+  const std::string& worker_id() const { return worker_id_; }
+  size_t running() const { return queue_.running(); }
+
+ private:
+  class GateAttempt;
+
+  void Offer(GateAttempt* attempt);
+  void Apply(const admission::AdmissionChanges& changes);
+  void OnSlotFree(uint64_t id, admission::Completion completion, Duration service_time);
+  void Withdraw(uint64_t id, bool sent, Duration service_time);
+  // Why a request may not be sent to the worker now; nullopt: it may.
+  std::optional<FailureReason> Objection(const AttemptRequest& request) const;
+  void RefuseWaiting();
+  void ScheduleTick();
+
+  event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
+  const WireFormat& wire_;
+  event::Endpoint worker_;
+  KeyAuthority* key_authority_ = nullptr;
+  WorkerEvidence* evidence_ = nullptr;
+  std::string worker_id_;
+  std::string service_;
+  uint32_t slots_ = 0;
+  bool draining_ = false;
+  Instant cold_until_{};
+  admission::AdmissionQueue queue_;
+  event::Timer tick_;
+  std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Waiting or sent.
+  uint64_t next_id_ = 1;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/worker_monitor.cc
@@ -0,0 +1,259 @@
+#include "source/sidecar/worker_monitor.h"
+
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(700);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(500);
+// Heartbeats that may be missed before a worker that does not answer counts as silent.
+constexpr double kSilentIntervals = 2.5;
+// Probes in a row that must fail: at once when nothing listens at the address, else for silence.
+constexpr uint32_t kRefusedProbes = 3;
+constexpr uint32_t kSilentProbes = 2;
+
+}  // namespace
+
+WorkerMonitor::WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool,
+                             store::StoreClient& store, const WireFormat& wire,
+                             const Settings& settings, std::string drain_key, LogWriter& log,
+                             Observer observer)
+    : loop_(loop),
+      pool_(pool),
+      store_(store),
+      wire_(wire),
+      settings_(settings),
+      drain_key_(std::move(drain_key)),
+      log_(log),
+      observer_(std::move(observer)),
+      probe_timer_(loop, [this] { Probe(); }),
+      silence_timer_(loop, [this] { CheckSilence(); }) {}
+
+WorkerMonitor::~WorkerMonitor() = default;
+
+WorkerState WorkerMonitor::state() const {
+  if (worker_id_.empty()) return WorkerState::kAbsent;
+  return draining_ ? WorkerState::kDraining : WorkerState::kReady;
+}
+
+void WorkerMonitor::OnDrainRecord(const std::string& worker_id, store::Revision revision) {
+  if (revision < drain_revision_) return;
+  recorded_drain_ = worker_id;
+  drain_revision_ = revision;
+  if (worker_id == worker_id_ && !worker_id.empty()) MarkDraining();
+}
+
+void WorkerMonitor::OnSynchronized() {
+  if (synchronized_) return;
+  synchronized_ = true;
+  if (!health_path_.empty() && worker_id_.empty()) Probe();
+}
+
+void WorkerMonitor::SetHealthPath(const std::string& path) {
+  const bool first = health_path_.empty();
+  health_path_ = path;
+  if (first && synchronized_ && worker_id_.empty()) Probe();
+}
+
+void WorkerMonitor::HandleNotice(const http::ExchangePtr& exchange) {
+  const auto notice = wire_.DecodeWorkerNotice(exchange->request());
+  if (!notice.ok()) {
+    const bool unknown = absl::IsNotFound(notice.status());
+    exchange->Respond(unknown ? kNotFound : kBadRequest, {}, "");
+    log_.Write(LogLevel::kWarning, "worker_notice_refused",
+               {{"reason", std::string(notice.status().message())}});
+    return;
+  }
+  if (const auto* heartbeat = std::get_if<WorkerHeartbeat>(&*notice)) {
+    OnHeartbeat(exchange, *heartbeat);
+  } else {
+    OnLeave(exchange, std::get<WorkerLeave>(*notice));
+  }
+}
+
+void WorkerMonitor::Acknowledge(const http::ExchangePtr& exchange) {
+  http::Headers headers;
+  headers.Add("Content-Type", "application/json");
+  exchange->Respond(kOk, headers, wire_.EncodeAcknowledgement());
+}
+
+void WorkerMonitor::OnHeartbeat(const http::ExchangePtr& exchange,
+                                const WorkerHeartbeat& heartbeat) {
+  if (!synchronized_) {
+    // Whether this worker is leaving is not known yet.
+    exchange->Respond(kServiceUnavailable, {}, "");
+    return;
+  }
+  const bool former = former_workers_.contains(heartbeat.worker_id);
+  if (former || heartbeat.service != settings_.worker_service) {
+    Acknowledge(exchange);
+    return;
+  }
+  if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id);
+  heard_at_ = loop_.Now();
+  if (heartbeat.sequence > sequence_) {
+    sequence_ = heartbeat.sequence;
+    cold_until_ = loop_.Now() + heartbeat.cold_remaining;
+    if (heartbeat.slots != slots_) {
+      slots_ = heartbeat.slots;
+      observer_.on_changed(false);
+    }
+  }
+  if (heartbeat.draining) {
+    RecordDrain(exchange, heartbeat.worker_id);
+  } else {
+    Acknowledge(exchange);
+  }
+}
+
+void WorkerMonitor::OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave) {
+  if (!synchronized_) {
+    exchange->Respond(kServiceUnavailable, {}, "");
+  } else if (former_workers_.contains(leave.worker_id)) {
+    Acknowledge(exchange);
+  } else {
+    if (leave.worker_id != worker_id_) AdoptWorker(leave.worker_id);
+    RecordDrain(exchange, leave.worker_id);
+  }
+}
+
+void WorkerMonitor::AdoptWorker(const std::string& worker_id) {
+  const bool replaced = !worker_id_.empty();
+  if (replaced) former_workers_.insert(worker_id_);
+  log_.Write(LogLevel::kInfo, "worker_found",
+             {{"worker", worker_id},
+              {"former", worker_id_},
+              {"recorded_draining", worker_id == recorded_drain_}});
+  worker_id_ = worker_id;
+  sequence_ = -1;
+  draining_ = worker_id == recorded_drain_;
+  heard_at_ = loop_.Now();
+  failed_probes_ = 0;
+  probe_timer_.Stop();
+  if (slots_ == 0) slots_ = 1;
+  if (!silence_timer_.active()) silence_timer_.Start(kSilenceCheckInterval, /*repeating=*/true);
+  observer_.on_changed(replaced);
+}
+
+void WorkerMonitor::MarkDraining() {
+  if (draining_) return;
+  draining_ = true;
+  log_.Write(LogLevel::kInfo, "worker_draining", {{"worker", worker_id_}});
+  observer_.on_changed(false);
+}
+
+void WorkerMonitor::RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id) {
+  MarkDraining();
+  if (recorded_drain_ == worker_id) {
+    Acknowledge(exchange);
+    return;
+  }
+  store::Transaction transaction;
+  transaction.conditions.push_back({drain_key_, drain_revision_});
+  transaction.puts.push_back({drain_key_, worker_id, 0});
+  store_.Commit(transaction,
+                [this, exchange, worker_id](absl::StatusOr<store::CommitResult> result) {
+                  if (!result.ok()) {
+                    exchange->Respond(kServiceUnavailable, {}, "");
+                    return;
+                  }
+                  if (result->outcome == store::CommitOutcome::kCommitted) {
+                    OnDrainRecord(worker_id, result->revision);
+                    Acknowledge(exchange);
+                    return;
+                  }
+                  // Another write came first, perhaps this one's lost twin.
+                  drain_revision_ = 0;
+                  recorded_drain_.clear();
+                  for (const store::Item& item : result->found)
+                    OnDrainRecord(item.value, item.revision);
+                  if (recorded_drain_ == worker_id) {
+                    Acknowledge(exchange);
+                  } else {
+                    RecordDrain(exchange, worker_id);
+                  }
+                });
+}
+
+void WorkerMonitor::OnWorkerAnswered() {
+  heard_at_ = loop_.Now();
+  failed_probes_ = 0;
+}
+
+void WorkerMonitor::OnWorkerUnreachable() {
+  if (!probe_timer_.active() && probe_ == nullptr) probe_timer_.Start(Duration(0));
+}
+
+void WorkerMonitor::OnOtherWorker(const std::string& worker_id) {
+  if (worker_id == worker_id_) return;
+  former_workers_.erase(worker_id);
+  AdoptWorker(worker_id);
+}
+
+void WorkerMonitor::Probe() {
+  if (probe_ != nullptr || health_path_.empty()) return;
+  http::Request request = wire_.EncodeHealthCheck(health_path_);
+  request.head.headers.Set("Host", settings_.worker.ToString());
+  http::CallOptions options;
+  // Longer than the whole probe: only a refused connection counts as "not sent".
+  options.connect_timeout = 2 * kProbeTimeout;
+  probe_ = std::make_unique<http::SimpleCall>(
+      loop_, pool_, settings_.worker, http::SerializeRequest(request.head, ""), options,
+      kProbeTimeout, [this](std::optional<http::Response> response, http::ClientFailure failure) {
+        const auto finished = std::move(probe_);
+        OnProbe(response, failure);
+      });
+}
+
+void WorkerMonitor::OnProbe(const std::optional<http::Response>& response,
+                            http::ClientFailure failure) {
+  if (response.has_value()) {
+    OnWorkerAnswered();
+    const std::string* id = response->headers.Find(wire_.headers().worker_id);
+    if (id != nullptr && !id->empty() && *id != worker_id_) OnOtherWorker(*id);
+    return;
+  }
+  const bool refused = failure == http::ClientFailure::kNotSent;
+  refused_probes_ = refused && (failed_probes_ == 0 || refused_probes_);
+  ++failed_probes_;
+  if (worker_id_.empty()) return;
+  const Duration silence = loop_.Now() - heard_at_;
+  const bool silent = silence > std::chrono::duration_cast<Duration>(settings_.heartbeat_interval *
+                                                                     kSilentIntervals);
+  if (refused_probes_ && failed_probes_ >= kRefusedProbes) {
+    MarkDead("nothing listens");
+  } else if (silent && failed_probes_ >= kSilentProbes) {
+    MarkDead("silent");
+  } else {
+    probe_timer_.Start(kProbeInterval);
+  }
+}
+
+void WorkerMonitor::CheckSilence() {
+  if (worker_id_.empty()) return;
+  const Duration limit =
+      std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
+  if (loop_.Now() - heard_at_ > limit) OnWorkerUnreachable();
+}
+
+void WorkerMonitor::MarkDead(const char* reason) {
+  log_.Write(
+      LogLevel::kWarning, "worker_lost",
+      {{"worker", worker_id_},
+       {"reason", std::string(reason)},
+       {"failed_probes", failed_probes_},
+       {"silence_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop_.Now() - heard_at_).count()}});
+  // It may come back under the same identity when it was merely silent.
+  worker_id_.clear();
+  draining_ = false;
+  observer_.on_changed(refused_probes_);
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/worker_monitor.h
@@ -0,0 +1,92 @@
+// What this node believes of the worker beside it: identity, state, and whether it is alive.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/http/server.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/node_record.h"
+#include "source/sidecar/settings.h"
+#include "source/sidecar/wire_format.h"
+#include "source/sidecar/worker_gate.h"
+#include "source/store/store_client.h"
+
+namespace runshelf::sidecar {
+
+// A worker's notice that it leaves binds every later life of this node, so it is written to the
+// store before it is acknowledged.
+class WorkerMonitor : public WorkerEvidence {
+ public:
+  struct Observer {
+    // Identity, state or slots changed; `former_gone`: the former worker certainly ended.
+    std::function<void(bool former_gone)> on_changed;
+  };
+
+  WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool, store::StoreClient& store,
+                const WireFormat& wire, const Settings& settings, std::string drain_key,
+                LogWriter& log, Observer observer);
+  ~WorkerMonitor() override;
+
+  // The drain record of this node, as the store holds it; `synchronized` once it is known whether
+  // there is one.
+  void OnDrainRecord(const std::string& worker_id, store::Revision revision);
+  void OnSynchronized();
+  // Health checks go to this path; none are made before it is known.
+  void SetHealthPath(const std::string& path);
+
+  // Answers a call of the worker.
+  void HandleNotice(const http::ExchangePtr& exchange);
+
+  const std::string& worker_id() const { return worker_id_; }
+  uint32_t slots() const { return slots_; }
+  WorkerState state() const;
+  Instant cold_until() const { return cold_until_; }
+
+  void OnWorkerAnswered() override;
+  void OnWorkerUnreachable() override;
+  void OnOtherWorker(const std::string& worker_id) override;
+
+ private:
+  void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
+  void OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave);
+  void Acknowledge(const http::ExchangePtr& exchange);
+  void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id);
+  void AdoptWorker(const std::string& worker_id);
+  void MarkDraining();
+  void MarkDead(const char* reason);
+  void Probe();
+  void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure);
+  void CheckSilence();
+
+  event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
+  store::StoreClient& store_;
+  const WireFormat& wire_;
+  const Settings& settings_;
+  std::string drain_key_;
+  LogWriter& log_;
+  Observer observer_;
+  event::Timer probe_timer_;
+  event::Timer silence_timer_;
+  std::unique_ptr<http::SimpleCall> probe_;
+  std::string health_path_;
+  std::string worker_id_;  // Empty while none is known to be alive.
+  std::set<std::string> former_workers_;
+  uint32_t slots_ = 0;
+  int64_t sequence_ = -1;
+  bool draining_ = false;
+  Instant cold_until_{};
+  Instant heard_at_{};           // The latest heartbeat or answer.
+  uint32_t failed_probes_ = 0;   // In a row.
+  bool refused_probes_ = false;  // All of those were refused at once, so nothing listens there.
+  std::string recorded_drain_;   // Worker named by the drain record in the store.
+  store::Revision drain_revision_ = 0;
+  bool synchronized_ = false;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/store/lease_keeper.cc
@@ -0,0 +1,123 @@
+#include "source/store/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::store {
+namespace {
+
+// The clocks of this machine and the store may differ in rate by one part in this many.
+constexpr int kClockRateDivisor = 50;
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(event::EventLoop& loop, StoreClient& store, LeaseKeeperConfig config)
+    : loop_(loop), store_(store), config_(std::move(config)), timer_(loop, [this] { Tick(); }) {}
+
+void LeaseKeeper::Start() { Tick(); }
+
+void LeaseKeeper::End() {
+  ended_ = true;
+  timer_.Stop();
+  valid_until_ = Instant{};
+  if (lease_ != 0) store_.EndLease(lease_);
+  lease_ = 0;
+}
+
+void LeaseKeeper::SetValue(const std::string& value) {
+  if (value == value_) return;
+  value_ = value;
+  WriteItem();
+}
+
+void LeaseKeeper::Tick() {
+  if (ended_) return;
+  if (calling_) {
+    timer_.Start(config_.retry_interval);
+    return;
+  }
+  if (lease_ == 0) {
+    TakeLease();
+  } else {
+    if (loop_.Now() - renewed_at_ >= config_.renewal_interval) Renew();
+    WriteItem();
+  }
+  const bool settled = lease_ != 0 && !calling_ && announced();
+  timer_.Start(settled ? config_.renewal_interval : config_.retry_interval);
+}
+
+void LeaseKeeper::Extend(Instant sent, Duration time_to_live) {
+  renewed_at_ = sent;
+  const Duration usable = time_to_live - time_to_live / kClockRateDivisor - config_.safety_margin;
+  valid_until_ = std::max(valid_until_, sent + usable);
+}
+
+void LeaseKeeper::TakeLease() {
+  calling_ = true;
+  const Instant sent = loop_.Now();
+  store_.GrantLease(config_.time_to_live, [this, sent](absl::StatusOr<Lease> lease) {
+    calling_ = false;
+    if (ended_) return;
+    if (!lease.ok()) return;
+    lease_ = lease->id;
+    time_to_live_ = lease->time_to_live;
+    valid_until_ = Instant{};
+    Extend(sent, time_to_live_);
+    WriteItem();
+  });
+}
+
+void LeaseKeeper::Renew() {
+  calling_ = true;
+  const Instant sent = loop_.Now();
+  const LeaseId lease = lease_;
+  store_.KeepLease(lease, [this, sent, lease](const absl::Status& status) {
+    calling_ = false;
+    if (ended_ || lease != lease_) return;
+    if (status.ok()) {
+      Extend(sent, time_to_live_);
+      timer_.Start(config_.renewal_interval);
+    } else if (absl::IsNotFound(status)) {
+      OnLeaseLost();
+    }
+  });
+}
+
+void LeaseKeeper::OnLeaseLost() {
+  lease_ = 0;
+  valid_until_ = Instant{};
+  timer_.Start(Duration(0));
+}
+
+void LeaseKeeper::WriteItem() {
+  if (ended_ || lease_ == 0 || writing_ || announced() || value_.empty()) return;
+  writing_ = true;
+  const LeaseId lease = lease_;
+  const std::string value = value_;
+  // The condition keeps a write whose answer was lost from being done after a later one.
+  Transaction transaction;
+  transaction.conditions.push_back({config_.key, item_revision_});
+  transaction.puts.push_back({config_.key, value, lease});
+  store_.Commit(transaction, [this, lease, value](absl::StatusOr<CommitResult> result) {
+    writing_ = false;
+    if (ended_ || lease != lease_) return;
+    if (!result.ok()) return;
+    if (result->outcome == CommitOutcome::kLeaseEnded) {
+      OnLeaseLost();
+      return;
+    }
+    if (result->outcome == CommitOutcome::kConflict) {
+      item_revision_ = result->found.empty() ? 0 : result->found.front().revision;
+      WriteItem();
+      return;
+    }
+    item_revision_ = result->revision;
+    const bool new_lease = written_lease_ != lease;
+    written_lease_ = lease;
+    written_value_ = value;
+    if (new_lease && on_new_lease_) on_new_lease_();
+    WriteItem();
+  });
+}
+
+}  // namespace runshelf::store
--- /dev/null
+++ b/source/store/lease_keeper.h
@@ -0,0 +1,72 @@
+// Holds one lease in the store and the items bound to it, and tells until when the lease is
+// certainly in force.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "source/event/event_loop.h"
+#include "source/store/store_client.h"
+
+namespace runshelf::store {
+
+struct LeaseKeeperConfig {
+  Duration time_to_live = std::chrono::seconds(8);
+  Duration renewal_interval = std::chrono::seconds(2);
+  Duration retry_interval = std::chrono::milliseconds(250);
+  // Subtracted from every bound: the clocks of this machine and the store may differ in rate.
+  Duration safety_margin = std::chrono::milliseconds(250);
+  std::string key;  // Of the item that announces this process.
+};
+
+// Renews the lease, takes a new one when it is over, and writes the item again whenever its value
+// changes or it went with a lease.
+class LeaseKeeper {
+ public:
+  LeaseKeeper(event::EventLoop& loop, StoreClient& store, LeaseKeeperConfig config);
+
+  void Start();
+  // Ends the lease: its item goes at once.
+  void End();
+  // The value of the item; written as soon as a lease is held.
+  void SetValue(const std::string& value);
+  // A new lease was taken and its item is written: what depended on an earlier one must be read
+  // again before it is relied on.
+  void set_on_new_lease(std::function<void()> callback) { on_new_lease_ = std::move(callback); }
+
+  // The lease is in force at least until then: counted from before the last renewal was sent.
+  // Instant{} when there is none.
+  Instant ValidUntil() const { return valid_until_; }
+  LeaseId lease() const { return lease_; }
+  // The item with the value set last is in the store under the lease in force.
+  bool announced() const {
+    return lease_ != 0 && written_value_ == value_ && written_lease_ == lease_;
+  }
+
+ private:
+  void Tick();
+  void TakeLease();
+  void Renew();
+  void WriteItem();
+  void OnLeaseLost();
+  void Extend(Instant sent, Duration time_to_live);
+
+  event::EventLoop& loop_;
+  StoreClient& store_;
+  LeaseKeeperConfig config_;
+  event::Timer timer_;
+  std::function<void()> on_new_lease_;
+  LeaseId lease_ = 0;
+  LeaseId written_lease_ = 0;
+  std::string value_;
+  std::string written_value_;
+  Revision item_revision_ = 0;  // Zero while the item is believed absent.
+  Duration time_to_live_{0};    // As the store granted it.
+  Instant valid_until_{};
+  Instant renewed_at_{};
+  bool calling_ = false;
+  bool writing_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace runshelf::store
--- /dev/null
+++ b/source/store/store_client.cc
@@ -0,0 +1,195 @@
+#include "source/store/store_client.h"
+
+#include <utility>
+
+namespace runshelf::store {
+namespace {
+
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kIdleTimeout = std::chrono::seconds(8);
+
+// The service did nothing and may serve others, or this process on another way.
+bool IsRefusal(const http::Response& response) {
+  return response.status == kTooManyRequests || response.status == kServiceUnavailable;
+}
+
+}  // namespace
+
+struct StoreClient::PendingCall {
+  http::Request request;
+  Duration direct_timeout{0};
+  Duration relay_timeout{0};
+  ResponseCallback callback;
+  bool tried_direct = false;
+  bool tried_relay = false;
+  bool may_be_done = false;  // Some way gave no answer.
+  std::optional<http::Response> refusal;
+};
+
+StoreClient::StoreClient(event::EventLoop& loop, http::ConnectionPool& pool, StoreCodec& codec,
+                         StoreClientConfig config)
+    : loop_(loop), pool_(pool), codec_(codec), config_(std::move(config)) {}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
+                        Duration timeout,
+                        std::function<void(std::optional<http::Response>)> callback) {
+  const uint64_t id = next_call_++;
+  ++calls_;
+  http::RequestHead head = request.head;
+  if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
+  http::CallOptions options;
+  options.connect_timeout = kConnectTimeout;
+  options.idle_timeout = kIdleTimeout;
+  active_[id] = std::make_unique<http::SimpleCall>(
+      loop_, pool_, endpoint, http::SerializeRequest(head, request.body), options, timeout,
+      [this, id, callback = std::move(callback)](std::optional<http::Response> response,
+                                                 http::ClientFailure) {
+        // Kept until the callback is over: it runs inside the call.
+        const auto finished = std::move(active_[id]);
+        active_.erase(id);
+        callback(std::move(response));
+      });
+}
+
+void StoreClient::PassOn(const http::Request& request, Duration timeout,
+                         std::function<void(std::optional<http::Response>)> callback) {
+  Start(config_.endpoint, request, timeout, std::move(callback));
+}
+
+void StoreClient::Call(http::Request request, Duration direct_timeout, Duration relay_timeout,
+                       ResponseCallback callback) {
+  auto call = std::make_shared<PendingCall>();
+  call->request = std::move(request);
+  call->direct_timeout = direct_timeout;
+  call->relay_timeout = relay_timeout;
+  call->callback = std::move(callback);
+  const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
+  Send(call, avoid_direct ? Way::kRelayed : Way::kDirect);
+}
+
+void StoreClient::Send(const std::shared_ptr<PendingCall>& call, Way way) {
+  if (way == Way::kDirect) {
+    call->tried_direct = true;
+    Start(config_.endpoint, call->request, call->direct_timeout,
+          [this, call](std::optional<http::Response> response) {
+            OnResponse(call, Way::kDirect, std::move(response));
+          });
+    return;
+  }
+  call->tried_relay = true;
+  const auto peer = relay_ == nullptr ? std::nullopt : relay_->ChoosePeer();
+  if (!peer.has_value()) {
+    if (!call->tried_direct) {
+      Send(call, Way::kDirect);
+    } else {
+      Finish(call, call->refusal.has_value() && !call->may_be_done
+                       ? absl::StatusOr<http::Response>(*call->refusal)
+                       : absl::UnknownError("no answer from the store"));
+    }
+    return;
+  }
+  http::Request marked = call->request;
+  relay_->MarkForRelay(&marked);
+  Start(*peer, marked, call->relay_timeout, [this, call](std::optional<http::Response> response) {
+    OnResponse(call, Way::kRelayed, std::move(response));
+  });
+}
+
+void StoreClient::OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
+                             std::optional<http::Response> response) {
+  const bool answered = response.has_value() && !IsRefusal(*response);
+  if (way == Way::kDirect) {
+    avoid_direct_until_ = answered ? Instant{} : loop_.Now() + config_.avoid_direct;
+  }
+  if (answered) {
+    SetReachable(true);
+    Finish(call, *std::move(response));
+    return;
+  }
+  if (response.has_value()) {
+    call->refusal = std::move(response);
+  } else {
+    call->may_be_done = true;
+  }
+  if (!call->tried_direct) {
+    Send(call, Way::kDirect);
+  } else if (!call->tried_relay) {
+    Send(call, Way::kRelayed);
+  } else {
+    SetReachable(false);
+    if (call->refusal.has_value() && !call->may_be_done) {
+      Finish(call, *call->refusal);
+    } else {
+      Finish(call, absl::UnknownError("no answer from the store"));
+    }
+  }
+}
+
+void StoreClient::Finish(const std::shared_ptr<PendingCall>& call,
+                         absl::StatusOr<http::Response> result) {
+  if (!result.ok()) SetReachable(false);
+  call->callback(std::move(result));
+}
+
+void StoreClient::SetReachable(bool reachable) {
+  if (reachable == reachable_) return;
+  reachable_ = reachable;
+  if (on_reachable_changed_) on_reachable_changed_(reachable);
+}
+
+void StoreClient::Range(const std::string& prefix, const std::string& after_key,
+                        std::function<void(absl::StatusOr<RangePage>)> callback) {
+  Call(codec_.EncodeRange(prefix, after_key), config_.call_timeout, config_.call_timeout,
+       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         callback(response.ok() ? codec_.DecodeRange(*response)
+                                : absl::StatusOr<RangePage>(response.status()));
+       });
+}
+
+void StoreClient::Watch(const std::string& prefix, Revision after,
+                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
+  const bool relayed = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
+  const Duration wait = relayed ? config_.relayed_watch_wait : config_.watch_wait;
+  Call(codec_.EncodeWatch(prefix, after, wait), wait + config_.call_timeout,
+       wait + config_.call_timeout,
+       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         callback(response.ok() ? codec_.DecodeWatch(*response)
+                                : absl::StatusOr<WatchPage>(response.status()));
+       });
+}
+
+void StoreClient::Commit(const Transaction& transaction,
+                         std::function<void(absl::StatusOr<CommitResult>)> callback) {
+  Call(codec_.EncodeTransaction(transaction), config_.call_timeout, config_.call_timeout,
+       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         callback(response.ok() ? codec_.DecodeTransaction(*response)
+                                : absl::StatusOr<CommitResult>(response.status()));
+       });
+}
+
+void StoreClient::GrantLease(Duration time_to_live,
+                             std::function<void(absl::StatusOr<Lease>)> callback) {
+  Call(codec_.EncodeGrantLease(time_to_live), config_.call_timeout, config_.call_timeout,
+       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         callback(response.ok() ? codec_.DecodeGrantLease(*response)
+                                : absl::StatusOr<Lease>(response.status()));
+       });
+}
+
+void StoreClient::KeepLease(LeaseId lease, std::function<void(absl::Status)> callback) {
+  Call(codec_.EncodeKeepLease(lease), config_.call_timeout, config_.call_timeout,
+       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         callback(response.ok() ? codec_.DecodeKeepLease(*response) : response.status());
+       });
+}
+
+void StoreClient::EndLease(LeaseId lease) {
+  Call(codec_.EncodeEndLease(lease), config_.call_timeout, config_.call_timeout,
+       [](const absl::StatusOr<http::Response>&) {});
+}
+
+}  // namespace runshelf::store
--- /dev/null
+++ b/source/store/store_client.h
@@ -0,0 +1,99 @@
+// Carries the calls of one process to the store: directly, or through a peer while the direct way
+// fails.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/store/store_operations.h"
+
+namespace runshelf::store {
+
+// Chooses peers that pass calls on to the store, and marks the requests that ask them to.
+class StoreRelay {
+ public:
+  virtual ~StoreRelay() = default;
+  // A peer that answered lately; nullopt when none is known.
+  virtual std::optional<event::Endpoint> ChoosePeer() = 0;
+  // Marks `request` as one that the peer hands to the store.
+  virtual void MarkForRelay(http::Request* request) = 0;
+};
+
+struct StoreClientConfig {
+  event::Endpoint endpoint;
+  Duration call_timeout = std::chrono::milliseconds(900);
+  Duration watch_wait = std::chrono::seconds(25);
+  // Watches that go through a peer are short: the peer may go away without a word.
+  Duration relayed_watch_wait = std::chrono::seconds(2);
+  // How long calls go to a peer first after the direct way has failed.
+  Duration avoid_direct = std::chrono::seconds(2);
+};
+
+// Status codes of answers: those of StoreCodec, and kUnknown when no answer came, so that a write
+// may have been done or may still be done later. Callbacks are never made inside the call itself.
+class StoreClient {
+ public:
+  StoreClient(event::EventLoop& loop, http::ConnectionPool& pool, StoreCodec& codec,
+              StoreClientConfig config);
+  ~StoreClient();
+  StoreClient(const StoreClient&) = delete;
+  StoreClient& operator=(const StoreClient&) = delete;
+
+  void set_relay(StoreRelay* relay) { relay_ = relay; }
+  // Called when the store is lost (false) or reached again (true).
+  void set_on_reachable_changed(std::function<void(bool)> callback) {
+    on_reachable_changed_ = std::move(callback);
+  }
+
+  void Range(const std::string& prefix, const std::string& after_key,
+             std::function<void(absl::StatusOr<RangePage>)> callback);
+  void Watch(const std::string& prefix, Revision after,
+             std::function<void(absl::StatusOr<WatchPage>)> callback);
+  void Commit(const Transaction& transaction,
+              std::function<void(absl::StatusOr<CommitResult>)> callback);
+  void GrantLease(Duration time_to_live, std::function<void(absl::StatusOr<Lease>)> callback);
+  void KeepLease(LeaseId lease, std::function<void(absl::Status)> callback);
+  // Fire and forget.
+  void EndLease(LeaseId lease);
+
+  // Passes a request of a peer on, directly only; nullopt when no answer came.
+  void PassOn(const http::Request& request, Duration timeout,
+              std::function<void(std::optional<http::Response>)> callback);
+
+  bool reachable() const { return reachable_; }
+  uint64_t calls() const { return calls_; }
+
+ private:
+  using ResponseCallback = std::function<void(absl::StatusOr<http::Response>)>;
+  enum class Way { kDirect, kRelayed };
+  struct PendingCall;
+
+  void Call(http::Request request, Duration direct_timeout, Duration relay_timeout,
+            ResponseCallback callback);
+  void Send(const std::shared_ptr<PendingCall>& call, Way way);
+  void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
+                  std::optional<http::Response> response);
+  void Finish(const std::shared_ptr<PendingCall>& call, absl::StatusOr<http::Response> result);
+  void Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
+             std::function<void(std::optional<http::Response>)> callback);
+  void SetReachable(bool reachable);
+
+  event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
+  StoreCodec& codec_;
+  StoreClientConfig config_;
+  StoreRelay* relay_ = nullptr;
+  std::function<void(bool)> on_reachable_changed_;
+  std::unordered_map<uint64_t, std::unique_ptr<http::SimpleCall>> active_;
+  uint64_t next_call_ = 1;
+  uint64_t calls_ = 0;
+  Instant avoid_direct_until_{};
+  bool reachable_ = true;
+};
+
+}  // namespace runshelf::store
