A reset after a short read, and a cut watch, are taken for what they are

Ruled out: the relay's framing between nodes (chunked, checked by the parser).

Now a watch goes one way only, and a cut leads to a new read at once; when the direct way fails, waiting watches are started anew.

--- a/source/event/tcp_stream.cc
+++ b/source/event/tcp_stream.cc
@@ -82,6 +82,15 @@
     if (observer != nullptr) observer->OnEnd(end);
   }
 
+  // libuv takes a hang-up after a short read for an orderly end without reading once more, and a
+  // reset hangs up too. The difference decides whether an answer without a length is complete.
+  bool ReallyClosed() {
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&tcp), &descriptor) != 0) return false;
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
 
   void WritePending() {
@@ -119,7 +128,7 @@
           auto* handle = static_cast<Handle*>(stream->data);
           if (handle->closed || count == 0) return;
           if (count == UV_EOF) {
-            handle->End(StreamEnd::kClosed);
+            handle->End(handle->ReallyClosed() ? StreamEnd::kClosed : StreamEnd::kReset);
           } else if (count < 0) {
             handle->End(StreamEnd::kReset);
           } else if (handle->observer != nullptr) {
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -116,6 +116,10 @@
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   store_.set_relay(this);
+  store_.set_on_direct_lost([this] {
+    configuration_watcher_.Refresh();
+    state_watcher_.Refresh();
+  });
   store_.set_on_reachable_changed([this](bool reachable) {
     log_.Write(LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
                {{"store_calls", store_.calls()}});
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -19,8 +19,6 @@
 
 struct StoreClient::PendingCall {
   http::Request request;
-  Duration direct_timeout{0};
-  Duration relay_timeout{0};
   ResponseCallback callback;
   bool tried_direct = false;
   bool tried_relay = false;
@@ -60,12 +58,9 @@
   Start(config_.endpoint, request, timeout, std::move(callback));
 }
 
-void StoreClient::Call(http::Request request, Duration direct_timeout, Duration relay_timeout,
-                       ResponseCallback callback) {
+void StoreClient::Call(http::Request request, ResponseCallback callback) {
   auto call = std::make_shared<PendingCall>();
   call->request = std::move(request);
-  call->direct_timeout = direct_timeout;
-  call->relay_timeout = relay_timeout;
   call->callback = std::move(callback);
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
   Send(call, avoid_direct ? Way::kRelayed : Way::kDirect);
@@ -74,7 +69,7 @@
 void StoreClient::Send(const std::shared_ptr<PendingCall>& call, Way way) {
   if (way == Way::kDirect) {
     call->tried_direct = true;
-    Start(config_.endpoint, call->request, call->direct_timeout,
+    Start(config_.endpoint, call->request, config_.call_timeout,
           [this, call](std::optional<http::Response> response) {
             OnResponse(call, Way::kDirect, std::move(response));
           });
@@ -94,7 +89,7 @@
   }
   http::Request marked = call->request;
   relay_->MarkForRelay(&marked);
-  Start(*peer, marked, call->relay_timeout, [this, call](std::optional<http::Response> response) {
+  Start(*peer, marked, config_.call_timeout, [this, call](std::optional<http::Response> response) {
     OnResponse(call, Way::kRelayed, std::move(response));
   });
 }
@@ -103,7 +98,11 @@
                              std::optional<http::Response> response) {
   const bool answered = response.has_value() && !IsRefusal(*response);
   if (way == Way::kDirect) {
-    avoid_direct_until_ = answered ? Instant{} : loop_.Now() + config_.avoid_direct;
+    if (answered) {
+      avoid_direct_until_ = Instant{};
+    } else {
+      OnDirectFailed();
+    }
   }
   if (answered) {
     SetReachable(true);
@@ -129,6 +128,12 @@
   }
 }
 
+void StoreClient::OnDirectFailed() {
+  const bool first = avoid_direct_until_ == Instant{};
+  avoid_direct_until_ = loop_.Now() + config_.avoid_direct;
+  if (first && on_direct_lost_) on_direct_lost_();
+}
+
 void StoreClient::Finish(const std::shared_ptr<PendingCall>& call,
                          absl::StatusOr<http::Response> result) {
   if (!result.ok()) SetReachable(false);
@@ -143,28 +148,32 @@
 
 void StoreClient::Range(const std::string& prefix, const std::string& after_key,
                         std::function<void(absl::StatusOr<RangePage>)> callback) {
-  Call(codec_.EncodeRange(prefix, after_key), config_.call_timeout, config_.call_timeout,
+  Call(codec_.EncodeRange(prefix, after_key),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeRange(*response)
                                 : absl::StatusOr<RangePage>(response.status()));
        });
 }
 
+// A watch goes one way only: when it is cut the range is read again, which finds a way of its own.
 void StoreClient::Watch(const std::string& prefix, Revision after,
                         std::function<void(absl::StatusOr<WatchPage>)> callback) {
-  const bool relayed = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
-  const Duration wait = relayed ? config_.relayed_watch_wait : config_.watch_wait;
-  Call(codec_.EncodeWatch(prefix, after, wait), wait + config_.call_timeout,
-       wait + config_.call_timeout,
-       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-         callback(response.ok() ? codec_.DecodeWatch(*response)
-                                : absl::StatusOr<WatchPage>(response.status()));
-       });
+  const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
+  const auto peer = avoid_direct ? relay_->ChoosePeer() : std::nullopt;
+  const Duration wait = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
+  http::Request request = codec_.EncodeWatch(prefix, after, wait);
+  if (peer.has_value()) relay_->MarkForRelay(&request);
+  Start(peer.value_or(config_.endpoint), request, wait + config_.call_timeout,
+        [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
+          callback(response.has_value()
+                       ? codec_.DecodeWatch(*response)
+                       : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
+        });
 }
 
 void StoreClient::Commit(const Transaction& transaction,
                          std::function<void(absl::StatusOr<CommitResult>)> callback) {
-  Call(codec_.EncodeTransaction(transaction), config_.call_timeout, config_.call_timeout,
+  Call(codec_.EncodeTransaction(transaction),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeTransaction(*response)
                                 : absl::StatusOr<CommitResult>(response.status()));
@@ -173,7 +182,7 @@
 
 void StoreClient::GrantLease(Duration time_to_live,
                              std::function<void(absl::StatusOr<Lease>)> callback) {
-  Call(codec_.EncodeGrantLease(time_to_live), config_.call_timeout, config_.call_timeout,
+  Call(codec_.EncodeGrantLease(time_to_live),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeGrantLease(*response)
                                 : absl::StatusOr<Lease>(response.status()));
@@ -181,15 +190,14 @@
 }
 
 void StoreClient::KeepLease(LeaseId lease, std::function<void(absl::Status)> callback) {
-  Call(codec_.EncodeKeepLease(lease), config_.call_timeout, config_.call_timeout,
+  Call(codec_.EncodeKeepLease(lease),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeKeepLease(*response) : response.status());
        });
 }
 
 void StoreClient::EndLease(LeaseId lease) {
-  Call(codec_.EncodeEndLease(lease), config_.call_timeout, config_.call_timeout,
-       [](const absl::StatusOr<http::Response>&) {});
+  Call(codec_.EncodeEndLease(lease), [](const absl::StatusOr<http::Response>&) {});
 }
 
 }  // namespace runshelf::store
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -45,6 +45,8 @@
   StoreClient& operator=(const StoreClient&) = delete;
 
   void set_relay(StoreRelay* relay) { relay_ = relay; }
+  // Called when the direct way begins to fail: watches that wait on it may never hear anything.
+  void set_on_direct_lost(std::function<void()> callback) { on_direct_lost_ = std::move(callback); }
   // Called when the store is lost (false) or reached again (true).
   void set_on_reachable_changed(std::function<void(bool)> callback) {
     on_reachable_changed_ = std::move(callback);
@@ -73,8 +75,8 @@
   enum class Way { kDirect, kRelayed };
   struct PendingCall;
 
-  void Call(http::Request request, Duration direct_timeout, Duration relay_timeout,
-            ResponseCallback callback);
+  void Call(http::Request request, ResponseCallback callback);
+  void OnDirectFailed();
   void Send(const std::shared_ptr<PendingCall>& call, Way way);
   void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
                   std::optional<http::Response> response);
@@ -88,6 +90,7 @@
   StoreCodec& codec_;
   StoreClientConfig config_;
   StoreRelay* relay_ = nullptr;
+  std::function<void()> on_direct_lost_;
   std::function<void(bool)> on_reachable_changed_;
   std::unordered_map<uint64_t, std::unique_ptr<http::SimpleCall>> active_;
   uint64_t next_call_ = 1;
