--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -77,9 +77,10 @@
 }
 
 bool ShardHolder::HasChangeToCommit() const {
-  const bool released = std::any_of(holdings_.begin(), holdings_.end(),
-                                    [](const auto& entry) { return entry.second.released; });
-  if (released) return true;
+  const bool found = std::any_of(holdings_.begin(), holdings_.end(), [](const auto& entry) {
+    return entry.second.released || entry.second.superseded;
+  });
+  if (found) return true;
   const auto& shards = shards_.map().shards();
   return std::any_of(shards.begin(), shards.end(),
                      [this](const sharding::Shard& shard) { return OfFormerWorker(shard); });
@@ -131,7 +132,8 @@
   if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
   for (auto& [key, holding] : holdings_) {
     if (calls_.size() >= config_.calls_at_once) return;
-    if (holding.call != 0 || holding.releasing || holding.worker_id != worker_id_) continue;
+    if (holding.call != 0 || holding.releasing || holding.superseded) continue;
+    if (holding.worker_id != worker_id_) continue;
     // A shard that is to move is renewed until its release is sent.
     if (MustMove(holding.shard)) continue;
     const bool due =
@@ -178,7 +180,9 @@
                 {"last", holding.shard.last},
                 {"token", holding.shard.token},
                 {"worker", holding.worker_id}});
+    // An earlier life of this node released the keys and did not live to hand them over.
     holding.usable_until = Instant{};
+    holding.superseded = true;
   } else {
     holding.sent_at = Instant{};  // Again at once: the worker may not have it.
   }
@@ -200,7 +204,9 @@
   KeyRelease release;
   release.first = holding->shard.first;
   release.last = holding->shard.last;
-  release.token = holding->shard.token;
+  // Above the grants of this shard, so that one without an answer is refused when it is taken late;
+  // at most the token that the next owner gets.
+  release.token = shards_.map().last_token() + 1;
   holding->call =
       StartCall(wire_.EncodeRelease(release), config_.release_timeout,
                 [this, key, call = next_call_](const std::optional<http::Response>& response) {
@@ -230,8 +236,9 @@
   }
   sharding::ShardMap changed = shards_.map();
   const bool reassigned = ReassignToOwnWorker(&changed);
+  const bool renewed = RenewTokens(&changed);
   const bool handed_over = HandOverReleased(&changed);
-  if (!reassigned && !handed_over) return;
+  if (!reassigned && !renewed && !handed_over) return;
   shards_.Replace(changed, {}, [this](ShardStore::Outcome outcome) {
     if (outcome == ShardStore::Outcome::kUnknown) commit_timer_.Start(kCommitRetry);
     Reconcile();
@@ -261,6 +268,21 @@
   return changed;
 }
 
+// The worker refused a shard for its token: it gets the shard again under a higher one.
+bool ShardHolder::RenewTokens(sharding::ShardMap* map) {
+  bool changed = false;
+  sharding::FencingToken token = 0;
+  for (sharding::Shard& shard : map->shards()) {
+    const auto found = holdings_.find({shard.first, shard.last, shard.token});
+    if (found == holdings_.end() || !found->second.superseded) continue;
+    if (shard.owner.worker != worker_id_) continue;
+    if (!changed) token = map->NextToken();
+    changed = true;
+    sharding::ShardMap::Assign(&shard, shard.owner, token, shard.handover);
+  }
+  return changed;
+}
+
 bool ShardHolder::HandOverReleased(sharding::ShardMap* map) {
   size_t released = 0;
   for (const auto& [key, holding] : holdings_) released += holding.released ? 1 : 0;
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -84,7 +84,8 @@
     uint64_t call = 0;  // Of the call under way; zero: none.
     bool releasing = false;
     bool released = false;
-    std::string handover;  // Of the release.
+    bool superseded = false;  // The worker has seen a higher token on these keys.
+    std::string handover;     // Of the release.
   };
   using HoldingKey = std::tuple<sharding::ShardKey, sharding::ShardKey, sharding::FencingToken>;
 
@@ -101,6 +102,7 @@
                        const std::optional<http::Response>& response);
   void CommitChanges();
   bool ReassignToOwnWorker(sharding::ShardMap* map);
+  bool RenewTokens(sharding::ShardMap* map);
   bool HandOverReleased(sharding::ShardMap* map);
   bool MustMove(const sharding::Shard& shard) const;
   bool HasChangeToCommit() const;
--- /dev/null
+++ b/tests/event/event_loop_test.cc
@@ -0,0 +1,70 @@
+#include "source/event/event_loop.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <memory>
+
+#include "source/event/tcp_stream.h"
+#include "source/event/udp_socket.h"
+#include "tests/event/loop_runner.h"
+
+using namespace runshelf;
+using namespace runshelf::event;
+
+TEST_GROUP(EventLoop) { EventLoop loop; };
+
+TEST(EventLoop, ATimerFiresOnceOrRepeatedly) {
+  int once = 0;
+  int often = 0;
+  Timer single(loop, [&] { ++once; });
+  Timer repeated(loop, [&] { ++often; });
+  single.Start(std::chrono::milliseconds(1));
+  repeated.Start(std::chrono::milliseconds(1), /*repeating=*/true);
+  CHECK(RunUntil(loop, [&] { return often >= 5; }));
+  CHECK_EQUAL(1, once);
+  CHECK_FALSE(single.active());
+  CHECK(repeated.active());
+}
+
+TEST(EventLoop, ATimerMayBeDestroyedInItsOwnCallback) {
+  std::unique_ptr<Timer> timer;
+  bool fired = false;
+  timer = std::make_unique<Timer>(loop, [&] {
+    fired = true;
+    timer.reset();
+  });
+  timer->Start(Duration(0));
+  CHECK(RunUntil(loop, [&] { return fired; }));
+}
+
+TEST(EventLoop, ASignalIsDelivered) {
+  int count = 0;
+  SignalWatcher watcher(loop, SIGUSR1, [&] { ++count; });
+  std::raise(SIGUSR1);
+  CHECK(RunUntil(loop, [&] { return count == 1; }));
+}
+
+TEST(EventLoop, AnEndpointIsAnAddressAndAPort) {
+  Endpoint endpoint;
+  CHECK(Endpoint::Parse("10.1.0.8:8300", &endpoint));
+  STRCMP_EQUAL("10.1.0.8", endpoint.ip.c_str());
+  CHECK_EQUAL(8300, endpoint.port);
+  STRCMP_EQUAL("10.1.0.8:8300", endpoint.ToString().c_str());
+  for (const char* broken : {"", ":", "10.1.0.8", "10.1.0.8:", "10.1.0.8:x", "10.1.0.8:70000",
+                             "name:80", "10.1.0:80", ":80"}) {
+    CHECK_FALSE_TEXT(Endpoint::Parse(broken, &endpoint), broken);
+  }
+}
+
+TEST(EventLoop, DatagramsArrive) {
+  std::string received;
+  UdpSocket receiver(loop, [&](std::string_view data) { received = data; });
+  UdpSocket sender(loop, nullptr);
+  // Any free port would do; a fixed one below the ephemeral range may be taken, so try some.
+  Endpoint endpoint{"127.0.0.1", 21870};
+  while (receiver.Bind(endpoint) != 0 && endpoint.port < 21900) ++endpoint.port;
+  CHECK_EQUAL(0, sender.Bind({"127.0.0.1", 0}));
+  sender.Send(endpoint, "report");
+  CHECK(RunUntil(loop, [&] { return received == "report"; }));
+}
--- /dev/null
+++ b/tests/http/client_test.cc
@@ -0,0 +1,235 @@
+#include "source/http/client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/event/loop_runner.h"
+#include "tests/http/raw_server.h"
+
+using namespace runshelf;
+using namespace runshelf::http;
+using event::EventLoop;
+using event::RunUntil;
+
+namespace {
+
+// Collects one answer.
+class Collector : public ResponseObserver {
+ public:
+  void OnResponseHead(ResponseHead&& received) override { head = std::move(received); }
+  void OnResponseBody(std::string_view data) override { body.append(data); }
+  void OnResponseComplete() override { complete = true; }
+  void OnClientFailure(ClientFailure reason) override { failure = reason; }
+
+  bool over() const { return complete || failure.has_value(); }
+
+  ResponseHead head;
+  std::string body;
+  bool complete = false;
+  std::optional<ClientFailure> failure;
+};
+
+constexpr std::string_view kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+CallOptions WithId(const std::string& id) {
+  CallOptions options;
+  options.id_header = "Request-Id";
+  options.expected_id = id;
+  return options;
+}
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+TEST_GROUP(Client) {
+  EventLoop loop;
+  ConnectionPool pool{loop};
+
+  void Expect(const event::Endpoint& endpoint, const CallOptions& options, Collector* collector) {
+    const auto call = pool.Send(endpoint, kRequest, options, collector);
+    CHECK(RunUntil(loop, [&] { return collector->over(); }));
+  }
+};
+
+TEST(Client, AnAnswerWithALengthIsCompleteAndItsConnectionIsUsedAgain) {
+  RawServer server([](int connection) {
+    while (!RawServer::ReadHead(connection).empty())
+      RawServer::Send(connection, Answer("1", "abc"));
+  });
+  for (int round = 0; round < 3; ++round) {
+    Collector collector;
+    Expect(server.endpoint(), WithId("1"), &collector);
+    CHECK(collector.complete);
+    STRCMP_EQUAL("abc", collector.body.c_str());
+  }
+  CHECK_EQUAL(1, server.connections());
+  pool.CloseIdle(server.endpoint());
+  event::RunFor(loop, std::chrono::milliseconds(20));
+}
+
+TEST(Client, AChunkedAnswerIsComplete) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  });
+  Collector collector;
+  Expect(server.endpoint(), {}, &collector);
+  CHECK(collector.complete);
+  STRCMP_EQUAL("abc", collector.body.c_str());
+}
+
+TEST(Client, AnAnswerWithoutALengthEndsWithItsConnection) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 200 OK\r\n\r\nabc");
+  });
+  Collector collector;
+  Expect(server.endpoint(), {}, &collector);
+  CHECK(collector.complete);
+  STRCMP_EQUAL("abc", collector.body.c_str());
+}
+
+// libuv reports an orderly end when a reset follows a short read.
+TEST(Client, AnAnswerWithoutALengthThatIsResetIsIncomplete) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 200 OK\r\n\r\nabc");
+    RawServer::Reset(connection);
+  });
+  for (int round = 0; round < 20; ++round) {
+    Collector collector;
+    Expect(server.endpoint(), {}, &collector);
+    CHECK_FALSE(collector.complete);
+    CHECK(collector.failure.has_value());
+  }
+}
+
+TEST(Client, AnAnswerThatBreaksOffIsIncomplete) {
+  for (const char* text : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                           "HTTP/1.1 200 OK\r\nContent-Le"}) {
+    RawServer server([text](int connection) {
+      RawServer::ReadHead(connection);
+      RawServer::Send(connection, text);
+    });
+    Collector collector;
+    Expect(server.endpoint(), {}, &collector);
+    CHECK_FALSE_TEXT(collector.complete, text);
+    CHECK_TEXT(collector.failure.has_value(), text);
+  }
+}
+
+TEST(Client, BytesThatAreNoAnswerAreAFailure) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "garbage\r\n\r\n");
+  });
+  Collector collector;
+  Expect(server.endpoint(), {}, &collector);
+  CHECK(collector.failure == ClientFailure::kIncomplete);
+}
+
+TEST(Client, AConnectionThatClosesBeforeTheAnswerLeavesADoubt) {
+  RawServer server([](int connection) { RawServer::ReadHead(connection); });
+  Collector collector;
+  Expect(server.endpoint(), {}, &collector);
+  CHECK(collector.failure == ClientFailure::kBroken);
+}
+
+TEST(Client, ARefusedConnectionCertainlySentNothing) {
+  event::Endpoint nobody;
+  {
+    RawServer server([](int) {});
+    nobody = server.endpoint();
+  }
+  Collector collector;
+  Expect(nobody, {}, &collector);
+  CHECK(collector.failure == ClientFailure::kNotSent);
+}
+
+TEST(Client, AnExtraAnswerOfAnEarlierRequestIsSkipped) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "first"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "again") + Answer("2", "second"));
+    RawServer::ReadHead(connection);
+  });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  STRCMP_EQUAL("first", first.body.c_str());
+  Collector second;
+  Expect(server.endpoint(), WithId("2"), &second);
+  CHECK(second.complete);
+  STRCMP_EQUAL("second", second.body.c_str());
+  // Nobody knows what else this server will say: the connection is not used again.
+  CHECK_EQUAL(1, server.connections());
+  Collector third;
+  const auto call = pool.Send(server.endpoint(), kRequest, WithId("3"), &third);
+  CHECK(RunUntil(loop, [&] { return server.connections() == 2; }));
+}
+
+TEST(Client, BytesAfterAWholeAnswerEndTheConnection) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "abc") + "HTTP/1.1 200 OK\r\n");
+    RawServer::ReadHead(connection);
+  });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  CHECK(first.complete);
+  Collector second;
+  const auto call = pool.Send(server.endpoint(), kRequest, WithId("2"), &second);
+  CHECK(RunUntil(loop, [&] { return server.connections() == 2; }));
+}
+
+TEST(Client, ACancelledCallClosesItsConnection) {
+  std::atomic<bool> closed{false};
+  RawServer server([&](int connection) {
+    RawServer::ReadHead(connection);
+    char byte = 0;
+    closed = recv(connection, &byte, 1, 0) <= 0;
+  });
+  Collector collector;
+  auto call = pool.Send(server.endpoint(), kRequest, {}, &collector);
+  event::RunFor(loop, std::chrono::milliseconds(20));
+  call.reset();
+  CHECK(RunUntil(loop, [&] { return closed.load(); }));
+  CHECK_FALSE(collector.over());
+}
+
+TEST(Client, AConnectionIsNotUsedUntilTheEndOfItsKeepAliveTime) {
+  RawServer server([](int connection) {
+    while (!RawServer::ReadHead(connection).empty()) {
+      RawServer::Send(connection,
+                      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  for (int round = 0; round < 2; ++round) {
+    Collector collector;
+    Expect(server.endpoint(), {}, &collector);
+    CHECK(collector.complete);
+  }
+  CHECK_EQUAL(2, server.connections());
+}
+
+TEST(Client, ASimpleCallEndsAfterItsTimeout) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    char byte = 0;
+    recv(connection, &byte, 1, 0);
+  });
+  bool over = false;
+  bool answered = true;
+  SimpleCall call(loop, pool, server.endpoint(), kRequest, {}, std::chrono::milliseconds(30),
+                  [&](const std::optional<Response>& response, ClientFailure) {
+                    over = true;
+                    answered = response.has_value();
+                  });
+  CHECK(RunUntil(loop, [&] { return over; }));
+  CHECK_FALSE(answered);
+}
--- /dev/null
+++ b/tests/platform_adapter/fake_store.cc
@@ -0,0 +1,234 @@
+#include "tests/platform_adapter/fake_store.h"
+
+#include <Poco/URI.h>
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::platform_adapter {
+namespace {
+
+using nlohmann::json;
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  for (const auto& [key, value] : Poco::URI(target).getQueryParameters()) {
+    if (key == name) return value;
+  }
+  return "";
+}
+
+int64_t NumberAfter(const std::string& path, const std::string& prefix) {
+  return std::stoll(path.substr(prefix.size()));
+}
+
+}  // namespace
+
+FakeStore::FakeStore(event::EventLoop& loop)
+    : loop_(loop), server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }) {
+  server_.Listen({"127.0.0.1", 0});
+}
+
+void FakeStore::Put(const std::string& key, const std::string& value) {
+  Write(key, absl::Base64Escape(value), 0);
+  AnswerWatches();
+}
+
+void FakeStore::Remove(const std::string& key) {
+  Erase(key);
+  AnswerWatches();
+}
+
+const std::string* FakeStore::Find(const std::string& key) const {
+  static std::string decoded;
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) return nullptr;
+  absl::Base64Unescape(found->second.value, &decoded);
+  return &decoded;
+}
+
+uint64_t FakeStore::calls(const std::string& path) const {
+  const auto found = calls_.find(path);
+  return found == calls_.end() ? 0 : found->second;
+}
+
+void FakeStore::CompactAndCutWatches() {
+  compacted_ = revision_;
+  history_.clear();
+  for (const auto& watch : std::exchange(watches_, {})) watch->exchange->Abort();
+}
+
+void FakeStore::LapseLeases() {
+  std::vector<int64_t> ids;
+  for (const auto& [id, lease] : leases_) ids.push_back(id);
+  for (const int64_t id : ids) EndLease(id);
+}
+
+void FakeStore::Reply(const http::ExchangePtr& exchange, int status, const json& body) {
+  http::Headers headers;
+  headers.Add("Content-Type", "application/json");
+  exchange->Respond(status, headers, body.dump());
+}
+
+json FakeStore::ItemOf(const std::string& key, const Entry& entry) const {
+  return {{"private_key", key},
+          {"value", entry.value},
+          {"revision", entry.revision},
+          {"made", entry.made},
+          {"lease", entry.lease}};
+}
+
+void FakeStore::Write(const std::string& key, const std::string& encoded, int64_t lease) {
+  ++revision_;
+  Entry& entry = entries_[key];
+  if (entry.made == 0) entry.made = revision_;
+  entry.value = encoded;
+  entry.revision = revision_;
+  entry.lease = lease;
+  Record(key, ItemOf(key, entry));
+}
+
+void FakeStore::Erase(const std::string& key) {
+  if (entries_.erase(key) == 0) return;
+  ++revision_;
+  Record(key, {{"private_key", key}, {"revision", revision_}, {"gone", true}});
+}
+
+void FakeStore::Record(const std::string& key, json event) {
+  history_.push_back({key, revision_, std::move(event)});
+}
+
+void FakeStore::EndLease(int64_t id) {
+  leases_.erase(id);
+  std::vector<std::string> keys;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.lease == id) keys.push_back(key);
+  }
+  for (const std::string& key : keys) Erase(key);
+  AnswerWatches();
+}
+
+void FakeStore::Handle(const http::ExchangePtr& exchange) {
+  const std::string path = Poco::URI(exchange->request().head.target).getPath();
+  ++calls_[path.starts_with("/runshelf/kv-keep/") ? "/runshelf/kv-keep" : path];
+  const bool hit = !fault_filter_ || fault_filter_(exchange->request());
+  const Fault fault = hit ? fault_ : Fault::kNone;
+  if (fault == Fault::kRefuse) return Reply(exchange, 503, json::object());
+  if (fault == Fault::kSilent) {
+    unanswered_.push_back(exchange);
+    return;
+  }
+  const bool answer = fault != Fault::kLoseWrites;
+  if (path == "/runshelf/kv-range") return HandleRange(exchange);
+  if (path == "/runshelf/kv-watch") return HandleWatch(exchange);
+  if (path == "/runshelf/kv-txn") return HandleTransaction(exchange, answer);
+  if (path == "/runshelf/kv-lease") return HandleLease(exchange, answer);
+  if (path.starts_with("/runshelf/kv-keep/")) {
+    return HandleKeep(exchange, NumberAfter(path, "/runshelf/kv-keep/"));
+  }
+  if (path.starts_with("/runshelf/kv-lease-end/")) {
+    EndLease(NumberAfter(path, "/runshelf/kv-lease-end/"));
+    return Reply(exchange, 200, json::object());
+  }
+  Reply(exchange, 404, json::object());
+}
+
+void FakeStore::HandleRange(const http::ExchangePtr& exchange) {
+  const std::string& target = exchange->request().head.target;
+  const std::string prefix = QueryValue(target, "path_prefix");
+  const std::string after = QueryValue(target, "after");
+  constexpr size_t kPage = 3;  // Small, so that tests see several pages.
+  json items = json::array();
+  bool more = false;
+  for (const auto& [key, entry] : entries_) {
+    if (!key.starts_with(prefix) || key <= after) continue;
+    if (items.size() == kPage) {
+      more = true;
+      break;
+    }
+    items.push_back(ItemOf(key, entry));
+  }
+  Reply(exchange, 200, {{"items", items}, {"more", more}, {"at", revision_}});
+}
+
+void FakeStore::HandleWatch(const http::ExchangePtr& exchange) {
+  const std::string& target = exchange->request().head.target;
+  auto watch = std::make_unique<Watch>();
+  watch->exchange = exchange;
+  watch->prefix = QueryValue(target, "path_prefix");
+  watch->after = std::stoll(QueryValue(target, "after"));
+  if (watch->after < compacted_) return Reply(exchange, 410, json::object());
+  if (AnswerWatch(watch.get())) return;
+  const auto wait = std::chrono::milliseconds(std::stoll(QueryValue(target, "wait_timeout_ms")));
+  watch->timer = std::make_unique<event::Timer>(loop_, [this, waiting = watch.get()] {
+    Reply(waiting->exchange, 200, {{"events", json::array()}, {"at", revision_}});
+    std::erase_if(watches_, [&](const auto& other) { return other.get() == waiting; });
+  });
+  watch->timer->Start(wait);
+  watches_.push_back(std::move(watch));
+}
+
+bool FakeStore::AnswerWatch(Watch* watch) {
+  if (watches_silent_) return false;
+  json events = json::array();
+  for (const Change& change : history_) {
+    if (change.revision > watch->after && change.key.starts_with(watch->prefix)) {
+      events.push_back(change.event);
+    }
+  }
+  if (events.empty()) return false;
+  Reply(watch->exchange, 200, {{"events", events}, {"at", revision_}});
+  return true;
+}
+
+void FakeStore::AnswerWatches() {
+  std::erase_if(watches_, [this](const auto& watch) {
+    return !watch->exchange->open() || AnswerWatch(watch.get());
+  });
+}
+
+void FakeStore::HandleTransaction(const http::ExchangePtr& exchange, bool answer) {
+  const json body = json::parse(exchange->request().body);
+  bool holds = true;
+  json found = json::array();
+  for (const json& condition : body["expected_revision"]) {
+    const std::string key = condition["private_key"];
+    const auto entry = entries_.find(key);
+    const int64_t revision = entry == entries_.end() ? 0 : entry->second.revision;
+    holds = holds && revision == condition["revision"].get<int64_t>();
+    if (entry != entries_.end()) found.push_back(ItemOf(key, entry->second));
+  }
+  if (!holds) return Reply(exchange, 412, {{"items", found}});
+  for (const json& put : body["put"]) {
+    const int64_t lease = put.value("lease", 0);
+    if (lease != 0 && !leases_.contains(lease)) return Reply(exchange, 404, json::object());
+  }
+  for (const json& put : body["put"]) {
+    Write(put["private_key"], put["value"], put.value("lease", 0));
+  }
+  for (const json& key : body["remove"]) Erase(key);
+  if (answer) {
+    Reply(exchange, 200, {{"revision", revision_}});
+  } else {
+    unanswered_.push_back(exchange);
+  }
+  AnswerWatches();
+}
+
+void FakeStore::HandleLease(const http::ExchangePtr& exchange, bool answer) {
+  const int64_t id = next_lease_++;
+  Lease& lease = leases_[id];
+  lease.time_to_live_ms = json::parse(exchange->request().body)["ttl_ms"];
+  lease.timer = std::make_unique<event::Timer>(loop_, [this, id] { EndLease(id); });
+  lease.timer->Start(std::chrono::milliseconds(lease.time_to_live_ms));
+  if (answer) Reply(exchange, 200, {{"lease", id}, {"ttl_ms", lease.time_to_live_ms}});
+}
+
+void FakeStore::HandleKeep(const http::ExchangePtr& exchange, int64_t id) {
+  const auto lease = leases_.find(id);
+  if (lease == leases_.end()) return Reply(exchange, 404, json::object());
+  lease->second.timer->Start(std::chrono::milliseconds(lease->second.time_to_live_ms));
+  Reply(exchange, 200, {{"ttl_ms", lease->second.time_to_live_ms}});
+}
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/fake_store.h
@@ -0,0 +1,104 @@
+// The platform's store for tests, on the test's own event loop, with the faults of the real one.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "source/event/event_loop.h"
+#include "source/http/server.h"
+
+namespace runshelf::platform_adapter {
+
+class FakeStore {
+ public:
+  explicit FakeStore(event::EventLoop& loop);
+
+  event::Endpoint endpoint() const { return {"127.0.0.1", server_.bound_port()}; }
+
+  // What the operator does; never fails.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  const std::string* Find(const std::string& key) const;
+
+  enum class Fault {
+    kNone,
+    kRefuse,      // 503 to everything.
+    kSilent,      // No answer to anything.
+    kLoseWrites,  // Writes are done and not answered.
+  };
+  void set_fault(Fault fault) { fault_ = fault; }
+  // Applies to calls that this predicate picks only; all, when empty.
+  void set_fault_filter(std::function<bool(const http::Request&)> filter) {
+    fault_filter_ = std::move(filter);
+  }
+  // Forgets the history and cuts all watches, as after a silence.
+  void CompactAndCutWatches();
+  // While silent, watches hear nothing of changes.
+  void set_watches_silent(bool silent) { watches_silent_ = silent; }
+  // Ends every lease now.
+  void LapseLeases();
+
+  // Calls received, by path.
+  uint64_t calls(const std::string& path) const;
+
+ private:
+  struct Entry {
+    std::string value;  // In base64.
+    int64_t revision = 0;
+    int64_t made = 0;
+    int64_t lease = 0;
+  };
+  struct Lease {
+    std::unique_ptr<event::Timer> timer;
+    int64_t time_to_live_ms = 0;
+  };
+  struct Watch {
+    http::ExchangePtr exchange;
+    std::string prefix;
+    int64_t after = 0;
+    std::unique_ptr<event::Timer> timer;
+  };
+  struct Change {
+    std::string key;
+    int64_t revision = 0;
+    nlohmann::json event;
+  };
+
+  void Handle(const http::ExchangePtr& exchange);
+  void HandleRange(const http::ExchangePtr& exchange);
+  void HandleWatch(const http::ExchangePtr& exchange);
+  void HandleTransaction(const http::ExchangePtr& exchange, bool answer);
+  void HandleLease(const http::ExchangePtr& exchange, bool answer);
+  void HandleKeep(const http::ExchangePtr& exchange, int64_t id);
+  void EndLease(int64_t id);
+  void Write(const std::string& key, const std::string& encoded, int64_t lease);
+  void Erase(const std::string& key);
+  void Record(const std::string& key, nlohmann::json event);
+  bool AnswerWatch(Watch* watch);
+  void AnswerWatches();
+  nlohmann::json ItemOf(const std::string& key, const Entry& entry) const;
+  static void Reply(const http::ExchangePtr& exchange, int status, const nlohmann::json& body);
+
+  event::EventLoop& loop_;
+  http::Server server_;
+  std::map<std::string, Entry> entries_;
+  std::map<int64_t, Lease> leases_;
+  std::vector<std::unique_ptr<Watch>> watches_;
+  std::vector<Change> history_;
+  std::map<std::string, uint64_t> calls_;
+  std::vector<http::ExchangePtr> unanswered_;
+  std::function<bool(const http::Request&)> fault_filter_;
+  Fault fault_ = Fault::kNone;
+  int64_t revision_ = 0;
+  int64_t compacted_ = 0;
+  int64_t next_lease_ = 100;
+  bool watches_silent_ = false;
+};
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/fake_worker.cc
@@ -0,0 +1,141 @@
+#include "tests/platform_adapter/fake_worker.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace runshelf::platform_adapter {
+namespace {
+
+using nlohmann::json;
+
+bool Overlaps(const FakeWorker::Grant& grant, uint32_t first, uint32_t last) {
+  return grant.first <= last && first <= grant.last;
+}
+
+}  // namespace
+
+FakeWorker::FakeWorker(event::EventLoop& loop, std::string id, std::string service)
+    : loop_(loop),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }),
+      pool_(loop),
+      heartbeat_timer_(loop, [this] { SendHeartbeat(); }) {}
+
+void FakeWorker::Listen(uint16_t port) { server_.Listen({"127.0.0.1", port}); }
+
+void FakeWorker::StartHeartbeats(const event::Endpoint& node, Duration interval) {
+  node_ = node;
+  interval_ = interval;
+  SendHeartbeat();
+}
+
+void FakeWorker::SendHeartbeat() {
+  heartbeat_timer_.Start(interval_);
+  const json body{{"service", service_},
+                  {"address", endpoint().ToString()},
+                  {"zone", "z"},
+                  {"version", "v1"},
+                  {"slots", 4},
+                  {"state", draining_ ? "draining" : "ready"},
+                  {"cold_remaining_ms", 0},
+                  {"call_sequence", ++sequence_}};
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/runshelf/rpc?call=instances.heartbeat&of=" + id_;
+  head.headers.Add("Host", node_.ToString());
+  heartbeat_ = std::make_unique<http::SimpleCall>(
+      loop_, pool_, node_, http::SerializeRequest(head, body.dump()), http::CallOptions{},
+      std::chrono::seconds(1),
+      [this](const std::optional<http::Response>& response, http::ClientFailure) {
+        if (response.has_value()) heartbeat_status_ = response->status;
+      });
+}
+
+const FakeWorker::Grant* FakeWorker::Holds(uint32_t key) const {
+  for (const Grant& grant : grants_) {
+    if (Overlaps(grant, key, key) && loop_.Now() < grant.until) return &grant;
+  }
+  return nullptr;
+}
+
+void FakeWorker::Handle(const http::ExchangePtr& exchange) {
+  const std::string& target = exchange->request().head.target;
+  if (target == "/runshelf/grant") return HandleGrant(exchange);
+  if (target == "/runshelf/release") return HandleRelease(exchange);
+  if (target == "/health") {
+    http::Headers headers;
+    headers.Add("Instance-Id", id_);
+    return exchange->Respond(draining_ ? 503 : 200, headers, "");
+  }
+  HandleRequest(exchange);
+}
+
+void FakeWorker::HandleGrant(const http::ExchangePtr& exchange) {
+  const json body = json::parse(exchange->request().body);
+  Grant grant;
+  grant.first = body["from_revision"];
+  grant.last = body["target_version"];
+  grant.fence = body["fence"];
+  grant.handover = body.value("handover", "");
+  grant.until = loop_.Now() + std::chrono::milliseconds(body["hold_ms"].get<int64_t>());
+  for (const Grant& seen : fences_seen_) {
+    if (Overlaps(seen, grant.first, grant.last) && seen.fence > grant.fence) {
+      ++refused_orders_;
+      return exchange->Respond(409, {}, "");
+    }
+  }
+  fences_seen_.push_back(grant);
+  std::erase_if(grants_, [&](const Grant& other) {
+    return other.first >= grant.first && other.last <= grant.last;
+  });
+  grants_.push_back(grant);
+  exchange->Respond(200, {}, "");
+}
+
+void FakeWorker::HandleRelease(const http::ExchangePtr& exchange) {
+  const json body = json::parse(exchange->request().body);
+  const uint32_t first = body["from_revision"];
+  const uint32_t last = body["target_version"];
+  Grant seen;
+  seen.first = first;
+  seen.last = last;
+  seen.fence = body["fence"];
+  fences_seen_.push_back(seen);
+  std::vector<Grant> kept;
+  for (const Grant& grant : grants_) {
+    if (!Overlaps(grant, first, last)) {
+      kept.push_back(grant);
+      continue;
+    }
+    if (grant.first < first) kept.push_back({grant.first, first - 1, grant.fence, grant.until, ""});
+    if (grant.last > last) kept.push_back({last + 1, grant.last, grant.fence, grant.until, ""});
+  }
+  grants_ = std::move(kept);
+  http::Headers headers;
+  headers.Add("Handover", "from-" + id_);
+  exchange->Respond(200, headers, "");
+}
+
+void FakeWorker::HandleRequest(const http::ExchangePtr& exchange) {
+  const http::Headers& received = exchange->request().head.headers;
+  http::Headers headers;
+  if (const std::string* id = received.Find("Attempt-Id")) headers.Add("Attempt-Id", *id);
+  const std::string* expected = received.Find("Expect-Instance");
+  if (expected != nullptr && *expected != id_) {
+    headers.Add("Instance-Id", id_);
+    return exchange->Respond(421, headers, "");
+  }
+  if (const std::string* key = received.Find("Shard-Key"); sharded_ && key != nullptr) {
+    if (Holds(static_cast<uint32_t>(std::stoul(*key))) == nullptr) {
+      headers.Add("Not-Executed", "1");
+      return exchange->Respond(421, headers, "");
+    }
+  }
+  executed_.push_back(exchange->request());
+  if (behaviour_) return behaviour_(exchange);
+  headers.Add("Server-Stamp", "stamp-of-" + id_);
+  exchange->Respond(200, headers, id_ + ":" + exchange->request().body);
+}
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/fake_worker.h
@@ -0,0 +1,77 @@
+// A worker of the platform for tests: runs requests, holds keys under fences, drains.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/http/server.h"
+
+namespace runshelf::platform_adapter {
+
+class FakeWorker {
+ public:
+  FakeWorker(event::EventLoop& loop, std::string id, std::string service);
+
+  // Listens; port 0 lets the system choose.
+  void Listen(uint16_t port = 0);
+  event::Endpoint endpoint() const { return {"127.0.0.1", server_.bound_port()}; }
+  const std::string& id() const { return id_; }
+
+  // Sends heartbeats to the node beside it until the worker is destroyed.
+  void StartHeartbeats(const event::Endpoint& node, Duration interval);
+  void set_draining(bool draining) { draining_ = draining; }
+  // Status of the latest answer to a heartbeat; zero before the first.
+  int heartbeat_status() const { return heartbeat_status_; }
+
+  // What to do with a request instead of answering 200 with the id and the body.
+  using Behaviour = std::function<void(const http::ExchangePtr&)>;
+  void set_behaviour(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
+  // The worker's keys count: requests for others are refused.
+  void set_sharded(bool sharded) { sharded_ = sharded; }
+
+  struct Grant {
+    uint32_t first = 0;
+    uint32_t last = 0;
+    uint64_t fence = 0;
+    Instant until{};
+    std::string handover;
+  };
+  // The grant in force for a key; nullptr when there is none.
+  const Grant* Holds(uint32_t key) const;
+  const std::vector<http::Request>& executed() const { return executed_; }
+  uint64_t refused_orders() const { return refused_orders_; }
+
+ private:
+  void Handle(const http::ExchangePtr& exchange);
+  void HandleGrant(const http::ExchangePtr& exchange);
+  void HandleRelease(const http::ExchangePtr& exchange);
+  void HandleRequest(const http::ExchangePtr& exchange);
+  void SendHeartbeat();
+
+  event::EventLoop& loop_;
+  std::string id_;
+  std::string service_;
+  http::Server server_;
+  http::ConnectionPool pool_;
+  event::Timer heartbeat_timer_;
+  event::Endpoint node_;
+  Duration interval_{0};
+  std::unique_ptr<http::SimpleCall> heartbeat_;
+  Behaviour behaviour_;
+  std::vector<Grant> grants_;
+  std::vector<Grant> fences_seen_;  // Of all grants and releases.
+  std::vector<http::Request> executed_;
+  uint64_t refused_orders_ = 0;
+  int64_t sequence_ = 0;
+  int heartbeat_status_ = 0;
+  bool draining_ = false;
+  bool sharded_ = false;
+};
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/fleet.cc
@@ -0,0 +1,184 @@
+#include "tests/platform_adapter/fleet.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::platform_adapter {
+namespace {
+
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
+
+uint16_t FreePort() {
+  event::EventLoop loop;
+  event::TcpListener listener(loop, nullptr);
+  listener.Listen({"127.0.0.1", 0});
+  return listener.bound_port();
+}
+
+}  // namespace
+
+std::string TestConfiguration(int version, const std::string& plain_service) {
+  return fmt::format(
+      R"({{"version":"r{}","routes":{{"columns":["name","host","path_prefix","kind","timeout_ms",)"
+      R"("target_latency_ms","priority","service","max_attempts"],"rows":[)"
+      R"(["read","h.example","/read/","idempotent",1500,1000,2,"{}",2],)"
+      R"(["send","h.example","/send/","non_idempotent",1500,1000,1,"{}",2],)"
+      R"(["keyed","h.example","/keyed/","idempotent",1500,1000,2,"keyed",2]]}},)"
+      R"("services":{{"columns":["name","health_check_path","sharded"],)"
+      R"("rows":[["plain","/health",null],["other","/health",null],["keyed","/health",true]]}},)"
+      R"("limits":{{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,)"
+      R"("idle_timeout_ms":15000}}}})",
+      version, plain_service, plain_service);
+}
+
+Fleet::Fleet(const std::vector<std::string>& services)
+    : log_descriptor_(open("/dev/null", O_WRONLY | O_CLOEXEC)), log_(loop, log_descriptor_, {}) {
+  for (size_t index = 0; index < services.size(); ++index) {
+    Node node;
+    const std::string name = "n" + std::to_string(index);
+    node.worker = std::make_unique<FakeWorker>(loop, "w" + std::to_string(index), services[index]);
+    node.worker->set_sharded(services[index] == "keyed");
+    node.worker->Listen();
+    node.settings.node_name = name;
+    node.settings.zone = "z";
+    node.settings.ip_address = "127.0.0.1";
+    node.settings.outbound = event::Endpoint{"127.0.0.1", FreePort()};
+    node.settings.inbound = event::Endpoint{"127.0.0.1", FreePort()};
+    node.settings.readiness = event::Endpoint{"127.0.0.1", FreePort()};
+    node.settings.control_plane = event::Endpoint{"127.0.0.1", FreePort()};
+    node.settings.worker = node.worker->endpoint();
+    node.settings.worker_service = services[index];
+    node.settings.store = store.endpoint();
+    node.settings.heartbeat_interval = kHeartbeatInterval;
+    nodes.push_back(std::move(node));
+  }
+}
+
+Fleet::~Fleet() {
+  for (Node& node : nodes) node.sidecar.reset();
+  close(log_descriptor_);
+}
+
+void Fleet::StartNode(Node* node) {
+  node->sidecar =
+      std::make_unique<sidecar::Sidecar>(loop, node->settings, wire_, codec_, random_, log_);
+  // The address of a process that was just killed may take a moment.
+  event::RunUntil(loop, [&] { return node->sidecar->Start().ok(); });
+  node->worker->StartHeartbeats(*node->settings.control_plane, kHeartbeatInterval);
+}
+
+void Fleet::Start() {
+  store.Put("op/config", TestConfiguration(1, "plain"));
+  for (Node& node : nodes) StartNode(&node);
+  const bool keyed = std::any_of(nodes.begin(), nodes.end(), [](const Node& node) {
+    return node.settings.worker_service == "keyed";
+  });
+  event::RunUntil(
+      loop,
+      [&] {
+        const bool ready = std::all_of(nodes.begin(), nodes.end(), [](const Node& node) {
+          return node.sidecar->ready() && node.worker->heartbeat_status() == 200;
+        });
+        return ready && (!keyed || EveryKeyHeld());
+      },
+      std::chrono::seconds(8));
+  event::RunFor(loop, std::chrono::milliseconds(100));
+}
+
+void Fleet::Kill(size_t node) { nodes[node].sidecar.reset(); }
+
+void Fleet::Restart(size_t node) { StartNode(&nodes[node]); }
+
+void Fleet::ReplaceWorker(size_t node, const std::string& id) {
+  const uint16_t port = nodes[node].worker->endpoint().port;
+  nodes[node].worker.reset();
+  event::RunFor(loop, std::chrono::milliseconds(5));
+  nodes[node].worker = std::make_unique<FakeWorker>(loop, id, nodes[node].settings.worker_service);
+  nodes[node].worker->set_sharded(nodes[node].settings.worker_service == "keyed");
+  nodes[node].worker->Listen(port);
+  nodes[node].worker->StartHeartbeats(*nodes[node].settings.control_plane, kHeartbeatInterval);
+}
+
+std::optional<Fleet::Answer> Fleet::Request(size_t node, const std::string& method,
+                                            const std::string& target, const std::string& body,
+                                            const http::Headers& headers, Duration limit) {
+  http::RequestHead head;
+  head.method = method;
+  head.target = target;
+  head.headers = headers;
+  head.headers.Add("Host", "h.example");
+  head.headers.Add("Attempt-Id", "a" + std::to_string(next_request_++));
+  if (!head.headers.Has("Deadline-Ms")) head.headers.Add("Deadline-Ms", "2000");
+  std::optional<Answer> answer;
+  bool over = false;
+  http::SimpleCall call(loop, pool_, *nodes[node].settings.outbound,
+                        http::SerializeRequest(head, body), {}, limit,
+                        [&](std::optional<http::Response> response, http::ClientFailure) {
+                          over = true;
+                          if (!response.has_value()) return;
+                          answer = Answer{response->status, response->body, response->headers};
+                        });
+  event::RunUntil(
+      loop, [&] { return over; }, limit + std::chrono::seconds(1));
+  return answer;
+}
+
+std::optional<Fleet::Answer> Fleet::Keyed(size_t node, uint32_t key) {
+  http::Headers headers;
+  headers.Add("Shard-Key", std::to_string(key));
+  return Request(node, "GET", "/keyed/1", "", headers);
+}
+
+std::optional<int> Fleet::Readiness(size_t node) {
+  std::optional<int> status;
+  bool over = false;
+  http::SimpleCall call(loop, pool_, *nodes[node].settings.readiness,
+                        "GET /runshelf/readiness HTTP/1.1\r\n\r\n", {}, std::chrono::seconds(1),
+                        [&](const std::optional<http::Response>& response, http::ClientFailure) {
+                          over = true;
+                          if (response.has_value()) status = response->status;
+                        });
+  event::RunUntil(loop, [&] { return over; });
+  return status;
+}
+
+int Fleet::LateOrder(size_t node, const std::string& target, const std::string& body) {
+  int status = 0;
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = target;
+  http::SimpleCall call(loop, pool_, nodes[node].worker->endpoint(),
+                        http::SerializeRequest(head, body), {}, std::chrono::seconds(1),
+                        [&](const std::optional<http::Response>& response, http::ClientFailure) {
+                          status = response.has_value() ? response->status : -1;
+                        });
+  event::RunUntil(loop, [&] { return status != 0; });
+  return status;
+}
+
+int Fleet::HoldersOf(uint32_t key) const {
+  return static_cast<int>(std::count_if(nodes.begin(), nodes.end(), [&](const Node& node) {
+    return node.settings.worker_service == "keyed" && node.worker->Holds(key) != nullptr;
+  }));
+}
+
+std::optional<size_t> Fleet::HolderOf(uint32_t key) const {
+  for (size_t index = 0; index < nodes.size(); ++index) {
+    if (nodes[index].settings.worker_service != "keyed") continue;
+    if (nodes[index].worker->Holds(key) != nullptr) return index;
+  }
+  return std::nullopt;
+}
+
+bool Fleet::EveryKeyHeld() const {
+  for (uint32_t key = 0; key < 65536; key += 512) {
+    if (HoldersOf(key) != 1) return false;
+  }
+  return true;
+}
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/fleet.h
@@ -0,0 +1,82 @@
+// A few sidecars with their workers and one store, all on the test's event loop.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/store_codec.h"
+#include "platform/wire_format.h"
+#include "runshelf/common/random.h"
+#include "source/event/event_loop.h"
+#include "source/http/client.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/sidecar.h"
+#include "tests/event/loop_runner.h"
+#include "tests/platform_adapter/fake_store.h"
+#include "tests/platform_adapter/fake_worker.h"
+
+namespace runshelf::platform_adapter {
+
+class Fleet {
+ public:
+  struct Node {
+    sidecar::Settings settings;
+    std::unique_ptr<FakeWorker> worker;
+    std::unique_ptr<sidecar::Sidecar> sidecar;
+  };
+
+  // One node for each name of `services`; "keyed" is divided by key.
+  explicit Fleet(const std::vector<std::string>& services);
+  ~Fleet();
+
+  // Starts all nodes and waits until they are ready and every service is served.
+  void Start();
+  // A node process ends without a word; its worker lives on.
+  void Kill(size_t node);
+  // A node process starts again beside the same worker.
+  void Restart(size_t node);
+  // The worker beside a node is replaced by a new incarnation.
+  void ReplaceWorker(size_t node, const std::string& id);
+
+  struct Answer {
+    int status = 0;
+    std::string body;
+    http::Headers headers;
+  };
+  // Sends a request to the node's outbound address; nullopt when no answer came in time.
+  std::optional<Answer> Request(size_t node, const std::string& method, const std::string& target,
+                                const std::string& body, const http::Headers& headers = {},
+                                Duration limit = std::chrono::seconds(3));
+  std::optional<Answer> Keyed(size_t node, uint32_t key);
+  std::optional<int> Readiness(size_t node);
+  // An order to a worker that somebody sent earlier arrives now; returns the status of its answer.
+  int LateOrder(size_t node, const std::string& target, const std::string& body);
+
+  // How many workers hold the key now.
+  int HoldersOf(uint32_t key) const;
+  // Node whose worker holds the key; nullopt when there is none.
+  std::optional<size_t> HolderOf(uint32_t key) const;
+  bool EveryKeyHeld() const;
+
+  event::EventLoop loop;
+  FakeStore store{loop};
+  std::vector<Node> nodes;
+
+ private:
+  void StartNode(Node* node);
+
+  PlatformWireFormat wire_;
+  PlatformStoreCodec codec_;
+  SeededRandom random_{7};
+  int log_descriptor_;
+  sidecar::LogWriter log_;
+  http::ConnectionPool pool_{loop};
+  uint64_t next_request_ = 1;
+};
+
+// The configuration that the fleet starts with, as the operator writes it.
+std::string TestConfiguration(int version, const std::string& plain_service);
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -0,0 +1,322 @@
+// Whole sidecars with workers and a store: what callers, workers and operators see.
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/platform_adapter/fleet.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+
+TEST_GROUP(Sidecar){};
+
+TEST(Sidecar, ARequestReachesAWorkerAndItsAnswerComesBackUnchanged) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  CHECK_EQUAL(200, *fleet.Readiness(1));
+  http::Headers headers;
+  headers.Add("X-Own", "1");
+  headers.Add("Caller-Service", "forged");
+  headers.Add("Runshelf-Weight", "999999");
+  const auto answer = fleet.Request(1, "POST", "/send/1?q=2", "order", headers);
+  CHECK(answer.has_value());
+  CHECK_EQUAL(200, answer->status);
+  STRCMP_EQUAL("w0:order", answer->body.c_str());
+  STRCMP_EQUAL("stamp-of-w0", answer->headers.Find("Server-Stamp")->c_str());
+  const http::Request& executed = fleet.nodes[0].worker->executed().back();
+  STRCMP_EQUAL("/send/1?q=2", executed.head.target.c_str());
+  STRCMP_EQUAL("order", executed.body.c_str());
+  STRCMP_EQUAL("1", executed.head.headers.Find("X-Own")->c_str());
+  STRCMP_EQUAL("other", executed.head.headers.Find("Caller-Service")->c_str());
+  STRCMP_EQUAL("w0", executed.head.headers.Find("Expect-Instance")->c_str());
+  CHECK(std::stoi(*executed.head.headers.Find("Deadline-Ms")) <= 1500);
+  CHECK_FALSE(executed.head.headers.Has("Runshelf-Weight"));
+  CHECK_FALSE(answer->headers.Has("Runshelf-Load"));
+}
+
+TEST(Sidecar, WithoutAConfigurationItRefusesAndWithoutARouteItSaysSo) {
+  Fleet fleet({"plain"});
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  fleet.Start();
+  CHECK_EQUAL(503, fleet.Request(0, "GET", "/read/1", "")->status);
+  CHECK_EQUAL(503, *fleet.Readiness(0));
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[0].sidecar->ready(); }));
+  CHECK_EQUAL(404, fleet.Request(0, "GET", "/none/1", "")->status);
+}
+
+TEST(Sidecar, ANewConfigurationIsInForceAndAnOlderOneNeverIs) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  STRCMP_EQUAL("w0:", fleet.Request(0, "GET", "/read/1", "")->body.c_str());
+  fleet.store.Put("op/config", TestConfiguration(5, "other"));
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  STRCMP_EQUAL("w1:", fleet.Request(0, "GET", "/read/1", "")->body.c_str());
+  fleet.store.Put("op/config", TestConfiguration(4, "plain"));
+  fleet.store.Put("op/config", "{broken");
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  STRCMP_EQUAL("w1:", fleet.Request(0, "GET", "/read/1", "")->body.c_str());
+}
+
+TEST(Sidecar, AnUnsafeRequestThatMayHaveRunIsNotSentAgain) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  for (size_t node : {0U, 1U}) {
+    fleet.nodes[node].worker->set_behaviour(
+        [](const http::ExchangePtr& exchange) { exchange->Abort(); });
+  }
+  CHECK_EQUAL(502, fleet.Request(2, "POST", "/send/1", "order")->status);
+  const size_t runs =
+      fleet.nodes[0].worker->executed().size() + fleet.nodes[1].worker->executed().size();
+  CHECK_EQUAL(1, runs);
+}
+
+TEST(Sidecar, ARepeatableRequestThatWasLostIsSentToAnotherWorker) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  // Earns the budget that retries draw on.
+  for (int count = 0; count < 20; ++count) fleet.Request(2, "GET", "/read/0", "");
+  fleet.nodes[0].worker->set_behaviour(
+      [](const http::ExchangePtr& exchange) { exchange->Abort(); });
+  for (int count = 0; count < 3; ++count) {
+    const auto answer = fleet.Request(2, "GET", "/read/1", "");
+    CHECK_EQUAL(200, answer->status);
+    STRCMP_EQUAL("w1:", answer->body.c_str());
+  }
+}
+
+TEST(Sidecar, ARefusalOfTheWorkerKeepsItsPromise) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  fleet.nodes[0].worker->set_behaviour([](const http::ExchangePtr& exchange) {
+    http::Headers headers;
+    headers.Add("Not-Executed", "1");
+    exchange->Respond(503, headers, "");
+  });
+  const auto answer = fleet.Request(1, "POST", "/send/1", "order");
+  CHECK_EQUAL(503, answer->status);
+  CHECK(answer->headers.Has("Retry-After"));
+}
+
+TEST(Sidecar, TheEndOfItsTimeIsAnsweredAndTheWorkerIsToldToStop) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  bool cancelled = false;
+  std::vector<http::ExchangePtr> held;
+  fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
+    exchange->set_on_client_gone([&] { cancelled = true; });
+    held.push_back(exchange);
+  });
+  http::Headers headers;
+  headers.Add("Deadline-Ms", "150");
+  const Instant start = fleet.loop.Now();
+  const auto answer = fleet.Request(1, "POST", "/send/1", "order", headers);
+  CHECK_EQUAL(504, answer->status);
+  CHECK(fleet.loop.Now() - start < std::chrono::milliseconds(400));
+  CHECK(RunUntil(
+      fleet.loop, [&] { return cancelled; }, std::chrono::milliseconds(400)));
+}
+
+TEST(Sidecar, AClientThatLeavesCancelsTheWorkThroughBothNodes) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  bool cancelled = false;
+  std::vector<http::ExchangePtr> held;
+  fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
+    exchange->set_on_client_gone([&] { cancelled = true; });
+    held.push_back(exchange);
+  });
+  CHECK_FALSE(
+      fleet.Request(1, "GET", "/read/1", "", {}, std::chrono::milliseconds(100)).has_value());
+  CHECK(RunUntil(
+      fleet.loop, [&] { return cancelled; }, std::chrono::milliseconds(400)));
+}
+
+TEST(Sidecar, AnAnswerThatBreaksOffIsNeverPassedOnAsWhole) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  const std::string large(200000, 'x');
+  for (const auto length : {std::optional<uint64_t>(300000), std::optional<uint64_t>()}) {
+    fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
+      http::Headers headers;
+      headers.Add("Server-Stamp", "s");
+      exchange->Start(200, headers, length);
+      exchange->WriteBody(large);
+      exchange->Abort();
+    });
+    const auto answer = fleet.Request(1, "POST", "/send/1", "order");
+    CHECK_TEXT(!answer.has_value() || answer->status >= 500, "a broken answer looks whole");
+  }
+}
+
+TEST(Sidecar, ALargeAnswerComesWhole) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  const std::string large(700000, 'x');
+  fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
+    exchange->Start(200, {}, std::nullopt);
+    exchange->WriteBody(large);
+    exchange->Finish();
+  });
+  const auto answer = fleet.Request(1, "GET", "/read/1", "");
+  CHECK(answer.has_value());
+  CHECK_EQUAL(large.size(), answer->body.size());
+}
+
+TEST(Sidecar, ADrainingWorkerGetsNothingNewAndTheRecordOutlivesTheNode) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  fleet.nodes[0].worker->set_draining(true);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.store.Find("runshelf/drains/n0") != nullptr; }));
+  RunFor(fleet.loop, std::chrono::milliseconds(150));
+  fleet.Kill(0);
+  // A heartbeat from before comes late: the worker still counts as leaving.
+  fleet.nodes[0].worker->set_draining(false);
+  fleet.Restart(0);
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  const size_t before = fleet.nodes[0].worker->executed().size();
+  for (int count = 0; count < 10; ++count) {
+    STRCMP_EQUAL("w1:", fleet.Request(2, "GET", "/read/1", "")->body.c_str());
+  }
+  CHECK_EQUAL(before, fleet.nodes[0].worker->executed().size());
+}
+
+TEST(Sidecar, ADrainIsNotAcknowledgedBeforeItIsRecorded) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  fleet.nodes[0].worker->set_draining(true);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[0].worker->heartbeat_status() == 503; }));
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[0].worker->heartbeat_status() == 200; }));
+  CHECK(fleet.store.Find("runshelf/drains/n0") != nullptr);
+}
+
+TEST(Sidecar, EveryKeyHasOneHolderAndRequestsFindIt) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"});
+  fleet.Start();
+  CHECK(fleet.EveryKeyHeld());
+  for (uint32_t key = 0; key < 65536; key += 4000) {
+    const auto answer = fleet.Keyed(3, key);
+    CHECK_EQUAL(200, answer->status);
+    const std::string expected = fleet.nodes[*fleet.HolderOf(key)].worker->id() + ":";
+    STRCMP_EQUAL(expected.c_str(), answer->body.c_str());
+  }
+}
+
+TEST(Sidecar, ARestartedNodeRenewsTheSameGrants) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const uint32_t key = 0;
+  const size_t holder = *fleet.HolderOf(key);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(key)->fence;
+  fleet.Kill(holder);
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  fleet.Restart(holder);
+  CHECK(RunUntil(fleet.loop, [&] {
+    const auto answer = fleet.Keyed(2, key);
+    return answer.has_value() && answer->status == 200;
+  }));
+  CHECK_EQUAL(holder, *fleet.HolderOf(key));
+  CHECK_EQUAL(fence, fleet.nodes[holder].worker->Holds(key)->fence);
+}
+
+TEST(Sidecar, ANewIncarnationGetsItsKeysUnderAHigherFence) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(0)->fence;
+  fleet.ReplaceWorker(holder, "w9");
+  CHECK(RunUntil(fleet.loop, [&] {
+    const auto answer = fleet.Keyed(2, 0);
+    return answer.has_value() && answer->status == 200;
+  }));
+  CHECK(fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0)->fence > fence);
+}
+
+TEST(Sidecar, KeysOfADrainingWorkerMoveWithTheirHandover) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t leaving = *fleet.HolderOf(0);
+  fleet.nodes[leaving].worker->set_draining(true);
+  CHECK(RunUntil(fleet.loop,
+                 [&] { return fleet.HolderOf(0).has_value() && *fleet.HolderOf(0) != leaving; }));
+  const auto* grant = fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0);
+  STRCMP_EQUAL(("from-" + fleet.nodes[leaving].worker->id()).c_str(), grant->handover.c_str());
+  CHECK_EQUAL(1, fleet.HoldersOf(0));
+}
+
+TEST(Sidecar, KeysOfALostMachineAreTakenOnlyAfterItsLease) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t lost = *fleet.HolderOf(0);
+  fleet.Kill(lost);
+  // Its worker still holds the keys for a moment; nobody else may before the lease is gone.
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  CHECK(fleet.HoldersOf(0) <= 1);
+  fleet.store.LapseLeases();
+  CHECK(RunUntil(
+      fleet.loop,
+      [&] {
+        const auto holder = fleet.HolderOf(0);
+        return holder.has_value() && *holder != lost;
+      },
+      std::chrono::seconds(10)));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+TEST(Sidecar, WithoutTheStoreKeysAreServedUntilTheLeaseEnds) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  fleet.store.set_fault(FakeStore::Fault::kSilent);
+  RunFor(fleet.loop, std::chrono::seconds(3));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+TEST(Sidecar, AStopFinishesWhatRunsAndHandsTheKeysOver) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t leaving = *fleet.HolderOf(0);
+  bool stopped = false;
+  fleet.nodes[leaving].sidecar->Stop([&] { stopped = true; });
+  CHECK_EQUAL(503, *fleet.Readiness(leaving));
+  CHECK_EQUAL(200, fleet.Keyed(leaving, 0)->status);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return stopped; }, std::chrono::seconds(6)));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK(*fleet.HolderOf(0) != leaving);
+}
+
+// A grant without an answer may be taken seconds later. Found by a hunt (lagesse-mesh, mix
+// 1089251233620): the former owner took its old grant again after the keys had gone to another
+// worker.
+TEST(Sidecar, AGrantThatIsTakenLateIsRefusedAfterAMove) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t leaving = *fleet.HolderOf(0);
+  const FakeWorker::Grant old = *fleet.nodes[leaving].worker->Holds(0);
+  fleet.nodes[leaving].worker->set_draining(true);
+  CHECK(RunUntil(fleet.loop,
+                 [&] { return fleet.HolderOf(0).has_value() && *fleet.HolderOf(0) != leaving; }));
+  const std::string order = "{\"from_revision\":0,\"target_version\":" + std::to_string(old.last) +
+                            ",\"fence\":" + std::to_string(old.fence) + ",\"hold_ms\":3000}";
+  CHECK_EQUAL(409, fleet.LateOrder(leaving, "/runshelf/grant", order));
+  CHECK_EQUAL(1, fleet.HoldersOf(0));
+}
+
+// A node may die between the release of keys and the change of the map.
+TEST(Sidecar, KeysThatWereReleasedAndNotHandedOverAreGrantedAgain) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const FakeWorker::Grant old = *fleet.nodes[holder].worker->Holds(0);
+  const std::string order = "{\"from_revision\":0,\"target_version\":" + std::to_string(old.last) +
+                            ",\"fence\":" + std::to_string(old.fence + 1) + "}";
+  CHECK_EQUAL(200, fleet.LateOrder(holder, "/runshelf/release", order));
+  CHECK(RunUntil(fleet.loop, [&] {
+    const auto answer = fleet.Keyed(2, 0);
+    return answer.has_value() && answer->status == 200;
+  }));
+  CHECK(fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0)->fence > old.fence);
+}
--- /dev/null
+++ b/tests/platform_adapter/store_access_test.cc
@@ -0,0 +1,285 @@
+// The store client, the watcher and the lease keeper against a store with faults.
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform/store_codec.h"
+#include "source/store/lease_keeper.h"
+#include "source/store/prefix_watcher.h"
+#include "source/store/store_client.h"
+#include "tests/event/loop_runner.h"
+#include "tests/platform_adapter/fake_store.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+
+namespace {
+
+// Passes marked requests on as a peer would.
+class TestRelay : public store::StoreRelay {
+ public:
+  TestRelay(event::EventLoop& loop, const event::Endpoint& store)
+      : pool_(loop),
+        codec_(),
+        client_(loop, pool_, codec_, Config(store)),
+        server_(loop, [this](const http::ExchangePtr& exchange) { PassOn(exchange); }) {
+    server_.Listen({"127.0.0.1", 0});
+  }
+
+  std::optional<event::Endpoint> ChoosePeer() override {
+    return event::Endpoint{"127.0.0.1", server_.bound_port()};
+  }
+  void MarkForRelay(http::Request* request) override { request->head.headers.Add("Relayed", "1"); }
+
+  int passed = 0;
+
+ private:
+  static store::StoreClientConfig Config(const event::Endpoint& store) {
+    store::StoreClientConfig config;
+    config.endpoint = store;
+    return config;
+  }
+
+  void PassOn(const http::ExchangePtr& exchange) {
+    ++passed;
+    http::Request request = exchange->request();
+    request.head.headers.RemoveConnectionHeaders();
+    client_.PassOn(request, std::chrono::seconds(3),
+                   [exchange](const std::optional<http::Response>& response) {
+                     if (response) exchange->Respond(response->status, {}, response->body);
+                   });
+  }
+
+  http::ConnectionPool pool_;
+  PlatformStoreCodec codec_;
+  store::StoreClient client_;
+  http::Server server_;
+};
+
+bool IsDirect(const http::Request& request) { return !request.head.headers.Has("Relayed"); }
+
+}  // namespace
+
+TEST_GROUP(StoreAccess) {
+  event::EventLoop loop;
+  FakeStore fake{loop};
+  http::ConnectionPool pool{loop};
+  PlatformStoreCodec codec;
+  store::StoreClient client{loop, pool, codec, Config()};
+
+  store::StoreClientConfig Config() {
+    store::StoreClientConfig config;
+    config.endpoint = fake.endpoint();
+    config.call_timeout = std::chrono::milliseconds(60);
+    config.relayed_watch_wait = std::chrono::milliseconds(100);
+    return config;
+  }
+
+  store::CommitResult Commit(const store::Transaction& transaction) {
+    store::CommitResult committed;
+    bool over = false;
+    client.Commit(transaction, [&](absl::StatusOr<store::CommitResult> result) {
+      CHECK(result.ok());
+      committed = *result;
+      over = true;
+    });
+    CHECK(RunUntil(loop, [&] { return over; }));
+    return committed;
+  }
+};
+
+TEST(StoreAccess, ACommitHappensOnlyUnderItsConditions) {
+  store::Transaction transaction;
+  transaction.conditions.push_back({"k", 0});
+  transaction.puts.push_back({"k", "a", 0});
+  const auto first = Commit(transaction);
+  CHECK(first.outcome == store::CommitOutcome::kCommitted);
+  const auto second = Commit(transaction);
+  CHECK(second.outcome == store::CommitOutcome::kConflict);
+  CHECK_EQUAL(first.revision, second.found[0].revision);
+  STRCMP_EQUAL("a", fake.Find("k")->c_str());
+}
+
+TEST(StoreAccess, ACallGoesThroughAPeerWhileTheDirectWayFails) {
+  TestRelay relay(loop, fake.endpoint());
+  client.set_relay(&relay);
+  fake.Put("k", "v");
+  for (const auto fault : {FakeStore::Fault::kRefuse, FakeStore::Fault::kSilent}) {
+    fake.set_fault(fault);
+    fake.set_fault_filter(IsDirect);
+    bool over = false;
+    client.Range("", "", [&](absl::StatusOr<store::RangePage> page) {
+      CHECK(page.ok());
+      CHECK_EQUAL(1, page->items.size());
+      over = true;
+    });
+    CHECK(RunUntil(loop, [&] { return over; }));
+  }
+  CHECK(relay.passed > 0);
+}
+
+TEST(StoreAccess, WithoutAnyWayTheOutcomeIsUnknown) {
+  fake.set_fault(FakeStore::Fault::kSilent);
+  bool over = false;
+  client.Range("", "", [&](const absl::StatusOr<store::RangePage>& page) {
+    CHECK(absl::IsUnknown(page.status()));
+    over = true;
+  });
+  CHECK(RunUntil(loop, [&] { return over; }));
+  CHECK_FALSE(client.reachable());
+}
+
+TEST_GROUP(PrefixWatcher) {
+  event::EventLoop loop;
+  FakeStore fake{loop};
+  http::ConnectionPool pool{loop};
+  PlatformStoreCodec codec;
+  store::StoreClient client{loop, pool, codec, Config()};
+  std::map<std::string, std::string> seen;
+  store::PrefixWatcher watcher{
+      loop,
+      client,
+      WatchConfig(),
+      {[this](const store::Item& item) { seen[item.key] = item.value; },
+       [this](const std::string& key) { seen.erase(key); }, nullptr, nullptr}};
+
+  store::StoreClientConfig Config() {
+    store::StoreClientConfig config;
+    config.endpoint = fake.endpoint();
+    config.call_timeout = std::chrono::milliseconds(100);
+    return config;
+  }
+
+  static store::PrefixWatcherConfig WatchConfig() {
+    store::PrefixWatcherConfig config;
+    config.prefix = "p/";
+    config.coalesce = std::chrono::milliseconds(1);
+    config.retry_min = std::chrono::milliseconds(5);
+    return config;
+  }
+};
+
+TEST(PrefixWatcher, ItFollowsWhatIsWrittenAndRemoved) {
+  for (int index = 0; index < 8; ++index) fake.Put("p/" + std::to_string(index), "old");
+  fake.Put("other", "x");
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return seen.size() == 8; }));
+  fake.Put("p/0", "new");
+  CHECK(RunUntil(loop, [&] { return seen["p/0"] == "new"; }));
+  fake.Remove("p/1");
+  CHECK(RunUntil(loop, [&] { return !seen.contains("p/1"); }));
+  CHECK_FALSE(seen.contains("other"));
+}
+
+// A watch that hears nothing and is then cut must lead to a new read at once: it was handed to a
+// peer with its long wait once, and a configuration came seconds late.
+TEST(PrefixWatcher, ACutWatchIsReadAgainAtOnce) {
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return watcher.synchronized(); }));
+  RunFor(loop, std::chrono::milliseconds(20));
+  fake.set_watches_silent(true);
+  fake.Put("p/a", "1");
+  fake.Put("p/b", "1");
+  fake.Remove("p/b");
+  RunFor(loop, std::chrono::milliseconds(20));
+  CHECK(seen.empty());
+  fake.set_watches_silent(false);
+  fake.CompactAndCutWatches();
+  CHECK(RunUntil(
+      loop, [&] { return seen.contains("p/a"); }, std::chrono::milliseconds(500)));
+  CHECK_FALSE(seen.contains("p/b"));
+}
+
+TEST(PrefixWatcher, ItReadsAgainWhenTheHistoryIsGone) {
+  fake.Put("p/a", "1");
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return seen.size() == 1; }));
+  fake.set_fault(FakeStore::Fault::kRefuse);
+  watcher.Refresh();
+  RunFor(loop, std::chrono::milliseconds(30));
+  fake.Remove("p/a");
+  fake.Put("p/b", "2");
+  fake.CompactAndCutWatches();
+  fake.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(loop, [&] { return seen.contains("p/b") && !seen.contains("p/a"); }));
+}
+
+TEST_GROUP(LeaseKeeper) {
+  event::EventLoop loop;
+  FakeStore fake{loop};
+  http::ConnectionPool pool{loop};
+  PlatformStoreCodec codec;
+  store::StoreClient client{loop, pool, codec, Config()};
+  store::LeaseKeeper keeper{loop, client, KeeperConfig()};
+
+  store::StoreClientConfig Config() {
+    store::StoreClientConfig config;
+    config.endpoint = fake.endpoint();
+    config.call_timeout = std::chrono::milliseconds(40);
+    return config;
+  }
+
+  static store::LeaseKeeperConfig KeeperConfig() {
+    store::LeaseKeeperConfig config;
+    config.time_to_live = std::chrono::milliseconds(400);
+    config.renewal_interval = std::chrono::milliseconds(60);
+    config.retry_interval = std::chrono::milliseconds(20);
+    config.safety_margin = std::chrono::milliseconds(20);
+    config.key = "node";
+    return config;
+  }
+
+  void Announce() {
+    keeper.SetValue("v1");
+    keeper.Start();
+    CHECK(RunUntil(loop, [&] { return keeper.announced(); }));
+  }
+};
+
+TEST(LeaseKeeper, TheItemStaysWhileTheLeaseIsRenewed) {
+  Announce();
+  RunFor(loop, std::chrono::milliseconds(900));
+  STRCMP_EQUAL("v1", fake.Find("node")->c_str());
+  CHECK(keeper.ValidUntil() > loop.Now());
+}
+
+TEST(LeaseKeeper, ValidityCountsFromBeforeTheRenewalAndEndsByItself) {
+  Announce();
+  fake.set_fault(FakeStore::Fault::kSilent);
+  const Instant until = keeper.ValidUntil();
+  CHECK(until <= loop.Now() + std::chrono::milliseconds(400));
+  RunFor(loop, std::chrono::milliseconds(450));
+  CHECK(keeper.ValidUntil() < loop.Now());
+}
+
+TEST(LeaseKeeper, AnItemThatWentWithItsLeaseIsWrittenUnderANewOne) {
+  int leases = 0;
+  keeper.set_on_new_lease([&] { ++leases; });
+  Announce();
+  const store::LeaseId first = keeper.lease();
+  fake.LapseLeases();
+  POINTERS_EQUAL(nullptr, fake.Find("node"));
+  CHECK(RunUntil(loop, [&] { return leases == 2; }));
+  CHECK(keeper.lease() != first);
+  STRCMP_EQUAL("v1", fake.Find("node")->c_str());
+}
+
+// A write whose answer is lost may be done late: it must not undo a later one.
+TEST(LeaseKeeper, ALostAnswerDoesNotStopTheNextValue) {
+  Announce();
+  fake.set_fault(FakeStore::Fault::kLoseWrites);
+  keeper.SetValue("v2");
+  RunFor(loop, std::chrono::milliseconds(30));
+  fake.set_fault(FakeStore::Fault::kNone);
+  keeper.SetValue("v3");
+  CHECK(RunUntil(loop, [&] { return keeper.announced(); }));
+  STRCMP_EQUAL("v3", fake.Find("node")->c_str());
+}
+
+TEST(LeaseKeeper, EndingItRemovesTheItem) {
+  Announce();
+  keeper.End();
+  CHECK(RunUntil(loop, [&] { return fake.Find("node") == nullptr; }));
+  CHECK(keeper.ValidUntil() == Instant{});
+}
--- /dev/null
+++ b/tests/platform_adapter/translation_test.cc
@@ -0,0 +1,250 @@
+#include <CppUTest/TestHarness.h>
+
+#include "platform/configuration.h"
+#include "platform/settings.h"
+#include "platform/store_codec.h"
+#include "platform/wire_format.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+
+namespace {
+
+http::Response Answer(int status, const std::string& body) {
+  http::Response response;
+  response.status = status;
+  response.body = body;
+  return response;
+}
+
+http::Request Post(const std::string& target, const std::string& body) {
+  http::Request request;
+  request.head.method = "POST";
+  request.head.target = target;
+  request.body = body;
+  return request;
+}
+
+constexpr const char* kConfiguration =
+    R"({"version":"r7","routes":{"columns":["name","host","path_prefix","kind","timeout_ms",)"
+    R"("target_latency_ms","priority","service","max_attempts","weighted_services"],"rows":[)"
+    R"(["a","h.example","/a/","non_idempotent",1200,400,1,"s1",2,null],)"
+    R"(["b","h.example","/b/","idempotent",null,300,2,null,3,)"
+    R"([{"service":"s1","weight":90},{"service":"s2","weight":10}]]]},)"
+    R"("services":{"columns":["name","health_check_path","max_connections","sharded","warmup_s"],)"
+    R"("rows":[["s1","/health",110,true,3.0],["s2","/health",110,null,null]]},)"
+    R"("limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,)"
+    R"("idle_timeout_ms":15000}})";
+
+constexpr const char* kSettings = R"(
+node_name = "n1"
+ip_address = "10.1.0.8"
+zone = "z1"
+internal_port_range = [7620,7635]
+heartbeat_interval_ms = 1300
+first_start = true
+bounds = ["drain_timeout_ms=2500","retry_budget_ratio=0.3","closed=false","other=text"]
+application_address = "10.1.0.8:8301"
+service = "s1"
+unknown_field = 7
+[listen_addresses]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+readiness = "10.1.0.8:8302"
+[platform]
+address = "10.200.1.7:8309"
+ttl_min_ms = 2000
+)";
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_GROUP(Translation) {
+  PlatformWireFormat wire;
+  PlatformStoreCodec codec;
+};
+
+TEST(Translation, AConfigurationIsReadWhole) {
+  const auto configuration = DecodeConfiguration(kConfiguration);
+  CHECK(configuration.ok());
+  CHECK_EQUAL(7, configuration->version());
+  const routes::Route* route = configuration->Match("h.example", "/b/1");
+  CHECK(route->kind == routes::RequestKind::kIdempotent);
+  CHECK_FALSE(route->timeout.has_value());
+  CHECK(*route->target_latency == std::chrono::milliseconds(300));
+  CHECK_EQUAL(2, route->priority);
+  CHECK_EQUAL(3, route->max_attempts);
+  CHECK_EQUAL(2, route->services.size());
+  CHECK_EQUAL(10, route->services[1].weight);
+  CHECK(configuration->FindService("s1")->sharded);
+  CHECK_FALSE(configuration->FindService("s2")->sharded);
+  CHECK_EQUAL(1000, configuration->limits().max_body_bytes);
+}
+
+TEST(Translation, ABrokenConfigurationIsRefusedWithAReason) {
+  const std::pair<const char*, const char*> changes[] = {
+      {"\"r7\"", "\"7\""},
+      {"\"r7\"", "\"r\""},
+      {"\"r7\"", "7"},
+      {"\"idempotent\"", "\"sometimes\""},
+      {"\"h.example\"", "null"},
+      {"\"s1\",2,null", "null,2,null"},
+      {"\"weight\":90", "\"w\":9"},
+      {"\"rows\":[[\"s1\"", "\"row\":[[\"s1\""},
+      {"[\"s2\",\"/health\"", "[null,\"/health\""},
+      {"\"routes\"", "\"rutes\""},
+      {"}}", "}"},
+  };
+  for (const auto& [from, to] : changes) {
+    const auto configuration = DecodeConfiguration(Replaced(kConfiguration, from, to));
+    CHECK_FALSE_TEXT(configuration.ok(), from);
+    CHECK_FALSE_TEXT(configuration.status().message().empty(), from);
+  }
+  CHECK_FALSE(DecodeConfiguration(std::string(100000, '[')).ok());
+}
+
+TEST(Translation, AHeartbeatIsRead) {
+  const auto notice = wire.DecodeWorkerNotice(
+      Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
+           R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v1","slots":18,)"
+           R"("state":"draining","cold_remaining_ms":250.5,"call_sequence":4})"));
+  CHECK(notice.ok());
+  const auto& heartbeat = std::get<sidecar::WorkerHeartbeat>(*notice);
+  STRCMP_EQUAL("i-1", heartbeat.worker_id.c_str());
+  CHECK_EQUAL(18, heartbeat.slots);
+  CHECK(heartbeat.draining);
+  CHECK(heartbeat.cold_remaining == std::chrono::microseconds(250500));
+  CHECK_EQUAL(4, heartbeat.sequence);
+}
+
+TEST(Translation, ALeaveIsRead) {
+  const auto notice =
+      wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=instances.deregister&of=i-1", ""));
+  CHECK(notice.ok());
+  STRCMP_EQUAL("i-1", std::get<sidecar::WorkerLeave>(*notice).worker_id.c_str());
+}
+
+TEST(Translation, BrokenCallsOfWorkersAreRefused) {
+  const std::string heartbeat = "/runshelf/rpc?call=instances.heartbeat&of=i-1";
+  const char* bodies[] = {
+      "",
+      "[]",
+      R"({"service":"s","slots":18,"state":"ready"})",
+      R"({"service":"s","slots":18,"state":"well","call_sequence":1})",
+      R"({"service":"s","slots":-1,"state":"ready","call_sequence":1})",
+      R"({"service":7,"slots":1,"state":"ready","call_sequence":1})",
+  };
+  for (const char* body : bodies) {
+    CHECK_TEXT(absl::IsInvalidArgument(wire.DecodeWorkerNotice(Post(heartbeat, body)).status()),
+               body);
+  }
+  CHECK_FALSE(
+      wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=instances.heartbeat&of=", "{}")).ok());
+  CHECK_FALSE(
+      wire.DecodeWorkerNotice(
+              Post("/runshelf/rpc?call=instances.deregister&of=" + std::string(1000, 'x'), ""))
+          .ok());
+  CHECK(absl::IsNotFound(wire.DecodeWorkerNotice(Post("/other", "")).status()));
+}
+
+TEST(Translation, OrdersToWorkersSayWhatTheyMean) {
+  sidecar::KeyGrant grant;
+  grant.first = 1;
+  grant.last = 9;
+  grant.token = 12;
+  grant.hold = std::chrono::milliseconds(4000);
+  grant.handover = "h";
+  const http::Request request = wire.EncodeGrant(grant);
+  STRCMP_EQUAL("/runshelf/grant", request.head.target.c_str());
+  STRCMP_EQUAL(R"({"fence":12,"from_revision":1,"handover":"h","hold_ms":4000,"target_version":9})",
+               request.body.c_str());
+  STRCMP_EQUAL(R"({"fence":12,"from_revision":1,"target_version":9})",
+               wire.EncodeRelease({1, 9, 12}).body.c_str());
+}
+
+TEST(Translation, TheStoresItemsAreRead) {
+  const auto page = codec.DecodeRange(Answer(
+      200, R"({"items":[{"private_key":"k","value":"bm9kZS0x","revision":4,"made":3,"lease":7}],)"
+           R"("more":true,"at":9})"));
+  CHECK(page.ok());
+  STRCMP_EQUAL("node-1", page->items[0].value.c_str());
+  CHECK_EQUAL(4, page->items[0].revision);
+  CHECK_EQUAL(7, page->items[0].lease);
+  CHECK(page->more);
+  CHECK_EQUAL(9, page->revision);
+}
+
+TEST(Translation, TheStoresEventsAreRead) {
+  const auto page =
+      codec.DecodeWatch(Answer(200, R"({"events":[{"private_key":"k","value":"","revision":4},)"
+                                    R"({"private_key":"o","revision":5,"gone":true}],"at":5})"));
+  CHECK(page.ok());
+  CHECK_FALSE(page->events[0].removed);
+  CHECK(page->events[1].removed);
+  CHECK(absl::IsOutOfRange(codec.DecodeWatch(Answer(410, "")).status()));
+}
+
+TEST(Translation, TheOutcomeOfATransactionIsRead) {
+  CHECK(codec.DecodeTransaction(Answer(200, R"({"revision":5})"))->outcome ==
+        store::CommitOutcome::kCommitted);
+  const auto conflict = codec.DecodeTransaction(
+      Answer(412, R"({"items":[{"private_key":"k","value":"","revision":4}]})"));
+  CHECK(conflict->outcome == store::CommitOutcome::kConflict);
+  CHECK_EQUAL(4, conflict->found[0].revision);
+  CHECK(codec.DecodeTransaction(Answer(404, ""))->outcome == store::CommitOutcome::kLeaseEnded);
+  CHECK(absl::IsUnavailable(codec.DecodeTransaction(Answer(503, "")).status()));
+  CHECK(absl::IsResourceExhausted(codec.DecodeTransaction(Answer(429, "")).status()));
+}
+
+TEST(Translation, AnswersOfTheStoreThatMakeNoSenseAreErrors) {
+  for (const char* body : {"", "[]", "{}", R"({"items":1,"at":1,"events":1,"lease":0,"ttl_ms":5})",
+                           R"({"items":[{"private_key":"k"}],"events":[{}],"at":1})",
+                           R"({"items":[{"private_key":"k","value":"*","revision":1}],"at":1})"}) {
+    CHECK_FALSE_TEXT(codec.DecodeRange(Answer(200, body)).ok(), body);
+    CHECK_FALSE_TEXT(codec.DecodeWatch(Answer(200, body)).ok(), body);
+    CHECK_FALSE_TEXT(codec.DecodeTransaction(Answer(200, body)).ok(), body);
+    CHECK_FALSE_TEXT(codec.DecodeGrantLease(Answer(200, body)).ok(), body);
+  }
+  CHECK_FALSE(codec.DecodeTransaction(Answer(412, "{}")).ok());
+  CHECK_FALSE(codec.DecodeKeepLease(Answer(404, "")).ok());
+}
+
+TEST(Translation, KeysAreEscapedInQueries) {
+  STRCMP_EQUAL("/runshelf/kv-range?path_prefix=a%26b%3D/c&after=x%20y",
+               codec.EncodeRange("a&b=/c", "x y").head.target.c_str());
+}
+
+TEST(Translation, SettingsAreReadAndUnknownOnesIgnored) {
+  const auto settings = ParseSettings(kSettings);
+  CHECK(settings.ok());
+  STRCMP_EQUAL("n1", settings->node_name.c_str());
+  STRCMP_EQUAL("10.1.0.8:8304", settings->outbound->ToString().c_str());
+  CHECK_FALSE(settings->control_plane.has_value());
+  CHECK_EQUAL(7620, settings->peer_port_first);
+  CHECK(settings->bounds.drain_timeout == std::chrono::milliseconds(2500));
+  CHECK(settings->bounds.max_hold == std::chrono::seconds(10));
+  DOUBLES_EQUAL(0.3, settings->bounds.retry_budget_ratio, 1e-9);
+  CHECK(settings->store_min_time_to_live == std::chrono::seconds(2));
+}
+
+TEST(Translation, BrokenSettingsAreRefusedByName) {
+  const std::tuple<const char*, const char*, const char*> changes[] = {
+      {"node_name = \"n1\"", "", "node_name"},
+      {"zone = \"z1\"", "zone = 7", "zone"},
+      {"10.1.0.8:8304", "10.1.0.8", "listen_addresses.outbound"},
+      {"10.200.1.7:8309", "store:8309", "platform.address"},
+      {"[7620,7635]", "[7635,7620]", "internal_port_range"},
+      {"ttl_min_ms = 2000", "ttl_min_ms = -1", "platform.ttl_min_ms"},
+      {"\"closed=false\"", "7", "bounds"},
+      {"unknown_field = 7", "unknown_field =", "line 11"},
+  };
+  for (const auto& [from, to, name] : changes) {
+    const auto settings = ParseSettings(Replaced(kSettings, from, to));
+    CHECK_FALSE_TEXT(settings.ok(), name);
+    CHECK_TEXT(settings.status().message().find(name) != absl::string_view::npos, name);
+  }
+  CHECK(absl::IsNotFound(LoadSettings("/nowhere/at/all.toml").status()));
+}
--- /dev/null
+++ b/tests/sharding/shard_planner_test.cc
@@ -0,0 +1,224 @@
+#include "source/sharding/shard_planner.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+using namespace runshelf::sharding;
+
+namespace {
+
+PlannerWorker Worker(const std::string& node, bool accepting = true) {
+  return {{node, "worker-of-" + node}, 18, accepting};
+}
+
+PlannerInput Fleet(size_t count) {
+  PlannerInput input;
+  for (size_t index = 0; index < count; ++index) {
+    input.workers.push_back(Worker("n" + std::to_string(index)));
+  }
+  return input;
+}
+
+std::map<std::string, uint64_t> KeysByNode(const ShardMap& map) {
+  std::map<std::string, uint64_t> keys;
+  for (const Shard& shard : map.shards()) keys[shard.owner.node] += shard.size();
+  return keys;
+}
+
+// Reports as the owners of the map would measure them, given the rate of each bucket.
+void Measure(const ShardMap& map, const std::map<uint32_t, double>& rates, PlannerInput* input) {
+  input->loads.clear();
+  for (const PlannerWorker& worker : input->workers) {
+    LoadReport report;
+    report.node = worker.id.node;
+    report.service_seconds = 0.1;
+    report.slots = worker.slots;
+    for (const auto& [bucket, rate] : rates) {
+      if (map.Find(bucket * kKeysPerBucket)->owner.node != worker.id.node) continue;
+      report.buckets.emplace_back(bucket, rate);
+      report.requests_per_second += rate;
+    }
+    input->loads[worker.id.node] = report;
+  }
+}
+
+// Carries out the moves that a plan marked.
+ShardMap Moved(ShardMap map) {
+  const FencingToken token = map.NextToken();
+  for (Shard& shard : map.shards()) {
+    if (shard.move_to_node.empty()) continue;
+    const std::string to = shard.move_to_node;
+    ShardMap::Assign(&shard, {to, "worker-of-" + to}, token, "");
+  }
+  return map;
+}
+
+}  // namespace
+
+TEST_GROUP(ShardPlanner) { PlannerConfig config; };
+
+TEST(ShardPlanner, TheFirstAssignmentIsEven) {
+  const Plan plan = PlanRepair({}, Fleet(4), config);
+  CHECK(plan.changed);
+  for (const auto& [node, keys] : KeysByNode(plan.map)) CHECK_EQUAL(16384, keys);
+  CHECK(ShardMap::Parse(plan.map.Serialize()).ok());
+}
+
+TEST(ShardPlanner, WithoutWorkersNothingIsAssigned) {
+  CHECK_FALSE(PlanRepair({}, {}, config).changed);
+  PlannerInput leaving;
+  leaving.workers.push_back(Worker("n0", /*accepting=*/false));
+  CHECK_FALSE(PlanRepair({}, leaving, config).changed);
+}
+
+TEST(ShardPlanner, AHealthyMapIsLeftAlone) {
+  const Plan first = PlanRepair({}, Fleet(4), config);
+  CHECK_FALSE(PlanRepair(first.map, Fleet(4), config).changed);
+}
+
+TEST(ShardPlanner, ShardsOfADepartedNodeAreTakenUnderHigherTokens) {
+  const Plan first = PlanRepair({}, Fleet(4), config);
+  PlannerInput input = Fleet(4);
+  input.workers.erase(input.workers.begin());
+  input.departed_nodes.insert("n0");
+  const Plan plan = PlanRepair(first.map, input, config);
+  CHECK(plan.changed);
+  CHECK_EQUAL(1, plan.relies_on_absence.count("n0"));
+  for (size_t index = 0; index < plan.map.shards().size(); ++index) {
+    const Shard& before = first.map.shards()[index];
+    const Shard& after = plan.map.shards()[index];
+    CHECK(after.owner.node != "n0");
+    if (before.owner.node == "n0") {
+      CHECK(after.token > first.map.last_token());
+    } else {
+      CHECK(before == after);
+    }
+  }
+}
+
+TEST(ShardPlanner, ANodeThatIsMerelyUnknownKeepsItsShards) {
+  const Plan first = PlanRepair({}, Fleet(4), config);
+  PlannerInput input = Fleet(4);
+  input.workers.erase(input.workers.begin());
+  CHECK_FALSE(PlanRepair(first.map, input, config).changed);
+}
+
+TEST(ShardPlanner, ShardsThatWereGivenUpAreTakenWithTheirHandover) {
+  Plan first = PlanRepair({}, Fleet(4), config);
+  Shard& shard = first.map.shards()[3];
+  shard.owner.worker.clear();
+  shard.handover = "h";
+  const Plan plan = PlanRepair(first.map, Fleet(4), config);
+  CHECK(plan.changed);
+  CHECK(plan.relies_on_absence.empty());
+  CHECK_FALSE(plan.map.shards()[3].owner.worker.empty());
+  STRCMP_EQUAL("h", plan.map.shards()[3].handover.c_str());
+}
+
+TEST(ShardPlanner, BalanceSpreadsAHotRange) {
+  PlannerInput input = Fleet(4);
+  ShardMap map = PlanRepair({}, input, config).map;
+  // Neighbouring buckets, all with one owner, carry most of the load.
+  std::map<uint32_t, double> rates;
+  for (uint32_t bucket = 0; bucket < 12; ++bucket) rates[bucket] = 12;
+  for (uint32_t bucket = 100; bucket < kBucketCount; bucket += 50) rates[bucket] = 1;
+  for (int round = 0; round < 10; ++round) {
+    Measure(map, rates, &input);
+    const Plan plan = PlanBalance(map, input, config);
+    if (!plan.changed) break;
+    map = Moved(plan.map);
+  }
+  Measure(map, rates, &input);
+  double most = 0;
+  double least = 1e9;
+  for (const auto& [node, report] : input.loads) {
+    most = std::max(most, report.requests_per_second);
+    least = std::min(least, report.requests_per_second);
+  }
+  CHECK_TEXT((most - least) * 0.1 / 18 <= 0.2, "the workers' use differs by more than a fifth");
+}
+
+TEST(ShardPlanner, BalanceLeavesAnIdleFleetAndMovesUnderWayAlone) {
+  PlannerInput input = Fleet(4);
+  ShardMap map = PlanRepair({}, input, config).map;
+  Measure(map, {{0, 5.0}}, &input);
+  CHECK_FALSE(PlanBalance(map, input, config).changed);
+  Measure(map, {{0, 90.0}, {1, 90.0}}, &input);
+  CHECK(PlanBalance(map, input, config).changed);
+  map.shards()[5].move_to_node = "n2";
+  CHECK_FALSE(PlanBalance(map, input, config).changed);
+}
+
+// Whatever happens to the fleet, each change leaves one owner for each key, and a key that changes
+// hands gets a token above all that were ever drawn.
+TEST(ShardPlanner, EveryPlanKeepsTheMapWhole) {
+  const bool held = rc::check([this] {
+    PlannerInput input = Fleet(*rc::gen::inRange<size_t>(1, 6));
+    ShardMap map = PlanRepair({}, input, config).map;
+    for (int step = 0; step < 8; ++step) {
+      const ShardMap before = map;
+      const auto victim = "n" + std::to_string(*rc::gen::inRange(0, 6));
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          input.departed_nodes.insert(victim);
+          std::erase_if(input.workers,
+                        [&](const auto& worker) { return worker.id.node == victim; });
+          break;
+        case 1:
+          input.departed_nodes.erase(victim);
+          std::erase_if(input.workers,
+                        [&](const auto& worker) { return worker.id.node == victim; });
+          input.workers.push_back(Worker(victim));
+          break;
+        case 2:
+          for (Shard& shard : map.shards()) {
+            if (shard.owner.node == victim) shard.owner.worker.clear();
+          }
+          break;
+        default: {
+          std::map<uint32_t, double> rates;
+          for (int index = 0; index < 6; ++index) {
+            rates[*rc::gen::inRange<uint32_t>(0, kBucketCount)] = *rc::gen::inRange(0, 80);
+          }
+          Measure(map, rates, &input);
+          const Plan balance = PlanBalance(map, input, config);
+          if (balance.changed) map = Moved(balance.map);
+        }
+      }
+      const Plan plan = PlanRepair(map, input, config);
+      if (plan.changed) map = plan.map;
+      RC_ASSERT(ShardMap::Parse(map.Serialize()).ok());
+      for (const Shard& shard : map.shards()) {
+        const Shard* former = before.Find(shard.first);
+        if (!(former->owner == shard.owner) && !shard.owner.worker.empty()) {
+          RC_ASSERT(shard.token > before.last_token());
+        }
+      }
+    }
+  });
+  CHECK(held);
+}
+
+TEST(ShardPlanner, AReportSurvivesItsWayAndBrokenOnesAreRefused) {
+  KeyLoadMeter meter;
+  for (int count = 0; count < 100; ++count) meter.OnRequest(33);
+  meter.Roll(std::chrono::seconds(1));
+  LoadReport report;
+  report.node = "n";
+  report.service = "s";
+  report.slots = 18;
+  meter.Fill(&report);
+  CHECK_EQUAL(1, report.buckets.size());
+  CHECK_EQUAL(BucketOf(33), report.buckets[0].first);
+  LoadReport again;
+  CHECK(LoadReport::Parse(report.Serialize(), &again));
+  CHECK_EQUAL(report.buckets.size(), again.buckets.size());
+  CHECK(std::abs(report.requests_per_second - again.requests_per_second) < 0.1);
+  for (const char* broken : {"", "[]", "{}", R"({"node":"n","service":"s"})",
+                             R"({"node":"n","service":"s","rate":1,"service_seconds":1,"slots":1,)"
+                             R"("buckets":[[4096,1]]})"}) {
+    CHECK_FALSE_TEXT(LoadReport::Parse(broken, &again), broken);
+  }
+}
--- /dev/null
+++ b/tests/sidecar/peer_protocol_test.cc
@@ -0,0 +1,103 @@
+#include "source/sidecar/peer_protocol.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "source/sidecar/node_record.h"
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+
+TEST_GROUP(PeerProtocol) { Instant now = InstantFromMicroseconds(1000000); };
+
+TEST(PeerProtocol, AnAttemptSurvivesItsWay) {
+  AttemptRequest attempt;
+  attempt.request_id = "r";
+  attempt.service = "s";
+  attempt.worker_id = "w";
+  attempt.caller_service = "c";
+  attempt.caller_class = "priority-1";
+  attempt.weight = 900;
+  attempt.deadline = now + std::chrono::milliseconds(1500);
+  attempt.answer_by = now + std::chrono::milliseconds(300);
+  attempt.key = 65535;
+  http::Request request;
+  request.head.method = "GET";
+  request.head.headers.Add("Other", "1");
+  peer_protocol::AddAttemptHeaders(attempt, now, &request.head.headers);
+  const auto read = peer_protocol::ReadAttempt(request, now);
+  CHECK(read.has_value());
+  STRCMP_EQUAL("r", read->request_id.c_str());
+  STRCMP_EQUAL("w", read->worker_id.c_str());
+  CHECK_EQUAL(900, read->weight);
+  CHECK(read->deadline == attempt.deadline);
+  CHECK(read->answer_by == attempt.answer_by);
+  CHECK_EQUAL(65535, *read->key);
+  CHECK_EQUAL(1, read->request->head.headers.all().size());
+}
+
+TEST(PeerProtocol, ABrokenAttemptIsRefused) {
+  const std::pair<const char*, const char*> changes[] = {
+      {"Runshelf-Deadline-Ms", "-1"},
+      {"Runshelf-Deadline-Ms", "x"},
+      {"Runshelf-Answer-By-Ms", "99999999999"},
+      {"Runshelf-Weight", "4294967296"},
+      {"Runshelf-Key", "65536"},
+      {"Runshelf-Key", ""},
+  };
+  for (const auto& [name, value] : changes) {
+    AttemptRequest attempt;
+    attempt.service = "s";
+    attempt.deadline = now;
+    attempt.answer_by = now;
+    http::Request request;
+    peer_protocol::AddAttemptHeaders(attempt, now, &request.head.headers);
+    request.head.headers.Set(name, value);
+    CHECK_FALSE_TEXT(peer_protocol::ReadAttempt(request, now).has_value(), name);
+  }
+  CHECK_FALSE(peer_protocol::ReadAttempt({}, now).has_value());
+}
+
+TEST(PeerProtocol, AFailureSurvivesItsWay) {
+  for (const FailureReason reason : {FailureReason::kFull, FailureReason::kNotOwner,
+                                     FailureReason::kIncomplete, FailureReason::kExpired}) {
+    const AttemptFailure failure{Verdict::kMayHaveRun, reason, true, std::chrono::milliseconds(40)};
+    const auto read = peer_protocol::ReadFailure(peer_protocol::FailureHeaders(failure));
+    CHECK(read.has_value());
+    CHECK(read->verdict == failure.verdict);
+    CHECK(read->reason == reason);
+    CHECK(read->reached_worker);
+    CHECK(read->retry_after == failure.retry_after);
+  }
+  CHECK_FALSE(peer_protocol::ReadFailure({}).has_value());
+}
+
+TEST(PeerProtocol, HeadersOfTheProtocolAreTakenFromClients) {
+  http::Headers headers;
+  headers.Add("runshelf-weight", "1");
+  headers.Add("RUNSHELF-Anything", "1");
+  headers.Add("Runs", "1");
+  peer_protocol::RemoveHeaders(&headers);
+  CHECK_EQUAL(1, headers.all().size());
+}
+
+TEST(PeerProtocol, ANodeRecordSurvivesItsWayAndBrokenOnesAreRefused) {
+  NodeRecord record;
+  record.node = "n";
+  record.incarnation = 7;
+  record.inbound = {"10.0.0.1", 80};
+  record.zone = "z";
+  record.service = "s";
+  record.worker_id = "w";
+  record.slots = 18;
+  record.worker_state = WorkerState::kDraining;
+  const auto read = NodeRecord::Parse(record.Serialize());
+  CHECK(read.has_value());
+  CHECK(*read == record);
+  CHECK_FALSE(read->accepting());
+  for (const char* broken : {"", "[]", "{}", "{\"node\":\"n\"}"}) {
+    CHECK_FALSE_TEXT(NodeRecord::Parse(broken).has_value(), broken);
+  }
+  std::string text = record.Serialize();
+  text.replace(text.find("draining"), 8, "sleeping");
+  CHECK_FALSE(NodeRecord::Parse(text).has_value());
+}
