State feed: two nodes watch the store and pass changes on to all others

Change: the first node by name watches, pushes change sets over the kept connections between nodes and sends beacons; the second stands by; the others follow, read the store when a beacon tells of more than they have, and watch for themselves when no beacon comes.

--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -8,6 +8,7 @@
 namespace runshelf::sidecar {
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
@@ -84,8 +85,8 @@
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               LogWriter& log)
-    : loop_(loop), gate_(gate), store_(store), log_(log) {}
+                               StateFeed& feed, LogWriter& log)
+    : loop_(loop), gate_(gate), store_(store), feed_(feed), log_(log) {}
 
 InboundHandler::~InboundHandler() = default;
 
@@ -94,6 +95,11 @@
     PassToStore(exchange);
     return;
   }
+  if (peer_protocol::IsChangeSet(exchange->request().head.headers)) {
+    const bool understood = feed_.OnPassedOn(exchange->request().body);
+    exchange->Respond(understood ? kOk : kBadRequest, {}, "");
+    return;
+  }
   const auto attempt = peer_protocol::ReadAttempt(std::move(exchange->request()), loop_.Now());
   if (!attempt.has_value()) {
     exchange->Respond(kBadRequest, {}, "");
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -1,5 +1,5 @@
-// Serves what other nodes send here: requests for the worker beside this node, and calls to the
-// store to be passed on.
+// Serves what other nodes send here: requests for the worker beside this node, calls to the store
+// to be passed on, and changes of the state in the store.
 #pragma once
 
 #include <memory>
@@ -7,6 +7,7 @@
 
 #include "source/http/server.h"
 #include "source/sidecar/log_writer.h"
+#include "source/sidecar/state_feed.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/store/store_client.h"
 
@@ -15,7 +16,7 @@
 class InboundHandler {
  public:
   InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                 LogWriter& log);
+                 StateFeed& feed, LogWriter& log);
   ~InboundHandler();
 
   void Handle(const http::ExchangePtr& exchange);
@@ -30,6 +31,7 @@
   event::EventLoop& loop_;
   WorkerGate& gate_;
   store::StoreClient& store_;
+  StateFeed& feed_;
   LogWriter& log_;
   std::unordered_map<Forward*, std::shared_ptr<Forward>> forwards_;
 };
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -21,6 +21,7 @@
 constexpr std::string_view kReachedWorker = "Runshelf-Reached-Worker";
 constexpr std::string_view kRetryAfter = "Runshelf-Retry-After-Ms";
 constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
+constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
 constexpr int64_t kMaxMilliseconds = 3600 * 1000;
 
 int64_t ToMilliseconds(Duration duration) {
@@ -136,4 +137,8 @@
 
 bool IsStoreCall(const http::Headers& headers) { return headers.Has(kStoreCall); }
 
+void MarkChangeSet(http::Headers* headers) { headers->Add(kChangeSet, "1"); }
+
+bool IsChangeSet(const http::Headers& headers) { return headers.Has(kChangeSet); }
+
 }  // namespace runshelf::sidecar::peer_protocol
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -35,4 +35,8 @@
 void MarkStoreCall(http::Headers* headers);
 bool IsStoreCall(const http::Headers& headers);
 
+// Changes of the state in the store, which the receiving node takes over.
+void MarkChangeSet(http::Headers* headers);
+bool IsChangeSet(const http::Headers& headers);
+
 }  // namespace runshelf::sidecar::peer_protocol
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -69,6 +69,17 @@
   return config;
 }
 
+StateFeedConfig FeedConfig(const Settings& settings) {
+  StateFeedConfig config;
+  config.node = settings.node_name;
+  config.ip_address = settings.ip_address;
+  // The first of the nodes' own ports carries load reports.
+  if (settings.peer_port_last > settings.peer_port_first) {
+    config.port = static_cast<uint16_t>(settings.peer_port_first + 1);
+  }
+  return config;
+}
+
 // The part of `key` after `prefix`; empty when the key does not begin so.
 std::string NameAfter(const std::string& key, std::string_view prefix) {
   return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string();
@@ -94,16 +105,23 @@
       holder_(loop, pool_, wire, shard_store_, *this, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
       lease_(loop, store_, LeaseConfig(settings_)),
-      configuration_watcher_(loop, store_, WatchConfig(wire.ConfigurationKey()),
-                             {[this](const store::Item& item) { OnConfigurationItem(item); },
-                              nullptr, nullptr, nullptr}),
-      state_watcher_(loop, store_, WatchConfig(std::string(kStatePrefix)),
-                     {[this](const store::Item& item) { OnStateItem(item); },
-                      [this](const std::string& key) { OnStateRemoved(key); },
-                      [this] { OnStateSynchronized(); }, nullptr}),
+      configuration_watcher_(
+          loop, store_, WatchConfig(wire.ConfigurationKey()),
+          {[this](const store::Item& item) { OnConfigurationItem(item); }, nullptr, nullptr,
+           [this](const store::ChangeSet& changes) {
+             feed_.OnChanges(configuration_watcher_, changes);
+           }}),
+      state_watcher_(
+          loop, store_, WatchConfig(std::string(kStatePrefix)),
+          {[this](const store::Item& item) { OnStateItem(item); },
+           [this](const std::string& key) { OnStateRemoved(key); },
+           [this] { OnStateSynchronized(); },
+           [this](const store::ChangeSet& changes) { feed_.OnChanges(state_watcher_, changes); }}),
+      feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
+            FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, gate_, log,
                               random}),
-      inbound_handler_(loop, gate_, store_, log),
+      inbound_handler_(loop, gate_, store_, feed_, log),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
@@ -124,6 +142,7 @@
     log_.Write(LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
                {{"store_calls", store_.calls()}});
   });
+  feed_.set_store_answers([this] { return store_.direct_way_works(); });
   lease_.set_on_new_lease([this] {
     lease_to_confirm_ = lease_.lease();
     log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
@@ -171,6 +190,7 @@
   state_watcher_.Start();
   Announce();
   lease_.Start();
+  feed_.Start();
   return absl::OkStatus();
 }
 
@@ -318,6 +338,7 @@
   log_.Write(LogLevel::kInfo, "stopping", {{"requests", ingress_.under_way()}});
   outbound_.StartClosing();
   coordinator_.SetActive(false);
+  feed_.SetStopping();
   holder_.SetLeaving(true);
   tick_.Stop();
   ContinueStop();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -18,6 +18,7 @@
 #include "source/sidecar/shard_directory.h"
 #include "source/sidecar/shard_holder.h"
 #include "source/sidecar/shard_store.h"
+#include "source/sidecar/state_feed.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/sidecar/worker_monitor.h"
@@ -40,6 +41,7 @@
   void Stop(std::function<void()> on_stopped);
   bool ready() const;
   const Ingress& ingress() const { return ingress_; }
+  const PeerDirectory& peers() const { return peers_; }
 
  private:
   // ShardHolderContext
@@ -81,6 +83,7 @@
   store::LeaseKeeper lease_;
   store::PrefixWatcher configuration_watcher_;
   store::PrefixWatcher state_watcher_;
+  StateFeed feed_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
   http::Server outbound_;
--- /dev/null
+++ b/source/sidecar/state_feed.h
@@ -0,0 +1,116 @@
+// Spreads the state in the store over the nodes, so that two of them watch it and not all.
+//
+// The first node by name, the leader, watches the store, passes every change on to the others and
+// sends beacons, while the store answers it. The second one watches as well, passes on what the
+// leader has not heard of, and takes over when the beacons stop. All others follow; one that hears
+// no beacon watches the store itself until it hears one again. Nothing is decided by who leads:
+// revisions order the changes, and a gap is closed by reading the store.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/event/event_loop.h"
+#include "source/event/udp_socket.h"
+#include "source/http/client.h"
+#include "source/sidecar/log_writer.h"
+#include "source/sidecar/peer_directory.h"
+#include "source/store/prefix_watcher.h"
+
+namespace runshelf::sidecar {
+
+struct StateFeedConfig {
+  std::string node;
+  std::string ip_address;
+  uint16_t port = 0;  // Of beacons, the same on all nodes; zero: every node watches for itself.
+  Duration beacon_interval = std::chrono::milliseconds(400);
+  // Without a beacon for this long the second node leads, and the others watch for themselves.
+  Duration standby_timeout = std::chrono::milliseconds(700);
+  Duration follower_timeout = std::chrono::milliseconds(1200);
+  // Changes that a beacon tells of and that did not come within this time are read.
+  Duration catch_up_delay = std::chrono::milliseconds(150);
+  Duration push_timeout = std::chrono::milliseconds(800);
+  // A change that the leader's beacons do not tell of within this time is passed on by the second.
+  Duration leader_lag = std::chrono::milliseconds(200);
+};
+
+// What a beacon says: the leader's copy of each prefix is complete up to a revision.
+struct StateBeacon {
+  std::string node;
+  std::map<std::string, store::Revision> revisions;
+
+  std::string Serialize() const;
+  // nullopt when `text` is no beacon.
+  static std::optional<StateBeacon> Parse(std::string_view text);
+};
+
+// Forms of a change set between nodes: CBOR, since values may hold any bytes.
+std::string SerializeChanges(const std::string& prefix, const store::ChangeSet& changes);
+// Returns false when `text` is no change set.
+bool ParseChanges(std::string_view text, std::string* prefix, store::ChangeSet* changes);
+
+class StateFeed {
+ public:
+  StateFeed(event::EventLoop& loop, http::ConnectionPool& pool, PeerDirectory& peers,
+            std::vector<store::PrefixWatcher*> watchers, LogWriter& log, StateFeedConfig config);
+  ~StateFeed();
+
+  // Tells whether the store answers this node.
+  void set_store_answers(std::function<bool()> store_answers) {
+    store_answers_ = std::move(store_answers);
+  }
+
+  void Start();
+  // This node is about to end and leads no more.
+  void SetStopping() { stopping_ = true; }
+  // One of the watchers got changes from the store.
+  void OnChanges(const store::PrefixWatcher& watcher, const store::ChangeSet& changes);
+  // Another node passed changes on; false when they cannot be understood.
+  bool OnPassedOn(std::string_view body);
+  bool leading() const { return leading_; }
+
+ private:
+  void Tick();
+  void OnBeacon(std::string_view data);
+  void CatchUp();
+  void SendBeacons();
+  void PushToAll(const std::string& body);
+  void PushSnapshots();
+  // Passes on what the leader of `beacon` lacks.
+  void HelpLeader(const StateBeacon& beacon);
+  void Push(const event::Endpoint& endpoint, const std::string& body);
+  // Place of this node by name among those that are listed and not stopping.
+  size_t Rank() const;
+  void SetRole(bool leading, bool watching);
+
+  event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
+  PeerDirectory& peers_;
+  std::vector<store::PrefixWatcher*> watchers_;
+  LogWriter& log_;
+  StateFeedConfig config_;
+  event::Timer timer_;
+  event::Timer catch_up_timer_;
+  event::UdpSocket socket_;
+  std::map<std::string, store::Revision> announced_;  // By the latest beacon.
+  std::function<bool()> store_answers_;
+  std::map<std::string, Instant> changed_at_;  // By prefix: the latest change from the store.
+  std::map<std::string, store::Revision>
+      helped_with_;  // By prefix: passed on in the leader's place.
+  std::map<uint64_t, std::unique_ptr<http::SimpleCall>> pushes_;
+  uint64_t next_push_ = 1;
+  Instant started_at_{};
+  Instant heard_at_{};  // The latest beacon of another node.
+  bool bound_ = false;
+  bool leading_ = false;
+  bool watching_ = true;
+  bool stopping_ = false;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -15,7 +15,7 @@
         if (read_next_) {
           Refresh();
         } else {
-          WatchNext();
+          ContinueWatching();
         }
       }) {}
 
@@ -34,6 +34,8 @@
   if (stopped_) return;
   timer_.Stop();
   ++generation_;
+  watching_ = false;
+  reading_range_ = true;
   reading_.clear();
   read_revision_ = 0;
   ReadPage(generation_, "");
@@ -68,23 +70,90 @@
 
 void PrefixWatcher::FinishRead() {
   retry_delay_ = Duration(0);
-  const auto read = std::exchange(reading_, {});
-  std::vector<std::string> gone;
+  reading_range_ = false;
+  ChangeSet changes;
+  changes.from = change_revision_;
+  changes.events = ApplySnapshot(std::exchange(reading_, {}), read_revision_);
+  changes.to = change_revision_;
+  if (observer_.on_synchronized) observer_.on_synchronized();
+  if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
+  ContinueWatching();
+}
+
+std::vector<WatchEvent> PrefixWatcher::ApplySnapshot(const std::map<std::string, Item>& items,
+                                                     Revision revision) {
+  std::vector<WatchEvent> events;
   for (const auto& [key, item] : items_) {
-    if (!read.contains(key) && item.revision <= read_revision_) gone.push_back(key);
+    if (items.contains(key) || item.revision > revision) continue;
+    WatchEvent event;
+    event.item.key = key;
+    event.item.revision = revision;
+    event.removed = true;
+    events.push_back(std::move(event));
   }
-  for (const std::string& key : gone) ApplyRemoval(key, read_revision_);
-  for (const auto& [key, item] : read) ApplyItem(item);
-  revision_ = std::max(revision_, read_revision_);
+  for (const auto& [key, item] : items) {
+    const auto known = items_.find(key);
+    if (known != items_.end() && known->second.revision >= item.revision) continue;
+    events.push_back({item, false});
+  }
+  for (const WatchEvent& event : events) Apply(event);
+  revision_ = std::max(revision_, revision);
+  if (!synchronized_ || !events.empty()) change_revision_ = revision_;
   synchronized_ = true;
-  if (observer_.on_synchronized) observer_.on_synchronized();
-  if (observer_.on_batch) observer_.on_batch();
-  WatchNext();
+  return events;
+}
+
+ChangeSet PrefixWatcher::Snapshot() const {
+  ChangeSet snapshot;
+  snapshot.complete = true;
+  snapshot.to = change_revision_;
+  for (const auto& [key, item] : items_) snapshot.events.push_back({item, false});
+  return snapshot;
+}
+
+void PrefixWatcher::SetFollowing(bool following) {
+  if (following == following_) return;
+  following_ = following;
+  if (stopped_ || reading_range_) return;
+  if (following) {
+    timer_.Stop();
+    ++generation_;
+    watching_ = false;
+  } else {
+    // Whoever passed changes on may have ended in the middle.
+    ContinueWatching();
+  }
+}
+
+void PrefixWatcher::ContinueWatching() {
+  if (!following_ && !watching_) WatchNext();
+}
+
+void PrefixWatcher::ApplyChanges(const ChangeSet& changes) {
+  if (!synchronized_ || stopped_ || changes.to <= revision_) return;
+  if (changes.complete) {
+    std::map<std::string, Item> items;
+    for (const WatchEvent& event : changes.events) items[event.item.key] = event.item;
+    ApplySnapshot(items, changes.to);
+    return;
+  }
+  if (changes.from > revision_) {
+    CatchUp(changes.to);
+    return;
+  }
+  for (const WatchEvent& event : changes.events) Apply(event);
+  revision_ = changes.to;
+  change_revision_ = changes.to;
+}
+
+void PrefixWatcher::CatchUp(Revision revision) {
+  if (revision > revision_ && synchronized_ && !reading_range_) Refresh();
 }
 
 void PrefixWatcher::WatchNext() {
   if (stopped_) return;
   const uint64_t generation = ++generation_;
+  watching_ = true;
   store_.Watch(config_.prefix, revision_, [this, generation](absl::StatusOr<WatchPage> page) {
     OnWatch(generation, std::move(page));
   });
@@ -92,6 +161,7 @@
 
 void PrefixWatcher::OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page) {
   if (generation != generation_) return;
+  watching_ = false;
   if (!page.ok()) {
     // After a cut the history may be incomplete for this process: a whole read settles it.
     if (absl::IsOutOfRange(page.status())) {
@@ -102,11 +172,16 @@
     return;
   }
   retry_delay_ = Duration(0);
-  for (const WatchEvent& event : page->events) Apply(event);
+  ChangeSet changes;
+  changes.from = change_revision_;
+  changes.events = std::move(page->events);
+  for (const WatchEvent& event : changes.events) Apply(event);
   revision_ = std::max(revision_, page->revision);
-  if (!page->events.empty() && observer_.on_batch) observer_.on_batch();
-  if (stopped_ || generation != generation_) return;
-  if (page->events.empty()) {
+  if (!changes.events.empty()) change_revision_ = revision_;
+  changes.to = change_revision_;
+  if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
+  if (stopped_ || following_ || generation != generation_) return;
+  if (changes.events.empty()) {
     WatchNext();
     return;
   }
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "source/event/event_loop.h"
 #include "source/store/store_client.h"
@@ -19,15 +20,26 @@
   Duration retry_max = std::chrono::seconds(1);
 };
 
-// Reads the range once, then watches from its revision on; reads it again whenever the history is
-// gone. The copy never goes back to an older revision of an item.
+// Changes of a prefix, as one process passes them on to others.
+struct ChangeSet {
+  // The events are all items of the prefix as of `to`; what is not among them is gone.
+  bool complete = false;
+  Revision from = 0;  // Changes up to this revision must be included already, unless complete.
+  Revision to = 0;    // The copy is complete up to this revision afterwards.
+  std::vector<WatchEvent> events;
+};
+
+// Reads the range once, then watches from its revision on, or follows what another process passes
+// on; reads the range again whenever something may be missing. The copy never goes back to an older
+// revision of an item.
 class PrefixWatcher {
  public:
   struct Observer {
     std::function<void(const Item&)> on_item;                // Written, or first seen.
     std::function<void(const std::string& key)> on_removed;  // Known before, and gone.
     std::function<void()> on_synchronized;                   // A whole read was applied.
-    std::function<void()> on_batch;                          // After each batch of changes.
+    // A batch of changes came from the store, to be passed on.
+    std::function<void(const ChangeSet&)> on_changes;
   };
 
   PrefixWatcher(event::EventLoop& loop, StoreClient& store, PrefixWatcherConfig config,
@@ -37,6 +49,20 @@
   void Stop();
   // Reads the whole range again, for example after this process was stopped for long.
   void Refresh();
+  // While following, no watch is held at the store: changes come by Apply.
+  void SetFollowing(bool following);
+  bool following() const { return following_; }
+  // Takes over changes that another process passed on; reads the range when some are missing.
+  void ApplyChanges(const ChangeSet& changes);
+  // The whole copy, for passing it on.
+  ChangeSet Snapshot() const;
+  // Another process has the copy complete up to `revision`: reads the range when this one has not.
+  void CatchUp(Revision revision);
+  const std::string& prefix() const { return config_.prefix; }
+  // The copy includes all changes up to `revision`.
+  bool CompleteTo(Revision revision) const { return revision <= revision_; }
+  // Of the latest change that the copy includes, as far as is known.
+  Revision change_revision() const { return change_revision_; }
   // True once the range was read whole.
   bool synchronized() const { return synchronized_; }
   const std::map<std::string, Item>& items() const { return items_; }
@@ -45,8 +71,12 @@
   void ReadPage(uint64_t generation, const std::string& after_key);
   void OnPage(uint64_t generation, absl::StatusOr<RangePage> page);
   void FinishRead();
+  // Makes the copy equal to `items`, which are all items as of `revision`; returns what changed.
+  std::vector<WatchEvent> ApplySnapshot(const std::map<std::string, Item>& items,
+                                        Revision revision);
   void WatchNext();
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
+  void ContinueWatching();
   void Apply(const WatchEvent& event);
   void ApplyItem(const Item& item);
   void ApplyRemoval(const std::string& key, Revision revision);
@@ -58,11 +88,15 @@
   event::Timer timer_;
   std::map<std::string, Item> items_;
   std::map<std::string, Item> reading_;  // Items of the read under way.
-  Revision revision_ = 0;
+  Revision revision_ = 0;                // The copy is complete up to here.
+  Revision change_revision_ = 0;         // Nothing has changed between this one and `revision_`.
   Revision read_revision_ = 0;
   Duration retry_delay_{0};
   uint64_t generation_ = 0;  // Answers to calls of earlier generations are ignored.
   bool synchronized_ = false;
+  bool reading_range_ = false;
+  bool watching_ = false;  // A watch waits at the store.
+  bool following_ = false;
   bool read_next_ = true;
   bool stopped_ = true;
 };
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -68,6 +68,8 @@
               std::function<void(std::optional<http::Response>)> callback);
 
   bool reachable() const { return reachable_; }
+  // The store answered the latest call that was sent to it directly.
+  bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
   uint64_t calls() const { return calls_; }
 
  private:
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -12,13 +12,19 @@
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
 
-uint16_t FreePort() {
+// An address of the loopback range for each node, so that all use the same ports for datagrams.
+std::string NodeIp(size_t index) { return "127.0.0." + std::to_string(10 + index); }
+
+event::Endpoint FreeEndpoint(const std::string& ip) {
   event::EventLoop loop;
   event::TcpListener listener(loop, nullptr);
-  listener.Listen({"127.0.0.1", 0});
-  return listener.bound_port();
+  listener.Listen({ip, 0});
+  return {ip, listener.bound_port()};
 }
 
+// Below the ephemeral range, and another pair for each test process that runs at the same time.
+uint16_t PeerPort() { return static_cast<uint16_t>(20000 + 2 * (getpid() % 5000)); }
+
 }  // namespace
 
 std::string TestConfiguration(int version, const std::string& plain_service) {
@@ -45,11 +51,13 @@
     node.worker->Listen();
     node.settings.node_name = name;
     node.settings.zone = "z";
-    node.settings.ip_address = "127.0.0.1";
-    node.settings.outbound = event::Endpoint{"127.0.0.1", FreePort()};
-    node.settings.inbound = event::Endpoint{"127.0.0.1", FreePort()};
-    node.settings.readiness = event::Endpoint{"127.0.0.1", FreePort()};
-    node.settings.control_plane = event::Endpoint{"127.0.0.1", FreePort()};
+    node.settings.ip_address = NodeIp(index);
+    node.settings.peer_port_first = PeerPort();
+    node.settings.peer_port_last = PeerPort() + 1;
+    node.settings.outbound = FreeEndpoint(node.settings.ip_address);
+    node.settings.inbound = FreeEndpoint(node.settings.ip_address);
+    node.settings.readiness = FreeEndpoint(node.settings.ip_address);
+    node.settings.control_plane = FreeEndpoint(node.settings.ip_address);
     node.settings.worker = node.worker->endpoint();
     node.settings.worker_service = services[index];
     node.settings.store = store.endpoint();
@@ -80,13 +88,20 @@
   event::RunUntil(
       loop,
       [&] {
-        const bool ready = std::all_of(nodes.begin(), nodes.end(), [](const Node& node) {
-          return node.sidecar->ready() && node.worker->heartbeat_status() == 200;
+        const bool ready = std::all_of(nodes.begin(), nodes.end(), [this](const Node& node) {
+          return node.sidecar->ready() && node.worker->heartbeat_status() == 200 &&
+                 KnowsAllWorkers(*node.sidecar);
         });
         return ready && (!keyed || EveryKeyHeld());
       },
       std::chrono::seconds(8));
-  event::RunFor(loop, std::chrono::milliseconds(100));
+}
+
+bool Fleet::KnowsAllWorkers(const sidecar::Sidecar& node) const {
+  const auto& peers = node.peers().peers();
+  return std::count_if(peers.begin(), peers.end(), [](const auto& entry) {
+           return entry.second.record.accepting();
+         }) == static_cast<std::ptrdiff_t>(nodes.size());
 }
 
 void Fleet::Kill(size_t node) { nodes[node].sidecar.reset(); }
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -66,6 +66,7 @@
 
  private:
   void StartNode(Node* node);
+  bool KnowsAllWorkers(const sidecar::Sidecar& node) const;
 
   PlatformWireFormat wire_;
   PlatformStoreCodec codec_;
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -320,3 +320,33 @@
   }));
   CHECK(fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0)->fence > old.fence);
 }
+
+// Only two nodes hold watches; the others get changes from the first one.
+TEST(Sidecar, AChangeReachesEveryNodeThroughTheLeader) {
+  Fleet fleet({"plain", "other", "other", "other", "other"});
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  const uint64_t reads = fleet.store.calls("/runshelf/kv-range");
+  const uint64_t watches = fleet.store.calls("/runshelf/kv-watch");
+  fleet.store.Put("op/config", TestConfiguration(2, "other"));
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  for (size_t node = 0; node < fleet.nodes.size(); ++node) {
+    CHECK(fleet.Request(node, "GET", "/read/1", "")->body != "w0:");
+  }
+  CHECK_EQUAL(reads, fleet.store.calls("/runshelf/kv-range"));
+  CHECK_EQUAL(watches + 2, fleet.store.calls("/runshelf/kv-watch"));
+}
+
+TEST(Sidecar, AChangeReachesTheOthersWhenTheLeadersAreGone) {
+  Fleet fleet({"other", "other", "plain", "other"});
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1000));
+  fleet.Kill(0);
+  fleet.Kill(1);
+  fleet.store.Put("op/config", TestConfiguration(2, "other"));
+  RunFor(fleet.loop, std::chrono::milliseconds(1900));
+  // Both remaining nodes know the new version, which sends this route to another service.
+  for (const size_t node : {2U, 3U}) {
+    CHECK(fleet.Request(node, "GET", "/read/1", "")->body != "w2:");
+  }
+}
