--- a/include/runshelf/routing/load_balancer.h
+++ b/include/runshelf/routing/load_balancer.h
@@ -31,9 +31,13 @@
   // this many requests.
   double zone_load_factor = 1.5;
   double zone_load_margin = 4;
+  // As zone_load_margin, for requests whose answers are large: bytes between zones are dear.
+  double zone_load_margin_of_large_answers = 10;
   SlowStartConfig slow_start;
 };
 
+enum class AnswerSize { kUsual, kLarge };
+
 // Deterministic given the random source; not thread-safe.
 class LoadBalancer {
  public:
@@ -44,7 +48,7 @@
   // targets[i] out; leaving targets are left out in any case.
   std::optional<size_t> Choose(Instant now, const std::vector<RouteTarget>& targets,
                                const std::vector<bool>& skipped, const std::string& own_zone,
-                               Random& random) const;
+                               Random& random, AnswerSize answer_size = AnswerSize::kUsual) const;
 
   void OnAttemptStart(const InstanceId& target);
   void OnAttemptEnd(const InstanceId& target);
--- a/source/event/tcp_stream.h
+++ b/source/event/tcp_stream.h
@@ -17,7 +17,7 @@
   uint16_t port = 0;
 
   bool operator==(const Endpoint&) const = default;
-  auto operator<=>(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint&) const = default;  // NOLINT(modernize-use-nullptr): false alarm.
 
   std::string ToString() const;
   // Returns false, leaving `*endpoint` alone, when `text` has another form.
--- a/source/routing/load_balancer.cc
+++ b/source/routing/load_balancer.cc
@@ -6,7 +6,8 @@
 
 std::optional<size_t> LoadBalancer::Choose(Instant now, const std::vector<RouteTarget>& targets,
                                            const std::vector<bool>& skipped,
-                                           const std::string& own_zone, Random& random) const {
+                                           const std::string& own_zone, Random& random,
+                                           AnswerSize answer_size) const {
   std::vector<size_t> local;
   std::vector<size_t> remote;
   for (size_t index = 0; index < targets.size(); ++index) {
@@ -20,8 +21,11 @@
   const size_t best_remote = BetterOfTwo(now, targets, remote, random);
   const double local_score = Score(now, targets[best_local].instance);
   const double remote_score = Score(now, targets[best_remote].instance);
-  const bool clearly_busier = local_score > remote_score * config_.zone_load_factor &&
-                              local_score > remote_score + config_.zone_load_margin;
+  const double margin = answer_size == AnswerSize::kLarge
+                            ? config_.zone_load_margin_of_large_answers
+                            : config_.zone_load_margin;
+  const bool clearly_busier =
+      local_score > remote_score * config_.zone_load_factor && local_score > remote_score + margin;
   return clearly_busier ? best_remote : best_local;
 }
 
--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -158,8 +158,6 @@
   for (const Shard& shard : map.shards()) {
     burden[shard.owner.node] += loads.Of(shard.first, shard.last);
   }
-  double total = 0;
-  for (const auto& [node, rate] : burden) total += rate;
   const double per_shard =
       std::max(1.0, burden[leaving_node] / std::max<double>(1, static_cast<double>(shard_count)));
   for (size_t index = 0; index < shard_count; ++index) {
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -117,7 +117,7 @@
 
 std::optional<std::string> PeerDirectory::Choose(Instant now, const std::string& service,
                                                  const std::vector<std::string>& excluded,
-                                                 Random& random) {
+                                                 Random& random, routing::AnswerSize answer_size) {
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
   const auto& targets = found->second.targets;
@@ -131,12 +131,12 @@
     }
   };
   exclude(&skipped);
-  auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random);
+  auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, answer_size);
   if (!choice.has_value()) {
     // Better one that failed lately than none.
     std::vector<bool> only_excluded(targets.size(), false);
     exclude(&only_excluded);
-    choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random);
+    choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random, answer_size);
   }
   if (!choice.has_value()) return std::nullopt;
   return targets[*choice].instance.node;
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -45,7 +45,8 @@
 
   // A node whose worker takes requests for `service`, by load; none of `excluded`.
   std::optional<std::string> Choose(Instant now, const std::string& service,
-                                    const std::vector<std::string>& excluded, Random& random);
+                                    const std::vector<std::string>& excluded, Random& random,
+                                    routing::AnswerSize answer_size = routing::AnswerSize::kUsual);
   // Another node that answered lately, to pass calls to the store on.
   std::optional<event::Endpoint> ChooseRelay(Instant now, Random& random) const;
   // Nodes without an item in the store for longer than `wait`.
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -22,7 +22,7 @@
 constexpr std::string_view kRetryAfter = "Runshelf-Retry-After-Ms";
 constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
-constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
 int64_t ToMilliseconds(Duration duration) {
   return std::max<int64_t>(0,
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -126,7 +126,11 @@
     StartAttempt(shard->owner.node, shard->owner.worker);
     return;
   }
-  const auto node = context_.peers.Choose(now, service_, tried_nodes_, context_.random);
+  const auto answer_size = route_.kind == routes::RequestKind::kDownload
+                               ? routing::AnswerSize::kLarge
+                               : routing::AnswerSize::kUsual;
+  const auto node =
+      context_.peers.Choose(now, service_, tried_nodes_, context_.random, answer_size);
   if (!node.has_value()) {
     Refuse(FailureReason::kNoWorker, Duration(0));
     return;
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -60,12 +60,12 @@
     input.workers.push_back(std::move(worker));
   }
   for (const sharding::Shard& shard : shards_.map().shards()) {
-    if (peers_.Departed(now, shard.owner.node, config_.departure_wait)) {
-      input.departed_nodes.insert(shard.owner.node);
-    } else if (peers_.Find(shard.owner.node) == nullptr &&
-               now - active_since_ > config_.settle_time) {
-      // Its item went before this node started to watch.
-      input.departed_nodes.insert(shard.owner.node);
+    const std::string& node = shard.owner.node;
+    // An unknown node's item went before this node started to watch.
+    const bool never_seen =
+        peers_.Find(node) == nullptr && now - active_since_ > config_.settle_time;
+    if (never_seen || peers_.Departed(now, node, config_.departure_wait)) {
+      input.departed_nodes.insert(node);
     }
   }
   for (const auto& [node, report] : loads_) {
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -205,7 +205,8 @@
   options.connect_timeout = 2 * kProbeTimeout;
   probe_ = std::make_unique<http::SimpleCall>(
       loop_, pool_, settings_.worker, http::SerializeRequest(request.head, ""), options,
-      kProbeTimeout, [this](std::optional<http::Response> response, http::ClientFailure failure) {
+      kProbeTimeout,
+      [this](const std::optional<http::Response>& response, http::ClientFailure failure) {
         const auto finished = std::move(probe_);
         OnProbe(response, failure);
       });
