--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -26,7 +26,7 @@
 };
 
 struct PlannerConfig {
-  uint32_t initial_shards_per_worker = 8;
+  uint32_t initial_shards_per_worker = 32;
   // Balance starts when the most and the least used worker differ by more than this part of their
   // slots, and the most used one is above `busy_utilization`.
   double utilization_gap = 0.15;
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -34,12 +34,11 @@
 }
 
 void Ingress::Handle(const http::ExchangePtr& exchange) {
-  ++counters_.requests;
   if (configuration_ == nullptr) {
     http::Headers headers;
     headers.Add(context_.wire.headers().retry_after, kRetryAfterWithoutConfiguration);
     exchange->Respond(kServiceUnavailable, headers, "");
-    ++counters_.refused;
+    context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
     return;
   }
   const http::RequestHead& head = exchange->request().head;
@@ -47,7 +46,7 @@
   const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
   const routes::Route* route = host == nullptr ? nullptr : configuration_->Match(*host, path);
   if (route == nullptr) {
-    ++counters_.unknown_route;
+    context_.metrics.OnRequest(RequestOutcome::kUnknownRoute, Duration(0));
     context_.log.Write(LogLevel::kInfo, "route_unknown",
                        {{"host", host == nullptr ? std::string() : *host},
                         {"path", std::string(path)},
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -13,6 +13,7 @@
 #include "source/http/server.h"
 #include "source/routes/routing_configuration.h"
 #include "source/sidecar/log_writer.h"
+#include "source/sidecar/node_metrics.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_directory.h"
@@ -21,16 +22,6 @@
 
 namespace runshelf::sidecar {
 
-struct IngressCounters {
-  uint64_t requests = 0;
-  uint64_t served = 0;   // Answers of workers, whatever their status.
-  uint64_t refused = 0;  // 429 and 503: certainly not run.
-  uint64_t failed = 0;   // 502 and 504.
-  uint64_t unknown_route = 0;
-  uint64_t retries = 0;
-  uint64_t cancelled = 0;  // The client left first.
-};
-
 // Everything that requests need of the node around them. Outlives the ingress.
 struct IngressContext {
   event::EventLoop& loop;
@@ -41,6 +32,7 @@
   ShardDirectory& shards;
   WorkerGate& gate;
   LogWriter& log;
+  NodeMetrics& metrics;
   Random& random;
 };
 
@@ -59,7 +51,8 @@
   // The owner of some keys changed: requests that wait for one look again.
   void OnShardsChanged();
 
-  const IngressCounters& counters() const { return counters_; }
+  // Requests that were sent once more.
+  uint64_t retries() const { return retries_; }
   size_t under_way() const { return flows_.size(); }
 
  private:
@@ -71,7 +64,7 @@
   IngressContext context_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
   std::map<std::string, routing::RetryBudget> retry_budgets_;
-  IngressCounters counters_;
+  uint64_t retries_ = 0;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
 };
 
--- /dev/null
+++ b/source/sidecar/node_metrics.cc
@@ -0,0 +1,88 @@
+#include "source/sidecar/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr std::array<const char*, 5> kOutcomeNames{"served", "refused", "failed", "unknown_route",
+                                                   "cancelled"};
+
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10};
+  return buckets;
+}
+
+}  // namespace
+
+struct NodeMetrics::Families {
+  std::array<prometheus::Histogram*, kOutcomeNames.size()> latencies{};
+
+  explicit Families(prometheus::Registry* registry) {
+    auto& latency = prometheus::BuildHistogram()
+                        .Name("runshelf_request_duration_seconds")
+                        .Help("From the arrival of a client's request to its final answer.")
+                        .Register(*registry);
+    for (size_t index = 0; index < kOutcomeNames.size(); ++index) {
+      latencies[index] = &latency.Add({{"outcome", kOutcomeNames[index]}}, LatencyBuckets());
+    }
+  }
+};
+
+NodeMetrics::NodeMetrics()
+    : registry_(std::make_unique<prometheus::Registry>()),
+      families_(std::make_unique<Families>(registry_.get())) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::OnRequest(RequestOutcome outcome, Duration age) {
+  families_->latencies[static_cast<size_t>(outcome)]->Observe(
+      std::chrono::duration<double>(age).count());
+}
+
+std::string NodeMetrics::Serialize(const NodeGauges& gauges) const {
+  prometheus::Registry now;
+  const auto gauge = [&](const char* name, const char* help, double value) {
+    prometheus::BuildGauge().Name(name).Help(help).Register(now).Add({}).Set(value);
+  };
+  const auto counter = [&](const char* name, const char* help, uint64_t value) {
+    prometheus::BuildCounter().Name(name).Help(help).Register(now).Add({}).Increment(
+        static_cast<double>(value));
+  };
+  gauge("runshelf_worker_running", "Requests in the slots of the worker.", gauges.load.running);
+  gauge("runshelf_worker_queued", "Requests that wait for a slot.", gauges.load.queued);
+  gauge("runshelf_worker_slots", "Requests that the worker runs at once.", gauges.load.slots);
+  gauge("runshelf_requests_under_way", "Requests of clients without a final answer.",
+        static_cast<double>(gauges.requests_under_way));
+  gauge("runshelf_configuration_version", "Version in force; zero: none is known.",
+        static_cast<double>(gauges.configuration_version));
+  gauge("runshelf_shard_map_revision", "Revision of the shard map of the worker's service.",
+        static_cast<double>(gauges.shard_map_revision));
+  gauge("runshelf_store_reachable", "Whether the store answered lately.",
+        gauges.store_reachable ? 1 : 0);
+  gauge("runshelf_ready", "Whether the node takes new clients.", gauges.ready ? 1 : 0);
+  gauge("runshelf_live_nodes", "Nodes of the fleet that this one knows.",
+        static_cast<double>(gauges.live_nodes));
+  counter("runshelf_store_calls_total", "Calls to the store, those passed on included.",
+          gauges.store_calls);
+  counter("runshelf_connections_opened_total",
+          "Connections opened to workers, nodes and the store.", gauges.connections_opened);
+  counter("runshelf_grants_sent_total", "Grants of keys sent to the worker, renewals included.",
+          gauges.grants_sent);
+  counter("runshelf_retries_total", "Requests sent once more.", gauges.retries);
+  counter("runshelf_log_lines_dropped_total", "Log lines lost since nobody read them in time.",
+          gauges.log_lines_dropped);
+  auto collected = registry_->Collect();
+  for (auto& family : now.Collect()) collected.push_back(std::move(family));
+  return prometheus::TextSerializer().Serialize(collected);
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/node_metrics.h
@@ -0,0 +1,60 @@
+// Counters and latencies of one node in the usual text format (prometheus-cpp underneath).
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "runshelf/common/clock.h"
+#include "runshelf/routing/target_load.h"
+#include "source/store/store_operations.h"
+
+namespace prometheus {
+class Registry;
+}
+
+namespace runshelf::sidecar {
+
+// How the node answered a client.
+enum class RequestOutcome {
+  kServed,   // The answer of a worker, whatever its status.
+  kRefused,  // Certainly not run.
+  kFailed,   // 502, 504, or an answer that broke off.
+  kUnknownRoute,
+  kCancelled,  // The client left first.
+};
+
+// What is true at the moment of asking.
+struct NodeGauges {
+  routing::TargetLoad load;           // Of the worker beside the node.
+  int64_t configuration_version = 0;  // Zero: none is known.
+  store::Revision shard_map_revision = 0;
+  bool store_reachable = false;
+  bool ready = false;
+  size_t live_nodes = 0;
+  size_t requests_under_way = 0;
+  uint64_t store_calls = 0;
+  uint64_t connections_opened = 0;
+  uint64_t grants_sent = 0;
+  uint64_t retries = 0;
+  uint64_t log_lines_dropped = 0;
+};
+
+class NodeMetrics {
+ public:
+  NodeMetrics();
+  ~NodeMetrics();
+  NodeMetrics(const NodeMetrics&) = delete;
+  NodeMetrics& operator=(const NodeMetrics&) = delete;
+
+  // `age`: from the arrival of the request to its final answer.
+  void OnRequest(RequestOutcome outcome, Duration age);
+  std::string Serialize(const NodeGauges& gauges) const;
+
+ private:
+  struct Families;
+  std::unique_ptr<prometheus::Registry> registry_;
+  std::unique_ptr<Families> families_;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -198,14 +198,14 @@
     TryNext();
     return;
   }
-  ++ingress_->counters_.served;
+  context_.metrics.OnRequest(RequestOutcome::kServed, Age());
   relay_.OnComplete();
   Finish();
 }
 
 bool RequestFlow::TakeRetry() {
   if (!ingress_->RetryBudgetOf(service_).TryRetry(context_.loop.Now())) return false;
-  ++ingress_->counters_.retries;
+  ++ingress_->retries_;
   return true;
 }
 
@@ -214,7 +214,7 @@
   const std::string node = current_node_;
   if (relay_.streaming()) {
     // What the client has of the answer must not look complete.
-    ++ingress_->counters_.failed;
+    context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
     LogOutcome("answer_broken_off", relay_.head().status, FailureReasonName(failure.reason));
     exchange_->Abort();
     Finish();
@@ -301,7 +301,7 @@
   if (done_) return;
   if (relay_.streaming()) {
     LogOutcome("answer_broken_off", relay_.head().status, "expired");
-    ++ingress_->counters_.failed;
+    context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
     exchange_->Abort();
     Finish();
     return;
@@ -315,7 +315,7 @@
 
 void RequestFlow::OnClientGone() {
   const auto self = shared_from_this();
-  ++ingress_->counters_.cancelled;
+  context_.metrics.OnRequest(RequestOutcome::kCancelled, Age());
   Finish();
 }
 
@@ -325,7 +325,7 @@
     AnswerFailure(kBadGateway, reason);
     return;
   }
-  ++ingress_->counters_.refused;
+  context_.metrics.OnRequest(RequestOutcome::kRefused, Age());
   Duration advice = retry_after == Duration(0) ? kDefaultRetryAfter : retry_after;
   advice = std::min(advice, kMaxRetryAfter);
   // Spread, so that those refused together do not come back together.
@@ -339,7 +339,7 @@
 }
 
 void RequestFlow::AnswerFailure(int status, FailureReason reason) {
-  ++ingress_->counters_.failed;
+  context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
   LogOutcome("request_failed", status, FailureReasonName(reason));
   exchange_->Respond(status, {}, "");
   Finish();
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -120,7 +120,7 @@
       feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, gate_, log,
-                              random}),
+                              metrics_, random}),
       inbound_handler_(loop, gate_, store_, feed_, log),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
@@ -128,6 +128,7 @@
       readiness_(loop, [this](const http::ExchangePtr& exchange) { HandleReadiness(exchange); }),
       control_plane_(
           loop, [this](const http::ExchangePtr& exchange) { monitor_.HandleNotice(exchange); }),
+      metrics_server_(loop, [this](const http::ExchangePtr& exchange) { HandleMetrics(exchange); }),
       tick_(loop, [this] { OnTick(); }),
       stop_timer_(loop, [this] { ContinueStop(); }),
       end_timer_(loop, [this] { on_stopped_(); }) {
@@ -172,7 +173,8 @@
        {Listen(&outbound_, settings_.outbound, "outbound"),
         Listen(&inbound_, settings_.inbound, "inbound"),
         Listen(&readiness_, settings_.readiness, "readiness"),
-        Listen(&control_plane_, settings_.control_plane, "control_plane")}) {
+        Listen(&control_plane_, settings_.control_plane, "control_plane"),
+        Listen(&metrics_server_, settings_.metrics, "metrics")}) {
     if (!status.ok()) return status;
   }
   // Other nodes keep their connections longer than clients do.
@@ -194,6 +196,21 @@
   return absl::OkStatus();
 }
 
+void Sidecar::Reload(const absl::StatusOr<Settings>& settings) {
+  if (!settings.ok()) {
+    log_.Write(LogLevel::kError, "reload_refused",
+               {{"reason", std::string(settings.status().message())}});
+    return;
+  }
+  const bool same_addresses =
+      settings->outbound == settings_.outbound && settings->inbound == settings_.inbound &&
+      settings->worker == settings_.worker && settings->store == settings_.store;
+  settings_.bounds = settings->bounds;
+  log_.Write(same_addresses ? LogLevel::kInfo : LogLevel::kWarning, "reloaded",
+             {{"bounds", "taken over"},
+              {"addresses", same_addresses ? "unchanged" : "changed; they need a restart"}});
+}
+
 bool Sidecar::ready() const {
   return !stopping_ && configuration_ != nullptr && state_watcher_.synchronized();
 }
@@ -203,6 +220,25 @@
       wire_.IsReadinessCheck(exchange->request()) && ready() ? kOk : kServiceUnavailable, {}, "");
 }
 
+void Sidecar::HandleMetrics(const http::ExchangePtr& exchange) {
+  NodeGauges gauges;
+  gauges.load = gate_.load();
+  gauges.configuration_version = configuration_ == nullptr ? 0 : configuration_->version();
+  gauges.shard_map_revision = shard_store_.revision();
+  gauges.store_reachable = store_.reachable();
+  gauges.ready = ready();
+  gauges.live_nodes = peers_.live_nodes();
+  gauges.requests_under_way = ingress_.under_way();
+  gauges.store_calls = store_.calls();
+  gauges.connections_opened = pool_.opened();
+  gauges.grants_sent = holder_.grants_sent();
+  gauges.retries = ingress_.retries();
+  gauges.log_lines_dropped = log_.dropped();
+  http::Headers headers;
+  headers.Add("Content-Type", "text/plain; version=0.0.4");
+  exchange->Respond(kOk, headers, metrics_.Serialize(gauges));
+}
+
 void Sidecar::OnConfigurationItem(const store::Item& item) {
   if (item.key != wire_.ConfigurationKey()) return;
   auto decoded = wire_.DecodeConfiguration(item.value);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -12,6 +12,7 @@
 #include "source/sidecar/inbound_handler.h"
 #include "source/sidecar/ingress.h"
 #include "source/sidecar/log_writer.h"
+#include "source/sidecar/node_metrics.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_coordinator.h"
@@ -39,9 +40,13 @@
   absl::Status Start();
   // Finishes what runs, hands the worker's keys over, and calls `on_stopped`.
   void Stop(std::function<void()> on_stopped);
+  // Takes over what may change while the process runs: the fleet's bounds. Everything else stays as
+  // it was at the start, and the log says so.
+  void Reload(const absl::StatusOr<Settings>& settings);
   bool ready() const;
   const Ingress& ingress() const { return ingress_; }
   const PeerDirectory& peers() const { return peers_; }
+  const Settings& settings() const { return settings_; }
 
  private:
   // ShardHolderContext
@@ -55,6 +60,7 @@
   absl::Status Listen(http::Server* server, const std::optional<event::Endpoint>& endpoint,
                       const char* name);
   void HandleReadiness(const http::ExchangePtr& exchange);
+  void HandleMetrics(const http::ExchangePtr& exchange);
   void OnConfigurationItem(const store::Item& item);
   void ApplyLimits(const routes::ClientLimits& limits);
   void OnStateItem(const store::Item& item);
@@ -84,12 +90,14 @@
   store::PrefixWatcher configuration_watcher_;
   store::PrefixWatcher state_watcher_;
   StateFeed feed_;
+  NodeMetrics metrics_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
   http::Server outbound_;
   http::Server inbound_;
   http::Server readiness_;
   http::Server control_plane_;
+  http::Server metrics_server_;
   event::Timer tick_;
   event::Timer stop_timer_;
   event::Timer end_timer_;
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -161,6 +161,18 @@
   return status;
 }
 
+std::string Fleet::Metrics(size_t node) {
+  std::string text;
+  http::SimpleCall call(loop, pool_, *nodes[node].settings.metrics,
+                        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", {}, std::chrono::seconds(1),
+                        [&](const std::optional<http::Response>& response, http::ClientFailure) {
+                          if (response.has_value()) text = response->body;
+                        });
+  event::RunUntil(
+      loop, [&] { return !text.empty(); }, std::chrono::seconds(2));
+  return text;
+}
+
 int Fleet::LateOrder(size_t node, const std::string& target, const std::string& body) {
   int status = 0;
   http::RequestHead head;
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -51,6 +51,8 @@
                                 Duration limit = std::chrono::seconds(3));
   std::optional<Answer> Keyed(size_t node, uint32_t key);
   std::optional<int> Readiness(size_t node);
+  // What the node tells of itself; its settings name an address for it.
+  std::string Metrics(size_t node);
   // An order to a worker that somebody sent earlier arrives now; returns the status of its answer.
   int LateOrder(size_t node, const std::string& target, const std::string& body);
 
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -350,3 +350,30 @@
     CHECK(fleet.Request(node, "GET", "/read/1", "")->body != "w2:");
   }
 }
+
+TEST(Sidecar, ItTellsItsOwnFigures) {
+  Fleet fleet({"plain", "other"});
+  fleet.nodes[1].settings.metrics = event::Endpoint{fleet.nodes[1].settings.ip_address, 29464};
+  fleet.Start();
+  CHECK_EQUAL(200, fleet.Request(1, "GET", "/read/1", "")->status);
+  CHECK_EQUAL(404, fleet.Request(1, "GET", "/none/1", "")->status);
+  const std::string text = fleet.Metrics(1);
+  for (const char* line : {"runshelf_request_duration_seconds_count{outcome=\"served\"} 1",
+                           "runshelf_request_duration_seconds_count{outcome=\"unknown_route\"} 1",
+                           "runshelf_configuration_version 1", "runshelf_live_nodes 2",
+                           "runshelf_ready 1", "# TYPE runshelf_store_calls_total counter"}) {
+    CHECK_TEXT(text.find(line) != std::string::npos, line);
+  }
+}
+
+TEST(Sidecar, AReloadTakesBoundsOverAndRefusesBrokenSettings) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  sidecar::Settings changed = fleet.nodes[0].settings;
+  changed.bounds.retry_budget_ratio = 0.5;
+  fleet.nodes[0].sidecar->Reload(changed);
+  DOUBLES_EQUAL(0.5, fleet.nodes[0].sidecar->settings().bounds.retry_budget_ratio, 1e-9);
+  fleet.nodes[0].sidecar->Reload(absl::InvalidArgumentError("line 3: broken"));
+  DOUBLES_EQUAL(0.5, fleet.nodes[0].sidecar->settings().bounds.retry_budget_ratio, 1e-9);
+  CHECK_EQUAL(200, fleet.Request(0, "GET", "/read/1", "")->status);
+}
