--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -65,7 +65,7 @@
 
   bool Sharded() const override { return sharded_; }
   bool MaySend(Instant now, sharding::ShardKey key) const override;
-  void OnKeySent(sharding::ShardKey key) override { meter_.OnRequest(key); }
+  void OnKeyOffered(sharding::ShardKey key) override { meter_.OnRequest(key); }
   void OnKeyRefused(sharding::ShardKey key) override;
 
   sharding::KeyLoadMeter& meter() { return meter_; }
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -56,6 +56,9 @@
       Fail({Verdict::kNotRun, *objection, false, Duration(0)});
       return;
     }
+    if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
+      gate_->key_authority_->OnKeyOffered(*request_.key);
+    }
     registered_ = true;
     gate_->attempts_[id_] = this;
     timer_.Start(request_.deadline - gate_->loop_.Now() + kDeadlineSlack);
@@ -80,9 +83,6 @@
     }
     sent_ = true;
     sent_at_ = now;
-    if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
-      gate_->key_authority_->OnKeySent(*request_.key);
-    }
     const HeaderNames& names = gate_->wire_.headers();
     http::RequestHead head = request_.request->head;
     head.headers.Set(names.deadline, std::to_string(ToMilliseconds(request_.deadline - now)));
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -22,8 +22,9 @@
   // The service of the worker is divided by key.
   virtual bool Sharded() const = 0;
   virtual bool MaySend(Instant now, sharding::ShardKey key) const = 0;
-  // A request for the key is being sent; for measuring load.
-  virtual void OnKeySent(sharding::ShardKey key) = 0;
+  // A request for the key asks for a slot; for measuring load. What is refused counts as well: an
+  // overloaded worker is the one whose load must be known.
+  virtual void OnKeyOffered(sharding::ShardKey key) = 0;
   // The worker said that it does not hold the key.
   virtual void OnKeyRefused(sharding::ShardKey key) = 0;
 };
--- /dev/null
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -0,0 +1,164 @@
+#include "source/sidecar/worker_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "platform/wire_format.h"
+#include "tests/event/loop_runner.h"
+#include "tests/platform_adapter/fake_worker.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using namespace runshelf::sidecar;
+using event::RunUntil;
+
+namespace {
+
+class Outcome : public AttemptObserver {
+ public:
+  void OnAnswerHead(http::ResponseHead&& head) override { status = head.status; }
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerComplete() override { complete = true; }
+  void OnAttemptFailure(const AttemptFailure& result) override { failure = result; }
+
+  int status = 0;
+  bool complete = false;
+  std::optional<AttemptFailure> failure;
+};
+
+class OwnsEverything : public KeyAuthority {
+ public:
+  bool Sharded() const override { return true; }
+  bool MaySend(Instant, sharding::ShardKey) const override { return owned; }
+  void OnKeyOffered(sharding::ShardKey) override { ++offered; }
+  void OnKeyRefused(sharding::ShardKey) override { ++refused; }
+
+  bool owned = true;
+  int offered = 0;
+  int refused = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(WorkerGate) {
+  event::EventLoop loop;
+  http::ConnectionPool pool{loop};
+  PlatformWireFormat wire;
+  FakeWorker worker{loop, "w", "shop"};
+  std::vector<http::ExchangePtr> held;
+  std::unique_ptr<WorkerGate> gate;
+  OwnsEverything authority;
+
+  void setup() override {
+    worker.Listen();
+    worker.set_behaviour([this](const http::ExchangePtr& exchange) { held.push_back(exchange); });
+    gate = std::make_unique<WorkerGate>(loop, pool, wire, worker.endpoint());
+    gate->set_key_authority(&authority);
+    gate->SetWorker("w", "shop", 2);
+  }
+
+  void teardown() override { held.clear(); }
+
+  AttemptRequest Request(uint32_t weight = 1, Duration answer_within = std::chrono::seconds(1))
+      const {
+    auto request = std::make_shared<http::Request>();
+    request->head.method = "GET";
+    request->head.target = "/" + std::to_string(weight);
+    AttemptRequest attempt;
+    attempt.request = request;
+    attempt.service = "shop";
+    attempt.weight = weight;
+    attempt.caller_class = "weight-" + std::to_string(weight);
+    attempt.deadline = loop.Now() + std::chrono::seconds(2);
+    attempt.answer_by = loop.Now() + answer_within;
+    attempt.key = 7;
+    return attempt;
+  }
+};
+
+TEST(WorkerGate, NoMoreRequestsRunThanTheWorkerHasSlots) {
+  Outcome outcomes[3];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  for (Outcome& outcome : outcomes) {
+    attempts.push_back(gate->Submit(Request(), &outcome));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  event::RunFor(loop, std::chrono::milliseconds(30));
+  CHECK_EQUAL(2, held.size());
+  CHECK_EQUAL(1, gate->load().queued);
+  held[0]->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
+  CHECK(outcomes[0].complete);
+}
+
+TEST(WorkerGate, HigherWeightsAreServedFirst) {
+  Outcome outcomes[4];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  const uint32_t weights[] = {1, 1, 1, 9};
+  for (size_t index = 0; index < 4; ++index) {
+    attempts.push_back(gate->Submit(Request(weights[index]), &outcomes[index]));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  held[0]->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
+  STRCMP_EQUAL("/9", held[2]->request().head.target.c_str());
+}
+
+// The load of a worker that refuses must show, or nothing is ever moved away from it.
+TEST(WorkerGate, RequestsThatAreRefusedCountAsLoadOfTheirKey) {
+  worker.set_behaviour([this](const http::ExchangePtr& exchange) {
+    held.push_back(exchange);
+    if (held.size() <= 4) exchange->Respond(200, {}, "");
+  });
+  Outcome outcomes[40];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  for (size_t index = 0; index < 40; ++index) {
+    attempts.push_back(gate->Submit(Request(1, std::chrono::milliseconds(20)), &outcomes[index]));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] {
+    return std::count_if(std::begin(outcomes), std::end(outcomes),
+                         [](const Outcome& outcome) { return outcome.failure.has_value(); }) >= 20;
+  }));
+  CHECK_EQUAL(40, authority.offered);
+}
+
+TEST(WorkerGate, AKeyThatIsNotHeldIsRefusedAsNotRun) {
+  authority.owned = false;
+  Outcome outcome;
+  const auto attempt = gate->Submit(Request(), &outcome);
+  attempt->Begin();
+  CHECK(outcome.failure.has_value());
+  CHECK(outcome.failure->verdict == Verdict::kNotRun);
+  CHECK(outcome.failure->reason == FailureReason::kNotOwner);
+  CHECK_FALSE(outcome.failure->reached_worker);
+}
+
+TEST(WorkerGate, AKeyLostWhileWaitingIsNotSent) {
+  Outcome outcomes[3];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  for (Outcome& outcome : outcomes) {
+    attempts.push_back(gate->Submit(Request(), &outcome));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  authority.owned = false;
+  held[0]->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return outcomes[2].failure.has_value(); }));
+  CHECK(outcomes[2].failure->reason == FailureReason::kNotOwner);
+  CHECK_EQUAL(2, held.size());
+}
+
+TEST(WorkerGate, AnotherWorkerAtTheAddressRunsNothing) {
+  gate->SetWorker("former", "shop", 2);
+  Outcome outcome;
+  const auto attempt = gate->Submit(Request(), &outcome);
+  attempt->Begin();
+  CHECK(RunUntil(loop, [&] { return outcome.failure.has_value(); }));
+  CHECK(outcome.failure->verdict == Verdict::kNotRun);
+  CHECK(outcome.failure->reason == FailureReason::kWrongWorker);
+  CHECK(held.empty());
+}
