Logs: one line for each failed attempt, and for answers that come late

Each line now carries node, worker, waits for the owner, revision of the shard map and version of the configuration.

--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -154,6 +154,8 @@
   relay_.Reset();
   retry_worker_failure_ = false;
   current_node_ = node;
+  last_node_ = node;
+  last_worker_ = worker_id;
   context_.peers.OnAttemptStart(node);
   if (node == context_.settings.node_name) {
     attempt_ = context_.gate.Submit(attempt, this);
@@ -193,12 +195,17 @@
   const auto self = shared_from_this();
   if (retry_worker_failure_ && TakeRetry()) {
     ++arrivals_;
+    LogOutcome("attempt_failed", relay_.head().status, "worker-error", Verdict::kRan);
     tried_nodes_.push_back(current_node_);
     EndAttempt();
     TryNext();
     return;
   }
   context_.metrics.OnRequest(RequestOutcome::kServed, Age());
+  if (Age() > route_.target_latency.value_or(kDefaultTargetLatency)) {
+    LogOutcome("request_served_late", relay_.head().status,
+               owner_waits_ > 0 ? "waited-for-owner" : "slow", Verdict::kRan);
+  }
   relay_.OnComplete();
   Finish();
 }
@@ -215,13 +222,15 @@
   if (relay_.streaming()) {
     // What the client has of the answer must not look complete.
     context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
-    LogOutcome("answer_broken_off", relay_.head().status, FailureReasonName(failure.reason));
+    LogOutcome("answer_broken_off", relay_.head().status, FailureReasonName(failure.reason),
+               Verdict::kRan);
     exchange_->Abort();
     Finish();
     return;
   }
   EndAttempt();
   if (failure.reached_worker) ++arrivals_;
+  LogOutcome("attempt_failed", 0, FailureReasonName(failure.reason), failure.verdict);
   if (failure.verdict == Verdict::kNotRun) {
     tried_nodes_.push_back(node);
     OnNotRun(failure);
@@ -285,6 +294,7 @@
     return;
   }
   waiting_for_owner_ = true;
+  ++owner_waits_;
   wait_timer_.Start(kOwnerPoll);
 }
 
@@ -300,7 +310,7 @@
   const auto self = shared_from_this();
   if (done_) return;
   if (relay_.streaming()) {
-    LogOutcome("answer_broken_off", relay_.head().status, "expired");
+    LogOutcome("answer_broken_off", relay_.head().status, "expired", Verdict::kRan);
     context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
     exchange_->Abort();
     Finish();
@@ -309,6 +319,7 @@
   if (current_node_.empty() && !may_have_run_) {
     Refuse(FailureReason::kExpired, Duration(0));
   } else {
+    may_have_run_ = true;
     AnswerFailure(kGatewayTimeout, FailureReason::kExpired);
   }
 }
@@ -333,14 +344,14 @@
   http::Headers headers;
   headers.Add(context_.wire.headers().retry_after,
               fmt::format("{:.3f}", std::chrono::duration<double>(advice).count()));
-  LogOutcome("request_refused", kServiceUnavailable, FailureReasonName(reason));
+  LogOutcome("request_refused", kServiceUnavailable, FailureReasonName(reason), Verdict::kNotRun);
   exchange_->Respond(kServiceUnavailable, headers, "");
   Finish();
 }
 
 void RequestFlow::AnswerFailure(int status, FailureReason reason) {
   context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
-  LogOutcome("request_failed", status, FailureReasonName(reason));
+  LogOutcome("request_failed", status, FailureReasonName(reason), CurrentVerdict());
   exchange_->Respond(status, {}, "");
   Finish();
 }
@@ -357,8 +368,8 @@
 
 Duration RequestFlow::Age() const { return context_.loop.Now() - exchange_->received(); }
 
-void RequestFlow::LogOutcome(std::string_view event, int status, std::string_view reason) {
-  const Peer* peer = tried_nodes_.empty() ? nullptr : context_.peers.Find(tried_nodes_.back());
+void RequestFlow::LogOutcome(std::string_view event, int status, std::string_view reason,
+                             Verdict verdict) {
   context_.log.Write(
       LogLevel::kInfo, event,
       {{"request", request_id_},
@@ -366,12 +377,12 @@
        {"service", service_},
        {"status", status},
        {"reason", std::string(reason)},
-       {"verdict",
-        std::string(VerdictName(may_have_run_ ? Verdict::kMayHaveRun : Verdict::kNotRun))},
+       {"verdict", std::string(VerdictName(verdict))},
        {"age_ms", ToMilliseconds(Age())},
        {"arrivals", arrivals_},
-       {"last_node", tried_nodes_.empty() ? current_node_ : tried_nodes_.back()},
-       {"worker", peer == nullptr ? std::string() : peer->record.worker_id},
+       {"node", last_node_},
+       {"worker", last_worker_},
+       {"owner_waits", owner_waits_},
        {"key", key_.has_value() ? std::to_string(*key_) : std::string("none")},
        {"shards_revision", context_.shards.RevisionOf(service_)},
        {"configuration",
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -43,7 +43,9 @@
   void Refuse(FailureReason reason, Duration retry_after);
   void AnswerFailure(int status, FailureReason reason);
   void Finish();
-  void LogOutcome(std::string_view event, int status, std::string_view reason);
+  void LogOutcome(std::string_view event, int status, std::string_view reason, Verdict verdict);
+  // What is known of all attempts so far.
+  Verdict CurrentVerdict() const { return may_have_run_ ? Verdict::kMayHaveRun : Verdict::kNotRun; }
   Duration Age() const;
 
   Ingress* ingress_;
@@ -61,10 +63,13 @@
   Instant answer_by_{};
   Instant refuse_by_{};  // Waits without being offered to a worker end then.
   std::vector<std::string> tried_nodes_;
-  std::string current_node_;
+  std::string current_node_;  // Of the attempt under way; empty while there is none.
+  std::string last_node_;     // Of the latest attempt.
+  std::string last_worker_;
   std::unique_ptr<Attempt> attempt_;
-  uint32_t arrivals_ = 0;  // At workers, as far as is known.
-  uint32_t refusals_ = 0;  // By queues of nodes.
+  uint32_t arrivals_ = 0;     // At workers, as far as is known.
+  uint32_t refusals_ = 0;     // By queues of nodes.
+  uint32_t owner_waits_ = 0;  // For the owner of the key to be known or ready.
   bool may_have_run_ = false;
   bool waiting_for_owner_ = false;
   bool done_ = false;
