--- a/cmake/RunshelfPackage.cmake
+++ b/cmake/RunshelfPackage.cmake
@@ -15,9 +15,9 @@
   install(DIRECTORY include/runshelf/${part} DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/runshelf)
 endforeach()
 
-# Interfaces of the platform, which an embedding program implements.
-install(FILES include/runshelf/platform/key_value_store.h include/runshelf/platform/machine_list.h
-        DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/runshelf/platform)
+# Interfaces of outside services, which an embedding program implements.
+install(FILES include/runshelf/infrastructure/key_value_store.h include/runshelf/infrastructure/machine_list.h
+        DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/runshelf/infrastructure)
 
 install(TARGETS runshelfd runshelfctl RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 install(DIRECTORY etc/ DESTINATION ${CMAKE_INSTALL_DATADIR}/runshelf FILES_MATCHING PATTERN "*.toml")
--- a/examples/ownership_example.cc
+++ b/examples/ownership_example.cc
@@ -27,7 +27,7 @@
 using runshelf::SeededRandom;
 using runshelf::SlotNumber;
 namespace coordination = runshelf::coordination;
-namespace platform = runshelf::platform;
+namespace infrastructure = runshelf::infrastructure;
 
 constexpr SlotNumber kSlotCount = 12;
 constexpr Duration kStep = std::chrono::milliseconds(1);
@@ -47,7 +47,7 @@
 
 // The platform's key-value service, reduced to the one record that the group keeps there.
 struct Platform {
-  platform::MachineListSnapshot machines;
+  infrastructure::MachineListSnapshot machines;
   std::optional<coordination::GroupRecord> record;
   int64_t record_revision = 0;
 };
@@ -130,8 +130,8 @@
     for (const char* name : {"orders-1", "orders-2", "orders-3"}) {
       const std::string zone = fmt::format("hall-{}", seed);
       instances_.push_back(std::make_unique<Instance>(name, zone, seed, now_));
-      platform_.machines.machines.push_back(
-          {name, instances_.back()->config().peer_address, zone, platform::MachineState::kLive});
+      platform_.machines.machines.push_back({name, instances_.back()->config().peer_address, zone,
+                                             infrastructure::MachineState::kLive});
       ++seed;
     }
   }
--- a/fuzz/etcd_answer_fuzz.cc
+++ b/fuzz/etcd_answer_fuzz.cc
@@ -1,8 +1,8 @@
 // Answers of the platform's key-value service, whatever it sends.
 #include "fuzz/fuzz_target.h"
-#include "source/platform/etcd_messages.h"
+#include "source/infrastructure/etcd_messages.h"
 
-using namespace runshelf::platform;
+using namespace runshelf::infrastructure;
 using runshelf::fuzz::CountAccepted;
 
 int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
--- a/fuzz/store_record_fuzz.cc
+++ b/fuzz/store_record_fuzz.cc
@@ -3,7 +3,7 @@
 #include "runshelf/table/store_records.h"
 
 using namespace runshelf::table;
-using runshelf::platform::KeyValue;
+using runshelf::infrastructure::KeyValue;
 
 int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string text = runshelf::fuzz::ToText(data, size);
--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -19,8 +19,8 @@
 #include "runshelf/common/slot.h"
 #include "runshelf/consensus/replica.h"
 #include "runshelf/coordination/messages.h"
+#include "runshelf/infrastructure/machine_list.h"
 #include "runshelf/ownership/grant_holder.h"
-#include "runshelf/platform/machine_list.h"
 #include "runshelf/routing/routing_snapshot.h"
 
 namespace runshelf::coordination {
@@ -157,7 +157,7 @@
   virtual void Receive(Instant now, const Envelope& envelope) = 0;
 
   // The platform's machine list, whenever it was read.
-  virtual void OnMachineList(Instant now, const platform::MachineListSnapshot& machines) = 0;
+  virtual void OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines) = 0;
 
   // The platform answered some call of this daemon.
   virtual void OnPlatformContact(Instant now) = 0;
--- a/include/runshelf/platform/etcd_key_value_store.h
+++ b/include/runshelf/infrastructure/etcd_key_value_store.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "runshelf/common/clock.h"
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 // Returns a store that is safe to call from any thread. Every call opens a connection of its own,
 // sends its request at most once, and never retries: that is the caller's decision.
@@ -24,4 +24,4 @@
 absl::StatusOr<std::unique_ptr<KeyValueStore>> MakeEtcdKeyValueStore(const std::string& address,
                                                                      Duration timeout);
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/include/runshelf/platform/http_machine_list.h
+++ b/include/runshelf/infrastructure/http_machine_list.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "runshelf/common/clock.h"
-#include "runshelf/platform/machine_list.h"
+#include "runshelf/infrastructure/machine_list.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 // Returns a list that is safe to read from any thread. `address` is the IP number and port of the
 // service; `timeout` bounds each read as a whole. kInvalidArgument: a malformed address, or a
@@ -17,4 +17,4 @@
 absl::StatusOr<std::unique_ptr<MachineList>> MakeHttpMachineList(const std::string& address,
                                                                  Duration timeout);
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/include/runshelf/platform/key_value_store.h
+++ b/include/runshelf/infrastructure/key_value_store.h
@@ -15,7 +15,7 @@
 
 #include "runshelf/common/clock.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 struct KeyValue {
   std::string key;
@@ -84,4 +84,4 @@
       const std::function<bool()>& stop) = 0;
 };
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/include/runshelf/platform/machine_list.h
+++ b/include/runshelf/infrastructure/machine_list.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 enum class MachineState { kLive, kLeaving };
 
@@ -36,4 +36,4 @@
   virtual absl::StatusOr<MachineListSnapshot> Read() = 0;
 };
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/include/runshelf/table/store_records.h
+++ b/include/runshelf/table/store_records.h
@@ -15,7 +15,7 @@
 #include <string_view>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/table.h"
 
 namespace runshelf::table {
@@ -69,14 +69,14 @@
 
 // {"weight":N,"limit":N or null,"edit":S}
 std::string EncodeStoredCell(const CellValue& value, std::string_view edit_id);
-absl::StatusOr<Cell> DecodeStoredCell(const platform::KeyValue& key_value);
+absl::StatusOr<Cell> DecodeStoredCell(const infrastructure::KeyValue& key_value);
 
 // Decodes a range of kTablePrefix.
-DecodedCells DecodeStoredCells(const platform::RangeResult& range);
+DecodedCells DecodeStoredCells(const infrastructure::RangeResult& range);
 
 // {"edit":S,"author":S,"time":N,"refused":B,"changes":[{"service":S,"class":S,"weight":N,
 //  "limit":N or null} or {"service":S,"class":S,"deleted":true}, ...]}
 std::string EncodeEditRecord(const EditRecord& record);
-absl::StatusOr<EditRecord> DecodeEditRecord(const platform::KeyValue& key_value);
+absl::StatusOr<EditRecord> DecodeEditRecord(const infrastructure::KeyValue& key_value);
 
 }  // namespace runshelf::table
--- a/include/runshelf/table/table_editor.h
+++ b/include/runshelf/table/table_editor.h
@@ -23,7 +23,7 @@
 
 #include "runshelf/common/clock.h"
 #include "runshelf/common/random.h"
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/store_records.h"
 #include "runshelf/table/table.h"
 #include "runshelf/table/table_csv.h"
@@ -93,7 +93,7 @@
 // Not thread-safe. The arguments must outlive the editor.
 class TableEditor {
  public:
-  TableEditor(platform::KeyValueStore& store, Random& random, WaitFunction wait,
+  TableEditor(infrastructure::KeyValueStore& store, Random& random, WaitFunction wait,
               TableEditorOptions options = {});
 
   EditResult SetCell(const EditOrigin& origin, const CellKey& key, const CellValue& value,
@@ -115,7 +115,7 @@
   EditResult ImportChanges(const EditOrigin& origin, const std::vector<CsvCell>& base,
                            const std::vector<CsvCell>& rows);
 
-  // Reads the table now. Status codes of platform::KeyValueStore.
+  // Reads the table now. Status codes of infrastructure::KeyValueStore.
   absl::StatusOr<Table> Read();
 
   // Returns the records of the last 24 hours, ascending by revision, refused ones left out.
@@ -124,7 +124,7 @@
  private:
   struct Reading;
 
-  absl::StatusOr<platform::RangeResult> ReadRange(std::string_view prefix);
+  absl::StatusOr<infrastructure::RangeResult> ReadRange(std::string_view prefix);
   absl::StatusOr<Reading> ReadTable();
   EditResult ApplyTo(const Reading& reading, const EditOrigin& origin,
                      const std::vector<CellEdit>& edits);
@@ -134,7 +134,7 @@
   CellConflict DescribeConflict(const CellKey& key, const Reading& now,
                                 const std::vector<EditRecord>& history);
 
-  platform::KeyValueStore& store_;
+  infrastructure::KeyValueStore& store_;
   Random& random_;
   WaitFunction wait_;
   TableEditorOptions options_;
--- a/include/runshelf/table/table_mirror.h
+++ b/include/runshelf/table/table_mirror.h
@@ -10,7 +10,7 @@
 #include <mutex>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/store_records.h"
 #include "runshelf/table/table.h"
 
@@ -25,11 +25,11 @@
 
   // Takes a range of kTablePrefix; cells that are not in it are gone. True when the table advanced.
   // A malformed cell leaves the value known before in force, if there is one.
-  bool ReplaceByRange(const platform::RangeResult& range);
+  bool ReplaceByRange(const infrastructure::RangeResult& range);
 
   // Takes watch events of kTablePrefix, in order; events of one transaction in one call.
   // True when the table advanced.
-  bool ApplyEvents(const std::vector<platform::WatchEvent>& events);
+  bool ApplyEvents(const std::vector<infrastructure::WatchEvent>& events);
 
   // Takes a delta of a peer. True when the table advanced. Errors of Table::Apply.
   absl::StatusOr<bool> ApplyDelta(const TableDelta& delta);
--- a/include/runshelf/table/table_source.h
+++ b/include/runshelf/table/table_source.h
@@ -13,7 +13,7 @@
 
 #include "runshelf/common/clock.h"
 #include "runshelf/common/random.h"
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/table_editor.h"
 #include "runshelf/table/table_mirror.h"
 
@@ -34,7 +34,7 @@
 class TableSource {
  public:
   // The arguments must outlive the source.
-  TableSource(platform::KeyValueStore& store, TableMirror& mirror, const Clock& clock,
+  TableSource(infrastructure::KeyValueStore& store, TableMirror& mirror, const Clock& clock,
               Random& random, WaitFunction wait, TableSourceCallbacks callbacks,
               TableSourceOptions options = {});
 
@@ -45,11 +45,11 @@
   absl::Status Follow(const std::function<bool()>& stop);
   absl::Status ReadRange();
   absl::Status Watch(const std::function<bool()>& stop);
-  void HandleEvents(const std::vector<platform::WatchEvent>& events);
+  void HandleEvents(const std::vector<infrastructure::WatchEvent>& events);
   void ReportTable();
   void ReportMalformed();
 
-  platform::KeyValueStore& store_;
+  infrastructure::KeyValueStore& store_;
   TableMirror& mirror_;
   const Clock& clock_;
   Random& random_;
--- a/source/coordination/group_lifecycle.cc
+++ b/source/coordination/group_lifecycle.cc
@@ -91,7 +91,8 @@
   return Adopt(announcement.record, announcement.record_revision);
 }
 
-void GroupLifecycle::OnMachineList(Instant now, const platform::MachineListSnapshot& machines) {
+void GroupLifecycle::OnMachineList(Instant now,
+                                   const infrastructure::MachineListSnapshot& machines) {
   machines_ = machines;
   RebuildAddresses();
   machines_read_at_ = now;
@@ -105,7 +106,8 @@
   }
   std::set<std::string> peers = voters;
   if (machines_) {
-    for (const platform::Machine& machine : machines_->machines) peers.insert(machine.address);
+    for (const infrastructure::Machine& machine : machines_->machines)
+      peers.insert(machine.address);
   }
   for (std::set<std::string>* addresses : {&voters, &peers}) {
     addresses->erase(context_.config.peer_address);
@@ -124,7 +126,7 @@
 std::set<std::string> GroupLifecycle::ListedNodes() const {
   std::set<std::string> nodes;
   if (!machines_) return nodes;
-  for (const platform::Machine& machine : machines_->machines) nodes.insert(machine.node);
+  for (const infrastructure::Machine& machine : machines_->machines) nodes.insert(machine.node);
   return nodes;
 }
 
--- a/source/coordination/group_lifecycle.h
+++ b/source/coordination/group_lifecycle.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "runshelf/platform/machine_list.h"
+#include "runshelf/infrastructure/machine_list.h"
 #include "source/coordination/node_context.h"
 
 namespace runshelf::coordination {
@@ -35,7 +35,7 @@
   void Tick(Instant now, Instant last_leader_contact, const ownership::NodeRecord& own_record,
             const RecoveryState& own_state);
 
-  void OnMachineList(Instant now, const platform::MachineListSnapshot& machines);
+  void OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines);
 
   // Each returns a record whose generation is to be adopted, if there is one.
   std::optional<GroupRecord> OnGroupRecord(Instant now, const std::optional<GroupRecord>& record,
@@ -116,7 +116,7 @@
   Instant adopted_at_;  // When the current generation became known.
   Instant last_tick_;
 
-  std::optional<platform::MachineListSnapshot> machines_;
+  std::optional<infrastructure::MachineListSnapshot> machines_;
   Instant machines_read_at_;
   std::map<InstanceId, ownership::NodeRecord> greeted_;  // Heard of before any group existed.
   Instant next_hello_;
--- a/source/coordination/leave_notices.cc
+++ b/source/coordination/leave_notices.cc
@@ -5,7 +5,7 @@
 namespace runshelf::coordination {
 namespace {
 
-using platform::MachineState;
+using infrastructure::MachineState;
 
 // A list that still calls this machine leaving so long after the process started means this
 // process.
@@ -18,10 +18,10 @@
 
 LeaveNotices::LeaveNotices(InstanceId self, Instant now) : self_(std::move(self)), started_(now) {}
 
-void LeaveNotices::OnMachineList(Instant now, const platform::MachineListSnapshot& machines,
+void LeaveNotices::OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines,
                                  const ownership::AssignmentState& view) {
   std::map<std::string, MachineState> seen;
-  for (const platform::Machine& machine : machines.machines) {
+  for (const infrastructure::Machine& machine : machines.machines) {
     seen[machine.node] = machine.state;
     const auto before = last_seen_.find(machine.node);
     const bool began = machine.state == MachineState::kLeaving && before != last_seen_.end() &&
--- a/source/coordination/leave_notices.h
+++ b/source/coordination/leave_notices.h
@@ -12,8 +12,8 @@
 
 #include "runshelf/common/clock.h"
 #include "runshelf/common/instance_id.h"
+#include "runshelf/infrastructure/machine_list.h"
 #include "runshelf/ownership/assignment.h"
-#include "runshelf/platform/machine_list.h"
 
 namespace runshelf::coordination {
 
@@ -22,7 +22,7 @@
   LeaveNotices(InstanceId self, Instant now);
 
   // `view` tells which process runs on each machine.
-  void OnMachineList(Instant now, const platform::MachineListSnapshot& machines,
+  void OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines,
                      const ownership::AssignmentState& view);
 
   // Processes on machines that began to leave, this one excluded.
@@ -37,8 +37,8 @@
  private:
   const InstanceId self_;
   const Instant started_;
-  std::map<std::string, platform::MachineState> last_seen_;  // By node.
-  std::map<std::string, InstanceId> leaving_;                // By node.
+  std::map<std::string, infrastructure::MachineState> last_seen_;  // By node.
+  std::map<std::string, InstanceId> leaving_;                      // By node.
   bool self_is_leaving_ = false;
   bool self_was_leaving_at_first_ = false;  // And has not been called live since.
 };
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -145,7 +145,7 @@
   renewals_.OnGeneration();
 }
 
-void NodeImpl::OnMachineList(Instant now, const platform::MachineListSnapshot& machines) {
+void NodeImpl::OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines) {
   if (WasPausedTooLong(now)) return;
   lifecycle_.OnMachineList(now, machines);
   notices_.OnMachineList(now, machines, renewals_.view());
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -24,7 +24,7 @@
 
   void Tick(Instant now) override;
   void Receive(Instant now, const Envelope& envelope) override;
-  void OnMachineList(Instant now, const platform::MachineListSnapshot& machines) override;
+  void OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines) override;
   void OnPlatformContact(Instant now) override;
   bool FollowsPlatform(Instant now) const override;
   void OnGroupRecord(Instant now, const std::optional<GroupRecord>& record,
--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "runshelf/common/random.h"
-#include "runshelf/platform/etcd_key_value_store.h"
+#include "runshelf/infrastructure/etcd_key_value_store.h"
 #include "source/ctl/command.h"
 #include "source/ctl/status_command.h"
 #include "source/ctl/table_commands.h"
@@ -25,7 +25,8 @@
 }
 
 int RunOnPlatform(const Invocation& invocation, const Streams& streams) {
-  const auto store = platform::MakeEtcdKeyValueStore(invocation.platform_address, kPlatformTimeout);
+  const auto store =
+      infrastructure::MakeEtcdKeyValueStore(invocation.platform_address, kPlatformTimeout);
   if (!store.ok()) {
     streams.err << fmt::format("runshelfctl: --platform {}: {}; give IP:PORT\n",
                                invocation.platform_address, std::string(store.status().message()));
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -7,8 +7,8 @@
 #include "runshelf/common/log.h"
 #include "runshelf/common/random.h"
 #include "runshelf/coordination/node.h"
-#include "runshelf/platform/etcd_key_value_store.h"
-#include "runshelf/platform/http_machine_list.h"
+#include "runshelf/infrastructure/etcd_key_value_store.h"
+#include "runshelf/infrastructure/http_machine_list.h"
 #include "runshelf/table/table_mirror.h"
 #include "runshelf/transport/control_transport.h"
 #include "runshelf/transport/http_server.h"
@@ -147,11 +147,13 @@
   }
 
   absl::Status OpenPlatform() {
-    auto store = platform::MakeEtcdKeyValueStore(settings_.platform_address, kPlatformTimeout);
+    auto store =
+        infrastructure::MakeEtcdKeyValueStore(settings_.platform_address, kPlatformTimeout);
     if (!store.ok()) {
       return store.status();
     }
-    auto machines = platform::MakeHttpMachineList(settings_.machine_list_address, kPlatformTimeout);
+    auto machines =
+        infrastructure::MakeHttpMachineList(settings_.machine_list_address, kPlatformTimeout);
     if (!machines.ok()) {
       return machines.status();
     }
@@ -300,8 +302,8 @@
   IngressHandler ingress_;
   EgressHandler egress_;
   LoadReporter load_reporter_;
-  std::unique_ptr<platform::KeyValueStore> store_;
-  std::unique_ptr<platform::MachineList> machines_;
+  std::unique_ptr<infrastructure::KeyValueStore> store_;
+  std::unique_ptr<infrastructure::MachineList> machines_;
   std::unique_ptr<PlatformAgent> platform_;
   std::unique_ptr<ServerAgent> server_agent_;
   std::unique_ptr<transport::ControlTransport> control_;
--- a/source/daemon/platform_agent.cc
+++ b/source/daemon/platform_agent.cc
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-PlatformAgent::PlatformAgent(const Clock& clock, platform::KeyValueStore& store,
-                             platform::MachineList& machines, table::TableMirror& mirror,
+PlatformAgent::PlatformAgent(const Clock& clock, infrastructure::KeyValueStore& store,
+                             infrastructure::MachineList& machines, table::TableMirror& mirror,
                              Published<table::Table>& table, Coordinator& coordinator,
                              PlatformAgentOptions options)
     : clock_(clock),
@@ -102,7 +102,7 @@
 void PlatformAgent::MachineListLoop() {
   bool reachable = true;
   do {
-    const absl::StatusOr<platform::MachineListSnapshot> machines = machines_.Read();
+    const absl::StatusOr<infrastructure::MachineListSnapshot> machines = machines_.Read();
     if (machines.ok()) {
       coordinator_.With([&](coordination::Node& node, Instant now) {
         node.OnPlatformContact(now);
@@ -143,14 +143,14 @@
 
 // An unreadable answer is dropped: the node asks again.
 void PlatformAgent::ReadRecord() {
-  const absl::StatusOr<platform::RangeResult> range = store_.Range(record_key_);
+  const absl::StatusOr<infrastructure::RangeResult> range = store_.Range(record_key_);
   NoteReachable(range.ok());
   if (!range.ok()) {
     return;
   }
   std::optional<coordination::GroupRecord> record;
   int64_t revision = 0;
-  for (const platform::KeyValue& entry : range->key_values) {
+  for (const infrastructure::KeyValue& entry : range->key_values) {
     if (entry.key != record_key_) {
       continue;
     }
@@ -169,9 +169,9 @@
 }
 
 void PlatformAgent::WriteRecord(const coordination::WriteGroupRecord& write) {
-  const platform::Condition unchanged{record_key_, write.expected_revision};
-  const platform::Write record{record_key_, coordination::EncodeGroupRecord(write.record), 0};
-  const absl::StatusOr<platform::CommitResult> result = store_.Commit({unchanged}, {record});
+  const infrastructure::Condition unchanged{record_key_, write.expected_revision};
+  const infrastructure::Write record{record_key_, coordination::EncodeGroupRecord(write.record), 0};
+  const absl::StatusOr<infrastructure::CommitResult> result = store_.Commit({unchanged}, {record});
   NoteReachable(result.ok());
   if (absl::IsUnknown(result.status())) {
     ReadRecord();  // The write may have taken effect: only the record itself can tell.
--- a/source/daemon/platform_agent.h
+++ b/source/daemon/platform_agent.h
@@ -15,8 +15,8 @@
 #include "runshelf/common/clock.h"
 #include "runshelf/common/random.h"
 #include "runshelf/coordination/node.h"
-#include "runshelf/platform/key_value_store.h"
-#include "runshelf/platform/machine_list.h"
+#include "runshelf/infrastructure/key_value_store.h"
+#include "runshelf/infrastructure/machine_list.h"
 #include "runshelf/table/table_mirror.h"
 #include "source/daemon/coordinator.h"
 
@@ -31,9 +31,10 @@
 class PlatformAgent {
  public:
   // All references must outlive the agent.
-  PlatformAgent(const Clock& clock, platform::KeyValueStore& store, platform::MachineList& machines,
-                table::TableMirror& mirror, Published<table::Table>& table,
-                Coordinator& coordinator, PlatformAgentOptions options);
+  PlatformAgent(const Clock& clock, infrastructure::KeyValueStore& store,
+                infrastructure::MachineList& machines, table::TableMirror& mirror,
+                Published<table::Table>& table, Coordinator& coordinator,
+                PlatformAgentOptions options);
   ~PlatformAgent();
 
   PlatformAgent(const PlatformAgent&) = delete;
@@ -64,8 +65,8 @@
   bool IsStopping() const;
 
   const Clock& clock_;
-  platform::KeyValueStore& store_;
-  platform::MachineList& machines_;
+  infrastructure::KeyValueStore& store_;
+  infrastructure::MachineList& machines_;
   table::TableMirror& mirror_;
   Published<table::Table>& table_;
   Coordinator& coordinator_;
--- a/source/platform/etcd_key_value_store.cc
+++ b/source/infrastructure/etcd_key_value_store.cc
@@ -1,12 +1,12 @@
-#include "runshelf/platform/etcd_key_value_store.h"
+#include "runshelf/infrastructure/etcd_key_value_store.h"
 
 #include <chrono>
 #include <utility>
 
-#include "source/platform/etcd_messages.h"
-#include "source/platform/http_call.h"
+#include "source/infrastructure/etcd_messages.h"
+#include "source/infrastructure/http_call.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 namespace {
 
 enum class CallKind { kRead, kWrite };
@@ -118,4 +118,4 @@
   return std::make_unique<EtcdKeyValueStore>(*parsed, timeout);
 }
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/etcd_messages.cc
+++ b/source/infrastructure/etcd_messages.cc
@@ -1,4 +1,4 @@
-#include "source/platform/etcd_messages.h"
+#include "source/infrastructure/etcd_messages.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 namespace {
 
 using nlohmann::json;
@@ -262,4 +262,4 @@
   return absl::InvalidArgumentError(text);
 }
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/etcd_messages.h
+++ b/source/infrastructure/etcd_messages.h
@@ -11,9 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 std::string EncodeRangeRequest(const std::string& prefix);
 std::string EncodeCommitRequest(const std::vector<Condition>& conditions,
@@ -46,4 +46,4 @@
 // refusal that may have come too late kUnknown.
 absl::Status StatusOfRefusal(int http_status, const std::string& body, bool is_write);
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/http_call.cc
+++ b/source/infrastructure/http_call.cc
@@ -1,4 +1,4 @@
-#include "source/platform/http_call.h"
+#include "source/infrastructure/http_call.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -14,9 +14,9 @@
 #include <limits>
 #include <ostream>
 
-#include "source/platform/observed_socket.h"
+#include "source/infrastructure/observed_socket.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 namespace {
 
 // Poco::Net::HTTPClientSession connects again and writes again by itself when a connection that is
@@ -177,4 +177,4 @@
   }
 }
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/http_call.h
+++ b/source/infrastructure/http_call.h
@@ -10,7 +10,7 @@
 
 #include "runshelf/common/clock.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 // Largest answer in bytes that is read.
 inline constexpr size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
@@ -45,4 +45,4 @@
                           const std::function<absl::Status(const std::string& line)>& on_line,
                           const std::function<bool()>& stop, HttpAnswer& refusal);
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/http_machine_list.cc
+++ b/source/infrastructure/http_machine_list.cc
@@ -1,4 +1,4 @@
-#include "runshelf/platform/http_machine_list.h"
+#include "runshelf/infrastructure/http_machine_list.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -6,9 +6,9 @@
 #include <optional>
 #include <utility>
 
-#include "source/platform/http_call.h"
+#include "source/infrastructure/http_call.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 namespace {
 
 using nlohmann::json;
@@ -85,4 +85,4 @@
   return std::make_unique<HttpMachineList>(*parsed, timeout);
 }
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/observed_socket.cc
+++ b/source/infrastructure/observed_socket.cc
@@ -1,4 +1,4 @@
-#include "source/platform/observed_socket.h"
+#include "source/infrastructure/observed_socket.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/Socket.h>
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 namespace {
 
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
@@ -38,4 +38,4 @@
   }
 }
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/platform/observed_socket.h
+++ b/source/infrastructure/observed_socket.h
@@ -9,7 +9,7 @@
 
 #include "runshelf/common/clock.h"
 
-namespace runshelf::platform {
+namespace runshelf::infrastructure {
 
 class ObservedSocket : public Poco::Net::StreamSocketImpl {
  public:
@@ -41,4 +41,4 @@
   std::function<bool()> stop_;
 };
 
-}  // namespace runshelf::platform
+}  // namespace runshelf::infrastructure
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -68,6 +68,9 @@
 
 void RemoteAttempt::OnClientFailure(http::ClientFailure failure) {
   peers_.OnFailure(loop_.Now(), node_);
+  // A node that ended has broken its other connections too: the next attempt must find that out
+  // before it sends anything.
+  pool_.CloseIdle(endpoint_);
   AttemptFailure result;
   if (failure == http::ClientFailure::kNotSent) {
     result = {Verdict::kNotRun, FailureReason::kUnreachable, false, Duration(0)};
--- a/source/table/edit_transaction.cc
+++ b/source/table/edit_transaction.cc
@@ -12,10 +12,11 @@
 
 }  // namespace
 
-EditTransaction::EditTransaction(platform::KeyValueStore& store, Random& random,
+EditTransaction::EditTransaction(infrastructure::KeyValueStore& store, Random& random,
                                  const WaitFunction& wait, const TableEditorOptions& options,
-                                 EditRecord record, std::vector<platform::Condition> conditions,
-                                 std::vector<platform::Write> writes)
+                                 EditRecord record,
+                                 std::vector<infrastructure::Condition> conditions,
+                                 std::vector<infrastructure::Write> writes)
     : store_(store),
       wait_(wait),
       max_attempts_(options.max_attempts),
@@ -57,7 +58,7 @@
   absl::Status last_error;
   for (int attempt = 0; attempt < max_attempts_; ++attempt) {
     if (attempt > 0) wait_(backoff_.Next());
-    const absl::StatusOr<platform::CommitResult> answer = store_.Commit(conditions_, writes_);
+    const absl::StatusOr<infrastructure::CommitResult> answer = store_.Commit(conditions_, writes_);
     const std::optional<TransactionResult> result = HandleAnswer(answer);
     if (result.has_value()) return *result;
     last_error = answer.status();
@@ -67,7 +68,7 @@
 
 // Returns the outcome, or nullopt when the same transaction is to be sent again.
 std::optional<TransactionResult> EditTransaction::HandleAnswer(
-    const absl::StatusOr<platform::CommitResult>& answer) {
+    const absl::StatusOr<infrastructure::CommitResult>& answer) {
   if (answer.ok() && answer->succeeded) {
     return TransactionResult{TransactionOutcome::kApplied, answer->revision, absl::OkStatus()};
   }
@@ -109,7 +110,7 @@
   absl::Status status;
   for (int attempt = 0; attempt < max_attempts_; ++attempt) {
     if (attempt > 0) wait_(backoff_.Next());
-    const absl::StatusOr<platform::RangeResult> range = store_.Range(key);
+    const absl::StatusOr<infrastructure::RangeResult> range = store_.Range(key);
     if (!range.ok()) {
       status = range.status();
       continue;
@@ -134,7 +135,7 @@
   EditRecord refusal = record_;
   refusal.refused = true;
   const std::string key = EditRecordKey(record_.edit_id);
-  const absl::StatusOr<platform::CommitResult> answer =
+  const absl::StatusOr<infrastructure::CommitResult> answer =
       store_.Commit({{key, 0}}, {{key, EncodeEditRecord(refusal), lease_}});
   if (!answer.ok()) return answer.status();
   if (!answer->succeeded) return absl::AbortedError("the record of the edit exists already");
--- a/source/table/edit_transaction.h
+++ b/source/table/edit_transaction.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/store_records.h"
 #include "runshelf/table/table_editor.h"
 #include "source/table/backoff.h"
@@ -31,9 +31,10 @@
 class EditTransaction {
  public:
   // `conditions` and `writes` concern the cells; the record's are added here.
-  EditTransaction(platform::KeyValueStore& store, Random& random, const WaitFunction& wait,
+  EditTransaction(infrastructure::KeyValueStore& store, Random& random, const WaitFunction& wait,
                   const TableEditorOptions& options, EditRecord record,
-                  std::vector<platform::Condition> conditions, std::vector<platform::Write> writes);
+                  std::vector<infrastructure::Condition> conditions,
+                  std::vector<infrastructure::Write> writes);
 
   TransactionResult Run();
 
@@ -41,20 +42,20 @@
   absl::Status GrantLease();
   TransactionResult Send();
   std::optional<TransactionResult> HandleAnswer(
-      const absl::StatusOr<platform::CommitResult>& answer);
+      const absl::StatusOr<infrastructure::CommitResult>& answer);
   TransactionResult GiveUp(TransactionOutcome outcome, const absl::Status& status);
   absl::StatusOr<std::optional<EditRecord>> ReadRecord();
   TransactionResult FromRecord(const EditRecord& record, TransactionOutcome if_refused,
                                const absl::Status& status) const;
   absl::Status WriteRefusal();
 
-  platform::KeyValueStore& store_;
+  infrastructure::KeyValueStore& store_;
   const WaitFunction& wait_;
   int max_attempts_;
   Backoff backoff_;
   EditRecord record_;
-  std::vector<platform::Condition> conditions_;
-  std::vector<platform::Write> writes_;
+  std::vector<infrastructure::Condition> conditions_;
+  std::vector<infrastructure::Write> writes_;
   int64_t lease_ = 0;
   bool may_be_under_way_ = false;  // The answer to some sending was lost.
 };
--- a/source/table/store_records.cc
+++ b/source/table/store_records.cc
@@ -76,7 +76,7 @@
   return Dump(object);
 }
 
-absl::StatusOr<Cell> DecodeStoredCell(const platform::KeyValue& key_value) {
+absl::StatusOr<Cell> DecodeStoredCell(const infrastructure::KeyValue& key_value) {
   absl::StatusOr<CellKey> key = CellKeyOfStoreKey(key_value.key);
   if (!key.ok()) return key.status();
   const absl::StatusOr<nlohmann::json> object = ParseObject(key_value.value, kMaxStoreValueSize);
@@ -88,9 +88,9 @@
   return Cell{*std::move(key), *value, key_value.mod_revision, *std::move(edit_id)};
 }
 
-DecodedCells DecodeStoredCells(const platform::RangeResult& range) {
+DecodedCells DecodeStoredCells(const infrastructure::RangeResult& range) {
   DecodedCells decoded;
-  for (const platform::KeyValue& key_value : range.key_values) {
+  for (const infrastructure::KeyValue& key_value : range.key_values) {
     absl::StatusOr<Cell> cell = DecodeStoredCell(key_value);
     if (cell.ok()) {
       decoded.cells.push_back(*std::move(cell));
@@ -116,7 +116,7 @@
   return Dump(object);
 }
 
-absl::StatusOr<EditRecord> DecodeEditRecord(const platform::KeyValue& key_value) {
+absl::StatusOr<EditRecord> DecodeEditRecord(const infrastructure::KeyValue& key_value) {
   const absl::StatusOr<nlohmann::json> object = ParseObject(key_value.value, kMaxStoreValueSize);
   if (!object.ok()) return object.status();
   EditRecord record;
--- a/source/table/table_editor.cc
+++ b/source/table/table_editor.cc
@@ -94,7 +94,7 @@
   return "undetermined";
 }
 
-TableEditor::TableEditor(platform::KeyValueStore& store, Random& random, WaitFunction wait,
+TableEditor::TableEditor(infrastructure::KeyValueStore& store, Random& random, WaitFunction wait,
                          TableEditorOptions options)
     : store_(store), random_(random), wait_(std::move(wait)), options_(options) {}
 
@@ -162,10 +162,10 @@
 }
 
 absl::StatusOr<std::vector<EditRecord>> TableEditor::History() {
-  const absl::StatusOr<platform::RangeResult> range = ReadRange(kEditsPrefix);
+  const absl::StatusOr<infrastructure::RangeResult> range = ReadRange(kEditsPrefix);
   if (!range.ok()) return range.status();
   std::vector<EditRecord> records;
-  for (const platform::KeyValue& key_value : range->key_values) {
+  for (const infrastructure::KeyValue& key_value : range->key_values) {
     absl::StatusOr<EditRecord> record = DecodeEditRecord(key_value);
     if (record.ok() && !record->refused) records.push_back(*std::move(record));
   }
@@ -175,12 +175,12 @@
   return records;
 }
 
-absl::StatusOr<platform::RangeResult> TableEditor::ReadRange(std::string_view prefix) {
+absl::StatusOr<infrastructure::RangeResult> TableEditor::ReadRange(std::string_view prefix) {
   Backoff backoff(options_.first_backoff, options_.longest_backoff, random_);
   absl::Status status;
   for (int attempt = 0; attempt < options_.max_attempts; ++attempt) {
     if (attempt > 0) wait_(backoff.Next());
-    absl::StatusOr<platform::RangeResult> range = store_.Range(std::string(prefix));
+    absl::StatusOr<infrastructure::RangeResult> range = store_.Range(std::string(prefix));
     if (range.ok()) return range;
     status = range.status();
     const bool is_transient = absl::IsUnknown(status) || absl::IsResourceExhausted(status);
@@ -190,10 +190,10 @@
 }
 
 absl::StatusOr<TableEditor::Reading> TableEditor::ReadTable() {
-  const absl::StatusOr<platform::RangeResult> range = ReadRange(kTablePrefix);
+  const absl::StatusOr<infrastructure::RangeResult> range = ReadRange(kTablePrefix);
   if (!range.ok()) return range.status();
   Reading reading;
-  for (const platform::KeyValue& key_value : range->key_values) {
+  for (const infrastructure::KeyValue& key_value : range->key_values) {
     reading.revisions[key_value.key] = key_value.mod_revision;
   }
   reading.table = Table(range->revision, DecodeStoredCells(*range).cells);
@@ -233,8 +233,8 @@
   record.edit_id = NewEditId(random_);
   record.author = origin.author;
   record.unix_seconds = origin.unix_seconds;
-  std::vector<platform::Condition> conditions;
-  std::vector<platform::Write> writes;
+  std::vector<infrastructure::Condition> conditions;
+  std::vector<infrastructure::Write> writes;
   for (const CellEdit& edit : edits) {
     const std::string key = StoreKey(edit.key);
     conditions.push_back({key, reading.RevisionOf(edit.key)});
--- a/source/table/table_mirror.cc
+++ b/source/table/table_mirror.cc
@@ -11,7 +11,7 @@
   return current_;
 }
 
-bool TableMirror::ReplaceByRange(const platform::RangeResult& range) {
+bool TableMirror::ReplaceByRange(const infrastructure::RangeResult& range) {
   const std::lock_guard lock(mutex_);
   DecodedCells decoded = DecodeStoredCells(range);
   for (MalformedRecord& record : decoded.malformed) {
@@ -24,11 +24,11 @@
   return Publish(Table(range.revision, std::move(decoded.cells)));
 }
 
-bool TableMirror::ApplyEvents(const std::vector<platform::WatchEvent>& events) {
+bool TableMirror::ApplyEvents(const std::vector<infrastructure::WatchEvent>& events) {
   const std::lock_guard lock(mutex_);
   std::vector<CellChange> changes;
-  for (const platform::WatchEvent& event : events) {
-    const platform::KeyValue& key_value = event.key_value;
+  for (const infrastructure::WatchEvent& event : events) {
+    const infrastructure::KeyValue& key_value = event.key_value;
     if (event.deleted) {
       const absl::StatusOr<CellKey> key = CellKeyOfStoreKey(key_value.key);
       if (key.ok()) changes.push_back({*key, std::nullopt, key_value.mod_revision, ""});
--- a/source/table/table_source.cc
+++ b/source/table/table_source.cc
@@ -9,9 +9,9 @@
 
 namespace runshelf::table {
 
-TableSource::TableSource(platform::KeyValueStore& store, TableMirror& mirror, const Clock& clock,
-                         Random& random, WaitFunction wait, TableSourceCallbacks callbacks,
-                         TableSourceOptions options)
+TableSource::TableSource(infrastructure::KeyValueStore& store, TableMirror& mirror,
+                         const Clock& clock, Random& random, WaitFunction wait,
+                         TableSourceCallbacks callbacks, TableSourceOptions options)
     : store_(store),
       mirror_(mirror),
       clock_(clock),
@@ -44,7 +44,7 @@
 }
 
 absl::Status TableSource::ReadRange() {
-  const absl::StatusOr<platform::RangeResult> range = store_.Range(std::string(kTablePrefix));
+  const absl::StatusOr<infrastructure::RangeResult> range = store_.Range(std::string(kTablePrefix));
   if (callbacks_.on_platform) callbacks_.on_platform(range.ok());
   if (!range.ok()) return range.status();
   next_revision_ = range->revision + 1;
@@ -61,16 +61,18 @@
   const Instant end = clock_.Now() + options_.watch_duration;
   absl::Status status = store_.Watch(
       std::string(kTablePrefix), next_revision_,
-      [this](int64_t, const std::vector<platform::WatchEvent>& events) { HandleEvents(events); },
+      [this](int64_t, const std::vector<infrastructure::WatchEvent>& events) {
+        HandleEvents(events);
+      },
       [&] { return stop() || clock_.Now() >= end; });
   if (callbacks_.on_platform) callbacks_.on_platform(status.ok() || absl::IsOutOfRange(status));
   return status;
 }
 
-void TableSource::HandleEvents(const std::vector<platform::WatchEvent>& events) {
+void TableSource::HandleEvents(const std::vector<infrastructure::WatchEvent>& events) {
   if (callbacks_.on_platform) callbacks_.on_platform(true);
   // The store's own revision may be ahead of the events that were delivered, so it is not used.
-  for (const platform::WatchEvent& event : events) {
+  for (const infrastructure::WatchEvent& event : events) {
     next_revision_ = std::max(next_revision_, event.key_value.mod_revision + 1);
   }
   if (mirror_.ApplyEvents(events)) ReportTable();
--- a/tests/coordination/cluster.cc
+++ b/tests/coordination/cluster.cc
@@ -51,11 +51,11 @@
       CarryOut(*member);
     }
   }
-  platform::MachineListSnapshot machines;
+  infrastructure::MachineListSnapshot machines;
   for (const auto& [name, member] : members_) {
     if (unlisted.contains(name)) continue;
-    machines.machines.push_back(
-        {name, member->config.peer_address, member->config.zone, platform::MachineState::kLive});
+    machines.machines.push_back({name, member->config.peer_address, member->config.zone,
+                                 infrastructure::MachineState::kLive});
   }
   for (auto& [name, member] : members_) {
     if (!member->running) continue;
--- a/tests/platform/broken_service_test.cc
+++ b/tests/infrastructure/broken_service_test.cc
@@ -9,14 +9,14 @@
 #include <string>
 #include <thread>
 
-#include "runshelf/platform/http_machine_list.h"
-#include "tests/platform/platform_test_support.h"
+#include "runshelf/infrastructure/http_machine_list.h"
+#include "tests/infrastructure/platform_test_support.h"
 
 using runshelf::Duration;
-using runshelf::platform::MakeEtcdKeyValueStore;
-using runshelf::platform::MakeHttpMachineList;
-using runshelf::platform::WatchEvent;
-using runshelf::platform::Write;
+using runshelf::infrastructure::MakeEtcdKeyValueStore;
+using runshelf::infrastructure::MakeHttpMachineList;
+using runshelf::infrastructure::WatchEvent;
+using runshelf::infrastructure::Write;
 using runshelf::platform_test::CheckCode;
 using runshelf::platform_test::kCallTimeout;
 
--- a/tests/platform/etcd_key_value_store_test.cc
+++ b/tests/infrastructure/etcd_key_value_store_test.cc
@@ -1,5 +1,5 @@
 // The client against the stand-in, in one process.
-#include "runshelf/platform/etcd_key_value_store.h"
+#include "runshelf/infrastructure/etcd_key_value_store.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,14 +7,14 @@
 #include <thread>
 #include <vector>
 
-#include "tests/platform/platform_test_support.h"
+#include "tests/infrastructure/platform_test_support.h"
 
 using runshelf::Duration;
-using runshelf::platform::Condition;
-using runshelf::platform::KeyValueStore;
-using runshelf::platform::MakeEtcdKeyValueStore;
-using runshelf::platform::WatchEvent;
-using runshelf::platform::Write;
+using runshelf::infrastructure::Condition;
+using runshelf::infrastructure::KeyValueStore;
+using runshelf::infrastructure::MakeEtcdKeyValueStore;
+using runshelf::infrastructure::WatchEvent;
+using runshelf::infrastructure::Write;
 using runshelf::platform_standin::FaultSettings;
 using runshelf::platform_standin::OutageMode;
 using runshelf::platform_test::CheckCode;
--- a/tests/platform/platform_server_test.cc
+++ b/tests/infrastructure/platform_server_test.cc
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "runshelf/platform/http_machine_list.h"
-#include "source/platform/http_call.h"
-#include "tests/platform/platform_test_support.h"
+#include "runshelf/infrastructure/http_machine_list.h"
+#include "source/infrastructure/http_call.h"
+#include "tests/infrastructure/platform_test_support.h"
 
-using runshelf::platform::HttpAnswer;
-using runshelf::platform::MachineList;
-using runshelf::platform::MachineState;
-using runshelf::platform::MakeHttpMachineList;
+using runshelf::infrastructure::HttpAnswer;
+using runshelf::infrastructure::MachineList;
+using runshelf::infrastructure::MachineState;
+using runshelf::infrastructure::MakeHttpMachineList;
 using runshelf::platform_standin::kMaxRequestBytes;
 using runshelf::platform_test::CheckCode;
 using runshelf::platform_test::kCallTimeout;
@@ -24,9 +24,9 @@
   StandIn stand_in;
 
   int Post(const std::string& path, const std::string& body) {
-    const auto address = runshelf::platform::ParseAddress(stand_in.server->address());
+    const auto address = runshelf::infrastructure::ParseAddress(stand_in.server->address());
     const absl::StatusOr<HttpAnswer> answer =
-        runshelf::platform::Call(*address, {"POST", path, body}, kCallTimeout);
+        runshelf::infrastructure::Call(*address, {"POST", path, body}, kCallTimeout);
     return answer.ok() ? answer->status : 0;
   }
 
--- a/tests/platform/platform_test_support.h
+++ b/tests/infrastructure/platform_test_support.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "runshelf/common/clock.h"
-#include "runshelf/platform/etcd_key_value_store.h"
+#include "runshelf/infrastructure/etcd_key_value_store.h"
 #include "tools/platform_standin/platform_server.h"
 
 namespace runshelf::platform_test {
@@ -34,7 +34,7 @@
     auto started = platform_standin::PlatformServer::Start({}, clock);
     CHECK_TRUE(started.ok());
     server = *std::move(started);
-    auto made = platform::MakeEtcdKeyValueStore(server->address(), kCallTimeout);
+    auto made = infrastructure::MakeEtcdKeyValueStore(server->address(), kCallTimeout);
     CHECK_TRUE(made.ok());
     store = *std::move(made);
   }
@@ -47,7 +47,7 @@
 
   ManualClock clock;
   std::unique_ptr<platform_standin::PlatformServer> server;
-  std::unique_ptr<platform::KeyValueStore> store;
+  std::unique_ptr<infrastructure::KeyValueStore> store;
 };
 
 inline void CheckCode(absl::StatusCode expected, const absl::Status& status) {
--- a/tests/platform/revision_store_test.cc
+++ b/tests/infrastructure/revision_store_test.cc
@@ -7,16 +7,16 @@
 #include <string>
 #include <vector>
 
-#include "tests/platform/platform_test_support.h"
+#include "tests/infrastructure/platform_test_support.h"
 #include "tools/platform_standin/fault_injector.h"
 #include "tools/platform_standin/in_memory_key_value_store.h"
 
 using runshelf::Instant;
-using runshelf::platform::Condition;
-using runshelf::platform::KeyValue;
-using runshelf::platform::RangeResult;
-using runshelf::platform::WatchEvent;
-using runshelf::platform::Write;
+using runshelf::infrastructure::Condition;
+using runshelf::infrastructure::KeyValue;
+using runshelf::infrastructure::RangeResult;
+using runshelf::infrastructure::WatchEvent;
+using runshelf::infrastructure::Write;
 using runshelf::platform_standin::FaultInjector;
 using runshelf::platform_standin::FaultSettings;
 using runshelf::platform_standin::InMemoryKeyValueStore;
--- a/tests/simulation/table_judge_test.cc
+++ b/tests/simulation/table_judge_test.cc
@@ -6,7 +6,7 @@
 
 #include "runshelf/table/store_records.h"
 
-using runshelf::platform::Write;
+using runshelf::infrastructure::Write;
 using runshelf::sim::TableInForce;
 using runshelf::sim::TableJudge;
 using runshelf::sim::TrueTime;
--- a/tests/table/concurrent_edit_test.cc
+++ b/tests/table/concurrent_edit_test.cc
@@ -155,7 +155,7 @@
   std::vector<int64_t> RevisionsOf(const std::string& edit_id) const {
     std::vector<int64_t> revisions;
     for (const FakeKeyValueStore::Transaction& transaction : store_.log) {
-      const platform::Write& record = transaction.writes.back();
+      const infrastructure::Write& record = transaction.writes.back();
       const bool is_of_edit = record.key == EditRecordKey(edit_id);
       if (is_of_edit && transaction.writes.size() > 1) revisions.push_back(transaction.revision);
     }
@@ -177,7 +177,7 @@
     std::map<CellKey, int64_t> weights;
     for (const Cell& cell : DecodeStoredCells(*range).cells) weights[cell.key] = cell.value.weight;
     ++weights[key];
-    std::vector<platform::Write> writes;
+    std::vector<infrastructure::Write> writes;
     for (const auto& [cell_key, weight] : weights) {
       const CellValue value{weight, std::nullopt};
       writes.push_back({StoreKey(cell_key), EncodeStoredCell(value, std::string(32, '0')), 0});
--- a/tests/table/fake_key_value_store.h
+++ b/tests/table/fake_key_value_store.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 
 namespace runshelf::table {
 
@@ -24,11 +24,11 @@
   kAnswerLostDelayed,  // Applied when the test calls ApplyDelayed.
 };
 
-class FakeKeyValueStore : public platform::KeyValueStore {
+class FakeKeyValueStore : public infrastructure::KeyValueStore {
  public:
   struct Transaction {
-    std::vector<platform::Condition> conditions;
-    std::vector<platform::Write> writes;
+    std::vector<infrastructure::Condition> conditions;
+    std::vector<infrastructure::Write> writes;
     int64_t revision = 0;
   };
 
@@ -39,25 +39,25 @@
   std::vector<Transaction> log;  // Everything that took effect.
   std::vector<Transaction> delayed;
   std::set<int64_t> leases;
-  std::map<std::string, platform::KeyValue> data;
+  std::map<std::string, infrastructure::KeyValue> data;
   int64_t revision = 1;
   int range_calls = 0;
 
-  absl::StatusOr<platform::RangeResult> Range(const std::string& prefix) override {
+  absl::StatusOr<infrastructure::RangeResult> Range(const std::string& prefix) override {
     before_call(Operation::kRange);
     ++range_calls;
     const absl::Status status = ToStatus(fault(Operation::kRange));
     if (!status.ok()) return status;
-    platform::RangeResult result{revision, {}};
+    infrastructure::RangeResult result{revision, {}};
     for (const auto& [key, key_value] : data) {
       if (key.starts_with(prefix)) result.key_values.push_back(key_value);
     }
     return result;
   }
 
-  absl::StatusOr<platform::CommitResult> Commit(
-      const std::vector<platform::Condition>& conditions,
-      const std::vector<platform::Write>& writes) override {
+  absl::StatusOr<infrastructure::CommitResult> Commit(
+      const std::vector<infrastructure::Condition>& conditions,
+      const std::vector<infrastructure::Write>& writes) override {
     before_call(Operation::kCommit);
     if (conditions.size() > 128 || writes.size() > 128) {
       return absl::InvalidArgumentError("too many operations");
@@ -70,7 +70,7 @@
     const int64_t revision_before = revision;
     const absl::Status applied = Apply({conditions, writes});
     if (absl::IsNotFound(applied)) return applied;
-    return platform::CommitResult{revision > revision_before, revision};
+    return infrastructure::CommitResult{revision > revision_before, revision};
   }
 
   absl::StatusOr<int64_t> GrantLease(Duration) override {
@@ -90,7 +90,7 @@
 
   absl::Status Watch(
       const std::string& prefix, int64_t start_revision,
-      const std::function<void(int64_t, const std::vector<platform::WatchEvent>&)>& on_events,
+      const std::function<void(int64_t, const std::vector<infrastructure::WatchEvent>&)>& on_events,
       const std::function<bool()>& stop) override {
     const absl::Status status = ToStatus(fault(Operation::kRange));
     if (!status.ok()) return status;
@@ -98,7 +98,7 @@
     while (!stop()) {
       for (size_t i = 0; i < log.size(); ++i) {
         if (log[i].revision < start_revision) continue;
-        const std::vector<platform::WatchEvent> events = EventsOf(log[i], prefix);
+        const std::vector<infrastructure::WatchEvent> events = EventsOf(log[i], prefix);
         if (!events.empty()) on_events(revision, events);
         start_revision = log[i].revision + 1;
       }
@@ -134,7 +134,7 @@
     }
   }
 
-  bool Holds(const platform::Condition& condition) const {
+  bool Holds(const infrastructure::Condition& condition) const {
     const auto found = data.find(condition.key);
     return condition.mod_revision == (found == data.end() ? 0 : found->second.mod_revision);
   }
@@ -145,11 +145,11 @@
                      [this](const auto& condition) { return Holds(condition); })) {
       return absl::FailedPreconditionError("conditions");
     }
-    for (const platform::Write& write : transaction.writes) {
+    for (const infrastructure::Write& write : transaction.writes) {
       if (write.lease != 0 && !leases.contains(write.lease)) return absl::NotFoundError("lease");
     }
     transaction.revision = ++revision;
-    for (const platform::Write& write : transaction.writes) {
+    for (const infrastructure::Write& write : transaction.writes) {
       if (write.value.has_value()) {
         data[write.key] = {write.key, *write.value, revision, revision, write.lease};
       } else {
@@ -160,12 +160,13 @@
     return absl::OkStatus();
   }
 
-  static std::vector<platform::WatchEvent> EventsOf(const Transaction& transaction,
-                                                    const std::string& prefix) {
-    std::vector<platform::WatchEvent> events;
-    for (const platform::Write& write : transaction.writes) {
+  static std::vector<infrastructure::WatchEvent> EventsOf(const Transaction& transaction,
+                                                          const std::string& prefix) {
+    std::vector<infrastructure::WatchEvent> events;
+    for (const infrastructure::Write& write : transaction.writes) {
       if (!write.key.starts_with(prefix)) continue;
-      platform::KeyValue key_value{write.key, write.value.value_or(""), 0, transaction.revision, 0};
+      infrastructure::KeyValue key_value{write.key, write.value.value_or(""), 0,
+                                         transaction.revision, 0};
       events.push_back({!write.value.has_value(), key_value});
     }
     return events;
--- a/tests/table/table_mirror_test.cc
+++ b/tests/table/table_mirror_test.cc
@@ -25,7 +25,7 @@
   std::map<CellKey, Cell> cells;
   for (const FakeKeyValueStore::Transaction& transaction : store.log) {
     if (transaction.revision > revision) break;
-    for (const platform::Write& write : transaction.writes) {
+    for (const infrastructure::Write& write : transaction.writes) {
       const CellKey key = *CellKeyOfStoreKey(write.key);
       cells.erase(key);
       if (!write.value.has_value()) continue;
@@ -82,10 +82,10 @@
   }
 
   void WriteCells() {
-    std::vector<platform::Write> writes;
+    std::vector<infrastructure::Write> writes;
     for (const char* const caller_class : {"a", "b", "c", "d"}) {
       if (random_.Below(3) != 0) continue;
-      platform::Write write{StoreKey({"s", caller_class}), std::nullopt, 0};
+      infrastructure::Write write{StoreKey({"s", caller_class}), std::nullopt, 0};
       if (random_.Below(3) != 0) write.value = CellText(1 + static_cast<int64_t>(random_.Below(9)));
       writes.push_back(write);
     }
@@ -111,7 +111,7 @@
       return;
     }
     uint64_t transactions = random_.Below(4);
-    const auto on_events = [&](int64_t, const std::vector<platform::WatchEvent>& events) {
+    const auto on_events = [&](int64_t, const std::vector<infrastructure::WatchEvent>& events) {
       if (transactions == 0) return;
       --transactions;
       follower.mirror.ApplyEvents(events);
@@ -124,7 +124,7 @@
 
   SeededRandom random_;
   FakeKeyValueStore store_;
-  platform::RangeResult old_range_;
+  infrastructure::RangeResult old_range_;
   std::array<Follower, 3> followers_;
 };
 
--- a/tools/platform_standin/control_api.cc
+++ b/tools/platform_standin/control_api.cc
@@ -54,7 +54,7 @@
   return probability;
 }
 
-absl::StatusOr<platform::Machine> DecodeMachine(const json& message) {
+absl::StatusOr<infrastructure::Machine> DecodeMachine(const json& message) {
   if (!message.is_object()) return absl::InvalidArgumentError("a machine must be an object");
   if (absl::Status status = CheckFieldNames(message, {"node", "address", "zone", "state"});
       !status.ok()) {
@@ -69,21 +69,21 @@
   if (!zone.ok()) return zone.status();
   const absl::StatusOr<std::string> state = StringField(message, "state");
   if (!state.ok()) return state.status();
-  platform::Machine machine{*node, *address, *zone, platform::MachineState::kLive};
+  infrastructure::Machine machine{*node, *address, *zone, infrastructure::MachineState::kLive};
   if (*state == "leaving") {
-    machine.state = platform::MachineState::kLeaving;
+    machine.state = infrastructure::MachineState::kLeaving;
   } else if (!state->empty() && *state != "live") {
     return absl::InvalidArgumentError("state must be live or leaving");
   }
   return machine;
 }
 
-absl::StatusOr<std::vector<platform::Machine>> DecodeMachineArray(const json& request) {
+absl::StatusOr<std::vector<infrastructure::Machine>> DecodeMachineArray(const json& request) {
   const absl::StatusOr<json> messages = ArrayField(request, "machines");
   if (!messages.ok()) return messages.status();
-  std::vector<platform::Machine> machines;
+  std::vector<infrastructure::Machine> machines;
   for (const json& message : *messages) {
-    absl::StatusOr<platform::Machine> machine = DecodeMachine(message);
+    absl::StatusOr<infrastructure::Machine> machine = DecodeMachine(message);
     if (!machine.ok()) return machine.status();
     machines.push_back(*std::move(machine));
   }
@@ -140,7 +140,7 @@
     return status;
   }
   MachinesRequest result;
-  absl::StatusOr<std::vector<platform::Machine>> machines = DecodeMachineArray(*request);
+  absl::StatusOr<std::vector<infrastructure::Machine>> machines = DecodeMachineArray(*request);
   if (!machines.ok()) return machines.status();
   absl::StatusOr<std::vector<std::string>> removed = DecodeRemovedNodes(*request);
   if (!removed.ok()) return removed.status();
@@ -155,10 +155,10 @@
   return result;
 }
 
-json EncodeMachines(const platform::MachineListSnapshot& snapshot) {
+json EncodeMachines(const infrastructure::MachineListSnapshot& snapshot) {
   json machines = json::array();
-  for (const platform::Machine& machine : snapshot.machines) {
-    const bool leaving = machine.state == platform::MachineState::kLeaving;
+  for (const infrastructure::Machine& machine : snapshot.machines) {
+    const bool leaving = machine.state == infrastructure::MachineState::kLeaving;
     machines.push_back({{"node", machine.node},
                         {"address", machine.address},
                         {"zone", machine.zone},
--- a/tools/platform_standin/control_api.h
+++ b/tools/platform_standin/control_api.h
@@ -23,7 +23,7 @@
 //  "replace":bool,"lag_ms":N}; every field may be left out.
 absl::StatusOr<MachinesRequest> DecodeMachines(const std::string& text);
 
-nlohmann::json EncodeMachines(const platform::MachineListSnapshot& snapshot);
+nlohmann::json EncodeMachines(const infrastructure::MachineListSnapshot& snapshot);
 
 // Sets the fields that `text` names on top of `settings`: {"outage":bool,
 // "outage_mode":"refuse|close","delay_ms":N,"lose_answers_probability":P,"lose_answers_next":N,
--- a/tools/platform_standin/etcd_codec.cc
+++ b/tools/platform_standin/etcd_codec.cc
@@ -105,7 +105,7 @@
 }
 
 json EncodeItem(const Item& item) {
-  const platform::KeyValue& key_value = item.key_value;
+  const infrastructure::KeyValue& key_value = item.key_value;
   json message{{"key", absl::Base64Escape(key_value.key)},
                {"mod_revision", std::to_string(key_value.mod_revision)}};
   if (key_value.create_revision != 0) {
--- a/tools/platform_standin/in_memory_key_value_store.cc
+++ b/tools/platform_standin/in_memory_key_value_store.cc
@@ -29,8 +29,8 @@
   return absl::OkStatus();
 }
 
-std::vector<platform::WatchEvent> ToWatchEvents(const std::vector<ChangeEvent>& changes) {
-  std::vector<platform::WatchEvent> events;
+std::vector<infrastructure::WatchEvent> ToWatchEvents(const std::vector<ChangeEvent>& changes) {
+  std::vector<infrastructure::WatchEvent> events;
   events.reserve(changes.size());
   for (const ChangeEvent& change : changes) {
     events.push_back({change.deleted, change.item.key_value});
@@ -38,14 +38,14 @@
   return events;
 }
 
-Transaction ToTransaction(const std::vector<platform::Condition>& conditions,
-                          const std::vector<platform::Write>& writes) {
+Transaction ToTransaction(const std::vector<infrastructure::Condition>& conditions,
+                          const std::vector<infrastructure::Write>& writes) {
   Transaction transaction;
-  for (const platform::Condition& condition : conditions) {
+  for (const infrastructure::Condition& condition : conditions) {
     transaction.compares.push_back({condition.key, CompareTarget::kModRevision,
                                     CompareResult::kEqual, condition.mod_revision});
   }
-  for (const platform::Write& write : writes) {
+  for (const infrastructure::Write& write : writes) {
     if (write.value.has_value()) {
       transaction.success.emplace_back(PutOperation{write.key, *write.value, write.lease});
     } else {
@@ -61,25 +61,26 @@
   return faults_ == nullptr ? FaultAction::kNone : faults_->Decide(clock_.Now(), kind);
 }
 
-absl::StatusOr<platform::RangeResult> InMemoryKeyValueStore::Range(const std::string& prefix) {
+absl::StatusOr<infrastructure::RangeResult> InMemoryKeyValueStore::Range(
+    const std::string& prefix) {
   const FaultAction action = Decide(CallKind::kRead);
   if (absl::Status status = StatusBefore(action); !status.ok()) return status;
   const ItemRange items = store_.Range(PrefixRange(prefix));
-  platform::RangeResult result;
+  infrastructure::RangeResult result;
   result.revision = items.revision;
   for (const Item& item : items.items) result.key_values.push_back(item.key_value);
   return result;
 }
 
-absl::StatusOr<platform::CommitResult> InMemoryKeyValueStore::Commit(
-    const std::vector<platform::Condition>& conditions,
-    const std::vector<platform::Write>& writes) {
+absl::StatusOr<infrastructure::CommitResult> InMemoryKeyValueStore::Commit(
+    const std::vector<infrastructure::Condition>& conditions,
+    const std::vector<infrastructure::Write>& writes) {
   const FaultAction action = Decide(CallKind::kWrite);
   if (absl::Status status = StatusBefore(action); !status.ok()) return status;
   const absl::StatusOr<TransactionResult> result = store_.Commit(ToTransaction(conditions, writes));
   if (absl::Status status = StatusAfter(action); !status.ok()) return status;
   if (!result.ok()) return result.status();
-  return platform::CommitResult{result->succeeded, result->revision};
+  return infrastructure::CommitResult{result->succeeded, result->revision};
 }
 
 absl::StatusOr<int64_t> InMemoryKeyValueStore::GrantLease(Duration time_to_live) {
@@ -108,7 +109,7 @@
 
 absl::Status InMemoryKeyValueStore::Watch(
     const std::string& prefix, int64_t start_revision,
-    const std::function<void(int64_t revision, const std::vector<platform::WatchEvent>&)>&
+    const std::function<void(int64_t revision, const std::vector<infrastructure::WatchEvent>&)>&
         on_events,
     const std::function<bool()>& stop) {
   if (absl::Status status = StatusBefore(Decide(CallKind::kRead)); !status.ok()) return status;
--- a/tools/platform_standin/machine_directory.cc
+++ b/tools/platform_standin/machine_directory.cc
@@ -17,22 +17,22 @@
   pending_.push_back({visible_at, std::move(change)});
 }
 
-platform::MachineListSnapshot MachineDirectory::Read(Instant now) {
+infrastructure::MachineListSnapshot MachineDirectory::Read(Instant now) {
   const std::lock_guard lock(mutex_);
   while (!pending_.empty() && pending_.front().visible_at <= now) {
     Apply(pending_.front().change);
     pending_.pop_front();
   }
-  platform::MachineListSnapshot snapshot;
+  infrastructure::MachineListSnapshot snapshot;
   snapshot.version = version_;
   for (const auto& [node, machine] : visible_) snapshot.machines.push_back(machine);
   return snapshot;
 }
 
 void MachineDirectory::Apply(const MachineChange& change) {
-  const std::map<std::string, platform::Machine> before = visible_;
+  const std::map<std::string, infrastructure::Machine> before = visible_;
   if (change.replace_all) visible_.clear();
-  for (const platform::Machine& machine : change.machines) visible_[machine.node] = machine;
+  for (const infrastructure::Machine& machine : change.machines) visible_[machine.node] = machine;
   for (const std::string& node : change.removed_nodes) visible_.erase(node);
   if (visible_ != before) ++version_;
 }
--- a/tools/platform_standin/machine_directory.h
+++ b/tools/platform_standin/machine_directory.h
@@ -8,13 +8,13 @@
 #include <vector>
 
 #include "runshelf/common/clock.h"
-#include "runshelf/platform/machine_list.h"
+#include "runshelf/infrastructure/machine_list.h"
 
 namespace runshelf::platform_standin {
 
 struct MachineChange {
-  bool replace_all = false;                 // Starts from an empty list.
-  std::vector<platform::Machine> machines;  // Added, or changed by their node name.
+  bool replace_all = false;                       // Starts from an empty list.
+  std::vector<infrastructure::Machine> machines;  // Added, or changed by their node name.
   std::vector<std::string> removed_nodes;
 };
 
@@ -28,7 +28,7 @@
   void Change(Instant now, MachineChange change);
 
   // The list as it is visible at `now`, ascending by node name.
-  platform::MachineListSnapshot Read(Instant now);
+  infrastructure::MachineListSnapshot Read(Instant now);
 
  private:
   struct PendingChange {
@@ -41,7 +41,7 @@
   std::mutex mutex_;
   Duration lag_{0};  // Guarded by mutex_, like all below.
   uint64_t version_ = 0;
-  std::map<std::string, platform::Machine> visible_;
+  std::map<std::string, infrastructure::Machine> visible_;
   std::deque<PendingChange> pending_;
 };
 
--- a/tools/platform_standin/revision_store.h
+++ b/tools/platform_standin/revision_store.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "runshelf/common/clock.h"
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 
 namespace runshelf::platform_standin {
 
@@ -38,7 +38,7 @@
 
 // A stored key with the number of writes since it was created.
 struct Item {
-  platform::KeyValue key_value;
+  infrastructure::KeyValue key_value;
   int64_t version = 0;
 };
 
--- a/tools/scale/hollow_fleet.cc
+++ b/tools/scale/hollow_fleet.cc
@@ -116,7 +116,7 @@
   for (const auto& node : nodes_) {
     if (!node->running) continue;
     list_.machines.push_back({node->config.node, node->config.peer_address, node->config.zone,
-                              platform::MachineState::kLive});
+                              infrastructure::MachineState::kLive});
   }
 }
 
--- a/tools/scale/hollow_fleet.h
+++ b/tools/scale/hollow_fleet.h
@@ -138,7 +138,7 @@
   sim::EventQueue queue_;
   std::vector<std::unique_ptr<HollowNode>> nodes_;
   std::unordered_map<std::string, HollowNode*> by_address_;
-  platform::MachineListSnapshot list_;
+  infrastructure::MachineListSnapshot list_;
   std::optional<coordination::GroupRecord> record_;
   int64_t record_revision_ = 0;
   PlatformUse platform_use_;
--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -152,29 +152,30 @@
 void Daemon::ReadGroup() {
   const std::string key = GroupRecordKey(config_.group);
   const uint64_t run = process_.run();
-  environment_.platform.Range(host_, key, [this, run](absl::StatusOr<platform::RangeResult> range) {
-    if (process_.run() != run || !range.ok()) {
-      return;
-    }
-    process_.Post([this, range = *std::move(range)] {
-      if (range.key_values.empty()) {
-        node_->OnGroupRecord(Now(), std::nullopt, 0);
-      } else {
-        const platform::KeyValue& stored = range.key_values.front();
-        node_->OnGroupRecord(Now(), DecodeStoredGroupRecord(stored.value), stored.mod_revision);
-      }
-      CarryOut();
-    });
-  });
+  environment_.platform.Range(
+      host_, key, [this, run](absl::StatusOr<infrastructure::RangeResult> range) {
+        if (process_.run() != run || !range.ok()) {
+          return;
+        }
+        process_.Post([this, range = *std::move(range)] {
+          if (range.key_values.empty()) {
+            node_->OnGroupRecord(Now(), std::nullopt, 0);
+          } else {
+            const infrastructure::KeyValue& stored = range.key_values.front();
+            node_->OnGroupRecord(Now(), DecodeStoredGroupRecord(stored.value), stored.mod_revision);
+          }
+          CarryOut();
+        });
+      });
 }
 
 void Daemon::Perform(const coordination::WriteGroupRecord& write) {
   const std::string key = GroupRecordKey(config_.group);
-  std::vector<platform::Condition> conditions = {{key, write.expected_revision}};
-  std::vector<platform::Write> writes = {{key, EncodeStoredGroupRecord(write.record), 0}};
+  std::vector<infrastructure::Condition> conditions = {{key, write.expected_revision}};
+  std::vector<infrastructure::Write> writes = {{key, EncodeStoredGroupRecord(write.record), 0}};
   const uint64_t run = process_.run();
   environment_.platform.Commit(host_, std::move(conditions), std::move(writes),
-                               [this, run](absl::StatusOr<platform::CommitResult> result) {
+                               [this, run](absl::StatusOr<infrastructure::CommitResult> result) {
                                  if (process_.run() != run) {
                                    return;
                                  }
@@ -221,14 +222,14 @@
 void Daemon::ReadMachines() {
   const uint64_t run = process_.run();
   environment_.platform.ReadMachines(
-      host_, [this, run](absl::StatusOr<platform::MachineListSnapshot> machines) {
+      host_, [this, run](absl::StatusOr<infrastructure::MachineListSnapshot> machines) {
         if (process_.run() != run || !machines.ok()) {
           return;
         }
         process_.Post([this, machines = *std::move(machines)]() mutable {
           if (environment_.naive.ignore_leaving) {
-            for (platform::Machine& machine : machines.machines) {
-              machine.state = platform::MachineState::kLive;
+            for (infrastructure::Machine& machine : machines.machines) {
+              machine.state = infrastructure::MachineState::kLive;
             }
           }
           node_->OnPlatformContact(Now());
@@ -264,7 +265,7 @@
         }
         process_.Post([this, changes = *std::move(changes)] {
           node_->OnPlatformContact(Now());
-          for (const std::vector<platform::WatchEvent>& events : changes.transactions) {
+          for (const std::vector<infrastructure::WatchEvent>& events : changes.transactions) {
             table_->ApplyEvents(events);
           }
         });
@@ -274,7 +275,7 @@
 void Daemon::ReadTableRange() {
   const uint64_t run = process_.run();
   environment_.platform.Range(host_, std::string(table::kTablePrefix),
-                              [this, run](absl::StatusOr<platform::RangeResult> range) {
+                              [this, run](absl::StatusOr<infrastructure::RangeResult> range) {
                                 if (process_.run() != run || !range.ok()) {
                                   return;
                                 }
--- a/tools/sim/fleet.cc
+++ b/tools/sim/fleet.cc
@@ -56,19 +56,19 @@
   by_name_[config.name] = &machine;
   by_peer_address_[machine.peer_address()] = &machine;
   by_forward_address_[machine.daemon().config().forward_address] = &machine;
-  List(machine, platform::MachineState::kLive);
+  List(machine, infrastructure::MachineState::kLive);
   return machine;
 }
 
-void Fleet::List(const Machine& machine, platform::MachineState state) {
-  if (state == platform::MachineState::kLeaving) {
+void Fleet::List(const Machine& machine, infrastructure::MachineState state) {
+  if (state == infrastructure::MachineState::kLeaving) {
     leaving_.insert(machine.config().name);
   } else {
     leaving_.erase(machine.config().name);
     judge_.requests().OnLeaveForgotten(machine.server().run());
   }
-  environment_.platform.SetMachine(machine.config().name,
-                                   platform::Machine{machine.config().name, machine.peer_address(),
+  environment_.platform.SetMachine(
+      machine.config().name, infrastructure::Machine{machine.config().name, machine.peer_address(),
                                                      machine.config().zone, state});
 }
 
--- a/tools/sim/fleet.h
+++ b/tools/sim/fleet.h
@@ -29,7 +29,7 @@
   Machine& Join(const std::string& service, const std::string& zone);
 
   // Tells the platform's machine list what is true; it shows it after its lag.
-  void List(const Machine& machine, platform::MachineState state);
+  void List(const Machine& machine, infrastructure::MachineState state);
   void Unlist(const Machine& machine);
 
   // Whether the last word to the list was that the machine is leaving.
--- a/tools/sim/naive_node.cc
+++ b/tools/sim/naive_node.cc
@@ -42,7 +42,7 @@
     return actions;
   }
 
-  void OnMachineList(Instant now, const platform::MachineListSnapshot& machines) override {
+  void OnMachineList(Instant now, const infrastructure::MachineListSnapshot& machines) override {
     node_->OnMachineList(now, machines);
   }
   void OnGroupRecord(Instant now, const std::optional<coordination::GroupRecord>& record,
--- a/tools/sim/operators.cc
+++ b/tools/sim/operators.cc
@@ -28,7 +28,7 @@
       host_(network_.AddHost(kClientZone)) {}
 
 void Operators::CreateTable() {
-  std::vector<platform::Write> writes;
+  std::vector<infrastructure::Write> writes;
   for (const ServiceLayout& service : deployment_.services) {
     int64_t weight = kWeightStep * static_cast<int64_t>(deployment_.caller_classes.size());
     for (const std::string& caller_class : deployment_.caller_classes) {
@@ -93,8 +93,8 @@
     return result;
   }
   result.edit_id = fmt::format("{:016x}{:016x}", random_.Next(), random_.Next());
-  std::vector<platform::Write> writes;
-  for (const platform::KeyValue& cell : range->key_values) {
+  std::vector<infrastructure::Write> writes;
+  for (const infrastructure::KeyValue& cell : range->key_values) {
     const bool edited = cell.key == table::StoreKey(key);
     writes.push_back(
         {cell.key, edited ? table::EncodeStoredCell(value, result.edit_id) : cell.value, 0});
--- a/tools/sim/platform.cc
+++ b/tools/sim/platform.cc
@@ -73,14 +73,16 @@
   network_.SendStream(from, host_, arrive);
 }
 
-void Platform::Range(HostIndex from, const std::string& prefix, Done<platform::RangeResult> done) {
-  Call<platform::RangeResult>(
+void Platform::Range(HostIndex from, const std::string& prefix,
+                     Done<infrastructure::RangeResult> done) {
+  Call<infrastructure::RangeResult>(
       from, false, [this, prefix] { return RangeNow(prefix); }, std::move(done));
 }
 
-void Platform::Commit(HostIndex from, std::vector<platform::Condition> conditions,
-                      std::vector<platform::Write> writes, Done<platform::CommitResult> done) {
-  Call<platform::CommitResult>(
+void Platform::Commit(HostIndex from, std::vector<infrastructure::Condition> conditions,
+                      std::vector<infrastructure::Write> writes,
+                      Done<infrastructure::CommitResult> done) {
+  Call<infrastructure::CommitResult>(
       from, true,
       [this, conditions = std::move(conditions), writes = std::move(writes)] {
         return CommitNow(conditions, writes);
@@ -95,27 +97,27 @@
       std::move(done));
 }
 
-void Platform::ReadMachines(HostIndex from, Done<platform::MachineListSnapshot> done) {
+void Platform::ReadMachines(HostIndex from, Done<infrastructure::MachineListSnapshot> done) {
   const auto observed =
-      [this, done = std::move(done)](absl::StatusOr<platform::MachineListSnapshot> machines) {
+      [this, done = std::move(done)](absl::StatusOr<infrastructure::MachineListSnapshot> machines) {
         if (machines.ok()) {
           ReportLeaving(*machines);
         }
         done(std::move(machines));
       };
-  Call<platform::MachineListSnapshot>(
+  Call<infrastructure::MachineListSnapshot>(
       from, false, [this] { return MachinesNow(); }, observed);
 }
 
-void Platform::ReportLeaving(const platform::MachineListSnapshot& machines) const {
-  for (const platform::Machine& machine : machines.machines) {
-    if (machine.state == platform::MachineState::kLeaving && on_leaving_) {
+void Platform::ReportLeaving(const infrastructure::MachineListSnapshot& machines) const {
+  for (const infrastructure::Machine& machine : machines.machines) {
+    if (machine.state == infrastructure::MachineState::kLeaving && on_leaving_) {
       on_leaving_(machine.node);
     }
   }
 }
 
-void Platform::SetMachine(const std::string& node, std::optional<platform::Machine> machine) {
+void Platform::SetMachine(const std::string& node, std::optional<infrastructure::Machine> machine) {
   queue_.After(list_lag_, [this, node, machine = std::move(machine)] {
     ++list_version_;
     if (machine) {
@@ -137,8 +139,8 @@
   }
 }
 
-platform::RangeResult Platform::RangeNow(const std::string& prefix) const {
-  platform::RangeResult result;
+infrastructure::RangeResult Platform::RangeNow(const std::string& prefix) const {
+  infrastructure::RangeResult result;
   result.revision = revision_;
   for (auto value = values_.lower_bound(prefix);
        value != values_.end() && StartsWith(value->first, prefix); ++value) {
@@ -147,27 +149,28 @@
   return result;
 }
 
-platform::CommitResult Platform::CommitNow(const std::vector<platform::Condition>& conditions,
-                                           const std::vector<platform::Write>& writes) {
-  for (const platform::Condition& condition : conditions) {
+infrastructure::CommitResult Platform::CommitNow(
+    const std::vector<infrastructure::Condition>& conditions,
+    const std::vector<infrastructure::Write>& writes) {
+  for (const infrastructure::Condition& condition : conditions) {
     const auto value = values_.find(condition.key);
     const int64_t actual = value == values_.end() ? 0 : value->second.mod_revision;
     if (actual != condition.mod_revision) {
-      return platform::CommitResult{false, revision_};
+      return infrastructure::CommitResult{false, revision_};
     }
   }
   ++revision_;
   Transaction transaction;
   transaction.revision = revision_;
-  for (const platform::Write& write : writes) {
-    platform::WatchEvent event;
+  for (const infrastructure::Write& write : writes) {
+    infrastructure::WatchEvent event;
     event.key_value.key = write.key;
     event.key_value.mod_revision = revision_;
     event.deleted = !write.value.has_value();
     if (event.deleted) {
       values_.erase(write.key);
     } else {
-      platform::KeyValue& value = values_[write.key];
+      infrastructure::KeyValue& value = values_[write.key];
       value.create_revision = value.create_revision == 0 ? revision_ : value.create_revision;
       value.key = write.key;
       value.value = *write.value;
@@ -181,7 +184,7 @@
   if (on_commit_) {
     on_commit_(revision_, writes);
   }
-  return platform::CommitResult{true, revision_};
+  return infrastructure::CommitResult{true, revision_};
 }
 
 Changes Platform::ChangesNow(const std::string& prefix, int64_t revision) const {
@@ -191,8 +194,8 @@
     if (transaction.revision <= revision) {
       continue;
     }
-    std::vector<platform::WatchEvent> events;
-    for (const platform::WatchEvent& event : transaction.events) {
+    std::vector<infrastructure::WatchEvent> events;
+    for (const infrastructure::WatchEvent& event : transaction.events) {
       if (StartsWith(event.key_value.key, prefix)) {
         events.push_back(event);
       }
@@ -204,8 +207,8 @@
   return changes;
 }
 
-platform::MachineListSnapshot Platform::MachinesNow() const {
-  platform::MachineListSnapshot snapshot;
+infrastructure::MachineListSnapshot Platform::MachinesNow() const {
+  infrastructure::MachineListSnapshot snapshot;
   snapshot.version = list_version_;
   for (const auto& [node, machine] : listed_) {
     snapshot.machines.push_back(machine);
--- a/tools/sim/platform.h
+++ b/tools/sim/platform.h
@@ -2,7 +2,7 @@
 // and leaving machines, with outages, slowness, a rate limit and lost answers.
 //
 // Clients reach it over the simulated network. Every call ends in exactly one call of `done`, with
-// the status codes of platform::KeyValueStore.
+// the status codes of infrastructure::KeyValueStore.
 #pragma once
 
 #include <absl/status/statusor.h>
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "runshelf/common/random.h"
-#include "runshelf/platform/key_value_store.h"
-#include "runshelf/platform/machine_list.h"
+#include "runshelf/infrastructure/key_value_store.h"
+#include "runshelf/infrastructure/machine_list.h"
 #include "tools/sim/network.h"
 
 namespace runshelf::sim {
@@ -28,7 +28,7 @@
 // All changes below a prefix after a revision, in order.
 struct Changes {
   int64_t revision = 0;  // Of the store after the last change.
-  std::vector<std::vector<platform::WatchEvent>> transactions;
+  std::vector<std::vector<infrastructure::WatchEvent>> transactions;
 };
 
 enum class PlatformMode { kUp, kRefusing, kSilent };
@@ -42,20 +42,21 @@
 
 class Platform {
  public:
-  using CommitObserver = std::function<void(int64_t revision, const std::vector<platform::Write>&)>;
+  using CommitObserver =
+      std::function<void(int64_t revision, const std::vector<infrastructure::Write>&)>;
   using LeavingObserver = std::function<void(const std::string& node)>;
 
   Platform(EventQueue& queue, Network& network, Random& random);
 
-  void Range(HostIndex from, const std::string& prefix, Done<platform::RangeResult> done);
-  void Commit(HostIndex from, std::vector<platform::Condition> conditions,
-              std::vector<platform::Write> writes, Done<platform::CommitResult> done);
+  void Range(HostIndex from, const std::string& prefix, Done<infrastructure::RangeResult> done);
+  void Commit(HostIndex from, std::vector<infrastructure::Condition> conditions,
+              std::vector<infrastructure::Write> writes, Done<infrastructure::CommitResult> done);
   void ChangesSince(HostIndex from, const std::string& prefix, int64_t revision,
                     Done<Changes> done);
-  void ReadMachines(HostIndex from, Done<platform::MachineListSnapshot> done);
+  void ReadMachines(HostIndex from, Done<infrastructure::MachineListSnapshot> done);
 
   // What is true of a machine; the list shows it after the lag. nullopt: gone.
-  void SetMachine(const std::string& node, std::optional<platform::Machine> machine);
+  void SetMachine(const std::string& node, std::optional<infrastructure::Machine> machine);
   void SetListLag(Duration lag) { list_lag_ = lag; }
 
   void SetFaults(const PlatformFaults& faults);
@@ -68,16 +69,16 @@
   void ObserveLeaving(LeavingObserver observer) { on_leaving_ = std::move(observer); }
 
   // Reads and writes at once, without network and faults; for set-up and for the judge.
-  platform::RangeResult RangeNow(const std::string& prefix) const;
-  platform::CommitResult CommitNow(const std::vector<platform::Condition>& conditions,
-                                   const std::vector<platform::Write>& writes);
+  infrastructure::RangeResult RangeNow(const std::string& prefix) const;
+  infrastructure::CommitResult CommitNow(const std::vector<infrastructure::Condition>& conditions,
+                                         const std::vector<infrastructure::Write>& writes);
 
   HostIndex host() const { return host_; }
 
  private:
   struct Transaction {
     int64_t revision = 0;
-    std::vector<platform::WatchEvent> events;
+    std::vector<infrastructure::WatchEvent> events;
   };
 
   // Carries `serve`, which computes the answer at the service, there and back.
@@ -85,8 +86,8 @@
   void Call(HostIndex from, bool is_write, std::function<Result()> serve, Done<Result> done);
 
   Changes ChangesNow(const std::string& prefix, int64_t revision) const;
-  platform::MachineListSnapshot MachinesNow() const;
-  void ReportLeaving(const platform::MachineListSnapshot& machines) const;
+  infrastructure::MachineListSnapshot MachinesNow() const;
+  void ReportLeaving(const infrastructure::MachineListSnapshot& machines) const;
   bool Chance(double probability);
 
   EventQueue& queue_;
@@ -98,11 +99,11 @@
   Duration list_lag_ = std::chrono::seconds(2);
 
   int64_t revision_ = 1;
-  std::map<std::string, platform::KeyValue> values_;
+  std::map<std::string, infrastructure::KeyValue> values_;
   std::vector<Transaction> transactions_;
 
   uint64_t list_version_ = 1;
-  std::map<std::string, platform::Machine> listed_;
+  std::map<std::string, infrastructure::Machine> listed_;
 
   CommitObserver on_commit_;
   LeavingObserver on_leaving_;
--- a/tools/sim/schedule.cc
+++ b/tools/sim/schedule.cc
@@ -221,7 +221,7 @@
   if (!MayLoseServer(*machine)) {
     return;
   }
-  fleet_.List(*machine, platform::MachineState::kLeaving);
+  fleet_.List(*machine, infrastructure::MachineState::kLeaving);
   Later(random_.Between(std::chrono::seconds(4), std::chrono::seconds(9)),
         [this, machine] { Stop(*machine, true); });
 }
@@ -231,7 +231,7 @@
     return;
   }
   if (listed) {
-    fleet_.List(machine, platform::MachineState::kLeaving);
+    fleet_.List(machine, infrastructure::MachineState::kLeaving);
   }
   const uint64_t run = machine.daemon().run();
   machine.PlannedStop([this, &machine, listed] {
@@ -261,7 +261,7 @@
   machine.Crash();
   machine.Boot(false);
   if (listed) {
-    fleet_.List(machine, platform::MachineState::kLive);
+    fleet_.List(machine, infrastructure::MachineState::kLive);
   }
 }
 
@@ -331,7 +331,7 @@
       StartAgain(*machine, false);
     }
     if (!machine->stopping()) {
-      fleet_.List(*machine, platform::MachineState::kLive);
+      fleet_.List(*machine, infrastructure::MachineState::kLive);
     }
   }
   fleet_.OnPartitionsChanged();
--- a/tools/sim/simulated_store.cc
+++ b/tools/sim/simulated_store.cc
@@ -2,8 +2,8 @@
 
 namespace runshelf::sim {
 
-absl::StatusOr<platform::RangeResult> SimulatedStore::Range(const std::string& prefix) {
-  using Result = absl::StatusOr<platform::RangeResult>;
+absl::StatusOr<infrastructure::RangeResult> SimulatedStore::Range(const std::string& prefix) {
+  using Result = absl::StatusOr<infrastructure::RangeResult>;
   return task_.Await<Result>(
       [this, &prefix](std::function<void(Result)> done) {
         platform_.Range(host_, prefix, std::move(done));
@@ -11,10 +11,10 @@
       absl::UnavailableError("the simulation has ended"));
 }
 
-absl::StatusOr<platform::CommitResult> SimulatedStore::Commit(
-    const std::vector<platform::Condition>& conditions,
-    const std::vector<platform::Write>& writes) {
-  using Result = absl::StatusOr<platform::CommitResult>;
+absl::StatusOr<infrastructure::CommitResult> SimulatedStore::Commit(
+    const std::vector<infrastructure::Condition>& conditions,
+    const std::vector<infrastructure::Write>& writes) {
+  using Result = absl::StatusOr<infrastructure::CommitResult>;
   return task_.Await<Result>(
       [this, &conditions, &writes](std::function<void(Result)> done) {
         platform_.Commit(host_, conditions, writes, std::move(done));
@@ -30,7 +30,7 @@
 
 absl::Status SimulatedStore::Watch(
     const std::string&, int64_t,
-    const std::function<void(int64_t, const std::vector<platform::WatchEvent>&)>&,
+    const std::function<void(int64_t, const std::vector<infrastructure::WatchEvent>&)>&,
     const std::function<bool()>&) {
   return absl::UnavailableError("not simulated");
 }
--- a/tools/sim/simulation.cc
+++ b/tools/sim/simulation.cc
@@ -126,9 +126,10 @@
 }
 
 void Simulation::ObservePlatform() {
-  platform_.ObserveCommits([this](int64_t revision, const std::vector<platform::Write>& writes) {
-    judge_.table().OnCommit(queue_.Now(), revision, writes);
-  });
+  platform_.ObserveCommits(
+      [this](int64_t revision, const std::vector<infrastructure::Write>& writes) {
+        judge_.table().OnCommit(queue_.Now(), revision, writes);
+      });
   platform_.ObserveLeaving([this](const std::string& node) {
     Machine* machine = fleet_.FindByName(node);
     // While the machine is cut off from the platform or from most others, nobody can tell it.
--- a/tools/sim/table_judge.cc
+++ b/tools/sim/table_judge.cc
@@ -16,14 +16,14 @@
 }  // namespace
 
 void TableJudge::OnCommit(TrueTime at, int64_t revision,
-                          const std::vector<platform::Write>& writes) {
+                          const std::vector<infrastructure::Write>& writes) {
   Commit commit;
   commit.at = at;
   if (!commits_.empty()) {
     commit.content = commits_.rbegin()->second.content;
   }
   bool any_cell = false;
-  for (const platform::Write& write : writes) {
+  for (const infrastructure::Write& write : writes) {
     if (!IsCell(write.key)) {
       continue;
     }
--- a/tools/sim/table_judge.h
+++ b/tools/sim/table_judge.h
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "runshelf/platform/key_value_store.h"
+#include "runshelf/infrastructure/key_value_store.h"
 #include "runshelf/table/table_editor.h"
 #include "tools/sim/report.h"
 
@@ -38,7 +38,7 @@
   explicit TableJudge(ViolationLog& violations) : violations_(violations) {}
 
   // The platform accepted these writes; those outside the table are ignored.
-  void OnCommit(TrueTime at, int64_t revision, const std::vector<platform::Write>& writes);
+  void OnCommit(TrueTime at, int64_t revision, const std::vector<infrastructure::Write>& writes);
 
   // An operator begins an edit of one cell, and is told what became of it. An edit of which
   // nothing is told in the end may be in force or not.
