Calls under way in one place; the size of a new shard map is bounded

Change: http::CallSet; ToMilliseconds beside Duration; a new map has about 192 shards, 4 to 32 a worker.

--- a/include/runshelf/common/clock.h
+++ b/include/runshelf/common/clock.h
@@ -30,6 +30,11 @@
   return Instant(Duration(microseconds));
 }
 
+// Whole milliseconds of a duration, rounded towards zero; for messages and logs.
+constexpr int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Source of instants. Implementations are safe to call from any thread.
 class Clock {
  public:
--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -134,7 +134,10 @@
 ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerConfig& config) {
   ShardMap map;
   const FencingToken token = map.NextToken();
-  const size_t count = workers.size() * config.initial_shards_per_worker;
+  const size_t per_worker =
+      std::clamp(config.initial_shards / workers.size(), config.initial_shards_per_worker_min,
+                 config.initial_shards_per_worker_max);
+  const size_t count = workers.size() * per_worker;
   for (size_t index = 0; index < count; ++index) {
     Shard shard;
     // Borders are borders of buckets.
@@ -212,7 +215,9 @@
 Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config) {
   Plan plan;
   const auto accepting = Accepting(input);
-  if (map.empty() || accepting.size() < 2 || map.shards().size() > config.max_shards) return plan;
+  const size_t max_shards =
+      std::max(config.max_shards, config.max_shards_per_worker * accepting.size());
+  if (map.empty() || accepting.size() < 2 || map.shards().size() > max_shards) return plan;
   for (const Shard& shard : map.shards()) {
     if (!shard.move_to_node.empty() || FindWorker(input, shard.owner.node) == nullptr) return plan;
   }
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -26,13 +26,19 @@
 };
 
 struct PlannerConfig {
-  uint32_t initial_shards_per_worker = 32;
+  // Shards of a new map, all together; each worker gets at least and at most so many. Neighbouring
+  // busy keys are spread from the start, and the map stays small with many workers.
+  size_t initial_shards = 192;
+  size_t initial_shards_per_worker_min = 4;
+  size_t initial_shards_per_worker_max = 32;
   // Balance starts when the most and the least used worker differ by more than this part of their
   // slots, and the most used one is above `busy_utilization`.
   double utilization_gap = 0.15;
   double busy_utilization = 0.35;
   size_t moves_per_round = 6;
+  // A map with more shards than both is not split further.
   size_t max_shards = 400;
+  size_t max_shards_per_worker = 16;
 };
 
 struct Plan {
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -24,10 +24,7 @@
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
-int64_t ToMilliseconds(Duration duration) {
-  return std::max<int64_t>(0,
-                           std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
+int64_t MillisecondsLeft(Duration left) { return std::max<int64_t>(0, ToMilliseconds(left)); }
 
 std::optional<int64_t> ReadNumber(const http::Headers& headers, std::string_view name) {
   const std::string* value = headers.Find(name);
@@ -69,8 +66,8 @@
   headers->Add(kCaller, attempt.caller_service);
   headers->Add(kClass, attempt.caller_class);
   headers->Add(kWeight, std::to_string(attempt.weight));
-  headers->Add(kDeadline, std::to_string(ToMilliseconds(attempt.deadline - now)));
-  headers->Add(kAnswerBy, std::to_string(ToMilliseconds(attempt.answer_by - now)));
+  headers->Add(kDeadline, std::to_string(MillisecondsLeft(attempt.deadline - now)));
+  headers->Add(kAnswerBy, std::to_string(MillisecondsLeft(attempt.answer_by - now)));
   if (attempt.key.has_value()) headers->Add(kKey, std::to_string(*attempt.key));
 }
 
@@ -117,7 +114,7 @@
   headers.Add(kReason, FailureReasonName(failure.reason));
   if (failure.reached_worker) headers.Add(kReachedWorker, "1");
   if (failure.retry_after > Duration(0)) {
-    headers.Add(kRetryAfter, std::to_string(ToMilliseconds(failure.retry_after)));
+    headers.Add(kRetryAfter, std::to_string(MillisecondsLeft(failure.retry_after)));
   }
   return headers;
 }
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -33,10 +33,6 @@
   return kTopWeight - steps * kWeightStep;
 }
 
-int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 RequestFlow::RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route)
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -23,7 +23,6 @@
                          ShardStore& shards, ShardHolderContext& context, LogWriter& log,
                          ShardHolderConfig config)
     : loop_(loop),
-      pool_(pool),
       wire_(wire),
       shards_(shards),
       context_(context),
@@ -31,7 +30,8 @@
       config_(std::move(config)),
       started_at_(loop.Now()),
       timer_(loop, [this] { Tick(); }),
-      commit_timer_(loop, [this] { CommitChanges(); }) {}
+      commit_timer_(loop, [this] { CommitChanges(); }),
+      calls_(loop, pool) {}
 
 ShardHolder::~ShardHolder() = default;
 
@@ -159,9 +159,10 @@
   holding->held_until =
       std::max(holding->held_until, now + hold + hold / kClockRateDivisor + config_.call_timeout);
   ++grants_sent_;
-  holding->call = StartCall(
+  holding->call = ++order_count_;
+  StartCall(
       wire_.EncodeGrant(grant), config_.call_timeout,
-      [this, key, now, hold, call = next_call_](const std::optional<http::Response>& response) {
+      [this, key, now, hold, call = holding->call](const std::optional<http::Response>& response) {
         OnGrantAnswer(key, call, now, hold, response);
       });
 }
@@ -207,11 +208,11 @@
   // Above the grants of this shard, so that one without an answer is refused when it is taken late;
   // at most the token that the next owner gets.
   release.token = shards_.map().last_token() + 1;
-  holding->call =
-      StartCall(wire_.EncodeRelease(release), config_.release_timeout,
-                [this, key, call = next_call_](const std::optional<http::Response>& response) {
-                  OnReleaseAnswer(key, call, response);
-                });
+  holding->call = ++order_count_;
+  StartCall(wire_.EncodeRelease(release), config_.release_timeout,
+            [this, key, call = holding->call](const std::optional<http::Response>& response) {
+              OnReleaseAnswer(key, call, response);
+            });
 }
 
 void ShardHolder::OnReleaseAnswer(const HoldingKey& key, uint64_t call,
@@ -349,22 +350,14 @@
   });
 }
 
-uint64_t ShardHolder::StartCall(const http::Request& request, Duration timeout,
-                                std::function<void(std::optional<http::Response>)> callback) {
-  const uint64_t id = next_call_++;
+void ShardHolder::StartCall(const http::Request& request, Duration timeout,
+                            http::CallSet::Callback callback) {
   http::RequestHead head = request.head;
   head.headers.Set("Host", config_.worker.ToString());
   http::CallOptions options;
   options.connect_timeout = config_.call_timeout;
-  calls_[id] = std::make_unique<http::SimpleCall>(
-      loop_, pool_, config_.worker, http::SerializeRequest(head, request.body), options, timeout,
-      [this, id, callback = std::move(callback)](std::optional<http::Response> response,
-                                                 http::ClientFailure) {
-        const auto finished = std::move(calls_[id]);
-        calls_.erase(id);
-        callback(std::move(response));
-      });
-  return id;
+  calls_.Start(config_.worker, http::SerializeRequest(head, request.body), options, timeout,
+               std::move(callback));
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -11,7 +11,7 @@
 #include <tuple>
 
 #include "source/event/event_loop.h"
-#include "source/http/client.h"
+#include "source/http/call_set.h"
 #include "source/sharding/key_load.h"
 #include "source/sharding/shard_map.h"
 #include "source/sidecar/log_writer.h"
@@ -107,12 +107,10 @@
   bool MustMove(const sharding::Shard& shard) const;
   bool HasChangeToCommit() const;
   bool OfFormerWorker(const sharding::Shard& shard) const;
-  uint64_t StartCall(const http::Request& request, Duration timeout,
-                     std::function<void(std::optional<http::Response>)> callback);
+  void StartCall(const http::Request& request, Duration timeout, http::CallSet::Callback callback);
   const Holding* FindHolding(sharding::ShardKey key) const;
 
   event::EventLoop& loop_;
-  http::ConnectionPool& pool_;
   const WireFormat& wire_;
   ShardStore& shards_;
   ShardHolderContext& context_;
@@ -123,8 +121,8 @@
   event::Timer commit_timer_;
   sharding::KeyLoadMeter meter_;
   std::map<HoldingKey, Holding> holdings_;  // Ascending by key: shards do not overlap.
-  std::map<uint64_t, std::unique_ptr<http::SimpleCall>> calls_;
-  uint64_t next_call_ = 1;
+  http::CallSet calls_;
+  uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
   std::string worker_id_;
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -358,9 +358,7 @@
   peers_.Sweep(now);
   holder_.meter().Roll(elapsed);
   if (elapsed > kPauseNoticed) {
-    log_.Write(
-        LogLevel::kWarning, "paused",
-        {{"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}});
+    log_.Write(LogLevel::kWarning, "paused", {{"elapsed_ms", ToMilliseconds(elapsed)}});
     state_watcher_.Refresh();
     configuration_watcher_.Refresh();
   }
@@ -391,10 +389,9 @@
     return;
   }
   lease_.End();
-  log_.Write(
-      LogLevel::kInfo, "stopped",
-      {{"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()},
-       {"requests_cut", ingress_.under_way() + inbound_handler_.under_way()}});
+  log_.Write(LogLevel::kInfo, "stopped",
+             {{"elapsed_ms", ToMilliseconds(elapsed)},
+              {"requests_cut", ingress_.under_way() + inbound_handler_.under_way()}});
   // One turn of the loop sends the last call.
   outbound_.StopListening();
   end_timer_.Start(kStopPoll);
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -98,14 +98,14 @@
                      std::vector<store::PrefixWatcher*> watchers, LogWriter& log,
                      StateFeedConfig config)
     : loop_(loop),
-      pool_(pool),
       peers_(peers),
       watchers_(std::move(watchers)),
       log_(log),
       config_(std::move(config)),
       timer_(loop, [this] { Tick(); }),
       catch_up_timer_(loop, [this] { CatchUp(); }),
-      socket_(loop, [this](std::string_view data) { OnBeacon(data); }) {}
+      socket_(loop, [this](std::string_view data) { OnBeacon(data); }),
+      pushes_(loop, pool) {}
 
 StateFeed::~StateFeed() = default;
 
@@ -146,12 +146,10 @@
 
 void StateFeed::SetRole(bool leading, bool watching) {
   if (leading != leading_ || watching != watching_) {
-    log_.Write(
-        LogLevel::kInfo, "state_feed_role",
-        {{"leading", leading},
-         {"watching", watching},
-         {"silence_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(loop_.Now() - heard_at_).count()}});
+    log_.Write(LogLevel::kInfo, "state_feed_role",
+               {{"leading", leading},
+                {"watching", watching},
+                {"silence_ms", ToMilliseconds(loop_.Now() - heard_at_)}});
   }
   const bool new_leader = leading && !leading_;
   leading_ = leading;
@@ -237,18 +235,13 @@
 }
 
 void StateFeed::Push(const event::Endpoint& endpoint, const std::string& body) {
-  const uint64_t id = next_push_++;
   http::RequestHead head;
   head.method = "POST";
   head.target = kPushTarget;
   peer_protocol::MarkChangeSet(&head.headers);
-  pushes_[id] = std::make_unique<http::SimpleCall>(
-      loop_, pool_, endpoint, http::SerializeRequest(head, body), http::CallOptions{},
-      config_.push_timeout, [this, id](const std::optional<http::Response>&, http::ClientFailure) {
-        // A change that did not arrive is noticed by the next beacon.
-        const auto finished = std::move(pushes_[id]);
-        pushes_.erase(id);
-      });
+  // A change that does not arrive is noticed by the next beacon.
+  pushes_.Start(endpoint, http::SerializeRequest(head, body), http::CallOptions{},
+                config_.push_timeout, [](const std::optional<http::Response>&) {});
 }
 
 bool StateFeed::OnPassedOn(std::string_view body) {
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -18,7 +18,7 @@
 
 #include "source/event/event_loop.h"
 #include "source/event/udp_socket.h"
-#include "source/http/client.h"
+#include "source/http/call_set.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/store/prefix_watcher.h"
@@ -90,7 +90,6 @@
   void SetRole(bool leading, bool watching);
 
   event::EventLoop& loop_;
-  http::ConnectionPool& pool_;
   PeerDirectory& peers_;
   std::vector<store::PrefixWatcher*> watchers_;
   LogWriter& log_;
@@ -103,8 +102,7 @@
   std::map<std::string, Instant> changed_at_;  // By prefix: the latest change from the store.
   std::map<std::string, store::Revision>
       helped_with_;  // By prefix: passed on in the leader's place.
-  std::map<uint64_t, std::unique_ptr<http::SimpleCall>> pushes_;
-  uint64_t next_push_ = 1;
+  http::CallSet pushes_;
   Instant started_at_{};
   Instant heard_at_{};  // The latest beacon of another node.
   bool bound_ = false;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -22,10 +22,6 @@
   return config;
 }
 
-int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 // A request that waits for a slot or is at the worker.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -244,13 +244,11 @@
 }
 
 void WorkerMonitor::MarkDead(const char* reason) {
-  log_.Write(
-      LogLevel::kWarning, "worker_lost",
-      {{"worker", worker_id_},
-       {"reason", std::string(reason)},
-       {"failed_probes", failed_probes_},
-       {"silence_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(loop_.Now() - heard_at_).count()}});
+  log_.Write(LogLevel::kWarning, "worker_lost",
+             {{"worker", worker_id_},
+              {"reason", std::string(reason)},
+              {"failed_probes", failed_probes_},
+              {"silence_ms", ToMilliseconds(loop_.Now() - heard_at_)}});
   // It may come back under the same identity when it was merely silent.
   worker_id_.clear();
   draining_ = false;
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -28,29 +28,21 @@
 
 StoreClient::StoreClient(event::EventLoop& loop, http::ConnectionPool& pool, StoreCodec& codec,
                          StoreClientConfig config)
-    : loop_(loop), pool_(pool), codec_(codec), config_(std::move(config)) {}
+    : loop_(loop), codec_(codec), config_(std::move(config)), active_(loop, pool) {}
 
 StoreClient::~StoreClient() = default;
 
 void StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
                         Duration timeout,
                         std::function<void(std::optional<http::Response>)> callback) {
-  const uint64_t id = next_call_++;
-  ++calls_;
+  ++call_count_;
   http::RequestHead head = request.head;
   if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
-  active_[id] = std::make_unique<http::SimpleCall>(
-      loop_, pool_, endpoint, http::SerializeRequest(head, request.body), options, timeout,
-      [this, id, callback = std::move(callback)](std::optional<http::Response> response,
-                                                 http::ClientFailure) {
-        // Kept until the callback is over: it runs inside the call.
-        const auto finished = std::move(active_[id]);
-        active_.erase(id);
-        callback(std::move(response));
-      });
+  active_.Start(endpoint, http::SerializeRequest(head, request.body), options, timeout,
+                std::move(callback));
 }
 
 void StoreClient::PassOn(const http::Request& request, Duration timeout,
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -6,10 +6,9 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include "source/event/event_loop.h"
-#include "source/http/client.h"
+#include "source/http/call_set.h"
 #include "source/store/store_operations.h"
 
 namespace runshelf::store {
@@ -70,7 +69,7 @@
   bool reachable() const { return reachable_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
-  uint64_t calls() const { return calls_; }
+  uint64_t calls() const { return call_count_; }
 
  private:
   using ResponseCallback = std::function<void(absl::StatusOr<http::Response>)>;
@@ -88,15 +87,13 @@
   void SetReachable(bool reachable);
 
   event::EventLoop& loop_;
-  http::ConnectionPool& pool_;
   StoreCodec& codec_;
   StoreClientConfig config_;
   StoreRelay* relay_ = nullptr;
   std::function<void()> on_direct_lost_;
   std::function<void(bool)> on_reachable_changed_;
-  std::unordered_map<uint64_t, std::unique_ptr<http::SimpleCall>> active_;
-  uint64_t next_call_ = 1;
-  uint64_t calls_ = 0;
+  http::CallSet active_;
+  uint64_t call_count_ = 0;
   Instant avoid_direct_until_{};
   bool reachable_ = true;
 };
