--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -212,8 +212,10 @@
   return true;
 }
 
-void RequestFlow::OnAttemptFailure(const AttemptFailure& failure) {
+void RequestFlow::OnAttemptFailure(const AttemptFailure& reported) {
   const auto self = shared_from_this();
+  // A copy: the attempt that reported the failure, and may own it, ends below.
+  const AttemptFailure failure = reported;
   const std::string node = current_node_;
   if (relay_.streaming()) {
     // What the client has of the answer must not look complete.
