Calls of workers first; large answers paced; keys of undivided services ignored

Such calls shared a caller class, and so a service time, with requests that take five times as long, and were refused as soon as that time was longer than their target of 150 ms. Every refused call cost the run that waited for it, and the client asked again: three times the load. Every request carries a key, also to services that are not divided, and a request with a key was never offered to a second queue. Then: six workers with links of 15 Mbit/s give 178 answers of 90 kB a second; the queue of the link held the small answers of the same machine up beyond the deadline of the calls.

Ruled out: processor time (7 ms a second and node), the worker's slots (65% by the site's figures), the retry budget.

Change: a call whose parent runs on the worker beside the node comes before new work and may wait until its deadline; caller classes carry the target latency; a key binds only requests to services divided by key; large answers to other nodes are written one after the other at 80% of the link, and refused when they cannot arrive in time.

--- /dev/null
+++ b/source/sidecar/answer_pacer.cc
@@ -0,0 +1,76 @@
+#include "source/sidecar/answer_pacer.h"
+
+#include <algorithm>
+
+namespace runshelf::sidecar {
+namespace {
+
+// The rest of the link is left to small answers, requests and the overhead of packets.
+constexpr double kShareOfLink = 0.8;
+// At most this much of the link's time is filled at once.
+constexpr double kBurstSeconds = 0.006;
+constexpr double kMinBurstBytes = 8192;
+constexpr double kSizeSmoothing = 0.1;
+
+}  // namespace
+
+AnswerPacer::AnswerPacer(event::EventLoop& loop, double link_bytes_per_second)
+    : loop_(loop),
+      bytes_per_second_(link_bytes_per_second * kShareOfLink),
+      burst_bytes_(std::max(kMinBurstBytes, bytes_per_second_ * kBurstSeconds)),
+      allowed_bytes_(burst_bytes_),
+      refilled_at_(loop.Now()),
+      timer_(loop, [this] { WriteAllowed(); }) {}
+
+void AnswerPacer::Enqueue(PacedAnswer* answer) {
+  if (std::find(waiting_.begin(), waiting_.end(), answer) == waiting_.end()) {
+    waiting_.push_back(answer);
+  }
+  WriteAllowed();
+}
+
+void AnswerPacer::Remove(PacedAnswer* answer) { std::erase(waiting_, answer); }
+
+void AnswerPacer::OnAnswerSize(uint64_t bytes) {
+  const auto size = static_cast<double>(bytes);
+  answer_bytes_ += (size - answer_bytes_) * (answer_bytes_ == 0 ? 1 : kSizeSmoothing);
+}
+
+Duration AnswerPacer::ExpectedDelay() const {
+  if (bytes_per_second_ <= 0) return Duration(0);
+  double bytes = answer_bytes_ * static_cast<double>(expected_answers_ + 1);
+  for (const PacedAnswer* answer : waiting_) bytes += static_cast<double>(answer->waiting_bytes());
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bytes / bytes_per_second_));
+}
+
+void AnswerPacer::Refill() {
+  const Instant now = loop_.Now();
+  const double seconds = std::chrono::duration<double>(now - refilled_at_).count();
+  refilled_at_ = now;
+  allowed_bytes_ = std::min(burst_bytes_, allowed_bytes_ + seconds * bytes_per_second_);
+}
+
+void AnswerPacer::WriteAllowed() {
+  if (writing_) return;
+  writing_ = true;
+  Refill();
+  while (!waiting_.empty() && (allowed_bytes_ > 0 || bytes_per_second_ <= 0)) {
+    PacedAnswer* answer = waiting_.front();
+    const size_t waiting = answer->waiting_bytes();
+    const size_t limit =
+        bytes_per_second_ <= 0 ? waiting : std::min(waiting, static_cast<size_t>(kMinBurstBytes));
+    // Out of bytes, or ended: it comes back when it has more. It may be gone after the call.
+    if (limit >= waiting) waiting_.pop_front();
+    const size_t written = answer->WritePaced(limit);
+    if (written == 0) std::erase(waiting_, answer);
+    allowed_bytes_ -= static_cast<double>(written);
+  }
+  writing_ = false;
+  if (waiting_.empty()) return;
+  const double missing = std::max(kMinBurstBytes, -allowed_bytes_);
+  timer_.Start(std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(missing / bytes_per_second_)));
+}
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/answer_relay.cc
+++ b/source/sidecar/answer_relay.cc
@@ -1,5 +1,6 @@
 #include "source/sidecar/answer_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace runshelf::sidecar {
@@ -10,54 +11,110 @@
 constexpr size_t kHeldBodyBytes = size_t{32} * 1024;
 // Bytes that wait for a slow reader before the sender is held back, and below which it goes on.
 constexpr size_t kHighWaterBytes = size_t{256} * 1024;
+constexpr size_t kLowWaterBytes = size_t{64} * 1024;
 
 }  // namespace
 
+AnswerRelay::~AnswerRelay() {
+  exchange_->set_on_drained(nullptr);
+  if (pacer_ != nullptr) pacer_->Remove(this);
+}
+
 void AnswerRelay::OnHead(http::ResponseHead&& head) {
   head_ = std::move(head);
   body_.clear();
 }
 
 void AnswerRelay::OnBody(std::string_view data) {
+  size_ += data.size();
+  body_.append(data);
   if (streaming_) {
-    exchange_->WriteBody(data);
+    WriteOrEnqueue();
     HoldBackWhenSlow();
-    return;
+  } else if (body_.size() > kHeldBodyBytes) {
+    StartStreaming();
   }
-  body_.append(data);
-  if (body_.size() > kHeldBodyBytes) StartStreaming();
 }
 
 void AnswerRelay::StartStreaming() {
   streaming_ = true;
   exchange_->Start(head_.status, head_.headers, head_.content_length);
-  exchange_->WriteBody(body_);
-  body_ = std::string();
-  exchange_->set_on_drained([this] {
-    if (!paused_ || attempt_ == nullptr) return;
-    paused_ = false;
-    attempt_->Resume();
-  });
+  exchange_->set_on_drained([this] { OnDrained(); });
+  WriteOrEnqueue();
   HoldBackWhenSlow();
 }
 
+void AnswerRelay::WriteOrEnqueue() {
+  if (pacer_ != nullptr) {
+    pacer_->Enqueue(this);
+  } else {
+    exchange_->WriteBody(body_);
+    body_.clear();
+  }
+}
+
+size_t AnswerRelay::WritePaced(size_t max_bytes) {
+  if (exchange_->unsent_bytes() >= kHighWaterBytes) return 0;
+  const size_t count = std::min(max_bytes, waiting_bytes());
+  exchange_->WriteBody(std::string_view(body_).substr(written_, count));
+  written_ += count;
+  if (written_ >= kHighWaterBytes || waiting_bytes() == 0) {
+    body_.erase(0, written_);
+    written_ = 0;
+  }
+  if (whole_ && waiting_bytes() == 0) {
+    exchange_->Finish();
+    const auto on_written = std::move(on_written_);
+    on_written();
+  } else {
+    ResumeWhenRead();
+  }
+  return count;
+}
+
+void AnswerRelay::OnDrained() {
+  if (pacer_ != nullptr && waiting_bytes() > 0) {
+    pacer_->Enqueue(this);
+  } else {
+    ResumeWhenRead();
+  }
+}
+
+// May end the answer and destroy the relay.
+void AnswerRelay::ResumeWhenRead() {
+  if (!paused_ || attempt_ == nullptr) return;
+  if (exchange_->unsent_bytes() + waiting_bytes() > kLowWaterBytes) return;
+  paused_ = false;
+  attempt_->Resume();
+}
+
 void AnswerRelay::HoldBackWhenSlow() {
-  if (paused_ || attempt_ == nullptr || exchange_->unsent_bytes() < kHighWaterBytes) return;
+  if (paused_ || attempt_ == nullptr) return;
+  if (exchange_->unsent_bytes() + waiting_bytes() < kHighWaterBytes) return;
   paused_ = true;
   attempt_->Pause();
 }
 
-void AnswerRelay::OnComplete() {
-  if (streaming_) {
-    exchange_->Finish();
-  } else {
+void AnswerRelay::OnComplete(std::function<void()> on_written) {
+  if (!streaming_) {
     exchange_->Respond(head_.status, head_.headers, body_);
+    on_written();
+    return;
+  }
+  if (pacer_ != nullptr) pacer_->OnAnswerSize(size_);
+  if (waiting_bytes() > 0) {
+    whole_ = true;
+    on_written_ = std::move(on_written);
+    return;
   }
+  exchange_->Finish();
+  on_written();
 }
 
 void AnswerRelay::Reset() {
   head_ = http::ResponseHead();
   body_.clear();
+  size_ = 0;
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/answer_relay.h
+++ b/source/sidecar/answer_relay.h
@@ -1,19 +1,24 @@
 // Passes the answer of an attempt on to whoever asked: small ones whole, large ones as they come.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "source/http/server.h"
+#include "source/sidecar/answer_pacer.h"
 #include "source/sidecar/attempt.h"
 
 namespace runshelf::sidecar {
 
-class AnswerRelay {
+class AnswerRelay : private PacedAnswer {
  public:
-  explicit AnswerRelay(http::ExchangePtr exchange) : exchange_(std::move(exchange)) {}
-  ~AnswerRelay() { exchange_->set_on_drained(nullptr); }
+  // Large answers are written when `pacer` allows; nullptr: as they come. It must outlive the
+  // relay.
+  explicit AnswerRelay(http::ExchangePtr exchange, AnswerPacer* pacer = nullptr)
+      : exchange_(std::move(exchange)), pacer_(pacer) {}
+  ~AnswerRelay() override;
   AnswerRelay(const AnswerRelay&) = delete;
   AnswerRelay& operator=(const AnswerRelay&) = delete;
 
@@ -21,7 +26,9 @@
   void set_attempt(Attempt* attempt) { attempt_ = attempt; }
   void OnHead(http::ResponseHead&& head);
   void OnBody(std::string_view data);
-  void OnComplete();
+  // The answer is whole. `on_written` is called once all of it was written, possibly at once; it
+  // may destroy the relay.
+  void OnComplete(std::function<void()> on_written);
   // Forgets an answer of which nothing was passed on yet.
   void Reset();
   // Part of the answer has been passed on: it can only go on or break off.
@@ -30,13 +37,25 @@
   http::ResponseHead& head() { return head_; }
 
  private:
+  // PacedAnswer
+  size_t WritePaced(size_t max_bytes) override;
+  size_t waiting_bytes() const override { return body_.size() - written_; }
+
   void StartStreaming();
+  void WriteOrEnqueue();
+  void OnDrained();
+  void ResumeWhenRead();
   void HoldBackWhenSlow();
 
   http::ExchangePtr exchange_;
+  AnswerPacer* pacer_;
   Attempt* attempt_ = nullptr;
   http::ResponseHead head_;
-  std::string body_;
+  std::string body_;    // Held, or waiting to be written.
+  size_t written_ = 0;  // Bytes of the front of `body_` that were written.
+  uint64_t size_ = 0;   // Bytes of the body so far.
+  bool whole_ = false;
+  std::function<void()> on_written_;
   bool streaming_ = false;
   bool paused_ = false;
 };
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -27,6 +27,7 @@
   Instant deadline;            // The caller stops waiting.
   Instant answer_by;           // Later than this an answer is worth little: refuse instead.
   std::optional<sharding::ShardKey> key;
+  bool large_answer = false;  // Answers of the route are large: they are paced on the link.
 };
 
 enum class FailureReason {
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -24,14 +24,25 @@
   Forward(InboundHandler* handler, http::ExchangePtr exchange, const AttemptRequest& request)
       : handler_(handler),
         exchange_(std::move(exchange)),
-        relay_(exchange_),
+        relay_(exchange_, &handler->pacer_),
         request_id_(request.request_id),
+        answer_by_(request.answer_by),
+        large_answer_(request.large_answer),
         attempt_(handler->gate_.Submit(request, this)) {}
 
   void Begin() {
     const auto self = shared_from_this();
     relay_.set_attempt(attempt_.get());
     exchange_->set_on_client_gone([this] { End(); });
+    if (large_answer_) {
+      const Duration delay = handler_->pacer_.ExpectedDelay();
+      if (handler_->loop_.Now() + delay > answer_by_) {
+        OnAttemptFailure({Verdict::kNotRun, FailureReason::kFull, false, delay});
+        return;
+      }
+      handler_->pacer_.OnAnswerExpected();
+      answer_expected_ = true;
+    }
     attempt_->Begin();
   }
 
@@ -40,12 +51,16 @@
     relay_.OnHead(std::move(head));
   }
 
-  void OnAnswerBody(std::string_view data) override { relay_.OnBody(data); }
+  void OnAnswerBody(std::string_view data) override {
+    relay_.OnBody(data);
+    if (relay_.streaming()) StopExpecting();
+  }
 
   void OnAnswerComplete() override {
     const auto self = shared_from_this();
-    relay_.OnComplete();
-    End();
+    StopExpecting();
+    relay_.set_attempt(nullptr);
+    relay_.OnComplete([this] { End(); });
   }
 
   void OnAttemptFailure(const AttemptFailure& failure) override {
@@ -69,8 +84,15 @@
   }
 
  private:
+  void StopExpecting() {
+    if (!answer_expected_) return;
+    answer_expected_ = false;
+    handler_->pacer_.OnAnswerNoLongerExpected();
+  }
+
   void End() {
     const auto self = shared_from_this();
+    StopExpecting();
     exchange_->set_on_client_gone(nullptr);
     relay_.set_attempt(nullptr);
     handler_->Forget(this);
@@ -81,12 +103,20 @@
   http::ExchangePtr exchange_;
   AnswerRelay relay_;
   std::string request_id_;
+  Instant answer_by_;
+  bool large_answer_;
+  bool answer_expected_ = false;  // Counted by the pacer.
   std::unique_ptr<Attempt> attempt_;
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               StateFeed& feed, LogWriter& log)
-    : loop_(loop), gate_(gate), store_(store), feed_(feed), log_(log) {}
+                               StateFeed& feed, LogWriter& log, double link_bytes_per_second)
+    : loop_(loop),
+      gate_(gate),
+      store_(store),
+      feed_(feed),
+      log_(log),
+      pacer_(loop, link_bytes_per_second) {}
 
 InboundHandler::~InboundHandler() = default;
 
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "source/http/server.h"
+#include "source/sidecar/answer_pacer.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/state_feed.h"
 #include "source/sidecar/worker_gate.h"
@@ -15,8 +16,9 @@
 
 class InboundHandler {
  public:
+  // `link_bytes_per_second` is the bandwidth of the machine's link; zero: no bound.
   InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                 StateFeed& feed, LogWriter& log);
+                 StateFeed& feed, LogWriter& log, double link_bytes_per_second);
   ~InboundHandler();
 
   void Handle(const http::ExchangePtr& exchange);
@@ -33,6 +35,7 @@
   store::StoreClient& store_;
   StateFeed& feed_;
   LogWriter& log_;
+  AnswerPacer pacer_;
   std::unordered_map<Forward*, std::shared_ptr<Forward>> forwards_;
 };
 
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -27,6 +27,11 @@
 // Weights of the operators' table that routes give by default: priority 0 is served first.
 constexpr uint32_t kTopWeight = 1000;
 constexpr uint32_t kWeightStep = 100;
+// Calls that a worker makes while it runs a request: that run, and its slot, are lost when one is
+// refused, so that they come before all new work.
+constexpr uint32_t kNestedCallWeight = 2000;
+// Such a call is offered to more queues before it is refused.
+constexpr uint32_t kMaxQueueRefusalsOfNestedCall = 4;
 
 uint32_t WeightOf(int priority) {
   const auto steps = static_cast<uint32_t>(std::clamp(priority, 0, 9));
@@ -78,9 +83,11 @@
   }
   const Instant received = exchange_->received();
   const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
+  nested_ = context_.gate.Runs(std::string(context_.wire.ParentRequestId(request_id_)));
   deadline_ = received + allowed;
-  answer_by_ = std::min(deadline_, received + target);
-  refuse_by_ = std::min(deadline_, received + target / 4);
+  // A late answer to a nested call still saves the run that waits for it; refusing it does not.
+  answer_by_ = nested_ ? deadline_ : std::min(deadline_, received + target);
+  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + target / 4);
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -102,6 +109,14 @@
   }
 }
 
+// Only the worker that holds the key may run the request. A key sent to a service that is not
+// divided by key means nothing.
+bool RequestFlow::OwnerServes() const {
+  if (!key_.has_value() || ingress_->configuration_ == nullptr) return false;
+  const routes::Service* service = ingress_->configuration_->FindService(service_);
+  return service != nullptr && service->sharded;
+}
+
 void RequestFlow::TryNext() {
   if (done_) return;
   const Instant now = context_.loop.Now();
@@ -109,10 +124,7 @@
     OnTimer();
     return;
   }
-  const routes::Service* service = ingress_->configuration_ == nullptr
-                                       ? nullptr
-                                       : ingress_->configuration_->FindService(service_);
-  if (service != nullptr && service->sharded && key_.has_value()) {
+  if (OwnerServes()) {
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
     if (peer == nullptr || shard->owner.worker.empty()) {
@@ -142,11 +154,12 @@
   attempt.service = service_;
   attempt.worker_id = worker_id;
   attempt.caller_service = context_.settings.worker_service;
-  attempt.caller_class = fmt::format("priority-{}", route_.priority);
-  attempt.weight = WeightOf(route_.priority);
+  attempt.caller_class = CallerClass();
+  attempt.weight = nested_ ? kNestedCallWeight : WeightOf(route_.priority);
   attempt.deadline = deadline_;
   attempt.answer_by = answer_by_;
   attempt.key = key_;
+  attempt.large_answer = route_.kind == routes::RequestKind::kDownload;
   relay_.Reset();
   retry_worker_failure_ = false;
   current_node_ = node;
@@ -164,6 +177,13 @@
   attempt_->Begin();
 }
 
+// Requests of one class take about as long as each other, and have the same weight.
+std::string RequestFlow::CallerClass() const {
+  const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
+  return fmt::format("{}-{}-{}ms", nested_ ? "nested" : "priority", route_.priority,
+                     ToMilliseconds(target));
+}
+
 void RequestFlow::EndAttempt() {
   if (current_node_.empty()) return;
   context_.peers.OnAttemptEnd(current_node_);
@@ -202,8 +222,7 @@
     LogOutcome("request_served_late", relay_.head().status,
                owner_waits_ > 0 ? "waited-for-owner" : "slow", Verdict::kRan);
   }
-  relay_.OnComplete();
-  Finish();
+  relay_.OnComplete([this] { Finish(); });
 }
 
 bool RequestFlow::TakeRetry() {
@@ -250,6 +269,10 @@
   return TakeRetry();
 }
 
+uint32_t RequestFlow::MaxQueueRefusals() const {
+  return nested_ ? kMaxQueueRefusalsOfNestedCall : kMaxQueueRefusals;
+}
+
 void RequestFlow::OnNotRun(const AttemptFailure& failure) {
   switch (failure.reason) {
     case FailureReason::kNotOwner:
@@ -257,14 +280,14 @@
     case FailureReason::kUnreachable:
     case FailureReason::kNoWorker:
     case FailureReason::kDraining:
-      if (key_.has_value() && context_.shards.Find(service_, *key_) != nullptr) {
+      if (OwnerServes()) {
         WaitForOwner();
       } else {
         TryNext();
       }
       return;
     case FailureReason::kFull:
-      if (!key_.has_value() && ++refusals_ < kMaxQueueRefusals) {
+      if (!OwnerServes() && ++refusals_ < MaxQueueRefusals()) {
         TryNext();
       } else {
         Refuse(failure.reason, failure.retry_after);
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -29,8 +29,11 @@
  private:
   void ReadRequest();
   void ChooseService();
+  bool OwnerServes() const;
   void TryNext();
   void StartAttempt(const std::string& node, const std::string& worker_id);
+  std::string CallerClass() const;
+  uint32_t MaxQueueRefusals() const;
   void EndAttempt();
   void WaitForOwner();
   bool MayRunAgain(const AttemptFailure& failure);
@@ -70,6 +73,7 @@
   uint32_t arrivals_ = 0;     // At workers, as far as is known.
   uint32_t refusals_ = 0;     // By queues of nodes.
   uint32_t owner_waits_ = 0;  // For the owner of the key to be known or ready.
+  bool nested_ = false;       // A call that the worker of this node makes during a run.
   bool may_have_run_ = false;
   bool waiting_for_owner_ = false;
   bool done_ = false;
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -35,7 +35,8 @@
   std::string worker_service;  // Its service.
   event::Endpoint store;
   Duration store_min_time_to_live = std::chrono::seconds(1);
-  uint16_t peer_port_first = 0;  // Ports that nodes may use among themselves.
+  double link_bytes_per_second = 0;  // Bandwidth of the machine's link; zero: no bound is known.
+  uint16_t peer_port_first = 0;      // Ports that nodes may use among themselves.
   uint16_t peer_port_last = 0;
   Duration heartbeat_interval = std::chrono::milliseconds(1000);
   bool first_start = false;  // Of the whole system.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -121,7 +121,7 @@
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, gate_, log,
                               metrics_, random}),
-      inbound_handler_(loop, gate_, store_, feed_, log),
+      inbound_handler_(loop, gate_, store_, feed_, log, settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -73,6 +73,10 @@
 
   virtual const HeaderNames& headers() const = 0;
 
+  // Id of the request during whose run a worker sent the request with this id; empty when the id
+  // does not tell. Whether the worker really runs that request is for the caller to check.
+  virtual std::string_view ParentRequestId(std::string_view request_id) const = 0;
+
   // True when the request asks whether this node takes new work.
   virtual bool IsReadinessCheck(const http::Request& request) const = 0;
 
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -37,8 +37,7 @@
   ~GateAttempt() override {
     call_.reset();
     if (registered_) {
-      registered_ = false;
-      gate_->attempts_.erase(id_);
+      Unregister();
       gate_->Withdraw(id_, sent_, Elapsed());
     }
   }
@@ -79,6 +78,7 @@
     }
     sent_ = true;
     sent_at_ = now;
+    gate_->running_ids_.insert(request_.request_id);
     const HeaderNames& names = gate_->wire_.headers();
     http::RequestHead head = request_.request->head;
     head.headers.Set(names.deadline, std::to_string(ToMilliseconds(request_.deadline - now)));
@@ -161,6 +161,7 @@
   void Unregister() {
     registered_ = false;
     gate_->attempts_.erase(id_);
+    if (sent_) gate_->ForgetRunning(request_.request_id);
     timer_.Stop();
   }
 
@@ -273,6 +274,11 @@
   }
 }
 
+void WorkerGate::ForgetRunning(const std::string& request_id) {
+  const auto found = running_ids_.find(request_id);
+  if (found != running_ids_.end()) running_ids_.erase(found);
+}
+
 void WorkerGate::ScheduleTick() {
   if (queue_.queued() > 0 && !tick_.active()) tick_.Start(kTickInterval);
 }
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "runshelf/admission/admission_queue.h"
 #include "runshelf/routing/target_load.h"
@@ -63,6 +64,8 @@
   // Smoothed time that a request holds a slot; zero until one was measured.
   Duration ServiceTime() const { return queue_.ServiceTime(); }
   const std::string& worker_id() const { return worker_id_; }
+  // True while the worker is at work on the request with this id, as far as the gate knows.
+  bool Runs(const std::string& request_id) const { return running_ids_.contains(request_id); }
   size_t running() const { return queue_.running(); }
 
  private:
@@ -75,6 +78,7 @@
   // Why a request may not be sent to the worker now; nullopt: it may.
   std::optional<FailureReason> Objection(const AttemptRequest& request) const;
   void RefuseWaiting();
+  void ForgetRunning(const std::string& request_id);
   void ScheduleTick();
 
   event::EventLoop& loop_;
@@ -91,6 +95,7 @@
   admission::AdmissionQueue queue_;
   event::Timer tick_;
   std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Waiting or sent.
+  std::unordered_multiset<std::string> running_ids_;     // Of the requests that were sent.
   uint64_t next_id_ = 1;
 };
 
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -118,28 +118,38 @@
   nodes[node].worker->StartHeartbeats(*nodes[node].settings.control_plane, kHeartbeatInterval);
 }
 
-std::optional<Fleet::Answer> Fleet::Request(size_t node, const std::string& method,
-                                            const std::string& target, const std::string& body,
-                                            const http::Headers& headers, Duration limit) {
+std::unique_ptr<Fleet::PendingRequest> Fleet::Begin(size_t node, const std::string& method,
+                                                    const std::string& target,
+                                                    const std::string& body,
+                                                    const http::Headers& headers, Duration limit) {
   http::RequestHead head;
   head.method = method;
   head.target = target;
   head.headers = headers;
   head.headers.Add("Host", "h.example");
-  head.headers.Add("Attempt-Id", "a" + std::to_string(next_request_++));
+  if (!head.headers.Has("Attempt-Id")) {
+    head.headers.Add("Attempt-Id", "a" + std::to_string(next_request_++));
+  }
   if (!head.headers.Has("Deadline-Ms")) head.headers.Add("Deadline-Ms", "2000");
-  std::optional<Answer> answer;
-  bool over = false;
-  http::SimpleCall call(loop, pool_, *nodes[node].settings.outbound,
-                        http::SerializeRequest(head, body), {}, limit,
-                        [&](std::optional<http::Response> response, http::ClientFailure) {
-                          over = true;
-                          if (!response.has_value()) return;
-                          answer = Answer{response->status, response->body, response->headers};
-                        });
+  auto pending = std::make_unique<PendingRequest>();
+  pending->call = std::make_unique<http::SimpleCall>(
+      loop, pool_, *nodes[node].settings.outbound, http::SerializeRequest(head, body),
+      http::CallOptions{}, limit,
+      [pending = pending.get()](std::optional<http::Response> response, http::ClientFailure) {
+        pending->over = true;
+        if (!response.has_value()) return;
+        pending->answer = Answer{response->status, response->body, response->headers};
+      });
+  return pending;
+}
+
+std::optional<Fleet::Answer> Fleet::Request(size_t node, const std::string& method,
+                                            const std::string& target, const std::string& body,
+                                            const http::Headers& headers, Duration limit) {
+  const auto pending = Begin(node, method, target, body, headers, limit);
   event::RunUntil(
-      loop, [&] { return over; }, limit + std::chrono::seconds(1));
-  return answer;
+      loop, [&] { return pending->over; }, limit + std::chrono::seconds(1));
+  return pending->answer;
 }
 
 std::optional<Fleet::Answer> Fleet::Keyed(size_t node, uint32_t key) {
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -49,6 +49,16 @@
   std::optional<Answer> Request(size_t node, const std::string& method, const std::string& target,
                                 const std::string& body, const http::Headers& headers = {},
                                 Duration limit = std::chrono::seconds(3));
+  // A request that has not been waited for. Destroying it closes its connection.
+  struct PendingRequest {
+    bool over = false;
+    std::optional<Answer> answer;
+    std::unique_ptr<http::SimpleCall> call;
+  };
+  std::unique_ptr<PendingRequest> Begin(size_t node, const std::string& method,
+                                        const std::string& target, const std::string& body,
+                                        const http::Headers& headers = {},
+                                        Duration limit = std::chrono::seconds(3));
   std::optional<Answer> Keyed(size_t node, uint32_t key);
   std::optional<int> Readiness(size_t node);
   // What the node tells of itself; its settings name an address for it.
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -99,6 +99,83 @@
   CHECK(answer->headers.Has("Retry-After"));
 }
 
+// All slots of the worker beside `node` are taken, and the node has measured what they take.
+static void FillWorker(Fleet& fleet, size_t node, std::vector<http::ExchangePtr>* held,
+                       std::vector<std::unique_ptr<Fleet::PendingRequest>>* pending) {
+  constexpr size_t kSlots = 4;
+  fleet.nodes[node].worker->set_behaviour(
+      [held](const http::ExchangePtr& exchange) { held->push_back(exchange); });
+  pending->push_back(fleet.Begin(node, "GET", "/read/measured", ""));
+  CHECK(RunUntil(fleet.loop, [&] { return held->size() == 1; }));
+  RunFor(fleet.loop, std::chrono::milliseconds(600));
+  held->front()->Respond(200, {}, "");
+  CHECK(RunUntil(fleet.loop, [&] { return pending->front()->over; }));
+  held->clear();
+  for (size_t slot = 0; slot < kSlots; ++slot) {
+    pending->push_back(fleet.Begin(node, "GET", "/read/held", ""));
+  }
+  CHECK(RunUntil(fleet.loop, [&] { return held->size() == kSlots; }));
+}
+
+TEST(Sidecar, AKeyDoesNotBindARequestToOneWorkerOfAServiceThatIsNotDivided) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  fleet.Kill(1);
+  std::vector<http::ExchangePtr> held;
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> pending;
+  FillWorker(fleet, 0, &held, &pending);
+  fleet.Restart(1);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[1].sidecar->ready(); }));
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  http::Headers headers;
+  headers.Add("Shard-Key", "7");
+  headers.Add("Deadline-Ms", "500");
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> keyed;
+  for (int count = 0; count < 4; ++count) {
+    keyed.push_back(fleet.Begin(2, "GET", "/read/keyed", "", headers));
+  }
+  for (const auto& request : keyed) {
+    CHECK(RunUntil(fleet.loop, [&] { return request->over; }));
+    CHECK_EQUAL(200, request->answer->status);
+    STRCMP_EQUAL("w1:", request->answer->body.c_str());
+  }
+}
+
+// A call that is refused or late costs the run that waits for it.
+TEST(Sidecar, CallsOfARunningWorkerComeBeforeNewWork) {
+  Fleet fleet({"plain", "keyed"});
+  fleet.Start();
+  std::vector<http::ExchangePtr> held;
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> pending;
+  FillWorker(fleet, 0, &held, &pending);
+  std::vector<http::ExchangePtr> parents;
+  fleet.nodes[1].worker->set_behaviour(
+      [&](const http::ExchangePtr& exchange) { parents.push_back(exchange); });
+  http::Headers parent_headers;
+  parent_headers.Add("Attempt-Id", "parent");
+  parent_headers.Add("Shard-Key", "7");
+  const auto parent = fleet.Begin(1, "GET", "/keyed/1", "", parent_headers);
+  CHECK(RunUntil(fleet.loop, [&] { return parents.size() == 1; }));
+  // Of higher priority by its route than the call, and earlier.
+  const auto new_work = fleet.Begin(1, "POST", "/send/new", "");
+  RunFor(fleet.loop, std::chrono::milliseconds(30));
+  http::Headers call_headers;
+  call_headers.Add("Attempt-Id", "parent.call");
+  const auto call = fleet.Begin(1, "GET", "/read/call", "", call_headers);
+  RunFor(fleet.loop, std::chrono::milliseconds(30));
+  held.front()->Respond(200, {}, "");
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == 5; }));
+  STRCMP_EQUAL("/read/call", held.back()->request().head.target.c_str());
+  // An id that only looks like one of a call gets no such rank.
+  http::Headers forged_headers;
+  forged_headers.Add("Attempt-Id", "nobody.call");
+  const auto forged = fleet.Begin(1, "GET", "/read/forged", "", forged_headers);
+  RunFor(fleet.loop, std::chrono::milliseconds(30));
+  held[1]->Respond(200, {}, "");
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == 6; }));
+  STRCMP_EQUAL("/send/new", held.back()->request().head.target.c_str());
+}
+
 TEST(Sidecar, TheEndOfItsTimeIsAnsweredAndTheWorkerIsToldToStop) {
   Fleet fleet({"plain", "other"});
   fleet.Start();
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -51,6 +51,8 @@
 inbound = "10.1.0.8:8300"
 outbound = "10.1.0.8:8304"
 readiness = "10.1.0.8:8302"
+[limits]
+link_mbps = 8.0
 [platform]
 address = "10.200.1.7:8309"
 ttl_min_ms = 2000
@@ -120,6 +122,13 @@
   CHECK_EQUAL(4, heartbeat.sequence);
 }
 
+TEST(Translation, TheIdOfACallNamesTheRequestThatItBelongsTo) {
+  CHECK(wire.ParentRequestId("9c41d07be2a35f68.b83a43b36a91f9ff") == "9c41d07be2a35f68");
+  CHECK(wire.ParentRequestId("9c41d07be2a35f68") == "");
+  CHECK(wire.ParentRequestId("") == "");
+  CHECK(wire.ParentRequestId(".x") == "");
+}
+
 TEST(Translation, ALeaveIsRead) {
   const auto notice =
       wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=instances.deregister&of=i-1", ""));
@@ -228,6 +237,7 @@
   CHECK(settings->bounds.max_hold == std::chrono::seconds(10));
   DOUBLES_EQUAL(0.3, settings->bounds.retry_budget_ratio, 1e-9);
   CHECK(settings->store_min_time_to_live == std::chrono::seconds(2));
+  DOUBLES_EQUAL(1e6, settings->link_bytes_per_second, 1);
 }
 
 TEST(Translation, BrokenSettingsAreRefusedByName) {
@@ -238,6 +248,8 @@
       {"10.200.1.7:8309", "store:8309", "platform.address"},
       {"[7620,7635]", "[7635,7620]", "internal_port_range"},
       {"ttl_min_ms = 2000", "ttl_min_ms = -1", "platform.ttl_min_ms"},
+      {"link_mbps = 8.0", "link_mbps = -8.0", "limits.link_mbps"},
+      {"link_mbps = 8.0", "link_mbps = \"8\"", "limits.link_mbps"},
       {"\"closed=false\"", "7", "bounds"},
       {"unknown_field = 7", "unknown_field =", "line 11"},
   };
--- /dev/null
+++ b/tests/sidecar/answer_pacer_test.cc
@@ -0,0 +1,97 @@
+#include "source/sidecar/answer_pacer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/event/loop_runner.h"
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+using event::RunFor;
+using event::RunUntil;
+
+namespace {
+
+class Answer : public PacedAnswer {
+ public:
+  explicit Answer(size_t bytes) : waiting(bytes) {}
+
+  size_t WritePaced(size_t max_bytes) override {
+    if (reader_slow) return 0;
+    const size_t count = std::min(max_bytes, waiting);
+    waiting -= count;
+    return count;
+  }
+  size_t waiting_bytes() const override { return waiting; }
+
+  size_t waiting;
+  bool reader_slow = false;
+};
+
+constexpr double kLinkBytesPerSecond = 1e6;
+
+}  // namespace
+
+TEST_GROUP(AnswerPacer) {
+  event::EventLoop loop;
+  AnswerPacer pacer{loop, kLinkBytesPerSecond};
+};
+
+TEST(AnswerPacer, LargeAnswersLeavePartOfTheLinkFree) {
+  Answer answer(200000);
+  const Instant start = loop.Now();
+  pacer.Enqueue(&answer);
+  RunFor(loop, std::chrono::milliseconds(100));
+  const double seconds = std::chrono::duration<double>(loop.Now() - start).count();
+  const auto written = static_cast<double>(200000 - answer.waiting);
+  CHECK(written > 20000);
+  CHECK(written <= kLinkBytesPerSecond * 0.8 * seconds + 2 * 8192);
+  pacer.Remove(&answer);
+}
+
+TEST(AnswerPacer, TheEarlierAnswerIsWrittenWholeFirst) {
+  Answer first(40000);
+  Answer second(40000);
+  pacer.Enqueue(&first);
+  pacer.Enqueue(&second);
+  CHECK(RunUntil(loop, [&] { return first.waiting == 0; }));
+  CHECK(second.waiting > 20000);
+  CHECK(RunUntil(loop, [&] { return second.waiting == 0; }));
+}
+
+TEST(AnswerPacer, ASlowReaderDoesNotHoldOthersUp) {
+  Answer slow(40000);
+  slow.reader_slow = true;
+  Answer other(40000);
+  pacer.Enqueue(&slow);
+  pacer.Enqueue(&other);
+  CHECK(RunUntil(loop, [&] { return other.waiting == 0; }));
+  CHECK_EQUAL(40000, slow.waiting);
+  slow.reader_slow = false;
+  pacer.Enqueue(&slow);
+  CHECK(RunUntil(loop, [&] { return slow.waiting == 0; }));
+}
+
+TEST(AnswerPacer, TheDelayCountsWhatWaitsAndWhatIsExpected) {
+  CHECK(pacer.ExpectedDelay() == Duration(0));
+  pacer.OnAnswerSize(80000);
+  CHECK_EQUAL(100, ToMilliseconds(pacer.ExpectedDelay()));
+  pacer.OnAnswerExpected();
+  CHECK_EQUAL(200, ToMilliseconds(pacer.ExpectedDelay()));
+  Answer answer(80000);
+  pacer.Enqueue(&answer);
+  CHECK(ToMilliseconds(pacer.ExpectedDelay()) > 280);
+  pacer.Remove(&answer);
+  pacer.OnAnswerNoLongerExpected();
+  CHECK_EQUAL(100, ToMilliseconds(pacer.ExpectedDelay()));
+}
+
+TEST(AnswerPacer, WithoutABoundEverythingIsWrittenAtOnce) {
+  AnswerPacer unbounded(loop, 0);
+  Answer answer(10000000);
+  unbounded.Enqueue(&answer);
+  CHECK_EQUAL(0, answer.waiting);
+  CHECK(unbounded.ExpectedDelay() == Duration(0));
+}
