--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -83,6 +83,9 @@
   Entry& entry = entries_[key];
   if (entry.made == 0) entry.made = revision_;
   entry.value = encoded;
+  if (std::string decoded; value_filter_ && absl::Base64Unescape(encoded, &decoded)) {
+    entry.value = absl::Base64Escape(value_filter_(key, decoded));
+  }
   entry.revision = revision_;
   entry.lease = lease;
   Record(key, ItemOf(key, entry));
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -44,6 +44,11 @@
   // Ends every lease now.
   void LapseLeases();
 
+  // What is read of a key is changed by this filter, from the value as it was written. Lets a test
+  // put itself between nodes that find each other through the store.
+  using ValueFilter = std::function<std::string(const std::string& key, const std::string& value)>;
+  void set_value_filter(ValueFilter filter) { value_filter_ = std::move(filter); }
+
   // Calls received, by path.
   uint64_t calls(const std::string& path) const;
 
@@ -94,6 +99,7 @@
   std::map<std::string, uint64_t> calls_;
   std::vector<http::ExchangePtr> unanswered_;
   std::function<bool(const http::Request&)> fault_filter_;
+  ValueFilter value_filter_;
   Fault fault_ = Fault::kNone;
   int64_t revision_ = 0;
   int64_t compacted_ = 0;
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -22,7 +22,7 @@
       pool_(loop),
       heartbeat_timer_(loop, [this] { SendHeartbeat(); }) {}
 
-void FakeWorker::Listen(uint16_t port) { server_.Listen({"127.0.0.1", port}); }
+int FakeWorker::Listen(uint16_t port) { return server_.Listen({"127.0.0.1", port}); }
 
 void FakeWorker::StartHeartbeats(const event::Endpoint& node, Duration interval) {
   node_ = node;
@@ -47,8 +47,12 @@
   heartbeat_ = std::make_unique<http::SimpleCall>(
       loop_, pool_, node_, http::SerializeRequest(head, body.dump()), http::CallOptions{},
       std::chrono::seconds(1),
-      [this](const std::optional<http::Response>& response, http::ClientFailure) {
-        if (response.has_value()) heartbeat_status_ = response->status;
+      [this, leaving = draining_](const std::optional<http::Response>& response,
+                                  http::ClientFailure) {
+        if (!response.has_value()) return;
+        heartbeat_status_ = response->status;
+        const bool acknowledged = leaving && response->status == 200;
+        if (acknowledged && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
       });
 }
 
@@ -90,6 +94,7 @@
     return other.first >= grant.first && other.last <= grant.last;
   });
   grants_.push_back(grant);
+  if (on_granted_) on_granted_(grant.first, grant.last, grant.fence);
   exchange->Respond(200, {}, "");
 }
 
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,8 @@
  public:
   FakeWorker(event::EventLoop& loop, std::string id, std::string service);
 
-  // Listens; port 0 lets the system choose.
-  void Listen(uint16_t port = 0);
+  // Listens; port 0 lets the system choose. Returns zero, or a negative libuv error code.
+  int Listen(uint16_t port = 0);
   event::Endpoint endpoint() const { return {"127.0.0.1", server_.bound_port()}; }
   const std::string& id() const { return id_; }
 
@@ -32,6 +33,11 @@
   // What to do with a request instead of answering 200 with the id and the body.
   using Behaviour = std::function<void(const http::ExchangePtr&)>;
   void set_behaviour(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
+  // Called for each order of keys that was accepted.
+  using GrantCallback = std::function<void(uint32_t first, uint32_t last, uint64_t fence)>;
+  void set_on_granted(GrantCallback callback) { on_granted_ = std::move(callback); }
+  // When a heartbeat that said that the worker leaves was acknowledged; nullopt: not yet.
+  std::optional<Instant> leaving_acknowledged_at() const { return leaving_acknowledged_at_; }
   // The worker's keys count: requests for others are refused.
   void set_sharded(bool sharded) { sharded_ = sharded; }
 
@@ -44,6 +50,7 @@
   };
   // The grant in force for a key; nullptr when there is none.
   const Grant* Holds(uint32_t key) const;
+  const std::vector<Grant>& grants() const { return grants_; }
   const std::vector<http::Request>& executed() const { return executed_; }
   uint64_t refused_orders() const { return refused_orders_; }
 
@@ -64,6 +71,8 @@
   Duration interval_{0};
   std::unique_ptr<http::SimpleCall> heartbeat_;
   Behaviour behaviour_;
+  GrantCallback on_granted_;
+  std::optional<Instant> leaving_acknowledged_at_;
   std::vector<Grant> grants_;
   std::vector<Grant> fences_seen_;  // Of all grants and releases.
   std::vector<http::Request> executed_;
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -15,6 +15,11 @@
 // An address of the loopback range for each node, so that all use the same ports for datagrams.
 std::string NodeIp(size_t index) { return "127.0.0." + std::to_string(10 + index); }
 
+// Below the ephemeral range, and another pair for each test process that runs at the same time.
+uint16_t PeerPort() { return static_cast<uint16_t>(20000 + 2 * (getpid() % 5000)); }
+
+}  // namespace
+
 event::Endpoint FreeEndpoint(const std::string& ip) {
   event::EventLoop loop;
   event::TcpListener listener(loop, nullptr);
@@ -22,11 +27,6 @@
   return {ip, listener.bound_port()};
 }
 
-// Below the ephemeral range, and another pair for each test process that runs at the same time.
-uint16_t PeerPort() { return static_cast<uint16_t>(20000 + 2 * (getpid() % 5000)); }
-
-}  // namespace
-
 std::string TestConfiguration(int version, const std::string& plain_service) {
   return fmt::format(
       R"({{"version":"r{}","routes":{{"columns":["name","host","path_prefix","kind","timeout_ms",)"
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -89,6 +89,9 @@
   uint64_t next_request_ = 1;
 };
 
+// An address of `ip` that nothing listens on now.
+event::Endpoint FreeEndpoint(const std::string& ip);
+
 // The configuration that the fleet starts with, as the operator writes it.
 std::string TestConfiguration(int version, const std::string& plain_service);
 
