Retries: runs that are repeated have a smaller budget of their own

Ruled out: arrivals that workers refused (3368 not run, few were sent again).

Change: attempts beyond the first take 0.6 of the fleet's budget, repeated runs 0.35 within it: a called service stays below 0.95 of its bound.

The bound now follows from the shares.

--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -12,12 +12,16 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kRetryAfterWithoutConfiguration = "0.3";
-// Retries of this node stay below its part of what the fleet allows: others may be counted twice.
-constexpr double kBudgetShare = 0.75;
+// Attempts beyond the first that this node sends to a service, as a part of what the fleet allows.
+constexpr double kRetryShare = 0.6;
+// Of these, runs that are repeated. A repeated run repeats the calls that its worker makes, and
+// those count against the service that is called, on top of its own retries: together the two
+// shares stay below one.
+constexpr double kRepeatedRunShare = 0.35;
 
-routing::RetryBudgetConfig BudgetConfig(const FleetBounds& bounds) {
+routing::RetryBudgetConfig BudgetConfig(const FleetBounds& bounds, double share) {
   routing::RetryBudgetConfig config;
-  config.fraction = bounds.retry_budget_ratio * kBudgetShare;
+  config.fraction = bounds.retry_budget_ratio * share;
   config.window = bounds.retry_budget_window;
   config.floor = 0;
   return config;
@@ -67,14 +71,34 @@
   for (const auto& flow : waiting) flow->OnShardsChanged();
 }
 
-routing::RetryBudget& Ingress::RetryBudgetOf(const std::string& service) {
+Ingress::ServiceBudgets& Ingress::BudgetsOf(const std::string& service) {
   const FleetBounds& bounds = context_.settings.bounds;
-  const auto [found, added] = retry_budgets_.try_emplace(service, BudgetConfig(bounds));
+  const auto [found, added] = budgets_.try_emplace(
+      service, ServiceBudgets{routing::RetryBudget(BudgetConfig(bounds, kRetryShare)),
+                              routing::RetryBudget(BudgetConfig(bounds, kRepeatedRunShare))});
   const auto nodes = static_cast<double>(std::max<size_t>(1, context_.peers.live_nodes()));
-  found->second.set_floor(static_cast<uint32_t>(bounds.retry_budget_extra * kBudgetShare / nodes));
+  const double extra = bounds.retry_budget_extra / nodes;
+  found->second.retries.set_floor(static_cast<uint32_t>(extra * kRetryShare));
+  found->second.repeated_runs.set_floor(static_cast<uint32_t>(extra * kRepeatedRunShare));
   return found->second;
 }
 
+void Ingress::OnFirstAttempt(const std::string& service) {
+  const Instant now = context_.loop.Now();
+  ServiceBudgets& budgets = BudgetsOf(service);
+  budgets.retries.OnFirstAttempt(now);
+  budgets.repeated_runs.OnFirstAttempt(now);
+}
+
+bool Ingress::TakeRetry(const std::string& service, RetryKind kind) {
+  const Instant now = context_.loop.Now();
+  ServiceBudgets& budgets = BudgetsOf(service);
+  if (kind == RetryKind::kRepeatedRun && !budgets.repeated_runs.TryRetry(now)) return false;
+  if (!budgets.retries.TryRetry(now)) return false;
+  ++retries_;
+  return true;
+}
+
 void Ingress::Forget(RequestFlow* flow) { flows_.erase(flow); }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -58,12 +58,23 @@
  private:
   friend class RequestFlow;
   void Forget(RequestFlow* flow);
-  // Of one service; its floor follows the number of live nodes that share it.
-  routing::RetryBudget& RetryBudgetOf(const std::string& service);
+  // Of one service; the floors follow the number of live nodes that share them.
+  struct ServiceBudgets {
+    routing::RetryBudget retries;        // All attempts beyond the first.
+    routing::RetryBudget repeated_runs;  // Those of requests that may have run before.
+  };
+  enum class RetryKind {
+    kAfterRefusal,  // The request certainly has not run.
+    kRepeatedRun,
+  };
+  ServiceBudgets& BudgetsOf(const std::string& service);
+  void OnFirstAttempt(const std::string& service);
+  // False: the request must not be sent to another worker.
+  bool TakeRetry(const std::string& service, RetryKind kind);
 
   IngressContext context_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
-  std::map<std::string, routing::RetryBudget> retry_budgets_;
+  std::map<std::string, ServiceBudgets> budgets_;
   uint64_t retries_ = 0;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
 };
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -58,7 +58,7 @@
   ChooseService();
   exchange_->set_on_client_gone([this] { OnClientGone(); });
   timer_.Start(deadline_ - context_.loop.Now());
-  ingress_->RetryBudgetOf(service_).OnFirstAttempt(context_.loop.Now());
+  ingress_->OnFirstAttempt(service_);
   TryNext();
 }
 
@@ -209,7 +209,7 @@
 
 void RequestFlow::OnAnswerComplete() {
   const auto self = shared_from_this();
-  if (retry_worker_failure_ && TakeRetry()) {
+  if (retry_worker_failure_ && ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun)) {
     ++arrivals_;
     LogOutcome("attempt_failed", relay_.head().status, "worker-error", Verdict::kRan);
     tried_nodes_.push_back(current_node_);
@@ -225,12 +225,6 @@
   relay_.OnComplete([this] { Finish(); });
 }
 
-bool RequestFlow::TakeRetry() {
-  if (!ingress_->RetryBudgetOf(service_).TryRetry(context_.loop.Now())) return false;
-  ++ingress_->retries_;
-  return true;
-}
-
 void RequestFlow::OnAttemptFailure(const AttemptFailure& reported) {
   const auto self = shared_from_this();
   // A copy: the attempt that reported the failure, and may own it, ends below.
@@ -266,7 +260,7 @@
 bool RequestFlow::MayRunAgain(const AttemptFailure& failure) {
   if (!routes::IsRepeatable(route_.kind) || failure.reason == FailureReason::kExpired) return false;
   if (arrivals_ >= route_.max_attempts || context_.loop.Now() >= deadline_) return false;
-  return TakeRetry();
+  return ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun);
 }
 
 uint32_t RequestFlow::MaxQueueRefusals() const {
@@ -294,7 +288,8 @@
       }
       return;
     case FailureReason::kWorkerRefused:
-      if (arrivals_ < route_.max_attempts && TakeRetry()) {
+      if (arrivals_ < route_.max_attempts &&
+          ingress_->TakeRetry(service_, Ingress::RetryKind::kAfterRefusal)) {
         TryNext();
       } else {
         Refuse(failure.reason, failure.retry_after);
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -38,7 +38,6 @@
   void WaitForOwner();
   bool MayRunAgain(const AttemptFailure& failure);
   bool WorkerFailureWorthRetry() const;
-  bool TakeRetry();
   void OnNotRun(const AttemptFailure& failure);
   void OnTimer();
   void OnClientGone();
--- a/tests/soak/promise_judge_test.cc
+++ b/tests/soak/promise_judge_test.cc
@@ -88,6 +88,14 @@
   ExpectOnly("fence");
 }
 
+TEST(PromiseJudge, ARepeatedGrantAtTheNextLifeOfAWorkerIsTheSameGrant) {
+  judge.OnGrant({"w1", 0, 99, 4});
+  judge.OnGrant({"w1-again", 0, 99, 4});
+  CHECK(judge.violations().empty());
+  judge.OnGrant({"w2", 0, 98, 4});
+  ExpectOnly("fence");
+}
+
 TEST(PromiseJudge, OnlyALongOverlapIsHeldAgainstTheNodes) {
   judge.OnOverlap(7, std::chrono::milliseconds(400));
   CHECK(judge.violations().empty());
