Table: runshelfctl edits cells in the platform's store, sidecars apply them

Cause: on the users' platform the operators had no table: weights came from the priorities of routes alone, and there was no limit.

Sidecars read the cells with the rest of their state; an edited weight goes before the route's priority, a limit is kept by the gates of the serving nodes, each its part, and answered 429. Service times are kept by class and target latency apart from the column.

Ruled out: shares of a limit handed out by a leader: a leader and messages for what an even spread gives.

--- a/include/runshelf/table/table_editor.h
+++ b/include/runshelf/table/table_editor.h
@@ -82,7 +82,8 @@
 };
 
 struct TableEditorOptions {
-  int max_attempts = 8;  // Of each step: read, send, find out.
+  int max_attempts = 8;                          // Of each step: read, send, find out.
+  size_t max_cells_per_edit = kMaxCellsPerEdit;  // Fewer where transactions are smaller.
   Duration first_backoff = std::chrono::milliseconds(50);
   Duration longest_backoff = std::chrono::seconds(1);
 };
--- a/source/ctl/command.cc
+++ b/source/ctl/command.cc
@@ -27,6 +27,10 @@
 Example:
   runshelfctl table set --platform 127.0.0.1:2379 dispatch issuer --weight 100 --limit 500
 
+A fleet of sidecars keeps its table in the platform's store: give --store platform with its address.
+Services and classes are then those of the routes: SERVICE priority-N, or SERVICE calls for calls that
+workers make while they run a request. A cell goes before what the route gives; deleting it ends that.
+
 Each command prints its options with --help.
 )";
 
@@ -94,14 +98,22 @@
   TableOptions(CommandLine& line, const std::string& default_author)
       : platform("p", "platform", "Address of the platform's key-value service", true, "",
                  "IP:PORT", line.tclap),
+        store("", "store", "Kind of that service: etcd, or platform for sidecars", false, "etcd",
+              "KIND", line.tclap),
         author("", "author", "Name that the history shows for an edit", false, default_author,
                "NAME", line.tclap) {}
 
   Invocation ToInvocation(Command command) {
-    return {std::move(command), platform.getValue(), author.getValue()};
+    const bool is_platform = store.getValue() == "platform";
+    if (!is_platform && store.getValue() != "etcd") {
+      throw TCLAP::ArgException("etcd or platform is expected", "store");
+    }
+    return {std::move(command), platform.getValue(),
+            is_platform ? StoreKind::kPlatform : StoreKind::kEtcd, author.getValue()};
   }
 
   TCLAP::ValueArg<std::string> platform;
+  TCLAP::ValueArg<std::string> store;
   TCLAP::ValueArg<std::string> author;
 };
 
@@ -199,7 +211,7 @@
   TCLAP::ValueArg<std::string> daemon("d", "daemon", "http_address of any daemon", true, "",
                                       "IP:PORT", request.line.tclap);
   request.line.Parse(request.arguments);
-  return {StatusCommand{daemon.getValue()}, "", request.default_author};
+  return {StatusCommand{daemon.getValue()}, "", StoreKind::kEtcd, request.default_author};
 }
 
 struct CommandParser {
--- a/source/ctl/command.h
+++ b/source/ctl/command.h
@@ -52,9 +52,16 @@
 using Command = std::variant<ShowCommand, SetCommand, DeleteCommand, ImportCommand, ExportCommand,
                              HistoryCommand, StatusCommand>;
 
+// The key-value service that holds the table.
+enum class StoreKind {
+  kEtcd,      // Of fleets that runshelfd serves.
+  kPlatform,  // Of fleets that sidecars serve.
+};
+
 struct Invocation {
   Command command;
   std::string platform_address;  // IP number and port; empty for status.
+  StoreKind store = StoreKind::kEtcd;
   std::string author;
 };
 
--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -8,11 +8,13 @@
 #include <iostream>
 #include <thread>
 
+#include "platform/store_codec.h"
 #include "runshelf/common/random.h"
 #include "runshelf/infrastructure/etcd_key_value_store.h"
 #include "source/ctl/command.h"
 #include "source/ctl/status_command.h"
 #include "source/ctl/table_commands.h"
+#include "source/store/blocking_store.h"
 
 namespace runshelf::ctl {
 namespace {
@@ -24,18 +26,43 @@
   return user == nullptr ? "unknown" : user;
 }
 
-int RunOnPlatform(const Invocation& invocation, const Streams& streams) {
+// A transaction of the platform's store takes 32 entries: a condition and a write for each cell and
+// for the record of the edit.
+constexpr size_t kMaxCellsOfPlatformEdit = 15;
+
+int RunOnStore(const Invocation& invocation, infrastructure::KeyValueStore& store,
+               const table::TableEditorOptions& options, const Streams& streams) {
+  SystemRandom random;
+  table::TableEditor editor(
+      store, random, [](Duration pause) { std::this_thread::sleep_for(pause); }, options);
+  return RunTableCommand(invocation, std::time(nullptr), editor, streams);
+}
+
+int BadAddress(const Invocation& invocation, std::string_view reason, const Streams& streams) {
+  streams.err << fmt::format("runshelfctl: --platform {}: {}; give IP:PORT\n",
+                             invocation.platform_address, reason);
+  return kExitUsage;
+}
+
+int RunOnPlatformStore(const Invocation& invocation, const Streams& streams) {
+  event::Endpoint endpoint;
+  if (!event::Endpoint::Parse(invocation.platform_address, &endpoint)) {
+    return BadAddress(invocation, "no address", streams);
+  }
+  platform_adapter::PlatformStoreCodec codec;
+  store::BlockingStore store(codec, endpoint);
+  table::TableEditorOptions options;
+  options.max_cells_per_edit = kMaxCellsOfPlatformEdit;
+  return RunOnStore(invocation, store, options, streams);
+}
+
+int RunOnEtcd(const Invocation& invocation, const Streams& streams) {
   const auto store =
       infrastructure::MakeEtcdKeyValueStore(invocation.platform_address, kPlatformTimeout);
   if (!store.ok()) {
-    streams.err << fmt::format("runshelfctl: --platform {}: {}; give IP:PORT\n",
-                               invocation.platform_address, std::string(store.status().message()));
-    return kExitUsage;
+    return BadAddress(invocation, std::string(store.status().message()), streams);
   }
-  SystemRandom random;
-  table::TableEditor editor(**store, random,
-                            [](Duration pause) { std::this_thread::sleep_for(pause); });
-  return RunTableCommand(invocation, std::time(nullptr), editor, streams);
+  return RunOnStore(invocation, **store, {}, streams);
 }
 
 int Main(const std::vector<std::string>& arguments) {
@@ -49,7 +76,8 @@
   if (const auto* const status = std::get_if<StatusCommand>(&invocation.command)) {
     return RunStatusCommand(*status, streams);
   }
-  return RunOnPlatform(invocation, streams);
+  return invocation.store == StoreKind::kPlatform ? RunOnPlatformStore(invocation, streams)
+                                                  : RunOnEtcd(invocation, streams);
 }
 
 }  // namespace
--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,13 +6,14 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 10> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 11> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
     {FailureReason::kDraining, "draining"},
     {FailureReason::kNotOwner, "not-owner"},
     {FailureReason::kFull, "full"},
+    {FailureReason::kLimited, "limited"},
     {FailureReason::kWorkerRefused, "worker-refused"},
     {FailureReason::kExpired, "expired"},
     {FailureReason::kBroken, "broken"},
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -23,6 +23,7 @@
   std::string worker_id;       // The worker that is meant; empty: whichever is there.
   std::string caller_service;  // Of the machine where the request began.
   std::string caller_class;    // Column of the operators' table.
+  std::string queue_class;     // Requests of one take about as long as each other.
   uint32_t weight = 1;         // Of the table's cell: higher is served first.
   Instant deadline;            // The caller stops waiting.
   Instant answer_by;           // Later than this an answer is worth little: refuse instead.
@@ -37,6 +38,7 @@
   kDraining,       // The worker is leaving.
   kNotOwner,       // The worker does not hold the key.
   kFull,           // Refused by the queue in front of the worker.
+  kLimited,        // Over the limit of the table's cell.
   kWorkerRefused,  // The worker itself said that it did not run the request.
   kExpired,        // The deadline passed before the request was sent.
   kBroken,         // The connection was lost after the request was sent.
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -17,6 +17,7 @@
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_directory.h"
+#include "source/sidecar/table_overrides.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
 
@@ -30,6 +31,7 @@
   const Settings& settings;
   PeerDirectory& peers;
   ShardDirectory& shards;
+  TableOverrides& table;
   WorkerGate& gate;
   LogWriter& log;
   NodeMetrics& metrics;
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -155,6 +155,15 @@
   return candidates[random.Below(candidates.size())]->record.inbound;
 }
 
+size_t PeerDirectory::ServingNodes(const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return 0;
+  const auto& targets = found->second.targets;
+  return static_cast<size_t>(
+      std::count_if(targets.begin(), targets.end(),
+                    [](const routing::RouteTarget& target) { return !target.leaving; }));
+}
+
 bool PeerDirectory::Departed(Instant now, const std::string& node, Duration wait) const {
   const auto removed = removed_.find(node);
   return removed != removed_.end() && now - removed->second >= wait;
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -52,6 +52,8 @@
   // Nodes without an item in the store for longer than `wait`.
   bool Departed(Instant now, const std::string& node, Duration wait) const;
   size_t live_nodes() const { return peers_.size(); }
+  // Nodes whose workers of the service take new requests.
+  size_t ServingNodes(const std::string& service) const;
 
  private:
   struct ServiceTargets {
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kWorker = "Runshelf-Worker";
 constexpr std::string_view kCaller = "Runshelf-Caller";
 constexpr std::string_view kClass = "Runshelf-Class";
+constexpr std::string_view kQueue = "Runshelf-Queue";
 constexpr std::string_view kWeight = "Runshelf-Weight";
 constexpr std::string_view kDeadline = "Runshelf-Deadline-Ms";
 constexpr std::string_view kAnswerBy = "Runshelf-Answer-By-Ms";
@@ -66,6 +67,7 @@
   headers->Add(kWorker, attempt.worker_id);
   headers->Add(kCaller, attempt.caller_service);
   headers->Add(kClass, attempt.caller_class);
+  headers->Add(kQueue, attempt.queue_class);
   headers->Add(kWeight, std::to_string(attempt.weight));
   headers->Add(kDeadline, std::to_string(MillisecondsLeft(attempt.deadline - now)));
   headers->Add(kAnswerBy, std::to_string(MillisecondsLeft(attempt.answer_by - now)));
@@ -87,6 +89,7 @@
   attempt.worker_id = ReadText(headers, kWorker);
   attempt.caller_service = ReadText(headers, kCaller);
   attempt.caller_class = ReadText(headers, kClass);
+  attempt.queue_class = ReadText(headers, kQueue);
   attempt.weight = static_cast<uint32_t>(*weight);
   attempt.deadline = now + *deadline;
   attempt.answer_by = now + *answer_by;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -11,6 +11,7 @@
 namespace runshelf::sidecar {
 namespace {
 
+constexpr int kTooManyRequests = 429;
 constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
@@ -30,6 +31,7 @@
 // Calls that a worker makes while it runs a request: that run, and its slot, are lost when one is
 // refused, so that they come before all new work.
 constexpr uint32_t kNestedCallWeight = 2000;
+constexpr std::string_view kNestedCallClass = "calls";
 // Such a call is offered to more queues before it is refused.
 constexpr uint32_t kMaxQueueRefusalsOfNestedCall = 4;
 
@@ -155,7 +157,8 @@
   attempt.worker_id = worker_id;
   attempt.caller_service = context_.settings.worker_service;
   attempt.caller_class = CallerClass();
-  attempt.weight = nested_ ? kNestedCallWeight : WeightOf(route_.priority);
+  attempt.queue_class = QueueClass();
+  attempt.weight = Weight(attempt.caller_class);
   attempt.deadline = deadline_;
   attempt.answer_by = answer_by_;
   attempt.key = key_;
@@ -177,11 +180,21 @@
   attempt_->Begin();
 }
 
-// Requests of one class take about as long as each other, and have the same weight.
+// The column of the operators' table.
 std::string RequestFlow::CallerClass() const {
+  return nested_ ? std::string(kNestedCallClass) : fmt::format("priority-{}", route_.priority);
+}
+
+std::string RequestFlow::QueueClass() const {
   const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
-  return fmt::format("{}-{}-{}ms", nested_ ? "nested" : "priority", route_.priority,
-                     ToMilliseconds(target));
+  return fmt::format("{}-{}ms", CallerClass(), ToMilliseconds(target));
+}
+
+// An edited cell goes before the priority of the route.
+uint32_t RequestFlow::Weight(const std::string& caller_class) const {
+  const table::CellValue* cell = context_.table.Find(service_, caller_class);
+  if (cell != nullptr) return static_cast<uint32_t>(cell->weight);
+  return nested_ ? kNestedCallWeight : WeightOf(route_.priority);
 }
 
 void RequestFlow::EndAttempt() {
@@ -295,6 +308,7 @@
         Refuse(failure.reason, failure.retry_after);
       }
       return;
+    case FailureReason::kLimited:
     case FailureReason::kExpired:
     case FailureReason::kBroken:
     case FailureReason::kIncomplete:
@@ -360,8 +374,9 @@
   http::Headers headers;
   headers.Add(context_.wire.headers().retry_after,
               fmt::format("{:.3f}", std::chrono::duration<double>(advice).count()));
-  LogOutcome("request_refused", kServiceUnavailable, FailureReasonName(reason), Verdict::kNotRun);
-  exchange_->Respond(kServiceUnavailable, headers, "");
+  const int status = reason == FailureReason::kLimited ? kTooManyRequests : kServiceUnavailable;
+  LogOutcome("request_refused", status, FailureReasonName(reason), Verdict::kNotRun);
+  exchange_->Respond(status, headers, "");
   Finish();
 }
 
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -33,6 +33,8 @@
   void TryNext();
   void StartAttempt(const std::string& node, const std::string& worker_id);
   std::string CallerClass() const;
+  std::string QueueClass() const;
+  uint32_t Weight(const std::string& caller_class) const;
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
   void WaitForOwner();
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -119,8 +119,8 @@
            [this](const store::ChangeSet& changes) { feed_.OnChanges(state_watcher_, changes); }}),
       feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
             FeedConfig(settings_)),
-      ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, gate_, log,
-                              metrics_, random}),
+      ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_, gate_,
+                              log, metrics_, random}),
       inbound_handler_(loop, gate_, store_, feed_, log, settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
@@ -134,6 +134,7 @@
       end_timer_(loop, [this] { on_stopped_(); }) {
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
+  gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
     configuration_watcher_.Refresh();
@@ -285,6 +286,12 @@
     ingress_.OnShardsChanged();
     return;
   }
+  if (TableOverrides::IsCellKey(item.key)) {
+    const bool understood = table_.OnItem(item);
+    log_.Write(understood ? LogLevel::kInfo : LogLevel::kError, "table_cell",
+               {{"key", item.key}, {"revision", item.revision}, {"in_force", understood}});
+    return;
+  }
   if (item.key == KeyOf(kDrainPrefix, settings_.node_name)) {
     monitor_.OnDrainRecord(item.value, item.revision);
   }
@@ -293,6 +300,17 @@
 void Sidecar::OnStateRemoved(const std::string& key) {
   const std::string node = NameAfter(key, kNodePrefix);
   if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
+  if (TableOverrides::IsCellKey(key)) {
+    table_.OnRemoved(key);
+    log_.Write(LogLevel::kInfo, "table_cell", {{"key", key}, {"in_force", false}});
+  }
+}
+
+std::optional<double> Sidecar::RateOf(const std::string& caller_class) const {
+  const table::CellValue* cell = table_.Find(settings_.worker_service, caller_class);
+  if (cell == nullptr || !cell->limit.has_value()) return std::nullopt;
+  const size_t nodes = std::max<size_t>(1, peers_.ServingNodes(settings_.worker_service));
+  return static_cast<double>(*cell->limit) / static_cast<double>(nodes);
 }
 
 void Sidecar::OnStateSynchronized() {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -67,6 +67,8 @@
   void OnStateRemoved(const std::string& key);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
+  // Of the limit of a cell, the part of the worker beside this node; nullopt: no limit.
+  std::optional<double> RateOf(const std::string& caller_class) const;
   void Announce();
   void OnTick();
   void ContinueStop();
@@ -81,6 +83,7 @@
   store::StoreClient store_;
   PeerDirectory peers_;
   ShardDirectory shard_directory_;
+  TableOverrides table_;
   WorkerGate gate_;
   WorkerMonitor monitor_;
   ShardStore shard_store_;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -54,6 +54,10 @@
     if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
       gate_->key_authority_->OnKeyOffered(*request_.key);
     }
+    if (const Duration wait = gate_->LimitWait(request_.caller_class); wait > Duration(0)) {
+      Fail({Verdict::kNotRun, FailureReason::kLimited, false, wait});
+      return;
+    }
     registered_ = true;
     gate_->attempts_[id_] = this;
     timer_.Start(request_.deadline - gate_->loop_.Now() + kDeadlineSlack);
@@ -234,11 +238,18 @@
   return std::nullopt;
 }
 
+Duration WorkerGate::LimitWait(const std::string& caller_class) {
+  if (!rate_source_) return Duration(0);
+  const std::optional<double> rate = rate_source_(caller_class);
+  if (!rate.has_value()) return Duration(0);
+  return limiter_.Admit(loop_.Now(), caller_class, *rate);
+}
+
 void WorkerGate::Offer(GateAttempt* attempt) {
   const AttemptRequest& request = attempt->request();
   admission::AdmissionRequest offer;
   offer.id = attempt->id();
-  offer.caller_class = request.caller_class;
+  offer.caller_class = request.queue_class;
   offer.weight = request.weight;
   offer.deadline = std::min(request.answer_by, request.deadline);
   Apply(queue_.Offer(loop_.Now(), offer));
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 #include "source/event/event_loop.h"
 #include "source/http/client.h"
 #include "source/sidecar/attempt.h"
+#include "source/sidecar/class_limiter.h"
 #include "source/sidecar/wire_format.h"
 
 namespace runshelf::sidecar {
@@ -52,6 +54,10 @@
   void set_key_authority(KeyAuthority* authority) { key_authority_ = authority; }
   void set_evidence(WorkerEvidence* evidence) { evidence_ = evidence; }
 
+  // Requests a second that a caller class may send to this worker; nullopt: as many as it likes.
+  using RateSource = std::function<std::optional<double>(const std::string& caller_class)>;
+  void set_rate_source(RateSource source) { rate_source_ = std::move(source); }
+
   // Another worker, or none (an empty identity), is beside this node.
   void SetWorker(const std::string& worker_id, const std::string& service, uint32_t slots);
   // A draining worker gets nothing new: what waits is refused.
@@ -72,6 +78,8 @@
   class GateAttempt;
 
   void Offer(GateAttempt* attempt);
+  // Zero: the class is below its limit, and one request of it was counted.
+  Duration LimitWait(const std::string& caller_class);
   void Apply(const admission::AdmissionChanges& changes);
   void OnSlotFree(uint64_t id, admission::Completion completion, Duration service_time);
   void Withdraw(uint64_t id, bool sent, Duration service_time);
@@ -87,6 +95,8 @@
   event::Endpoint worker_;
   KeyAuthority* key_authority_ = nullptr;
   WorkerEvidence* evidence_ = nullptr;
+  RateSource rate_source_;
+  ClassLimiter limiter_;
   std::string worker_id_;
   std::string service_;
   uint32_t slots_ = 0;
--- a/source/table/table_editor.cc
+++ b/source/table/table_editor.cc
@@ -218,11 +218,11 @@
     result.detail = "the table holds these values already";
     return result;
   }
-  if (differing.size() > kMaxCellsPerEdit) {
+  if (differing.size() > options_.max_cells_per_edit) {
     return Refused(
         fmt::format("{} cells differ from the table; one edit changes at most {}, so that it is "
                     "accepted or refused as a whole: import the rows in several files",
-                    differing.size(), kMaxCellsPerEdit));
+                    differing.size(), options_.max_cells_per_edit));
   }
   return Commit(reading, origin, differing);
 }
--- a/tests/ctl/command_test.cc
+++ b/tests/ctl/command_test.cc
@@ -29,6 +29,15 @@
 
 TEST_GROUP(Command){};
 
+TEST(Command, TheKindOfTheStoreIsChosen) {
+  const auto kind = [](const std::vector<std::string>& arguments) {
+    return std::get<Invocation>(ParseCommandLine(arguments, "anna")).store;
+  };
+  CHECK(kind({"table", "show", kPlatform}) == StoreKind::kEtcd);
+  CHECK(kind({"table", "show", kPlatform, "--store=platform"}) == StoreKind::kPlatform);
+  CHECK_EQUAL(kExitUsage, ExitOf({"table", "show", kPlatform, "--store=paper"}).exit_code);
+}
+
 TEST(Command, EachCommandIsParsed) {
   const auto set = CommandOf<SetCommand>(
       {"table", "set", kPlatform, "dispatch", "issuer", "--weight", "5", "--limit", "0"});
--- a/tests/ctl/table_commands_test.cc
+++ b/tests/ctl/table_commands_test.cc
@@ -35,8 +35,8 @@
   int Run(const Command& command) {
     std::ostringstream out_stream;
     std::ostringstream err_stream;
-    const int exit_code =
-        RunTableCommand({command, "", "anna"}, 86400, editor, {out_stream, err_stream});
+    const int exit_code = RunTableCommand({command, "", StoreKind::kEtcd, "anna"}, 86400, editor,
+                                          {out_stream, err_stream});
     out = out_stream.str();
     err = err_stream.str();
     return exit_code;
