--- a/source/ctl/command.cc
+++ b/source/ctl/command.cc
@@ -23,6 +23,7 @@
   runshelfctl table export   --platform IP:PORT [--output FILE.csv]
   runshelfctl table history  --platform IP:PORT [--edit ID]
   runshelfctl status         --daemon IP:PORT
+  runshelfctl explain        REQUEST LOG...
 
 Example:
   runshelfctl table set --platform 127.0.0.1:2379 dispatch issuer --weight 100 --limit 500
@@ -214,6 +215,16 @@
   return {StatusCommand{daemon.getValue()}, "", StoreKind::kEtcd, request.default_author};
 }
 
+Invocation ParseExplain(const ParseRequest& request) {
+  TCLAP::UnlabeledValueArg<std::string> id("request", "Id of the request", true, "", "REQUEST",
+                                           request.line.tclap);
+  TCLAP::UnlabeledMultiArg<std::string> files("logs", "Logs of nodes", true, "LOG",
+                                              request.line.tclap);
+  request.line.Parse(request.arguments);
+  return {ExplainCommand{id.getValue(), files.getValue()}, "", StoreKind::kEtcd,
+          request.default_author};
+}
+
 struct CommandParser {
   std::string example;
   std::function<Invocation(const ParseRequest&)> parse;
@@ -230,6 +241,7 @@
       {"table export", {"table export --platform 127.0.0.1:2379 --output table.csv", ParseExport}},
       {"table history", {"table history --platform 127.0.0.1:2379", ParseHistory}},
       {"status", {"status --daemon 127.0.0.1:7101", ParseStatus}},
+      {"explain", {"explain 9c41d07be2a35f68 node-1.log node-2.log", ParseExplain}},
   };
   return *parsers;
 }
--- a/source/ctl/command.h
+++ b/source/ctl/command.h
@@ -49,8 +49,13 @@
   std::string daemon_address;  // IP number and port of a daemon's http_address.
 };
 
+struct ExplainCommand {
+  std::string request_id;
+  std::vector<std::string> files;  // Logs of nodes.
+};
+
 using Command = std::variant<ShowCommand, SetCommand, DeleteCommand, ImportCommand, ExportCommand,
-                             HistoryCommand, StatusCommand>;
+                             HistoryCommand, StatusCommand, ExplainCommand>;
 
 // The key-value service that holds the table.
 enum class StoreKind {
--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -12,6 +12,7 @@
 #include "runshelf/common/random.h"
 #include "runshelf/infrastructure/etcd_key_value_store.h"
 #include "source/ctl/command.h"
+#include "source/ctl/explain_command.h"
 #include "source/ctl/status_command.h"
 #include "source/ctl/table_commands.h"
 #include "source/store/blocking_store.h"
@@ -76,6 +77,9 @@
   if (const auto* const status = std::get_if<StatusCommand>(&invocation.command)) {
     return RunStatusCommand(*status, streams);
   }
+  if (const auto* const explain = std::get_if<ExplainCommand>(&invocation.command)) {
+    return RunExplainCommand(*explain, streams);
+  }
   return invocation.store == StoreKind::kPlatform ? RunOnPlatformStore(invocation, streams)
                                                   : RunOnEtcd(invocation, streams);
 }
--- a/source/ctl/table_commands.cc
+++ b/source/ctl/table_commands.cc
@@ -180,6 +180,8 @@
 
 int Run(const Context&, const StatusCommand&) { return kExitUsage; }
 
+int Run(const Context&, const ExplainCommand&) { return kExitUsage; }
+
 }  // namespace
 
 int RunTableCommand(const Invocation& invocation, int64_t unix_seconds, table::TableEditor& editor,
--- a/tests/ctl/command_test.cc
+++ b/tests/ctl/command_test.cc
@@ -46,6 +46,9 @@
   CHECK(set.limit == 0);
   CHECK(CommandOf<SetCommand>({"table", "set", "a", "b", "--no-limit", kPlatform}).no_limit);
   CommandOf<ShowCommand>({"table", "show", kPlatform});
+  const auto explain = CommandOf<ExplainCommand>({"explain", "9c41", "a.log", "b.log"});
+  STRCMP_EQUAL("9c41", explain.request_id.c_str());
+  CHECK_EQUAL(2, explain.files.size());
   CommandOf<DeleteCommand>({"table", "delete", kPlatform, "a", "b"});
   STRCMP_EQUAL("-", CommandOf<ExportCommand>({"table", "export", kPlatform}).file.c_str());
   const auto import =
