State feed: changes of maps as patches, a line of leaders across zones

The first two nodes by name were lost together and stayed listed for 8 s; the next by name were in the same zone, which was cut off.

Change: any of the first eight in line may lead, each after a longer silence; the line goes by a hash of the name; a changed map is passed on as the rows that changed, on top of the revision that the receiver has; a new leader pushes nothing of its own accord (who is behind reads the store).

--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -1,9 +1,12 @@
 #include "source/sidecar/state_feed.h"
 
+#include <xxhash.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "source/sidecar/peer_protocol.h"
+#include "source/sidecar/text_patch.h"
 
 namespace runshelf::sidecar {
 namespace {
@@ -13,15 +16,18 @@
 // Nodes that watch the store: the leader and the one that stands by.
 constexpr size_t kWatchingNodes = 2;
 constexpr const char* kPushTarget = "/state";
+// Larger items are passed on as patches.
+constexpr size_t kPatchedItemBytes = 1024;
 
 json ToBinary(const std::string& text) {
   return json::binary(std::vector<uint8_t>(text.begin(), text.end()));
 }
 
-bool ReadEvent(const json& row, store::WatchEvent* event) {
-  if (!row.is_array() || row.size() != 5) return false;
+bool ReadEvent(const json& row, PassedOnEvent* passed_on) {
+  store::WatchEvent* event = &passed_on->event;
+  if (!row.is_array() || row.size() != 6) return false;
   if (!row[0].is_string() || !row[1].is_number_integer() || !row[2].is_number_integer() ||
-      !row[3].is_boolean() || !row[4].is_binary()) {
+      !row[3].is_boolean() || !row[4].is_binary() || !row[5].is_number_integer()) {
     return false;
   }
   event->item.key = row[0].get<std::string>();
@@ -30,11 +36,51 @@
   event->removed = row[3].get<bool>();
   const auto& bytes = row[4].get_binary();
   event->item.value.assign(bytes.begin(), bytes.end());
+  passed_on->base_revision = row[5].get<store::Revision>();
   return true;
 }
 
 }  // namespace
 
+uint64_t PlaceInLine(const std::string& node) { return XXH64(node.data(), node.size(), 0); }
+
+PassedOnChanges Whole(const store::ChangeSet& changes) {
+  PassedOnChanges result;
+  result.complete = changes.complete;
+  result.from = changes.from;
+  result.to = changes.to;
+  for (const store::WatchEvent& event : changes.events) result.events.push_back({event, 0});
+  return result;
+}
+
+std::optional<store::ChangeSet> ApplyPatches(const PassedOnChanges& changes,
+                                             const std::map<std::string, store::Item>& items) {
+  store::ChangeSet result;
+  result.complete = changes.complete;
+  result.from = changes.from;
+  result.to = changes.to;
+  for (const PassedOnEvent& passed_on : changes.events) {
+    store::WatchEvent event = passed_on.event;
+    if (passed_on.base_revision != 0) {
+      const auto base = items.find(event.item.key);
+      // Known already, or newer: the watcher leaves such an event out.
+      const bool known = base != items.end() && base->second.revision >= event.item.revision;
+      if (known) {
+        event.item = base->second;
+      } else {
+        if (base == items.end() || base->second.revision != passed_on.base_revision) {
+          return std::nullopt;
+        }
+        auto value = ApplyTextPatch(base->second.value, event.item.value);
+        if (!value.has_value()) return std::nullopt;
+        event.item.value = *std::move(value);
+      }
+    }
+    result.events.push_back(std::move(event));
+  }
+  return result;
+}
+
 std::string StateBeacon::Serialize() const {
   return json{{"node", node}, {"revisions", revisions}}.dump();
 }
@@ -54,11 +100,12 @@
   return beacon;
 }
 
-std::string SerializeChanges(const std::string& prefix, const store::ChangeSet& changes) {
+std::string SerializeChanges(const std::string& prefix, const PassedOnChanges& changes) {
   json events = json::array();
-  for (const store::WatchEvent& event : changes.events) {
+  for (const PassedOnEvent& passed_on : changes.events) {
+    const store::WatchEvent& event = passed_on.event;
     events.push_back({event.item.key, event.item.revision, event.item.lease, event.removed,
-                      ToBinary(event.item.value)});
+                      ToBinary(event.item.value), passed_on.base_revision});
   }
   const json body{{"prefix", prefix},
                   {"complete", changes.complete},
@@ -69,7 +116,7 @@
   return {bytes.begin(), bytes.end()};
 }
 
-bool ParseChanges(std::string_view text, std::string* prefix, store::ChangeSet* changes) {
+bool ParseChanges(std::string_view text, std::string* prefix, PassedOnChanges* changes) {
   const json body = json::from_cbor(text.begin(), text.end(), /*strict=*/true,
                                     /*allow_exceptions=*/false);
   if (!body.is_object()) return false;
@@ -87,7 +134,7 @@
   changes->to = body["to"].get<store::Revision>();
   changes->events.clear();
   for (const json& row : body["events"]) {
-    store::WatchEvent event;
+    PassedOnEvent event;
     if (!ReadEvent(row, &event)) return false;
     changes->events.push_back(std::move(event));
   }
@@ -121,10 +168,11 @@
 }
 
 size_t StateFeed::Rank() const {
+  const uint64_t own_place = PlaceInLine(config_.node);
   size_t rank = 0;
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node >= config_.node) break;
-    if (peer.listed && !peer.record.stopping) ++rank;
+    const bool candidate = peer.listed && !peer.record.stopping;
+    if (candidate && PlaceInLine(node) < own_place) ++rank;
   }
   return rank;
 }
@@ -136,7 +184,8 @@
   const bool store_answers = !store_answers_ || store_answers_();
   const Duration silence = loop_.Now() - heard_at_;
   const size_t rank = Rank();
-  const bool in_line = rank == 0 || (rank < kWatchingNodes && silence > config_.standby_timeout);
+  const Duration patience = config_.standby_timeout * static_cast<int64_t>(rank);
+  const bool in_line = rank == 0 || (rank < config_.nodes_in_line && silence > patience);
   const bool leading = listed && store_answers && in_line;
   const bool watching =
       leading || (listed && rank < kWatchingNodes) || silence > config_.follower_timeout;
@@ -151,10 +200,10 @@
                 {"watching", watching},
                 {"silence_ms", ToMilliseconds(loop_.Now() - heard_at_)}});
   }
-  const bool new_leader = leading && !leading_;
   leading_ = leading;
   watching_ = watching;
-  if (new_leader) PushSnapshots();
+  // While it follows, the items change without this node's seeing what others had before.
+  if (!watching) large_items_.clear();
   for (store::PrefixWatcher* watcher : watchers_) watcher->SetFollowing(!watching);
 }
 
@@ -198,7 +247,7 @@
                 {"prefix", prefix},
                 {"announced", announced->second},
                 {"revision", revision}});
-    PushToAll(SerializeChanges(prefix, watcher->Snapshot()));
+    PushToAll(SerializeChanges(prefix, Whole(watcher->Snapshot())));
   }
 }
 
@@ -216,16 +265,28 @@
 
 void StateFeed::OnChanges(const store::PrefixWatcher& watcher, const store::ChangeSet& changes) {
   changed_at_[watcher.prefix()] = loop_.Now();
-  if (!leading_) return;
-  PushToAll(SerializeChanges(watcher.prefix(), changes));
+  const PassedOnChanges passed_on = PatchLargeItems(changes);
+  if (leading_) PushToAll(SerializeChanges(watcher.prefix(), passed_on));
 }
 
-// What a new leader knows, so that the others need not read it.
-void StateFeed::PushSnapshots() {
-  for (const store::PrefixWatcher* watcher : watchers_) {
-    if (!watcher->synchronized()) continue;
-    PushToAll(SerializeChanges(watcher->prefix(), watcher->Snapshot()));
+// Remembers the large items, so that the next change of one needs only what is new in it.
+PassedOnChanges StateFeed::PatchLargeItems(const store::ChangeSet& changes) {
+  PassedOnChanges result = Whole(changes);
+  for (PassedOnEvent& passed_on : result.events) {
+    store::Item& item = passed_on.event.item;
+    if (passed_on.event.removed || item.value.size() < kPatchedItemBytes) continue;
+    store::Item& former = large_items_[item.key];
+    const store::Item current = item;
+    if (former.revision != 0) {
+      std::string patch = MakeTextPatch(former.value, item.value);
+      if (patch.size() < item.value.size()) {
+        item.value = std::move(patch);
+        passed_on.base_revision = former.revision;
+      }
+    }
+    former = current;
   }
+  return result;
 }
 
 void StateFeed::PushToAll(const std::string& body) {
@@ -246,10 +307,16 @@
 
 bool StateFeed::OnPassedOn(std::string_view body) {
   std::string prefix;
-  store::ChangeSet changes;
+  PassedOnChanges changes;
   if (!ParseChanges(body, &prefix, &changes)) return false;
   for (store::PrefixWatcher* watcher : watchers_) {
-    if (watcher->prefix() == prefix) watcher->ApplyChanges(changes);
+    if (watcher->prefix() != prefix) continue;
+    const auto whole = ApplyPatches(changes, watcher->items());
+    if (whole.has_value()) {
+      watcher->ApplyChanges(*whole);
+    } else {
+      watcher->CatchUp(changes.to);
+    }
   }
   return true;
 }
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -1,6 +1,6 @@
 // Spreads the state in the store over the nodes, so that two of them watch it and not all.
 //
-// The first node by name, the leader, watches the store, passes every change on to the others and
+// The first node in line, the leader, watches the store, passes every change on to the others and
 // sends beacons, while the store answers it. The second one watches as well, passes on what the
 // leader has not heard of, and takes over when the beacons stop. All others follow; one that hears
 // no beacon watches the store itself until it hears one again. Nothing is decided by who leads:
@@ -30,8 +30,11 @@
   std::string ip_address;
   uint16_t port = 0;  // Of beacons, the same on all nodes; zero: every node watches for itself.
   Duration beacon_interval = std::chrono::milliseconds(400);
-  // Without a beacon for this long the second node leads, and the others watch for themselves.
+  // Without a beacon for this long the second node leads, for twice as long the third, and so on:
+  // several of the first may have been lost together, and stay listed until their leases end.
   Duration standby_timeout = std::chrono::milliseconds(700);
+  size_t nodes_in_line = 8;  // That may lead.
+  // Without a beacon for this long a node watches for itself.
   Duration follower_timeout = std::chrono::milliseconds(1200);
   // Changes that a beacon tells of and that did not come within this time are read.
   Duration catch_up_delay = std::chrono::milliseconds(150);
@@ -40,6 +43,10 @@
   Duration leader_lag = std::chrono::milliseconds(200);
 };
 
+// Orders the nodes that may lead, lowest first. By a hash of the name: neighbours by name are often
+// in one zone, and are cut off or lost together.
+uint64_t PlaceInLine(const std::string& node);
+
 // What a beacon says: the leader's copy of each prefix is complete up to a revision.
 struct StateBeacon {
   std::string node;
@@ -50,10 +57,31 @@
   static std::optional<StateBeacon> Parse(std::string_view text);
 };
 
+// A change of the state as one node passes it on to another.
+struct PassedOnEvent {
+  store::WatchEvent event;
+  // Zero: the value is whole. Else it is a text patch of the value at this revision.
+  store::Revision base_revision = 0;
+};
+
+struct PassedOnChanges {
+  bool complete = false;  // The events are all items; see store::ChangeSet.
+  store::Revision from = 0;
+  store::Revision to = 0;
+  std::vector<PassedOnEvent> events;
+};
+
+// All values whole.
+PassedOnChanges Whole(const store::ChangeSet& changes);
+// Replaces patches by values, from the receiver's copy of the items; nullopt: it does not have the
+// value that a patch starts from.
+std::optional<store::ChangeSet> ApplyPatches(const PassedOnChanges& changes,
+                                             const std::map<std::string, store::Item>& items);
+
 // Forms of a change set between nodes: CBOR, since values may hold any bytes.
-std::string SerializeChanges(const std::string& prefix, const store::ChangeSet& changes);
+std::string SerializeChanges(const std::string& prefix, const PassedOnChanges& changes);
 // Returns false when `text` is no change set.
-bool ParseChanges(std::string_view text, std::string* prefix, store::ChangeSet* changes);
+bool ParseChanges(std::string_view text, std::string* prefix, PassedOnChanges* changes);
 
 class StateFeed {
  public:
@@ -81,7 +109,7 @@
   void CatchUp();
   void SendBeacons();
   void PushToAll(const std::string& body);
-  void PushSnapshots();
+  PassedOnChanges PatchLargeItems(const store::ChangeSet& changes);
   // Passes on what the leader of `beacon` lacks.
   void HelpLeader(const StateBeacon& beacon);
   void Push(const event::Endpoint& endpoint, const std::string& body);
@@ -99,7 +127,8 @@
   event::UdpSocket socket_;
   std::map<std::string, store::Revision> announced_;  // By the latest beacon.
   std::function<bool()> store_answers_;
-  std::map<std::string, Instant> changed_at_;  // By prefix: the latest change from the store.
+  std::map<std::string, store::Item> large_items_;  // As they were passed on, or seen, last.
+  std::map<std::string, Instant> changed_at_;       // By prefix: the latest change from the store.
   std::map<std::string, store::Revision>
       helped_with_;  // By prefix: passed on in the leader's place.
   http::CallSet pushes_;
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "tests/platform_adapter/fleet.h"
 
 using namespace runshelf;
@@ -413,6 +415,28 @@
   CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
 }
 
+// Found on the grown lagesse-mesh (inc-af42): the first two nodes were lost together, and until
+// their leases ended every node watched the store for itself, at five times the calls.
+TEST(Sidecar, AnotherNodeLeadsTheFeedWhenTheFirstTwoAreLostTogether) {
+  Fleet fleet({"other", "other", "plain", "plain", "plain", "plain"});
+  fleet.Start();
+  std::vector<size_t> line = {0, 1, 2, 3, 4, 5};
+  std::sort(line.begin(), line.end(), [&](size_t left, size_t right) {
+    return sidecar::PlaceInLine(fleet.nodes[left].settings.node_name) <
+           sidecar::PlaceInLine(fleet.nodes[right].settings.node_name);
+  });
+  fleet.Kill(line[0]);
+  fleet.Kill(line[1]);
+  RunFor(fleet.loop, std::chrono::milliseconds(4000));
+  const uint64_t before = fleet.store.calls("/runshelf/kv-watch");
+  for (int version = 2; version <= 4; ++version) {
+    fleet.store.Put("op/config", TestConfiguration(version, "plain"));
+    RunFor(fleet.loop, std::chrono::milliseconds(300));
+  }
+  // One node watches and asks again after each change; with four it was four times as often.
+  CHECK(fleet.store.calls("/runshelf/kv-watch") - before <= 6);
+}
+
 // A grant without an answer may be taken seconds later. Found by a hunt (lagesse-mesh, mix
 // 1089251233620): the former owner took its old grant again after the keys had gone to another
 // worker.
--- a/tests/sidecar/state_feed_test.cc
+++ b/tests/sidecar/state_feed_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "source/sidecar/text_patch.h"
+
 using namespace runshelf;
 using namespace runshelf::sidecar;
 
@@ -19,21 +21,42 @@
   removed.removed = true;
   changes.events = {written, removed};
   std::string prefix;
-  store::ChangeSet read;
-  CHECK(ParseChanges(SerializeChanges("p/", changes), &prefix, &read));
+  PassedOnChanges read;
+  CHECK(ParseChanges(SerializeChanges("p/", Whole(changes)), &prefix, &read));
   STRCMP_EQUAL("p/", prefix.c_str());
   CHECK_EQUAL(5, read.from);
   CHECK_EQUAL(9, read.to);
   CHECK_EQUAL(2, read.events.size());
-  CHECK(read.events[0].item.value == written.item.value);
-  CHECK_EQUAL(77, read.events[0].item.lease);
-  CHECK(read.events[1].removed);
+  CHECK(read.events[0].event.item.value == written.item.value);
+  CHECK_EQUAL(77, read.events[0].event.item.lease);
+  CHECK(read.events[1].event.removed);
+}
+
+TEST(StateFeedForms, APatchNeedsTheValueThatItStartsFrom) {
+  PassedOnChanges changes;
+  changes.from = 5;
+  changes.to = 8;
+  PassedOnEvent patched;
+  patched.event.item = {"map", MakeTextPatch("[1],[2]", "[1],[3]"), 8, 0};
+  patched.base_revision = 5;
+  changes.events = {patched};
+  std::map<std::string, store::Item> items;
+  CHECK_FALSE(ApplyPatches(changes, items).has_value());
+  items["map"] = {"map", "[1],[2]", 5, 0};
+  STRCMP_EQUAL("[1],[3]", ApplyPatches(changes, items)->events[0].item.value.c_str());
+  items["map"].revision = 4;
+  CHECK_FALSE(ApplyPatches(changes, items).has_value());
+  // A newer value is kept: the event is one of the past.
+  items["map"] = {"map", "[9]", 9, 0};
+  STRCMP_EQUAL("[9]", ApplyPatches(changes, items)->events[0].item.value.c_str());
+  items["map"] = {"map", "", 5, 0};
+  CHECK_FALSE(ApplyPatches(changes, items).has_value());
 }
 
 TEST(StateFeedForms, BytesThatAreNoChangeSetAreRefused) {
   std::string prefix;
-  store::ChangeSet changes;
-  const std::string whole = SerializeChanges("p/", {false, 1, 2, {store::WatchEvent{}}});
+  PassedOnChanges changes;
+  const std::string whole = SerializeChanges("p/", {false, 1, 2, {PassedOnEvent{}}});
   for (size_t size = 0; size < whole.size(); ++size) {
     CHECK_FALSE(ParseChanges(whole.substr(0, size), &prefix, &changes));
   }
