--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,5 +1,5 @@
 // Runs the soak once: real sidecar processes under faults drawn from a seed. Exit code 0: every
-// promise was kept and the fleet recovered; 1: not; 2: wrong arguments.
+// promise was kept and the fleet recovered; 1: not; 2: wrong arguments; 3: ended by a signal.
 
 #include <fmt/core.h>
 #include <tclap/CmdLine.h>
@@ -13,6 +13,7 @@
 
 constexpr int kExitBroken = 1;
 constexpr int kExitBadArguments = 2;
+constexpr int kExitInterrupted = 3;
 constexpr double kServedAtEnd = 0.95;
 constexpr int kMinSeconds = 30;
 
@@ -43,6 +44,10 @@
   }
   std::filesystem::create_directories(options.directory);
   const SoakResult result = Soak(options).Run();
+  if (result.interrupted) {
+    fmt::print("seed={} verdict=interrupted\n", options.seed);
+    return kExitInterrupted;
+  }
   for (const std::string& fault : result.faults) fmt::print("fault {}\n", fault);
   for (const std::string& violation : result.violations) fmt::print("BROKEN {}\n", violation);
   const bool recovered = result.served_at_end >= kServedAtEnd;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -110,7 +110,10 @@
       request_timer_(loop_, [this] { SendRequest(); }),
       fault_timer_(loop_, [this] { StartFault(); }),
       watch_timer_(loop_, [this] { Watch(); }),
-      end_timer_(loop_, [this] { loop_.Stop(); }) {
+      end_timer_(loop_, [this] { loop_.Stop(); }),
+      terminate_(loop_, SIGTERM, [this] { Interrupt(); }),
+      interrupt_(loop_, SIGINT, [this] { Interrupt(); }),
+      hang_up_(loop_, SIGHUP, [this] { Interrupt(); }) {
   store_.set_value_filter([this](const std::string& key, const std::string& value) {
     return ThroughProxy(key, value);
   });
@@ -197,6 +200,11 @@
   configurations_.push_back({loop_.Now(), plain_service});
 }
 
+void Soak::Interrupt() {
+  result_.interrupted = true;
+  loop_.Stop();
+}
+
 SoakResult Soak::Run() {
   started_ = loop_.Now();
   last_disturbed_ = started_;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,7 @@
   std::vector<std::string> faults;  // In order, with their times.
   uint64_t requests = 0;
   uint64_t served = 0;
+  bool interrupted = false;  // By a signal: nothing is shown.
   double served_at_end = 0;  // Share of the requests of the last calm seconds.
 };
 
@@ -103,6 +104,7 @@
   void EndAllFaults();
   bool Calm(Instant since) const;
 
+  void Interrupt();
   void Watch();
   void CheckOverlaps(Instant now);
 
@@ -122,6 +124,10 @@
   event::Timer fault_timer_;
   event::Timer watch_timer_;
   event::Timer end_timer_;
+  // Ended from outside: the processes that were started end too.
+  event::SignalWatcher terminate_;
+  event::SignalWatcher interrupt_;
+  event::SignalWatcher hang_up_;
   Instant started_{};
   Instant last_disturbed_{};
   Instant last_healed_{};
