--- a/source/ctl/table_commands.h
+++ b/source/ctl/table_commands.h
@@ -14,7 +14,8 @@
   std::ostream& err;
 };
 
-// Carries out a table command and returns the exit code. kExitUsage for commands that need no table.
+// Carries out a table command and returns the exit code. kExitUsage for commands that need no
+// table.
 int RunTableCommand(const Invocation& invocation, int64_t unix_seconds, table::TableEditor& editor,
                     const Streams& streams);
 
