Review: the body of a worker's failure is kept; request classes in one place

A flag that said the same twice is gone.

Before: FewRunsThatFailedAreRepeated with a body fails (empty body).

--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -27,9 +27,8 @@
   return user == nullptr ? "unknown" : user;
 }
 
-// A transaction of the platform's store takes 32 entries: a condition and a write for each cell and
-// for the record of the edit.
-constexpr size_t kMaxCellsOfPlatformEdit = 15;
+// An edit takes a condition and a write for each cell, and for its record.
+constexpr size_t kMaxCellsOfPlatformEdit = store::kMaxTransactionEntries / 2 - 1;
 
 int RunOnStore(const Invocation& invocation, infrastructure::KeyValueStore& store,
                const table::TableEditorOptions& options, const Streams& streams) {
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -7,6 +7,7 @@
 
 #include "source/sidecar/peer_protocol.h"
 #include "source/sidecar/remote_attempt.h"
+#include "source/sidecar/request_class.h"
 
 namespace runshelf::sidecar {
 namespace {
@@ -16,30 +17,17 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+// Of requests that carry no deadline and whose route has no timeout.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
-// A request that carries no deadline and whose route has none.
-constexpr Duration kDefaultTargetLatency = std::chrono::milliseconds(500);
 // How often a request that waits for the owner of its key looks again, besides changes of the map.
 constexpr Duration kOwnerPoll = std::chrono::milliseconds(25);
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // A request goes to at most this many queues before it is refused.
 constexpr uint32_t kMaxQueueRefusals = 2;
-// Weights of the operators' table that routes give by default: priority 0 is served first.
-constexpr uint32_t kTopWeight = 1000;
-constexpr uint32_t kWeightStep = 100;
-// Calls that a worker makes while it runs a request: that run, and its slot, are lost when one is
-// refused, so that they come before all new work.
-constexpr uint32_t kNestedCallWeight = 2000;
-constexpr std::string_view kNestedCallClass = "calls";
-// Such a call is offered to more queues before it is refused.
+// A call that a worker makes during a run is offered to more queues before it is refused.
 constexpr uint32_t kMaxQueueRefusalsOfNestedCall = 4;
 
-uint32_t WeightOf(int priority) {
-  const auto steps = static_cast<uint32_t>(std::clamp(priority, 0, 9));
-  return kTopWeight - steps * kWeightStep;
-}
-
 }  // namespace
 
 RequestFlow::RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route)
@@ -156,15 +144,15 @@
   attempt.service = service_;
   attempt.worker_id = worker_id;
   attempt.caller_service = context_.settings.worker_service;
-  attempt.caller_class = CallerClass();
-  attempt.queue_class = QueueClass();
-  attempt.weight = Weight(attempt.caller_class);
+  RequestClass request_class = ClassifyRequest(route_, service_, nested_, context_.table);
+  attempt.caller_class = std::move(request_class.caller_class);
+  attempt.queue_class = std::move(request_class.queue_class);
+  attempt.weight = request_class.weight;
   attempt.deadline = deadline_;
   attempt.answer_by = answer_by_;
   attempt.key = key_;
   attempt.large_answer = route_.kind == routes::RequestKind::kDownload;
   relay_.Reset();
-  retry_worker_failure_ = false;
   current_node_ = node;
   last_node_ = node;
   last_worker_ = worker_id;
@@ -180,23 +168,6 @@
   attempt_->Begin();
 }
 
-// The column of the operators' table.
-std::string RequestFlow::CallerClass() const {
-  return nested_ ? std::string(kNestedCallClass) : fmt::format("priority-{}", route_.priority);
-}
-
-std::string RequestFlow::QueueClass() const {
-  const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
-  return fmt::format("{}-{}ms", CallerClass(), ToMilliseconds(target));
-}
-
-// An edited cell goes before the priority of the route.
-uint32_t RequestFlow::Weight(const std::string& caller_class) const {
-  const table::CellValue* cell = context_.table.Find(service_, caller_class);
-  if (cell != nullptr) return static_cast<uint32_t>(cell->weight);
-  return nested_ ? kNestedCallWeight : WeightOf(route_.priority);
-}
-
 void RequestFlow::EndAttempt() {
   if (current_node_.empty()) return;
   context_.peers.OnAttemptEnd(current_node_);
@@ -205,24 +176,21 @@
   attempt_.reset();
 }
 
-void RequestFlow::OnAnswerHead(http::ResponseHead&& head) {
-  relay_.OnHead(std::move(head));
-  retry_worker_failure_ = WorkerFailureWorthRetry();
-}
+void RequestFlow::OnAnswerHead(http::ResponseHead&& head) { relay_.OnHead(std::move(head)); }
 
 // The worker ran the request and failed: another one may do better, when it may run again.
 bool RequestFlow::WorkerFailureWorthRetry() const {
-  return relay_.head().status == kInternalError && routes::IsRepeatable(route_.kind) &&
-         arrivals_ + 1 < route_.max_attempts && context_.loop.Now() < answer_by_;
+  return relay_.head().status == kInternalError && !relay_.streaming() &&
+         routes::IsRepeatable(route_.kind) && arrivals_ + 1 < route_.max_attempts &&
+         context_.loop.Now() < answer_by_;
 }
 
-void RequestFlow::OnAnswerBody(std::string_view data) {
-  if (!retry_worker_failure_) relay_.OnBody(data);
-}
+void RequestFlow::OnAnswerBody(std::string_view data) { relay_.OnBody(data); }
 
 void RequestFlow::OnAnswerComplete() {
   const auto self = shared_from_this();
-  if (retry_worker_failure_ && ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun)) {
+  if (WorkerFailureWorthRetry() &&
+      ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun)) {
     ++arrivals_;
     LogOutcome("attempt_failed", relay_.head().status, "worker-error", Verdict::kRan);
     tried_nodes_.push_back(current_node_);
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -32,9 +32,6 @@
   bool OwnerServes() const;
   void TryNext();
   void StartAttempt(const std::string& node, const std::string& worker_id);
-  std::string CallerClass() const;
-  std::string QueueClass() const;
-  uint32_t Weight(const std::string& caller_class) const;
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
   void WaitForOwner();
@@ -78,7 +75,6 @@
   bool may_have_run_ = false;
   bool waiting_for_owner_ = false;
   bool done_ = false;
-  bool retry_worker_failure_ = false;
 };
 
 }  // namespace runshelf::sidecar
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -97,10 +97,13 @@
   fleet.Start();
   for (size_t node : {0U, 1U}) {
     fleet.nodes[node].worker->set_behaviour(
-        [](const http::ExchangePtr& exchange) { exchange->Respond(500, {}, ""); });
+        [](const http::ExchangePtr& exchange) { exchange->Respond(500, {}, "what failed"); });
   }
   for (size_t count = 0; count < kRequests; ++count) {
-    CHECK_EQUAL(500, fleet.Request(2, "GET", "/read/1", "")->status);
+    const auto answer = fleet.Request(2, "GET", "/read/1", "");
+    CHECK_EQUAL(500, answer->status);
+    // Also when no budget was left for another run.
+    STRCMP_EQUAL("what failed", answer->body.c_str());
   }
   const size_t runs =
       fleet.nodes[0].worker->executed().size() + fleet.nodes[1].worker->executed().size();
