--- a/source/routes/routing_configuration.h
+++ b/source/routes/routing_configuration.h
@@ -38,12 +38,20 @@
   std::vector<WeightedService> services;   // At least one.
 };
 
+// How the workers of a service that is divided by key learn which keys they hold.
+enum class GrantDelivery {
+  kCalls,       // The node beside a worker sends grants and releases to it.
+  kHeartbeats,  // The answer to a worker's heartbeat lists all keys that it is to hold.
+};
+
 struct Service {
   std::string name;
   std::string health_check_path = "/";
   uint32_t max_connections = 0;  // Of all callers to one worker; zero: not known.
   bool sharded = false;          // Divided by key among its workers.
-  Duration warm_up{0};           // How long keys without a handover are slow.
+  // nullopt: as the settings of the node say.
+  std::optional<GrantDelivery> grant_delivery;
+  Duration warm_up{0};  // How long keys without a handover are slow.
 };
 
 // Bounds on what clients may send. Zero: the process's default.
--- a/source/sharding/shard_map.h
+++ b/source/sharding/shard_map.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -53,6 +54,8 @@
   // Draws a token higher than every one that this map ever held.
   FencingToken NextToken() { return ++last_token_; }
   FencingToken last_token() const { return last_token_; }
+  // Tokens up to `token` were seen at a worker: later ones are drawn above.
+  void RaiseLastToken(FencingToken token) { last_token_ = std::max(last_token_, token); }
 
   // Gives a shard to a new owner under `token`, which NextToken returned after the last assignment
   // of any of its keys.
--- /dev/null
+++ b/source/sidecar/held_shard.h
@@ -0,0 +1,42 @@
+// What this process has told the worker beside it about the shards that the map gives it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "runshelf/common/clock.h"
+#include "source/sharding/shard_map.h"
+
+namespace runshelf::sidecar {
+
+struct HeldShard {
+  sharding::Shard shard;
+  std::string worker_id;
+  Instant usable_until{};  // The worker certainly holds the keys until then.
+  Instant held_until{};    // The worker may hold the keys until then.
+  Instant sent_at{};       // Of the latest grant call.
+  uint64_t call = 0;       // Number of the call under way; zero: none.
+  bool releasing = false;
+  bool released = false;
+  bool superseded = false;  // The worker has seen a higher token on these keys.
+  bool abandoned = false;   // Released because its grant ran out, by a worker that cannot renew it.
+  std::string handover;     // Of the release.
+  // With grants in heartbeats:
+  bool leased = false;         // A lease that lists the shard was sent.
+  uint32_t missing = 0;        // Heartbeats in a row that did not report it although it was leased.
+  int64_t left_out_after = 0;  // Sequence of the heartbeat whose answer first left it out.
+};
+
+// First key, last key, token.
+using HeldShardKey = std::tuple<sharding::ShardKey, sharding::ShardKey, sharding::FencingToken>;
+// Ascending by key: shards do not overlap.
+using HeldShards = std::map<HeldShardKey, HeldShard>;
+
+// A worker's clock may run slow by one part in this many; the platform promises 2%.
+constexpr int kClockRateDivisor = 50;
+// Grants are not worth giving for less: they end before the next renewal can be made.
+constexpr Duration kMinHold = std::chrono::milliseconds(300);
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/key_lessor.h
@@ -0,0 +1,19 @@
+// Who decides what the answers to a worker's heartbeats say of keys.
+#pragma once
+
+#include <optional>
+
+#include "source/sidecar/wire_format.h"
+
+namespace runshelf::sidecar {
+
+class KeyLessor {
+ public:
+  virtual ~KeyLessor() = default;
+  // A heartbeat of the current worker, newer than all before.
+  virtual void OnKeyReport(const WorkerHeartbeat& heartbeat) = 0;
+  // What the answer to the newest heartbeat, which is written now, says of keys; nullopt: nothing.
+  virtual std::optional<KeyLease> LeaseFor(const WorkerHeartbeat& heartbeat) = 0;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/node_record.cc
+++ b/source/sidecar/node_record.cc
@@ -39,7 +39,8 @@
                         {"worker", worker_id},
                         {"slots", slots},
                         {"worker_state", StateName(worker_state)},
-                        {"stopping", stopping}}
+                        {"stopping", stopping},
+                        {"takes_keys", takes_keys}}
       .dump();
 }
 
@@ -59,7 +60,8 @@
       .Read("worker", record.worker_id)
       .Read("slots", record.slots)
       .Read("worker_state", state)
-      .Read("stopping", record.stopping);
+      .Read("stopping", record.stopping)
+      .Read("takes_keys", record.takes_keys);
   const auto parsed_state = ParseState(state);
   if (!reader.ok() || !parsed_state.has_value()) return std::nullopt;
   if (!event::Endpoint::Parse(inbound, &record.inbound)) return std::nullopt;
--- a/source/sidecar/node_record.h
+++ b/source/sidecar/node_record.h
@@ -25,13 +25,17 @@
   std::string worker_id;
   uint32_t slots = 0;
   WorkerState worker_state = WorkerState::kAbsent;
-  bool stopping = false;  // The node is about to end.
+  bool stopping = false;   // The node is about to end.
+  bool takes_keys = true;  // The worker can be given keys; false while its heartbeats are cut off.
 
   bool operator==(const NodeRecord&) const = default;
 
   // The worker takes new requests through this node.
   bool accepting() const { return worker_state == WorkerState::kReady && !stopping; }
 
+  // The worker may become the owner of keys.
+  bool accepts_keys() const { return accepting() && takes_keys; }
+
   std::string Serialize() const;
   // nullopt when `text` is no record.
   static std::optional<NodeRecord> Parse(const std::string& text);
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -8,6 +8,7 @@
 
 #include "runshelf/common/clock.h"
 #include "source/event/tcp_stream.h"
+#include "source/routes/routing_configuration.h"
 
 namespace runshelf::sidecar {
 
@@ -38,6 +39,8 @@
   double link_bytes_per_second = 0;  // Bandwidth of the machine's link; zero: no bound is known.
   uint16_t peer_port_first = 0;      // Ports that nodes may use among themselves.
   uint16_t peer_port_last = 0;
+  // Of services whose configuration does not say it.
+  routes::GrantDelivery grant_delivery = routes::GrantDelivery::kCalls;
   Duration heartbeat_interval = std::chrono::milliseconds(1000);
   bool first_start = false;  // Of the whole system.
   FleetBounds bounds;
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -56,7 +56,7 @@
     sharding::PlannerWorker worker;
     worker.id = {node, peer.record.worker_id};
     worker.slots = peer.record.slots;
-    worker.accepting = peer.listed && peer.record.accepting();
+    worker.accepting = peer.listed && peer.record.accepts_keys();
     input.workers.push_back(std::move(worker));
   }
   for (const sharding::Shard& shard : shards_.map().shards()) {
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -9,10 +9,6 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
-// A worker's clock may run slow by one part in this many.
-constexpr int kClockRateDivisor = 50;
-// Grants are not worth sending for less.
-constexpr Duration kMinHold = std::chrono::milliseconds(300);
 // Changes of the map that come together are committed together.
 constexpr Duration kCommitDelay = std::chrono::milliseconds(5);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(50);
@@ -31,7 +27,8 @@
       started_at_(loop.Now()),
       timer_(loop, [this] { Tick(); }),
       commit_timer_(loop, [this] { CommitChanges(); }),
-      calls_(loop, pool) {}
+      calls_(loop, pool),
+      heartbeat_grants_(wire) {}
 
 ShardHolder::~ShardHolder() = default;
 
@@ -45,8 +42,16 @@
   }
 }
 
+void ShardHolder::SetGrantDelivery(routes::GrantDelivery delivery) {
+  if (delivery == delivery_) return;
+  delivery_ = delivery;
+  heard_at_ = loop_.Now();
+  Reconcile();
+}
+
 void ShardHolder::SetWorker(const std::string& worker_id, bool gone) {
   if (worker_id == worker_id_) return;
+  heard_at_ = loop_.Now();
   if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
   gone_workers_.erase(worker_id);
   worker_id_ = worker_id;
@@ -70,8 +75,12 @@
   if (!sharded_ || reconciling_) return;
   reconciling_ = true;
   AdoptShards();
-  RenewGrants();
-  ReleaseMoving();
+  if (ByHeartbeat()) {
+    AbandonLapsed();
+  } else {
+    RenewGrants();
+    ReleaseMoving();
+  }
   reconciling_ = false;
   if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(kCommitDelay);
 }
@@ -96,25 +105,31 @@
   const Instant now = loop_.Now();
   const auto found = holdings_.find({shard.first, shard.last, shard.token});
   const bool grant_out = found != holdings_.end() && now <= found->second.held_until;
-  return !grant_out &&
-         now > started_at_ + config_.hold + config_.hold / kClockRateDivisor + config_.call_timeout;
+  return !grant_out && EarlierGrantsRanOut(now);
+}
+
+// Grants that an earlier life of this process gave have run out.
+bool ShardHolder::EarlierGrantsRanOut(Instant now) const {
+  const Duration hold = ByHeartbeat() ? config_.heartbeat_hold : config_.hold;
+  return now > started_at_ + hold + hold / kClockRateDivisor + config_.call_timeout;
 }
 
 // Brings the holdings in line with the map: new shards are added, lost ones are forgotten.
 void ShardHolder::AdoptShards() {
-  std::map<HoldingKey, Holding> wanted;
+  HeldShards wanted;
   for (const sharding::Shard& shard : shards_.map().shards()) {
     if (shard.owner.node != config_.node || shard.owner.worker.empty()) continue;
-    const HoldingKey key(shard.first, shard.last, shard.token);
-    Holding holding;
+    const HeldShardKey key(shard.first, shard.last, shard.token);
+    HeldShard holding;
     if (const auto known = holdings_.find(key); known != holdings_.end()) {
       holding = known->second;
-    } else if (const Holding* parent = FindHolding(shard.first);
+    } else if (const HeldShard* parent = FindHolding(shard.first);
                parent != nullptr && parent->shard.token == shard.token &&
                parent->shard.last >= shard.last && !parent->releasing) {
       // The shard was split: its parts are held as the whole was.
       holding.usable_until = parent->usable_until;
       holding.held_until = parent->held_until;
+      holding.leased = parent->leased;
     }
     if (holding.worker_id != shard.owner.worker) holding.worker_id = shard.owner.worker;
     holding.shard = shard;
@@ -142,7 +157,7 @@
   }
 }
 
-void ShardHolder::SendGrant(const HoldingKey& key, Holding* holding) {
+void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
   const Instant now = loop_.Now();
   const Duration authority = context_.AuthorityUntil() - now;
   // The worker's clock may run slow, and it counts from the arrival.
@@ -167,11 +182,11 @@
       });
 }
 
-void ShardHolder::OnGrantAnswer(const HoldingKey& key, uint64_t call, Instant sent, Duration hold,
+void ShardHolder::OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
                                 const std::optional<http::Response>& response) {
   const auto found = holdings_.find(key);
   if (found == holdings_.end() || found->second.call != call) return;
-  Holding& holding = found->second;
+  HeldShard& holding = found->second;
   holding.call = 0;
   if (response.has_value() && response->status == kOk) {
     holding.usable_until = std::max(holding.usable_until, sent + hold - hold / kClockRateDivisor);
@@ -199,7 +214,7 @@
   }
 }
 
-void ShardHolder::SendRelease(const HoldingKey& key, Holding* holding) {
+void ShardHolder::SendRelease(const HeldShardKey& key, HeldShard* holding) {
   holding->releasing = true;
   holding->usable_until = Instant{};
   KeyRelease release;
@@ -215,11 +230,11 @@
             });
 }
 
-void ShardHolder::OnReleaseAnswer(const HoldingKey& key, uint64_t call,
+void ShardHolder::OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
                                   const std::optional<http::Response>& response) {
   const auto found = holdings_.find(key);
   if (found == holdings_.end() || found->second.call != call) return;
-  Holding& holding = found->second;
+  HeldShard& holding = found->second;
   holding.call = 0;
   if (response.has_value() && response->status == kOk) {
     holding.released = true;
@@ -273,6 +288,7 @@
 bool ShardHolder::RenewTokens(sharding::ShardMap* map) {
   bool changed = false;
   sharding::FencingToken token = 0;
+  if (ByHeartbeat()) map->RaiseLastToken(heartbeat_grants_.highest_token_seen());
   for (sharding::Shard& shard : map->shards()) {
     const auto found = holdings_.find({shard.first, shard.last, shard.token});
     if (found == holdings_.end() || !found->second.superseded) continue;
@@ -288,8 +304,11 @@
   size_t released = 0;
   for (const auto& [key, holding] : holdings_) released += holding.released ? 1 : 0;
   if (released == 0) return false;
-  const std::vector<sharding::WorkerId> successors =
-      leaving_ ? context_.ChooseSuccessors(released) : std::vector<sharding::WorkerId>();
+  const bool abandoned = std::any_of(holdings_.begin(), holdings_.end(),
+                                     [](const auto& entry) { return entry.second.abandoned; });
+  const std::vector<sharding::WorkerId> successors = leaving_ || abandoned
+                                                         ? context_.ChooseSuccessors(released)
+                                                         : std::vector<sharding::WorkerId>();
   bool changed = false;
   sharding::FencingToken token = 0;
   size_t next = 0;
@@ -321,28 +340,75 @@
 
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
   if (now >= context_.AuthorityUntil()) return false;
-  const Holding* holding = FindHolding(key);
+  const HeldShard* holding = FindHolding(key);
   return holding != nullptr && !holding->releasing && holding->worker_id == worker_id_ &&
          now < holding->usable_until;
 }
 
-const ShardHolder::Holding* ShardHolder::FindHolding(sharding::ShardKey key) const {
+const HeldShard* ShardHolder::FindHolding(sharding::ShardKey key) const {
   auto after = holdings_.upper_bound({key, UINT32_MAX, UINT64_MAX});
   if (after == holdings_.begin()) return nullptr;
-  const Holding& holding = std::prev(after)->second;
+  const HeldShard& holding = std::prev(after)->second;
   return holding.shard.Contains(key) ? &holding : nullptr;
 }
 
 void ShardHolder::OnKeyRefused(sharding::ShardKey key) {
-  const Holding* found = FindHolding(key);
+  const HeldShard* found = FindHolding(key);
   if (found == nullptr || found->releasing) return;
   // An order that was carried out late has taken the keys away: grant them again.
-  Holding& holding = holdings_[{found->shard.first, found->shard.last, found->shard.token}];
+  HeldShard& holding = holdings_.at({found->shard.first, found->shard.last, found->shard.token});
   holding.usable_until = Instant{};
   holding.sent_at = Instant{};
   Reconcile();
 }
 
+bool ShardHolder::ByHeartbeat() const { return delivery_ == routes::GrantDelivery::kHeartbeats; }
+
+bool ShardHolder::WorkerReports() const {
+  return !ByHeartbeat() || !sharded_ || loop_.Now() - heard_at_ <= config_.heartbeat_silence;
+}
+
+void ShardHolder::OnKeyReport(const WorkerHeartbeat& heartbeat) {
+  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return;
+  heard_at_ = loop_.Now();
+  if (heartbeat_grants_.OnReport(heartbeat, &holdings_)) Reconcile();
+}
+
+std::optional<KeyLease> ShardHolder::LeaseFor(const WorkerHeartbeat& heartbeat) {
+  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return std::nullopt;
+  // Without the map, or the right to act on it, nothing is known of what the worker is to hold.
+  if (shards_.map().empty()) return std::nullopt;
+  const Instant now = loop_.Now();
+  const Duration authority = context_.AuthorityUntil() - now;
+  const Duration hold = std::min(config_.heartbeat_hold, authority - authority / kClockRateDivisor);
+  if (hold < kMinHold) return std::nullopt;
+  ++grants_sent_;
+  return heartbeat_grants_.MakeLease(
+      heartbeat, now, hold, [this](const sharding::Shard& shard) { return MustMove(shard); },
+      &holdings_);
+}
+
+// A worker whose heartbeats do not arrive cannot renew its keys: once its grants have run out,
+// others may have them.
+void ShardHolder::AbandonLapsed() {
+  if (worker_id_.empty() || WorkerReports()) return;
+  const Instant now = loop_.Now();
+  if (!EarlierGrantsRanOut(now) || context_.ChooseSuccessors(1).empty()) return;
+  size_t count = 0;
+  for (auto& [key, holding] : holdings_) {
+    if (holding.released || holding.worker_id != worker_id_ || now <= holding.held_until) continue;
+    holding.released = true;
+    holding.abandoned = true;
+    holding.usable_until = Instant{};
+    ++count;
+  }
+  if (count == 0) return;
+  log_.Write(LogLevel::kWarning, "lapsed_shards_given_up",
+             {{"worker", worker_id_},
+              {"shards", count},
+              {"heartbeat_age_ms", ToMilliseconds(now - heard_at_)}});
+}
+
 bool ShardHolder::HoldsNothing() const {
   const auto& shards = shards_.map().shards();
   return std::none_of(shards.begin(), shards.end(), [this](const sharding::Shard& shard) {
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -14,6 +14,9 @@
 #include "source/http/call_set.h"
 #include "source/sharding/key_load.h"
 #include "source/sharding/shard_map.h"
+#include "source/sidecar/heartbeat_grants.h"
+#include "source/sidecar/held_shard.h"
+#include "source/sidecar/key_lessor.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/shard_store.h"
 #include "source/sidecar/wire_format.h"
@@ -24,7 +27,12 @@
 struct ShardHolderConfig {
   std::string node;
   event::Endpoint worker;
-  Duration hold = std::chrono::seconds(3);  // Of one grant; at most what the fleet allows.
+  Duration hold = std::chrono::seconds(3);  // Of one grant call; at most what the fleet allows.
+  // Of a grant that travels in a heartbeat: at most what the fleet allows and the node's lease
+  // lasts. Long, so that a worker keeps its keys while its heartbeats are cut off for a while.
+  Duration heartbeat_hold = std::chrono::seconds(8);
+  // Without a heartbeat for so long, a worker counts as cut off from this node.
+  Duration heartbeat_silence = std::chrono::milliseconds(2500);
   Duration renewal_interval = std::chrono::seconds(1);
   Duration call_timeout = std::chrono::milliseconds(400);
   // A release answers when what runs on the keys has ended.
@@ -46,7 +54,7 @@
   virtual sharding::WorkerId WorkerOf(const std::string& node) = 0;
 };
 
-class ShardHolder : public KeyAuthority {
+class ShardHolder : public KeyAuthority, public KeyLessor {
  public:
   ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
               ShardStore& shards, ShardHolderContext& context, LogWriter& log,
@@ -55,6 +63,8 @@
 
   // The service of the worker is divided by key.
   void SetSharded(bool sharded);
+  // How the worker learns which keys it holds.
+  void SetGrantDelivery(routes::GrantDelivery delivery);
   // Identity of the worker; empty while none is known. `gone`: the former one is certainly not
   // running any more.
   void SetWorker(const std::string& worker_id, bool gone);
@@ -68,37 +78,27 @@
   void OnKeyOffered(sharding::ShardKey key) override { meter_.OnRequest(key); }
   void OnKeyRefused(sharding::ShardKey key) override;
 
+  void OnKeyReport(const WorkerHeartbeat& heartbeat) override;
+  std::optional<KeyLease> LeaseFor(const WorkerHeartbeat& heartbeat) override;
+
+  // The worker can be given keys: by calls, or its heartbeats arrive.
+  bool WorkerReports() const;
   sharding::KeyLoadMeter& meter() { return meter_; }
   // No shard of the map names this node as its owner.
   bool HoldsNothing() const;
   uint64_t grants_sent() const { return grants_sent_; }
 
  private:
-  // What this process has told the worker about one shard.
-  struct Holding {
-    sharding::Shard shard;
-    std::string worker_id;
-    Instant usable_until{};  // The worker certainly holds the keys until then.
-    Instant held_until{};    // The worker may hold the keys until then.
-    Instant sent_at{};
-    uint64_t call = 0;  // Of the call under way; zero: none.
-    bool releasing = false;
-    bool released = false;
-    bool superseded = false;  // The worker has seen a higher token on these keys.
-    std::string handover;     // Of the release.
-  };
-  using HoldingKey = std::tuple<sharding::ShardKey, sharding::ShardKey, sharding::FencingToken>;
-
   void Tick();
   void Reconcile();
   void AdoptShards();
   void RenewGrants();
-  void SendGrant(const HoldingKey& key, Holding* holding);
-  void OnGrantAnswer(const HoldingKey& key, uint64_t call, Instant sent, Duration hold,
+  void SendGrant(const HeldShardKey& key, HeldShard* holding);
+  void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
                      const std::optional<http::Response>& response);
   void ReleaseMoving();
-  void SendRelease(const HoldingKey& key, Holding* holding);
-  void OnReleaseAnswer(const HoldingKey& key, uint64_t call,
+  void SendRelease(const HeldShardKey& key, HeldShard* holding);
+  void OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
                        const std::optional<http::Response>& response);
   void CommitChanges();
   bool ReassignToOwnWorker(sharding::ShardMap* map);
@@ -106,9 +106,12 @@
   bool HandOverReleased(sharding::ShardMap* map);
   bool MustMove(const sharding::Shard& shard) const;
   bool HasChangeToCommit() const;
+  bool ByHeartbeat() const;
+  bool EarlierGrantsRanOut(Instant now) const;
+  void AbandonLapsed();
   bool OfFormerWorker(const sharding::Shard& shard) const;
   void StartCall(const http::Request& request, Duration timeout, http::CallSet::Callback callback);
-  const Holding* FindHolding(sharding::ShardKey key) const;
+  const HeldShard* FindHolding(sharding::ShardKey key) const;
 
   event::EventLoop& loop_;
   const WireFormat& wire_;
@@ -120,8 +123,11 @@
   event::Timer timer_;
   event::Timer commit_timer_;
   sharding::KeyLoadMeter meter_;
-  std::map<HoldingKey, Holding> holdings_;  // Ascending by key: shards do not overlap.
+  HeldShards holdings_;
   http::CallSet calls_;
+  HeartbeatGrants heartbeat_grants_;
+  routes::GrantDelivery delivery_ = routes::GrantDelivery::kCalls;
+  Instant heard_at_{};        // The latest heartbeat of the worker that reported keys.
   uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
   std::string worker_id_;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -18,6 +18,11 @@
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 constexpr Duration kLeaseTimeToLive = std::chrono::seconds(8);
 constexpr Duration kGrantHold = std::chrono::seconds(3);
+// Heartbeats that may be missed before a worker counts as cut off; single ones come late.
+constexpr double kSilentHeartbeats = 2.5;
+// Before the end of the time in which a draining worker may be sent requests: what is sent then
+// must still arrive in time.
+constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
 // After a stop was asked for, clients are still sent here until readiness was missed twice.
 constexpr Duration kStopMinimum = std::chrono::milliseconds(2300);
 // The worker beside a stopping node takes new work this much longer.
@@ -56,6 +61,9 @@
   config.node = settings.node_name;
   config.worker = settings.worker;
   config.hold = std::min(kGrantHold, settings.bounds.max_hold);
+  config.heartbeat_hold = std::min(kLeaseTimeToLive, settings.bounds.max_hold);
+  config.heartbeat_silence =
+      std::chrono::duration_cast<Duration>(settings.heartbeat_interval * kSilentHeartbeats);
   return config;
 }
 
@@ -100,7 +108,7 @@
       peers_(settings_.node_name, settings_.zone),
       gate_(loop, pool_, wire, settings_.worker),
       monitor_(loop, pool_, store_, wire, settings_, KeyOf(kDrainPrefix, settings_.node_name), log,
-               {[this](bool former_gone) { OnWorkerChanged(former_gone); }}),
+               {[this](bool former_gone) { OnWorkerChanged(former_gone); }, &holder_}),
       shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
       holder_(loop, pool_, wire, shard_store_, *this, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
@@ -259,6 +267,9 @@
   const bool sharded = service != nullptr && service->sharded;
   if (service != nullptr) monitor_.SetHealthPath(service->health_check_path);
   ingress_.SetConfiguration(configuration_);
+  holder_.SetGrantDelivery(service == nullptr
+                               ? settings_.grant_delivery
+                               : service->grant_delivery.value_or(settings_.grant_delivery));
   holder_.SetSharded(sharded);
   coordinator_.SetActive(sharded && !stopping_);
 }
@@ -325,7 +336,8 @@
   const std::string worker = monitor_.worker_id();
   gate_.SetWorker(worker, settings_.worker_service, monitor_.slots());
   gate_.SetColdUntil(monitor_.cold_until());
-  gate_.SetDraining(state == WorkerState::kDraining);
+  gate_.SetDraining(state == WorkerState::kDraining,
+                    monitor_.draining_since() + settings_.bounds.drain_timeout - kDrainSendMargin);
   holder_.SetWorker(worker, former_gone);
   holder_.SetLeaving(stopping_ || state == WorkerState::kDraining);
   Announce();
@@ -341,6 +353,7 @@
   record.worker_id = monitor_.worker_id();
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
+  record.takes_keys = holder_.WorkerReports();
   record.stopping = stopping_ && loop_.Now() - stop_started_ >= kStopAnnounceDelay;
   lease_.SetValue(record.Serialize());
 }
@@ -356,7 +369,7 @@
 
 sharding::WorkerId Sidecar::WorkerOf(const std::string& node) {
   const Peer* peer = peers_.Find(node);
-  if (peer == nullptr || !peer->record.accepting()) return {};
+  if (peer == nullptr || !peer->record.accepts_keys()) return {};
   return {node, peer->record.worker_id};
 }
 
@@ -375,6 +388,7 @@
   tick_.Start(kTickInterval);
   peers_.Sweep(now);
   holder_.meter().Roll(elapsed);
+  Announce();
   if (elapsed > kPauseNoticed) {
     log_.Write(LogLevel::kWarning, "paused", {{"elapsed_ms", ToMilliseconds(elapsed)}});
     state_watcher_.Refresh();
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "runshelf/common/clock.h"
 #include "source/http/message.h"
@@ -32,6 +33,40 @@
   std::string retry_after;      // On a refusal: seconds, with a fraction.
 };
 
+// Keys that a worker holds under one token, or still works on.
+struct HeldKeys {
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;  // Inside.
+  sharding::FencingToken token = 0;
+};
+
+// Keys that a worker has let go.
+struct ReleasedKeys {
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;  // Inside.
+  std::string handover;         // For the next holder; without it the keys are slow at first.
+};
+
+// What a worker says of its keys in a heartbeat.
+struct KeyReport {
+  std::vector<HeldKeys> held;
+  std::vector<ReleasedKeys> released;  // Since its last heartbeat that was acknowledged.
+};
+
+// Keys that a worker is to hold.
+struct LeasedKeys {
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;  // Inside.
+  sharding::FencingToken token = 0;
+  std::string handover;  // Of the last holder; empty when there is none or the worker has it.
+};
+
+// Answer to a heartbeat: all keys that the worker is to hold. What is missing it lets go.
+struct KeyLease {
+  std::vector<LeasedKeys> keys;
+  Duration hold{0};  // Counted by the worker from the sending of the heartbeat.
+};
+
 // A worker says that it is well, or that it is leaving.
 struct WorkerHeartbeat {
   std::string worker_id;
@@ -42,6 +77,7 @@
   bool draining = false;
   Duration cold_remaining{0};  // How much longer it is slow from its start.
   int64_t sequence = 0;        // Rises with each call of the worker.
+  KeyReport keys;              // Empty where keys are granted by calls.
 };
 
 // A worker has left or is about to.
@@ -82,8 +118,12 @@
 
   // kNotFound: the request is no call of a worker; kInvalidArgument: it is broken, and why.
   virtual absl::StatusOr<WorkerNotice> DecodeWorkerNotice(const http::Request& request) const = 0;
-  // Body of the answer that acknowledges a notice.
-  virtual std::string EncodeAcknowledgement() const = 0;
+  // Body of the answer that acknowledges a notice. Without a lease the worker's keys stay as they
+  // are, and are not renewed.
+  virtual std::string EncodeAcknowledgement(const std::optional<KeyLease>& lease) const = 0;
+  // Bytes that the body may have at most, and at most needs for one row of a lease.
+  virtual size_t MaxAcknowledgementBytes() const = 0;
+  virtual size_t LeaseRowBytes(const LeasedKeys& keys) const = 0;
 
   virtual http::Request EncodeGrant(const KeyGrant& grant) const = 0;
   virtual http::Request EncodeRelease(const KeyRelease& release) const = 0;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -230,7 +230,8 @@
   if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
   const bool sharded = key_authority_ != nullptr && key_authority_->Sharded();
   if (sharded && request.key.has_value()) {
-    // A draining worker serves its keys until they have been handed over.
+    // A draining worker serves its keys until they have been handed over, for as long as allowed.
+    if (draining_ && loop_.Now() >= drain_keys_until_) return FailureReason::kDraining;
     if (!key_authority_->MaySend(loop_.Now(), *request.key)) return FailureReason::kNotOwner;
     return std::nullopt;
   }
@@ -309,8 +310,9 @@
   }
 }
 
-void WorkerGate::SetDraining(bool draining) {
+void WorkerGate::SetDraining(bool draining, Instant keys_until) {
   draining_ = draining;
+  drain_keys_until_ = keys_until;
   if (draining) RefuseWaiting();
 }
 
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -60,8 +60,9 @@
 
   // Another worker, or none (an empty identity), is beside this node.
   void SetWorker(const std::string& worker_id, const std::string& service, uint32_t slots);
-  // A draining worker gets nothing new: what waits is refused.
-  void SetDraining(bool draining);
+  // A draining worker gets nothing new, and what waits is refused; but for requests with keys,
+  // which it may be sent until `keys_until` while they are being handed over.
+  void SetDraining(bool draining, Instant keys_until);
   void SetColdUntil(Instant cold_until) { cold_until_ = cold_until; }
 
   std::unique_ptr<Attempt> Submit(const AttemptRequest& request, AttemptObserver* observer);
@@ -101,6 +102,7 @@
   std::string service_;
   uint32_t slots_ = 0;
   bool draining_ = false;
+  Instant drain_keys_until_{};
   Instant cold_until_{};
   admission::AdmissionQueue queue_;
   event::Timer tick_;
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -77,10 +77,21 @@
   }
 }
 
-void WorkerMonitor::Acknowledge(const http::ExchangePtr& exchange) {
+void WorkerMonitor::Acknowledge(const http::ExchangePtr& exchange,
+                                const std::optional<KeyLease>& lease) {
   http::Headers headers;
   headers.Add("Content-Type", "application/json");
-  exchange->Respond(kOk, headers, wire_.EncodeAcknowledgement());
+  exchange->Respond(kOk, headers, wire_.EncodeAcknowledgement(lease));
+}
+
+// Only the answer to the newest heartbeat says what the worker is to hold: one that comes late, or
+// twice, tells of keys that may have moved since.
+void WorkerMonitor::AcknowledgeHeartbeat(const http::ExchangePtr& exchange,
+                                         const WorkerHeartbeat& heartbeat) {
+  const bool newest = heartbeat.worker_id == worker_id_ && heartbeat.sequence == sequence_;
+  Acknowledge(exchange, newest && observer_.lessor != nullptr
+                            ? observer_.lessor->LeaseFor(heartbeat)
+                            : std::nullopt);
 }
 
 void WorkerMonitor::OnHeartbeat(const http::ExchangePtr& exchange,
@@ -92,7 +103,7 @@
   }
   const bool former = former_workers_.contains(heartbeat.worker_id);
   if (former || heartbeat.service != settings_.worker_service) {
-    Acknowledge(exchange);
+    Acknowledge(exchange, std::nullopt);
     return;
   }
   if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id);
@@ -104,11 +115,13 @@
       slots_ = heartbeat.slots;
       observer_.on_changed(false);
     }
+    if (observer_.lessor != nullptr) observer_.lessor->OnKeyReport(heartbeat);
   }
   if (heartbeat.draining) {
-    RecordDrain(exchange, heartbeat.worker_id);
+    RecordDrain(exchange, heartbeat.worker_id,
+                [this, exchange, heartbeat] { AcknowledgeHeartbeat(exchange, heartbeat); });
   } else {
-    Acknowledge(exchange);
+    AcknowledgeHeartbeat(exchange, heartbeat);
   }
 }
 
@@ -116,10 +129,11 @@
   if (!synchronized_) {
     exchange->Respond(kServiceUnavailable, {}, "");
   } else if (former_workers_.contains(leave.worker_id)) {
-    Acknowledge(exchange);
+    Acknowledge(exchange, std::nullopt);
   } else {
     if (leave.worker_id != worker_id_) AdoptWorker(leave.worker_id);
-    RecordDrain(exchange, leave.worker_id);
+    RecordDrain(exchange, leave.worker_id,
+                [this, exchange] { Acknowledge(exchange, std::nullopt); });
   }
 }
 
@@ -133,6 +147,7 @@
   worker_id_ = worker_id;
   sequence_ = -1;
   draining_ = worker_id == recorded_drain_;
+  draining_since_ = Instant{};
   heard_at_ = loop_.Now();
   failed_probes_ = 0;
   probe_timer_.Stop();
@@ -144,41 +159,40 @@
 void WorkerMonitor::MarkDraining() {
   if (draining_) return;
   draining_ = true;
+  draining_since_ = loop_.Now();
   log_.Write(LogLevel::kInfo, "worker_draining", {{"worker", worker_id_}});
   observer_.on_changed(false);
 }
 
-void WorkerMonitor::RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id) {
+// Calls `acknowledge` once the store knows that the worker leaves; else the worker is told to try
+// again.
+void WorkerMonitor::RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
+                                std::function<void()> acknowledge) {
   MarkDraining();
   if (recorded_drain_ == worker_id) {
-    Acknowledge(exchange);
+    acknowledge();
     return;
   }
   store::Transaction transaction;
   transaction.conditions.push_back({drain_key_, drain_revision_});
   transaction.puts.push_back({drain_key_, worker_id, 0});
-  store_.Commit(transaction,
-                [this, exchange, worker_id](absl::StatusOr<store::CommitResult> result) {
-                  if (!result.ok()) {
-                    exchange->Respond(kServiceUnavailable, {}, "");
-                    return;
-                  }
-                  if (result->outcome == store::CommitOutcome::kCommitted) {
-                    OnDrainRecord(worker_id, result->revision);
-                    Acknowledge(exchange);
-                    return;
-                  }
-                  // Another write came first, perhaps this one's lost twin.
-                  drain_revision_ = 0;
-                  recorded_drain_.clear();
-                  for (const store::Item& item : result->found)
-                    OnDrainRecord(item.value, item.revision);
-                  if (recorded_drain_ == worker_id) {
-                    Acknowledge(exchange);
-                  } else {
-                    RecordDrain(exchange, worker_id);
-                  }
-                });
+  store_.Commit(transaction, [this, exchange, worker_id, acknowledge = std::move(acknowledge)](
+                                 absl::StatusOr<store::CommitResult> result) {
+    if (!result.ok()) {
+      exchange->Respond(kServiceUnavailable, {}, "");
+      return;
+    }
+    if (result->outcome == store::CommitOutcome::kCommitted) {
+      OnDrainRecord(worker_id, result->revision);
+      acknowledge();
+      return;
+    }
+    // Another write came first, perhaps this one's lost twin.
+    drain_revision_ = 0;
+    recorded_drain_.clear();
+    for (const store::Item& item : result->found) OnDrainRecord(item.value, item.revision);
+    RecordDrain(exchange, worker_id, acknowledge);
+  });
 }
 
 void WorkerMonitor::OnWorkerAnswered() {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -3,12 +3,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "source/event/event_loop.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
+#include "source/sidecar/key_lessor.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/node_record.h"
 #include "source/sidecar/settings.h"
@@ -25,6 +27,7 @@
   struct Observer {
     // Identity, state or slots changed; `former_gone`: the former worker certainly ended.
     std::function<void(bool former_gone)> on_changed;
+    KeyLessor* lessor = nullptr;  // Must outlive the monitor.
   };
 
   WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool, store::StoreClient& store,
@@ -46,6 +49,9 @@
   uint32_t slots() const { return slots_; }
   WorkerState state() const;
   Instant cold_until() const { return cold_until_; }
+  // Since when the worker is known to be leaving. Instant{} when an earlier life of this process
+  // learnt it.
+  Instant draining_since() const { return draining_since_; }
 
   void OnWorkerAnswered() override;
   void OnWorkerUnreachable() override;
@@ -54,8 +60,10 @@
  private:
   void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
   void OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave);
-  void Acknowledge(const http::ExchangePtr& exchange);
-  void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id);
+  void Acknowledge(const http::ExchangePtr& exchange, const std::optional<KeyLease>& lease);
+  void AcknowledgeHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
+  void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
+                   std::function<void()> acknowledge);
   void AdoptWorker(const std::string& worker_id);
   void MarkDraining();
   void MarkDead(const char* reason);
@@ -80,6 +88,7 @@
   uint32_t slots_ = 0;
   int64_t sequence_ = -1;
   bool draining_ = false;
+  Instant draining_since_{};
   Instant cold_until_{};
   Instant heard_at_{};           // The latest heartbeat or answer.
   uint32_t failed_probes_ = 0;   // In a row.
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -1,5 +1,6 @@
 #include "tests/platform_adapter/fake_worker.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -32,14 +33,26 @@
 
 void FakeWorker::SendHeartbeat() {
   heartbeat_timer_.Start(interval_);
-  const json body{{"service", service_},
-                  {"address", endpoint().ToString()},
-                  {"zone", "z"},
-                  {"version", "v1"},
-                  {"slots", 4},
-                  {"state", draining_ ? "draining" : "ready"},
-                  {"cold_remaining_ms", 0},
-                  {"call_sequence", ++sequence_}};
+  if (heartbeats_cut_) return;
+  json body{{"service", service_},
+            {"address", endpoint().ToString()},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", 4},
+            {"state", draining_ ? "draining" : "ready"},
+            {"cold_remaining_ms", 0},
+            {"call_sequence", ++sequence_}};
+  if (keys_in_heartbeats_) {
+    std::erase_if(grants_, [this](const Grant& grant) { return loop_.Now() >= grant.until; });
+    body["holds"] = json::array();
+    body["released"] = json::array();
+    for (const Grant& grant : grants_) {
+      body["holds"].push_back({grant.first, grant.last, grant.fence});
+    }
+    for (const Grant& grant : released_) {
+      body["released"].push_back({grant.first, grant.last, "from-" + id_});
+    }
+  }
   http::RequestHead head;
   head.method = "POST";
   head.target = "/runshelf/rpc?call=instances.heartbeat&of=" + id_;
@@ -47,15 +60,60 @@
   heartbeat_ = std::make_unique<http::SimpleCall>(
       loop_, pool_, node_, http::SerializeRequest(head, body.dump()), http::CallOptions{},
       std::chrono::seconds(1),
-      [this, leaving = draining_](const std::optional<http::Response>& response,
-                                  http::ClientFailure) {
+      [this, leaving = draining_, sent = loop_.Now(), released = released_.size()](
+          const std::optional<http::Response>& response, http::ClientFailure) {
         if (!response.has_value()) return;
         heartbeat_status_ = response->status;
-        const bool acknowledged = leaving && response->status == 200;
-        if (acknowledged && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
+        if (response->status != 200) return;
+        if (leaving && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
+        released_.erase(released_.begin(), released_.begin() + static_cast<long>(released));
+        if (keys_in_heartbeats_) OnLease(response->body, sent);
       });
 }
 
+// The answer to a heartbeat that was sent at `sent` lists all keys that the worker is to hold.
+void FakeWorker::OnLease(const std::string& body, Instant sent) {
+  const json answer = json::parse(body);
+  if (!answer.contains("holds") || body.size() > 4096) return;
+  const std::vector<Grant> before = std::move(grants_);
+  grants_.clear();
+  for (const json& row : answer["holds"]) {
+    Grant grant{row[0], row[1], row[2], {}, row[3]};
+    grant.until = sent + std::chrono::milliseconds(answer["hold_ms"].get<int64_t>());
+    // The handover stays known where the answer does not repeat it.
+    for (const Grant& old : before) {
+      if (grant.handover.empty() && old.fence == grant.fence &&
+          Overlaps(old, grant.first, grant.last))
+        grant.handover = old.handover;
+    }
+    if (TakeRow(grant)) grants_.push_back(grant);
+  }
+  bool let_go = false;
+  for (const Grant& old : before) {
+    const bool kept = std::any_of(grants_.begin(), grants_.end(), [&](const Grant& grant) {
+      return Overlaps(grant, old.first, old.last);
+    });
+    if (kept) continue;
+    released_.push_back(old);
+    let_go = true;
+  }
+  // At most a tenth of a second later the node is told.
+  if (let_go) heartbeat_timer_.Start(std::min<Duration>(interval_, std::chrono::milliseconds(50)));
+}
+
+// False: a higher fence was seen on one of the keys.
+bool FakeWorker::TakeRow(const Grant& grant) {
+  for (const Grant& seen : fences_seen_) {
+    if (Overlaps(seen, grant.first, grant.last) && seen.fence > grant.fence) {
+      ++refused_orders_;
+      return false;
+    }
+  }
+  fences_seen_.push_back(grant);
+  if (on_granted_) on_granted_(grant.first, grant.last, grant.fence);
+  return true;
+}
+
 const FakeWorker::Grant* FakeWorker::Holds(uint32_t key) const {
   for (const Grant& grant : grants_) {
     if (Overlaps(grant, key, key) && loop_.Now() < grant.until) return &grant;
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -27,6 +27,12 @@
   // Sends heartbeats to the node beside it until the worker is destroyed.
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
   void set_draining(bool draining) { draining_ = draining; }
+  // The worker reports its keys in heartbeats, and holds what the answers list.
+  void set_keys_in_heartbeats(bool keys_in_heartbeats) { keys_in_heartbeats_ = keys_in_heartbeats; }
+  // Heartbeats are cut off from the node; the worker serves on.
+  void set_heartbeats_cut(bool cut) { heartbeats_cut_ = cut; }
+  // Sequence number of the latest heartbeat.
+  int64_t sequence() const { return sequence_; }
   // Status of the latest answer to a heartbeat; zero before the first.
   int heartbeat_status() const { return heartbeat_status_; }
 
@@ -60,6 +66,8 @@
   void HandleRelease(const http::ExchangePtr& exchange);
   void HandleRequest(const http::ExchangePtr& exchange);
   void SendHeartbeat();
+  void OnLease(const std::string& body, Instant sent);
+  bool TakeRow(const Grant& grant);
 
   event::EventLoop& loop_;
   std::string id_;
@@ -79,6 +87,9 @@
   uint64_t refused_orders_ = 0;
   int64_t sequence_ = 0;
   int heartbeat_status_ = 0;
+  std::vector<Grant> released_;  // Since the last heartbeat that was acknowledged.
+  bool keys_in_heartbeats_ = false;
+  bool heartbeats_cut_ = false;
   bool draining_ = false;
   bool sharded_ = false;
 };
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -41,7 +41,7 @@
       version, plain_service, plain_service);
 }
 
-Fleet::Fleet(const std::vector<std::string>& services)
+Fleet::Fleet(const std::vector<std::string>& services, routes::GrantDelivery grant_delivery)
     : log_descriptor_(open("/dev/null", O_WRONLY | O_CLOEXEC)), log_(loop, log_descriptor_, {}) {
   for (size_t index = 0; index < services.size(); ++index) {
     Node node;
@@ -62,6 +62,8 @@
     node.settings.worker_service = services[index];
     node.settings.store = store.endpoint();
     node.settings.heartbeat_interval = kHeartbeatInterval;
+    node.settings.grant_delivery = grant_delivery;
+    node.worker->set_keys_in_heartbeats(grant_delivery == routes::GrantDelivery::kHeartbeats);
     nodes.push_back(std::move(node));
   }
 }
@@ -114,6 +116,8 @@
   event::RunFor(loop, std::chrono::milliseconds(5));
   nodes[node].worker = std::make_unique<FakeWorker>(loop, id, nodes[node].settings.worker_service);
   nodes[node].worker->set_sharded(nodes[node].settings.worker_service == "keyed");
+  nodes[node].worker->set_keys_in_heartbeats(nodes[node].settings.grant_delivery ==
+                                             routes::GrantDelivery::kHeartbeats);
   nodes[node].worker->Listen(port);
   nodes[node].worker->StartHeartbeats(*nodes[node].settings.control_plane, kHeartbeatInterval);
 }
@@ -183,6 +187,26 @@
   return text;
 }
 
+std::optional<Fleet::Answer> Fleet::Heartbeat(size_t node, const std::string& worker_id,
+                                              const std::string& body) {
+  std::optional<Answer> answer;
+  bool over = false;
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/runshelf/rpc?call=instances.heartbeat&of=" + worker_id;
+  head.headers.Add("Host", "h");
+  http::SimpleCall call(loop, pool_, *nodes[node].settings.control_plane,
+                        http::SerializeRequest(head, body), {}, std::chrono::seconds(2),
+                        [&](const std::optional<http::Response>& response, http::ClientFailure) {
+                          over = true;
+                          if (!response.has_value()) return;
+                          answer = Answer{response->status, response->body, response->headers};
+                        });
+  event::RunUntil(
+      loop, [&] { return over; }, std::chrono::seconds(3));
+  return answer;
+}
+
 int Fleet::LateOrder(size_t node, const std::string& target, const std::string& body) {
   int status = 0;
   http::RequestHead head;
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -28,7 +28,8 @@
   };
 
   // One node for each name of `services`; "keyed" is divided by key.
-  explicit Fleet(const std::vector<std::string>& services);
+  explicit Fleet(const std::vector<std::string>& services,
+                 routes::GrantDelivery grant_delivery = routes::GrantDelivery::kCalls);
   ~Fleet();
 
   // Starts all nodes and waits until they are ready and every service is served.
@@ -63,6 +64,9 @@
   std::optional<int> Readiness(size_t node);
   // What the node tells of itself; its settings name an address for it.
   std::string Metrics(size_t node);
+  // A heartbeat that somebody sends in the name of a worker; nullopt when no answer came.
+  std::optional<Answer> Heartbeat(size_t node, const std::string& worker_id,
+                                  const std::string& body);
   // An order to a worker that somebody sent earlier arrives now; returns the status of its answer.
   int LateOrder(size_t node, const std::string& target, const std::string& body);
 
--- /dev/null
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -0,0 +1,209 @@
+// Keys that travel in heartbeats: who holds which, as workers see it, when nodes and workers
+// restart, leave, are lost or cut off.
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include "tests/platform_adapter/fleet.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+
+namespace {
+
+constexpr auto kByHeartbeat = routes::GrantDelivery::kHeartbeats;
+
+std::string HeartbeatBody(int64_t sequence, const std::string& rows) {
+  return fmt::format(
+      R"({{"service":"keyed","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"ready","cold_remaining_ms":0,"call_sequence":{}{}}})",
+      sequence, rows);
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(HeartbeatKeys){// The worker that holds `key`, once a request for it is served.
+                          static size_t ServedBy(Fleet * fleet, uint32_t key){
+                              const Instant end = fleet->loop.Now() + std::chrono::seconds(8);
+std::optional<Fleet::Answer> answer;
+while (fleet->loop.Now() < end) {
+  answer = fleet->Keyed(2, key);
+  if (answer.has_value() && answer->status == 200) break;
+  RunFor(fleet->loop, std::chrono::milliseconds(20));
+}
+CHECK(answer.has_value());
+CHECK_EQUAL(200, answer->status);
+return *fleet->HolderOf(key);
+}
+}
+;
+
+TEST(HeartbeatKeys, EveryKeyHasOneHolderAndRequestsFindIt) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  CHECK(fleet.EveryKeyHeld());
+  for (uint32_t key = 0; key < 65536; key += 4000) {
+    const auto answer = fleet.Keyed(3, key);
+    CHECK_EQUAL(200, answer->status);
+    const std::string expected = fleet.nodes[*fleet.HolderOf(key)].worker->id() + ":";
+    STRCMP_EQUAL(expected.c_str(), answer->body.c_str());
+  }
+}
+
+TEST(HeartbeatKeys, ARestartedNodeRenewsTheSameGrants) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(0)->fence;
+  fleet.Kill(holder);
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  fleet.Restart(holder);
+  CHECK_EQUAL(holder, ServedBy(&fleet, 0));
+  CHECK_EQUAL(fence, fleet.nodes[holder].worker->Holds(0)->fence);
+}
+
+TEST(HeartbeatKeys, ANewIncarnationGetsItsKeysUnderAHigherFence) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(0)->fence;
+  fleet.ReplaceWorker(holder, "w9");
+  CHECK(fleet.nodes[ServedBy(&fleet, 0)].worker->Holds(0)->fence > fence);
+}
+
+TEST(HeartbeatKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t leaving = *fleet.HolderOf(0);
+  fleet.nodes[leaving].worker->set_draining(true);
+  CHECK(RunUntil(fleet.loop,
+                 [&] { return fleet.HolderOf(0).has_value() && *fleet.HolderOf(0) != leaving; }));
+  const auto* grant = fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0);
+  STRCMP_EQUAL(("from-" + fleet.nodes[leaving].worker->id()).c_str(), grant->handover.c_str());
+  CHECK_EQUAL(1, fleet.HoldersOf(0));
+}
+
+TEST(HeartbeatKeys, KeysOfAStoppingNodeMoveWithTheirHandover) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t leaving = *fleet.HolderOf(0);
+  bool stopped = false;
+  fleet.nodes[leaving].sidecar->Stop([&] { stopped = true; });
+  CHECK(RunUntil(
+      fleet.loop, [&] { return stopped; }, std::chrono::seconds(8)));
+  CHECK(ServedBy(&fleet, 0) != leaving);
+  const auto* grant = fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0);
+  STRCMP_EQUAL(("from-" + fleet.nodes[leaving].worker->id()).c_str(), grant->handover.c_str());
+}
+
+TEST(HeartbeatKeys, KeysOfALostMachineAreTakenOnlyAfterItsLease) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t lost = *fleet.HolderOf(0);
+  fleet.Kill(lost);
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  CHECK_EQUAL(1, fleet.HoldersOf(0));
+  CHECK_EQUAL(lost, *fleet.HolderOf(0));
+  fleet.nodes[lost].worker.reset();
+  fleet.nodes[lost].worker = std::make_unique<FakeWorker>(fleet.loop, "gone", "keyed");
+  fleet.store.LapseLeases();
+  CHECK(ServedBy(&fleet, 0) != lost);
+}
+
+TEST(HeartbeatKeys, WithoutTheStoreKeysAreServedUntilTheLeaseEnds) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  fleet.store.set_fault(FakeStore::Fault::kSilent);
+  RunFor(fleet.loop, std::chrono::seconds(3));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+// Its heartbeats do not reach the node, but requests reach the worker.
+TEST(HeartbeatKeys, AWorkerThatIsCutOffKeepsItsKeysWhileTheGrantLastsThenOthersGetThem) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  for (auto& node : fleet.nodes) node.settings.bounds.max_hold = std::chrono::milliseconds(2500);
+  fleet.Start();
+  const size_t cut = *fleet.HolderOf(0);
+  fleet.nodes[cut].worker->set_heartbeats_cut(true);
+  RunFor(fleet.loop, std::chrono::milliseconds(800));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+  CHECK_EQUAL(cut, *fleet.HolderOf(0));
+  CHECK(RunUntil(
+      fleet.loop, [&] { return fleet.HolderOf(0).has_value() && *fleet.HolderOf(0) != cut; },
+      std::chrono::seconds(6)));
+  CHECK_EQUAL(1, fleet.HoldersOf(0));
+  // The keys do not go back to a worker that cannot be told of them.
+  RunFor(fleet.loop, std::chrono::seconds(2));
+  CHECK(*fleet.HolderOf(0) != cut);
+}
+
+TEST(HeartbeatKeys, AHeartbeatThatComesLateSaysNothingOfKeysAndIsToldNothing) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const std::string& worker = fleet.nodes[holder].worker->id();
+  const auto late = fleet.Heartbeat(holder, worker, HeartbeatBody(1, R"(,"holds":[])"));
+  CHECK_EQUAL(200, late->status);
+  CHECK_FALSE(Contains(late->body, "holds"));
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  CHECK_EQUAL(holder, *fleet.HolderOf(0));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+TEST(HeartbeatKeys, AFormerWorkerIsToldNothing) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const std::string former = fleet.nodes[holder].worker->id();
+  fleet.ReplaceWorker(holder, "w9");
+  ServedBy(&fleet, 0);
+  const auto late = fleet.Heartbeat(holder, former, HeartbeatBody(1000, R"(,"holds":[[0,9,1]])"));
+  CHECK_EQUAL(200, late->status);
+  CHECK_FALSE(Contains(late->body, "holds"));
+}
+
+TEST(HeartbeatKeys, ABrokenReportIsRefusedAndNothingIsLost) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const std::string worker = fleet.nodes[holder].worker->id();
+  const auto answer =
+      fleet.Heartbeat(holder, worker, HeartbeatBody(100000, R"(,"holds":[[9,0,1]])"));
+  CHECK_EQUAL(400, answer->status);
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  CHECK_EQUAL(holder, *fleet.HolderOf(0));
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+// A worker may have seen a higher fence than the map knows: from a node that did not live to write
+// the map, or by somebody's mistake.
+TEST(HeartbeatKeys, AWorkerThatSawAHigherFenceGetsTheKeysAboveIt) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const FakeWorker::Grant old = *fleet.nodes[holder].worker->Holds(0);
+  const std::string order = fmt::format(R"({{"from_revision":0,"target_version":{},"fence":{}}})",
+                                        old.last, old.fence + 1);
+  CHECK_EQUAL(200, fleet.LateOrder(holder, "/runshelf/release", order));
+  CHECK(fleet.nodes[ServedBy(&fleet, 0)].worker->Holds(0)->fence > old.fence);
+}
+
+TEST(HeartbeatKeys, ANodeWithoutAuthorityRenewsNothing) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const auto& worker = *fleet.nodes[holder].worker;
+  fleet.store.set_fault(FakeStore::Fault::kSilent);
+  RunFor(fleet.loop, std::chrono::milliseconds(8500));
+  const auto answer =
+      fleet.Heartbeat(holder, worker.id(), HeartbeatBody(worker.sequence() + 1, R"(,"holds":[])"));
+  CHECK_EQUAL(200, answer->status);
+  CHECK_FALSE(Contains(answer->body, "holds"));
+  CHECK(worker.Holds(0) == nullptr);
+}
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -108,6 +108,90 @@
   CHECK_FALSE(DecodeConfiguration(std::string(100000, '[')).ok());
 }
 
+TEST(Translation, AHeartbeatSaysWhichKeysAreHeldAndReleased) {
+  const auto notice = wire.DecodeWorkerNotice(
+      Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
+           R"({"service":"s1","slots":18,"state":"ready","call_sequence":4,)"
+           R"("holds":[[0,4095,7],[9000,9000,12]],"released":[[4096,8191,"h1"],[1,2,null]]})"));
+  CHECK(notice.ok());
+  const auto& keys = std::get<sidecar::WorkerHeartbeat>(*notice).keys;
+  CHECK_EQUAL(2, keys.held.size());
+  CHECK_EQUAL(4095, keys.held[0].last);
+  CHECK_EQUAL(12, keys.held[1].token);
+  CHECK_EQUAL(2, keys.released.size());
+  STRCMP_EQUAL("h1", keys.released[0].handover.c_str());
+  STRCMP_EQUAL("", keys.released[1].handover.c_str());
+}
+
+TEST(Translation, BrokenRowsOfKeysAreRefusedWithAReason) {
+  std::string many = "[[0,1,1]";
+  for (int index = 0; index < 5000; ++index) many += ",[0,1,1]";
+  const std::string broken[] = {
+      R"("holds":7)",
+      R"("holds":{"0":1})",
+      R"("holds":[7])",
+      R"("holds":[[0,1]])",
+      R"("holds":[[0,1,2,3]])",
+      R"("holds":[[5,4,1]])",
+      R"("holds":[[0,65536,1]])",
+      R"("holds":[[-1,4,1]])",
+      R"("holds":[[0.5,4,1]])",
+      R"("holds":[["0",4,1]])",
+      R"("holds":[[0,4,"1"]])",
+      R"("holds":[[0,4,-1]])",
+      R"("holds":[[0,4,18446744073709551615]])",
+      R"("released":[[0,4,7]])",
+      R"("released":[[4,0,"h"]])",
+      R"("released":[[0,4,")" + std::string(1000, 'h') + R"("]])",
+      "\"holds\":" + many + "]",
+  };
+  for (const std::string& rows : broken) {
+    const auto notice = wire.DecodeWorkerNotice(
+        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
+             R"({"service":"s1","slots":18,"state":"ready","call_sequence":4,)" + rows + "}"));
+    CHECK_TEXT(absl::IsInvalidArgument(notice.status()), rows.substr(0, 60).c_str());
+    CHECK_FALSE_TEXT(notice.status().message().empty(), rows.substr(0, 60).c_str());
+  }
+}
+
+TEST(Translation, MissingAndNullRowsOfKeysCountAsNone) {
+  for (const char* rows : {"", R"(,"holds":null,"released":null)", R"(,"holds":[])"}) {
+    const auto notice = wire.DecodeWorkerNotice(
+        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
+             R"({"service":"s1","slots":18,"state":"ready","call_sequence":4)" + std::string(rows) +
+                 "}"));
+    CHECK(notice.ok());
+    CHECK(std::get<sidecar::WorkerHeartbeat>(*notice).keys.held.empty());
+  }
+}
+
+TEST(Translation, AnAnswerWithALeaseListsItsRows) {
+  STRCMP_EQUAL("{}", wire.EncodeAcknowledgement(std::nullopt).c_str());
+  sidecar::KeyLease lease;
+  lease.hold = std::chrono::milliseconds(4000);
+  STRCMP_EQUAL(R"({"hold_ms":4000,"holds":[]})", wire.EncodeAcknowledgement(lease).c_str());
+  lease.keys = {{0, 4095, 7, ""}, {9000, 9999, 12, "h1"}};
+  const std::string body = wire.EncodeAcknowledgement(lease);
+  STRCMP_EQUAL(R"({"hold_ms":4000,"holds":[[0,4095,7,""],[9000,9999,12,"h1"]]})", body.c_str());
+  size_t bytes = 64;
+  for (const auto& row : lease.keys) bytes += wire.LeaseRowBytes(row);
+  CHECK(body.size() <= bytes);
+}
+
+TEST(Translation, AServiceSaysHowItsKeysAreGranted) {
+  const auto with = [](const std::string& word) {
+    std::string text = Replaced(kConfiguration, R"("warmup_s"],)", R"("warmup_s","grants"],)");
+    text = Replaced(text, "110,true,3.0]", "110,true,3.0," + word + "]");
+    return DecodeConfiguration(text);
+  };
+  CHECK(with("\"heartbeat\"")->FindService("s1")->grant_delivery ==
+        routes::GrantDelivery::kHeartbeats);
+  CHECK(with("\"invocation\"")->FindService("s1")->grant_delivery == routes::GrantDelivery::kCalls);
+  CHECK_FALSE(with("null")->FindService("s1")->grant_delivery.has_value());
+  CHECK_FALSE(with("\"letter\"").ok());
+  CHECK_FALSE(with("7").ok());
+}
+
 TEST(Translation, AHeartbeatIsRead) {
   const auto notice = wire.DecodeWorkerNotice(
       Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
