--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -217,9 +217,19 @@
   const auto accepting = Accepting(input);
   const size_t max_shards =
       std::max(config.max_shards, config.max_shards_per_worker * accepting.size());
-  if (map.empty() || accepting.size() < 2 || map.shards().size() > max_shards) return plan;
+  if (map.empty() || accepting.size() < 2 || map.shards().size() > max_shards) {
+    plan.reason = "too-few-workers-or-too-many-shards";
+    return plan;
+  }
   for (const Shard& shard : map.shards()) {
-    if (!shard.move_to_node.empty() || FindWorker(input, shard.owner.node) == nullptr) return plan;
+    if (!shard.move_to_node.empty()) {
+      plan.reason = "move-under-way-at-" + shard.owner.node;
+      return plan;
+    }
+    if (FindWorker(input, shard.owner.node) == nullptr) {
+      plan.reason = "unknown-owner-" + shard.owner.node;
+      return plan;
+    }
   }
   const BucketLoads loads(map, input);
   std::vector<Usage> usages;
@@ -240,18 +250,24 @@
     Usage& most = *std::max_element(usages.begin(), usages.end(), by_utilization);
     Usage& least = *std::min_element(usages.begin(), usages.end(), by_utilization);
     const double gap = most.Utilization() - least.Utilization();
-    if (most.Utilization() < config.busy_utilization || gap < config.utilization_gap) break;
+    if (most.Utilization() < config.busy_utilization || gap < config.utilization_gap) {
+      plan.reason = "even";
+      break;
+    }
     // Moving `rate` lowers one and raises the other; half of the gap makes them even.
     const double slope = most.service_seconds / std::max(1U, most.worker->slots) +
                          least.service_seconds / std::max(1U, least.worker->slots);
     const auto piece = BestPiece(plan.map, loads, most.worker->id.node, gap / slope);
-    if (!piece.has_value() || piece->rate * slope < gap / 8) break;
+    if (!piece.has_value() || piece->rate * slope < gap / 8) {
+      plan.reason = "no-piece-to-move-from-" + most.worker->id.node;
+      break;
+    }
     MarkMove(&plan.map, *piece, least.worker->id.node);
     most.rate -= piece->rate;
     least.rate += piece->rate;
     plan.changed = true;
   }
-  plan.reason = "balance";
+  if (plan.changed) plan.reason = "balance";
   return plan;
 }
 
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -133,6 +133,11 @@
 void ShardCoordinator::Balance() {
   if (Rank() != 0) return;
   const sharding::Plan plan = PlanBalance(shards_.map(), MakeInput(), config_.planner);
+  if (plan.reason != balance_reason_) {
+    balance_reason_ = plan.reason;
+    log_.Write(LogLevel::kInfo, "balance_considered",
+               {{"outcome", plan.reason}, {"revision", shards_.revision()}});
+  }
   if (plan.changed) Commit(plan);
 }
 
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -76,6 +76,7 @@
   Instant repair_needed_since_{};
   Instant balanced_at_{};
   Instant report_sent_at_{};
+  std::string balance_reason_;  // Of the latest look at the balance.
   bool active_ = false;
   bool bound_ = false;
 };
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -255,7 +255,15 @@
   const bool renewed = RenewTokens(&changed);
   const bool handed_over = HandOverReleased(&changed);
   if (!reassigned && !renewed && !handed_over) return;
-  shards_.Replace(changed, {}, [this](ShardStore::Outcome outcome) {
+  const size_t released = ReleasedCount();
+  shards_.Replace(changed, {}, [this, reassigned, renewed, released](ShardStore::Outcome outcome) {
+    log_.Write(LogLevel::kInfo, "shards_changed",
+               {{"committed", outcome == ShardStore::Outcome::kCommitted},
+                {"known", outcome != ShardStore::Outcome::kUnknown},
+                {"revision", shards_.revision()},
+                {"reassigned", reassigned},
+                {"renewed", renewed},
+                {"released", released}});
     if (outcome == ShardStore::Outcome::kUnknown) commit_timer_.Start(kCommitRetry);
     Reconcile();
   });
@@ -301,8 +309,7 @@
 }
 
 bool ShardHolder::HandOverReleased(sharding::ShardMap* map) {
-  size_t released = 0;
-  for (const auto& [key, holding] : holdings_) released += holding.released ? 1 : 0;
+  const size_t released = ReleasedCount();
   if (released == 0) return false;
   const bool abandoned = std::any_of(holdings_.begin(), holdings_.end(),
                                      [](const auto& entry) { return entry.second.abandoned; });
@@ -338,6 +345,12 @@
   return changed;
 }
 
+size_t ShardHolder::ReleasedCount() const {
+  return static_cast<size_t>(
+      std::count_if(holdings_.begin(), holdings_.end(),
+                    [](const auto& entry) { return entry.second.released; }));
+}
+
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
   if (now >= context_.AuthorityUntil()) return false;
   const HeldShard* holding = FindHolding(key);
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -104,6 +104,7 @@
   bool ReassignToOwnWorker(sharding::ShardMap* map);
   bool RenewTokens(sharding::ShardMap* map);
   bool HandOverReleased(sharding::ShardMap* map);
+  size_t ReleasedCount() const;
   bool MustMove(const sharding::Shard& shard) const;
   bool HasChangeToCommit() const;
   bool ByHeartbeat() const;
