--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -35,7 +35,16 @@
   // slots, and the most used one is above `busy_utilization`.
   double utilization_gap = 0.15;
   double busy_utilization = 0.35;
-  size_t moves_per_round = 6;
+  // Moves that are under way at the same time, all together.
+  size_t moves_per_round = 12;
+  // A worker used above this is saturated: requests are refused there. Pieces that take at least
+  // `least_relief` of a worker are worth moving away from it.
+  double saturated_utilization = 0.85;
+  double least_relief = 0.004;
+  // A bucket that takes this part of its worker goes to the fastest worker, if that one is faster
+  // by this factor: what workers differ by is told nowhere and measured with some noise.
+  double hot_bucket_utilization = 0.5;
+  double faster_by = 1.25;
   // A map with more shards than both is not split further.
   size_t max_shards = 400;
   size_t max_shards_per_worker = 16;
@@ -52,8 +61,8 @@
 // of departed nodes. Shards of live nodes are never touched.
 Plan PlanRepair(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
-// Marks shards to be moved from busy workers to idle ones, splitting them where needed. Returns no
-// change while a move is under way.
+// Marks shards to be moved from busy workers to idle ones, splitting them where needed; the reason
+// says why nothing is changed.
 Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
 // The worker that should take the next shard of `worker` when that one leaves; spread by what each
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr Duration kReportInterval = std::chrono::seconds(1);
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 // Reports older than this are not used.
 constexpr Duration kReportLifetime = std::chrono::seconds(5);
 // Nodes that get the reports: the one that balances, and the one that would follow it.
@@ -88,12 +88,13 @@
 
 void ShardCoordinator::SendReport() {
   const Instant now = loop_.Now();
-  if (!report_source_ || now - report_sent_at_ < kReportInterval) return;
+  const Duration elapsed = now - report_sent_at_;
+  if (!report_source_ || elapsed < kReportInterval) return;
   report_sent_at_ = now;
   sharding::LoadReport report;
   report.node = config_.node;
   report.service = config_.service;
-  report_source_(&report);
+  report_source_(elapsed, &report);
   loads_[config_.node] = report;
   reported_at_[config_.node] = now;
   if (!bound_) return;
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -346,9 +346,8 @@
 }
 
 size_t ShardHolder::ReleasedCount() const {
-  return static_cast<size_t>(
-      std::count_if(holdings_.begin(), holdings_.end(),
-                    [](const auto& entry) { return entry.second.released; }));
+  return static_cast<size_t>(std::count_if(
+      holdings_.begin(), holdings_.end(), [](const auto& entry) { return entry.second.released; }));
 }
 
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
