Keys between owners: callers come back after half a heartbeat, second attempts wait longer

Change: Retry-After of half a heartbeat interval for keys that change hands; a request with much less time than usual on its route (PatienceMeter) waits longer; polls of the owner slow down.

--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -65,10 +65,14 @@
   const PlannerWorker* worker = nullptr;
   double rate = 0;             // Requests a second of its shards.
   double service_seconds = 0;  // Of one request there.
+  double slowness = 1;         // Weight of the use; above one for slow workers.
 
   // Requests a second that keep all slots busy.
   double Capacity() const { return std::max<uint32_t>(1, worker->slots) / service_seconds; }
   double Utilization() const { return rate / Capacity(); }
+  // What is evened out: the use, weighed by how slow the worker is. While there is room, a fast
+  // worker answers sooner even when it is used more.
+  double Pressure() const { return Utilization() * slowness; }
 };
 
 // The nodes' smoothed service times; those that report none get the mean of the others.
@@ -157,6 +161,15 @@
         usage->rate += loads_.Of(shard.first, shard.last);
       }
     }
+    double rate = 0;
+    double capacity = 0;
+    for (const Usage& usage : usages_) {
+      rate += usage.rate;
+      capacity += usage.Capacity();
+      highest_utilization_ = std::max(highest_utilization_, usage.Utilization());
+    }
+    mean_utilization_ = rate / capacity;
+    WeighSlowness(capacity);
   }
 
   // A bucket that takes most of a worker cannot be divided: it belongs on the fastest one.
@@ -191,10 +204,10 @@
       Usage* most = MostUsed(exhausted);
       Usage* least = LeastUsed();
       if (most == nullptr || most == least) return;
-      const double gap = most->Utilization() - least->Utilization();
-      if (most->Utilization() < config_.busy_utilization || gap < config_.utilization_gap) return;
+      const double gap = most->Pressure() - least->Pressure();
+      if (most->Pressure() < config_.busy_utilization || gap < config_.utilization_gap) return;
       // Moving `rate` lowers one and raises the other; half of the gap makes them even.
-      const double slope = 1 / most->Capacity() + 1 / least->Capacity();
+      const double slope = most->slowness / most->Capacity() + least->slowness / least->Capacity();
       const auto piece = BestPiece(plan_.map, loads_, most->worker->id.node, gap / slope);
       // What is saturated is relieved by small pieces too.
       const double worth_moving =
@@ -211,10 +224,23 @@
   Plan Finish() {
     plan_.changed = moves_ > 0;
     if (plan_.changed) plan_.reason = "balance";
+    plan_.mean_utilization = mean_utilization_;
+    plan_.highest_utilization = highest_utilization_;
     return std::move(plan_);
   }
 
  private:
+  // The fuller all workers are, the less their speed counts: what matters then is that none is
+  // saturated.
+  void WeighSlowness(double capacity) {
+    const double room = std::clamp(1 - mean_utilization_ / config_.full_utilization, 0.0, 1.0);
+    const double mean_capacity = capacity / static_cast<double>(usages_.size());
+    for (Usage& usage : usages_) {
+      const double slower = mean_capacity / usage.Capacity() - 1;
+      usage.slowness = std::max(config_.slowness_min, 1 + slower * room);
+    }
+  }
+
   Usage* FindUsage(const std::string& node) {
     const auto found = std::find_if(usages_.begin(), usages_.end(), [&](const Usage& usage) {
       return usage.worker->id.node == node;
@@ -226,16 +252,15 @@
     Usage* most = nullptr;
     for (Usage& usage : usages_) {
       if (except.contains(usage.worker->id.node)) continue;
-      if (most == nullptr || usage.Utilization() > most->Utilization()) most = &usage;
+      if (most == nullptr || usage.Pressure() > most->Pressure()) most = &usage;
     }
     return most;
   }
 
   Usage* LeastUsed() {
-    return &*std::min_element(usages_.begin(), usages_.end(),
-                              [](const Usage& left, const Usage& right) {
-                                return left.Utilization() < right.Utilization();
-                              });
+    return &*std::min_element(
+        usages_.begin(), usages_.end(),
+        [](const Usage& left, const Usage& right) { return left.Pressure() < right.Pressure(); });
   }
 
   void Move(const Piece& piece, Usage* from, Usage* to) {
@@ -251,6 +276,8 @@
   Plan plan_;
   size_t moves_ = 0;
   size_t moves_under_way_ = 0;
+  double mean_utilization_ = 0;
+  double highest_utilization_ = 0;
 };
 
 ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerConfig& config) {
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -33,8 +33,11 @@
   size_t initial_shards_per_worker_max = 32;
   // Balance starts when the most and the least used worker differ by more than this part of their
   // slots, and the most used one is above `busy_utilization`.
-  double utilization_gap = 0.15;
-  double busy_utilization = 0.35;
+  double utilization_gap = 0.2;
+  double busy_utilization = 0.55;
+  // Up to this mean use of all workers, slow ones get less than their part; at most so much less.
+  double full_utilization = 0.8;
+  double slowness_min = 0.5;
   // Moves that are under way at the same time, all together.
   size_t moves_per_round = 12;
   // A worker used above this is saturated: requests are refused there. Pieces that take at least
@@ -55,6 +58,9 @@
   ShardMap map;
   std::set<std::string> relies_on_absence;  // Nodes whose shards were taken without their consent.
   std::string reason;                       // For the log.
+  // Before the change, of the slots; by PlanBalance.
+  double mean_utilization = 0;
+  double highest_utilization = 0;
 };
 
 // Changes of ownership that must not wait: the first assignment, shards that were given up, shards
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -14,6 +14,7 @@
 #include "source/routes/routing_configuration.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/node_metrics.h"
+#include "source/sidecar/patience_meter.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_directory.h"
@@ -76,12 +77,17 @@
   };
   ServiceBudgets& BudgetsOf(const std::string& service);
   void OnFirstAttempt(const std::string& service);
+  // The caller has much less time than callers of the route usually have.
+  bool IsShortOfTime(const std::string& route, Duration deadline) {
+    return patience_[route].IsShort(deadline);
+  }
   // False: the request must not be sent to another worker.
   bool TakeRetry(const std::string& service, RetryKind kind);
 
   IngressContext context_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
   std::map<std::string, ServiceBudgets> budgets_;
+  std::map<std::string, PatienceMeter> patience_;  // By route.
   uint64_t retries_ = 0;
   bool taking_ = true;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -19,8 +19,10 @@
 constexpr int kGatewayTimeout = 504;
 // Of requests that carry no deadline and whose route has no timeout.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
-// How often a request that waits for the owner of its key looks again, besides changes of the map.
-constexpr Duration kOwnerPoll = std::chrono::milliseconds(25);
+// How often a request that waits for the owner of its key looks again, besides changes of the map:
+// first soon, since the owner may just be learning of its keys, then less often.
+constexpr Duration kOwnerPollMin = std::chrono::milliseconds(25);
+constexpr Duration kOwnerPollMax = std::chrono::milliseconds(100);
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // A request goes to at most this many queues before it is refused.
@@ -60,10 +62,13 @@
   request.head.headers.RemoveConnectionHeaders();
   if (const std::string* id = request.head.headers.Find(names.request_id)) request_id_ = *id;
   Duration allowed = route_.timeout.value_or(kDefaultTimeout);
+  bool short_of_time = false;
   if (const std::string* text = request.head.headers.Find(names.deadline)) {
     const auto milliseconds = http::ParseNumber(*text);
     if (milliseconds.has_value()) {
-      allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
+      const Duration patience = std::chrono::milliseconds(*milliseconds);
+      short_of_time = ingress_->IsShortOfTime(route_.name, patience);
+      allowed = std::min(allowed, patience);
     }
   }
   if (const std::string* text = request.head.headers.Find(names.shard_key)) {
@@ -77,7 +82,10 @@
   deadline_ = received + allowed;
   // A late answer to a nested call still saves the run that waits for it; refusing it does not.
   answer_by_ = nested_ ? deadline_ : std::min(deadline_, received + target);
-  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + target / 4);
+  // A refusal within a quarter of the target costs its caller least, if it can come back. One that
+  // cannot waits while an answer may still come in time, for at most half of what it has left.
+  const Duration patience = short_of_time ? std::min(allowed / 2, target) : target / 4;
+  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + patience);
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -287,13 +295,15 @@
 
 // A key that is changing hands, or whose owner is lost, is tried again shortly.
 void RequestFlow::WaitForOwner() {
-  if (context_.loop.Now() + kOwnerPoll >= refuse_by_) {
-    Refuse(FailureReason::kNotOwner, Duration(0));
+  const Duration poll = std::min(kOwnerPollMin * (1 + owner_waits_), kOwnerPollMax);
+  if (context_.loop.Now() + kOwnerPollMin >= refuse_by_) {
+    // Keys change hands within about a heartbeat: half of one is left on average.
+    Refuse(FailureReason::kNotOwner, context_.settings.heartbeat_interval / 2);
     return;
   }
   waiting_for_owner_ = true;
   ++owner_waits_;
-  wait_timer_.Start(kOwnerPoll);
+  wait_timer_.Start(std::min(poll, refuse_by_ - context_.loop.Now()));
 }
 
 void RequestFlow::OnShardsChanged() {
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -136,8 +136,12 @@
   const sharding::Plan plan = PlanBalance(shards_.map(), MakeInput(), config_.planner);
   if (plan.reason != balance_reason_) {
     balance_reason_ = plan.reason;
-    log_.Write(LogLevel::kInfo, "balance_considered",
-               {{"outcome", plan.reason}, {"revision", shards_.revision()}});
+    log_.Write(
+        LogLevel::kInfo, "balance_considered",
+        {{"outcome", plan.reason},
+         {"revision", shards_.revision()},
+         {"mean_utilization_percent", static_cast<int64_t>(100 * plan.mean_utilization)},
+         {"highest_utilization_percent", static_cast<int64_t>(100 * plan.highest_utilization)}});
   }
   if (plan.changed) Commit(plan);
 }
