--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -23,6 +23,8 @@
 // first soon, since the owner may just be learning of its keys, then less often.
 constexpr Duration kOwnerPollMin = std::chrono::milliseconds(25);
 constexpr Duration kOwnerPollMax = std::chrono::milliseconds(100);
+// Part of its time that a request may wait for keys that change hands: the rest is for its run.
+constexpr int kMoveWaitPercent = 40;
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // A request goes to at most this many queues before it is refused.
@@ -83,9 +85,10 @@
   // A late answer to a nested call still saves the run that waits for it; refusing it does not.
   answer_by_ = nested_ ? deadline_ : std::min(deadline_, received + target);
   // A refusal within a quarter of the target costs its caller least, if it can come back. One that
-  // cannot waits while an answer may still come in time, for at most half of what it has left.
-  const Duration patience = short_of_time ? std::min(allowed / 2, target) : target / 4;
-  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + patience);
+  // cannot waits longer for keys that are changing hands.
+  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + target / 4);
+  const Duration longer = std::min<Duration>(allowed * kMoveWaitPercent / 100, target);
+  await_move_by_ = short_of_time ? std::max(refuse_by_, received + longer) : refuse_by_;
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -126,7 +129,7 @@
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
     if (peer == nullptr || shard->owner.worker.empty()) {
-      WaitForOwner();
+      WaitForOwner(FailureReason::kNoWorker);
       return;
     }
     StartAttempt(shard->owner.node, shard->owner.worker);
@@ -264,7 +267,7 @@
     case FailureReason::kNoWorker:
     case FailureReason::kDraining:
       if (OwnerServes()) {
-        WaitForOwner();
+        WaitForOwner(failure.reason);
       } else {
         TryNext();
       }
@@ -294,16 +297,18 @@
 }
 
 // A key that is changing hands, or whose owner is lost, is tried again shortly.
-void RequestFlow::WaitForOwner() {
+void RequestFlow::WaitForOwner(FailureReason reason) {
+  // Only keys that change hands are certain to be served again soon.
+  const Instant wait_until = reason == FailureReason::kNotOwner ? await_move_by_ : refuse_by_;
   const Duration poll = std::min(kOwnerPollMin * (1 + owner_waits_), kOwnerPollMax);
-  if (context_.loop.Now() + kOwnerPollMin >= refuse_by_) {
+  if (context_.loop.Now() + kOwnerPollMin >= wait_until) {
     // Keys change hands within about a heartbeat: half of one is left on average.
     Refuse(FailureReason::kNotOwner, context_.settings.heartbeat_interval / 2);
     return;
   }
   waiting_for_owner_ = true;
   ++owner_waits_;
-  wait_timer_.Start(std::min(poll, refuse_by_ - context_.loop.Now()));
+  wait_timer_.Start(std::min(poll, wait_until - context_.loop.Now()));
 }
 
 void RequestFlow::OnShardsChanged() {
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -34,7 +34,7 @@
   void StartAttempt(const std::string& node, const std::string& worker_id);
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
-  void WaitForOwner();
+  void WaitForOwner(FailureReason reason);
   bool MayRunAgain(const AttemptFailure& failure);
   bool WorkerFailureWorthRetry() const;
   void OnNotRun(const AttemptFailure& failure);
@@ -62,7 +62,8 @@
   std::optional<sharding::ShardKey> key_;
   Instant deadline_{};
   Instant answer_by_{};
-  Instant refuse_by_{};  // Waits without being offered to a worker end then.
+  Instant refuse_by_{};      // Waits without being offered to a worker end then.
+  Instant await_move_by_{};  // The same while keys are known to be changing hands.
   std::vector<std::string> tried_nodes_;
   std::string current_node_;  // Of the attempt under way; empty while there is none.
   std::string last_node_;     // Of the latest attempt.
