--- a/source/sharding/key_load.cc
+++ b/source/sharding/key_load.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Time constant of the decay of rates.
-constexpr double kSmoothingSeconds = 1.0;
+constexpr double kSmoothingSeconds = 1.5;
 constexpr size_t kReportedBuckets = 96;
 // A bucket below this rate is not worth a place in the report, in requests a second.
 constexpr double kReportedRateMin = 0.2;
--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -65,14 +65,10 @@
   const PlannerWorker* worker = nullptr;
   double rate = 0;             // Requests a second of its shards.
   double service_seconds = 0;  // Of one request there.
-  double slowness = 1;         // Weight of the use; above one for slow workers.
 
-  // Requests a second that keep all slots busy.
-  double Capacity() const { return std::max<uint32_t>(1, worker->slots) / service_seconds; }
-  double Utilization() const { return rate / Capacity(); }
-  // What is evened out: the use, weighed by how slow the worker is. While there is room, a fast
-  // worker answers sooner even when it is used more.
-  double Pressure() const { return Utilization() * slowness; }
+  double Utilization() const {
+    return rate * service_seconds / std::max<uint32_t>(1, worker->slots);
+  }
 };
 
 // The nodes' smoothed service times; those that report none get the mean of the others.
@@ -127,11 +123,6 @@
   return best;
 }
 
-// The node whose load the shard is, or will be once its move is made.
-const std::string& LoadedNode(const Shard& shard) {
-  return shard.move_to_node.empty() ? shard.owner.node : shard.move_to_node;
-}
-
 void MarkMove(ShardMap* map, const Piece& piece, const std::string& to_node) {
   map->Split(piece.first);
   if (piece.last < kMaxShardKey) map->Split(piece.last + 1);
@@ -140,146 +131,6 @@
   }
 }
 
-// One look at the balance: which moves make the workers' use more even. Moves that are under way
-// count as made.
-class BalanceRound {
- public:
-  BalanceRound(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config,
-               const std::vector<const PlannerWorker*>& accepting)
-      : config_(config), loads_(map, input) {
-    plan_.map = map;
-    plan_.reason = "even";
-    for (const PlannerWorker* worker : accepting) {
-      Usage usage;
-      usage.worker = worker;
-      usage.service_seconds = ServiceSeconds(input, worker->id.node);
-      usages_.push_back(usage);
-    }
-    for (const Shard& shard : map.shards()) {
-      if (!shard.move_to_node.empty()) ++moves_under_way_;
-      if (Usage* usage = FindUsage(LoadedNode(shard)); usage != nullptr) {
-        usage->rate += loads_.Of(shard.first, shard.last);
-      }
-    }
-    double rate = 0;
-    double capacity = 0;
-    for (const Usage& usage : usages_) {
-      rate += usage.rate;
-      capacity += usage.Capacity();
-      highest_utilization_ = std::max(highest_utilization_, usage.Utilization());
-    }
-    mean_utilization_ = rate / capacity;
-    WeighSlowness(capacity);
-  }
-
-  // A bucket that takes most of a worker cannot be divided: it belongs on the fastest one.
-  void PlaceHottestBucket() {
-    const Shard* hottest = nullptr;
-    Piece piece;
-    for (const Shard& shard : plan_.map.shards()) {
-      if (!shard.move_to_node.empty()) continue;
-      for (size_t bucket = BucketOf(shard.first); bucket <= BucketOf(shard.last); ++bucket) {
-        const ShardKey first = static_cast<ShardKey>(bucket) * kKeysPerBucket;
-        const double rate = loads_.Of(first, first);
-        if (hottest != nullptr && rate <= piece.rate) continue;
-        hottest = &shard;
-        piece = {std::max(first, shard.first), std::min(first + kKeysPerBucket - 1, shard.last),
-                 rate};
-      }
-    }
-    if (hottest == nullptr) return;
-    Usage* owner = FindUsage(hottest->owner.node);
-    if (owner == nullptr || piece.rate < config_.hot_bucket_utilization * owner->Capacity()) return;
-    Usage& fastest = *std::max_element(
-        usages_.begin(), usages_.end(),
-        [](const Usage& left, const Usage& right) { return left.Capacity() < right.Capacity(); });
-    if (fastest.Capacity() < config_.faster_by * owner->Capacity()) return;
-    Move(piece, owner, &fastest);
-  }
-
-  // Moves pieces from the most to the least used worker while that helps.
-  void EvenOut() {
-    std::set<std::string> exhausted;  // Nothing of theirs is worth moving.
-    while (moves_ + moves_under_way_ < config_.moves_per_round) {
-      Usage* most = MostUsed(exhausted);
-      Usage* least = LeastUsed();
-      if (most == nullptr || most == least) return;
-      const double gap = most->Pressure() - least->Pressure();
-      if (most->Pressure() < config_.busy_utilization || gap < config_.utilization_gap) return;
-      // Moving `rate` lowers one and raises the other; half of the gap makes them even.
-      const double slope = most->slowness / most->Capacity() + least->slowness / least->Capacity();
-      const auto piece = BestPiece(plan_.map, loads_, most->worker->id.node, gap / slope);
-      // What is saturated is relieved by small pieces too.
-      const double worth_moving =
-          most->Utilization() >= config_.saturated_utilization ? config_.least_relief : gap / 8;
-      if (!piece.has_value() || piece->rate * slope < worth_moving) {
-        plan_.reason = "no-piece-to-move-from-" + most->worker->id.node;
-        exhausted.insert(most->worker->id.node);
-        continue;
-      }
-      Move(*piece, most, least);
-    }
-  }
-
-  Plan Finish() {
-    plan_.changed = moves_ > 0;
-    if (plan_.changed) plan_.reason = "balance";
-    plan_.mean_utilization = mean_utilization_;
-    plan_.highest_utilization = highest_utilization_;
-    return std::move(plan_);
-  }
-
- private:
-  // The fuller all workers are, the less their speed counts: what matters then is that none is
-  // saturated.
-  void WeighSlowness(double capacity) {
-    const double room = std::clamp(1 - mean_utilization_ / config_.full_utilization, 0.0, 1.0);
-    const double mean_capacity = capacity / static_cast<double>(usages_.size());
-    for (Usage& usage : usages_) {
-      const double slower = mean_capacity / usage.Capacity() - 1;
-      usage.slowness = std::max(config_.slowness_min, 1 + slower * room);
-    }
-  }
-
-  Usage* FindUsage(const std::string& node) {
-    const auto found = std::find_if(usages_.begin(), usages_.end(), [&](const Usage& usage) {
-      return usage.worker->id.node == node;
-    });
-    return found == usages_.end() ? nullptr : &*found;
-  }
-
-  Usage* MostUsed(const std::set<std::string>& except) {
-    Usage* most = nullptr;
-    for (Usage& usage : usages_) {
-      if (except.contains(usage.worker->id.node)) continue;
-      if (most == nullptr || usage.Pressure() > most->Pressure()) most = &usage;
-    }
-    return most;
-  }
-
-  Usage* LeastUsed() {
-    return &*std::min_element(
-        usages_.begin(), usages_.end(),
-        [](const Usage& left, const Usage& right) { return left.Pressure() < right.Pressure(); });
-  }
-
-  void Move(const Piece& piece, Usage* from, Usage* to) {
-    MarkMove(&plan_.map, piece, to->worker->id.node);
-    from->rate -= piece.rate;
-    to->rate += piece.rate;
-    ++moves_;
-  }
-
-  const PlannerConfig& config_;
-  BucketLoads loads_;
-  std::vector<Usage> usages_;
-  Plan plan_;
-  size_t moves_ = 0;
-  size_t moves_under_way_ = 0;
-  double mean_utilization_ = 0;
-  double highest_utilization_ = 0;
-};
-
 ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerConfig& config) {
   ShardMap map;
   const FencingToken token = map.NextToken();
@@ -371,14 +222,53 @@
     return plan;
   }
   for (const Shard& shard : map.shards()) {
-    if (FindWorker(input, shard.owner.node) != nullptr) continue;
-    plan.reason = "unknown-owner-" + shard.owner.node;
-    return plan;
+    if (!shard.move_to_node.empty()) {
+      plan.reason = "move-under-way-at-" + shard.owner.node;
+      return plan;
+    }
+    if (FindWorker(input, shard.owner.node) == nullptr) {
+      plan.reason = "unknown-owner-" + shard.owner.node;
+      return plan;
+    }
+  }
+  const BucketLoads loads(map, input);
+  std::vector<Usage> usages;
+  for (const PlannerWorker* worker : accepting) {
+    Usage usage;
+    usage.worker = worker;
+    usage.service_seconds = ServiceSeconds(input, worker->id.node);
+    for (const Shard& shard : map.shards()) {
+      if (shard.owner.node == worker->id.node) usage.rate += loads.Of(shard.first, shard.last);
+    }
+    usages.push_back(usage);
   }
-  BalanceRound round(map, input, config, accepting);
-  round.PlaceHottestBucket();
-  round.EvenOut();
-  return round.Finish();
+  plan.map = map;
+  const auto by_utilization = [](const Usage& left, const Usage& right) {
+    return left.Utilization() < right.Utilization();
+  };
+  for (size_t move = 0; move < config.moves_per_round; ++move) {
+    Usage& most = *std::max_element(usages.begin(), usages.end(), by_utilization);
+    Usage& least = *std::min_element(usages.begin(), usages.end(), by_utilization);
+    const double gap = most.Utilization() - least.Utilization();
+    if (most.Utilization() < config.busy_utilization || gap < config.utilization_gap) {
+      plan.reason = "even";
+      break;
+    }
+    // Moving `rate` lowers one and raises the other; half of the gap makes them even.
+    const double slope = most.service_seconds / std::max(1U, most.worker->slots) +
+                         least.service_seconds / std::max(1U, least.worker->slots);
+    const auto piece = BestPiece(plan.map, loads, most.worker->id.node, gap / slope);
+    if (!piece.has_value() || piece->rate * slope < gap / 8) {
+      plan.reason = "no-piece-to-move-from-" + most.worker->id.node;
+      break;
+    }
+    MarkMove(&plan.map, *piece, least.worker->id.node);
+    most.rate -= piece->rate;
+    least.rate += piece->rate;
+    plan.changed = true;
+  }
+  if (plan.changed) plan.reason = "balance";
+  return plan;
 }
 
 }  // namespace runshelf::sharding
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -32,22 +32,11 @@
   size_t initial_shards_per_worker_min = 4;
   size_t initial_shards_per_worker_max = 32;
   // Balance starts when the most and the least used worker differ by more than this part of their
-  // slots, and the most used one is above `busy_utilization`.
-  double utilization_gap = 0.2;
-  double busy_utilization = 0.55;
-  // Up to this mean use of all workers, slow ones get less than their part; at most so much less.
-  double full_utilization = 0.8;
-  double slowness_min = 0.5;
-  // Moves that are under way at the same time, all together.
-  size_t moves_per_round = 12;
-  // A worker used above this is saturated: requests are refused there. Pieces that take at least
-  // `least_relief` of a worker are worth moving away from it.
-  double saturated_utilization = 0.85;
-  double least_relief = 0.004;
-  // A bucket that takes this part of its worker goes to the fastest worker, if that one is faster
-  // by this factor: what workers differ by is told nowhere and measured with some noise.
-  double hot_bucket_utilization = 0.5;
-  double faster_by = 1.25;
+  // slots, and the most used one is above `busy_utilization`: below, hardly anything waits there,
+  // and moves cost more than they bring.
+  double utilization_gap = 0.15;
+  double busy_utilization = 0.5;
+  size_t moves_per_round = 6;
   // A map with more shards than both is not split further.
   size_t max_shards = 400;
   size_t max_shards_per_worker = 16;
@@ -58,17 +47,14 @@
   ShardMap map;
   std::set<std::string> relies_on_absence;  // Nodes whose shards were taken without their consent.
   std::string reason;                       // For the log.
-  // Before the change, of the slots; by PlanBalance.
-  double mean_utilization = 0;
-  double highest_utilization = 0;
 };
 
 // Changes of ownership that must not wait: the first assignment, shards that were given up, shards
 // of departed nodes. Shards of live nodes are never touched.
 Plan PlanRepair(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
-// Marks shards to be moved from busy workers to idle ones, splitting them where needed; the reason
-// says why nothing is changed.
+// Marks shards to be moved from busy workers to idle ones, splitting them where needed. Returns no
+// change while a move is under way.
 Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
 // The worker that should take the next shard of `worker` when that one leaves; spread by what each
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 // Reports older than this are not used.
 constexpr Duration kReportLifetime = std::chrono::seconds(5);
 // Nodes that get the reports: the one that balances, and the one that would follow it.
@@ -88,13 +88,12 @@
 
 void ShardCoordinator::SendReport() {
   const Instant now = loop_.Now();
-  const Duration elapsed = now - report_sent_at_;
-  if (!report_source_ || elapsed < kReportInterval) return;
+  if (!report_source_ || now - report_sent_at_ < kReportInterval) return;
   report_sent_at_ = now;
   sharding::LoadReport report;
   report.node = config_.node;
   report.service = config_.service;
-  report_source_(elapsed, &report);
+  report_source_(&report);
   loads_[config_.node] = report;
   reported_at_[config_.node] = now;
   if (!bound_) return;
@@ -136,12 +135,8 @@
   const sharding::Plan plan = PlanBalance(shards_.map(), MakeInput(), config_.planner);
   if (plan.reason != balance_reason_) {
     balance_reason_ = plan.reason;
-    log_.Write(
-        LogLevel::kInfo, "balance_considered",
-        {{"outcome", plan.reason},
-         {"revision", shards_.revision()},
-         {"mean_utilization_percent", static_cast<int64_t>(100 * plan.mean_utilization)},
-         {"highest_utilization_percent", static_cast<int64_t>(100 * plan.highest_utilization)}});
+    log_.Write(LogLevel::kInfo, "balance_considered",
+               {{"outcome", plan.reason}, {"revision", shards_.revision()}});
   }
   if (plan.changed) Commit(plan);
 }
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -31,8 +31,8 @@
   Duration departure_wait = std::chrono::milliseconds(300);
   // Each further node by name waits this much longer before it repairs the map.
   Duration rank_delay = std::chrono::milliseconds(500);
-  Duration tick_interval = std::chrono::milliseconds(250);
-  Duration balance_interval = std::chrono::milliseconds(500);
+  Duration tick_interval = std::chrono::milliseconds(500);
+  Duration balance_interval = std::chrono::seconds(1);
   sharding::PlannerConfig planner;
 };
 
@@ -44,9 +44,10 @@
   // Starts or stops planning; `on_committed` is called after the map was changed from here.
   void SetActive(bool active);
   void set_on_committed(std::function<void()> callback) { on_committed_ = std::move(callback); }
-  // Fills in what this node measured of its own worker in the time since the last report.
-  using ReportSource = std::function<void(Duration elapsed, sharding::LoadReport*)>;
-  void set_report_source(ReportSource source) { report_source_ = std::move(source); }
+  // Fills in what this node measured of its own worker.
+  void set_report_source(std::function<void(sharding::LoadReport*)> source) {
+    report_source_ = std::move(source);
+  }
 
   sharding::PlannerInput MakeInput() const;
 
@@ -68,7 +69,7 @@
   event::Timer timer_;
   event::UdpSocket reports_;
   std::function<void()> on_committed_;
-  ReportSource report_source_;
+  std::function<void(sharding::LoadReport*)> report_source_;
   std::map<std::string, sharding::LoadReport> loads_;
   std::map<std::string, Instant> reported_at_;
   Instant active_since_{};
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -159,10 +159,9 @@
     state_watcher_.Refresh();
   });
   coordinator_.set_on_committed([this] { holder_.OnMapChanged(); });
-  coordinator_.set_report_source([this](Duration elapsed, sharding::LoadReport* report) {
-    holder_.meter().Roll(elapsed);
+  coordinator_.set_report_source([this](sharding::LoadReport* report) {
     holder_.meter().Fill(report);
-    report->service_seconds = std::chrono::duration<double>(gate_.MeanServiceTime()).count();
+    report->service_seconds = std::chrono::duration<double>(gate_.ServiceTime()).count();
     report->slots = gate_.load().slots;
   });
 }
@@ -388,6 +387,7 @@
   rolled_at_ = now;
   tick_.Start(kTickInterval);
   peers_.Sweep(now);
+  holder_.meter().Roll(elapsed);
   Announce();
   if (elapsed > kPauseNoticed) {
     log_.Write(LogLevel::kWarning, "paused", {{"elapsed_ms", ToMilliseconds(elapsed)}});
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -10,9 +10,6 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
-// Requests that the mean service time is smoothed over. Work of one kind differs by a factor of two
-// and more from request to request; speeds of workers by less.
-constexpr int kMeanOver = 32;
 // How long after the deadline a request that nobody cancelled is given up.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(100);
 
@@ -278,10 +275,6 @@
 }
 
 void WorkerGate::OnSlotFree(uint64_t id, admission::Completion completion, Duration service_time) {
-  if (completion == admission::Completion::kServed) {
-    const Duration difference = service_time - mean_service_time_;
-    mean_service_time_ += mean_service_time_ == Duration(0) ? difference : difference / kMeanOver;
-  }
   Apply(queue_.OnCompleted(loop_.Now(), id, completion, service_time));
 }
 
@@ -312,7 +305,6 @@
     Apply(queue_.SetCapacity(loop_.Now(), slots));
   }
   if (changed) {
-    mean_service_time_ = Duration(0);
     pool_.CloseIdle(worker_);
     RefuseWaiting();
   }
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -68,9 +68,8 @@
   std::unique_ptr<Attempt> Submit(const AttemptRequest& request, AttemptObserver* observer);
 
   routing::TargetLoad load() const;
-  // Time that a request holds a slot, smoothed over so many requests that workers of different
-  // speed can be told apart; zero until one was measured.
-  Duration MeanServiceTime() const { return mean_service_time_; }
+  // Smoothed time that a request holds a slot; zero until one was measured.
+  Duration ServiceTime() const { return queue_.ServiceTime(); }
   const std::string& worker_id() const { return worker_id_; }
   // True while the worker is at work on the request with this id, as far as the gate knows.
   bool Runs(const std::string& request_id) const { return running_ids_.contains(request_id); }
@@ -110,7 +109,6 @@
   std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Waiting or sent.
   std::unordered_multiset<std::string> running_ids_;     // Of the requests that were sent.
   uint64_t next_id_ = 1;
-  Duration mean_service_time_{0};
 };
 
 }  // namespace runshelf::sidecar
