Tests: waits for keys between owners, drain of a silent worker, soak with keys in heartbeats

Cause: what was built for heartbeat grants had no test for second attempts and for the drain bound, and the soak played grants by calls alone.

--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -9,6 +9,9 @@
 
 using nlohmann::json;
 
+// An answer to a heartbeat that comes later is not taken.
+constexpr Duration kAnswerWindow = std::chrono::seconds(1);
+
 bool Overlaps(const FakeWorker::Grant& grant, uint32_t first, uint32_t last) {
   return grant.first <= last && first <= grant.last;
 }
@@ -21,7 +24,8 @@
       service_(std::move(service)),
       server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }),
       pool_(loop),
-      heartbeat_timer_(loop, [this] { SendHeartbeat(); }) {}
+      heartbeat_timer_(loop, [this] { SendHeartbeat(); }),
+      late_heartbeat_(loop, [this] { send_late_(); }) {}
 
 int FakeWorker::Listen(uint16_t port) { return server_.Listen({"127.0.0.1", port}); }
 
@@ -34,6 +38,19 @@
 void FakeWorker::SendHeartbeat() {
   heartbeat_timer_.Start(interval_);
   if (heartbeats_cut_) return;
+  const HeartbeatFault fault =
+      next_heartbeat_fault_ ? next_heartbeat_fault_() : HeartbeatFault::kNone;
+  const std::string body = HeartbeatBody();
+  const Instant made = loop_.Now();
+  if (fault == HeartbeatFault::kNotSent) return;
+  if (fault != HeartbeatFault::kSentLate) return CallNode(body, made, fault);
+  // One heartbeat at a time: the next one waits for this one's answer.
+  heartbeat_timer_.Start(kAnswerWindow);
+  send_late_ = [this, body, made, fault] { CallNode(body, made, fault); };
+  late_heartbeat_.Start(kAnswerWindow * 9 / 10);
+}
+
+std::string FakeWorker::HeartbeatBody() {
   json body{{"service", service_},
             {"address", endpoint().ToString()},
             {"zone", "z"},
@@ -42,32 +59,40 @@
             {"state", draining_ ? "draining" : "ready"},
             {"cold_remaining_ms", 0},
             {"call_sequence", ++sequence_}};
-  if (keys_in_heartbeats_) {
-    std::erase_if(grants_, [this](const Grant& grant) { return loop_.Now() >= grant.until; });
-    body["holds"] = json::array();
-    body["released"] = json::array();
-    for (const Grant& grant : grants_) {
-      body["holds"].push_back({grant.first, grant.last, grant.fence});
-    }
-    for (const Grant& grant : released_) {
-      body["released"].push_back({grant.first, grant.last, "from-" + id_});
-    }
+  if (!keys_in_heartbeats_) return body.dump();
+  std::erase_if(grants_, [this](const Grant& grant) { return loop_.Now() >= grant.until; });
+  body["holds"] = json::array();
+  body["released"] = json::array();
+  for (const Grant& grant : grants_) {
+    body["holds"].push_back({grant.first, grant.last, grant.fence});
+  }
+  for (const Grant& grant : released_) {
+    body["released"].push_back({grant.first, grant.last, "from-" + id_});
   }
+  return body.dump();
+}
+
+// Sends a heartbeat that was made at `made`; its answer counts only within the window.
+void FakeWorker::CallNode(const std::string& body, Instant made, HeartbeatFault fault) {
   http::RequestHead head;
   head.method = "POST";
   head.target = "/runshelf/rpc?call=instances.heartbeat&of=" + id_;
   head.headers.Add("Host", node_.ToString());
   heartbeat_ = std::make_unique<http::SimpleCall>(
-      loop_, pool_, node_, http::SerializeRequest(head, body.dump()), http::CallOptions{},
-      std::chrono::seconds(1),
-      [this, leaving = draining_, sent = loop_.Now(), released = released_.size()](
+      loop_, pool_, node_, http::SerializeRequest(head, body), http::CallOptions{},
+      std::max(Duration(1000), made + kAnswerWindow - loop_.Now()),
+      [this, leaving = draining_, made, released = released_.size(), fault, body](
           const std::optional<http::Response>& response, http::ClientFailure) {
-        if (!response.has_value()) return;
+        if (!response.has_value() || fault == HeartbeatFault::kAnswerLost) return;
         heartbeat_status_ = response->status;
         if (response->status != 200) return;
         if (leaving && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
         released_.erase(released_.begin(), released_.begin() + static_cast<long>(released));
-        if (keys_in_heartbeats_) OnLease(response->body, sent);
+        if (keys_in_heartbeats_) OnLease(response->body, made);
+        if (fault != HeartbeatFault::kSentTwice) return;
+        // The answer to the second one is heard by nobody.
+        send_late_ = [this, body, made] { CallNode(body, made, HeartbeatFault::kAnswerLost); };
+        late_heartbeat_.Start(Duration(1000));
       });
 }
 
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -31,6 +31,17 @@
   void set_keys_in_heartbeats(bool keys_in_heartbeats) { keys_in_heartbeats_ = keys_in_heartbeats; }
   // Heartbeats are cut off from the node; the worker serves on.
   void set_heartbeats_cut(bool cut) { heartbeats_cut_ = cut; }
+  // What happens to a heartbeat on its way.
+  enum class HeartbeatFault {
+    kNone,
+    kNotSent,
+    kSentTwice,   // The second time after its answer.
+    kSentLate,    // By most of the time that its answer may take.
+    kAnswerLost,  // The node answers, and the worker does not hear it.
+  };
+  void set_heartbeat_faults(std::function<HeartbeatFault()> next) {
+    next_heartbeat_fault_ = std::move(next);
+  }
   // Sequence number of the latest heartbeat.
   int64_t sequence() const { return sequence_; }
   // Status of the latest answer to a heartbeat; zero before the first.
@@ -66,6 +77,8 @@
   void HandleRelease(const http::ExchangePtr& exchange);
   void HandleRequest(const http::ExchangePtr& exchange);
   void SendHeartbeat();
+  std::string HeartbeatBody();
+  void CallNode(const std::string& body, Instant made, HeartbeatFault fault);
   void OnLease(const std::string& body, Instant sent);
   bool TakeRow(const Grant& grant);
 
@@ -90,6 +103,9 @@
   std::vector<Grant> released_;  // Since the last heartbeat that was acknowledged.
   bool keys_in_heartbeats_ = false;
   bool heartbeats_cut_ = false;
+  std::function<HeartbeatFault()> next_heartbeat_fault_;
+  event::Timer late_heartbeat_;
+  std::function<void()> send_late_;
   bool draining_ = false;
   bool sharded_ = false;
 };
--- a/tests/platform_adapter/heartbeat_keys_test.cc
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -207,3 +207,56 @@
   CHECK_FALSE(Contains(answer->body, "holds"));
   CHECK(worker.Holds(0) == nullptr);
 }
+
+// Keys between two owners: a first attempt is refused early and told to come back when the move is
+// over; one that comes back, with less time than usual, waits for the keys.
+TEST(HeartbeatKeys, KeysThatChangeHandsAreWaitedForBySecondAttempts) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+  // The worker loses its keys; its node cannot give them again before its next heartbeat.
+  fleet.nodes[holder].worker->set_heartbeats_cut(true);
+  const FakeWorker::Grant old = *fleet.nodes[holder].worker->Holds(0);
+  const std::string order =
+      fmt::format(R"({{"from_revision":0,"target_version":{},"fence":{}}})", old.last, old.fence);
+  CHECK_EQUAL(200, fleet.LateOrder(holder, "/runshelf/release", order));
+
+  const auto first = fleet.Keyed(2, 0);
+  CHECK_EQUAL(503, first->status);
+  const std::string* retry_after = first->headers.Find("Retry-After");
+  CHECK(retry_after != nullptr);
+  // Half of the heartbeat interval of 100 ms at least, spread by half.
+  CHECK(std::stod(*retry_after) >= 0.05 && std::stod(*retry_after) <= 0.08);
+
+  http::Headers headers;
+  headers.Add("Shard-Key", "0");
+  headers.Add("Deadline-Ms", "1100");
+  const auto second = fleet.Begin(2, "GET", "/keyed/1", "", headers);
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  CHECK_FALSE(second->over);
+  fleet.nodes[holder].worker->set_heartbeats_cut(false);
+  CHECK(RunUntil(fleet.loop, [&] { return second->over; }));
+  CHECK_EQUAL(200, second->answer->status);
+}
+
+TEST(HeartbeatKeys, ADrainingWorkerGetsNoRequestsAfterItsTime) {
+  Fleet fleet({"keyed", "other"}, kByHeartbeat);
+  for (auto& node : fleet.nodes) {
+    node.settings.bounds.drain_timeout = std::chrono::milliseconds(500);
+  }
+  fleet.Start();
+  CHECK_EQUAL(200, fleet.Keyed(1, 0)->status);
+  // Nobody else can take its keys, and it says that it leaves without any further heartbeat.
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  const auto& worker = *fleet.nodes[0].worker;
+  const std::string body = fmt::format(
+      R"({{"service":"keyed","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"draining","cold_remaining_ms":0,"call_sequence":{},"holds":[[0,65535,1]]}})",
+      worker.sequence() + 1);
+  CHECK_EQUAL(200, fleet.Heartbeat(0, worker.id(), body)->status);
+  RunFor(fleet.loop, std::chrono::milliseconds(600));
+  const size_t executed = worker.executed().size();
+  CHECK_EQUAL(503, fleet.Keyed(1, 0)->status);
+  CHECK_EQUAL(executed, worker.executed().size());
+}
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -92,20 +92,39 @@
       "internal_port_range = [{},{}]\nheartbeat_interval_ms = {}\n"
       "bounds = [\"drain_timeout_ms={}\",\"grace_period_s=6\",\"max_hold_ms=10000\","
       "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra=20\"]\n"
-      "application_address = \"{}\"\nservice = \"{}\"\n[listen_addresses]\ninbound = \"{}\"\n"
+      "grants = \"{}\"\napplication_address = \"{}\"\nservice = "
+      "\"{}\"\n[listen_addresses]\ninbound = \"{}\"\n"
       "outbound = \"{}\"\ncontrol_plane = \"{}\"\n[platform]\naddress = \"{}\"\nttl_min_ms = "
       "1000\n",
       node.name, node.ip, peer_port, peer_port + 1, ToMilliseconds(kHeartbeatInterval),
-      ToMilliseconds(kDrainTimeout), node.worker_proxy->endpoint().ToString(), node.service,
-      node.inbound.ToString(), node.outbound.ToString(), node.control_plane.ToString(),
+      ToMilliseconds(kDrainTimeout), KeysInHeartbeats() ? "heartbeat" : "invocation",
+      node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
+      node.outbound.ToString(), node.control_plane.ToString(),
       node.store_proxy->endpoint().ToString());
 }
 
+// Every other seed plays a fleet whose workers get their keys in the answers to heartbeats.
+bool Soak::KeysInHeartbeats() const { return options_.seed % 2 == 0; }
+
+// While faults are played, some heartbeats are delayed or sent twice, or their answers are lost or
+// come late.
+FakeWorker::HeartbeatFault Soak::NextHeartbeatFault() {
+  const bool disturbing = KeysInHeartbeats() && fault_timer_.active() &&
+                          loop_.Now() - started_ > kStartTime && random_.Below(10) == 0;
+  if (!disturbing) return FakeWorker::HeartbeatFault::kNone;
+  const FakeWorker::HeartbeatFault faults[] = {
+      FakeWorker::HeartbeatFault::kSentTwice, FakeWorker::HeartbeatFault::kSentLate,
+      FakeWorker::HeartbeatFault::kAnswerLost, FakeWorker::HeartbeatFault::kNotSent};
+  return faults[random_.Below(std::size(faults))];
+}
+
 // A new life of the worker, at the address of the former one.
 void Soak::StartWorker(Node* node) {
   auto worker = std::make_unique<FakeWorker>(
       loop_, fmt::format("w-{}-{}", node->name, ++node->worker_life), node->service);
   worker->set_sharded(node->service == "keyed");
+  worker->set_keys_in_heartbeats(KeysInHeartbeats());
+  worker->set_heartbeat_faults([this] { return NextHeartbeatFault(); });
   worker->set_behaviour(
       [this, node](const http::ExchangePtr& exchange) { OnExecuted(node, exchange); });
   worker->set_on_granted([this, id = worker->id()](uint32_t first, uint32_t last, uint64_t fence) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -82,6 +82,8 @@
   void MakeNode(size_t index, const std::string& service);
   void WriteSettings(const Node& node) const;
   void StartWorker(Node* node);
+  bool KeysInHeartbeats() const;
+  platform_adapter::FakeWorker::HeartbeatFault NextHeartbeatFault();
   void PutConfiguration(const std::string& plain_service);
   std::string ThroughProxy(const std::string& key, const std::string& value) const;
 
