--- a/source/sidecar/heartbeat_grants.cc
+++ b/source/sidecar/heartbeat_grants.cc
@@ -74,6 +74,7 @@
   }
   const auto rows_of = [&heartbeat](const std::vector<HeldShard*>& some) {
     std::vector<LeasedKeys> rows;
+    rows.reserve(some.size());
     for (const HeldShard* held : some) rows.push_back(RowOf(heartbeat.keys, held->shard));
     return JoinNeighbours(rows);
   };
