--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -11,7 +11,6 @@
 constexpr int kConflict = 409;
 // Changes of the map that come together are committed together.
 constexpr Duration kCommitDelay = std::chrono::milliseconds(5);
-constexpr Duration kCommitRetry = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -244,112 +243,6 @@
   Reconcile();
 }
 
-void ShardHolder::CommitChanges() {
-  if (!sharded_ || shards_.map().empty()) return;
-  if (shards_.busy()) {
-    commit_timer_.Start(kCommitRetry);
-    return;
-  }
-  sharding::ShardMap changed = shards_.map();
-  const bool reassigned = ReassignToOwnWorker(&changed);
-  const bool renewed = RenewTokens(&changed);
-  const bool handed_over = HandOverReleased(&changed);
-  if (!reassigned && !renewed && !handed_over) return;
-  const size_t released = ReleasedCount();
-  shards_.Replace(changed, {}, [this, reassigned, renewed, released](ShardStore::Outcome outcome) {
-    log_.Write(LogLevel::kInfo, "shards_changed",
-               {{"committed", outcome == ShardStore::Outcome::kCommitted},
-                {"known", outcome != ShardStore::Outcome::kUnknown},
-                {"revision", shards_.revision()},
-                {"reassigned", reassigned},
-                {"renewed", renewed},
-                {"released", released}});
-    if (outcome == ShardStore::Outcome::kUnknown) commit_timer_.Start(kCommitRetry);
-    Reconcile();
-  });
-}
-
-// Shards of a former worker of this machine go to the one that is here now, or are given up.
-bool ShardHolder::ReassignToOwnWorker(sharding::ShardMap* map) {
-  bool changed = false;
-  sharding::FencingToken token = 0;
-  for (sharding::Shard& shard : map->shards()) {
-    if (!OfFormerWorker(shard)) continue;
-    if (!changed) token = map->NextToken();
-    changed = true;
-    if (worker_id_.empty() || leaving_) {
-      shard.owner.worker.clear();
-      shard.handover.clear();
-      shard.move_to_node.clear();
-    } else {
-      sharding::ShardMap::Assign(&shard, {config_.node, worker_id_}, token, "");
-    }
-  }
-  if (changed) {
-    log_.Write(LogLevel::kInfo, "shards_reassigned",
-               {{"worker", worker_id_}, {"token", token}, {"leaving", leaving_}});
-  }
-  return changed;
-}
-
-// The worker refused a shard for its token: it gets the shard again under a higher one.
-bool ShardHolder::RenewTokens(sharding::ShardMap* map) {
-  bool changed = false;
-  sharding::FencingToken token = 0;
-  if (ByHeartbeat()) map->RaiseLastToken(heartbeat_grants_.highest_token_seen());
-  for (sharding::Shard& shard : map->shards()) {
-    const auto found = holdings_.find({shard.first, shard.last, shard.token});
-    if (found == holdings_.end() || !found->second.superseded) continue;
-    if (shard.owner.worker != worker_id_) continue;
-    if (!changed) token = map->NextToken();
-    changed = true;
-    sharding::ShardMap::Assign(&shard, shard.owner, token, shard.handover);
-  }
-  return changed;
-}
-
-bool ShardHolder::HandOverReleased(sharding::ShardMap* map) {
-  const size_t released = ReleasedCount();
-  if (released == 0) return false;
-  const bool abandoned = std::any_of(holdings_.begin(), holdings_.end(),
-                                     [](const auto& entry) { return entry.second.abandoned; });
-  const std::vector<sharding::WorkerId> successors = leaving_ || abandoned
-                                                         ? context_.ChooseSuccessors(released)
-                                                         : std::vector<sharding::WorkerId>();
-  bool changed = false;
-  sharding::FencingToken token = 0;
-  size_t next = 0;
-  for (sharding::Shard& shard : map->shards()) {
-    const auto found = holdings_.find({shard.first, shard.last, shard.token});
-    if (found == holdings_.end() || !found->second.released) continue;
-    if (shard.owner.node != config_.node) continue;
-    if (!changed) token = map->NextToken();
-    changed = true;
-    sharding::WorkerId successor = context_.WorkerOf(shard.move_to_node);
-    if (successor.worker.empty() && !successors.empty()) {
-      successor = successors[next++ % successors.size()];
-    }
-    if (successor.worker.empty() && !leaving_) {
-      // Nobody takes it: it stays here, under a new token.
-      successor = {config_.node, worker_id_};
-    }
-    const std::string handover = found->second.handover;
-    if (successor.worker.empty()) {
-      shard.owner.worker.clear();
-      shard.handover = handover;
-      shard.move_to_node.clear();
-    } else {
-      sharding::ShardMap::Assign(&shard, successor, token, handover);
-    }
-  }
-  return changed;
-}
-
-size_t ShardHolder::ReleasedCount() const {
-  return static_cast<size_t>(std::count_if(
-      holdings_.begin(), holdings_.end(), [](const auto& entry) { return entry.second.released; }));
-}
-
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
   if (now >= context_.AuthorityUntil()) return false;
   const HeldShard* holding = FindHolding(key);
