Test fleet: addresses of a node differ, and a fleet that is not up fails the test

The waits went on silently, so that the test then judged a fleet with one node missing. Change: the ports of a node are chosen while all are taken; every test process has loopback addresses of its own; Fleet::Start fails the test when a node cannot listen or the fleet is not up in time. What the soak shares moves to fixtures, free of the test framework.

--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -1,5 +1,6 @@
 #include "tests/platform_adapter/fleet.h"
 
+#include <CppUTest/TestHarness.h>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <unistd.h>
@@ -13,34 +14,17 @@
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
 
 // An address of the loopback range for each node, so that all use the same ports for datagrams.
-std::string NodeIp(size_t index) { return "127.0.0." + std::to_string(10 + index); }
+// Each test process has its own, so that none takes a port that another one chose and not yet uses.
+std::string NodeIp(size_t index) {
+  const auto process = static_cast<unsigned>(getpid());
+  return fmt::format("127.{}.{}.{}", 1 + process / 256 % 254, process % 256, 10 + index);
+}
 
 // Below the ephemeral range, and another pair for each test process that runs at the same time.
 uint16_t PeerPort() { return static_cast<uint16_t>(20000 + 2 * (getpid() % 5000)); }
 
 }  // namespace
 
-event::Endpoint FreeEndpoint(const std::string& ip) {
-  event::EventLoop loop;
-  event::TcpListener listener(loop, nullptr);
-  listener.Listen({ip, 0});
-  return {ip, listener.bound_port()};
-}
-
-std::string TestConfiguration(int version, const std::string& plain_service) {
-  return fmt::format(
-      R"({{"version":"r{}","routes":{{"columns":["name","host","path_prefix","kind","timeout_ms",)"
-      R"("target_latency_ms","priority","service","max_attempts"],"rows":[)"
-      R"(["read","h.example","/read/","idempotent",1500,1000,2,"{}",2],)"
-      R"(["send","h.example","/send/","non_idempotent",1500,1000,1,"{}",2],)"
-      R"(["keyed","h.example","/keyed/","idempotent",1500,1000,2,"keyed",2]]}},)"
-      R"("services":{{"columns":["name","health_check_path","sharded"],)"
-      R"("rows":[["plain","/health",null],["other","/health",null],["keyed","/health",true]]}},)"
-      R"("limits":{{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,)"
-      R"("idle_timeout_ms":15000}}}})",
-      version, plain_service, plain_service);
-}
-
 Fleet::Fleet(const std::vector<std::string>& services, routes::GrantDelivery grant_delivery)
     : log_descriptor_(open("/dev/null", O_WRONLY | O_CLOEXEC)), log_(loop, log_descriptor_, {}) {
   for (size_t index = 0; index < services.size(); ++index) {
@@ -54,10 +38,11 @@
     node.settings.ip_address = NodeIp(index);
     node.settings.peer_port_first = PeerPort();
     node.settings.peer_port_last = PeerPort() + 1;
-    node.settings.outbound = FreeEndpoint(node.settings.ip_address);
-    node.settings.inbound = FreeEndpoint(node.settings.ip_address);
-    node.settings.readiness = FreeEndpoint(node.settings.ip_address);
-    node.settings.control_plane = FreeEndpoint(node.settings.ip_address);
+    const auto endpoints = FreeEndpoints(node.settings.ip_address, 4);
+    node.settings.outbound = endpoints[0];
+    node.settings.inbound = endpoints[1];
+    node.settings.readiness = endpoints[2];
+    node.settings.control_plane = endpoints[3];
     node.settings.worker = node.worker->endpoint();
     node.settings.worker_service = services[index];
     node.settings.store = store.endpoint();
@@ -77,17 +62,22 @@
   node->sidecar =
       std::make_unique<sidecar::Sidecar>(loop, node->settings, wire_, codec_, random_, log_);
   // The address of a process that was just killed may take a moment.
-  event::RunUntil(loop, [&] { return node->sidecar->Start().ok(); });
+  const bool started = event::RunUntil(loop, [&] { return node->sidecar->Start().ok(); });
+  CHECK_TEXT(started, "a node could not listen on its addresses");
   node->worker->StartHeartbeats(*node->settings.control_plane, kHeartbeatInterval);
 }
 
-void Fleet::Start() {
+void Fleet::Launch() {
   store.Put("op/config", TestConfiguration(1, "plain"));
   for (Node& node : nodes) StartNode(&node);
+}
+
+void Fleet::Start() {
+  Launch();
   const bool keyed = std::any_of(nodes.begin(), nodes.end(), [](const Node& node) {
     return node.settings.worker_service == "keyed";
   });
-  event::RunUntil(
+  const bool up = event::RunUntil(
       loop,
       [&] {
         const bool ready = std::all_of(nodes.begin(), nodes.end(), [this](const Node& node) {
@@ -97,6 +87,7 @@
         return ready && (!keyed || EveryKeyHeld());
       },
       std::chrono::seconds(8));
+  CHECK_TEXT(up, "the fleet is not up in time");
 }
 
 bool Fleet::KnowsAllWorkers(const sidecar::Sidecar& node) const {
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -16,6 +16,7 @@
 #include "tests/event/loop_runner.h"
 #include "tests/platform_adapter/fake_store.h"
 #include "tests/platform_adapter/fake_worker.h"
+#include "tests/platform_adapter/fixtures.h"
 
 namespace runshelf::platform_adapter {
 
@@ -32,7 +33,10 @@
                  routes::GrantDelivery grant_delivery = routes::GrantDelivery::kCalls);
   ~Fleet();
 
-  // Starts all nodes and waits until they are ready and every service is served.
+  // Starts all nodes and waits for nothing but their listening.
+  void Launch();
+  // Starts all nodes and waits until they are ready and every service is served; fails the test
+  // when they are not.
   void Start();
   // A node process ends without a word; its worker lives on.
   void Kill(size_t node);
@@ -97,10 +101,4 @@
   uint64_t next_request_ = 1;
 };
 
-// An address of `ip` that nothing listens on now.
-event::Endpoint FreeEndpoint(const std::string& ip);
-
-// The configuration that the fleet starts with, as the operator writes it.
-std::string TestConfiguration(int version, const std::string& plain_service);
-
 }  // namespace runshelf::platform_adapter
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -7,13 +7,13 @@
 #include <fstream>
 #include <utility>
 
-#include "tests/platform_adapter/fleet.h"
+#include "tests/platform_adapter/fixtures.h"
 
 namespace runshelf::soak {
 namespace {
 
 using platform_adapter::FakeWorker;
-using platform_adapter::FreeEndpoint;
+using platform_adapter::FreeEndpoints;
 
 constexpr Duration kRequestInterval = std::chrono::milliseconds(12);
 constexpr Duration kDeadline = std::chrono::milliseconds(2000);
@@ -64,9 +64,10 @@
   node->name = "n" + std::to_string(index);
   node->ip = "127.0.0." + std::to_string(100 + index);
   node->service = service;
-  node->outbound = FreeEndpoint(node->ip);
-  node->inbound = FreeEndpoint(node->ip);
-  node->control_plane = FreeEndpoint(node->ip);
+  const auto endpoints = FreeEndpoints(node->ip, 3);
+  node->outbound = endpoints[0];
+  node->inbound = endpoints[1];
+  node->control_plane = endpoints[2];
   StartWorker(node.get());
   node->store_proxy = std::make_unique<FaultProxy>(loop_, store_.endpoint());
   node->node_proxy = std::make_unique<FaultProxy>(loop_, node->inbound);
