Large answers: the one that is wanted first goes first, late ones yield

The pacer wrote answers in order of arrival, so that an answer that was late in any case held up those that could still be in time. Change: the pacer picks the answer whose target comes first among those that can still make it with the link to themselves; the others follow. Lengths come from the worker's Content-Length. Tests: AnswerPacer.TheAnswerThatIsWantedFirst..., .AnAnswerThatIsLateInAnyCase....

--- a/source/sidecar/answer_pacer.cc
+++ b/source/sidecar/answer_pacer.cc
@@ -1,6 +1,7 @@
 #include "source/sidecar/answer_pacer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace runshelf::sidecar {
 namespace {
@@ -51,17 +52,36 @@
   allowed_bytes_ = std::min(burst_bytes_, allowed_bytes_ + seconds * bytes_per_second_);
 }
 
+bool AnswerPacer::IsLate(const PacedAnswer& answer, Instant now) const {
+  const double seconds = static_cast<double>(answer.bytes_to_write()) / bytes_per_second_;
+  return now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)) >
+         answer.wanted_by();
+}
+
+std::deque<PacedAnswer*>::iterator AnswerPacer::MostUrgent() {
+  if (bytes_per_second_ <= 0) return waiting_.begin();
+  const Instant now = loop_.Now();
+  const auto urgency = [&](const PacedAnswer* answer) {
+    return std::pair(IsLate(*answer, now), answer->wanted_by());
+  };
+  return std::min_element(waiting_.begin(), waiting_.end(),
+                          [&](const PacedAnswer* left, const PacedAnswer* right) {
+                            return urgency(left) < urgency(right);
+                          });
+}
+
 void AnswerPacer::WriteAllowed() {
   if (writing_) return;
   writing_ = true;
   Refill();
   while (!waiting_.empty() && (allowed_bytes_ > 0 || bytes_per_second_ <= 0)) {
-    PacedAnswer* answer = waiting_.front();
+    const auto next = MostUrgent();
+    PacedAnswer* answer = *next;
     const size_t waiting = answer->waiting_bytes();
     const size_t limit =
         bytes_per_second_ <= 0 ? waiting : std::min(waiting, static_cast<size_t>(kMinBurstBytes));
     // Out of bytes, or ended: it comes back when it has more. It may be gone after the call.
-    if (limit >= waiting) waiting_.pop_front();
+    if (limit >= waiting) waiting_.erase(next);
     const size_t written = answer->WritePaced(limit);
     if (written == 0) std::erase(waiting_, answer);
     allowed_bytes_ -= static_cast<double>(written);
--- a/source/sidecar/answer_pacer.h
+++ b/source/sidecar/answer_pacer.h
@@ -3,7 +3,8 @@
 //
 // A large answer that is written as fast as the worker produces it fills the queue of a slow link,
 // and every small answer then waits for the whole queue. The pacer writes large answers one after
-// the other, at somewhat less than the bandwidth of the link.
+// the other, at somewhat less than the bandwidth of the link: the one that is wanted first goes
+// first, and those that can no longer be in time for their target yield to those that can.
 #pragma once
 
 #include <cstdint>
@@ -21,6 +22,11 @@
   // slow, and the answer asks again. May end and destroy the answer.
   virtual size_t WritePaced(size_t max_bytes) = 0;
   virtual size_t waiting_bytes() const = 0;
+  // Bytes until the answer is whole, those included that have not come from the worker yet, if its
+  // length is known.
+  virtual uint64_t bytes_to_write() const = 0;
+  // When the caller wants the whole answer; later it is worth less.
+  virtual Instant wanted_by() const = 0;
 };
 
 class AnswerPacer {
@@ -45,6 +51,10 @@
  private:
   void Refill();
   void WriteAllowed();
+  // Of the answers that wait, the one to be written next.
+  std::deque<PacedAnswer*>::iterator MostUrgent();
+  // Even with the link to itself, the answer would be whole only after it is wanted.
+  bool IsLate(const PacedAnswer& answer, Instant now) const;
 
   event::EventLoop& loop_;
   double bytes_per_second_;
--- a/source/sidecar/answer_relay.cc
+++ b/source/sidecar/answer_relay.cc
@@ -53,6 +53,12 @@
   }
 }
 
+uint64_t AnswerRelay::bytes_to_write() const {
+  const uint64_t passed_on = size_ - waiting_bytes();
+  const uint64_t whole = std::max(size_, head_.content_length.value_or(size_));
+  return whole - passed_on;
+}
+
 size_t AnswerRelay::WritePaced(size_t max_bytes) {
   if (exchange_->unsent_bytes() >= kHighWaterBytes) return 0;
   const size_t count = std::min(max_bytes, waiting_bytes());
--- a/source/sidecar/answer_relay.h
+++ b/source/sidecar/answer_relay.h
@@ -14,10 +14,12 @@
 
 class AnswerRelay : private PacedAnswer {
  public:
-  // Large answers are written when `pacer` allows; nullptr: as they come. It must outlive the
-  // relay.
-  explicit AnswerRelay(http::ExchangePtr exchange, AnswerPacer* pacer = nullptr)
-      : exchange_(std::move(exchange)), pacer_(pacer) {}
+  // Answers are passed on as they come.
+  explicit AnswerRelay(http::ExchangePtr exchange) : exchange_(std::move(exchange)) {}
+  // Large answers are written when `pacer` allows, which must outlive the relay; the caller wants
+  // them whole by `wanted_by`.
+  AnswerRelay(http::ExchangePtr exchange, AnswerPacer* pacer, Instant wanted_by)
+      : exchange_(std::move(exchange)), pacer_(pacer), wanted_by_(wanted_by) {}
   ~AnswerRelay() override;
   AnswerRelay(const AnswerRelay&) = delete;
   AnswerRelay& operator=(const AnswerRelay&) = delete;
@@ -40,6 +42,8 @@
   // PacedAnswer
   size_t WritePaced(size_t max_bytes) override;
   size_t waiting_bytes() const override { return body_.size() - written_; }
+  uint64_t bytes_to_write() const override;
+  Instant wanted_by() const override { return wanted_by_; }
 
   void StartStreaming();
   void WriteOrEnqueue();
@@ -48,7 +52,8 @@
   void HoldBackWhenSlow();
 
   http::ExchangePtr exchange_;
-  AnswerPacer* pacer_;
+  AnswerPacer* pacer_ = nullptr;
+  Instant wanted_by_{};
   Attempt* attempt_ = nullptr;
   http::ResponseHead head_;
   std::string body_;    // Held, or waiting to be written.
--- a/tests/sidecar/answer_pacer_test.cc
+++ b/tests/sidecar/answer_pacer_test.cc
@@ -25,8 +25,11 @@
     return count;
   }
   size_t waiting_bytes() const override { return waiting; }
+  uint64_t bytes_to_write() const override { return waiting; }
+  Instant wanted_by() const override { return wanted; }
 
   size_t waiting;
+  Instant wanted = Instant::max();
   bool reader_slow = false;
 };
 
@@ -61,6 +64,31 @@
   CHECK(RunUntil(loop, [&] { return second.waiting == 0; }));
 }
 
+TEST(AnswerPacer, TheAnswerThatIsWantedFirstIsWrittenFirst) {
+  Answer later(40000);
+  later.wanted = loop.Now() + std::chrono::seconds(2);
+  Answer sooner(40000);
+  sooner.wanted = loop.Now() + std::chrono::seconds(1);
+  pacer.Enqueue(&later);
+  pacer.Enqueue(&sooner);
+  CHECK(RunUntil(loop, [&] { return sooner.waiting == 0; }));
+  CHECK(later.waiting > 20000);
+  CHECK(RunUntil(loop, [&] { return later.waiting == 0; }));
+}
+
+// 400 kB take half a second of the link, so that this one is late whatever is done.
+TEST(AnswerPacer, AnAnswerThatIsLateInAnyCaseYieldsToThoseInTime) {
+  Answer late(400000);
+  late.wanted = loop.Now() + std::chrono::milliseconds(200);
+  Answer in_time(40000);
+  in_time.wanted = loop.Now() + std::chrono::seconds(1);
+  pacer.Enqueue(&late);
+  pacer.Enqueue(&in_time);
+  CHECK(RunUntil(loop, [&] { return in_time.waiting == 0; }));
+  CHECK(late.waiting > 350000);
+  CHECK(RunUntil(loop, [&] { return late.waiting == 0; }));
+}
+
 TEST(AnswerPacer, ASlowReaderDoesNotHoldOthersUp) {
   Answer slow(40000);
   slow.reader_slow = true;
