Requests of callers who left are not sent on, also when the news lies unread

Change: right before a request goes to a worker, and before it goes to another node, the caller's connection is looked at once more (one recv with MSG_PEEK). The reason is caller-gone in the log. The first form of it crashed in PlatformTable.AnEditedWeight...: when a node is destroyed, each request that ends gives its slot to the next, which now ends too and forgot itself in a map that was being destroyed. InboundHandler and Ingress take their maps out of the way first.

--- a/source/event/tcp_stream.cc
+++ b/source/event/tcp_stream.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -84,11 +85,17 @@
 
   // libuv takes a hang-up after a short read for an orderly end without reading once more, and a
   // reset hangs up too. The difference decides whether an answer without a length is complete.
-  bool ReallyClosed() {
+  bool ReallyClosed() const { return Peek() == 0; }
+
+  // What a read would return now: the number of bytes, zero at an orderly end, or -1 with errno.
+  ssize_t Peek() const {
     uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&tcp), &descriptor) != 0) return false;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp), &descriptor) != 0) {
+      errno = EBADF;
+      return -1;
+    }
     char byte = 0;
-    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   }
 
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
@@ -216,6 +223,13 @@
   return handle_->pending.size() + (handle_->write_active ? handle_->writing.size() : 0);
 }
 
+bool TcpStream::PeerGone() const {
+  if (handle_->ended) return true;
+  const ssize_t bytes = handle_->Peek();
+  if (bytes >= 0) return bytes == 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 void TcpStream::ShutdownWriting() {
   handle_->shutdown_wanted = true;
   if (!handle_->write_active) handle_->WritePending();
--- a/source/event/tcp_stream.h
+++ b/source/event/tcp_stream.h
@@ -60,6 +60,9 @@
   void Write(std::string_view bytes);
   // Bytes handed to Write that the operating system has not taken yet.
   size_t unsent_bytes() const;
+  // The peer closed or broke the connection, which may not have been read yet while other events
+  // are worked off. Costs a system call. False while unread bytes lie before the end.
+  bool PeerGone() const;
   // Sends what is outstanding and then closes the writing side; reading goes on.
   void ShutdownWriting();
 
--- a/source/http/server.cc
+++ b/source/http/server.cc
@@ -30,6 +30,11 @@
 
 bool ServerExchange::open() const { return !finished_ && !connection_.expired(); }
 
+bool ServerExchange::client_gone() const {
+  const auto connection = connection_.lock();
+  return connection == nullptr || connection->stream_ == nullptr || connection->stream_->PeerGone();
+}
+
 void ServerExchange::Respond(int status, const Headers& headers, std::string_view body) {
   auto connection = connection_.lock();
   if (connection == nullptr || finished_ || started_) return;
--- a/source/http/server.h
+++ b/source/http/server.h
@@ -52,6 +52,9 @@
   size_t unsent_bytes() const;
   // The client closed or broke its connection before the answer was complete.
   void set_on_client_gone(std::function<void()> callback) { on_client_gone_ = std::move(callback); }
+  // The client has gone, even if the event of its leaving was not worked off yet. Costs a system
+  // call.
+  bool client_gone() const;
   // All bytes of the answer so far were handed to the operating system.
   void set_on_drained(std::function<void()> callback) { on_drained_ = std::move(callback); }
   // The answer carries "Connection: close" and the connection ends after it.
--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 11> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 12> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
@@ -16,6 +16,7 @@
     {FailureReason::kLimited, "limited"},
     {FailureReason::kWorkerRefused, "worker-refused"},
     {FailureReason::kExpired, "expired"},
+    {FailureReason::kCallerGone, "caller-gone"},
     {FailureReason::kBroken, "broken"},
     {FailureReason::kIncomplete, "incomplete"},
 }};
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -41,6 +41,7 @@
   kLimited,        // Over the limit of the table's cell.
   kWorkerRefused,  // The worker itself said that it did not run the request.
   kExpired,        // The deadline passed before the request was sent.
+  kCallerGone,     // The caller left before the request was sent.
   kBroken,         // The connection was lost after the request was sent.
   kIncomplete,     // The answer broke off, or was no answer.
 };
@@ -65,6 +66,9 @@
   virtual void OnAnswerBody(std::string_view data) = 0;
   virtual void OnAnswerComplete() = 0;
   virtual void OnAttemptFailure(const AttemptFailure& failure) = 0;
+  // The caller no longer waits for the answer. Asked right before the request is sent to a worker:
+  // in a process that is short of processor time the news may lie unread behind the request.
+  virtual bool CallerGone() const = 0;
 };
 
 // Destroying an attempt cancels it, at the worker too.
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -66,6 +66,8 @@
     relay_.OnComplete([this] { End(); });
   }
 
+  bool CallerGone() const override { return exchange_->client_gone(); }
+
   void OnAttemptFailure(const AttemptFailure& failure) override {
     const auto self = shared_from_this();
     handler_->log_.Write(LogLevel::kInfo, "forwarded_request_failed",
@@ -121,7 +123,9 @@
       log_(log),
       pacer_(loop, link_bytes_per_second) {}
 
-InboundHandler::~InboundHandler() = default;
+// Each request that ends gives its slot to the next, which finds its caller gone and ends too, and
+// forgets itself here.
+InboundHandler::~InboundHandler() { const auto ending = std::exchange(forwards_, {}); }
 
 void InboundHandler::Handle(const http::ExchangePtr& exchange) {
   if (peer_protocol::IsStoreCall(exchange->request().head.headers)) {
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -31,7 +31,8 @@
 
 Ingress::Ingress(const IngressContext& context) : context_(context) {}
 
-Ingress::~Ingress() = default;
+// As in InboundHandler: requests that end here make others end.
+Ingress::~Ingress() { const auto ending = std::exchange(flows_, {}); }
 
 void Ingress::SetConfiguration(std::shared_ptr<const routes::RoutingConfiguration> configuration) {
   configuration_ = std::move(configuration);
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -149,6 +149,10 @@
 }
 
 void RequestFlow::StartAttempt(const std::string& node, const std::string& worker_id) {
+  if (CallerGone()) {
+    OnClientGone();
+    return;
+  }
   AttemptRequest attempt;
   attempt.request = request_;
   attempt.request_id = request_id_;
@@ -287,6 +291,14 @@
         Refuse(failure.reason, failure.retry_after);
       }
       return;
+    case FailureReason::kCallerGone:
+      // The node beside the worker lost this node, or this node its client.
+      if (CallerGone()) {
+        OnClientGone();
+      } else {
+        Refuse(failure.reason, failure.retry_after);
+      }
+      return;
     case FailureReason::kLimited:
     case FailureReason::kExpired:
     case FailureReason::kBroken:
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -25,6 +25,7 @@
   void OnAnswerBody(std::string_view data) override;
   void OnAnswerComplete() override;
   void OnAttemptFailure(const AttemptFailure& failure) override;
+  bool CallerGone() const override { return exchange_->client_gone(); }
 
  private:
   void ReadRequest();
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -75,7 +75,9 @@
   // A slot is free.
   void Send() {
     const Instant now = gate_->loop_.Now();
-    if (const auto objection = gate_->Objection(request_)) {
+    auto objection = gate_->Objection(request_);
+    if (!objection.has_value() && observer_->CallerGone()) objection = FailureReason::kCallerGone;
+    if (objection.has_value()) {
       GiveBackSlot(admission::Completion::kFailed);
       Fail({Verdict::kNotRun, *objection, false, Duration(0)});
       return;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -141,6 +141,16 @@
   CHECK_EQUAL(0, server.connections());
 }
 
+TEST(Server, AClientThatLeftIsSeenBeforeTheEventIsWorkedOff) {
+  RawClient client(server.bound_port());
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  CHECK(RunUntil(loop, [&] { return exchanges.size() == 1; }));
+  CHECK_FALSE(exchanges[0]->client_gone());
+  client.Close();
+  CHECK(exchanges[0]->client_gone());
+  CHECK(exchanges[0]->open());  // The loop has not turned.
+}
+
 TEST(Server, WhatBreaksALimitIsRefused) {
   server.limits().max_head_bytes = 200;
   server.limits().max_body_bytes = 4;
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -21,9 +21,11 @@
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerComplete() override { complete = true; }
   void OnAttemptFailure(const AttemptFailure& result) override { failure = result; }
+  bool CallerGone() const override { return caller_gone; }
 
   int status = 0;
   bool complete = false;
+  bool caller_gone = false;
   std::optional<AttemptFailure> failure;
 };
 
@@ -77,6 +79,27 @@
   }
 };
 
+TEST(WorkerGate, ARequestWhoseCallerLeftWhileItWaitedIsNotSent) {
+  Outcome outcomes[4];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  for (Outcome& outcome : outcomes) {
+    attempts.push_back(gate->Submit(Request(), &outcome));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  outcomes[2].caller_gone = true;
+  held[0]->Respond(200, {}, "");
+  // The slot goes to the one after it.
+  CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
+  CHECK(outcomes[2].failure.has_value());
+  CHECK(outcomes[2].failure->reason == FailureReason::kCallerGone);
+  CHECK(outcomes[2].failure->verdict == Verdict::kNotRun);
+  held[1]->Respond(200, {}, "");
+  held[2]->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return outcomes[3].complete; }));
+  CHECK_EQUAL(3, held.size());
+}
+
 TEST(WorkerGate, NoMoreRequestsRunThanTheWorkerHasSlots) {
   Outcome outcomes[3];
   std::vector<std::unique_ptr<Attempt>> attempts;
--- a/tests/sidecar/remote_attempt_test.cc
+++ b/tests/sidecar/remote_attempt_test.cc
@@ -19,6 +19,7 @@
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerComplete() override { complete = true; }
   void OnAttemptFailure(const AttemptFailure& result) override { failure = result; }
+  bool CallerGone() const override { return false; }
   bool over() const { return complete || failure.has_value(); }
 
   bool complete = false;
