Fewer calls to the store: while it is away, when nodes start together, while many changes come

Changes: a leader that is told to stop leads on until it ends; a watcher asks at most so often as its role needs (leader 100 ms, stand-by 250 ms, alone 500 ms); failed reads back off to 3 s and are tried at once when any call succeeds; a node that the store does not answer passes no call of others on; a node that follows reads nothing again when its direct way fails; the state is first read under the lease; items of a node that are set together are one write; after a conflict at the map the next try waits at random, longer after each. The store of the users' platform carries less when it comes back. The wait after a conflict has no test of its own.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -9,18 +9,16 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
-// Changes of the map that come together are committed together.
-constexpr Duration kCommitDelay = std::chrono::milliseconds(5);
-
 }  // namespace
 
 ShardHolder::ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
-                         ShardStore& shards, ShardHolderContext& context, LogWriter& log,
-                         ShardHolderConfig config)
+                         ShardStore& shards, ShardHolderContext& context, Random& random,
+                         LogWriter& log, ShardHolderConfig config)
     : loop_(loop),
       wire_(wire),
       shards_(shards),
       context_(context),
+      random_(random),
       log_(log),
       config_(std::move(config)),
       started_at_(loop.Now()),
@@ -81,7 +79,7 @@
     ReleaseMoving();
   }
   reconciling_ = false;
-  if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(kCommitDelay);
+  if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(CommitDelay());
 }
 
 bool ShardHolder::HasChangeToCommit() const {
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <tuple>
 
+#include "runshelf/common/random.h"
 #include "source/event/event_loop.h"
 #include "source/http/call_set.h"
 #include "source/sharding/key_load.h"
@@ -57,7 +58,7 @@
 class ShardHolder : public KeyAuthority, public KeyLessor {
  public:
   ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
-              ShardStore& shards, ShardHolderContext& context, LogWriter& log,
+              ShardStore& shards, ShardHolderContext& context, Random& random, LogWriter& log,
               ShardHolderConfig config);
   ~ShardHolder() override;
 
@@ -106,6 +107,9 @@
   bool HandOverReleased(sharding::ShardMap* map);
   size_t ReleasedCount() const;
   bool MustMove(const sharding::Shard& shard) const;
+  // How long the next change waits for others that may come with it, or for other nodes to finish
+  // theirs.
+  Duration CommitDelay();
   bool HasChangeToCommit() const;
   bool ByHeartbeat() const;
   bool EarlierGrantsRanOut(Instant now) const;
@@ -119,6 +123,7 @@
   ShardStore& shards_;
   ShardHolderContext& context_;
   LogWriter& log_;
+  Random& random_;
   ShardHolderConfig config_;
   Instant started_at_;
   event::Timer timer_;
@@ -130,6 +135,7 @@
   routes::GrantDelivery delivery_ = routes::GrantDelivery::kCalls;
   Instant heard_at_{};        // The latest heartbeat of the worker that reported keys.
   uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
+  int conflicts_ = 0;         // Changes of the map in a row that another node's change came before.
   uint64_t grants_sent_ = 0;
   std::string worker_id_;
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -9,9 +9,22 @@
 namespace {
 
 constexpr Duration kCommitRetry = std::chrono::milliseconds(50);
+// Changes of the map that come together are committed together.
+constexpr Duration kCommitDelay = std::chrono::milliseconds(5);
+// After the first conflict the next try comes within this time, after each further one within twice
+// as much, up to the longest. A change takes about 10 ms (two ways and the store's own time), and
+// after a common restart every node of the service has one to make.
+constexpr Duration kConflictWait = std::chrono::milliseconds(20);
+constexpr int kMostDoublings = 4;
 
 }  // namespace
 
+Duration ShardHolder::CommitDelay() {
+  if (conflicts_ == 0) return kCommitDelay;
+  const Duration longest = kConflictWait * (1 << std::min(conflicts_ - 1, kMostDoublings));
+  return random_.Between(kCommitDelay, kCommitDelay + longest);
+}
+
 void ShardHolder::CommitChanges() {
   if (!sharded_ || shards_.map().empty()) return;
   if (shards_.busy()) {
@@ -32,6 +45,7 @@
                 {"reassigned", reassigned},
                 {"renewed", renewed},
                 {"released", released}});
+    conflicts_ = outcome == ShardStore::Outcome::kConflict ? conflicts_ + 1 : 0;
     if (outcome == ShardStore::Outcome::kUnknown) commit_timer_.Start(kCommitRetry);
     Reconcile();
   });
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -15,6 +15,9 @@
 constexpr std::string_view kNodePrefix = "runshelf/nodes/";
 constexpr std::string_view kShardPrefix = "runshelf/shards/";
 constexpr std::string_view kDrainPrefix = "runshelf/drains/";
+// The state must be read under the node's lease, so that a read before it would be made twice;
+// without a lease for this long (some calls to the store, at 4 ms each), it is read all the same.
+constexpr Duration kStateReadDelay = std::chrono::milliseconds(400);
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 constexpr Duration kLeaseTimeToLive = std::chrono::seconds(8);
 constexpr Duration kGrantHold = std::chrono::seconds(3);
@@ -110,7 +113,7 @@
       monitor_(loop, pool_, store_, wire, settings_, KeyOf(kDrainPrefix, settings_.node_name), log,
                {[this](bool former_gone) { OnWorkerChanged(former_gone); }, &holder_}),
       shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
-      holder_(loop, pool_, wire, shard_store_, *this, log, HolderConfig(settings_)),
+      holder_(loop, pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
       lease_(loop, store_, LeaseConfig(settings_)),
       configuration_watcher_(
@@ -138,6 +141,7 @@
           loop, [this](const http::ExchangePtr& exchange) { monitor_.HandleNotice(exchange); }),
       metrics_server_(loop, [this](const http::ExchangePtr& exchange) { HandleMetrics(exchange); }),
       tick_(loop, [this] { OnTick(); }),
+      state_read_timer_(loop, [this] { ReadState(); }),
       stop_timer_(loop, [this] { ContinueStop(); }),
       end_timer_(loop, [this] { on_stopped_(); }) {
   gate_.set_key_authority(&holder_);
@@ -145,18 +149,23 @@
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
-    configuration_watcher_.Refresh();
-    state_watcher_.Refresh();
+    for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
+      // One that follows has no watch at the store that could be lost.
+      if (!watcher->following()) watcher->Refresh();
+    }
   });
   store_.set_on_reachable_changed([this](bool reachable) {
     log_.Write(LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
                {{"store_calls", store_.calls()}});
+    if (!reachable) return;
+    configuration_watcher_.RetryNow();
+    state_watcher_.RetryNow();
   });
   feed_.set_store_answers([this] { return store_.direct_way_works(); });
   lease_.set_on_new_lease([this] {
     lease_to_confirm_ = lease_.lease();
     log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
-    state_watcher_.Refresh();
+    ReadState();
   });
   coordinator_.set_on_committed([this] { holder_.OnMapChanged(); });
   coordinator_.set_report_source([this](sharding::LoadReport* report) {
@@ -198,13 +207,22 @@
   rolled_at_ = loop_.Now();
   tick_.Start(kTickInterval);
   configuration_watcher_.Start();
-  state_watcher_.Start();
   Announce();
   lease_.Start();
+  state_read_timer_.Start(kStateReadDelay);
   feed_.Start();
   return absl::OkStatus();
 }
 
+void Sidecar::ReadState() {
+  state_read_timer_.Stop();
+  if (state_watcher_.started()) {
+    state_watcher_.Refresh();
+  } else {
+    state_watcher_.Start();
+  }
+}
+
 void Sidecar::Reload(const absl::StatusOr<Settings>& settings) {
   if (!settings.ok()) {
     log_.Write(LogLevel::kError, "reload_refused",
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -44,6 +44,8 @@
   // it was at the start, and the log says so.
   void Reload(const absl::StatusOr<Settings>& settings);
   bool ready() const;
+  // This node passes the state in the store on to the others.
+  bool leads_feed() const { return feed_.leading(); }
   const Ingress& ingress() const { return ingress_; }
   const PeerDirectory& peers() const { return peers_; }
   const Settings& settings() const { return settings_; }
@@ -70,6 +72,8 @@
   // Of the limit of a cell, the part of the worker beside this node; nullopt: no limit.
   std::optional<double> RateOf(const std::string& caller_class) const;
   void Announce();
+  // Reads the state in the store whole, for the first time or again.
+  void ReadState();
   void OnTick();
   void ContinueStop();
 
@@ -102,6 +106,7 @@
   http::Server control_plane_;
   http::Server metrics_server_;
   event::Timer tick_;
+  event::Timer state_read_timer_;
   event::Timer stop_timer_;
   event::Timer end_timer_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -177,19 +177,28 @@
   return rank;
 }
 
-void StateFeed::Tick() {
-  timer_.Start(config_.beacon_interval);
+bool StateFeed::ShouldLead() const {
   const Peer* own = peers_.Find(config_.node);
-  const bool listed = own != nullptr && own->listed && !stopping_;
+  const bool listed = own != nullptr && own->listed;
   const bool store_answers = !store_answers_ || store_answers_();
-  const Duration silence = loop_.Now() - heard_at_;
+  if (!listed || !store_answers || (stopping_ && !leading_)) return false;
   const size_t rank = Rank();
   const Duration patience = config_.standby_timeout * static_cast<int64_t>(rank);
-  const bool in_line = rank == 0 || (rank < config_.nodes_in_line && silence > patience);
-  const bool leading = listed && store_answers && in_line;
-  const bool watching =
-      leading || (listed && rank < kWatchingNodes) || silence > config_.follower_timeout;
-  SetRole(leading, watching);
+  return rank == 0 || (rank < config_.nodes_in_line && loop_.Now() - heard_at_ > patience);
+}
+
+void StateFeed::Tick() {
+  timer_.Start(config_.beacon_interval);
+  const Peer* own = peers_.Find(config_.node);
+  const bool stands_by = own != nullptr && own->listed && !stopping_ && Rank() < kWatchingNodes;
+  const bool leading = ShouldLead();
+  const bool alone = loop_.Now() - heard_at_ > config_.follower_timeout;
+  SetRole(leading, leading || stands_by || alone);
+  for (store::PrefixWatcher* watcher : watchers_) {
+    watcher->set_pace(leading     ? config_.leader_pace
+                      : stands_by ? config_.standby_pace
+                                  : config_.alone_pace);
+  }
   if (leading_) SendBeacons();
 }
 
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -41,6 +41,13 @@
   Duration push_timeout = std::chrono::milliseconds(800);
   // A change that the leader's beacons do not tell of within this time is passed on by the second.
   Duration leader_lag = std::chrono::milliseconds(200);
+  // How often the store is asked for changes while there are many: by the leader, whom all wait
+  // for; by the one that stands by, which only has to notice a leader that falls behind; and by a
+  // node that hears no leader, when many others may do the same. A configuration has two seconds or
+  // more to be in force.
+  store::WatchPace leader_pace{std::chrono::milliseconds(100), 5};
+  store::WatchPace standby_pace{std::chrono::milliseconds(250), 2};
+  store::WatchPace alone_pace{std::chrono::milliseconds(500), 1};
 };
 
 // Orders the nodes that may lead, lowest first. By a hash of the name: neighbours by name are often
@@ -95,7 +102,8 @@
   }
 
   void Start();
-  // This node is about to end and leads no more.
+  // This node is about to end: it does not begin to lead, and if it leads, it goes on to until it
+  // ends, so that nobody is without news before the next one in line knows.
   void SetStopping() { stopping_ = true; }
   // One of the watchers got changes from the store.
   void OnChanges(const store::PrefixWatcher& watcher, const store::ChangeSet& changes);
@@ -115,6 +123,7 @@
   void Push(const event::Endpoint& endpoint, const std::string& body);
   // Place of this node by name among those that are listed and not stopping.
   size_t Rank() const;
+  bool ShouldLead() const;
   void SetRole(bool leading, bool watching);
 
   event::EventLoop& loop_;
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -12,13 +12,18 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(event::EventLoop& loop, StoreClient& store, LeaseKeeperConfig config)
-    : loop_(loop), store_(store), config_(std::move(config)), timer_(loop, [this] { Tick(); }) {}
+    : loop_(loop),
+      store_(store),
+      config_(std::move(config)),
+      timer_(loop, [this] { Tick(); }),
+      write_timer_(loop, [this] { WriteItem(); }) {}
 
 void LeaseKeeper::Start() { Tick(); }
 
 void LeaseKeeper::End() {
   ended_ = true;
   timer_.Stop();
+  write_timer_.Stop();
   valid_until_ = Instant{};
   if (lease_ != 0) store_.EndLease(lease_);
   lease_ = 0;
@@ -27,7 +32,7 @@
 void LeaseKeeper::SetValue(const std::string& value) {
   if (value == value_) return;
   value_ = value;
-  WriteItem();
+  if (!write_timer_.active()) write_timer_.Start(config_.coalesce);
 }
 
 void LeaseKeeper::Tick() {
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -14,6 +14,8 @@
   Duration time_to_live = std::chrono::seconds(8);
   Duration renewal_interval = std::chrono::seconds(2);
   Duration retry_interval = std::chrono::milliseconds(250);
+  // Values that are set within this time of each other cost one call.
+  Duration coalesce = std::chrono::milliseconds(10);
   // Subtracted from every bound: the clocks of this machine and the store may differ in rate.
   Duration safety_margin = std::chrono::milliseconds(250);
   std::string key;  // Of the item that announces this process.
@@ -55,6 +57,7 @@
   StoreClient& store_;
   LeaseKeeperConfig config_;
   event::Timer timer_;
+  event::Timer write_timer_;
   std::function<void()> on_new_lease_;
   LeaseId lease_ = 0;
   LeaseId written_lease_ = 0;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -8,7 +8,8 @@
 
 PrefixWatcher::PrefixWatcher(event::EventLoop& loop, StoreClient& store, PrefixWatcherConfig config,
                              Observer observer)
-    : store_(store),
+    : loop_(loop),
+      store_(store),
       config_(std::move(config)),
       observer_(std::move(observer)),
       timer_(loop, [this] {
@@ -186,7 +187,14 @@
     return;
   }
   read_next_ = false;
-  timer_.Start(config_.coalesce);
+  timer_.Start(WaitAfterChanges());
+}
+
+Duration PrefixWatcher::WaitAfterChanges() {
+  const Instant now = loop_.Now();
+  paced_until_ = std::max(paced_until_, now) + config_.pace.interval;
+  const Duration ahead = paced_until_ - now - config_.pace.interval * config_.pace.burst;
+  return std::max(config_.coalesce, ahead);
 }
 
 void PrefixWatcher::Apply(const WatchEvent& event) {
@@ -211,6 +219,12 @@
   if (observer_.on_removed) observer_.on_removed(key);
 }
 
+void PrefixWatcher::RetryNow() {
+  if (stopped_ || retry_delay_ == Duration(0) || !timer_.active()) return;
+  retry_delay_ = Duration(0);
+  timer_.Start(Duration(0));
+}
+
 void PrefixWatcher::RetryLater(bool read_again) {
   retry_delay_ = retry_delay_ == Duration(0) ? config_.retry_min
                                              : std::min(retry_delay_ * 2, config_.retry_max);
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -12,12 +12,22 @@
 
 namespace runshelf::store {
 
+// How often a watcher may ask for changes while there are many: `burst` calls at once, then one in
+// each `interval`, which brings all changes of that time.
+struct WatchPace {
+  Duration interval = std::chrono::milliseconds(100);
+  int burst = 5;
+};
+
 struct PrefixWatcherConfig {
   std::string prefix;
   // Events that come within this time of each other cost one call.
   Duration coalesce = std::chrono::milliseconds(20);
+  WatchPace pace;
+  // Between reads that fail. RetryNow ends the wait, so that it may be long: each read of a store
+  // that is away is priced too.
   Duration retry_min = std::chrono::milliseconds(100);
-  Duration retry_max = std::chrono::seconds(1);
+  Duration retry_max = std::chrono::seconds(3);
 };
 
 // Changes of a prefix, as one process passes them on to others.
@@ -49,6 +59,10 @@
   void Stop();
   // Reads the whole range again, for example after this process was stopped for long.
   void Refresh();
+  // The store answers again: what waits for its next try is tried now.
+  void RetryNow();
+  // Applies from the next batch of changes on.
+  void set_pace(const WatchPace& pace) { config_.pace = pace; }
   // While following, no watch is held at the store: changes come by Apply.
   void SetFollowing(bool following);
   bool following() const { return following_; }
@@ -63,6 +77,7 @@
   bool CompleteTo(Revision revision) const { return revision <= revision_; }
   // Of the latest change that the copy includes, as far as is known.
   Revision change_revision() const { return change_revision_; }
+  bool started() const { return !stopped_; }
   // True once the range was read whole.
   bool synchronized() const { return synchronized_; }
   const std::map<std::string, Item>& items() const { return items_; }
@@ -81,7 +96,10 @@
   void ApplyItem(const Item& item);
   void ApplyRemoval(const std::string& key, Revision revision);
   void RetryLater(bool read_again);
+  // How long to wait for further changes after a batch has come.
+  Duration WaitAfterChanges();
 
+  event::EventLoop& loop_;
   StoreClient& store_;
   PrefixWatcherConfig config_;
   Observer observer_;
@@ -92,6 +110,7 @@
   Revision change_revision_ = 0;         // Nothing has changed between this one and `revision_`.
   Revision read_revision_ = 0;
   Duration retry_delay_{0};
+  Instant paced_until_{};    // When the pace would have allowed all calls so far, one by one.
   uint64_t generation_ = 0;  // Answers to calls of earlier generations are ignored.
   bool synchronized_ = false;
   bool reading_range_ = false;
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -47,6 +47,10 @@
 
 void StoreClient::PassOn(const http::Request& request, Duration timeout,
                          std::function<void(std::optional<http::Response>)> callback) {
+  if (!direct_way_works()) {
+    callback(http::Response{kServiceUnavailable, {}, ""});
+    return;
+  }
   Start(config_.endpoint, request, timeout, std::move(callback));
 }
 
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -1,6 +1,8 @@
 // Whole sidecars with workers and a store: what callers, workers and operators see.
 
 #include <CppUTest/TestHarness.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -40,7 +42,8 @@
 TEST(Sidecar, WithoutAConfigurationItRefusesAndWithoutARouteItSaysSo) {
   Fleet fleet({"plain"});
   fleet.store.set_fault(FakeStore::Fault::kRefuse);
-  fleet.Start();
+  fleet.Launch();
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
   CHECK_EQUAL(503, fleet.Request(0, "GET", "/read/1", "")->status);
   CHECK_EQUAL(503, *fleet.Readiness(0));
   fleet.store.set_fault(FakeStore::Fault::kNone);
@@ -238,6 +241,30 @@
       fleet.loop, [&] { return cancelled; }, std::chrono::milliseconds(400)));
 }
 
+// Sends a request and closes the connection before the node had a turn to read either.
+static void SendAndLeave(const event::Endpoint& node, const std::string& request) {
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  CHECK_EQUAL(0, uv_ip4_addr(node.ip.c_str(), node.port, &address));
+  CHECK_EQUAL(0, connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+  CHECK_EQUAL(static_cast<ssize_t>(request.size()),
+              send(client, request.data(), request.size(), MSG_NOSIGNAL));
+  close(client);
+}
+
+TEST(Sidecar, ARequestOfAClientThatHasLeftReachesNoWorker) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  // At the node beside the worker, and at another one.
+  for (size_t node = 0; node < fleet.nodes.size(); ++node) {
+    SendAndLeave(*fleet.nodes[node].settings.outbound,
+                 "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-" +
+                     std::to_string(node) + "\r\nDeadline-Ms: 2000\r\n\r\n");
+  }
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  CHECK(fleet.nodes[0].worker->executed().empty());
+}
+
 TEST(Sidecar, AnAnswerThatBreaksOffIsNeverPassedOnAsWhole) {
   Fleet fleet({"plain", "other"});
   fleet.Start();
@@ -392,6 +419,35 @@
   }
 }
 
+TEST(Sidecar, ANodeReadsTheStateOnceWhenItStarts) {
+  Fleet fleet({"plain"});
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(600));
+  // The configuration and the state, each whole.
+  CHECK_EQUAL(2, fleet.store.calls("/runshelf/kv-range"));
+}
+
+// The next in line learns of a stop after most of a second; until then all others would be without
+// news, and each of them would ask the store itself.
+TEST(Sidecar, ALeaderThatStopsLeadsOnUntilItEnds) {
+  Fleet fleet({"other", "other", "plain", "other"});
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1000));
+  const auto leader = std::find_if(fleet.nodes.begin(), fleet.nodes.end(),
+                                   [](const auto& node) { return node.sidecar->leads_feed(); });
+  CHECK(leader != fleet.nodes.end());
+  bool stopped = false;
+  leader->sidecar->Stop([&] { stopped = true; });
+  RunFor(fleet.loop, std::chrono::milliseconds(450));  // One beacon.
+  CHECK(leader->sidecar->leads_feed());
+  CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
+  leader->sidecar.reset();
+  RunFor(fleet.loop, std::chrono::milliseconds(450));
+  CHECK_EQUAL(1, std::count_if(fleet.nodes.begin(), fleet.nodes.end(), [](const auto& node) {
+                return node.sidecar != nullptr && node.sidecar->leads_feed();
+              }));
+}
+
 TEST(Sidecar, ItTellsItsOwnFigures) {
   Fleet fleet({"plain", "other"});
   fleet.nodes[1].settings.metrics = event::Endpoint{fleet.nodes[1].settings.ip_address, 29464};
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -130,6 +130,21 @@
   CHECK_FALSE(client.reachable());
 }
 
+// Two calls instead of one reached a store that was away for all, for each try of each node.
+TEST(StoreAccess, ANodeThatTheStoreDoesNotAnswerPassesNoCallsOn) {
+  fake.set_fault(FakeStore::Fault::kRefuse);
+  bool over = false;
+  client.Range("", "", [&](const absl::StatusOr<store::RangePage>&) { over = true; });
+  CHECK(RunUntil(loop, [&] { return over; }));
+  const uint64_t calls = fake.calls("/runshelf/kv-range");
+  std::optional<http::Response> answer;
+  client.PassOn(codec.EncodeRange("", ""), std::chrono::seconds(1),
+                [&](std::optional<http::Response> response) { answer = std::move(response); });
+  CHECK(RunUntil(loop, [&] { return answer.has_value(); }));
+  CHECK_EQUAL(503, answer->status);
+  CHECK_EQUAL(calls, fake.calls("/runshelf/kv-range"));
+}
+
 TEST_GROUP(PrefixWatcher) {
   event::EventLoop loop;
   FakeStore fake{loop};
@@ -191,6 +206,31 @@
   CHECK_FALSE(seen.contains("p/b"));
 }
 
+TEST(PrefixWatcher, ManyChangesCostFewCalls) {
+  watcher.set_pace({std::chrono::milliseconds(100), 2});
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return watcher.synchronized(); }));
+  const uint64_t calls = fake.calls("/runshelf/kv-watch");
+  for (int change = 0; change < 100; ++change) {
+    fake.Put("p/" + std::to_string(change), "v");
+    RunFor(loop, std::chrono::milliseconds(5));
+  }
+  CHECK(RunUntil(loop, [&] { return seen.size() == 100; }));
+  // Half a second and a little more, two at once, and the one that waits.
+  CHECK(fake.calls("/runshelf/kv-watch") - calls <= 12);
+}
+
+TEST(PrefixWatcher, AReadThatFailedIsTriedAtOnceWhenTheStoreAnswersAgain) {
+  fake.Put("p/a", "1");
+  fake.set_fault(FakeStore::Fault::kRefuse);
+  watcher.Start();
+  RunFor(loop, std::chrono::milliseconds(700));
+  fake.set_fault(FakeStore::Fault::kNone);
+  watcher.RetryNow();
+  CHECK(RunUntil(
+      loop, [&] { return watcher.synchronized(); }, std::chrono::milliseconds(100)));
+}
+
 TEST(PrefixWatcher, ItReadsAgainWhenTheHistoryIsGone) {
   fake.Put("p/a", "1");
   watcher.Start();
@@ -237,6 +277,16 @@
   }
 };
 
+TEST(LeaseKeeper, ValuesThatAreSetTogetherCostOneCall) {
+  Announce();
+  const uint64_t calls = fake.calls("/runshelf/kv-txn");
+  keeper.SetValue("v2");
+  keeper.SetValue("v3");
+  CHECK(RunUntil(loop, [&] { return keeper.announced(); }));
+  STRCMP_EQUAL("v3", fake.Find("node")->c_str());
+  CHECK_EQUAL(calls + 1, fake.calls("/runshelf/kv-txn"));
+}
+
 TEST(LeaseKeeper, TheItemStaysWhileTheLeaseIsRenewed) {
   Announce();
   RunFor(loop, std::chrono::milliseconds(900));
