Answers to heartbeats wait until the node knows which keys its worker has

The first heartbeat of a new worker comes before the node has its lease or has written the new worker into the map; its answer says nothing of keys, and the next comes a heartbeat later. Change: while the state is not read yet, the lease not in force, or shards of the worker's former life are about to be its own, the answer waits, 600 ms at most after the heartbeat came (a worker takes none after a second). Before, a heartbeat that came before the state was known got 503. Tests: HeartbeatKeys.TheAnswerToTheFirstHeartbeat..., .AHeartbeatThatComesBeforeTheStateIsKnown..., .WhileTheStateIsNotKnown....

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -277,6 +277,15 @@
   if (heartbeat_grants_.OnReport(heartbeat, &holdings_)) Reconcile();
 }
 
+bool ShardHolder::AwaitsKeys() const {
+  if (!ByHeartbeat() || !sharded_ || leaving_ || shards_.map().empty()) return false;
+  if (context_.AuthorityUntil() <= loop_.Now() + kMinHold) return true;
+  // Shards of the worker's former life are about to be its own.
+  const auto& shards = shards_.map().shards();
+  return std::any_of(shards.begin(), shards.end(),
+                     [this](const sharding::Shard& shard) { return OfFormerWorker(shard); });
+}
+
 std::optional<KeyLease> ShardHolder::LeaseFor(const WorkerHeartbeat& heartbeat) {
   if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return std::nullopt;
   // Without the map, or the right to act on it, nothing is known of what the worker is to hold.
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -80,6 +80,7 @@
   void OnKeyRefused(sharding::ShardKey key) override;
 
   void OnKeyReport(const WorkerHeartbeat& heartbeat) override;
+  bool AwaitsKeys() const override;
   std::optional<KeyLease> LeaseFor(const WorkerHeartbeat& heartbeat) override;
 
   // The worker can be given keys: by calls, or its heartbeats arrive.
@@ -106,10 +107,10 @@
   bool RenewTokens(sharding::ShardMap* map);
   bool HandOverReleased(sharding::ShardMap* map);
   size_t ReleasedCount() const;
-  bool MustMove(const sharding::Shard& shard) const;
   // How long the next change waits for others that may come with it, or for other nodes to finish
   // theirs.
   Duration CommitDelay();
+  bool MustMove(const sharding::Shard& shard) const;
   bool HasChangeToCommit() const;
   bool ByHeartbeat() const;
   bool EarlierGrantsRanOut(Instant now) const;
@@ -122,8 +123,8 @@
   const WireFormat& wire_;
   ShardStore& shards_;
   ShardHolderContext& context_;
-  LogWriter& log_;
   Random& random_;
+  LogWriter& log_;
   ShardHolderConfig config_;
   Instant started_at_;
   event::Timer timer_;
@@ -134,8 +135,8 @@
   HeartbeatGrants heartbeat_grants_;
   routes::GrantDelivery delivery_ = routes::GrantDelivery::kCalls;
   Instant heard_at_{};        // The latest heartbeat of the worker that reported keys.
-  uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   int conflicts_ = 0;         // Changes of the map in a row that another node's change came before.
+  uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
   std::string worker_id_;
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -17,6 +17,11 @@
 // Probes in a row that must fail: at once when nothing listens at the address, else for silence.
 constexpr uint32_t kRefusedProbes = 3;
 constexpr uint32_t kSilentProbes = 2;
+// The longest that the answer to a heartbeat waits: a worker takes none after a second, and the
+// heartbeat itself was some time on its way.
+constexpr Duration kLongestDeferral = std::chrono::milliseconds(600);
+// How often a waiting answer is looked at again.
+constexpr Duration kDeferralPoll = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -33,7 +38,8 @@
       log_(log),
       observer_(std::move(observer)),
       probe_timer_(loop, [this] { Probe(); }),
-      silence_timer_(loop, [this] { CheckSilence(); }) {}
+      silence_timer_(loop, [this] { CheckSilence(); }),
+      deferred_timer_(loop, [this] { ContinueDeferred(); }) {}
 
 WorkerMonitor::~WorkerMonitor() = default;
 
@@ -88,17 +94,53 @@
 // twice, tells of keys that may have moved since.
 void WorkerMonitor::AcknowledgeHeartbeat(const http::ExchangePtr& exchange,
                                          const WorkerHeartbeat& heartbeat) {
-  const bool newest = heartbeat.worker_id == worker_id_ && heartbeat.sequence == sequence_;
-  Acknowledge(exchange, newest && observer_.lessor != nullptr
+  Acknowledge(exchange, IsNewest(heartbeat) && observer_.lessor != nullptr
                             ? observer_.lessor->LeaseFor(heartbeat)
                             : std::nullopt);
 }
 
+bool WorkerMonitor::IsNewest(const WorkerHeartbeat& heartbeat) const {
+  return heartbeat.worker_id == worker_id_ && heartbeat.sequence == sequence_;
+}
+
+void WorkerMonitor::Defer(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat,
+                          bool noted) {
+  // A worker that sends another heartbeat waits for the former answer no more.
+  if (deferred_.has_value()) AnswerDeferred();
+  deferred_ = DeferredHeartbeat{exchange, heartbeat, noted};
+  deferred_timer_.Start(kDeferralPoll);
+}
+
+void WorkerMonitor::AnswerDeferred() {
+  const DeferredHeartbeat deferred = *std::exchange(deferred_, std::nullopt);
+  if (deferred.noted) {
+    AcknowledgeHeartbeat(deferred.exchange, deferred.heartbeat);
+  } else {
+    deferred.exchange->Respond(kServiceUnavailable, {}, "");
+  }
+}
+
+void WorkerMonitor::ContinueDeferred() {
+  if (!deferred_.has_value()) return;
+  const bool over = loop_.Now() - deferred_->exchange->received() >= kLongestDeferral;
+  const bool known = deferred_->noted ? !observer_.lessor->AwaitsKeys() : synchronized_;
+  if (!over && !known && (!deferred_->noted || IsNewest(deferred_->heartbeat))) {
+    deferred_timer_.Start(kDeferralPoll);
+    return;
+  }
+  if (deferred_->noted || !synchronized_) {
+    AnswerDeferred();
+    return;
+  }
+  const DeferredHeartbeat deferred = *std::exchange(deferred_, std::nullopt);
+  OnHeartbeat(deferred.exchange, deferred.heartbeat);
+}
+
 void WorkerMonitor::OnHeartbeat(const http::ExchangePtr& exchange,
                                 const WorkerHeartbeat& heartbeat) {
   if (!synchronized_) {
     // Whether this worker is leaving is not known yet.
-    exchange->Respond(kServiceUnavailable, {}, "");
+    Defer(exchange, heartbeat, /*noted=*/false);
     return;
   }
   const bool former = former_workers_.contains(heartbeat.worker_id);
@@ -120,6 +162,9 @@
   if (heartbeat.draining) {
     RecordDrain(exchange, heartbeat.worker_id,
                 [this, exchange, heartbeat] { AcknowledgeHeartbeat(exchange, heartbeat); });
+  } else if (IsNewest(heartbeat) && observer_.lessor != nullptr && observer_.lessor->AwaitsKeys() &&
+             loop_.Now() - exchange->received() < kLongestDeferral) {
+    Defer(exchange, heartbeat, /*noted=*/true);
   } else {
     AcknowledgeHeartbeat(exchange, heartbeat);
   }
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -62,6 +62,12 @@
   void OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave);
   void Acknowledge(const http::ExchangePtr& exchange, const std::optional<KeyLease>& lease);
   void AcknowledgeHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
+  bool IsNewest(const WorkerHeartbeat& heartbeat) const;
+  // Keeps a heartbeat whose answer waits until more is known; at most one.
+  void Defer(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat, bool noted);
+  void ContinueDeferred();
+  // Answers the deferred heartbeat with what is known now.
+  void AnswerDeferred();
   void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                    std::function<void()> acknowledge);
   void AdoptWorker(const std::string& worker_id);
@@ -81,6 +87,13 @@
   Observer observer_;
   event::Timer probe_timer_;
   event::Timer silence_timer_;
+  struct DeferredHeartbeat {
+    http::ExchangePtr exchange;
+    WorkerHeartbeat heartbeat;
+    bool noted = false;  // What it says was taken over; only the answer is missing.
+  };
+  std::optional<DeferredHeartbeat> deferred_;
+  event::Timer deferred_timer_;
   std::unique_ptr<http::SimpleCall> probe_;
   std::string health_path_;
   std::string worker_id_;  // Empty while none is known to be alive.
--- a/tests/platform_adapter/heartbeat_keys_test.cc
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -77,6 +77,38 @@
   CHECK(fleet.nodes[ServedBy(&fleet, 0)].worker->Holds(0)->fence > fence);
 }
 
+// Without it the worker serves nothing until its next heartbeat.
+TEST(HeartbeatKeys, TheAnswerToTheFirstHeartbeatOfANewIncarnationHasItsKeys) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  fleet.Start();
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  const auto answer = fleet.Heartbeat(0, "w9", HeartbeatBody(1, ""));
+  CHECK(answer.has_value());
+  CHECK_EQUAL(200, answer->status);
+  CHECK(Contains(answer->body, "\"holds\":[["));
+}
+
+TEST(HeartbeatKeys, AHeartbeatThatComesBeforeTheStateIsKnownIsAnsweredOnceItIs) {
+  Fleet fleet({"keyed"}, kByHeartbeat);
+  fleet.Launch();
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  const auto answer = fleet.Heartbeat(0, "w0", HeartbeatBody(1, ""));
+  CHECK(answer.has_value());
+  CHECK_EQUAL(200, answer->status);
+}
+
+TEST(HeartbeatKeys, WhileTheStateIsNotKnownAHeartbeatIsRefusedInTime) {
+  Fleet fleet({"keyed"}, kByHeartbeat);
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  fleet.Launch();
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  const Instant start = fleet.loop.Now();
+  const auto answer = fleet.Heartbeat(0, "w0", HeartbeatBody(1, ""));
+  CHECK(answer.has_value());
+  CHECK_EQUAL(503, answer->status);
+  CHECK(fleet.loop.Now() - start < std::chrono::milliseconds(900));
+}
+
 TEST(HeartbeatKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
   Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
   fleet.Start();
