--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -51,16 +51,32 @@
   runshelf_target_defaults(${name})
 endfunction()
 
-# runshelf_test(<name> SOURCES <file>... [DEPENDS <target>...])
-# One CppUTest program per directory below tests/, run by ctest with a fixed RapidCheck seed.
+# runshelf_test(<name> SOURCES <file>... [DEPENDS <target>...] [GROUPS <group>...])
+# One CppUTest program per directory below tests/, run by ctest with a fixed RapidCheck seed. With GROUPS
+# ctest runs each test group by itself, so that long ones run beside each other; <name>_groups fails
+# when the program has a group that is not listed.
 function(runshelf_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;GROUPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/test_main.cc)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} CppUTest rapidcheck)
   # The leak detector replaces `new` by a macro, which RapidCheck does not survive.
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   runshelf_target_defaults(${name})
-  add_test(NAME ${name} COMMAND ${name} -v)
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202"
+  if(ARG_GROUPS)
+    foreach(group IN LISTS ARG_GROUPS)
+      runshelf_add_test(${name}_${group} ${name} -v -sg ${group})
+    endforeach()
+    list(JOIN ARG_GROUPS " " groups)
+    runshelf_add_test(${name}_groups ${CMAKE_COMMAND} -DPROGRAM=$<TARGET_FILE:${name}>
+                      -DLISTED=${groups} -P ${PROJECT_SOURCE_DIR}/cmake/CheckTestGroups.cmake)
+  else()
+    runshelf_add_test(${name} ${name} -v)
+  endif()
+endfunction()
+
+# runshelf_add_test(<ctest name> <command>...)
+function(runshelf_add_test test_name)
+  add_test(NAME ${test_name} COMMAND ${ARGN})
+  set_tests_properties(${test_name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202"
                        TIMEOUT ${RUNSHELF_TEST_TIMEOUT})
 endfunction()
