Shards that were given up are not granted again: two workers held them after a freeze

Change: giving up marks the shards as left out of every answer, as any other release does. Test: HeartbeatKeys.AShardThatWasGivenUpIsNotGrantedAgain, which fails without the change.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -309,6 +309,8 @@
   size_t count = 0;
   for (auto& [key, holding] : holdings_) {
     if (holding.released || holding.worker_id != worker_id_ || now <= holding.held_until) continue;
+    // As any shard that is let go, it is left out of every answer from here on.
+    holding.releasing = true;
     holding.released = true;
     holding.abandoned = true;
     holding.usable_until = Instant{};
--- a/tests/platform_adapter/heartbeat_keys_test.cc
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -109,6 +109,26 @@
   CHECK(fleet.loop.Now() - start < std::chrono::milliseconds(900));
 }
 
+// A node that stood still for seconds first gave up the shards, whose grants had run out, and then
+// answered the heartbeat that had waited all the time, with all of them: two workers held them.
+TEST(HeartbeatKeys, AShardThatWasGivenUpIsNotGrantedAgain) {
+  Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
+  for (Fleet::Node& node : fleet.nodes) node.settings.bounds.max_hold = std::chrono::seconds(1);
+  fleet.Start();
+  FakeWorker& worker = *fleet.nodes[0].worker;
+  worker.set_heartbeats_cut(true);
+  // The node cannot write yet that it gave the shards up.
+  fleet.store.set_fault_filter([](const http::Request& request) {
+    return request.body.find("runshelf/shards/") != std::string::npos;
+  });
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  RunFor(fleet.loop, std::chrono::milliseconds(2500));
+  const auto answer = fleet.Heartbeat(0, worker.id(), HeartbeatBody(worker.sequence() + 1, ""));
+  CHECK(answer.has_value());
+  CHECK_EQUAL(200, answer->status);
+  CHECK_FALSE(Contains(answer->body, "\"holds\":[["));
+}
+
 TEST(HeartbeatKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
   Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
   fleet.Start();
