--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -147,6 +147,8 @@
   CHECK(RunUntil(loop, [&] { return exchanges.size() == 1; }));
   CHECK_FALSE(exchanges[0]->client_gone());
   client.Close();
+  const Instant limit = loop.Now() + std::chrono::seconds(2);
+  while (!exchanges[0]->client_gone() && loop.Now() < limit) std::this_thread::yield();
   CHECK(exchanges[0]->client_gone());
   CHECK(exchanges[0]->open());  // The loop has not turned.
 }
