Stop: a class of its own, which says what it waits for and what it cuts

The log of a stop could not tell why it did not end, nor of which kind the requests were that it cut (requests_cut=5): clients', calls of the worker, or forwarded by other nodes; a request that a stopping node refused left no line at all. Change: no change of what is taken or waited for. The stop moves out of Sidecar into StopSequence, its times into StopSchedule. New lines: stop_waiting once a second, request_cut and forwarded_request_cut for each request cut (20 a second at most, as any event), counts by kind on stopping and stopped, request_refused with reason=stopping or no-configuration. Metrics: runshelf_stopping, runshelf_nested_calls_under_way, runshelf_forwarded_requests_under_way; runshelf_requests_under_way counts clients' requests alone, as its text says. The fleet of the tests keeps its log.

--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -88,6 +88,15 @@
     End();
   }
 
+  void LogCut() const {
+    handler_->log_.Write(LogLevel::kInfo, "forwarded_request_cut",
+                         {{"request", request_id_},
+                          {"reason", "stopping"},
+                          {"answering", relay_.streaming()},
+                          {"running", handler_->gate_.Runs(request_id_)},
+                          {"worker", handler_->gate_.worker_id()}});
+  }
+
  private:
   void StopExpecting() {
     if (!answer_expected_) return;
@@ -147,6 +156,16 @@
   forward->Begin();
 }
 
+RequestCounts InboundHandler::UnderWay() const {
+  RequestCounts counts;
+  counts.forwarded = forwards_.size();
+  return counts;
+}
+
+void InboundHandler::LogCut() const {
+  for (const auto& [pointer, forward] : forwards_) forward->LogCut();
+}
+
 void InboundHandler::Forget(Forward* forward) { forwards_.erase(forward); }
 
 void InboundHandler::PassToStore(const http::ExchangePtr& exchange) {
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -8,6 +8,7 @@
 #include "source/http/server.h"
 #include "source/sidecar/answer_pacer.h"
 #include "source/sidecar/log_writer.h"
+#include "source/sidecar/request_counts.h"
 #include "source/sidecar/state_feed.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/store/store_client.h"
@@ -22,7 +23,9 @@
   ~InboundHandler();
 
   void Handle(const http::ExchangePtr& exchange);
-  size_t under_way() const { return forwards_.size(); }
+  RequestCounts UnderWay() const;
+  // Writes a line for each request under way: the process ends without its answer.
+  void LogCut() const;
 
  private:
   class Forward;
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -39,14 +39,11 @@
 }
 
 void Ingress::Handle(const http::ExchangePtr& exchange) {
-  if (configuration_ == nullptr || (!taking_ && !IsNestedCall(exchange->request().head))) {
-    http::Headers headers;
-    headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
-    exchange->Respond(kServiceUnavailable, headers, "");
-    context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
+  const http::RequestHead& head = exchange->request().head;
+  if (configuration_ == nullptr || !Takes(head)) {
+    RefuseBeforeRouting(exchange);
     return;
   }
-  const http::RequestHead& head = exchange->request().head;
   const std::string* host = head.headers.Find("host");
   const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
   const routes::Route* route = host == nullptr ? nullptr : configuration_->Match(*host, path);
@@ -64,6 +61,37 @@
   flow->Begin();
 }
 
+bool Ingress::Takes(const http::RequestHead& head) const {
+  return context_.stop.TakesNewRequests(context_.loop.Now()) || IsNestedCall(head);
+}
+
+void Ingress::RefuseBeforeRouting(const http::ExchangePtr& exchange) {
+  const bool stopping = context_.stop.begun();
+  if (stopping) ++refused_in_stop_;
+  const std::string* id = exchange->request().head.headers.Find(context_.wire.headers().request_id);
+  context_.log.Write(
+      LogLevel::kInfo, "request_refused",
+      {{"request", id == nullptr ? std::string() : *id},
+       {"status", kServiceUnavailable},
+       {"reason", stopping ? "stopping" : "no-configuration"},
+       {"verdict", VerdictName(Verdict::kNotRun)},
+       {"stop_elapsed_ms", ToMilliseconds(context_.stop.Elapsed(context_.loop.Now()))}});
+  http::Headers headers;
+  headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
+  exchange->Respond(kServiceUnavailable, headers, "");
+  context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
+}
+
+RequestCounts Ingress::UnderWay() const {
+  RequestCounts counts;
+  for (const auto& [pointer, flow] : flows_) ++(flow->nested() ? counts.nested : counts.clients);
+  return counts;
+}
+
+void Ingress::LogCut() const {
+  for (const auto& [pointer, flow] : flows_) flow->LogCut();
+}
+
 bool Ingress::IsNestedCall(const http::RequestHead& head) const {
   const std::string* id = head.headers.Find(context_.wire.headers().request_id);
   if (id == nullptr) return false;
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -16,8 +16,10 @@
 #include "source/sidecar/node_metrics.h"
 #include "source/sidecar/patience_meter.h"
 #include "source/sidecar/peer_directory.h"
+#include "source/sidecar/request_counts.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_directory.h"
+#include "source/sidecar/stop_schedule.h"
 #include "source/sidecar/table_overrides.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
@@ -37,6 +39,7 @@
   LogWriter& log;
   NodeMetrics& metrics;
   Random& random;
+  const StopSchedule& stop;
 };
 
 class RequestFlow;
@@ -51,19 +54,24 @@
   // The configuration in force; nullptr while none is known.
   void SetConfiguration(std::shared_ptr<const routes::RoutingConfiguration> configuration);
   void Handle(const http::ExchangePtr& exchange);
-  // From now on new requests are refused: the process ends before they could be answered. Calls of
-  // the worker's running requests are still served.
-  void StopTaking() { taking_ = false; }
   // The owner of some keys changed: requests that wait for one look again.
   void OnShardsChanged();
 
   // Requests that were sent once more.
   uint64_t retries() const { return retries_; }
-  size_t under_way() const { return flows_.size(); }
+  RequestCounts UnderWay() const;
+  // Requests that were refused since the node stops.
+  uint64_t refused_in_stop() const { return refused_in_stop_; }
+  // Writes a line for each request under way: the process ends without its answer.
+  void LogCut() const;
 
  private:
   friend class RequestFlow;
   void Forget(RequestFlow* flow);
+  // While the node stops, new requests are refused once they could not be answered in time; calls
+  // of the worker's running requests are still served.
+  bool Takes(const http::RequestHead& head) const;
+  void RefuseBeforeRouting(const http::ExchangePtr& exchange);
   // The worker beside this node sent the request while it runs another one.
   bool IsNestedCall(const http::RequestHead& head) const;
   // Of one service; the floors follow the number of live nodes that share them.
@@ -89,7 +97,7 @@
   std::map<std::string, ServiceBudgets> budgets_;
   std::map<std::string, PatienceMeter> patience_;  // By route.
   uint64_t retries_ = 0;
-  bool taking_ = true;
+  uint64_t refused_in_stop_ = 0;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
 };
 
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -61,7 +61,13 @@
   gauge("runshelf_worker_queued", "Requests that wait for a slot.", gauges.load.queued);
   gauge("runshelf_worker_slots", "Requests that the worker runs at once.", gauges.load.slots);
   gauge("runshelf_requests_under_way", "Requests of clients without a final answer.",
-        static_cast<double>(gauges.requests_under_way));
+        static_cast<double>(gauges.requests_under_way.clients));
+  gauge("runshelf_nested_calls_under_way",
+        "Calls of the worker beside the node, during its runs, without a final answer.",
+        static_cast<double>(gauges.requests_under_way.nested));
+  gauge("runshelf_forwarded_requests_under_way",
+        "Requests that other nodes sent here, without a final answer.",
+        static_cast<double>(gauges.requests_under_way.forwarded));
   gauge("runshelf_configuration_version", "Version in force; zero: none is known.",
         static_cast<double>(gauges.configuration_version));
   gauge("runshelf_shard_map_revision", "Revision of the shard map of the worker's service.",
@@ -69,6 +75,7 @@
   gauge("runshelf_store_reachable", "Whether the store answered lately.",
         gauges.store_reachable ? 1 : 0);
   gauge("runshelf_ready", "Whether the node takes new clients.", gauges.ready ? 1 : 0);
+  gauge("runshelf_stopping", "Whether the node was told to stop.", gauges.stopping ? 1 : 0);
   gauge("runshelf_live_nodes", "Nodes of the fleet that this one knows.",
         static_cast<double>(gauges.live_nodes));
   counter("runshelf_store_calls_total", "Calls to the store, those passed on included.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -7,6 +7,7 @@
 
 #include "runshelf/common/clock.h"
 #include "runshelf/routing/target_load.h"
+#include "source/sidecar/request_counts.h"
 #include "source/store/store_operations.h"
 
 namespace prometheus {
@@ -32,7 +33,8 @@
   bool store_reachable = false;
   bool ready = false;
   size_t live_nodes = 0;
-  size_t requests_under_way = 0;
+  bool stopping = false;
+  RequestCounts requests_under_way;
   uint64_t store_calls = 0;
   uint64_t connections_opened = 0;
   uint64_t grants_sent = 0;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -392,6 +392,11 @@
   ingress_->Forget(this);
 }
 
+void RequestFlow::LogCut() {
+  const bool sent = !current_node_.empty() || may_have_run_;
+  LogOutcome("request_cut", 0, "stopping", sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
+}
+
 Duration RequestFlow::Age() const { return context_.loop.Now() - exchange_->received(); }
 
 void RequestFlow::LogOutcome(std::string_view event, int status, std::string_view reason,
@@ -405,6 +410,7 @@
        {"reason", std::string(reason)},
        {"verdict", std::string(VerdictName(verdict))},
        {"age_ms", ToMilliseconds(Age())},
+       {"nested", nested_},
        {"arrivals", arrivals_},
        {"node", last_node_},
        {"worker", last_worker_},
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -20,6 +20,10 @@
   // The owner of some keys changed.
   void OnShardsChanged();
   bool waiting_for_owner() const { return waiting_for_owner_; }
+  // The worker beside this node sent the request during a run.
+  bool nested() const { return nested_; }
+  // Writes a line: the process ends without the answer.
+  void LogCut();
 
   void OnAnswerHead(http::ResponseHead&& head) override;
   void OnAnswerBody(std::string_view data) override;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -26,13 +26,6 @@
 // Before the end of the time in which a draining worker may be sent requests: what is sent then
 // must still arrive in time.
 constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
-// After a stop was asked for, clients are still sent here until readiness was missed twice.
-constexpr Duration kStopMinimum = std::chrono::milliseconds(2300);
-// The worker beside a stopping node takes new work this much longer.
-constexpr Duration kStopAnnounceDelay = std::chrono::milliseconds(900);
-// Left of the grace period when a stop no longer waits for what runs.
-constexpr Duration kStopReserve = std::chrono::milliseconds(700);
-constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 // Time without a turn of the loop after which everything known may be old.
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 
@@ -105,6 +98,7 @@
       wire_(wire),
       random_(random),
       log_(log),
+      stop_schedule_(settings_.bounds),
       incarnation_(random.Next() >> 1U),
       pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
@@ -131,7 +125,7 @@
       feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_, gate_,
-                              log, metrics_, random}),
+                              log, metrics_, random, stop_schedule_}),
       inbound_handler_(loop, gate_, store_, feed_, log, settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
@@ -142,8 +136,13 @@
       metrics_server_(loop, [this](const http::ExchangePtr& exchange) { HandleMetrics(exchange); }),
       tick_(loop, [this] { OnTick(); }),
       state_read_timer_(loop, [this] { ReadState(); }),
-      stop_timer_(loop, [this] { ContinueStop(); }),
-      end_timer_(loop, [this] { on_stopped_(); }) {
+      stop_sequence_(
+          StopContext{loop, stop_schedule_, ingress_, inbound_handler_, holder_, store_, log},
+          {[this] { Announce(); },
+           [this] {
+             lease_.End();
+             outbound_.StopListening();
+           }}) {
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
@@ -239,7 +238,7 @@
 }
 
 bool Sidecar::ready() const {
-  return !stopping_ && configuration_ != nullptr && state_watcher_.synchronized();
+  return !stop_schedule_.begun() && configuration_ != nullptr && state_watcher_.synchronized();
 }
 
 void Sidecar::HandleReadiness(const http::ExchangePtr& exchange) {
@@ -255,7 +254,8 @@
   gauges.store_reachable = store_.reachable();
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
-  gauges.requests_under_way = ingress_.under_way();
+  gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
+  gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
   gauges.connections_opened = pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
@@ -289,7 +289,7 @@
                                ? settings_.grant_delivery
                                : service->grant_delivery.value_or(settings_.grant_delivery));
   holder_.SetSharded(sharded);
-  coordinator_.SetActive(sharded && !stopping_);
+  coordinator_.SetActive(sharded && !stop_schedule_.begun());
 }
 
 void Sidecar::ApplyLimits(const routes::ClientLimits& limits) {
@@ -357,7 +357,7 @@
   gate_.SetDraining(state == WorkerState::kDraining,
                     monitor_.draining_since() + settings_.bounds.drain_timeout - kDrainSendMargin);
   holder_.SetWorker(worker, former_gone);
-  holder_.SetLeaving(stopping_ || state == WorkerState::kDraining);
+  holder_.SetLeaving(stop_schedule_.begun() || state == WorkerState::kDraining);
   Announce();
 }
 
@@ -372,7 +372,7 @@
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
   record.takes_keys = holder_.WorkerReports();
-  record.stopping = stopping_ && loop_.Now() - stop_started_ >= kStopAnnounceDelay;
+  record.stopping = stop_schedule_.Announced(loop_.Now());
   lease_.SetValue(record.Serialize());
 }
 
@@ -415,37 +415,13 @@
 }
 
 void Sidecar::Stop(std::function<void()> on_stopped) {
-  if (stopping_) return;
-  stopping_ = true;
-  stop_started_ = loop_.Now();
-  on_stopped_ = std::move(on_stopped);
-  log_.Write(LogLevel::kInfo, "stopping", {{"requests", ingress_.under_way()}});
+  if (stop_schedule_.begun()) return;
   outbound_.StartClosing();
   coordinator_.SetActive(false);
   feed_.SetStopping();
   holder_.SetLeaving(true);
   tick_.Stop();
-  ContinueStop();
-}
-
-void Sidecar::ContinueStop() {
-  const Duration elapsed = loop_.Now() - stop_started_;
-  Announce();
-  if (elapsed >= kStopMinimum) ingress_.StopTaking();
-  const bool idle =
-      ingress_.under_way() == 0 && inbound_handler_.under_way() == 0 && holder_.HoldsNothing();
-  const bool out_of_time = elapsed >= settings_.bounds.grace_period - kStopReserve;
-  if ((elapsed < kStopMinimum || !idle) && !out_of_time) {
-    stop_timer_.Start(kStopPoll);
-    return;
-  }
-  lease_.End();
-  log_.Write(LogLevel::kInfo, "stopped",
-             {{"elapsed_ms", ToMilliseconds(elapsed)},
-              {"requests_cut", ingress_.under_way() + inbound_handler_.under_way()}});
-  // One turn of the loop sends the last call.
-  outbound_.StopListening();
-  end_timer_.Start(kStopPoll);
+  stop_sequence_.Begin(std::move(on_stopped));
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -20,6 +20,8 @@
 #include "source/sidecar/shard_holder.h"
 #include "source/sidecar/shard_store.h"
 #include "source/sidecar/state_feed.h"
+#include "source/sidecar/stop_schedule.h"
+#include "source/sidecar/stop_sequence.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/sidecar/worker_monitor.h"
@@ -75,13 +77,13 @@
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
   void OnTick();
-  void ContinueStop();
 
   event::EventLoop& loop_;
   Settings settings_;
   const WireFormat& wire_;
   Random& random_;
   LogWriter& log_;
+  StopSchedule stop_schedule_;
   uint64_t incarnation_;
   http::ConnectionPool pool_;
   store::StoreClient store_;
@@ -107,16 +109,12 @@
   http::Server metrics_server_;
   event::Timer tick_;
   event::Timer state_read_timer_;
-  event::Timer stop_timer_;
-  event::Timer end_timer_;
+  StopSequence stop_sequence_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
   // Lease under which the state was read again: only then does the node act on what it owns.
   store::LeaseId confirmed_lease_ = 0;
   store::LeaseId lease_to_confirm_ = 0;
   Instant rolled_at_{};
-  Instant stop_started_{};
-  bool stopping_ = false;
-  std::function<void()> on_stopped_;
 };
 
 }  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/stop_schedule.h
@@ -0,0 +1,35 @@
+// Times of a planned stop: until when the node takes new requests, and when it ends.
+#pragma once
+
+#include <optional>
+
+#include "runshelf/common/clock.h"
+#include "source/sidecar/settings.h"
+
+namespace runshelf::sidecar {
+
+// Free of input and output; not thread-safe.
+class StopSchedule {
+ public:
+  // `bounds` may change while the process runs.
+  explicit StopSchedule(const FleetBounds& bounds) : bounds_(bounds) {}
+
+  // The node was told to stop.
+  void Begin(Instant now) { begun_at_ = now; }
+  bool begun() const { return begun_at_.has_value(); }
+  // Since the node was told to stop; zero before.
+  Duration Elapsed(Instant now) const;
+
+  // Other nodes are told that this one stops.
+  bool Announced(Instant now) const;
+  // New requests of clients are taken.
+  bool TakesNewRequests(Instant now) const;
+  // The process ends without waiting any longer.
+  bool OutOfTime(Instant now) const;
+
+ private:
+  const FleetBounds& bounds_;
+  std::optional<Instant> begun_at_;
+};
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/stop_sequence.cc
@@ -0,0 +1,83 @@
+#include "source/sidecar/stop_sequence.h"
+
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr Duration kPoll = std::chrono::milliseconds(50);
+// How often a stop says what it waits for.
+constexpr Duration kLogInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+StopSequence::StopSequence(const StopContext& context, Observer observer)
+    : context_(context),
+      observer_(std::move(observer)),
+      poll_timer_(context.loop, [this] { Continue(); }),
+      end_timer_(context.loop, [this] { on_stopped_(); }) {}
+
+void StopSequence::Begin(std::function<void()> on_stopped) {
+  on_stopped_ = std::move(on_stopped);
+  const Instant now = context_.loop.Now();
+  context_.schedule.Begin(now);
+  logged_at_ = now;
+  const RequestCounts running = UnderWay();
+  context_.log.Write(LogLevel::kInfo, "stopping",
+                     {{"clients", running.clients},
+                      {"nested", running.nested},
+                      {"forwarded", running.forwarded},
+                      {"holds_keys", !context_.holder.HoldsNothing()},
+                      {"store_reachable", context_.store.reachable()}});
+  Continue();
+}
+
+RequestCounts StopSequence::UnderWay() const {
+  return context_.ingress.UnderWay() + context_.inbound_handler.UnderWay();
+}
+
+void StopSequence::Continue() {
+  const Instant now = context_.loop.Now();
+  observer_.on_progress();
+  const bool idle = UnderWay().total() == 0 && context_.holder.HoldsNothing();
+  const bool over = idle && !context_.schedule.TakesNewRequests(now);
+  if (over || context_.schedule.OutOfTime(now)) {
+    End();
+    return;
+  }
+  LogWaiting(now);
+  poll_timer_.Start(kPoll);
+}
+
+void StopSequence::LogWaiting(Instant now) {
+  if (now - logged_at_ < kLogInterval) return;
+  logged_at_ = now;
+  const RequestCounts running = UnderWay();
+  context_.log.Write(LogLevel::kInfo, "stop_waiting",
+                     {{"elapsed_ms", ToMilliseconds(context_.schedule.Elapsed(now))},
+                      {"takes_requests", context_.schedule.TakesNewRequests(now)},
+                      {"clients", running.clients},
+                      {"nested", running.nested},
+                      {"forwarded", running.forwarded},
+                      {"holds_keys", !context_.holder.HoldsNothing()},
+                      {"store_reachable", context_.store.reachable()}});
+}
+
+void StopSequence::End() {
+  const Instant now = context_.loop.Now();
+  observer_.on_ending();
+  const RequestCounts cut = UnderWay();
+  context_.ingress.LogCut();
+  context_.inbound_handler.LogCut();
+  context_.log.Write(LogLevel::kInfo, "stopped",
+                     {{"elapsed_ms", ToMilliseconds(context_.schedule.Elapsed(now))},
+                      {"requests_cut", cut.total()},
+                      {"clients_cut", cut.clients},
+                      {"nested_cut", cut.nested},
+                      {"forwarded_cut", cut.forwarded},
+                      {"holds_keys", !context_.holder.HoldsNothing()}});
+  // One turn of the loop sends the last answers and calls.
+  end_timer_.Start(kPoll);
+}
+
+}  // namespace runshelf::sidecar
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -1,7 +1,6 @@
 #include "tests/platform_adapter/fleet.h"
 
 #include <CppUTest/TestHarness.h>
-#include <fcntl.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -26,7 +25,7 @@
 }  // namespace
 
 Fleet::Fleet(const std::vector<std::string>& services, routes::GrantDelivery grant_delivery)
-    : log_descriptor_(open("/dev/null", O_WRONLY | O_CLOEXEC)), log_(loop, log_descriptor_, {}) {
+    : log_file_(std::tmpfile()), log_(loop, fileno(log_file_), {}) {
   for (size_t index = 0; index < services.size(); ++index) {
     Node node;
     const std::string name = "n" + std::to_string(index);
@@ -55,7 +54,7 @@
 
 Fleet::~Fleet() {
   for (Node& node : nodes) node.sidecar.reset();
-  close(log_descriptor_);
+  std::fclose(log_file_);
 }
 
 void Fleet::StartNode(Node* node) {
@@ -171,6 +170,15 @@
   return status;
 }
 
+std::string Fleet::Log() {
+  log_.Flush();
+  const int descriptor = fileno(log_file_);
+  std::string text(static_cast<size_t>(lseek(descriptor, 0, SEEK_END)), '\0');
+  const ssize_t count = pread(descriptor, text.data(), text.size(), 0);
+  CHECK_EQUAL(static_cast<ssize_t>(text.size()), count);
+  return text;
+}
+
 std::string Fleet::Metrics(size_t node) {
   std::string text;
   http::SimpleCall call(loop, pool_, *nodes[node].settings.metrics,
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -1,6 +1,7 @@
 // A few sidecars with their workers and one store, all on the test's event loop.
 #pragma once
 
+#include <cstdio>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +67,8 @@
                                         Duration limit = std::chrono::seconds(3));
   std::optional<Answer> Keyed(size_t node, uint32_t key);
   std::optional<int> Readiness(size_t node);
+  // Lines that the nodes have written so far; a bounded number of each event in a second.
+  std::string Log();
   // What the node tells of itself; its settings name an address for it.
   std::string Metrics(size_t node);
   // A heartbeat that somebody sends in the name of a worker; nullopt when no answer came.
@@ -95,7 +98,7 @@
   PlatformWireFormat wire_;
   PlatformStoreCodec codec_;
   SeededRandom random_{7};
-  int log_descriptor_;
+  std::FILE* log_file_;
   sidecar::LogWriter log_;
   http::ConnectionPool pool_{loop};
   uint64_t next_request_ = 1;
--- a/tests/platform_adapter/stopping_node_test.cc
+++ b/tests/platform_adapter/stopping_node_test.cc
@@ -216,3 +216,68 @@
   CHECK_EQUAL(0, clients.Count(502, {}, ended));
   CHECK(elapsed < kTakesRequests + kSlack);
 }
+
+// The workers beside all nodes answer nothing until they are told to.
+static void HoldRequests(Fleet& fleet, std::vector<http::ExchangePtr>* held) {
+  for (Fleet::Node& node : fleet.nodes) {
+    node.worker->set_behaviour(
+        [held](const http::ExchangePtr& exchange) { held->push_back(exchange); });
+  }
+}
+
+static std::unique_ptr<Fleet::PendingRequest> BeginNamed(Fleet& fleet, size_t node,
+                                                         const std::string& id,
+                                                         const std::string& deadline_ms = "1500") {
+  http::Headers headers;
+  headers.Add("Attempt-Id", id);
+  headers.Add("Deadline-Ms", deadline_ms);
+  return fleet.Begin(node, "POST", "/send/1", "", headers);
+}
+
+// Whether one line of the log has all of `parts`.
+static bool Logged(const std::string& log, const std::vector<std::string>& parts) {
+  for (size_t begin = 0; begin < log.size();) {
+    const size_t end = std::min(log.find('\n', begin), log.size());
+    const std::string line = log.substr(begin, end - begin) + " ";
+    begin = end + 1;
+    if (std::all_of(parts.begin(), parts.end(), [&](const std::string& part) {
+          return line.find(" " + part + " ") != std::string::npos;
+        })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST(StoppingNode, ItSaysWhatItWaitsForAndWhatItCuts) {
+  Fleet fleet({"plain", "other"});
+  fleet.nodes[0].settings.bounds.grace_period = std::chrono::milliseconds(3100);
+  fleet.nodes[0].settings.metrics = event::Endpoint{fleet.nodes[0].settings.ip_address, 29465};
+  fleet.Start();
+  SilenceStore(fleet);
+  std::vector<http::ExchangePtr> held;
+  HoldRequests(fleet, &held);
+  const auto own = BeginNamed(fleet, 0, "own");
+  const auto forwarded = BeginNamed(fleet, 1, "forwarded");
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == 2; }));
+  const auto call = BeginNamed(fleet, 0, "own.call");
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == 3; }));
+  bool stopped = false;
+  fleet.nodes[0].sidecar->Stop([&] { stopped = true; });
+  RunFor(fleet.loop, std::chrono::milliseconds(1200));
+  CHECK(Logged(fleet.Log(), {"event=stopping", "clients=1", "nested=1", "forwarded=1"}));
+  CHECK(Logged(fleet.Log(), {"event=stop_waiting", "clients=1", "nested=1", "forwarded=1"}));
+  const std::string metrics = fleet.Metrics(0);
+  for (const char* line :
+       {"runshelf_stopping 1", "runshelf_requests_under_way 1", "runshelf_nested_calls_under_way 1",
+        "runshelf_forwarded_requests_under_way 1"}) {
+    CHECK_TEXT(metrics.find(line) != std::string::npos, line);
+  }
+  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  RunFor(fleet.loop, std::chrono::milliseconds(800));
+  const auto cut = BeginNamed(fleet, 0, "cut");
+  CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
+  CHECK(Logged(fleet.Log(), {"event=request_cut", "request=cut", "nested=false"}));
+  CHECK(Logged(fleet.Log(), {"event=stopped", "requests_cut=1", "clients_cut=1", "nested_cut=0",
+                             "forwarded_cut=0", "holds_keys=false"}));
+}
