Stop: nothing is taken that could outlive the node, and answers tell others of the stop

A stopping node told others only through its item in the store. While the store was away they sent on until its process ended; their runs made calls through it, which it took to its last moment, and the last of them were cut. The stop waited until its reserve, since it kept taking what it waited for. Change: - From the moment at which the stop goes to the store (0.9 s), each answer to another node, failures too, carries a notice: for how long requests are taken, and by when the process is gone. PeerDirectory then chooses other nodes until a record of another incarnation, an answer without a notice, or that time; the node itself does the same. A node that stops is still used while there is no other and it takes requests. - A forwarded request is taken only when its deadline lies before the end of the stop, and after 2.3 s (when clients' requests are refused) only when its key binds it to this worker. Else it is refused as not run (reason stopping), and its sender tries another node. - After 2.3 s a call of a worker's run is taken only when its deadline lies before the end; else 503 at once, unsent, with Retry-After. Clients' requests of the first 2.3 s are taken as before. - At the end, what waits in the worker's queue or for an owner is refused instead of cut, and nothing is begun any more.

--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -36,6 +36,7 @@
   kNoWorker,       // The node knows of no worker that is well.
   kWrongWorker,    // Another worker than the one meant is there.
   kDraining,       // The worker is leaving.
+  kStopping,       // The node is about to end, maybe before the request would be over.
   kNotOwner,       // The worker does not hold the key.
   kFull,           // Refused by the queue in front of the worker.
   kLimited,        // Over the limit of the table's cell.
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -50,7 +50,7 @@
   }
 
   void OnAnswerHead(http::ResponseHead&& head) override {
-    peer_protocol::AddLoad(handler_->gate_.load(), &head.headers);
+    handler_->AddNodeState(&head.headers);
     relay_.OnHead(std::move(head));
   }
 
@@ -81,7 +81,7 @@
       exchange_->Abort();
     } else {
       http::Headers headers = peer_protocol::FailureHeaders(failure);
-      peer_protocol::AddLoad(handler_->gate_.load(), &headers);
+      handler_->AddNodeState(&headers);
       const bool not_run = failure.verdict == Verdict::kNotRun;
       exchange_->Respond(not_run ? kServiceUnavailable : kBadGateway, headers, "");
     }
@@ -124,12 +124,14 @@
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               StateFeed& feed, LogWriter& log, double link_bytes_per_second)
+                               StateFeed& feed, LogWriter& log, const StopSchedule& stop,
+                               double link_bytes_per_second)
     : loop_(loop),
       gate_(gate),
       store_(store),
       feed_(feed),
       log_(log),
+      stop_(stop),
       pacer_(loop, link_bytes_per_second) {}
 
 // Each request that ends gives its slot to the next, which finds its caller gone and ends too, and
@@ -153,7 +155,25 @@
   }
   auto forward = std::make_shared<Forward>(this, exchange, *attempt);
   forwards_[forward.get()] = forward;
-  forward->Begin();
+  if (Takes(*attempt)) {
+    forward->Begin();
+    return;
+  }
+  ++refused_in_stop_;
+  forward->OnAttemptFailure({Verdict::kNotRun, FailureReason::kStopping, false, Duration(0)});
+}
+
+// A stopping node takes what is certainly over before it ends. New requests are refused as soon as
+// those of clients are, so that their senders choose another node; a request that only this worker
+// may run is taken for as long as the worker holds its key.
+bool InboundHandler::Takes(const AttemptRequest& attempt) const {
+  if (!stop_.EndsInTime(attempt.deadline)) return false;
+  return stop_.TakesNewRequests(loop_.Now()) || gate_.BoundByKey(attempt);
+}
+
+void InboundHandler::AddNodeState(http::Headers* headers) const {
+  peer_protocol::AddLoad(gate_.load(), headers);
+  peer_protocol::AddStopNotice(stop_.Notice(loop_.Now()), headers);
 }
 
 RequestCounts InboundHandler::UnderWay() const {
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -10,6 +10,7 @@
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/request_counts.h"
 #include "source/sidecar/state_feed.h"
+#include "source/sidecar/stop_schedule.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/store/store_client.h"
 
@@ -19,11 +20,14 @@
  public:
   // `link_bytes_per_second` is the bandwidth of the machine's link; zero: no bound.
   InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                 StateFeed& feed, LogWriter& log, double link_bytes_per_second);
+                 StateFeed& feed, LogWriter& log, const StopSchedule& stop,
+                 double link_bytes_per_second);
   ~InboundHandler();
 
   void Handle(const http::ExchangePtr& exchange);
   RequestCounts UnderWay() const;
+  // Requests that were refused since the node stops.
+  uint64_t refused_in_stop() const { return refused_in_stop_; }
   // Writes a line for each request under way: the process ends without its answer.
   void LogCut() const;
 
@@ -31,6 +35,9 @@
   class Forward;
 
   void PassToStore(const http::ExchangePtr& exchange);
+  bool Takes(const AttemptRequest& attempt) const;
+  // What each answer tells of this node.
+  void AddNodeState(http::Headers* headers) const;
   void Forget(Forward* forward);
 
   event::EventLoop& loop_;
@@ -38,6 +45,8 @@
   store::StoreClient& store_;
   StateFeed& feed_;
   LogWriter& log_;
+  const StopSchedule& stop_;
+  uint64_t refused_in_stop_ = 0;
   AnswerPacer pacer_;
   std::unordered_map<Forward*, std::shared_ptr<Forward>> forwards_;
 };
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -40,8 +40,8 @@
 
 void Ingress::Handle(const http::ExchangePtr& exchange) {
   const http::RequestHead& head = exchange->request().head;
-  if (configuration_ == nullptr || !Takes(head)) {
-    RefuseBeforeRouting(exchange);
+  if (configuration_ == nullptr) {
+    RefuseUnconfigured(exchange);
     return;
   }
   const std::string* host = head.headers.Find("host");
@@ -61,21 +61,18 @@
   flow->Begin();
 }
 
-bool Ingress::Takes(const http::RequestHead& head) const {
-  return context_.stop.TakesNewRequests(context_.loop.Now()) || IsNestedCall(head);
+bool Ingress::Takes(bool nested, Instant deadline) const {
+  if (context_.stop.TakesNewRequests(context_.loop.Now())) return true;
+  return nested && context_.stop.EndsInTime(deadline);
 }
 
-void Ingress::RefuseBeforeRouting(const http::ExchangePtr& exchange) {
-  const bool stopping = context_.stop.begun();
-  if (stopping) ++refused_in_stop_;
+void Ingress::RefuseUnconfigured(const http::ExchangePtr& exchange) {
   const std::string* id = exchange->request().head.headers.Find(context_.wire.headers().request_id);
-  context_.log.Write(
-      LogLevel::kInfo, "request_refused",
-      {{"request", id == nullptr ? std::string() : *id},
-       {"status", kServiceUnavailable},
-       {"reason", stopping ? "stopping" : "no-configuration"},
-       {"verdict", VerdictName(Verdict::kNotRun)},
-       {"stop_elapsed_ms", ToMilliseconds(context_.stop.Elapsed(context_.loop.Now()))}});
+  context_.log.Write(LogLevel::kInfo, "request_refused",
+                     {{"request", id == nullptr ? std::string() : *id},
+                      {"status", kServiceUnavailable},
+                      {"reason", "no-configuration"},
+                      {"verdict", VerdictName(Verdict::kNotRun)}});
   http::Headers headers;
   headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
   exchange->Respond(kServiceUnavailable, headers, "");
@@ -99,12 +96,12 @@
   return !parent.empty() && context_.gate.Runs(std::string(parent));
 }
 
-void Ingress::OnShardsChanged() {
+void Ingress::RetryWaiting() {
   std::vector<std::shared_ptr<RequestFlow>> waiting;
   for (const auto& [pointer, flow] : flows_) {
     if (flow->waiting_for_owner()) waiting.push_back(flow);
   }
-  for (const auto& flow : waiting) flow->OnShardsChanged();
+  for (const auto& flow : waiting) flow->RetryOwner();
 }
 
 Ingress::ServiceBudgets& Ingress::BudgetsOf(const std::string& service) {
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -55,7 +55,9 @@
   void SetConfiguration(std::shared_ptr<const routes::RoutingConfiguration> configuration);
   void Handle(const http::ExchangePtr& exchange);
   // The owner of some keys changed: requests that wait for one look again.
-  void OnShardsChanged();
+  void OnShardsChanged() { RetryWaiting(); }
+  // The stop is closed: requests that wait for the owner of their key are refused.
+  void RefuseWaiting() { RetryWaiting(); }
 
   // Requests that were sent once more.
   uint64_t retries() const { return retries_; }
@@ -68,10 +70,12 @@
  private:
   friend class RequestFlow;
   void Forget(RequestFlow* flow);
-  // While the node stops, new requests are refused once they could not be answered in time; calls
-  // of the worker's running requests are still served.
-  bool Takes(const http::RequestHead& head) const;
-  void RefuseBeforeRouting(const http::ExchangePtr& exchange);
+  // A stopping node takes new requests until clients have learnt of the stop, and then only calls
+  // of the worker's runs, which need them to end, while they are certainly over before the node
+  // ends.
+  bool Takes(bool nested, Instant deadline) const;
+  void RefuseUnconfigured(const http::ExchangePtr& exchange);
+  void RetryWaiting();
   // The worker beside this node sent the request while it runs another one.
   bool IsNestedCall(const http::RequestHead& head) const;
   // Of one service; the floors follow the number of live nodes that share them.
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -46,6 +46,8 @@
 void PeerDirectory::OnRecord(Instant now, const NodeRecord& record) {
   removed_.erase(record.node);
   Peer& peer = peers_[record.node];
+  // Another process is there than the one that said that it stops.
+  if (peer.record.incarnation != record.incarnation) peer.stop.reset();
   peer.record = record;
   peer.listed = true;
   Rebuild(now);
@@ -57,14 +59,30 @@
   if (found == peers_.end()) return;
   found->second.listed = false;
   found->second.unlisted_since = now;
-  if (found->second.record.stopping) peers_.erase(found);
+  if (found->second.stopping()) peers_.erase(found);
   Rebuild(now);
 }
 
-void PeerDirectory::OnAnswer(Instant now, const std::string& node) {
+void PeerDirectory::OnAnswer(Instant now, const std::string& node,
+                             const std::optional<StopNotice>& notice) {
   failures_.OnReachable(InstanceOf(node));
   const auto found = peers_.find(node);
-  if (found != peers_.end()) found->second.answered_at = now;
+  if (found == peers_.end()) return;
+  found->second.answered_at = now;
+  OnStopNotice(now, node, notice);
+}
+
+void PeerDirectory::OnStopNotice(Instant now, const std::string& node,
+                                 const std::optional<StopNotice>& notice) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  const bool known = peer.stop.has_value();
+  peer.stop.reset();
+  if (notice.has_value()) peer.stop = {now + notice->takes_requests, now + notice->ends};
+  if (known == notice.has_value()) return;
+  Rebuild(now);
+  if (notice.has_value() && !peer.record.stopping && on_stop_notice_) on_stop_notice_(node);
 }
 
 void PeerDirectory::OnFailure(Instant now, const std::string& node) {
@@ -84,13 +102,21 @@
 }
 
 void PeerDirectory::Sweep(Instant now) {
-  const size_t before = peers_.size();
-  std::erase_if(peers_, [&](const auto& entry) {
-    const Peer& peer = entry.second;
-    return !peer.listed && now - peer.unlisted_since > kKeptWhileAnswering &&
-           now - peer.answered_at > kKeptWhileAnswering;
-  });
-  if (peers_.size() != before) Rebuild(now);
+  bool changed = false;
+  for (auto& [node, peer] : peers_) {
+    if (!peer.stop.has_value() || now < peer.stop->ends_at) continue;
+    peer.stop.reset();
+    changed = true;
+  }
+  changed = std::erase_if(peers_,
+                          [&](const auto& entry) {
+                            const Peer& peer = entry.second;
+                            return !peer.listed &&
+                                   now - peer.unlisted_since > kKeptWhileAnswering &&
+                                   now - peer.answered_at > kKeptWhileAnswering;
+                          }) > 0 ||
+            changed;
+  if (changed) Rebuild(now);
 }
 
 const Peer* PeerDirectory::Find(const std::string& node) const {
@@ -107,7 +133,7 @@
     target.instance = InstanceOf(node);
     target.zone = peer.record.zone;
     target.forward_address = peer.record.inbound.ToString();
-    target.leaving = !peer.record.accepting();
+    target.leaving = !peer.record.accepting() || peer.stop.has_value();
     services_[peer.record.service].targets.push_back(std::move(target));
   }
   std::sort(instances.begin(), instances.end());
@@ -138,6 +164,28 @@
     exclude(&only_excluded);
     choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random, answer_size);
   }
+  if (!choice.has_value()) return ChooseStopping(now, service, excluded, random, answer_size);
+  return targets[*choice].instance.node;
+}
+
+std::optional<std::string> PeerDirectory::ChooseStopping(Instant now, const std::string& service,
+                                                         const std::vector<std::string>& excluded,
+                                                         Random& random,
+                                                         routing::AnswerSize answer_size) const {
+  std::vector<routing::RouteTarget> targets = services_.at(service).targets;
+  std::vector<bool> skipped(targets.size(), true);
+  for (size_t index = 0; index < targets.size(); ++index) {
+    const std::string& node = targets[index].instance.node;
+    const Peer& peer = peers_.at(node);
+    const bool takes_requests = peer.record.worker_state == WorkerState::kReady &&
+                                peer.stop.has_value() && now < peer.stop->takes_requests_until;
+    if (!takes_requests || std::find(excluded.begin(), excluded.end(), node) != excluded.end()) {
+      continue;
+    }
+    targets[index].leaving = false;
+    skipped[index] = false;
+  }
+  const auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, answer_size);
   if (!choice.has_value()) return std::nullopt;
   return targets[*choice].instance.node;
 }
@@ -146,7 +194,7 @@
   std::vector<const Peer*> fresh;
   std::vector<const Peer*> any;
   for (const auto& [node, peer] : peers_) {
-    if (node == own_node_ || peer.record.stopping) continue;
+    if (node == own_node_ || peer.stopping()) continue;
     any.push_back(&peer);
     if (now - peer.answered_at < kRelayAnswerAge) fresh.push_back(&peer);
   }
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -2,6 +2,7 @@
 // they answer.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,14 +14,25 @@
 #include "runshelf/routing/load_balancer.h"
 #include "runshelf/routing/routing_snapshot.h"
 #include "source/sidecar/node_record.h"
+#include "source/sidecar/stop_notice.h"
 
 namespace runshelf::sidecar {
 
+// What a node said of its stop with an answer, which comes sooner than its item in the store when
+// the store is away.
+struct PeerStop {
+  Instant takes_requests_until;
+  Instant ends_at;  // Another process may be there afterwards.
+};
+
 struct Peer {
   NodeRecord record;
-  bool listed = true;        // Its item is in the store.
-  Instant unlisted_since{};  // Of one that is not listed.
-  Instant answered_at{};     // Its latest answer to this node.
+  std::optional<PeerStop> stop;  // Said by the process that `record` is of.
+  bool listed = true;            // Its item is in the store.
+  Instant unlisted_since{};      // Of one that is not listed.
+  Instant answered_at{};         // Its latest answer to this node.
+
+  bool stopping() const { return record.stopping || stop.has_value(); }
 };
 
 // Deterministic; not thread-safe.
@@ -31,19 +43,27 @@
   // An item of a node was written, or is gone.
   void OnRecord(Instant now, const NodeRecord& record);
   void OnRemoved(Instant now, const std::string& node);
-  // A node answered, or could not be reached or lost a request.
-  void OnAnswer(Instant now, const std::string& node);
+  // A node answered, and said whether it stops, or could not be reached or lost a request.
+  void OnAnswer(Instant now, const std::string& node,
+                const std::optional<StopNotice>& notice = std::nullopt);
+  // A node, maybe this one, tells of its stop; nullopt: it does not stop.
+  void OnStopNotice(Instant now, const std::string& node, const std::optional<StopNotice>& notice);
   void OnFailure(Instant now, const std::string& node);
   void OnLoad(Instant now, const std::string& node, const routing::TargetLoad& load);
   void OnAttemptStart(const std::string& node);
   void OnAttemptEnd(const std::string& node);
+  // Called for each node that is first known to stop by one of its answers.
+  void set_on_stop_notice(std::function<void(const std::string& node)> callback) {
+    on_stop_notice_ = std::move(callback);
+  }
   // Forgets nodes that lost their item and stopped answering. Call about every second.
   void Sweep(Instant now);
 
   const Peer* Find(const std::string& node) const;
   const std::map<std::string, Peer>& peers() const { return peers_; }
 
-  // A node whose worker takes requests for `service`, by load; none of `excluded`.
+  // A node whose worker takes requests for `service`, by load; none of `excluded`. One that stops
+  // only when there is no other, and while it said that it still takes requests.
   std::optional<std::string> Choose(Instant now, const std::string& service,
                                     const std::vector<std::string>& excluded, Random& random,
                                     routing::AnswerSize answer_size = routing::AnswerSize::kUsual);
@@ -61,6 +81,9 @@
   };
 
   void Rebuild(Instant now);
+  std::optional<std::string> ChooseStopping(Instant now, const std::string& service,
+                                            const std::vector<std::string>& excluded,
+                                            Random& random, routing::AnswerSize answer_size) const;
   InstanceId InstanceOf(const std::string& node) const;
 
   std::string own_node_;
@@ -68,6 +91,7 @@
   std::map<std::string, Peer> peers_;
   std::map<std::string, Instant> removed_;  // When items went; until they come again.
   std::map<std::string, ServiceTargets> services_;
+  std::function<void(const std::string& node)> on_stop_notice_;
   routing::LoadBalancer balancer_;
   routing::FailureDetector failures_;
 };
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -22,6 +22,8 @@
 constexpr std::string_view kReason = "Runshelf-Reason";
 constexpr std::string_view kReachedWorker = "Runshelf-Reached-Worker";
 constexpr std::string_view kRetryAfter = "Runshelf-Retry-After-Ms";
+constexpr std::string_view kStopTakes = "Runshelf-Stop-Takes-Ms";
+constexpr std::string_view kStopEnds = "Runshelf-Stop-Ends-Ms";
 constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
@@ -114,6 +116,19 @@
   return value == nullptr ? std::nullopt : routing::TargetLoad::Parse(*value);
 }
 
+void AddStopNotice(const std::optional<StopNotice>& notice, http::Headers* headers) {
+  if (!notice.has_value()) return;
+  headers->Add(kStopTakes, std::to_string(MillisecondsLeft(notice->takes_requests)));
+  headers->Add(kStopEnds, std::to_string(MillisecondsLeft(notice->ends)));
+}
+
+std::optional<StopNotice> ReadStopNotice(const http::Headers& headers) {
+  const auto takes = ReadMilliseconds(headers, kStopTakes);
+  const auto ends = ReadMilliseconds(headers, kStopEnds);
+  if (!takes.has_value() || !ends.has_value()) return std::nullopt;
+  return StopNotice{*takes, *ends};
+}
+
 http::Headers FailureHeaders(const AttemptFailure& failure) {
   http::Headers headers;
   headers.Add(kVerdict, VerdictName(failure.verdict));
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -9,6 +9,7 @@
 #include "runshelf/routing/target_load.h"
 #include "source/http/message.h"
 #include "source/sidecar/attempt.h"
+#include "source/sidecar/stop_notice.h"
 
 namespace runshelf::sidecar::peer_protocol {
 
@@ -28,6 +29,9 @@
 // The answer of the worker, or why there is none.
 void AddLoad(const routing::TargetLoad& load, http::Headers* headers);
 std::optional<routing::TargetLoad> ReadLoad(const http::Headers& headers);
+// The answering node is told to stop; nothing is added for one that is not.
+void AddStopNotice(const std::optional<StopNotice>& notice, http::Headers* headers);
+std::optional<StopNotice> ReadStopNotice(const http::Headers& headers);
 http::Headers FailureHeaders(const AttemptFailure& failure);
 std::optional<AttemptFailure> ReadFailure(const http::Headers& headers);
 
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -44,7 +44,7 @@
 
 void RemoteAttempt::OnResponseHead(http::ResponseHead&& head) {
   const Instant now = loop_.Now();
-  peers_.OnAnswer(now, node_);
+  peers_.OnAnswer(now, node_, peer_protocol::ReadStopNotice(head.headers));
   if (const auto load = peer_protocol::ReadLoad(head.headers)) peers_.OnLoad(now, node_, *load);
   failure_ = peer_protocol::ReadFailure(head.headers);
   if (failure_.has_value()) return;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -26,6 +26,8 @@
 // Part of its time that a request may wait for keys that change hands: the rest is for its run.
 constexpr int kMoveWaitPercent = 40;
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
+// Of requests that a stopping node refuses: clients come back by another one soon.
+constexpr Duration kStopRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // A request goes to at most this many queues before it is refused.
 constexpr uint32_t kMaxQueueRefusals = 2;
@@ -50,6 +52,11 @@
   const auto self = shared_from_this();
   ReadRequest();
   ChooseService();
+  if (!ingress_->Takes(nested_, deadline_)) {
+    ++ingress_->refused_in_stop_;
+    Refuse(FailureReason::kStopping, kStopRetryAfter);
+    return;
+  }
   exchange_->set_on_client_gone([this] { OnClientGone(); });
   timer_.Start(deadline_ - context_.loop.Now());
   ingress_->OnFirstAttempt(service_);
@@ -120,6 +127,10 @@
 
 void RequestFlow::TryNext() {
   if (done_) return;
+  if (context_.stop.closed()) {
+    Refuse(FailureReason::kStopping, kStopRetryAfter);
+    return;
+  }
   const Instant now = context_.loop.Now();
   if (now >= deadline_) {
     OnTimer();
@@ -270,6 +281,7 @@
     case FailureReason::kUnreachable:
     case FailureReason::kNoWorker:
     case FailureReason::kDraining:
+    case FailureReason::kStopping:
       if (OwnerServes()) {
         WaitForOwner(failure.reason);
       } else {
@@ -323,7 +335,7 @@
   wait_timer_.Start(std::min(poll, wait_until - context_.loop.Now()));
 }
 
-void RequestFlow::OnShardsChanged() {
+void RequestFlow::RetryOwner() {
   if (!waiting_for_owner_) return;
   const auto self = shared_from_this();
   waiting_for_owner_ = false;
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -17,8 +17,8 @@
   RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route);
 
   void Begin();
-  // The owner of some keys changed.
-  void OnShardsChanged();
+  // Looks for the owner of the key again, when the request waits for one.
+  void RetryOwner();
   bool waiting_for_owner() const { return waiting_for_owner_; }
   // The worker beside this node sent the request during a run.
   bool nested() const { return nested_; }
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -126,7 +126,8 @@
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_, gate_,
                               log, metrics_, random, stop_schedule_}),
-      inbound_handler_(loop, gate_, store_, feed_, log, settings_.link_bytes_per_second),
+      inbound_handler_(loop, gate_, store_, feed_, log, stop_schedule_,
+                       settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
@@ -136,13 +137,13 @@
       metrics_server_(loop, [this](const http::ExchangePtr& exchange) { HandleMetrics(exchange); }),
       tick_(loop, [this] { OnTick(); }),
       state_read_timer_(loop, [this] { ReadState(); }),
-      stop_sequence_(
-          StopContext{loop, stop_schedule_, ingress_, inbound_handler_, holder_, store_, log},
-          {[this] { Announce(); },
-           [this] {
-             lease_.End();
-             outbound_.StopListening();
-           }}) {
+      stop_sequence_(StopContext{loop, stop_schedule_, ingress_, inbound_handler_, gate_, holder_,
+                                 store_, log},
+                     {[this] { AnnounceStop(); },
+                      [this] {
+                        lease_.End();
+                        outbound_.StopListening();
+                      }}) {
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
@@ -161,6 +162,10 @@
     state_watcher_.RetryNow();
   });
   feed_.set_store_answers([this] { return store_.direct_way_works(); });
+  peers_.set_on_stop_notice([this](const std::string& node) {
+    log_.Write(LogLevel::kInfo, "peer_stopping",
+               {{"node", node}, {"store_reachable", store_.reachable()}});
+  });
   lease_.set_on_new_lease([this] {
     lease_to_confirm_ = lease_.lease();
     log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
@@ -376,6 +381,15 @@
   lease_.SetValue(record.Serialize());
 }
 
+// In the store, and to this node's own choice of workers; the others learn it with answers too.
+void Sidecar::AnnounceStop() {
+  Announce();
+  std::optional<StopNotice> notice = stop_schedule_.Notice(loop_.Now());
+  // What this node still takes itself, its own worker may run when no other can.
+  if (notice.has_value()) notice->takes_requests = notice->ends;
+  peers_.OnStopNotice(loop_.Now(), settings_.node_name, notice);
+}
+
 Instant Sidecar::AuthorityUntil() const {
   if (confirmed_lease_ == 0 || confirmed_lease_ != lease_.lease()) return Instant{};
   return lease_.ValidUntil();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -74,6 +74,7 @@
   // Of the limit of a cell, the part of the worker beside this node; nullopt: no limit.
   std::optional<double> RateOf(const std::string& caller_class) const;
   void Announce();
+  void AnnounceStop();
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
   void OnTick();
--- a/source/sidecar/stop_sequence.cc
+++ b/source/sidecar/stop_sequence.cc
@@ -65,6 +65,10 @@
 
 void StopSequence::End() {
   const Instant now = context_.loop.Now();
+  context_.schedule.Close();
+  // What no worker has seen is refused, so that its sender may try elsewhere.
+  context_.gate.Close();
+  context_.ingress.RefuseWaiting();
   observer_.on_ending();
   const RequestCounts cut = UnderWay();
   context_.ingress.LogCut();
@@ -75,6 +79,8 @@
                       {"clients_cut", cut.clients},
                       {"nested_cut", cut.nested},
                       {"forwarded_cut", cut.forwarded},
+                      {"refused", context_.ingress.refused_in_stop()},
+                      {"forwarded_refused", context_.inbound_handler.refused_in_stop()},
                       {"holds_keys", !context_.holder.HoldsNothing()}});
   // One turn of the loop sends the last answers and calls.
   end_timer_.Start(kPoll);
--- a/source/sidecar/stop_sequence.h
+++ b/source/sidecar/stop_sequence.h
@@ -1,5 +1,5 @@
-// Ends a node as planned: waits for what runs and for its keys to be handed over, says what it
-// waits for, and what it had to cut.
+// Ends a node as planned: waits for what runs and for its keys to be handed over, refuses what
+// still waits at the end, and says what it waited for and what it had to cut.
 #pragma once
 
 #include <functional>
@@ -11,6 +11,7 @@
 #include "source/sidecar/request_counts.h"
 #include "source/sidecar/shard_holder.h"
 #include "source/sidecar/stop_schedule.h"
+#include "source/sidecar/worker_gate.h"
 #include "source/store/store_client.h"
 
 namespace runshelf::sidecar {
@@ -19,8 +20,9 @@
 struct StopContext {
   event::EventLoop& loop;
   StopSchedule& schedule;
-  const Ingress& ingress;
+  Ingress& ingress;
   const InboundHandler& inbound_handler;
+  WorkerGate& gate;
   const ShardHolder& holder;
   const store::StoreClient& store;
   LogWriter& log;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -223,15 +223,19 @@
   return std::make_unique<GateAttempt>(this, request, observer);
 }
 
+bool WorkerGate::BoundByKey(const AttemptRequest& request) const {
+  return request.key.has_value() && key_authority_ != nullptr && key_authority_->Sharded();
+}
+
 std::optional<FailureReason> WorkerGate::Objection(const AttemptRequest& request) const {
+  if (closed_) return FailureReason::kStopping;
   if (worker_id_.empty()) return FailureReason::kNoWorker;
   if (request.service != service_) return FailureReason::kWrongWorker;
   if (!request.worker_id.empty() && request.worker_id != worker_id_) {
     return FailureReason::kWrongWorker;
   }
   if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
-  const bool sharded = key_authority_ != nullptr && key_authority_->Sharded();
-  if (sharded && request.key.has_value()) {
+  if (BoundByKey(request)) {
     // A draining worker serves its keys until they have been handed over, for as long as allowed.
     if (draining_ && loop_.Now() >= drain_keys_until_) return FailureReason::kDraining;
     if (!key_authority_->MaySend(loop_.Now(), *request.key)) return FailureReason::kNotOwner;
@@ -318,6 +322,11 @@
   if (draining) RefuseWaiting();
 }
 
+void WorkerGate::Close() {
+  closed_ = true;
+  RefuseWaiting();
+}
+
 void WorkerGate::RefuseWaiting() {
   std::vector<uint64_t> waiting;
   for (const auto& [id, attempt] : attempts_) {
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -63,8 +63,12 @@
   // A draining worker gets nothing new, and what waits is refused; but for requests with keys,
   // which it may be sent until `keys_until` while they are being handed over.
   void SetDraining(bool draining, Instant keys_until);
+  // The process ends: what waits is refused, and everything that comes.
+  void Close();
   void SetColdUntil(Instant cold_until) { cold_until_ = cold_until; }
 
+  // No other worker may run the request: its key decides.
+  bool BoundByKey(const AttemptRequest& request) const;
   std::unique_ptr<Attempt> Submit(const AttemptRequest& request, AttemptObserver* observer);
 
   routing::TargetLoad load() const;
@@ -102,6 +106,7 @@
   std::string service_;
   uint32_t slots_ = 0;
   bool draining_ = false;
+  bool closed_ = false;
   Instant drain_keys_until_{};
   Instant cold_until_{};
   admission::AdmissionQueue queue_;
--- a/tests/platform_adapter/stopping_node_test.cc
+++ b/tests/platform_adapter/stopping_node_test.cc
@@ -281,3 +281,154 @@
   CHECK(Logged(fleet.Log(), {"event=stopped", "requests_cut=1", "clients_cut=1", "nested_cut=0",
                              "forwarded_cut=0", "holds_keys=false"}));
 }
+
+// Whose runs are still at work when clients are refused already need their calls in order to end.
+TEST(StoppingNode, ACallThatCouldOutliveTheNodeIsRefusedUnsent) {
+  Fleet fleet({"plain", "other"});
+  fleet.nodes[0].settings.bounds.grace_period = std::chrono::milliseconds(4000);
+  fleet.Start();
+  SilenceStore(fleet);
+  std::vector<http::ExchangePtr> held;
+  HoldRequests(fleet, &held);
+  bool stopped = false;
+  fleet.nodes[0].sidecar->Stop([&] { stopped = true; });
+  RunFor(fleet.loop, std::chrono::milliseconds(2000));
+  const auto run = BeginNamed(fleet, 0, "run");
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == 1; }));
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  const auto client = BeginNamed(fleet, 0, "client");
+  const auto late_call = BeginNamed(fleet, 0, "run.late", "1400");
+  const auto call = BeginNamed(fleet, 0, "run.call", "400");
+  CHECK(RunUntil(
+      fleet.loop, [&] { return client->over && late_call->over && held.size() == 2; },
+      std::chrono::milliseconds(300)));
+  for (const auto* refused : {&client, &late_call}) {
+    CHECK_EQUAL(503, (*refused)->answer->status);
+    CHECK((*refused)->answer->headers.Has("Retry-After"));
+  }
+  STRCMP_EQUAL("run.call", RequestId(held[1]->request()).c_str());
+  CHECK(Logged(fleet.Log(),
+               {"event=request_refused", "request=run.late", "reason=stopping", "nested=true"}));
+  held[1]->Respond(200, {}, "");
+  held[0]->Respond(200, {}, "");
+  CHECK(RunUntil(fleet.loop, [&] { return call->over && run->over; }));
+  CHECK_EQUAL(200, call->answer->status);
+  CHECK_EQUAL(200, run->answer->status);
+  CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
+  CHECK(Logged(fleet.Log(), {"event=stopped", "requests_cut=0", "refused=2"}));
+}
+
+// Before others are told of the stop, too.
+TEST(StoppingNode, AForwardedRequestThatCouldOutliveTheNodeRunsElsewhere) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.nodes[0].settings.bounds.grace_period = std::chrono::milliseconds(2200);
+  fleet.Start();
+  SilenceStore(fleet);
+  fleet.nodes[0].sidecar->Stop([] {});
+  for (int count = 0; count < 20; ++count) {
+    const auto answer = fleet.Request(2, "POST", "/send/1", "order");
+    CHECK_EQUAL(200, answer->status);
+    STRCMP_EQUAL("w1:order", answer->body.c_str());
+  }
+  CHECK(Logged(fleet.Log(),
+               {"event=forwarded_request_failed", "reason=stopping", "verdict=not-run"}));
+  // What is over in time runs there.
+  http::Headers quick;
+  quick.Add("Deadline-Ms", "400");
+  for (int count = 0; count < 20; ++count) fleet.Request(2, "POST", "/send/1", "order", quick);
+  CHECK(fleet.nodes[0].worker->executed().size() > 0);
+}
+
+// It may not have talked to the node since that was told to stop.
+TEST(StoppingNode, ANodeThatDoesNotKnowOfTheStopIsRefusedAndTriesAnother) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  SilenceStore(fleet);
+  // Keeps the stopping node from ending, beside the other worker.
+  std::vector<http::ExchangePtr> held;
+  fleet.nodes[1].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
+    if (RequestId(exchange->request()) == "running") {
+      held.push_back(exchange);
+    } else {
+      exchange->Respond(200, {}, "");
+    }
+  });
+  bool stopped = false;
+  fleet.nodes[0].sidecar->Stop([&] { stopped = true; });
+  RunFor(fleet.loop, std::chrono::milliseconds(2100));
+  const auto running = BeginNamed(fleet, 0, "running");
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  CHECK_EQUAL(1, held.size());
+  for (int count = 0; count < 10; ++count) {
+    CHECK_EQUAL(200, fleet.Request(2, "POST", "/send/1", "order")->status);
+  }
+  CHECK_EQUAL(0, fleet.nodes[0].worker->executed().size());
+  CHECK(Logged(fleet.Log(), {"event=forwarded_request_failed", "reason=stopping"}));
+  CHECK_FALSE(stopped);
+}
+
+// It has not run, and may run elsewhere; a connection that closes would not say so.
+TEST(StoppingNode, WhatStillWaitsAtTheEndIsRefused) {
+  constexpr size_t kSlots = 4;
+  Fleet fleet({"plain", "other"});
+  // The end comes before the deadlines of what was taken before the stop.
+  fleet.nodes[0].settings.bounds.grace_period = std::chrono::milliseconds(1600);
+  fleet.Start();
+  std::vector<http::ExchangePtr> held;
+  HoldRequests(fleet, &held);
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> running;
+  for (size_t slot = 0; slot < kSlots; ++slot) running.push_back(BeginNamed(fleet, 0, "running"));
+  CHECK(RunUntil(fleet.loop, [&] { return held.size() == kSlots; }));
+  const auto own = BeginNamed(fleet, 0, "own");
+  const auto forwarded = BeginNamed(fleet, 1, "forwarded");
+  RunFor(fleet.loop, std::chrono::milliseconds(50));
+  bool stopped = false;
+  fleet.nodes[0].sidecar->Stop([&] { stopped = true; });
+  RunFor(fleet.loop, std::chrono::milliseconds(600));
+  CHECK_FALSE(own->over || forwarded->over);
+  CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
+  for (const auto* refused : {&own, &forwarded}) {
+    CHECK((*refused)->over);
+    CHECK_EQUAL(503, (*refused)->answer->status);
+  }
+  CHECK_EQUAL(kSlots, held.size());
+  CHECK(Logged(fleet.Log(), {"event=stopped", "requests_cut=4", "clients_cut=4"}));
+}
+
+TEST(StoppingNode, RequestsThatWaitForAnOwnerAtTheEndAreRefused) {
+  Fleet fleet({"keyed", "other"});
+  fleet.nodes[0].settings.bounds.grace_period = std::chrono::milliseconds(3000);
+  fleet.Start();
+  bool stopped = false;
+  fleet.nodes[0].sidecar->Stop([&] { stopped = true; });
+  // Nobody takes the keys: a request for one waits a quarter of its target latency, past the end.
+  RunFor(fleet.loop, std::chrono::milliseconds(2150));
+  http::Headers keyed;
+  keyed.Add("Shard-Key", "7");
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> waiting;
+  for (int count = 0; count < 8; ++count) {
+    waiting.push_back(fleet.Begin(0, "GET", "/keyed/1", "", keyed));
+    RunFor(fleet.loop, std::chrono::milliseconds(15));
+  }
+  CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
+  for (const auto& request : waiting) {
+    CHECK(request->over);
+    CHECK(request->answer.has_value());
+    CHECK_EQUAL(503, request->answer->status);
+  }
+}
+
+TEST(StoppingNode, AfterItsRestartItIsUsedAgain) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  SteadyClients clients(fleet, 2);
+  SilenceStore(fleet);
+  StopAndEnd(fleet, 0);
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  fleet.store.set_watches_silent(false);
+  fleet.Restart(0);
+  const size_t before = fleet.nodes[0].worker->executed().size();
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[0].worker->executed().size() > before; }));
+  clients.Finish();
+  CHECK_EQUAL(clients.sent(), clients.Count(200));
+}
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -185,3 +185,25 @@
   CHECK(outcome.failure->reason == FailureReason::kWrongWorker);
   CHECK(held.empty());
 }
+
+TEST(WorkerGate, AClosedGateRefusesWhatWaitsAndWhatComes) {
+  Outcome outcomes[4];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  const auto submit = [&](Outcome* outcome) {
+    attempts.push_back(gate->Submit(Request(), outcome));
+    attempts.back()->Begin();
+  };
+  for (size_t index = 0; index < 3; ++index) submit(&outcomes[index]);
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  gate->Close();
+  submit(&outcomes[3]);
+  for (const size_t index : {2U, 3U}) {
+    CHECK(outcomes[index].failure.has_value());
+    CHECK(outcomes[index].failure->reason == FailureReason::kStopping);
+    CHECK(outcomes[index].failure->verdict == Verdict::kNotRun);
+  }
+  // What runs goes on.
+  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return outcomes[0].complete && outcomes[1].complete; }));
+  CHECK_EQUAL(2, held.size());
+}
--- a/tests/sidecar/peer_directory_test.cc
+++ b/tests/sidecar/peer_directory_test.cc
@@ -8,6 +8,8 @@
 namespace {
 
 const std::string kService = "shop";
+constexpr Duration kTakesRequests = std::chrono::milliseconds(1400);
+constexpr Duration kEnds = std::chrono::milliseconds(5000);
 
 NodeRecord Record(const std::string& node, const std::string& zone = "z1") {
   NodeRecord record;
@@ -31,6 +33,11 @@
   std::string Choose(const std::vector<std::string>& excluded = {}) {
     return directory.Choose(now, kService, excluded, random).value_or("none");
   }
+
+  // A node says with an answer that it stops, as it does a second after it was told to.
+  void AnswerStopping(const std::string& node) {
+    directory.OnAnswer(now, node, StopNotice{kTakesRequests, kEnds});
+  }
 };
 
 TEST(PeerDirectory, OnlyAcceptingWorkersOfTheServiceAreChosen) {
@@ -94,3 +101,50 @@
   directory.OnRecord(now, Record("a"));
   CHECK(directory.ChooseRelay(now, random).has_value());
 }
+
+// Its item in the store may say otherwise for as long as the store is away.
+TEST(PeerDirectory, ANodeThatSaysThatItStopsIsUsedOnlyWhenThereIsNoOther) {
+  directory.OnRecord(now, Record("a"));
+  directory.OnRecord(now, Record("b"));
+  AnswerStopping("a");
+  for (int count = 0; count < 20; ++count) STRCMP_EQUAL("b", Choose().c_str());
+  STRCMP_EQUAL("a", Choose({"b"}).c_str());
+  STRCMP_EQUAL("none", Choose({"a", "b"}).c_str());
+  CHECK_EQUAL(1, directory.ServingNodes(kService));
+  // It refuses from now on.
+  now += kTakesRequests;
+  STRCMP_EQUAL("none", Choose({"b"}).c_str());
+}
+
+TEST(PeerDirectory, AStopIsOverWithAnotherProcessAnAnswerOrItsTime) {
+  NodeRecord record = Record("a");
+  record.incarnation = 1;
+  directory.OnRecord(now, record);
+  AnswerStopping("a");
+  // An older item of the same process comes late.
+  directory.OnRecord(now, record);
+  CHECK(directory.Find("a")->stopping());
+  record.incarnation = 2;
+  directory.OnRecord(now, record);
+  CHECK_FALSE(directory.Find("a")->stopping());
+  AnswerStopping("a");
+  directory.OnAnswer(now, "a");
+  CHECK_FALSE(directory.Find("a")->stopping());
+  AnswerStopping("a");
+  now += kEnds;
+  directory.Sweep(now);
+  CHECK_FALSE(directory.Find("a")->stopping());
+  STRCMP_EQUAL("a", Choose().c_str());
+}
+
+TEST(PeerDirectory, ANodeThatSaysThatItStopsGoesWithItsItemAndIsNoRelay) {
+  directory.OnRecord(now, Record("a"));
+  std::vector<std::string> told;
+  directory.set_on_stop_notice([&](const std::string& node) { told.push_back(node); });
+  AnswerStopping("a");
+  AnswerStopping("a");
+  CHECK_EQUAL(1, told.size());
+  CHECK_FALSE(directory.ChooseRelay(now, random).has_value());
+  directory.OnRemoved(now, "a");
+  POINTERS_EQUAL(nullptr, directory.Find("a"));
+}
--- a/tests/sidecar/peer_protocol_test.cc
+++ b/tests/sidecar/peer_protocol_test.cc
@@ -58,8 +58,9 @@
 }
 
 TEST(PeerProtocol, AFailureSurvivesItsWay) {
-  for (const FailureReason reason : {FailureReason::kFull, FailureReason::kNotOwner,
-                                     FailureReason::kIncomplete, FailureReason::kExpired}) {
+  for (const FailureReason reason :
+       {FailureReason::kFull, FailureReason::kNotOwner, FailureReason::kStopping,
+        FailureReason::kIncomplete, FailureReason::kExpired}) {
     const AttemptFailure failure{Verdict::kMayHaveRun, reason, true, std::chrono::milliseconds(40)};
     const auto read = peer_protocol::ReadFailure(peer_protocol::FailureHeaders(failure));
     CHECK(read.has_value());
@@ -71,6 +72,19 @@
   CHECK_FALSE(peer_protocol::ReadFailure({}).has_value());
 }
 
+TEST(PeerProtocol, ANoticeOfAStopSurvivesItsWay) {
+  http::Headers headers;
+  peer_protocol::AddStopNotice(std::nullopt, &headers);
+  CHECK_EQUAL(0, headers.all().size());
+  const StopNotice notice{std::chrono::milliseconds(1400), std::chrono::milliseconds(5100)};
+  peer_protocol::AddStopNotice(notice, &headers);
+  CHECK(peer_protocol::ReadStopNotice(headers) == notice);
+  headers.Set("Runshelf-Stop-Takes-Ms", "soon");
+  CHECK_FALSE(peer_protocol::ReadStopNotice(headers).has_value());
+  peer_protocol::RemoveHeaders(&headers);
+  CHECK_EQUAL(0, headers.all().size());
+}
+
 TEST(PeerProtocol, HeadersOfTheProtocolAreTakenFromClients) {
   http::Headers headers;
   headers.Add("runshelf-weight", "1");
