--- /dev/null
+++ b/source/sidecar/part_configs.h
@@ -0,0 +1,34 @@
+// Configurations of the parts of a node, from the settings of its process, and the keys under which
+// nodes keep their state in the store.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "source/sidecar/settings.h"
+#include "source/sidecar/shard_coordinator.h"
+#include "source/sidecar/shard_holder.h"
+#include "source/sidecar/state_feed.h"
+#include "source/store/lease_keeper.h"
+#include "source/store/prefix_watcher.h"
+#include "source/store/store_client.h"
+
+namespace runshelf::sidecar {
+
+constexpr std::string_view kStatePrefix = "runshelf/";
+constexpr std::string_view kNodePrefix = "runshelf/nodes/";
+constexpr std::string_view kShardPrefix = "runshelf/shards/";
+constexpr std::string_view kDrainPrefix = "runshelf/drains/";
+
+std::string KeyOf(std::string_view prefix, const std::string& name);
+// The part of `key` after `prefix`; empty when the key does not begin so.
+std::string NameAfter(const std::string& key, std::string_view prefix);
+
+store::StoreClientConfig StoreConfig(const Settings& settings);
+store::LeaseKeeperConfig LeaseConfig(const Settings& settings);
+store::PrefixWatcherConfig WatchConfig(std::string prefix);
+ShardHolderConfig HolderConfig(const Settings& settings);
+ShardCoordinatorConfig CoordinatorConfig(const Settings& settings);
+StateFeedConfig FeedConfig(const Settings& settings);
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -1,7 +1,5 @@
 #include "source/sidecar/request_flow.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -12,10 +10,8 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr int kTooManyRequests = 429;
 constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
-constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 // Of requests that carry no deadline and whose route has no timeout.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
@@ -23,12 +19,8 @@
 // first soon, since the owner may just be learning of its keys, then less often.
 constexpr Duration kOwnerPollMin = std::chrono::milliseconds(25);
 constexpr Duration kOwnerPollMax = std::chrono::milliseconds(100);
-// Part of its time that a request may wait for keys that change hands: the rest is for its run.
-constexpr int kMoveWaitPercent = 40;
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 // Of requests that a stopping node refuses: clients come back by another one soon.
 constexpr Duration kStopRetryAfter = std::chrono::milliseconds(300);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // A request goes to at most this many queues before it is refused.
 constexpr uint32_t kMaxQueueRefusals = 2;
 // A call that a worker makes during a run is offered to more queues before it is refused.
@@ -52,13 +44,13 @@
   const auto self = shared_from_this();
   ReadRequest();
   ChooseService();
-  if (!ingress_->Takes(nested_, deadline_)) {
+  if (!ingress_->Takes(nested_, times_.deadline)) {
     ++ingress_->refused_in_stop_;
     Refuse(FailureReason::kStopping, kStopRetryAfter);
     return;
   }
   exchange_->set_on_client_gone([this] { OnClientGone(); });
-  timer_.Start(deadline_ - context_.loop.Now());
+  timer_.Start(times_.deadline - context_.loop.Now());
   ingress_->OnFirstAttempt(service_);
   TryNext();
 }
@@ -86,16 +78,8 @@
       key_ = static_cast<sharding::ShardKey>(*key);
     }
   }
-  const Instant received = exchange_->received();
-  const Duration target = route_.target_latency.value_or(kDefaultTargetLatency);
-  deadline_ = received + allowed;
-  // A late answer to a nested call still saves the run that waits for it; refusing it does not.
-  answer_by_ = nested_ ? deadline_ : std::min(deadline_, received + target);
-  // A refusal within a quarter of the target costs its caller least, if it can come back. One that
-  // cannot waits longer for keys that are changing hands.
-  refuse_by_ = nested_ ? deadline_ : std::min(deadline_, received + target / 4);
-  const Duration longer = std::min<Duration>(allowed * kMoveWaitPercent / 100, target);
-  await_move_by_ = short_of_time ? std::max(refuse_by_, received + longer) : refuse_by_;
+  times_ = TimesOf({exchange_->received(), allowed,
+                    route_.target_latency.value_or(kDefaultTargetLatency), nested_, short_of_time});
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -132,7 +116,7 @@
     return;
   }
   const Instant now = context_.loop.Now();
-  if (now >= deadline_) {
+  if (now >= times_.deadline) {
     OnTimer();
     return;
   }
@@ -174,8 +158,8 @@
   attempt.caller_class = std::move(request_class.caller_class);
   attempt.queue_class = std::move(request_class.queue_class);
   attempt.weight = request_class.weight;
-  attempt.deadline = deadline_;
-  attempt.answer_by = answer_by_;
+  attempt.deadline = times_.deadline;
+  attempt.answer_by = times_.answer_by;
   attempt.key = key_;
   attempt.large_answer = route_.kind == routes::RequestKind::kDownload;
   relay_.Reset();
@@ -208,7 +192,7 @@
 bool RequestFlow::WorkerFailureWorthRetry() const {
   return relay_.head().status == kInternalError && !relay_.streaming() &&
          routes::IsRepeatable(route_.kind) && arrivals_ + 1 < route_.max_attempts &&
-         context_.loop.Now() < answer_by_;
+         context_.loop.Now() < times_.answer_by;
 }
 
 void RequestFlow::OnAnswerBody(std::string_view data) { relay_.OnBody(data); }
@@ -266,7 +250,7 @@
 
 bool RequestFlow::MayRunAgain(const AttemptFailure& failure) {
   if (!routes::IsRepeatable(route_.kind) || failure.reason == FailureReason::kExpired) return false;
-  if (arrivals_ >= route_.max_attempts || context_.loop.Now() >= deadline_) return false;
+  if (arrivals_ >= route_.max_attempts || context_.loop.Now() >= times_.deadline) return false;
   return ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun);
 }
 
@@ -323,7 +307,8 @@
 // A key that is changing hands, or whose owner is lost, is tried again shortly.
 void RequestFlow::WaitForOwner(FailureReason reason) {
   // Only keys that change hands are certain to be served again soon.
-  const Instant wait_until = reason == FailureReason::kNotOwner ? await_move_by_ : refuse_by_;
+  const Instant wait_until =
+      reason == FailureReason::kNotOwner ? times_.await_move_by : times_.refuse_by;
   const Duration poll = std::min(kOwnerPollMin * (1 + owner_waits_), kOwnerPollMax);
   if (context_.loop.Now() + kOwnerPollMin >= wait_until) {
     // Keys change hands within about a heartbeat: half of one is left on average.
@@ -343,94 +328,4 @@
   TryNext();
 }
 
-void RequestFlow::OnTimer() {
-  const auto self = shared_from_this();
-  if (done_) return;
-  if (relay_.streaming()) {
-    LogOutcome("answer_broken_off", relay_.head().status, "expired", Verdict::kRan);
-    context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
-    exchange_->Abort();
-    Finish();
-    return;
-  }
-  if (current_node_.empty() && !may_have_run_) {
-    Refuse(FailureReason::kExpired, Duration(0));
-  } else {
-    may_have_run_ = true;
-    AnswerFailure(kGatewayTimeout, FailureReason::kExpired);
-  }
-}
-
-void RequestFlow::OnClientGone() {
-  const auto self = shared_from_this();
-  context_.metrics.OnRequest(RequestOutcome::kCancelled, Age());
-  Finish();
-}
-
-// Certainly not run, unless an earlier attempt left a doubt.
-void RequestFlow::Refuse(FailureReason reason, Duration retry_after) {
-  if (may_have_run_) {
-    AnswerFailure(kBadGateway, reason);
-    return;
-  }
-  context_.metrics.OnRequest(RequestOutcome::kRefused, Age());
-  Duration advice = retry_after == Duration(0) ? kDefaultRetryAfter : retry_after;
-  advice = std::min(advice, kMaxRetryAfter);
-  // Spread, so that those refused together do not come back together.
-  advice = context_.random.Between(advice, advice + advice / 2 + std::chrono::milliseconds(1));
-  http::Headers headers;
-  headers.Add(context_.wire.headers().retry_after,
-              fmt::format("{:.3f}", std::chrono::duration<double>(advice).count()));
-  const int status = reason == FailureReason::kLimited ? kTooManyRequests : kServiceUnavailable;
-  LogOutcome("request_refused", status, FailureReasonName(reason), Verdict::kNotRun);
-  exchange_->Respond(status, headers, "");
-  Finish();
-}
-
-void RequestFlow::AnswerFailure(int status, FailureReason reason) {
-  context_.metrics.OnRequest(RequestOutcome::kFailed, Age());
-  LogOutcome("request_failed", status, FailureReasonName(reason), CurrentVerdict());
-  exchange_->Respond(status, {}, "");
-  Finish();
-}
-
-void RequestFlow::Finish() {
-  if (done_) return;
-  done_ = true;
-  exchange_->set_on_client_gone(nullptr);
-  timer_.Stop();
-  wait_timer_.Stop();
-  EndAttempt();
-  ingress_->Forget(this);
-}
-
-void RequestFlow::LogCut() {
-  const bool sent = !current_node_.empty() || may_have_run_;
-  LogOutcome("request_cut", 0, "stopping", sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
-}
-
-Duration RequestFlow::Age() const { return context_.loop.Now() - exchange_->received(); }
-
-void RequestFlow::LogOutcome(std::string_view event, int status, std::string_view reason,
-                             Verdict verdict) {
-  context_.log.Write(
-      LogLevel::kInfo, event,
-      {{"request", request_id_},
-       {"route", route_.name},
-       {"service", service_},
-       {"status", status},
-       {"reason", std::string(reason)},
-       {"verdict", std::string(VerdictName(verdict))},
-       {"age_ms", ToMilliseconds(Age())},
-       {"nested", nested_},
-       {"arrivals", arrivals_},
-       {"node", last_node_},
-       {"worker", last_worker_},
-       {"owner_waits", owner_waits_},
-       {"key", key_.has_value() ? std::to_string(*key_) : std::string("none")},
-       {"shards_revision", context_.shards.RevisionOf(service_)},
-       {"configuration",
-        ingress_->configuration_ == nullptr ? 0 : ingress_->configuration_->version()}});
-}
-
 }  // namespace runshelf::sidecar
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -9,6 +9,7 @@
 #include "source/event/event_loop.h"
 #include "source/sidecar/answer_relay.h"
 #include "source/sidecar/ingress.h"
+#include "source/sidecar/request_times.h"
 
 namespace runshelf::sidecar {
 
@@ -65,10 +66,7 @@
   std::string request_id_;
   std::string service_;
   std::optional<sharding::ShardKey> key_;
-  Instant deadline_{};
-  Instant answer_by_{};
-  Instant refuse_by_{};      // Waits without being offered to a worker end then.
-  Instant await_move_by_{};  // The same while keys are known to be changing hands.
+  RequestTimes times_;
   std::vector<std::string> tried_nodes_;
   std::string current_node_;  // Of the attempt under way; empty while there is none.
   std::string last_node_;     // Of the latest attempt.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/sidecar/part_configs.h"
 #include "source/sidecar/peer_protocol.h"
 
 namespace runshelf::sidecar {
@@ -10,85 +11,16 @@
 
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
-// Keys of the product's own state in the store.
-constexpr std::string_view kStatePrefix = "runshelf/";
-constexpr std::string_view kNodePrefix = "runshelf/nodes/";
-constexpr std::string_view kShardPrefix = "runshelf/shards/";
-constexpr std::string_view kDrainPrefix = "runshelf/drains/";
 // The state must be read under the node's lease, so that a read before it would be made twice;
 // without a lease for this long (some calls to the store, at 4 ms each), it is read all the same.
 constexpr Duration kStateReadDelay = std::chrono::milliseconds(400);
 constexpr Duration kTickInterval = std::chrono::seconds(1);
-constexpr Duration kLeaseTimeToLive = std::chrono::seconds(8);
-constexpr Duration kGrantHold = std::chrono::seconds(3);
-// Heartbeats that may be missed before a worker counts as cut off; single ones come late.
-constexpr double kSilentHeartbeats = 2.5;
 // Before the end of the time in which a draining worker may be sent requests: what is sent then
 // must still arrive in time.
 constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
 // Time without a turn of the loop after which everything known may be old.
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 
-std::string KeyOf(std::string_view prefix, const std::string& name) {
-  return std::string(prefix) + name;
-}
-
-store::StoreClientConfig StoreConfig(const Settings& settings) {
-  store::StoreClientConfig config;
-  config.endpoint = settings.store;
-  return config;
-}
-
-store::LeaseKeeperConfig LeaseConfig(const Settings& settings) {
-  store::LeaseKeeperConfig config;
-  config.time_to_live = std::max(kLeaseTimeToLive, settings.store_min_time_to_live);
-  config.key = KeyOf(kNodePrefix, settings.node_name);
-  return config;
-}
-
-store::PrefixWatcherConfig WatchConfig(std::string prefix) {
-  store::PrefixWatcherConfig config;
-  config.prefix = std::move(prefix);
-  return config;
-}
-
-ShardHolderConfig HolderConfig(const Settings& settings) {
-  ShardHolderConfig config;
-  config.node = settings.node_name;
-  config.worker = settings.worker;
-  config.hold = std::min(kGrantHold, settings.bounds.max_hold);
-  config.heartbeat_hold = std::min(kLeaseTimeToLive, settings.bounds.max_hold);
-  config.heartbeat_silence =
-      std::chrono::duration_cast<Duration>(settings.heartbeat_interval * kSilentHeartbeats);
-  return config;
-}
-
-ShardCoordinatorConfig CoordinatorConfig(const Settings& settings) {
-  ShardCoordinatorConfig config;
-  config.node = settings.node_name;
-  config.service = settings.worker_service;
-  config.node_key_prefix = kNodePrefix;
-  config.ip_address = settings.ip_address;
-  config.report_port = settings.peer_port_first;
-  return config;
-}
-
-StateFeedConfig FeedConfig(const Settings& settings) {
-  StateFeedConfig config;
-  config.node = settings.node_name;
-  config.ip_address = settings.ip_address;
-  // The first of the nodes' own ports carries load reports.
-  if (settings.peer_port_last > settings.peer_port_first) {
-    config.port = static_cast<uint16_t>(settings.peer_port_first + 1);
-  }
-  return config;
-}
-
-// The part of `key` after `prefix`; empty when the key does not begin so.
-std::string NameAfter(const std::string& key, std::string_view prefix) {
-  return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string();
-}
-
 }  // namespace
 
 Sidecar::Sidecar(event::EventLoop& loop, Settings settings, const WireFormat& wire,
