Log: grants of keys that a worker was not known to hold; single metrics before histograms

Single values come first in GET /metrics. Seen: Sidecar.ItTellsItsOwnFigures checks the order (it failed with the old order by reading: the test was written after the change). No decision is changed.

--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -80,8 +80,9 @@
   counter("runshelf_retries_total", "Requests sent once more.", gauges.retries);
   counter("runshelf_log_lines_dropped_total", "Log lines lost since nobody read them in time.",
           gauges.log_lines_dropped);
-  auto collected = registry_->Collect();
-  for (auto& family : now.Collect()) collected.push_back(std::move(family));
+  // Single values first: a reader that takes only the beginning of a long text still has them.
+  auto collected = now.Collect();
+  for (auto& family : registry_->Collect()) collected.push_back(std::move(family));
   return prometheus::TextSerializer().Serialize(collected);
 }
 
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -9,6 +9,18 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
+// Of one log line.
+constexpr size_t kMaxRangesLogged = 8;
+
+std::string KeyRanges(const std::vector<sharding::Shard>& shards) {
+  std::string text;
+  for (size_t index = 0; index < std::min(shards.size(), kMaxRangesLogged); ++index) {
+    if (index > 0) text += ',';
+    text += std::to_string(shards[index].first) + '-' + std::to_string(shards[index].last);
+  }
+  return text;
+}
+
 }  // namespace
 
 ShardHolder::ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
@@ -66,6 +78,7 @@
 void ShardHolder::Tick() {
   timer_.Start(config_.tick_interval);
   Reconcile();
+  LogGrants({});
 }
 
 void ShardHolder::Reconcile() {
@@ -142,16 +155,35 @@
 void ShardHolder::RenewGrants() {
   const Instant now = loop_.Now();
   if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
+  std::vector<sharding::Shard> granted_anew;
   for (auto& [key, holding] : holdings_) {
-    if (calls_.size() >= config_.calls_at_once) return;
+    if (calls_.size() >= config_.calls_at_once) break;
     if (holding.call != 0 || holding.releasing || holding.superseded) continue;
     if (holding.worker_id != worker_id_) continue;
     // A shard that is to move is renewed until its release is sent.
     if (MustMove(holding.shard)) continue;
-    const bool due =
-        holding.usable_until <= now || now - holding.sent_at >= config_.renewal_interval;
-    if (due) SendGrant(key, &holding);
+    const bool held = holding.usable_until > now;
+    if (held && now - holding.sent_at < config_.renewal_interval) continue;
+    if (!held) granted_anew.push_back(holding.shard);
+    SendGrant(key, &holding);
   }
+  LogGrants(granted_anew);
+}
+
+// Only shards that the worker is not known to hold: renewals would be a line for each second. At
+// most one line for each tick, the first at once.
+void ShardHolder::LogGrants(const std::vector<sharding::Shard>& shards) {
+  granted_anew_.insert(granted_anew_.end(), shards.begin(), shards.end());
+  if (granted_anew_.empty() || loop_.Now() - grants_logged_at_ < config_.tick_interval) return;
+  grants_logged_at_ = loop_.Now();
+  log_.Write(LogLevel::kInfo, "keys_granted",
+             {{"worker", worker_id_},
+              {"shards", granted_anew_.size()},
+              {"keys", KeyRanges(granted_anew_)},
+              {"token", granted_anew_.front().token},
+              {"revision", shards_.revision()},
+              {"change_under_way", shards_.busy()}});
+  granted_anew_.clear();
 }
 
 void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
@@ -295,9 +327,20 @@
   const Duration hold = std::min(config_.heartbeat_hold, authority - authority / kClockRateDivisor);
   if (hold < kMinHold) return std::nullopt;
   ++grants_sent_;
-  return heartbeat_grants_.MakeLease(
+  std::vector<HeldShardKey> lapsed;
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.usable_until <= now) lapsed.push_back(key);
+  }
+  KeyLease lease = heartbeat_grants_.MakeLease(
       heartbeat, now, hold, [this](const sharding::Shard& shard) { return MustMove(shard); },
       &holdings_);
+  std::vector<sharding::Shard> granted_anew;
+  for (const HeldShardKey& key : lapsed) {
+    const HeldShard& holding = holdings_.at(key);
+    if (holding.usable_until > now) granted_anew.push_back(holding.shard);
+  }
+  LogGrants(granted_anew);
+  return lease;
 }
 
 // A worker whose heartbeats do not arrive cannot renew its keys: once its grants have run out,
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "runshelf/common/random.h"
 #include "source/event/event_loop.h"
@@ -95,6 +96,7 @@
   void Reconcile();
   void AdoptShards();
   void RenewGrants();
+  void LogGrants(const std::vector<sharding::Shard>& shards);
   void SendGrant(const HeldShardKey& key, HeldShard* holding);
   void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
                      const std::optional<http::Response>& response);
@@ -138,6 +140,8 @@
   int conflicts_ = 0;         // Changes of the map in a row that another node's change came before.
   uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
+  std::vector<sharding::Shard> granted_anew_;  // Not logged yet.
+  Instant grants_logged_at_{};
   std::string worker_id_;
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
   bool sharded_ = false;
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -474,6 +474,8 @@
                            "runshelf_ready 1", "# TYPE runshelf_store_calls_total counter"}) {
     CHECK_TEXT(text.find(line) != std::string::npos, line);
   }
+  // A reader that takes only the beginning of the text has the single values.
+  CHECK(text.find("runshelf_grants_sent_total") < text.find("runshelf_request_duration_seconds"));
 }
 
 TEST(Sidecar, AReloadTakesBoundsOverAndRefusesBrokenSettings) {
