Test that fails: keys granted while a change that gives them up is undecided (OWNER)

Four tests without the bench, on whole sidecars with the stand-ins of store and worker, which learn two faults: transactions that are carried out late, and health checks without an answer. The incident itself under both ways of giving keys (the worker is found while the change that gives its shards up is on its way), a change without a known outcome that is carried out late, and one that the former life of the node sent.

--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -58,6 +58,12 @@
   for (const auto& watch : std::exchange(watches_, {})) watch->exchange->Abort();
 }
 
+void FakeStore::CarryOutHeld() {
+  for (const auto& exchange : std::exchange(held_, {})) {
+    HandleTransaction(exchange, /*answer=*/false);
+  }
+}
+
 void FakeStore::LapseLeases() {
   std::vector<int64_t> ids;
   for (const auto& [id, lease] : leases_) ids.push_back(id);
@@ -121,6 +127,10 @@
     unanswered_.push_back(exchange);
     return;
   }
+  if (fault == Fault::kHoldWrites && path == "/runshelf/kv-txn") {
+    held_.push_back(exchange);
+    return;
+  }
   const bool answer = fault != Fault::kLoseWrites;
   if (path == "/runshelf/kv-range") return HandleRange(exchange);
   if (path == "/runshelf/kv-watch") return HandleWatch(exchange);
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -31,12 +31,16 @@
     kRefuse,      // 503 to everything.
     kSilent,      // No answer to anything.
     kLoseWrites,  // Writes are done and not answered.
+    kHoldWrites,  // Transactions are not answered, and not done before CarryOutHeld().
   };
   void set_fault(Fault fault) { fault_ = fault; }
   // Applies to calls that this predicate picks only; all, when empty.
   void set_fault_filter(std::function<bool(const http::Request&)> filter) {
     fault_filter_ = std::move(filter);
   }
+  // Does the transactions that were held, those whose conditions still hold, without an answer.
+  void CarryOutHeld();
+  size_t held() const { return held_.size(); }
   // Forgets the history and cuts all watches, as after a silence.
   void CompactAndCutWatches();
   // While silent, watches hear nothing of changes.
@@ -98,6 +102,7 @@
   std::vector<Change> history_;
   std::map<std::string, uint64_t> calls_;
   std::vector<http::ExchangePtr> unanswered_;
+  std::vector<http::ExchangePtr> held_;  // Transactions.
   std::function<bool(const http::Request&)> fault_filter_;
   ValueFilter value_filter_;
   Fault fault_ = Fault::kNone;
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -150,6 +150,10 @@
   const std::string& target = exchange->request().head.target;
   if (target == "/runshelf/grant") return HandleGrant(exchange);
   if (target == "/runshelf/release") return HandleRelease(exchange);
+  if (target == "/health" && health_silent_) {
+    unanswered_.push_back(exchange);
+    return;
+  }
   if (target == "/health") {
     http::Headers headers;
     headers.Add("Instance-Id", id_);
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -31,6 +31,8 @@
   void set_keys_in_heartbeats(bool keys_in_heartbeats) { keys_in_heartbeats_ = keys_in_heartbeats; }
   // Heartbeats are cut off from the node; the worker serves on.
   void set_heartbeats_cut(bool cut) { heartbeats_cut_ = cut; }
+  // Health checks get no answer; everything else is served.
+  void set_health_silent(bool silent) { health_silent_ = silent; }
   // What happens to a heartbeat on its way.
   enum class HeartbeatFault {
     kNone,
@@ -103,6 +105,8 @@
   std::vector<Grant> released_;  // Since the last heartbeat that was acknowledged.
   bool keys_in_heartbeats_ = false;
   bool heartbeats_cut_ = false;
+  bool health_silent_ = false;
+  std::vector<http::ExchangePtr> unanswered_;
   std::function<HeartbeatFault()> next_heartbeat_fault_;
   event::Timer late_heartbeat_;
   std::function<void()> send_late_;
