A worker is looked for before its shards are given up

Change: the monitor tells when it has looked for the worker in vain (three probes refused, or silence for 2.5 heartbeats and two probes, as for a worker that is lost; new line worker_not_found), and only then are shards given up. That also ends the wait of a service without a health path. Before: UndecidedChanges.AWorkerIsLookedForBeforeItsShardsAreGivenUp fails (the shards are given up once); after: passes, the worker keeps its keys under the same token. Cost: a worker that was lost together with its node, while the store was away, is given up one silence (3.3 s at 1.3 s heartbeats) after the store's return instead of at once; a worker with a new identity is found by its first heartbeat as before. platform_adapter: 13 of 13 groups passed.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -59,7 +59,9 @@
 }
 
 void ShardHolder::SetWorker(const std::string& worker_id, bool gone) {
-  if (worker_id == worker_id_) return;
+  const bool absent = worker_id.empty();
+  if (worker_id == worker_id_ && absent == worker_absent_) return;
+  worker_absent_ = absent;
   heard_at_ = loop_.Now();
   if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
   gone_workers_.erase(worker_id);
@@ -111,6 +113,8 @@
   if (shard.owner.worker == worker_id_) return false;
   // There is one worker on a machine: another one's presence tells that the former ended.
   if (!worker_id_.empty() || gone_workers_.contains(shard.owner.worker)) return true;
+  // A process that has just learnt of its shards may find the worker at any moment.
+  if (!worker_absent_) return false;
   // It fell silent: its grants, those of an earlier life of this process too, must have run out.
   const Instant now = loop_.Now();
   const auto found = holdings_.find({shard.first, shard.last, shard.token});
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -71,8 +71,8 @@
   void SetSharded(bool sharded);
   // How the worker learns which keys it holds.
   void SetGrantDelivery(routes::GrantDelivery delivery);
-  // Identity of the worker; empty while none is known. `gone`: the former one is certainly not
-  // running any more.
+  // Identity of the worker; empty when it was looked for and none is there. `gone`: the former one
+  // is certainly not running any more.
   void SetWorker(const std::string& worker_id, bool gone);
   // All shards are to be handed to others: the worker or this node is leaving.
   void SetLeaving(bool leaving);
@@ -150,6 +150,7 @@
   std::vector<sharding::Shard> granted_anew_;  // Not logged yet.
   Instant grants_logged_at_{};
   std::string worker_id_;
+  bool worker_absent_ = false;          // It was looked for, and none is there.
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
   bool sharded_ = false;
   bool leaving_ = false;
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -58,6 +58,8 @@
 void WorkerMonitor::OnSynchronized() {
   if (synchronized_) return;
   synchronized_ = true;
+  heard_at_ = loop_.Now();
+  silence_timer_.Start(kSilenceCheckInterval, /*repeating=*/true);
   if (!health_path_.empty() && worker_id_.empty()) Probe();
 }
 
@@ -190,6 +192,7 @@
               {"former", worker_id_},
               {"recorded_draining", worker_id == recorded_drain_}});
   worker_id_ = worker_id;
+  seeking_ = false;
   sequence_ = -1;
   draining_ = worker_id == recorded_drain_;
   draining_since_ = Instant{};
@@ -197,7 +200,6 @@
   failed_probes_ = 0;
   probe_timer_.Stop();
   if (slots_ == 0) slots_ = 1;
-  if (!silence_timer_.active()) silence_timer_.Start(kSilenceCheckInterval, /*repeating=*/true);
   observer_.on_changed(replaced);
 }
 
@@ -282,7 +284,7 @@
   const bool refused = failure == http::ClientFailure::kNotSent;
   refused_probes_ = refused && (failed_probes_ == 0 || refused_probes_);
   ++failed_probes_;
-  if (worker_id_.empty()) return;
+  if (worker_id_.empty() && !seeking_) return;
   const Duration silence = loop_.Now() - heard_at_;
   const bool silent = silence > std::chrono::duration_cast<Duration>(settings_.heartbeat_interval *
                                                                      kSilentIntervals);
@@ -296,20 +298,26 @@
 }
 
 void WorkerMonitor::CheckSilence() {
-  if (worker_id_.empty()) return;
+  if (worker_id_.empty() && !seeking_) return;
   const Duration limit =
       std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
-  if (loop_.Now() - heard_at_ > limit) OnWorkerUnreachable();
+  if (loop_.Now() - heard_at_ <= limit) return;
+  if (seeking_ && health_path_.empty()) {
+    MarkDead("silent");
+  } else {
+    OnWorkerUnreachable();
+  }
 }
 
 void WorkerMonitor::MarkDead(const char* reason) {
-  log_.Write(LogLevel::kWarning, "worker_lost",
+  log_.Write(LogLevel::kWarning, seeking_ ? "worker_not_found" : "worker_lost",
              {{"worker", worker_id_},
               {"reason", std::string(reason)},
               {"failed_probes", failed_probes_},
               {"silence_ms", ToMilliseconds(loop_.Now() - heard_at_)}});
   // It may come back under the same identity when it was merely silent.
   worker_id_.clear();
+  seeking_ = false;
   draining_ = false;
   observer_.on_changed(refused_probes_);
 }
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -25,7 +25,8 @@
 class WorkerMonitor : public WorkerEvidence {
  public:
   struct Observer {
-    // Identity, state or slots changed; `former_gone`: the former worker certainly ended.
+    // Identity, state or slots changed, or none was found after a start; `former_gone`: the former
+    // worker certainly ended.
     std::function<void(bool former_gone)> on_changed;
     KeyLessor* lessor = nullptr;  // Must outlive the monitor.
   };
@@ -109,6 +110,7 @@
   std::string recorded_drain_;   // Worker named by the drain record in the store.
   store::Revision drain_revision_ = 0;
   bool synchronized_ = false;
+  bool seeking_ = true;  // Since the start of the process no worker was found, nor its absence.
 };
 
 }  // namespace runshelf::sidecar
--- a/tests/platform_adapter/undecided_changes_test.cc
+++ b/tests/platform_adapter/undecided_changes_test.cc
@@ -150,3 +150,27 @@
   CheckOneHolder(&fleet, 0, kTakeoverTime);
   CHECK(RunUntil(fleet.loop, [&] { return fleet.EveryKeyHeld(); }));
 }
+
+// A process that starts while the store is away knows nothing of its worker until the store
+// answers; by then the time of its former life's grants is over, and the worker is well.
+TEST(UndecidedChanges, AWorkerIsLookedForBeforeItsShardsAreGivenUp) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(0)->fence;
+  const auto given_up = std::make_shared<int>(0);
+  fleet.store.set_fault_filter([given_up](const http::Request& request) {
+    if (GivesShardsUp(request)) ++*given_up;
+    return true;
+  });
+  fleet.Kill(holder);
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  // It is found by its next heartbeat.
+  fleet.nodes[holder].worker->set_health_silent(true);
+  fleet.Restart(holder);
+  RunFor(fleet.loop, std::chrono::milliseconds(3700));
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.EveryKeyHeld(); }));
+  CHECK_EQUAL(0, *given_up);
+  CHECK_EQUAL(fence, fleet.nodes[holder].worker->Holds(0)->fence);
+}
