Gate: requests with keys are refused while no configuration tells whether keys count

Cause: a restarted node that knew its worker but not yet its configuration took the service for undivided and sent requests with keys on without asking whether the worker may have them; the worker refused each (421), and each came again every 100 ms: five arrivals for one request at 26.4 to 26.7 s. No key had two holders by it, since the worker checks; it spends the fleet's budget for retries and the worker's time. Change: KeyAuthority::Sharded is empty while not known; the gate then refuses requests that carry a key (not run, no-worker), so that their sender waits or goes elsewhere.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -84,7 +84,7 @@
 }
 
 void ShardHolder::Reconcile() {
-  if (!sharded_ || reconciling_) return;
+  if (!DividedByKey() || reconciling_) return;
   reconciling_ = true;
   AdoptShards();
   if (ByHeartbeat()) {
@@ -310,17 +310,17 @@
 bool ShardHolder::ByHeartbeat() const { return delivery_ == routes::GrantDelivery::kHeartbeats; }
 
 bool ShardHolder::WorkerReports() const {
-  return !ByHeartbeat() || !sharded_ || loop_.Now() - heard_at_ <= config_.heartbeat_silence;
+  return !ByHeartbeat() || !DividedByKey() || loop_.Now() - heard_at_ <= config_.heartbeat_silence;
 }
 
 void ShardHolder::OnKeyReport(const WorkerHeartbeat& heartbeat) {
-  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return;
+  if (!ByHeartbeat() || !DividedByKey() || heartbeat.worker_id != worker_id_) return;
   heard_at_ = loop_.Now();
   if (heartbeat_grants_.OnReport(heartbeat, &holdings_)) Reconcile();
 }
 
 bool ShardHolder::AwaitsKeys() const {
-  if (!ByHeartbeat() || !sharded_ || leaving_ || shards_.map().empty()) return false;
+  if (!ByHeartbeat() || !DividedByKey() || leaving_ || shards_.map().empty()) return false;
   if (context_.AuthorityUntil() <= loop_.Now() + kMinHold) return true;
   // Shards of the worker's former life are about to be its own; others may be about to be so no
   // more.
@@ -332,7 +332,7 @@
 }
 
 std::optional<KeyLease> ShardHolder::LeaseFor(const WorkerHeartbeat& heartbeat) {
-  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return std::nullopt;
+  if (!ByHeartbeat() || !DividedByKey() || heartbeat.worker_id != worker_id_) return std::nullopt;
   // Without the map, or the right to act on it, nothing is known of what the worker is to hold.
   if (shards_.map().empty()) return std::nullopt;
   const Instant now = loop_.Now();
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -79,7 +80,7 @@
   // The map in the store may have changed.
   void OnMapChanged();
 
-  bool Sharded() const override { return sharded_; }
+  std::optional<bool> Sharded() const override { return sharded_; }
   bool MaySend(Instant now, sharding::ShardKey key) const override;
   void OnKeyOffered(sharding::ShardKey key) override { meter_.OnRequest(key); }
   void OnKeyRefused(sharding::ShardKey key) override;
@@ -121,6 +122,7 @@
   // The worker beside this node owns the shard, as far as is known.
   bool OfThisWorker(const HeldShard& holding) const;
   bool HasChangeToCommit() const;
+  bool DividedByKey() const { return sharded_.value_or(false); }
   bool ByHeartbeat() const;
   bool EarlierGrantsRanOut(Instant now) const;
   void AbandonLapsed();
@@ -152,7 +154,7 @@
   std::string worker_id_;
   bool worker_absent_ = false;          // It was looked for, and none is there.
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
-  bool sharded_ = false;
+  std::optional<bool> sharded_;         // Not known yet, while empty.
   bool leaving_ = false;
   bool reconciling_ = false;
 };
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -26,7 +26,7 @@
 }
 
 void ShardHolder::CommitChanges() {
-  if (!sharded_ || shards_.map().empty()) return;
+  if (!DividedByKey() || shards_.map().empty()) return;
   if (shards_.busy()) {
     commit_timer_.Start(kCommitRetry);
     return;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -230,8 +230,11 @@
     return FailureReason::kWrongWorker;
   }
   if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
-  const bool sharded = key_authority_ != nullptr && key_authority_->Sharded();
-  if (sharded && request.key.has_value()) {
+  const std::optional<bool> sharded =
+      key_authority_ == nullptr ? std::optional<bool>(false) : key_authority_->Sharded();
+  // Without a configuration nobody here knows whether the worker must hold the key.
+  if (!sharded.has_value() && request.key.has_value()) return FailureReason::kNoWorker;
+  if (sharded.value_or(false) && request.key.has_value()) {
     // A draining worker serves its keys until they have been handed over, for as long as allowed.
     if (draining_ && loop_.Now() >= drain_keys_until_) return FailureReason::kDraining;
     if (!key_authority_->MaySend(loop_.Now(), *request.key)) return FailureReason::kNotOwner;
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -22,8 +22,8 @@
 class KeyAuthority {
  public:
   virtual ~KeyAuthority() = default;
-  // The service of the worker is divided by key.
-  virtual bool Sharded() const = 0;
+  // The service of the worker is divided by key; nullopt while no configuration tells.
+  virtual std::optional<bool> Sharded() const = 0;
   virtual bool MaySend(Instant now, sharding::ShardKey key) const = 0;
   // A request for the key asks for a slot; for measuring load. What is refused counts as well: an
   // overloaded worker is the one whose load must be known.
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -31,11 +31,12 @@
 
 class OwnsEverything : public KeyAuthority {
  public:
-  bool Sharded() const override { return true; }
+  std::optional<bool> Sharded() const override { return sharded; }
   bool MaySend(Instant, sharding::ShardKey) const override { return owned; }
   void OnKeyOffered(sharding::ShardKey) override { ++offered; }
   void OnKeyRefused(sharding::ShardKey) override { ++refused; }
 
+  std::optional<bool> sharded = true;
   bool owned = true;
   int offered = 0;
   int refused = 0;
@@ -79,6 +80,25 @@
   }
 };
 
+// A node that was restarted may know its worker before its configuration (record of inc2: each
+// request reached the worker five times and got 421).
+TEST(WorkerGate, WithoutAConfigurationRequestsWithKeysDoNotReachTheWorker) {
+  authority.sharded = std::nullopt;
+  Outcome refused;
+  const auto attempt = gate->Submit(Request(), &refused);
+  attempt->Begin();
+  CHECK(refused.failure.has_value());
+  CHECK(refused.failure->verdict == Verdict::kNotRun);
+  CHECK(refused.failure->reason == FailureReason::kNoWorker);
+  // What has no key needs no configuration.
+  Outcome served;
+  AttemptRequest without_key = Request();
+  without_key.key.reset();
+  const auto second = gate->Submit(without_key, &served);
+  second->Begin();
+  CHECK(RunUntil(loop, [&] { return held.size() == 1; }));
+}
+
 TEST(WorkerGate, ARequestWhoseCallerLeftWhileItWaitedIsNotSent) {
   Outcome outcomes[4];
   std::vector<std::unique_ptr<Attempt>> attempts;
