Servers get no grant of a former process

Cause: the grant for the server was kept twice. GrantHolder forgets it when the server has ended; the agent went on trying what it had been handed until that ran out, and the next process took it while others had the slots. Besides, the agent could report a server as stopped while a grant was on its way (two threads), and a late answer of a former process counted as one of the present. Change: the agent keeps no grant; PushGrant only tells that one is due, and each attempt asks Node::GrantToPush. A server is reported as stopped after a second health check during which no push is under way, and the next push begins after the node has taken note. GrantHolder passes over answers to grants that it did not push to the present process. Same in the simulator's agent; the former one is its naive part keep_grants, which must show double_owner. In server_agent_test the fixture offers grants by the new interface; its tests and what they check are unchanged. A restart that falls between two health checks is not seen, and needs not be: nobody else is given the slots then.

--- a/examples/ownership_example.cc
+++ b/examples/ownership_example.cc
@@ -100,9 +100,11 @@
                 Platform& platform) {
     if (const auto* send = std::get_if<coordination::SendMessage>(&action)) {
       network.push_back({now + kNetworkDelay, send->address, send->envelope});
-    } else if (const auto* push = std::get_if<coordination::PushGrant>(&action)) {
-      grant_ = push->grant;
-      node_->OnGrantAccepted(now, push->grant);
+    } else if (std::holds_alternative<coordination::PushGrant>(action)) {
+      const std::optional<coordination::ServerGrant> grant = node_->GrantToPush(now);
+      if (!grant) return;
+      grant_ = grant;
+      node_->OnGrantAccepted(now, *grant);
     } else if (std::holds_alternative<coordination::ReadGroupRecord>(action)) {
       node_->OnGroupRecord(now, platform.record, platform.record_revision);
     } else if (const auto* write = std::get_if<coordination::WriteGroupRecord>(&action)) {
--- a/include/runshelf/coordination/node.h
+++ b/include/runshelf/coordination/node.h
@@ -99,9 +99,9 @@
   std::string address;
   Envelope envelope;
 };
-struct PushGrant {
-  ServerGrant grant;
-};
+// The server should get a grant: send what Node::GrantToPush returns, until the server has answered
+// or nothing is returned any more.
+struct PushGrant {};
 struct ReadGroupRecord {};
 // Writes the group record if the platform's mod_revision of it equals `expected_revision` (zero: it
 // does not exist). Answered by OnGroupRecordWritten, or never when the outcome is unknown; then the
@@ -171,8 +171,13 @@
   // Answer to WriteGroupRecord. `revision` is the new mod_revision when it succeeded.
   virtual void OnGroupRecordWritten(Instant now, bool succeeded, int64_t revision) = 0;
 
-  // State of the server beside this daemon. Report kStopped only when the connection was refused.
+  // State of the server beside this daemon. Report kStopped only when the connection was refused
+  // while no grant was on its way to the server, and send none until this has returned: the slots
+  // go to others at once, and the next process would take the grant.
   virtual void OnServerState(Instant now, ServerState state) = 0;
+  // The grant to send to the server now; nullopt: none. To be called for each attempt, right before
+  // it: a grant that was kept since an earlier one may be others' by now.
+  virtual std::optional<ServerGrant> GrantToPush(Instant now) = 0;
   // The server accepted exactly this grant.
   virtual void OnGrantAccepted(Instant now, const ServerGrant& grant) = 0;
   virtual void OnLoad(Instant now, const LoadReport& load) = 0;
--- a/include/runshelf/ownership/grant_holder.h
+++ b/include/runshelf/ownership/grant_holder.h
@@ -42,10 +42,11 @@
   // in progress. nullopt when the server already has it or nothing was ever granted.
   std::optional<HeldGrant> NextPush() const;
 
-  // `grant` is being sent to the server, which may accept it at any time from now on.
+  // `grant` is being sent to the server, perhaps again; it may accept it at any time from now on.
   void OnPushed(const HeldGrant& grant);
 
-  // The server has accepted `grant`.
+  // The server has accepted `grant`. Without effect for a grant that was not pushed to the present
+  // process of the server.
   void OnAccepted(Instant now, const HeldGrant& grant);
 
   // Nothing may be served until the next renewal; the server may still believe in what it was sent.
@@ -71,6 +72,7 @@
   bool HasRequestsInProgress() const { return !in_progress_.empty(); }
 
  private:
+  bool IsUnanswered(const HeldGrant& grant) const;
   bool IsReleasing(SlotNumber slot) const;
   bool MayServe(Instant now, SlotNumber slot) const;
   bool ServerMayHold(Instant now, const std::vector<SlotRange>& ranges) const;
--- a/source/coordination/node_impl.cc
+++ b/source/coordination/node_impl.cc
@@ -180,6 +180,11 @@
   Settle(now);
 }
 
+std::optional<ServerGrant> NodeImpl::GrantToPush(Instant now) {
+  if (WasPausedTooLong(now)) return std::nullopt;
+  return renewals_.GrantToPush(now);
+}
+
 void NodeImpl::OnGrantAccepted(Instant now, const ServerGrant& grant) {
   if (WasPausedTooLong(now)) return;
   renewals_.OnGrantAccepted(now, grant);
--- a/source/coordination/node_impl.h
+++ b/source/coordination/node_impl.h
@@ -31,6 +31,7 @@
                      int64_t revision) override;
   void OnGroupRecordWritten(Instant now, bool succeeded, int64_t revision) override;
   void OnServerState(Instant now, ServerState state) override;
+  std::optional<ServerGrant> GrantToPush(Instant now) override;
   void OnGrantAccepted(Instant now, const ServerGrant& grant) override;
   void OnLoad(Instant now, const LoadReport& load) override;
   std::optional<FencingToken> Enter(Instant now, SlotNumber slot) override;
--- a/source/coordination/renewal_client.cc
+++ b/source/coordination/renewal_client.cc
@@ -139,12 +139,17 @@
 }
 
 void RenewalClient::PushIfChanged() {
+  const bool wanted = observed_ == ServerState::kServing && holder_.NextPush();
+  if (wanted) context_.actions.emplace_back(PushGrant{});
+}
+
+std::optional<ServerGrant> RenewalClient::GrantToPush(Instant now) {
   // A server that does not answer gets nothing more, so that what it may believe in runs out.
-  if (observed_ != ServerState::kServing) return;
-  const std::optional<ServerGrant> grant = holder_.NextPush();
-  if (!grant) return;
+  if (observed_ != ServerState::kServing) return std::nullopt;
+  std::optional<ServerGrant> grant = holder_.NextPush();
+  if (!grant || now >= grant->expires_at) return std::nullopt;
   holder_.OnPushed(*grant);
-  context_.actions.emplace_back(PushGrant{*grant});
+  return grant;
 }
 
 void RenewalClient::OnGeneration() {
--- a/source/coordination/renewal_client.h
+++ b/source/coordination/renewal_client.h
@@ -34,6 +34,7 @@
   void RevokeGrants();
 
   void OnServerState(Instant now, ServerState state);
+  std::optional<ServerGrant> GrantToPush(Instant now);
   void OnGrantAccepted(Instant now, const ServerGrant& grant);
   void OnLoad(const LoadReport& load) { load_ = load; }
 
@@ -68,6 +69,7 @@
   // The server beside this daemon certainly holds no grant.
   void OnServerEmpty(ServerState reported);
   void AcceptGrant(Instant sent_at, const Envelope& envelope, const RenewalReply& reply);
+  // Asks for a push when the server should have another grant than it has accepted.
   void PushIfChanged();
   void RebuildRoutes();
 
--- a/source/daemon/coordinator.cc
+++ b/source/daemon/coordinator.cc
@@ -90,6 +90,12 @@
   CarryOut(actions);
 }
 
+std::optional<coordination::ServerGrant> Coordinator::GrantToPush() {
+  std::optional<coordination::ServerGrant> grant;
+  With([&](coordination::Node& node, Instant now) { grant = node.GrantToPush(now); });
+  return grant;
+}
+
 coordination::NodeStatus Coordinator::Status() const {
   const std::lock_guard lock(mutex_);
   return node_->Status(clock_.Now());
@@ -135,9 +141,7 @@
 std::vector<coordination::Action> Coordinator::TakeActionsLocked() {
   std::vector<coordination::Action> actions = node_->TakeActions();
   for (const coordination::Action& action : actions) {
-    if (const auto* push = std::get_if<coordination::PushGrant>(&action)) {
-      effects_.push_grant(push->grant);
-    } else if (const auto* restart = std::get_if<coordination::RestartInstance>(&action)) {
+    if (const auto* restart = std::get_if<coordination::RestartInstance>(&action)) {
       LogEvent(LogLevel::kWarning, "instance_restarting", {{"reason", restart->reason}});
       restarting_ = true;
     }
@@ -150,6 +154,8 @@
   for (const coordination::Action& action : actions) {
     if (const auto* send = std::get_if<coordination::SendMessage>(&action)) {
       effects_.send(send->address, coordination::EncodeEnvelope(send->envelope));
+    } else if (std::holds_alternative<coordination::PushGrant>(action)) {
+      effects_.push_grant();
     } else if (std::holds_alternative<coordination::ReadGroupRecord>(action)) {
       effects_.read_group_record();
     } else if (const auto* write = std::get_if<coordination::WriteGroupRecord>(&action)) {
--- a/source/daemon/coordinator.h
+++ b/source/daemon/coordinator.h
@@ -20,11 +20,10 @@
 
 namespace runshelf::daemon {
 
-// Who carries out the node's actions. None may block for long; PushGrant is called with the node
-// locked, so that grants are handed over in order, and must not call the coordinator.
+// Who carries out the node's actions. None may block for long.
 struct NodeEffects {
   std::function<void(const std::string& address, const std::string& message)> send;
-  std::function<void(const coordination::ServerGrant& grant)> push_grant;
+  std::function<void()> push_grant;
   std::function<void()> read_group_record;
   std::function<void(const coordination::WriteGroupRecord& write)> write_group_record;
 };
@@ -55,6 +54,9 @@
   // Calls `event` with the node and the present time, then carries out what the node asks for.
   void With(const std::function<void(coordination::Node& node, Instant now)>& event);
 
+  // The grant to send to the server beside this daemon now, as Node::GrantToPush.
+  std::optional<coordination::ServerGrant> GrantToPush();
+
   coordination::NodeStatus Status() const;
   bool MayStop() const;
   bool FollowsPlatform() const;
@@ -66,7 +68,7 @@
   std::optional<Instant> HeldSince(Instant now, SlotNumber slot) const override;
 
  private:
-  // Takes what has to be done and hands grants over; the caller holds `mutex_`.
+  // Takes what has to be done; the caller holds `mutex_`.
   std::vector<coordination::Action> TakeActionsLocked();
   void CarryOut(const std::vector<coordination::Action>& actions);
   void TickLoop();
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -207,9 +207,9 @@
     effects.send = [this](const std::string& address, const std::string& message) {
       control_->Send(address, message);
     };
-    effects.push_grant = [this](const coordination::ServerGrant& grant) {
+    effects.push_grant = [this] {
       if (server_agent_ != nullptr) {
-        server_agent_->PushGrant(grant);
+        server_agent_->PushGrant();
       }
     };
     effects.read_group_record = [this] { platform_->ReadGroupRecord(); };
@@ -235,6 +235,7 @@
       coordinator_.With(
           [&](coordination::Node& node, Instant now) { node.OnServerState(now, state); });
     };
+    callbacks.grant_to_push = [this] { return coordinator_.GrantToPush(); };
     callbacks.on_grant_accepted = [this](const coordination::ServerGrant& grant) {
       coordinator_.With(
           [&](coordination::Node& node, Instant now) { node.OnGrantAccepted(now, grant); });
--- a/source/daemon/server_agent.cc
+++ b/source/daemon/server_agent.cc
@@ -59,35 +59,38 @@
   }
 }
 
-void ServerAgent::PushGrant(const ServerGrant& grant) {
+void ServerAgent::PushGrant() {
   const std::lock_guard lock(mutex_);
-  waiting_grant_ = grant;
+  push_wanted_ = true;
   changed_.notify_all();
 }
 
 void ServerAgent::GrantLoop() {
   while (true) {
     std::unique_lock lock(mutex_);
-    changed_.wait(lock, [this] { return stopping_ || waiting_grant_.has_value(); });
+    changed_.wait(lock, [this] { return stopping_ || push_wanted_; });
     if (stopping_) {
       return;
     }
-    const ServerGrant grant = *waiting_grant_;
-    waiting_grant_.reset();
+    push_wanted_ = false;
     lock.unlock();
-    if (Push(grant)) {
+    if (TryPush()) {
       continue;
     }
     lock.lock();
-    // Tried again unless a newer one has come.
-    if (!waiting_grant_.has_value() && clock_.Now() < grant.expires_at) {
-      waiting_grant_ = grant;
-    }
+    push_wanted_ = true;
     changed_.wait_for(lock, kPushRetryInterval, [this] { return stopping_; });
   }
 }
 
-// Returns false when the same grant should be pushed again.
+// Returns false when another attempt is due.
+bool ServerAgent::TryPush() {
+  const std::lock_guard push_lock(push_mutex_);
+  const std::optional<ServerGrant> grant = callbacks_.grant_to_push();
+  return !grant.has_value() || Push(*grant);
+}
+
+// Returns false when the server has not answered.
 bool ServerAgent::Push(const ServerGrant& grant) {
   const HttpResult result =
       server_.Control("PUT", "/grants", GrantBody(grant), clock_.Now() + kPushTimeout);
@@ -104,18 +107,32 @@
 }
 
 void ServerAgent::HealthLoop() {
-  ServerState state = ServerState::kUnknown;
   do {
     const ServerState probed = ProbeHealth();
-    if (probed != state) {
-      LogEvent(probed == ServerState::kServing ? LogLevel::kInfo : LogLevel::kWarning,
-               "server_state", {{"state", static_cast<int>(probed)}});
+    if (probed == ServerState::kStopped) {
+      ConfirmStopped();
+    } else {
+      Report(probed);
     }
-    state = probed;
-    callbacks_.on_state(state);
   } while (Pause(kHealthInterval));
 }
 
+// A grant that was on its way when nothing listened may reach the next process. So the server is
+// probed again while no push is under way, and none begins before the node knows the result.
+void ServerAgent::ConfirmStopped() {
+  const std::lock_guard push_lock(push_mutex_);
+  Report(ProbeHealth());
+}
+
+void ServerAgent::Report(ServerState state) {
+  if (state != state_) {
+    LogEvent(state == ServerState::kServing ? LogLevel::kInfo : LogLevel::kWarning, "server_state",
+             {{"state", static_cast<int>(state)}});
+  }
+  state_ = state;
+  callbacks_.on_state(state);
+}
+
 ServerState ServerAgent::ProbeHealth() {
   const HttpResult result = server_.Control("GET", "/health", "", clock_.Now() + kHealthTimeout);
   if (result.outcome == HttpOutcome::kAnswered) {
--- a/source/daemon/server_agent.h
+++ b/source/daemon/server_agent.h
@@ -1,4 +1,7 @@
 // Stands between the node and the server beside the daemon: pushes grants and watches its health.
+//
+// The agent keeps no grant. Each attempt asks the node for the grant, so that a process of the
+// server never gets what the node had for an earlier one.
 #pragma once
 
 #include <condition_variable>
@@ -15,9 +18,11 @@
 
 namespace runshelf::daemon {
 
-// What the agent reports. Called from the agent's threads.
+// What the agent asks and reports. Called from the agent's threads.
 struct ServerAgentCallbacks {
   std::function<void(coordination::ServerState state)> on_state;
+  // The grant to send now; nullopt: none.
+  std::function<std::optional<coordination::ServerGrant>()> grant_to_push;
   std::function<void(const coordination::ServerGrant& grant)> on_grant_accepted;
 };
 
@@ -35,14 +40,17 @@
   void Start();
   void Stop();
 
-  // Hands `grant` to the server as soon as possible; replaces one that still waits. Never blocks.
-  void PushGrant(const coordination::ServerGrant& grant);
+  // The server should get a grant as soon as possible. Never blocks.
+  void PushGrant();
 
  private:
   void GrantLoop();
   void HealthLoop();
+  bool TryPush();
   bool Push(const coordination::ServerGrant& grant);
   coordination::ServerState ProbeHealth();
+  void ConfirmStopped();
+  void Report(coordination::ServerState state);
   void NoteHealth(const std::string& body);
   bool Pause(Duration duration);
 
@@ -50,11 +58,16 @@
   ServerControl& server_;
   AdmissionGate& admission_;
   const ServerAgentCallbacks callbacks_;
+  // Held from when a grant is asked for until the server has answered or its connection is given
+  // up. Taken before all other locks.
+  std::mutex push_mutex_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::optional<coordination::ServerGrant> waiting_grant_;
+  bool push_wanted_ = false;
   bool stopping_ = false;
-  bool cold_ = false;  // Of the health thread only.
+  // Of the health thread only.
+  coordination::ServerState state_ = coordination::ServerState::kUnknown;
+  bool cold_ = false;
   std::thread grant_thread_;
   std::thread health_thread_;
 };
--- a/source/ownership/grant_holder.cc
+++ b/source/ownership/grant_holder.cc
@@ -46,13 +46,13 @@
 }
 
 void GrantHolder::OnPushed(const HeldGrant& grant) {
-  unanswered_.push_back(grant);
+  if (!IsUnanswered(grant)) unanswered_.push_back(grant);
   last_pushed_expiry_ = std::max(last_pushed_expiry_, grant.expires_at);
 }
 
 void GrantHolder::OnAccepted(Instant now, const HeldGrant& grant) {
   // A late answer to a grant that the server has replaced since tells nothing.
-  if (grant.token < accepted_.token) return;
+  if (grant.token < accepted_.token || !IsUnanswered(grant)) return;
   // Whoever let the grant run out cannot know what happened since.
   if (now >= accepted_.expires_at) held_since_.clear();
   accepted_ = grant;
@@ -86,6 +86,10 @@
   last_pushed_expiry_ = {};
 }
 
+bool GrantHolder::IsUnanswered(const HeldGrant& grant) const {
+  return std::find(unanswered_.begin(), unanswered_.end(), grant) != unanswered_.end();
+}
+
 bool GrantHolder::IsReleasing(SlotNumber slot) const {
   return std::any_of(releases_.begin(), releases_.end(),
                      [&](const Release& release) { return Contains(release.ranges, slot); });
--- a/tests/coordination/cluster.cc
+++ b/tests/coordination/cluster.cc
@@ -7,6 +7,7 @@
 
 constexpr Duration kStep = std::chrono::milliseconds(1);
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+constexpr Duration kPushRetryInterval = std::chrono::milliseconds(20);
 constexpr Duration kListInterval = std::chrono::milliseconds(500);
 
 bool IsDue(Instant now, Duration interval) {
@@ -60,6 +61,7 @@
   for (auto& [name, member] : members_) {
     if (!member->running) continue;
     if (IsDue(now_, kTickInterval)) member->node->Tick(now_);
+    if (IsDue(now_, kPushRetryInterval) && member->push_failed) TryPush(*member);
     if (platform_up && IsDue(now_, kListInterval)) member->node->OnMachineList(now_, machines);
     CarryOut(*member);
   }
@@ -72,11 +74,8 @@
 void Cluster::CarryOut(ClusterMember& member, const Action& action) {
   if (const auto* send = std::get_if<SendMessage>(&action)) {
     network_.push_back({now_ + network_delay, send->address, send->envelope});
-  } else if (const auto* push = std::get_if<PushGrant>(&action)) {
-    if (!member.server_running) return;
-    member.server_grant = push->grant;
-    member.node->OnGrantAccepted(now_, push->grant);
-    CarryOut(member);
+  } else if (std::holds_alternative<PushGrant>(action)) {
+    TryPush(member);
   } else if (std::holds_alternative<ReadGroupRecord>(action)) {
     if (!platform_up) return;
     member.node->OnGroupRecord(now_, record_, record_revision_);
@@ -95,6 +94,21 @@
   }
 }
 
+void Cluster::TryPush(ClusterMember& member) {
+  const std::optional<ServerGrant> grant = member.node->GrantToPush(now_);
+  member.push_failed = grant && !member.server_running;
+  if (!grant || !member.server_running) return;
+  member.server_grant = grant;
+  member.node->OnGrantAccepted(now_, *grant);
+  CarryOut(member);
+}
+
+void Cluster::StartServer(const std::string& name) {
+  ClusterMember& member = Get(name);
+  member.server_running = true;
+  member.server_grant.reset();
+}
+
 size_t Cluster::ServedSlots(const std::string& service) const {
   size_t served = 0;
   for (SlotNumber slot = 0; slot < 64; ++slot) {
--- a/tests/coordination/cluster.h
+++ b/tests/coordination/cluster.h
@@ -34,6 +34,7 @@
   bool running = true;
   bool server_running = true;
   std::optional<ServerGrant> server_grant;
+  bool push_failed = false;  // The last grant did not reach the server; tried again.
   std::vector<std::string> log;
 };
 
@@ -47,6 +48,11 @@
   // Ends daemon and server of `name` at once.
   void Kill(const std::string& name) { Get(name).running = false; }
 
+  // Ends the server of `name`; its daemon does not know yet.
+  void EndServer(const std::string& name) { Get(name).server_running = false; }
+  // Starts another process of the server, which has no grant; its daemon does not know yet.
+  void StartServer(const std::string& name);
+
   // Runs for `duration` in steps of one millisecond.
   void Run(Duration duration);
 
@@ -82,6 +88,7 @@
   void Step();
   void CarryOut(ClusterMember& member);
   void CarryOut(ClusterMember& member, const Action& action);
+  void TryPush(ClusterMember& member);
 
   SeededRandom random_;
   Instant now_ = Instant(std::chrono::seconds(100));
--- a/tests/coordination/node_test.cc
+++ b/tests/coordination/node_test.cc
@@ -151,11 +151,59 @@
   StartEight();
   cluster.Run(2s);
   ClusterMember& member = cluster.Get("feedread-3");
-  member.server_running = false;
+  cluster.EndServer("feedread-3");
   member.node->OnServerState(cluster.now(), ServerState::kStopped);
   CHECK(TimeUntilServed(5s) < 200ms);
 }
 
+TEST(Node, ARestartedServerGetsNothingOfItsFormerProcess) {
+  StartEight();
+  cluster.Run(2s);
+  ClusterMember& member = cluster.Get("feedread-3");
+  const runshelf::FencingToken former_token = member.server_grant->token;
+  cluster.EndServer("feedread-3");
+  CHECK(cluster.RunUntil(1s, [&] { return member.push_failed; }));
+  member.node->OnServerState(cluster.now(), ServerState::kStopped);
+  CHECK(TimeUntilServed(5s) < 200ms);
+
+  // It listens before the daemon knows, and well before the grant that did not arrive runs out.
+  cluster.StartServer("feedread-3");
+  cluster.Run(100ms);
+  CHECK_FALSE(member.server_grant.has_value());
+
+  member.node->OnServerState(cluster.now(), ServerState::kServing);
+  CHECK_FALSE(member.node->GrantToPush(cluster.now()).has_value());
+  CHECK(cluster.RunUntil(1s, [&] { return member.server_grant.has_value(); }));
+  CHECK(member.server_grant->slots.empty());
+  CHECK(former_token < member.server_grant->token);
+  CHECK_FALSE(cluster.HasDoubleOwner());
+}
+
+TEST(Node, AServerThatDoesNotAnswerGetsNoGrant) {
+  StartEight();
+  cluster.Run(2s);
+  ClusterMember& member = cluster.Get("feedread-3");
+  cluster.EndServer("feedread-3");
+  CHECK(cluster.RunUntil(1s, [&] { return member.push_failed; }));
+  CHECK(member.node->GrantToPush(cluster.now()).has_value());
+  // Nor does one get a grant that has run out.
+  CHECK_FALSE(member.node->GrantToPush(cluster.now() + 1s).has_value());
+  member.node->OnServerState(cluster.now(), ServerState::kSilent);
+  CHECK_FALSE(member.node->GrantToPush(cluster.now()).has_value());
+}
+
+// Its daemon has not seen that it was gone, so nobody else was given its slots.
+TEST(Node, AServerThatWasRestartedUnseenGetsWhatItsDaemonOwns) {
+  StartEight();
+  cluster.Run(2s);
+  ClusterMember& member = cluster.Get("feedread-3");
+  cluster.EndServer("feedread-3");
+  CHECK(cluster.RunUntil(1s, [&] { return member.push_failed; }));
+  cluster.StartServer("feedread-3");
+  CHECK(TimeUntilServed(5s) < 200ms);
+  CHECK_FALSE(cluster.HasDoubleOwner());
+}
+
 TEST(Node, AJoinerGetsItsShareAndNoMore) {
   StartEight();
   cluster.Run(2s);
--- a/tests/daemon/server_agent_test.cc
+++ b/tests/daemon/server_agent_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "tests/daemon/fake_server_control.h"
@@ -26,16 +27,29 @@
   Instant Now() const override { return kNow; }
 };
 
-// What the agent has reported.
-class Reports {
+// Stands in for the node: offers a grant until the server has accepted it or has stopped, and keeps
+// what the agent node.
+class FakeNode {
  public:
-  void Add(ServerState state) {
+  void Offer(const ServerGrant& grant) {
+    const std::lock_guard lock(mutex_);
+    offered_ = grant;
+  }
+  std::optional<ServerGrant> Offered() const {
+    const std::lock_guard lock(mutex_);
+    return offered_;
+  }
+  void OnState(ServerState state) {
     const std::lock_guard lock(mutex_);
     states_.push_back(state);
+    if (state == ServerState::kStopped) {
+      offered_.reset();
+    }
     changed_.notify_all();
   }
-  void AddAccepted() {
+  void OnAccepted() {
     const std::lock_guard lock(mutex_);
+    offered_.reset();
     ++accepted_;
     changed_.notify_all();
   }
@@ -59,6 +73,7 @@
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  std::optional<ServerGrant> offered_;
   std::vector<ServerState> states_;
   int accepted_ = 0;
 };
@@ -69,46 +84,47 @@
   StoppedClock clock;
   AdmissionGate admission{clock, admission::AdmissionConfig{}};
   FakeServerControl server;
-  Reports reports;
+  FakeNode node;
   ServerAgent agent{clock, server, admission, Callbacks()};
 
   void setup() override {
     agent.Start();
-    CHECK(reports.Await(ServerState::kServing));
+    CHECK(node.Await(ServerState::kServing));
   }
 
   void teardown() override { server.LetGrantsGo(); }
 
   ServerAgentCallbacks Callbacks() {
     ServerAgentCallbacks callbacks;
-    callbacks.on_state = [this](ServerState state) { reports.Add(state); };
-    callbacks.on_grant_accepted = [this](const ServerGrant&) { reports.AddAccepted(); };
+    callbacks.on_state = [this](ServerState state) { node.OnState(state); };
+    callbacks.grant_to_push = [this] { return node.Offered(); };
+    callbacks.on_grant_accepted = [this](const ServerGrant&) { node.OnAccepted(); };
     return callbacks;
   }
 
-  // The node wants the server to have a grant.
   void OfferGrant() {
-    agent.PushGrant(ServerGrant{{1, 1, 5}, kNow + std::chrono::milliseconds(700), {{0, 15}}});
+    node.Offer({{1, 1, 5}, kNow + std::chrono::milliseconds(700), {{0, 15}}});
+    agent.PushGrant();
   }
 };
 
 TEST(ServerAgent, AGrantReachesTheServer) {
   OfferGrant();
-  CHECK(reports.AwaitAccepted());
+  CHECK(node.AwaitAccepted());
   CHECK_EQUAL(1, server.accepted());
 }
 
 TEST(ServerAgent, AGrantThatWasLostOnItsWayIsSentAgain) {
   server.LoseNextGrant();
   OfferGrant();
-  CHECK(reports.AwaitAccepted());
+  CHECK(node.AwaitAccepted());
   CHECK_EQUAL(1, server.accepted());
 }
 
 TEST(ServerAgent, AGrantOfAFormerProcessIsNotGivenToTheNext) {
   server.EndProcess();
   OfferGrant();
-  CHECK(reports.Await(ServerState::kStopped));
+  CHECK(node.Await(ServerState::kStopped));
   server.StartProcess();
   CHECK(server.AwaitHealthChecks(3));
   CHECK_EQUAL(0, server.accepted());
@@ -124,9 +140,9 @@
   CHECK(server.AwaitHealthChecks(1));
   server.StartProcess();
   server.LetGrantsGo();
-  CHECK(reports.AwaitAccepted());
+  CHECK(node.AwaitAccepted());
   CHECK(server.AwaitHealthChecks(2));
-  CHECK_FALSE(reports.Has(ServerState::kStopped));
+  CHECK_FALSE(node.Has(ServerState::kStopped));
 }
 
 }  // namespace runshelf::daemon
--- a/tests/ownership/grant_holder_test.cc
+++ b/tests/ownership/grant_holder_test.cc
@@ -118,3 +118,15 @@
   CHECK_FALSE(holder.Enter(kStart, 3).has_value());
   CHECK(holder.LastPushedExpiry() == kStart + kSecond);
 }
+
+TEST(GrantHolder, AnAnswerOfAFormerProcessOfTheServerTellsNothing) {
+  Hold();
+  holder.OnRenewed(kStart + 2 * kSecond, kVersion, {{0, 9}}, {});
+  const HeldGrant of_former_process = Push();
+  holder.OnServerEmpty();
+  holder.OnAccepted(kStart, of_former_process);
+  holder.OnRenewed(kStart + 3 * kSecond, kVersion, {{0, 9}}, {});
+  CHECK_FALSE(holder.Enter(kStart, 3).has_value());
+  holder.OnAccepted(kStart, Push());
+  CHECK(holder.Enter(kStart, 3).has_value());
+}
--- a/tests/simulation/naive_test.cc
+++ b/tests/simulation/naive_test.cc
@@ -62,6 +62,11 @@
   Check("no_release_wait", ViolationKind::kDoubleOwner, 2, "pause_server,planned_leave,join");
 }
 
+TEST(NaiveParts, GrantKeptForTheNextProcess) {
+  config.steps = 3000;
+  Check("keep_grants", ViolationKind::kDoubleOwner, 1, "crash_server");
+}
+
 TEST(NaiveParts, RetryOnAnyError) {
   Check("retry_any_error", ViolationKind::kRepeatedRun, 1, "pause_server,lost_answers");
 }
--- a/tools/sim/daemon.cc
+++ b/tools/sim/daemon.cc
@@ -24,8 +24,6 @@
 constexpr size_t kHottestSlots = 16;
 // A leaving daemon answers this long after everything is handed over, for requests on their way.
 constexpr Duration kLingerTime = std::chrono::milliseconds(300);
-// Of the naive version whose servers believe in a grant for too long.
-constexpr Duration kNaiveAddedValidity = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -71,9 +69,7 @@
                                      server_,
                                      [this] { CarryOut(); },
                                      [this] { egress_->SetCold(); }};
-  const bool believes_longer = environment_.naive.no_expiry_wait;
-  server_agent_ = std::make_unique<ServerAgent>(
-      agent_parts, believes_longer ? kNaiveAddedValidity : Duration(0));
+  server_agent_ = std::make_unique<ServerAgent>(agent_parts, environment_.naive);
   CarryOut();
   process_.After(random_.Between(Duration(0), kTickInterval), [this] { Tick(); });
   ReadMachines();
@@ -130,7 +126,7 @@
                                     [target, envelope] { target->Receive(*envelope); });
 }
 
-void Daemon::Perform(const coordination::PushGrant& push) { server_agent_->PushGrant(push.grant); }
+void Daemon::Perform(const coordination::PushGrant&) { server_agent_->PushGrant(); }
 
 void Daemon::Perform(const coordination::ReadGroupRecord&) { ReadGroup(); }
 
--- a/tools/sim/naive.cc
+++ b/tools/sim/naive.cc
@@ -9,6 +9,7 @@
       {"no_fencing", &NaiveParts::no_fencing},
       {"no_expiry_wait", &NaiveParts::no_expiry_wait},
       {"no_release_wait", &NaiveParts::no_release_wait},
+      {"keep_grants", &NaiveParts::keep_grants},
       {"retry_any_error", &NaiveParts::retry_any_error},
       {"no_idempotency", &NaiveParts::no_idempotency},
       {"whole_table_write", &NaiveParts::whole_table_write},
--- a/tools/sim/naive.h
+++ b/tools/sim/naive.h
@@ -12,6 +12,7 @@
   bool no_fencing = false;         // Servers execute whatever they are handed.
   bool no_expiry_wait = false;     // Servers believe in a grant for longer than the giver waits.
   bool no_release_wait = false;    // Daemons confirm a release order before it is fulfilled.
+  bool keep_grants = false;        // A grant that was not answered is kept and tried again.
   bool retry_any_error = false;    // A request is sent again after any failure.
   bool no_idempotency = false;     // Owners do not remember requests with an idempotency key.
   bool whole_table_write = false;  // Operators write back the whole table that they read.
--- a/tools/sim/naive_node.cc
+++ b/tools/sim/naive_node.cc
@@ -55,6 +55,9 @@
   void OnServerState(Instant now, coordination::ServerState state) override {
     node_->OnServerState(now, state);
   }
+  std::optional<coordination::ServerGrant> GrantToPush(Instant now) override {
+    return node_->GrantToPush(now);
+  }
   void OnGrantAccepted(Instant now, const coordination::ServerGrant& grant) override {
     node_->OnGrantAccepted(now, grant);
   }
--- a/tools/sim/server_agent.cc
+++ b/tools/sim/server_agent.cc
@@ -13,41 +13,58 @@
 // As in source/daemon/server_agent.cc.
 constexpr Duration kPushTimeout = std::chrono::milliseconds(300);
 constexpr Duration kPushRetryInterval = std::chrono::milliseconds(20);
+// Servers of the naive version believe in a grant for this much longer.
+constexpr Duration kNaiveAddedValidity = std::chrono::seconds(10);
 
 }  // namespace
 
-ServerAgent::ServerAgent(ServerAgentParts parts, Duration added_validity)
-    : parts_(std::move(parts)), added_validity_(added_validity) {}
+ServerAgent::ServerAgent(ServerAgentParts parts, const NaiveParts& naive)
+    : parts_(std::move(parts)), naive_(naive) {}
 
 void ServerAgent::Start() { CheckHealth(); }
 
-void ServerAgent::PushGrant(const ServerGrant& grant) {
-  waiting_grant_ = grant;
-  PushWaiting();
+void ServerAgent::PushGrant() {
+  push_wanted_ = true;
+  kept_grant_.reset();
+  TryPush();
 }
 
-void ServerAgent::PushWaiting() {
-  if (pushing_ || !waiting_grant_) {
+void ServerAgent::TryPush() {
+  if (pushing_ || retry_awaited_ || !push_wanted_) {
     return;
   }
-  const ServerGrant grant = *std::exchange(waiting_grant_, std::nullopt);
+  push_wanted_ = false;
+  const std::optional<ServerGrant> grant = NextGrant();
+  if (grant) {
+    Push(*grant);
+  }
+}
+
+void ServerAgent::Push(const ServerGrant& grant) {
   pushing_ = true;
-  giver_ = parts_.node;
+  push_overlaps_check_ = true;
   const uint64_t push = ++push_;
   ServerGrant given = grant;
-  given.expires_at += added_validity_;
+  given.expires_at += naive_.no_expiry_wait ? kNaiveAddedValidity : Duration(0);
   // A later run of the process has an agent of its own; this one is gone by then.
   Process& process = parts_.process;
   const uint64_t run = process.run();
   parts_.server.PushGrant(given, [this, &process, run, push, grant](std::optional<bool> accepted) {
     if (process.run() == run) {
-      process.Post([this, push, grant, accepted] { OnPushed(push, grant, accepted); });
+      process.Post([this, push, grant, accepted] { OnAnswer(push, grant, accepted); });
     }
   });
-  parts_.process.After(kPushTimeout, [this, push, grant] { OnPushFailed(push, grant); });
+  process.After(kPushTimeout, [this, push, grant] { OnPushFailed(push, grant); });
 }
 
-void ServerAgent::OnPushed(uint64_t push, const ServerGrant& grant, std::optional<bool> accepted) {
+std::optional<ServerGrant> ServerAgent::NextGrant() {
+  if (kept_grant_ && Now() < kept_grant_->expires_at) {
+    return std::exchange(kept_grant_, std::nullopt);
+  }
+  return parts_.node->GrantToPush(Now());
+}
+
+void ServerAgent::OnAnswer(uint64_t push, const ServerGrant& grant, std::optional<bool> accepted) {
   if (push != push_ || !pushing_) {
     return;  // Given up before.
   }
@@ -56,10 +73,10 @@
     return;
   }
   pushing_ = false;
-  if (*accepted && giver_.lock() == parts_.node) {
+  if (*accepted) {
     parts_.node->OnGrantAccepted(Now(), grant);
   }
-  PushWaiting();
+  TryPush();
   parts_.carry_out();
 }
 
@@ -67,14 +84,15 @@
   if (push != push_ || !pushing_) {
     return;
   }
-  ++push_;  // Neither its answer nor its timeout counts any more.
-  // Tried again unless a newer one has come.
-  if (!waiting_grant_ && Now() < grant.expires_at) {
-    waiting_grant_ = grant;
+  pushing_ = false;
+  retry_awaited_ = true;
+  if (naive_.keep_grants && !push_wanted_) {
+    kept_grant_ = grant;
   }
   parts_.process.After(kPushRetryInterval, [this] {
-    pushing_ = false;
-    PushWaiting();
+    retry_awaited_ = false;
+    push_wanted_ = true;
+    TryPush();
   });
 }
 
@@ -85,6 +103,7 @@
     return;
   }
   health_check_pending_ = true;
+  push_overlaps_check_ = pushing_;
   const uint64_t check = ++health_check_;
   Process& process = parts_.process;
   const uint64_t run = process.run();
@@ -106,7 +125,11 @@
     parts_.on_cold();
   }
   server_cold_ = cold;
-  SetServerState(health ? ServerState::kServing : ServerState::kStopped);
+  if (health) {
+    SetServerState(ServerState::kServing);
+  } else if (!push_overlaps_check_) {
+    SetServerState(ServerState::kStopped);
+  }  // Else a grant may reach the next process; the next check decides.
 }
 
 void ServerAgent::OnHealthTimeout(uint64_t check) {
--- a/tools/sim/server_agent.h
+++ b/tools/sim/server_agent.h
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "runshelf/coordination/node.h"
+#include "tools/sim/naive.h"
 #include "tools/sim/server.h"
 
 namespace runshelf::sim {
@@ -27,21 +28,21 @@
 // Lives as long as one run of the daemon's process.
 class ServerAgent {
  public:
-  // `added_validity` is how much longer the server is made to believe in each grant; zero but for
-  // the naive version.
-  ServerAgent(ServerAgentParts parts, Duration added_validity);
+  ServerAgent(ServerAgentParts parts, const NaiveParts& naive);
 
   // Begins to watch the server's health.
   void Start();
 
-  // Hands `grant` to the server as soon as possible; replaces one that still waits.
-  void PushGrant(const coordination::ServerGrant& grant);
+  // The server should get a grant as soon as possible.
+  void PushGrant();
 
   coordination::ServerState server_state() const { return server_state_; }
 
  private:
-  void PushWaiting();
-  void OnPushed(uint64_t push, const coordination::ServerGrant& grant,
+  void TryPush();
+  void Push(const coordination::ServerGrant& grant);
+  std::optional<coordination::ServerGrant> NextGrant();
+  void OnAnswer(uint64_t push, const coordination::ServerGrant& grant,
                 std::optional<bool> accepted);
   void OnPushFailed(uint64_t push, const coordination::ServerGrant& grant);
   void CheckHealth();
@@ -51,13 +52,15 @@
   Instant Now() const { return parts_.clock.At(parts_.queue.Now()); }
 
   ServerAgentParts parts_;
-  const Duration added_validity_;
-  std::optional<coordination::ServerGrant> waiting_grant_;
-  std::weak_ptr<coordination::Node> giver_;  // Of the grant on its way.
-  uint64_t push_ = 0;                        // Number of the latest push.
-  bool pushing_ = false;                     // It is under way, or its retry is awaited.
-  uint64_t health_check_ = 0;                // Number of the latest check.
+  const NaiveParts naive_;
+  bool push_wanted_ = false;
+  uint64_t push_ = 0;                                    // Number of the latest push.
+  bool pushing_ = false;                                 // Its answer or timeout is awaited.
+  bool retry_awaited_ = false;                           // It failed, and the next one has to wait.
+  std::optional<coordination::ServerGrant> kept_grant_;  // Of the naive version only.
+  uint64_t health_check_ = 0;                            // Number of the latest check.
   bool health_check_pending_ = false;
+  bool push_overlaps_check_ = false;  // Some push was under way since the latest check began.
   bool server_cold_ = false;
   coordination::ServerState server_state_ = coordination::ServerState::kUnknown;
 };
