--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -9,6 +9,18 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
+// Of one log line.
+constexpr size_t kMaxRangesLogged = 8;
+
+std::string KeyRanges(const std::vector<sharding::Shard>& shards) {
+  std::string text;
+  for (size_t index = 0; index < std::min(shards.size(), kMaxRangesLogged); ++index) {
+    if (index > 0) text += ',';
+    text += std::to_string(shards[index].first) + '-' + std::to_string(shards[index].last);
+  }
+  return text;
+}
+
 }  // namespace
 
 ShardHolder::ShardHolder(event::EventLoop& loop, http::ConnectionPool& pool, const WireFormat& wire,
@@ -47,7 +59,9 @@
 }
 
 void ShardHolder::SetWorker(const std::string& worker_id, bool gone) {
-  if (worker_id == worker_id_) return;
+  const bool absent = worker_id.empty();
+  if (worker_id == worker_id_ && absent == worker_absent_) return;
+  worker_absent_ = absent;
   heard_at_ = loop_.Now();
   if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
   gone_workers_.erase(worker_id);
@@ -66,10 +80,11 @@
 void ShardHolder::Tick() {
   timer_.Start(config_.tick_interval);
   Reconcile();
+  LogGrants({});
 }
 
 void ShardHolder::Reconcile() {
-  if (!sharded_ || reconciling_) return;
+  if (!DividedByKey() || reconciling_) return;
   reconciling_ = true;
   AdoptShards();
   if (ByHeartbeat()) {
@@ -83,8 +98,8 @@
 }
 
 bool ShardHolder::HasChangeToCommit() const {
-  const bool found = std::any_of(holdings_.begin(), holdings_.end(), [](const auto& entry) {
-    return entry.second.released || entry.second.superseded;
+  const bool found = std::any_of(holdings_.begin(), holdings_.end(), [this](const auto& entry) {
+    return entry.second.released || MustRenewToken(entry.second);
   });
   if (found) return true;
   const auto& shards = shards_.map().shards();
@@ -98,6 +113,8 @@
   if (shard.owner.worker == worker_id_) return false;
   // There is one worker on a machine: another one's presence tells that the former ended.
   if (!worker_id_.empty() || gone_workers_.contains(shard.owner.worker)) return true;
+  // A process that has just learnt of its shards may find the worker at any moment.
+  if (!worker_absent_) return false;
   // It fell silent: its grants, those of an earlier life of this process too, must have run out.
   const Instant now = loop_.Now();
   const auto found = holdings_.find({shard.first, shard.last, shard.token});
@@ -139,19 +156,44 @@
   return leaving_ || !shard.move_to_node.empty();
 }
 
+// While a change that takes the shard away is on its way, or its outcome is not known, the map in
+// force is no ground to act on: the change may be done at any moment.
+bool ShardHolder::OfThisWorker(const HeldShard& holding) const {
+  return holding.worker_id == worker_id_ && shards_.Settled(holding.shard);
+}
+
 void ShardHolder::RenewGrants() {
   const Instant now = loop_.Now();
   if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
+  std::vector<sharding::Shard> granted_anew;
   for (auto& [key, holding] : holdings_) {
-    if (calls_.size() >= config_.calls_at_once) return;
+    if (calls_.size() >= config_.calls_at_once) break;
     if (holding.call != 0 || holding.releasing || holding.superseded) continue;
-    if (holding.worker_id != worker_id_) continue;
+    if (!OfThisWorker(holding)) continue;
     // A shard that is to move is renewed until its release is sent.
     if (MustMove(holding.shard)) continue;
-    const bool due =
-        holding.usable_until <= now || now - holding.sent_at >= config_.renewal_interval;
-    if (due) SendGrant(key, &holding);
+    const bool held = holding.usable_until > now;
+    if (held && now - holding.sent_at < config_.renewal_interval) continue;
+    if (!held) granted_anew.push_back(holding.shard);
+    SendGrant(key, &holding);
   }
+  LogGrants(granted_anew);
+}
+
+// Only shards that the worker is not known to hold: renewals would be a line for each second. At
+// most one line for each tick, the first at once.
+void ShardHolder::LogGrants(const std::vector<sharding::Shard>& shards) {
+  granted_anew_.insert(granted_anew_.end(), shards.begin(), shards.end());
+  if (granted_anew_.empty() || loop_.Now() - grants_logged_at_ < config_.tick_interval) return;
+  grants_logged_at_ = loop_.Now();
+  log_.Write(LogLevel::kInfo, "keys_granted",
+             {{"worker", worker_id_},
+              {"shards", granted_anew_.size()},
+              {"keys", KeyRanges(granted_anew_)},
+              {"token", granted_anew_.front().token},
+              {"revision", shards_.revision()},
+              {"change_under_way", shards_.busy()}});
+  granted_anew_.clear();
 }
 
 void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
@@ -244,7 +286,7 @@
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
   if (now >= context_.AuthorityUntil()) return false;
   const HeldShard* holding = FindHolding(key);
-  return holding != nullptr && !holding->releasing && holding->worker_id == worker_id_ &&
+  return holding != nullptr && !holding->releasing && OfThisWorker(*holding) &&
          now < holding->usable_until;
 }
 
@@ -268,26 +310,29 @@
 bool ShardHolder::ByHeartbeat() const { return delivery_ == routes::GrantDelivery::kHeartbeats; }
 
 bool ShardHolder::WorkerReports() const {
-  return !ByHeartbeat() || !sharded_ || loop_.Now() - heard_at_ <= config_.heartbeat_silence;
+  return !ByHeartbeat() || !DividedByKey() || loop_.Now() - heard_at_ <= config_.heartbeat_silence;
 }
 
 void ShardHolder::OnKeyReport(const WorkerHeartbeat& heartbeat) {
-  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return;
+  if (!ByHeartbeat() || !DividedByKey() || heartbeat.worker_id != worker_id_) return;
   heard_at_ = loop_.Now();
   if (heartbeat_grants_.OnReport(heartbeat, &holdings_)) Reconcile();
 }
 
 bool ShardHolder::AwaitsKeys() const {
-  if (!ByHeartbeat() || !sharded_ || leaving_ || shards_.map().empty()) return false;
+  if (!ByHeartbeat() || !DividedByKey() || leaving_ || shards_.map().empty()) return false;
   if (context_.AuthorityUntil() <= loop_.Now() + kMinHold) return true;
-  // Shards of the worker's former life are about to be its own.
+  // Shards of the worker's former life are about to be its own; others may be about to be so no
+  // more.
   const auto& shards = shards_.map().shards();
-  return std::any_of(shards.begin(), shards.end(),
-                     [this](const sharding::Shard& shard) { return OfFormerWorker(shard); });
+  return std::any_of(shards.begin(), shards.end(), [this](const sharding::Shard& shard) {
+    return OfFormerWorker(shard) ||
+           (shard.owner == sharding::WorkerId{config_.node, worker_id_} && !shards_.Settled(shard));
+  });
 }
 
 std::optional<KeyLease> ShardHolder::LeaseFor(const WorkerHeartbeat& heartbeat) {
-  if (!ByHeartbeat() || !sharded_ || heartbeat.worker_id != worker_id_) return std::nullopt;
+  if (!ByHeartbeat() || !DividedByKey() || heartbeat.worker_id != worker_id_) return std::nullopt;
   // Without the map, or the right to act on it, nothing is known of what the worker is to hold.
   if (shards_.map().empty()) return std::nullopt;
   const Instant now = loop_.Now();
@@ -295,9 +340,20 @@
   const Duration hold = std::min(config_.heartbeat_hold, authority - authority / kClockRateDivisor);
   if (hold < kMinHold) return std::nullopt;
   ++grants_sent_;
-  return heartbeat_grants_.MakeLease(
+  std::vector<HeldShardKey> lapsed;
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.usable_until <= now) lapsed.push_back(key);
+  }
+  KeyLease lease = heartbeat_grants_.MakeLease(
       heartbeat, now, hold, [this](const sharding::Shard& shard) { return MustMove(shard); },
-      &holdings_);
+      [this](const sharding::Shard& shard) { return shards_.Settled(shard); }, &holdings_);
+  std::vector<sharding::Shard> granted_anew;
+  for (const HeldShardKey& key : lapsed) {
+    const HeldShard& holding = holdings_.at(key);
+    if (holding.usable_until > now) granted_anew.push_back(holding.shard);
+  }
+  LogGrants(granted_anew);
+  return lease;
 }
 
 // A worker whose heartbeats do not arrive cannot renew its keys: once its grants have run out,
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -6,9 +6,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "runshelf/common/random.h"
 #include "source/event/event_loop.h"
@@ -22,6 +24,7 @@
 #include "source/sidecar/shard_store.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
+#include "source/store/store_operations.h"
 
 namespace runshelf::sidecar {
 
@@ -48,6 +51,9 @@
   virtual ~ShardHolderContext() = default;
   // Until when this node may let its worker hold keys; Instant{} when it may not.
   virtual Instant AuthorityUntil() const = 0;
+  // Holds as long as this life of the node is the latest one: a change of the map that it sent must
+  // not be done when a later life acts on the map as it was.
+  virtual store::Condition StillThisLife() const = 0;
   // Workers that take the shards of this node when it gives all of them up, one for each; empty
   // when there is none.
   virtual std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) = 0;
@@ -66,15 +72,15 @@
   void SetSharded(bool sharded);
   // How the worker learns which keys it holds.
   void SetGrantDelivery(routes::GrantDelivery delivery);
-  // Identity of the worker; empty while none is known. `gone`: the former one is certainly not
-  // running any more.
+  // Identity of the worker; empty when it was looked for and none is there. `gone`: the former one
+  // is certainly not running any more.
   void SetWorker(const std::string& worker_id, bool gone);
   // All shards are to be handed to others: the worker or this node is leaving.
   void SetLeaving(bool leaving);
   // The map in the store may have changed.
   void OnMapChanged();
 
-  bool Sharded() const override { return sharded_; }
+  std::optional<bool> Sharded() const override { return sharded_; }
   bool MaySend(Instant now, sharding::ShardKey key) const override;
   void OnKeyOffered(sharding::ShardKey key) override { meter_.OnRequest(key); }
   void OnKeyRefused(sharding::ShardKey key) override;
@@ -97,6 +103,7 @@
   void Reconcile();
   void AdoptShards();
   void RenewGrants();
+  void LogGrants(const std::vector<sharding::Shard>& shards);
   void SendGrant(const HeldShardKey& key, HeldShard* holding);
   void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
                      const std::optional<http::Response>& response);
@@ -107,13 +114,17 @@
   void CommitChanges();
   bool ReassignToOwnWorker(sharding::ShardMap* map);
   bool RenewTokens(sharding::ShardMap* map);
+  bool MustRenewToken(const HeldShard& holding) const;
   bool HandOverReleased(sharding::ShardMap* map);
   size_t ReleasedCount() const;
   // How long the next change waits for others that may come with it, or for other nodes to finish
   // theirs.
   Duration CommitDelay();
   bool MustMove(const sharding::Shard& shard) const;
+  // The worker beside this node owns the shard, as far as is known.
+  bool OfThisWorker(const HeldShard& holding) const;
   bool HasChangeToCommit() const;
+  bool DividedByKey() const { return sharded_.value_or(false); }
   bool ByHeartbeat() const;
   bool EarlierGrantsRanOut(Instant now) const;
   void AbandonLapsed();
@@ -140,9 +151,12 @@
   int conflicts_ = 0;         // Changes of the map in a row that another node's change came before.
   uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
+  std::vector<sharding::Shard> granted_anew_;  // Not logged yet.
+  Instant grants_logged_at_{};
   std::string worker_id_;
+  bool worker_absent_ = false;          // It was looked for, and none is there.
   std::set<std::string> gone_workers_;  // Identities that are certainly not running any more.
-  bool sharded_ = false;
+  std::optional<bool> sharded_;         // Not known yet, while empty.
   bool leaving_ = false;
   bool reconciling_ = false;
 };
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -224,7 +224,8 @@
 }
 
 bool WorkerGate::BoundByKey(const AttemptRequest& request) const {
-  return request.key.has_value() && key_authority_ != nullptr && key_authority_->Sharded();
+  return request.key.has_value() && key_authority_ != nullptr &&
+         key_authority_->Sharded().value_or(false);
 }
 
 std::optional<FailureReason> WorkerGate::Objection(const AttemptRequest& request) const {
@@ -235,6 +236,9 @@
     return FailureReason::kWrongWorker;
   }
   if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
+  // Without a configuration nobody here knows whether the worker must hold the key.
+  const bool known = key_authority_ == nullptr || key_authority_->Sharded().has_value();
+  if (!known && request.key.has_value()) return FailureReason::kNoWorker;
   if (BoundByKey(request)) {
     // A draining worker serves its keys until they have been handed over, for as long as allowed.
     if (draining_ && loop_.Now() >= drain_keys_until_) return FailureReason::kDraining;
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -45,6 +45,9 @@
   LeaseId lease() const { return lease_; }
   // When the latest call that the store granted or renewed the lease for was sent.
   Instant renewed_at() const { return renewed_at_; }
+  // Holds while the item is the one that this process wrote last: another process with the same
+  // key, an earlier or a later life of this one, has not written since.
+  Condition ItemUnchanged() const { return {config_.key, item_revision_}; }
   // The item with the value set last is in the store under the lease in force.
   bool announced() const {
     return lease_ != 0 && written_value_ == value_ && written_lease_ == lease_;
