--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -50,7 +50,7 @@
   }
 
   void OnAnswerHead(http::ResponseHead&& head) override {
-    peer_protocol::AddLoad(handler_->gate_.load(), &head.headers);
+    handler_->AddNodeState(&head.headers);
     relay_.OnHead(std::move(head));
   }
 
@@ -81,13 +81,22 @@
       exchange_->Abort();
     } else {
       http::Headers headers = peer_protocol::FailureHeaders(failure);
-      peer_protocol::AddLoad(handler_->gate_.load(), &headers);
+      handler_->AddNodeState(&headers);
       const bool not_run = failure.verdict == Verdict::kNotRun;
       exchange_->Respond(not_run ? kServiceUnavailable : kBadGateway, headers, "");
     }
     End();
   }
 
+  void LogCut() const {
+    handler_->log_.Write(LogLevel::kInfo, "forwarded_request_cut",
+                         {{"request", request_id_},
+                          {"reason", "stopping"},
+                          {"answering", relay_.streaming()},
+                          {"running", handler_->gate_.Runs(request_id_)},
+                          {"worker", handler_->gate_.worker_id()}});
+  }
+
  private:
   void StopExpecting() {
     if (!answer_expected_) return;
@@ -115,12 +124,14 @@
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               StateFeed& feed, LogWriter& log, double link_bytes_per_second)
+                               StateFeed& feed, LogWriter& log, const StopSchedule& stop,
+                               double link_bytes_per_second)
     : loop_(loop),
       gate_(gate),
       store_(store),
       feed_(feed),
       log_(log),
+      stop_(stop),
       pacer_(loop, link_bytes_per_second) {}
 
 // Each request that ends gives its slot to the next, which finds its caller gone and ends too, and
@@ -144,7 +155,35 @@
   }
   auto forward = std::make_shared<Forward>(this, exchange, *attempt);
   forwards_[forward.get()] = forward;
-  forward->Begin();
+  if (Takes(*attempt)) {
+    forward->Begin();
+    return;
+  }
+  ++refused_in_stop_;
+  forward->OnAttemptFailure({Verdict::kNotRun, FailureReason::kStopping, false, Duration(0)});
+}
+
+// A stopping node takes what is certainly over before it ends. New requests are refused as soon as
+// those of clients are, so that their senders choose another node; a request that only this worker
+// may run is taken for as long as the worker holds its key.
+bool InboundHandler::Takes(const AttemptRequest& attempt) const {
+  if (!stop_.EndsInTime(attempt.deadline)) return false;
+  return stop_.TakesNewRequests(loop_.Now()) || gate_.BoundByKey(attempt);
+}
+
+void InboundHandler::AddNodeState(http::Headers* headers) const {
+  peer_protocol::AddLoad(gate_.load(), headers);
+  peer_protocol::AddStopNotice(stop_.Notice(loop_.Now()), headers);
+}
+
+RequestCounts InboundHandler::UnderWay() const {
+  RequestCounts counts;
+  counts.forwarded = forwards_.size();
+  return counts;
+}
+
+void InboundHandler::LogCut() const {
+  for (const auto& [pointer, forward] : forwards_) forward->LogCut();
 }
 
 void InboundHandler::Forget(Forward* forward) { forwards_.erase(forward); }
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -39,14 +39,11 @@
 }
 
 void Ingress::Handle(const http::ExchangePtr& exchange) {
-  if (configuration_ == nullptr || (!taking_ && !IsNestedCall(exchange->request().head))) {
-    http::Headers headers;
-    headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
-    exchange->Respond(kServiceUnavailable, headers, "");
-    context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
+  const http::RequestHead& head = exchange->request().head;
+  if (configuration_ == nullptr) {
+    RefuseUnconfigured(exchange);
     return;
   }
-  const http::RequestHead& head = exchange->request().head;
   const std::string* host = head.headers.Find("host");
   const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
   const routes::Route* route = host == nullptr ? nullptr : configuration_->Match(*host, path);
@@ -64,6 +61,34 @@
   flow->Begin();
 }
 
+bool Ingress::Takes(bool nested, Instant deadline) const {
+  if (context_.stop.TakesNewRequests(context_.loop.Now())) return true;
+  return nested && context_.stop.EndsInTime(deadline);
+}
+
+void Ingress::RefuseUnconfigured(const http::ExchangePtr& exchange) {
+  const std::string* id = exchange->request().head.headers.Find(context_.wire.headers().request_id);
+  context_.log.Write(LogLevel::kInfo, "request_refused",
+                     {{"request", id == nullptr ? std::string() : *id},
+                      {"status", kServiceUnavailable},
+                      {"reason", "no-configuration"},
+                      {"verdict", VerdictName(Verdict::kNotRun)}});
+  http::Headers headers;
+  headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
+  exchange->Respond(kServiceUnavailable, headers, "");
+  context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
+}
+
+RequestCounts Ingress::UnderWay() const {
+  RequestCounts counts;
+  for (const auto& [pointer, flow] : flows_) ++(flow->nested() ? counts.nested : counts.clients);
+  return counts;
+}
+
+void Ingress::LogCut() const {
+  for (const auto& [pointer, flow] : flows_) flow->LogCut();
+}
+
 bool Ingress::IsNestedCall(const http::RequestHead& head) const {
   const std::string* id = head.headers.Find(context_.wire.headers().request_id);
   if (id == nullptr) return false;
@@ -71,12 +96,12 @@
   return !parent.empty() && context_.gate.Runs(std::string(parent));
 }
 
-void Ingress::OnShardsChanged() {
+void Ingress::RetryWaiting() {
   std::vector<std::shared_ptr<RequestFlow>> waiting;
   for (const auto& [pointer, flow] : flows_) {
     if (flow->waiting_for_owner()) waiting.push_back(flow);
   }
-  for (const auto& flow : waiting) flow->OnShardsChanged();
+  for (const auto& flow : waiting) flow->RetryOwner();
 }
 
 Ingress::ServiceBudgets& Ingress::BudgetsOf(const std::string& service) {
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -9,6 +9,7 @@
 #include "source/event/event_loop.h"
 #include "source/sidecar/answer_relay.h"
 #include "source/sidecar/ingress.h"
+#include "source/sidecar/request_times.h"
 
 namespace runshelf::sidecar {
 
@@ -17,9 +18,13 @@
   RequestFlow(Ingress* ingress, http::ExchangePtr exchange, const routes::Route& route);
 
   void Begin();
-  // The owner of some keys changed.
-  void OnShardsChanged();
+  // Looks for the owner of the key again, when the request waits for one.
+  void RetryOwner();
   bool waiting_for_owner() const { return waiting_for_owner_; }
+  // The worker beside this node sent the request during a run.
+  bool nested() const { return nested_; }
+  // Writes a line: the process ends without the answer.
+  void LogCut();
 
   void OnAnswerHead(http::ResponseHead&& head) override;
   void OnAnswerBody(std::string_view data) override;
@@ -32,6 +37,9 @@
   void ChooseService();
   bool OwnerServes() const;
   void TryNext();
+  bool TryStopping();
+  routing::AnswerSize SizeOfAnswer() const;
+  std::string WorkerBeside(const std::string& node) const;
   void StartAttempt(const std::string& node, const std::string& worker_id);
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
@@ -61,10 +69,7 @@
   std::string request_id_;
   std::string service_;
   std::optional<sharding::ShardKey> key_;
-  Instant deadline_{};
-  Instant answer_by_{};
-  Instant refuse_by_{};      // Waits without being offered to a worker end then.
-  Instant await_move_by_{};  // The same while keys are known to be changing hands.
+  RequestTimes times_;
   std::vector<std::string> tried_nodes_;
   std::string current_node_;  // Of the attempt under way; empty while there is none.
   std::string last_node_;     // Of the latest attempt.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/sidecar/part_configs.h"
 #include "source/sidecar/peer_protocol.h"
 
 namespace runshelf::sidecar {
@@ -10,92 +11,16 @@
 
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
-// Keys of the product's own state in the store.
-constexpr std::string_view kStatePrefix = "runshelf/";
-constexpr std::string_view kNodePrefix = "runshelf/nodes/";
-constexpr std::string_view kShardPrefix = "runshelf/shards/";
-constexpr std::string_view kDrainPrefix = "runshelf/drains/";
 // The state must be read under the node's lease, so that a read before it would be made twice;
 // without a lease for this long (some calls to the store, at 4 ms each), it is read all the same.
 constexpr Duration kStateReadDelay = std::chrono::milliseconds(400);
 constexpr Duration kTickInterval = std::chrono::seconds(1);
-constexpr Duration kLeaseTimeToLive = std::chrono::seconds(8);
-constexpr Duration kGrantHold = std::chrono::seconds(3);
-// Heartbeats that may be missed before a worker counts as cut off; single ones come late.
-constexpr double kSilentHeartbeats = 2.5;
 // Before the end of the time in which a draining worker may be sent requests: what is sent then
 // must still arrive in time.
 constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
-// After a stop was asked for, clients are still sent here until readiness was missed twice.
-constexpr Duration kStopMinimum = std::chrono::milliseconds(2300);
-// The worker beside a stopping node takes new work this much longer.
-constexpr Duration kStopAnnounceDelay = std::chrono::milliseconds(900);
-// Left of the grace period when a stop no longer waits for what runs.
-constexpr Duration kStopReserve = std::chrono::milliseconds(700);
-constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 // Time without a turn of the loop after which everything known may be old.
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 
-std::string KeyOf(std::string_view prefix, const std::string& name) {
-  return std::string(prefix) + name;
-}
-
-store::StoreClientConfig StoreConfig(const Settings& settings) {
-  store::StoreClientConfig config;
-  config.endpoint = settings.store;
-  return config;
-}
-
-store::LeaseKeeperConfig LeaseConfig(const Settings& settings) {
-  store::LeaseKeeperConfig config;
-  config.time_to_live = std::max(kLeaseTimeToLive, settings.store_min_time_to_live);
-  config.key = KeyOf(kNodePrefix, settings.node_name);
-  return config;
-}
-
-store::PrefixWatcherConfig WatchConfig(std::string prefix) {
-  store::PrefixWatcherConfig config;
-  config.prefix = std::move(prefix);
-  return config;
-}
-
-ShardHolderConfig HolderConfig(const Settings& settings) {
-  ShardHolderConfig config;
-  config.node = settings.node_name;
-  config.worker = settings.worker;
-  config.hold = std::min(kGrantHold, settings.bounds.max_hold);
-  config.heartbeat_hold = std::min(kLeaseTimeToLive, settings.bounds.max_hold);
-  config.heartbeat_silence =
-      std::chrono::duration_cast<Duration>(settings.heartbeat_interval * kSilentHeartbeats);
-  return config;
-}
-
-ShardCoordinatorConfig CoordinatorConfig(const Settings& settings) {
-  ShardCoordinatorConfig config;
-  config.node = settings.node_name;
-  config.service = settings.worker_service;
-  config.node_key_prefix = kNodePrefix;
-  config.ip_address = settings.ip_address;
-  config.report_port = settings.peer_port_first;
-  return config;
-}
-
-StateFeedConfig FeedConfig(const Settings& settings) {
-  StateFeedConfig config;
-  config.node = settings.node_name;
-  config.ip_address = settings.ip_address;
-  // The first of the nodes' own ports carries load reports.
-  if (settings.peer_port_last > settings.peer_port_first) {
-    config.port = static_cast<uint16_t>(settings.peer_port_first + 1);
-  }
-  return config;
-}
-
-// The part of `key` after `prefix`; empty when the key does not begin so.
-std::string NameAfter(const std::string& key, std::string_view prefix) {
-  return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string();
-}
-
 }  // namespace
 
 Sidecar::Sidecar(event::EventLoop& loop, Settings settings, const WireFormat& wire,
@@ -105,6 +30,7 @@
       wire_(wire),
       random_(random),
       log_(log),
+      stop_schedule_(settings_.bounds),
       incarnation_(random.Next() >> 1U),
       pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
@@ -131,8 +57,9 @@
       feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_, gate_,
-                              log, metrics_, random}),
-      inbound_handler_(loop, gate_, store_, feed_, log, settings_.link_bytes_per_second),
+                              log, metrics_, random, stop_schedule_}),
+      inbound_handler_(loop, gate_, store_, feed_, log, stop_schedule_,
+                       settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
@@ -142,8 +69,13 @@
       metrics_server_(loop, [this](const http::ExchangePtr& exchange) { HandleMetrics(exchange); }),
       tick_(loop, [this] { OnTick(); }),
       state_read_timer_(loop, [this] { ReadState(); }),
-      stop_timer_(loop, [this] { ContinueStop(); }),
-      end_timer_(loop, [this] { on_stopped_(); }) {
+      stop_sequence_(StopContext{loop, stop_schedule_, ingress_, inbound_handler_, gate_, holder_,
+                                 store_, log},
+                     {[this] { AnnounceStop(); },
+                      [this] {
+                        EndLease();
+                        outbound_.StopListening();
+                      }}) {
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
@@ -162,6 +94,10 @@
     state_watcher_.RetryNow();
   });
   feed_.set_store_answers([this] { return store_.direct_way_works(); });
+  peers_.set_on_stop_notice([this](const std::string& node) {
+    log_.Write(LogLevel::kInfo, "peer_stopping",
+               {{"node", node}, {"store_reachable", store_.reachable()}});
+  });
   lease_.set_on_new_lease([this] {
     lease_to_confirm_ = lease_.lease();
     log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
@@ -239,7 +175,7 @@
 }
 
 bool Sidecar::ready() const {
-  return !stopping_ && configuration_ != nullptr && state_watcher_.synchronized();
+  return !stop_schedule_.begun() && configuration_ != nullptr && state_watcher_.synchronized();
 }
 
 void Sidecar::HandleReadiness(const http::ExchangePtr& exchange) {
@@ -255,7 +191,8 @@
   gauges.store_reachable = store_.reachable();
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
-  gauges.requests_under_way = ingress_.under_way();
+  gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
+  gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
   gauges.connections_opened = pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
@@ -289,7 +226,7 @@
                                ? settings_.grant_delivery
                                : service->grant_delivery.value_or(settings_.grant_delivery));
   holder_.SetSharded(sharded);
-  coordinator_.SetActive(sharded && !stopping_);
+  coordinator_.SetActive(sharded && !stop_schedule_.begun());
 }
 
 void Sidecar::ApplyLimits(const routes::ClientLimits& limits) {
@@ -357,7 +294,7 @@
   gate_.SetDraining(state == WorkerState::kDraining,
                     monitor_.draining_since() + settings_.bounds.drain_timeout - kDrainSendMargin);
   holder_.SetWorker(worker, former_gone);
-  holder_.SetLeaving(stopping_ || state == WorkerState::kDraining);
+  holder_.SetLeaving(LeavesKeys());
   Announce();
 }
 
@@ -372,10 +309,33 @@
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
   record.takes_keys = holder_.WorkerReports();
-  record.stopping = stopping_ && loop_.Now() - stop_started_ >= kStopAnnounceDelay;
+  record.stopping = stop_schedule_.Announced(loop_.Now());
   lease_.SetValue(record.Serialize());
 }
 
+// In the store, and to this node's own choice of workers; the others learn it with answers too.
+void Sidecar::AnnounceStop() {
+  Announce();
+  std::optional<StopNotice> notice = stop_schedule_.Notice(loop_.Now());
+  // What this node still takes itself, its own worker may run when no other can.
+  if (notice.has_value()) notice->takes_requests = notice->ends;
+  peers_.OnStopNotice(loop_.Now(), settings_.node_name, notice);
+  if (!holder_.HoldsNothing() && !LeavesKeys()) lease_.RenewNow();
+  holder_.SetLeaving(LeavesKeys());
+}
+
+// A node that stops keeps its keys until the store has answered since: before, they could be handed
+// over to nobody, and released they would be served by nobody.
+bool Sidecar::LeavesKeys() const {
+  return monitor_.state() == WorkerState::kDraining || stop_schedule_.BegunBy(lease_.renewed_at());
+}
+
+// Others may take the shards of a node as soon as its item is gone. While the worker may still hold
+// keys, the item stays until the lease runs out, which no grant outlasts.
+void Sidecar::EndLease() {
+  if (!holder_.WorkerMayHoldKeys()) lease_.End();
+}
+
 Instant Sidecar::AuthorityUntil() const {
   if (confirmed_lease_ == 0 || confirmed_lease_ != lease_.lease()) return Instant{};
   return lease_.ValidUntil();
@@ -415,37 +375,12 @@
 }
 
 void Sidecar::Stop(std::function<void()> on_stopped) {
-  if (stopping_) return;
-  stopping_ = true;
-  stop_started_ = loop_.Now();
-  on_stopped_ = std::move(on_stopped);
-  log_.Write(LogLevel::kInfo, "stopping", {{"requests", ingress_.under_way()}});
+  if (stop_schedule_.begun()) return;
   outbound_.StartClosing();
   coordinator_.SetActive(false);
   feed_.SetStopping();
-  holder_.SetLeaving(true);
   tick_.Stop();
-  ContinueStop();
-}
-
-void Sidecar::ContinueStop() {
-  const Duration elapsed = loop_.Now() - stop_started_;
-  Announce();
-  if (elapsed >= kStopMinimum) ingress_.StopTaking();
-  const bool idle =
-      ingress_.under_way() == 0 && inbound_handler_.under_way() == 0 && holder_.HoldsNothing();
-  const bool out_of_time = elapsed >= settings_.bounds.grace_period - kStopReserve;
-  if ((elapsed < kStopMinimum || !idle) && !out_of_time) {
-    stop_timer_.Start(kStopPoll);
-    return;
-  }
-  lease_.End();
-  log_.Write(LogLevel::kInfo, "stopped",
-             {{"elapsed_ms", ToMilliseconds(elapsed)},
-              {"requests_cut", ingress_.under_way() + inbound_handler_.under_way()}});
-  // One turn of the loop sends the last call.
-  outbound_.StopListening();
-  end_timer_.Start(kStopPoll);
+  stop_sequence_.Begin(std::move(on_stopped));
 }
 
 }  // namespace runshelf::sidecar
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -8,6 +8,9 @@
 
 // The clocks of this machine and the store may differ in rate by one part in this many.
 constexpr int kClockRateDivisor = 50;
+// Timers count whole milliseconds from the start of a turn of the loop, and may fire this much
+// before their time: a renewal must not wait another interval for it.
+constexpr Duration kTimerRounding = std::chrono::milliseconds(2);
 
 }  // namespace
 
@@ -44,13 +47,18 @@
   if (lease_ == 0) {
     TakeLease();
   } else {
-    if (loop_.Now() - renewed_at_ >= config_.renewal_interval) Renew();
+    if (loop_.Now() - renewed_at_ + kTimerRounding >= config_.renewal_interval) Renew();
     WriteItem();
   }
   const bool settled = lease_ != 0 && !calling_ && announced();
   timer_.Start(settled ? config_.renewal_interval : config_.retry_interval);
 }
 
+void LeaseKeeper::RenewNow() {
+  if (ended_ || calling_ || lease_ == 0) return;
+  if (loop_.Now() - renewal_sent_at_ >= config_.retry_interval) Renew();
+}
+
 void LeaseKeeper::Extend(Instant sent, Duration time_to_live) {
   renewed_at_ = sent;
   const Duration usable = time_to_live - time_to_live / kClockRateDivisor - config_.safety_margin;
@@ -75,6 +83,7 @@
 void LeaseKeeper::Renew() {
   calling_ = true;
   const Instant sent = loop_.Now();
+  renewal_sent_at_ = sent;
   const LeaseId lease = lease_;
   store_.KeepLease(lease, [this, sent, lease](const absl::Status& status) {
     calling_ = false;
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -28,6 +28,9 @@
   LeaseKeeper(event::EventLoop& loop, StoreClient& store, LeaseKeeperConfig config);
 
   void Start();
+  // Renews the lease before it is due, to learn whether the store answers; not more often than
+  // failed calls are repeated.
+  void RenewNow();
   // Ends the lease: its item goes at once.
   void End();
   // The value of the item; written as soon as a lease is held.
@@ -40,6 +43,8 @@
   // Instant{} when there is none.
   Instant ValidUntil() const { return valid_until_; }
   LeaseId lease() const { return lease_; }
+  // When the latest call that the store granted or renewed the lease for was sent.
+  Instant renewed_at() const { return renewed_at_; }
   // Holds while the item is the one that this process wrote last: another process with the same
   // key, an earlier or a later life of this one, has not written since.
   Condition ItemUnchanged() const { return {config_.key, item_revision_}; }
@@ -70,6 +75,7 @@
   Duration time_to_live_{0};    // As the store granted it.
   Instant valid_until_{};
   Instant renewed_at_{};
+  Instant renewal_sent_at_{};
   bool calling_ = false;
   bool writing_ = false;
   bool ended_ = false;
