--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -25,10 +25,52 @@
 }  // namespace
 
 FakeStore::FakeStore(event::EventLoop& loop)
-    : loop_(loop), server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }) {
+    : loop_(loop),
+      server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange, Fault::kNone); }) {
   server_.Listen({"127.0.0.1", 0});
 }
 
+size_t FakeStore::AddEntrance() {
+  const size_t number = entrances_.size();
+  Entrance entrance;
+  entrance.server =
+      std::make_unique<http::Server>(loop_, [this, number](const http::ExchangePtr& exchange) {
+        Handle(exchange, entrances_[number].fault);
+      });
+  entrance.server->Listen({"127.0.0.1", 0});
+  entrances_.push_back(std::move(entrance));
+  return number;
+}
+
+event::Endpoint FakeStore::entrance(size_t number) const {
+  return {"127.0.0.1", entrances_[number].server->bound_port()};
+}
+
+void FakeStore::SetLeasesWait(bool wait) {
+  if (wait == leases_wait_) return;
+  leases_wait_ = wait;
+  for (auto& [id, lease] : leases_) {
+    if (wait) {
+      lease.left = lease.ends - loop_.Now();
+      lease.timer->Stop();
+    } else {
+      RestartLease(&lease, lease.left);
+    }
+  }
+}
+
+void FakeStore::RestartLease(Lease* lease, Duration time) {
+  lease->left = time;
+  lease->ends = loop_.Now() + time;
+  if (!leases_wait_) lease->timer->Start(std::max(time, Duration(0)));
+}
+
+void FakeStore::DoLater(Duration delay, std::function<void()> action) {
+  std::erase_if(later_, [](const auto& timer) { return !timer->active(); });
+  later_.push_back(std::make_unique<event::Timer>(loop_, std::move(action)));
+  later_.back()->Start(delay);
+}
+
 void FakeStore::Put(const std::string& key, const std::string& value) {
   Write(key, absl::Base64Escape(value), 0);
   AnswerWatches();
@@ -67,7 +109,11 @@
 void FakeStore::Reply(const http::ExchangePtr& exchange, int status, const json& body) {
   http::Headers headers;
   headers.Add("Content-Type", "application/json");
-  exchange->Respond(status, headers, body.dump());
+  const Duration latency = latency_ ? latency_() : Duration(0);
+  if (latency <= Duration(0)) return exchange->Respond(status, headers, body.dump());
+  DoLater(latency, [exchange, status, headers, text = body.dump()] {
+    exchange->Respond(status, headers, text);
+  });
 }
 
 json FakeStore::ItemOf(const std::string& key, const Entry& entry) const {
@@ -111,21 +157,33 @@
   AnswerWatches();
 }
 
-void FakeStore::Handle(const http::ExchangePtr& exchange) {
+void FakeStore::Handle(const http::ExchangePtr& exchange, Fault entrance_fault) {
   const std::string path = Poco::URI(exchange->request().head.target).getPath();
   ++calls_[path.starts_with("/runshelf/kv-keep/") ? "/runshelf/kv-keep" : path];
   const bool hit = !fault_filter_ || fault_filter_(exchange->request());
-  const Fault fault = hit ? fault_ : Fault::kNone;
-  if (fault == Fault::kRefuse) return Reply(exchange, 503, json::object());
-  if (fault == Fault::kSilent) {
-    unanswered_.push_back(exchange);
-    return;
+  const Fault fault = hit && fault_ != Fault::kNone ? fault_ : entrance_fault;
+  switch (fault) {
+    case Fault::kRefuse:
+      return Reply(exchange, 503, json::object());
+    case Fault::kThrottle:
+      return Reply(exchange, 429, json::object());
+    case Fault::kReset:
+      return exchange->Abort();
+    case Fault::kSilent:
+      unanswered_.push_back(exchange);
+      return;
+    case Fault::kNone:
+    case Fault::kLoseWrites:
+    case Fault::kLateWrites:
+      return Perform(exchange, path, fault);
   }
-  const bool answer = fault != Fault::kLoseWrites;
+}
+
+void FakeStore::Perform(const http::ExchangePtr& exchange, const std::string& path, Fault fault) {
   if (path == "/runshelf/kv-range") return HandleRange(exchange);
   if (path == "/runshelf/kv-watch") return HandleWatch(exchange);
-  if (path == "/runshelf/kv-txn") return HandleTransaction(exchange, answer);
-  if (path == "/runshelf/kv-lease") return HandleLease(exchange, answer);
+  if (path == "/runshelf/kv-txn") return HandleTransaction(exchange, fault);
+  if (path == "/runshelf/kv-lease") return HandleLease(exchange, fault == Fault::kNone);
   if (path.starts_with("/runshelf/kv-keep/")) {
     return HandleKeep(exchange, NumberAfter(path, "/runshelf/kv-keep/"));
   }
@@ -190,8 +248,27 @@
   });
 }
 
-void FakeStore::HandleTransaction(const http::ExchangePtr& exchange, bool answer) {
+void FakeStore::HandleTransaction(const http::ExchangePtr& exchange, Fault fault) {
   const json body = json::parse(exchange->request().body);
+  if (fault == Fault::kLateWrites) {
+    unanswered_.push_back(exchange);
+    const Duration lateness = lateness_ ? lateness_() : Duration(0);
+    if (lateness > Duration(0)) {
+      DoLater(lateness, [this, body] { DoTransaction(body); });
+    } else {
+      DoTransaction(body);
+    }
+    return;
+  }
+  const Verdict verdict = DoTransaction(body);
+  if (verdict.status == 200 && fault == Fault::kLoseWrites) {
+    unanswered_.push_back(exchange);
+  } else {
+    Reply(exchange, verdict.status, verdict.body);
+  }
+}
+
+FakeStore::Verdict FakeStore::DoTransaction(const json& body) {
   bool holds = true;
   json found = json::array();
   for (const json& condition : body["expected_revision"]) {
@@ -201,21 +278,17 @@
     holds = holds && revision == condition["revision"].get<int64_t>();
     if (entry != entries_.end()) found.push_back(ItemOf(key, entry->second));
   }
-  if (!holds) return Reply(exchange, 412, {{"items", found}});
+  if (!holds) return {412, {{"items", found}}};
   for (const json& put : body["put"]) {
     const int64_t lease = put.value("lease", 0);
-    if (lease != 0 && !leases_.contains(lease)) return Reply(exchange, 404, json::object());
+    if (lease != 0 && !leases_.contains(lease)) return {404, json::object()};
   }
   for (const json& put : body["put"]) {
     Write(put["private_key"], put["value"], put.value("lease", 0));
   }
   for (const json& key : body["remove"]) Erase(key);
-  if (answer) {
-    Reply(exchange, 200, {{"revision", revision_}});
-  } else {
-    unanswered_.push_back(exchange);
-  }
   AnswerWatches();
+  return {200, {{"revision", revision_}}};
 }
 
 void FakeStore::HandleLease(const http::ExchangePtr& exchange, bool answer) {
@@ -223,14 +296,14 @@
   Lease& lease = leases_[id];
   lease.time_to_live_ms = json::parse(exchange->request().body)["ttl_ms"];
   lease.timer = std::make_unique<event::Timer>(loop_, [this, id] { EndLease(id); });
-  lease.timer->Start(std::chrono::milliseconds(lease.time_to_live_ms));
+  RestartLease(&lease, std::chrono::milliseconds(lease.time_to_live_ms));
   if (answer) Reply(exchange, 200, {{"lease", id}, {"ttl_ms", lease.time_to_live_ms}});
 }
 
 void FakeStore::HandleKeep(const http::ExchangePtr& exchange, int64_t id) {
   const auto lease = leases_.find(id);
   if (lease == leases_.end()) return Reply(exchange, 404, json::object());
-  lease->second.timer->Start(std::chrono::milliseconds(lease->second.time_to_live_ms));
+  RestartLease(&lease->second, std::chrono::milliseconds(lease->second.time_to_live_ms));
   Reply(exchange, 200, {{"ttl_ms", lease->second.time_to_live_ms}});
 }
 
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -20,6 +20,9 @@
   explicit FakeStore(event::EventLoop& loop);
 
   event::Endpoint endpoint() const { return {"127.0.0.1", server_.bound_port()}; }
+  // A further address of the same store, for a caller that is to be told apart; returns its number.
+  size_t AddEntrance();
+  event::Endpoint entrance(size_t number) const;
 
   // What the operator does; never fails.
   void Put(const std::string& key, const std::string& value);
@@ -29,10 +32,21 @@
   enum class Fault {
     kNone,
     kRefuse,      // 503 to everything.
+    kThrottle,    // 429 to everything.
+    kReset,       // The connection ends without an answer.
     kSilent,      // No answer to anything.
     kLoseWrites,  // Writes are done and not answered.
+    kLateWrites,  // Some writes are done and not answered, others are done late, see set_lateness.
   };
   void set_fault(Fault fault) { fault_ = fault; }
+  // Hits the callers of one entrance only; the fault of the whole store goes before it.
+  void set_entrance_fault(size_t number, Fault fault) { entrances_[number].fault = fault; }
+  // Under kLateWrites: how long after its arrival a transaction is tried; zero: at once.
+  void set_lateness(std::function<Duration()> lateness) { lateness_ = std::move(lateness); }
+  // Time between what a call does and its answer; none when not set.
+  void set_latency(std::function<Duration()> latency) { latency_ = std::move(latency); }
+  // While true no lease runs out; afterwards each has as long as it had left.
+  void SetLeasesWait(bool wait);
   // Applies to calls that this predicate picks only; all, when empty.
   void set_fault_filter(std::function<bool(const http::Request&)> filter) {
     fault_filter_ = std::move(filter);
@@ -62,6 +76,17 @@
   struct Lease {
     std::unique_ptr<event::Timer> timer;
     int64_t time_to_live_ms = 0;
+    Instant ends{};
+    Duration left{};  // Of one that waits.
+  };
+  struct Entrance {
+    std::unique_ptr<http::Server> server;
+    Fault fault = Fault::kNone;
+  };
+  // What became of a transaction, as the answer to it says.
+  struct Verdict {
+    int status = 0;
+    nlohmann::json body;
   };
   struct Watch {
     http::ExchangePtr exchange;
@@ -75,12 +100,16 @@
     nlohmann::json event;
   };
 
-  void Handle(const http::ExchangePtr& exchange);
+  void Handle(const http::ExchangePtr& exchange, Fault entrance_fault);
+  void Perform(const http::ExchangePtr& exchange, const std::string& path, Fault fault);
   void HandleRange(const http::ExchangePtr& exchange);
   void HandleWatch(const http::ExchangePtr& exchange);
-  void HandleTransaction(const http::ExchangePtr& exchange, bool answer);
+  void HandleTransaction(const http::ExchangePtr& exchange, Fault fault);
+  Verdict DoTransaction(const nlohmann::json& body);
+  void DoLater(Duration delay, std::function<void()> action);
   void HandleLease(const http::ExchangePtr& exchange, bool answer);
   void HandleKeep(const http::ExchangePtr& exchange, int64_t id);
+  void RestartLease(Lease* lease, Duration time);
   void EndLease(int64_t id);
   void Write(const std::string& key, const std::string& encoded, int64_t lease);
   void Erase(const std::string& key);
@@ -88,7 +117,7 @@
   bool AnswerWatch(Watch* watch);
   void AnswerWatches();
   nlohmann::json ItemOf(const std::string& key, const Entry& entry) const;
-  static void Reply(const http::ExchangePtr& exchange, int status, const nlohmann::json& body);
+  void Reply(const http::ExchangePtr& exchange, int status, const nlohmann::json& body);
 
   event::EventLoop& loop_;
   http::Server server_;
@@ -98,6 +127,10 @@
   std::vector<Change> history_;
   std::map<std::string, uint64_t> calls_;
   std::vector<http::ExchangePtr> unanswered_;
+  std::vector<Entrance> entrances_;
+  std::vector<std::unique_ptr<event::Timer>> later_;
+  std::function<Duration()> lateness_;
+  std::function<Duration()> latency_;
   std::function<bool(const http::Request&)> fault_filter_;
   ValueFilter value_filter_;
   Fault fault_ = Fault::kNone;
@@ -105,6 +138,7 @@
   int64_t compacted_ = 0;
   int64_t next_lease_ = 100;
   bool watches_silent_ = false;
+  bool leases_wait_ = false;
 };
 
 }  // namespace runshelf::platform_adapter
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -11,6 +11,8 @@
 
 // An answer to a heartbeat that comes later is not taken.
 constexpr Duration kAnswerWindow = std::chrono::seconds(1);
+// How often the worker looks whether the requests on keys that it lets go have ended.
+constexpr Duration kLetGoPoll = std::chrono::milliseconds(5);
 
 bool Overlaps(const FakeWorker::Grant& grant, uint32_t first, uint32_t last) {
   return grant.first <= last && first <= grant.last;
@@ -25,6 +27,7 @@
       server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }),
       pool_(loop),
       heartbeat_timer_(loop, [this] { SendHeartbeat(); }),
+      let_go_timer_(loop, [this] { FinishLetGo(); }),
       late_heartbeat_(loop, [this] { send_late_(); }) {}
 
 int FakeWorker::Listen(uint16_t port) { return server_.Listen({"127.0.0.1", port}); }
@@ -63,8 +66,10 @@
   std::erase_if(grants_, [this](const Grant& grant) { return loop_.Now() >= grant.until; });
   body["holds"] = json::array();
   body["released"] = json::array();
-  for (const Grant& grant : grants_) {
-    body["holds"].push_back({grant.first, grant.last, grant.fence});
+  for (const std::vector<Grant>* held : {&grants_, &ending_}) {
+    for (const Grant& grant : *held) {
+      body["holds"].push_back({grant.first, grant.last, grant.fence});
+    }
   }
   for (const Grant& grant : released_) {
     body["released"].push_back({grant.first, grant.last, "from-" + id_});
@@ -78,6 +83,10 @@
   head.method = "POST";
   head.target = "/runshelf/rpc?call=instances.heartbeat&of=" + id_;
   head.headers.Add("Host", node_.ToString());
+  if (fault == HeartbeatFault::kHeldBack) {
+    if (on_held_back_) on_held_back_(node_, http::SerializeRequest(head, body));
+    return;
+  }
   heartbeat_ = std::make_unique<http::SimpleCall>(
       loop_, pool_, node_, http::SerializeRequest(head, body), http::CallOptions{},
       std::max(Duration(1000), made + kAnswerWindow - loop_.Now()),
@@ -113,17 +122,34 @@
     }
     if (TakeRow(grant)) grants_.push_back(grant);
   }
-  bool let_go = false;
   for (const Grant& old : before) {
     const bool kept = std::any_of(grants_.begin(), grants_.end(), [&](const Grant& grant) {
       return Overlaps(grant, old.first, old.last);
     });
-    if (kept) continue;
-    released_.push_back(old);
-    let_go = true;
+    if (!kept) ending_.push_back(old);
   }
+  FinishLetGo();
+}
+
+void FakeWorker::FinishLetGo() {
+  const size_t told = released_.size();
+  std::erase_if(ending_, [this](const Grant& grant) {
+    if (Busy(grant.first, grant.last)) return false;
+    released_.push_back(grant);
+    return true;
+  });
+  std::erase_if(open_releases_, [this](const OpenRelease& release) {
+    if (Busy(release.first, release.last)) return false;
+    http::Headers headers;
+    headers.Add("Handover", "from-" + id_);
+    release.exchange->Respond(200, headers, "");
+    return true;
+  });
   // At most a tenth of a second later the node is told.
-  if (let_go) heartbeat_timer_.Start(std::min<Duration>(interval_, std::chrono::milliseconds(50)));
+  if (released_.size() > told) {
+    heartbeat_timer_.Start(std::min<Duration>(interval_, std::chrono::milliseconds(50)));
+  }
+  if (!ending_.empty() || !open_releases_.empty()) let_go_timer_.Start(kLetGoPoll);
 }
 
 // False: a higher fence was seen on one of the keys.
@@ -135,7 +161,7 @@
     }
   }
   fences_seen_.push_back(grant);
-  if (on_granted_) on_granted_(grant.first, grant.last, grant.fence);
+  if (on_granted_) on_granted_(grant, /*late=*/false);
   return true;
 }
 
@@ -148,18 +174,46 @@
 
 void FakeWorker::Handle(const http::ExchangePtr& exchange) {
   const std::string& target = exchange->request().head.target;
-  if (target == "/runshelf/grant") return HandleGrant(exchange);
-  if (target == "/runshelf/release") return HandleRelease(exchange);
+  if (target == "/runshelf/grant" || target == "/runshelf/release") return HandleOrder(exchange);
   if (target == "/health") {
-    http::Headers headers;
-    headers.Add("Instance-Id", id_);
-    return exchange->Respond(draining_ ? 503 : 200, headers, "");
+    return DoLater(health_delay_ ? health_delay_() : Duration(0), [this, exchange] {
+      http::Headers headers;
+      headers.Add("Instance-Id", id_);
+      exchange->Respond(draining_ ? 503 : 200, headers, "");
+    });
   }
   HandleRequest(exchange);
 }
 
-void FakeWorker::HandleGrant(const http::ExchangePtr& exchange) {
+void FakeWorker::DoLater(Duration delay, std::function<void()> action) {
+  if (delay <= Duration(0)) return action();
+  std::erase_if(later_, [](const auto& timer) { return !timer->active(); });
+  later_.push_back(std::make_unique<event::Timer>(loop_, std::move(action)));
+  later_.back()->Start(delay);
+}
+
+void FakeWorker::HandleOrder(const http::ExchangePtr& exchange) {
+  const OrderFault fault = next_order_fault_ ? next_order_fault_() : OrderFault{};
+  const bool late = fault.lateness > Duration(0);
+  DoLater(fault.lateness, [this, exchange, answered = fault.answered, late] {
+    CarryOut(exchange, answered, late);
+  });
+}
+
+void FakeWorker::CarryOut(const http::ExchangePtr& exchange, bool answered, bool late) {
   const json body = json::parse(exchange->request().body);
+  if (exchange->request().head.target == "/runshelf/grant") {
+    const int status = TakeGrant(body, late);
+    if (answered) exchange->Respond(status, {}, "");
+    return;
+  }
+  TakeRelease(body);
+  if (!answered) return;
+  open_releases_.push_back({exchange, body["from_revision"], body["target_version"]});
+  FinishLetGo();
+}
+
+int FakeWorker::TakeGrant(const json& body, bool late) {
   Grant grant;
   grant.first = body["from_revision"];
   grant.last = body["target_version"];
@@ -169,7 +223,7 @@
   for (const Grant& seen : fences_seen_) {
     if (Overlaps(seen, grant.first, grant.last) && seen.fence > grant.fence) {
       ++refused_orders_;
-      return exchange->Respond(409, {}, "");
+      return 409;
     }
   }
   fences_seen_.push_back(grant);
@@ -177,12 +231,11 @@
     return other.first >= grant.first && other.last <= grant.last;
   });
   grants_.push_back(grant);
-  if (on_granted_) on_granted_(grant.first, grant.last, grant.fence);
-  exchange->Respond(200, {}, "");
+  if (on_granted_) on_granted_(grant, late);
+  return 200;
 }
 
-void FakeWorker::HandleRelease(const http::ExchangePtr& exchange) {
-  const json body = json::parse(exchange->request().body);
+void FakeWorker::TakeRelease(const json& body) {
   const uint32_t first = body["from_revision"];
   const uint32_t last = body["target_version"];
   Grant seen;
@@ -200,9 +253,6 @@
     if (grant.last > last) kept.push_back({last + 1, grant.last, grant.fence, grant.until, ""});
   }
   grants_ = std::move(kept);
-  http::Headers headers;
-  headers.Add("Handover", "from-" + id_);
-  exchange->Respond(200, headers, "");
 }
 
 void FakeWorker::HandleRequest(const http::ExchangePtr& exchange) {
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,10 +39,14 @@
     kSentTwice,   // The second time after its answer.
     kSentLate,    // By most of the time that its answer may take.
     kAnswerLost,  // The node answers, and the worker does not hear it.
+    kHeldBack,    // Arrives some time later, after newer ones; see set_on_held_back.
   };
   void set_heartbeat_faults(std::function<HeartbeatFault()> next) {
     next_heartbeat_fault_ = std::move(next);
   }
+  // Takes the requests that are held back, which may outlive this worker; nobody hears the answers.
+  using HeldBackCallback = std::function<void(const event::Endpoint& node, std::string request)>;
+  void set_on_held_back(HeldBackCallback callback) { on_held_back_ = std::move(callback); }
   // Sequence number of the latest heartbeat.
   int64_t sequence() const { return sequence_; }
   // Status of the latest answer to a heartbeat; zero before the first.
@@ -50,14 +55,6 @@
   // What to do with a request instead of answering 200 with the id and the body.
   using Behaviour = std::function<void(const http::ExchangePtr&)>;
   void set_behaviour(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
-  // Called for each order of keys that was accepted.
-  using GrantCallback = std::function<void(uint32_t first, uint32_t last, uint64_t fence)>;
-  void set_on_granted(GrantCallback callback) { on_granted_ = std::move(callback); }
-  // When a heartbeat that said that the worker leaves was acknowledged; nullopt: not yet.
-  std::optional<Instant> leaving_acknowledged_at() const { return leaving_acknowledged_at_; }
-  // The worker's keys count: requests for others are refused.
-  void set_sharded(bool sharded) { sharded_ = sharded; }
-
   struct Grant {
     uint32_t first = 0;
     uint32_t last = 0;
@@ -65,6 +62,26 @@
     Instant until{};
     std::string handover;
   };
+  // Called for each order of keys that was accepted; `late`: some time after its arrival.
+  using GrantCallback = std::function<void(const Grant& grant, bool late)>;
+  void set_on_granted(GrantCallback callback) { on_granted_ = std::move(callback); }
+  // What happens to a grant or a release that arrives.
+  struct OrderFault {
+    bool answered = true;
+    Duration lateness{0};  // It is carried out so much later; zero: at once.
+  };
+  void set_order_faults(std::function<OrderFault()> next) { next_order_fault_ = std::move(next); }
+  // Tells whether requests run on keys of a range; a release is answered, and keys that heartbeats
+  // take away count as let go, only when none does. None ever does when this is not set.
+  using BusyPredicate = std::function<bool(uint32_t first, uint32_t last)>;
+  void set_busy_keys(BusyPredicate busy) { busy_ = std::move(busy); }
+  // How long a health check waits for its answer.
+  void set_health_delay(std::function<Duration()> delay) { health_delay_ = std::move(delay); }
+  // When a heartbeat that said that the worker leaves was acknowledged; nullopt: not yet.
+  std::optional<Instant> leaving_acknowledged_at() const { return leaving_acknowledged_at_; }
+  // The worker's keys count: requests for others are refused.
+  void set_sharded(bool sharded) { sharded_ = sharded; }
+
   // The grant in force for a key; nullptr when there is none.
   const Grant* Holds(uint32_t key) const;
   const std::vector<Grant>& grants() const { return grants_; }
@@ -73,8 +90,16 @@
 
  private:
   void Handle(const http::ExchangePtr& exchange);
-  void HandleGrant(const http::ExchangePtr& exchange);
-  void HandleRelease(const http::ExchangePtr& exchange);
+  // Carries an order out now or later, and answers it or not.
+  void HandleOrder(const http::ExchangePtr& exchange);
+  void CarryOut(const http::ExchangePtr& exchange, bool answered, bool late);
+  // Returns the status of the answer.
+  int TakeGrant(const nlohmann::json& body, bool late);
+  void TakeRelease(const nlohmann::json& body);
+  bool Busy(uint32_t first, uint32_t last) const { return busy_ && busy_(first, last); }
+  // Looks at what waits for running requests to end.
+  void FinishLetGo();
+  void DoLater(Duration delay, std::function<void()> action);
   void HandleRequest(const http::ExchangePtr& exchange);
   void SendHeartbeat();
   std::string HeartbeatBody();
@@ -93,6 +118,11 @@
   std::unique_ptr<http::SimpleCall> heartbeat_;
   Behaviour behaviour_;
   GrantCallback on_granted_;
+  std::function<OrderFault()> next_order_fault_;
+  HeldBackCallback on_held_back_;
+  BusyPredicate busy_;
+  std::function<Duration()> health_delay_;
+  std::vector<std::unique_ptr<event::Timer>> later_;
   std::optional<Instant> leaving_acknowledged_at_;
   std::vector<Grant> grants_;
   std::vector<Grant> fences_seen_;  // Of all grants and releases.
@@ -100,7 +130,16 @@
   uint64_t refused_orders_ = 0;
   int64_t sequence_ = 0;
   int heartbeat_status_ = 0;
+  std::vector<Grant> ending_;    // Taken away by heartbeats; requests still run on them.
   std::vector<Grant> released_;  // Since the last heartbeat that was acknowledged.
+  // Releases whose answer waits for running requests.
+  struct OpenRelease {
+    http::ExchangePtr exchange;
+    uint32_t first = 0;
+    uint32_t last = 0;
+  };
+  std::vector<OpenRelease> open_releases_;
+  event::Timer let_go_timer_;
   bool keys_in_heartbeats_ = false;
   bool heartbeats_cut_ = false;
   std::function<HeartbeatFault()> next_heartbeat_fault_;
--- /dev/null
+++ b/tests/soak/abandonment_judge.cc
@@ -0,0 +1,51 @@
+#include "tests/soak/abandonment_judge.h"
+
+#include <fmt/format.h>
+
+namespace runshelf::soak {
+namespace {
+
+// By then the close of a caller must have come through (users' pages: half a second).
+constexpr Duration kNoticeTime = std::chrono::milliseconds(500);
+// "More than a few" requests that reach workers later.
+constexpr int kAllowedLate = 5;
+// Work that goes on is judged as a share, of this many requests at least.
+constexpr int kLeastCases = 8;
+constexpr int kAllowedPart = 4;  // A quarter.
+
+}  // namespace
+
+void AbandonmentJudge::OnLeft(const std::string& id, Instant at, bool repeatable) {
+  left_[id] = {at, repeatable};
+}
+
+void AbandonmentJudge::OnBegan(const std::string& id, Instant at, bool in_touch) {
+  const auto left = left_.find(id);
+  if (left == left_.end() || !in_touch || at - left->second.at <= kNoticeTime) return;
+  ++begun_late_;
+}
+
+void AbandonmentJudge::OnWorkEnded(const std::string& id, Instant at, Instant would_last_until,
+                                   bool in_touch) {
+  const auto left = left_.find(id);
+  if (left == left_.end() || !in_touch || !left->second.repeatable) return;
+  const Instant noticed = left->second.at + kNoticeTime;
+  if (would_last_until <= noticed) return;
+  ++would_last_;
+  if (at > noticed) ++worked_on_;
+}
+
+std::vector<std::string> AbandonmentJudge::Violations() const {
+  std::vector<std::string> violations;
+  if (begun_late_ > kAllowedLate) {
+    violations.push_back(fmt::format(
+        "gone: {} requests reached workers long after their callers left", begun_late_));
+  }
+  if (would_last_ >= kLeastCases && worked_on_ * kAllowedPart > would_last_) {
+    violations.push_back(
+        fmt::format("gone: workers went on with {} of {} requests", worked_on_, would_last_));
+  }
+  return violations;
+}
+
+}  // namespace runshelf::soak
--- /dev/null
+++ b/tests/soak/clients.cc
@@ -0,0 +1,140 @@
+#include "tests/soak/clients.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kKeptClientsPerNode = 2;
+constexpr int kFreshClientsPerNode = 1;
+// Between the end of a request and the next one of the same client.
+constexpr Duration kShortestPause = milliseconds(20);
+constexpr Duration kLongestPause = milliseconds(250);
+// After a connection could not be made.
+constexpr Duration kRetryPause = milliseconds(60);
+constexpr Duration kDeadline = milliseconds(2000);
+constexpr Duration kShortDeadline = milliseconds(500);
+// Every so many requests have the short one; of every so many the client leaves.
+constexpr uint64_t kShortDeadlineEvery = 12;
+constexpr uint64_t kLeaveEvery = 15;
+// A node must have ended a request by then.
+constexpr Duration kUnanswered = milliseconds(3500);
+// Half of the requests with keys go to so many neighbouring keys.
+constexpr uint32_t kBusyKeys = 64;
+constexpr uint32_t kFirstBusyKey = 20000;
+
+}  // namespace
+
+// Sends one request after the other to one node.
+class Clients::Client {
+ public:
+  Client(Clients* clients, const SoakNode& node, bool keeps)
+      : clients_(clients),
+        node_(node),
+        keeps_(keeps),
+        next_timer_(clients->loop_, [this] { Send(); }),
+        end_timer_(clients->loop_, [this] { GiveUp(); }) {}
+
+  void Start() { Pause(); }
+
+ private:
+  void Pause() { next_timer_.Start(clients_->random_.Between(kShortestPause, kLongestPause)); }
+
+  void Send() {
+    if (!keeps_ || connection_ == nullptr || !connection_->usable()) {
+      connection_ = std::make_unique<CallerConnection>(clients_->loop_, node_.outbound);
+    }
+    http::RequestHead head;
+    Attempt attempt = clients_->DrawAttempt(node_, &head);
+    attempt.kept_connection = connection_->requests() > 0;
+    id_ = attempt.request.id;
+    const std::string bytes = http::SerializeRequest(head, attempt.request.body);
+    clients_->witness_.OnSent(std::move(attempt));
+    leaving_ = clients_->random_.Below(kLeaveEvery) == 0;
+    end_timer_.Start(leaving_ ? clients_->random_.Between(milliseconds(20), milliseconds(400))
+                              : kUnanswered);
+    connection_->Send(bytes, [this](CallerConnection::End end, http::Response&& response) {
+      end_timer_.Stop();
+      clients_->witness_.OnEnded(id_, end, response);
+      if (end == CallerConnection::End::kNotSent) {
+        next_timer_.Start(kRetryPause);
+      } else {
+        Pause();
+      }
+    });
+  }
+
+  void GiveUp() {
+    if (leaving_) {
+      clients_->witness_.OnLeft(id_);
+    } else {
+      clients_->witness_.OnNoAnswer(id_);
+    }
+    connection_.reset();
+    Pause();
+  }
+
+  Clients* clients_;
+  const SoakNode& node_;
+  bool keeps_;
+  std::unique_ptr<CallerConnection> connection_;
+  event::Timer next_timer_;
+  event::Timer end_timer_;
+  std::string id_;
+  bool leaving_ = false;
+};
+
+Clients::Clients(event::EventLoop& loop, Witness& witness,
+                 const std::vector<std::unique_ptr<SoakNode>>& nodes, uint64_t seed)
+    : loop_(loop),
+      witness_(witness),
+      nodes_(nodes),
+      random_(seed),
+      prefix_(fmt::format("{}-", seed)) {
+  for (const auto& node : nodes_) {
+    for (int count = 0; count < kKeptClientsPerNode + kFreshClientsPerNode; ++count) {
+      clients_.push_back(std::make_unique<Client>(this, *node, count < kKeptClientsPerNode));
+    }
+  }
+}
+
+Clients::~Clients() = default;
+
+void Clients::Start() {
+  for (const auto& client : clients_) client->Start();
+}
+
+Attempt Clients::DrawAttempt(const SoakNode& node, http::RequestHead* head) {
+  static const char* const kRoutes[] = {"read", "read",  "read",  "send",  "send",
+                                        "send", "extra", "keyed", "keyed", "order"};
+  Attempt attempt;
+  attempt.route = kRoutes[random_.Below(std::size(kRoutes))];
+  attempt.node = node.index;
+  attempt.life = node.process->life();
+  attempt.request.id = prefix_ + std::to_string(++attempts_);
+  attempt.request.target = "/" + attempt.route + "/" + std::to_string(attempts_);
+  attempt.request.caller_service = node.service;
+  attempt.request.repeatable = attempt.route != "send" && attempt.route != "order";
+  if (!attempt.request.repeatable) attempt.request.body = "body of " + attempt.request.id;
+  const Duration time = random_.Below(kShortDeadlineEvery) == 0 ? kShortDeadline : kDeadline;
+  attempt.deadline = loop_.Now() + time;
+  head->method = attempt.request.repeatable ? "GET" : "POST";
+  head->target = attempt.request.target;
+  head->headers.Add("Host", "h.example");
+  head->headers.Add("Attempt-Id", attempt.request.id);
+  head->headers.Add("Deadline-Ms", std::to_string(ToMilliseconds(time)));
+  attempt.keyed = attempt.route == "keyed" || attempt.route == "order";
+  if (attempt.keyed) {
+    const bool busy = random_.Below(2) == 0;
+    const uint64_t key = busy ? kFirstBusyKey + random_.Below(kBusyKeys) : random_.Below(kKeyCount);
+    head->headers.Add("Shard-Key", std::to_string(key));
+  }
+  return attempt;
+}
+
+}  // namespace runshelf::soak
--- a/tests/soak/fault_kind.cc
+++ b/tests/soak/fault_kind.cc
@@ -1,45 +1,40 @@
 #include "tests/soak/fault_kind.h"
 
+#include <array>
+
 namespace runshelf::soak {
+namespace {
+
+// In the order of the enumeration.
+constexpr std::array<std::string_view, kFaultKinds> kNames{
+    "kill-process",
+    "kill-all-processes",
+    "pause-process",
+    "terminate-process",
+    "reload-settings",
+    "store-refuses",
+    "store-silent",
+    "store-loses-answers",
+    "store-carries-out-late",
+    "store-forgets-history",
+    "store-down-past-leases",
+    "store-turns-away",
+    "store-path",
+    "node-path",
+    "worker-path",
+    "pair-path",
+    "store-connections",
+    "node-connections",
+    "worker-connections",
+    "worker-crash",
+    "worker-leaves",
+    "orders-unanswered",
+    "heartbeats-delayed",
+    "configuration-change",
+};
 
-std::string_view FaultName(FaultKind kind) {
-  switch (kind) {
-    case FaultKind::kKillProcess:
-      return "kill-process";
-    case FaultKind::kKillAllProcesses:
-      return "kill-all-processes";
-    case FaultKind::kPauseProcess:
-      return "pause-process";
-    case FaultKind::kTerminateProcess:
-      return "terminate-process";
-    case FaultKind::kStoreRefuses:
-      return "store-refuses";
-    case FaultKind::kStoreSilent:
-      return "store-silent";
-    case FaultKind::kStoreLosesAnswers:
-      return "store-loses-answers";
-    case FaultKind::kStoreForgetsHistory:
-      return "store-forgets-history";
-    case FaultKind::kStoreDownPastLeases:
-      return "store-down-past-leases";
-    case FaultKind::kStorePath:
-      return "store-path";
-    case FaultKind::kNodePath:
-      return "node-path";
-    case FaultKind::kWorkerPath:
-      return "worker-path";
-    case FaultKind::kWorkerCrash:
-      return "worker-crash";
-    case FaultKind::kWorkerLeaves:
-      return "worker-leaves";
-    case FaultKind::kConfigurationChange:
-      return "configuration-change";
-  }
-  return "unknown";
-}
+}  // namespace
 
-bool IsPlanned(FaultKind kind) {
-  return kind == FaultKind::kWorkerLeaves || kind == FaultKind::kConfigurationChange;
-}
+std::string_view FaultName(FaultKind kind) { return kNames[static_cast<size_t>(kind)]; }
 
 }  // namespace runshelf::soak
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -6,30 +6,41 @@
 
 namespace runshelf::soak {
 
-// What may be done to the fleet.
+// What may be done to the fleet. Each lasts for a time, and several may go on at once.
 enum class FaultKind {
+  // Processes. One that has ended is started again, after the fault's time if that is longer.
   kKillProcess,
   kKillAllProcesses,
   kPauseProcess,
   kTerminateProcess,
+  kReloadSettings,  // The settings file changes, and SIGHUP says so.
+  // The whole store.
   kStoreRefuses,
   kStoreSilent,
   kStoreLosesAnswers,
+  kStoreCarriesOutLate,  // Unanswered transactions, if their conditions still hold.
   kStoreForgetsHistory,
   kStoreDownPastLeases,  // Until every lease that cannot be renewed has run out.
-  kStorePath,            // Of one node, by its proxy.
-  kNodePath,             // To one node, by its proxy.
-  kWorkerPath,           // Between one node and its worker, by its proxy.
+  kStoreTurnsAway,       // One node, by what its mode says; it serves the others.
+  // Ways, by proxies.
+  kStorePath,          // Of one node.
+  kNodePath,           // Of all others to one node.
+  kWorkerPath,         // Between one node and its worker.
+  kPairPath,           // Of one node to one other.
+  kStoreConnections,   // Those that are open to the store fall silent for good; new ones work.
+  kNodeConnections,    // The same of those to one node.
+  kWorkerConnections,  // The same of those to one worker.
+  // Workers. One that has ended is replaced by a new life at the same address.
   kWorkerCrash,
   kWorkerLeaves,
+  kOrdersUnanswered,   // Grants and releases are left unanswered, and some carried out late.
+  kHeartbeatsDelayed,  // Some arrive seconds late, after newer ones or newer lives.
+  // Planned.
   kConfigurationChange,
 };
 
-constexpr size_t kFaultKinds = 15;
+constexpr size_t kFaultKinds = 24;
 
 std::string_view FaultName(FaultKind kind);
 
-// Planned work, during which the promises bound by time hold.
-bool IsPlanned(FaultKind kind);
-
 }  // namespace runshelf::soak
--- /dev/null
+++ b/tests/soak/fault_plan.cc
@@ -0,0 +1,262 @@
+#include "tests/soak/fault_plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "runshelf/common/random.h"
+
+namespace runshelf::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using Mode = FaultProxy::Mode;
+
+// From the start of one series to that of the next: shorter than most series last.
+constexpr Duration kShortestStep = milliseconds(700);
+constexpr Duration kLongestStep = milliseconds(4000);
+// How long a node that starts waits for its former life's grants before it gives up the keys of a
+// worker that it has not found: 3 s, 2% of it and 0.4 s. The store comes back at about that time.
+constexpr Duration kGivesUpAfter = milliseconds(3460);
+// Before the longest lease of a node, 8 s, has run out that cannot be renewed.
+constexpr Duration kPastLeases = milliseconds(9000);
+// Outages that end before it has, by the last renewal up to 2 s before.
+constexpr Duration kWithinLeases = milliseconds(5500);
+
+// Draws the faults; each series is one function.
+class Planner {
+ public:
+  explicit Planner(const FaultPlanInput& input) : input_(input), random_(input.seed) {}
+
+  std::vector<PlannedFault> Plan() {
+    Duration at = input_.first;
+    while (at < input_.last) {
+      DrawSeries(at);
+      at += random_.Between(kShortestStep, kLongestStep);
+    }
+    std::stable_sort(plan_.begin(), plan_.end(),
+                     [](const auto& left, const auto& right) { return left.at < right.at; });
+    return std::move(plan_);
+  }
+
+ private:
+  using Series = void (Planner::*)(Duration);
+
+  // Every kind of series comes before one comes again.
+  void DrawSeries(Duration at) {
+    if (waiting_.empty()) {
+      waiting_ = {
+          &Planner::SingleFault,        &Planner::SingleFault,        &Planner::RollingStops,
+          &Planner::StopsWithStoreAway, &Planner::KillsWithStoreAway, &Planner::WorkersReplaced,
+          &Planner::Configurations,     &Planner::CrashWithOrdersOut, &Planner::PairsCut,
+          &Planner::SilentConnections,  &Planner::StoreTurnsSomeAway, &Planner::StoreInTrouble};
+    }
+    const size_t index = random_.Below(waiting_.size());
+    const Series series = waiting_[index];
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
+    (this->*series)(at);
+  }
+
+  Duration Time(int shortest_ms, int longest_ms) {
+    return random_.Between(milliseconds(shortest_ms), milliseconds(longest_ms));
+  }
+  size_t Node() { return random_.Below(input_.services.size()); }
+  bool Coin() { return random_.Below(2) == 0; }
+  Mode AnyMode() {
+    constexpr std::array<Mode, 5> kModes{Mode::kDelay, Mode::kReset, Mode::kSilent,
+                                         Mode::kForwardOnly, Mode::kBackwardOnly};
+    return kModes[random_.Below(kModes.size())];
+  }
+
+  // Leaves out what would begin too late, and ends in time what would end too late.
+  void Add(PlannedFault fault) {
+    if (fault.at >= input_.last) return;
+    fault.time = std::min(fault.time, input_.last - fault.at);
+    plan_.push_back(fault);
+  }
+  void Add(FaultKind kind, Duration at, Duration time, size_t node = 0) {
+    PlannedFault fault;
+    fault.kind = kind;
+    fault.at = at;
+    fault.time = time;
+    fault.node = node;
+    Add(fault);
+  }
+  void AddStoreOutage(Duration at, Duration time) {
+    PlannedFault fault;
+    fault.kind = Coin() ? FaultKind::kStoreRefuses : FaultKind::kStoreSilent;
+    fault.at = at;
+    fault.time = time;
+    fault.leases_wait = Coin();
+    Add(fault);
+  }
+  void AddPath(FaultKind kind, Duration at, Duration time, size_t node, Mode mode) {
+    PlannedFault fault;
+    fault.kind = kind;
+    fault.at = at;
+    fault.time = time;
+    fault.node = node;
+    fault.mode = mode;
+    fault.delay = Time(20, 600);
+    Add(fault);
+  }
+  // Some nodes, each once, of one service or of any.
+  std::vector<size_t> SomeNodes(size_t count, const std::string& service = "") {
+    std::vector<size_t> nodes;
+    for (size_t node = 0; node < input_.services.size(); ++node) {
+      if (service.empty() || input_.services[node] == service) nodes.push_back(node);
+    }
+    for (size_t left = nodes.size(); left > 1; --left) {
+      std::swap(nodes[left - 1], nodes[random_.Below(left)]);
+    }
+    nodes.resize(std::min(nodes.size(), count));
+    return nodes;
+  }
+  size_t Half() const { return std::max<size_t>(2, input_.services.size() / 2); }
+
+  void SingleFault(Duration at) {
+    const auto kind = static_cast<FaultKind>(random_.Below(kFaultKinds));
+    PlannedFault fault;
+    fault.kind = kind;
+    fault.at = at;
+    fault.time = kind == FaultKind::kStoreDownPastLeases ? kPastLeases : Time(200, 5000);
+    fault.node = Node();
+    fault.peer =
+        (fault.node + 1 + random_.Below(input_.services.size() - 1)) % input_.services.size();
+    fault.mode = AnyMode();
+    fault.delay = Time(20, 600);
+    Add(fault);
+  }
+
+  void RollingStops(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(Half()))) {
+      if (Coin()) Add(FaultKind::kReloadSettings, at + Time(0, 1500), Time(10, 100), node);
+      Add(FaultKind::kTerminateProcess, at, Time(10, 1500), node);
+      if (random_.Below(6) == 0)
+        Add(FaultKind::kPauseProcess, at + Time(0, 2000), Time(100, 900), node);
+      at += Time(200, 1500);
+    }
+  }
+
+  // A node cannot tell others through the store that it stops.
+  void StopsWithStoreAway(Duration at) {
+    const Duration outage = Time(5500, 8500);
+    AddStoreOutage(at, outage);
+    Duration stop = at + Time(0, 1000);
+    for (const size_t node : SomeNodes(1 + random_.Below(Half()))) {
+      Add(FaultKind::kTerminateProcess, stop, Time(10, 500), node);
+      stop += Time(100, 800);
+    }
+  }
+
+  // Nodes start without the store; it is back at about the moment at which they give up the keys
+  // of workers that they have not found.
+  void KillsWithStoreAway(Duration at) {
+    const Duration killed = at + Time(200, 1800);
+    const Duration back = killed + kGivesUpAfter + Time(-300, 900);
+    AddStoreOutage(at, std::min(back - at, kWithinLeases));
+    for (const size_t node : SomeNodes(1 + random_.Below(4), "keyed")) {
+      Add(FaultKind::kKillProcess, killed + Time(-150, 150), Time(5, 60), node);
+    }
+  }
+
+  void WorkersReplaced(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(Half()))) {
+      const bool leaves = random_.Below(3) != 0;
+      Add(leaves ? FaultKind::kWorkerLeaves : FaultKind::kWorkerCrash, at, Time(50, 2500), node);
+      if (random_.Below(4) == 0) {
+        Add(FaultKind::kTerminateProcess, at + Time(100, 3000), Time(10, 800), node);
+      }
+      at += Time(150, 1500);
+    }
+  }
+
+  void Configurations(Duration at) {
+    const size_t count = 2 + random_.Below(6);
+    for (size_t index = 0; index < count; ++index) {
+      Add(FaultKind::kConfigurationChange, at, Time(10, 100));
+      at += Time(100, 1600);
+    }
+  }
+
+  // A node is killed while its worker has orders that it did not answer, and carries out later.
+  void CrashWithOrdersOut(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(3), "keyed")) {
+      const Duration time = Time(1500, 4500);
+      Add(FaultKind::kOrdersUnanswered, at, time, node);
+      if (Coin()) Add(FaultKind::kHeartbeatsDelayed, at, time, node);
+      Add(FaultKind::kKillProcess, at + Time(300, 3000), Time(5, 3000), node);
+      if (Coin()) Add(FaultKind::kWorkerLeaves, at + Time(0, 2000), Time(500, 2000), node);
+      at += Time(100, 900);
+    }
+  }
+
+  void PairsCut(Duration at) {
+    const size_t count = 1 + random_.Below(input_.services.size());
+    for (size_t index = 0; index < count; ++index) {
+      PlannedFault fault;
+      fault.kind = FaultKind::kPairPath;
+      fault.at = at + Time(0, 1500);
+      fault.time = Time(500, 5000);
+      fault.node = Node();
+      fault.peer =
+          (fault.node + 1 + random_.Below(input_.services.size() - 1)) % input_.services.size();
+      fault.mode = AnyMode();
+      fault.delay = Time(20, 600);
+      Add(fault);
+    }
+  }
+
+  // As when a device on the way forgets the connections that it has passed on.
+  void SilentConnections(Duration at) {
+    constexpr std::array<FaultKind, 3> kKinds{
+        FaultKind::kStoreConnections, FaultKind::kNodeConnections, FaultKind::kWorkerConnections};
+    const FaultKind kind = kKinds[random_.Below(kKinds.size())];
+    for (const size_t node : SomeNodes(Coin() ? input_.services.size() : 1 + random_.Below(3))) {
+      Add(kind, at + Time(0, 50), Time(10, 50), node);
+    }
+  }
+
+  void StoreTurnsSomeAway(Duration at) {
+    const Duration time = Time(2000, 9500);
+    const Mode mode = AnyMode();
+    const std::vector<size_t> nodes = SomeNodes(1 + random_.Below(Half()));
+    for (const size_t node : nodes) {
+      AddPath(FaultKind::kStoreTurnsAway, at + Time(0, 300), time, node, mode);
+    }
+    if (Coin()) Add(FaultKind::kTerminateProcess, at + Time(500, 2500), Time(10, 500), nodes[0]);
+    if (Coin()) Add(FaultKind::kKillProcess, at + Time(500, 2500), Time(5, 500), nodes.back());
+    if (Coin()) Configurations(at + Time(0, 2000));
+  }
+
+  void StoreInTrouble(Duration at) {
+    constexpr std::array<FaultKind, 3> kKinds{FaultKind::kStoreLosesAnswers,
+                                              FaultKind::kStoreCarriesOutLate,
+                                              FaultKind::kStoreForgetsHistory};
+    Add(kKinds[random_.Below(kKinds.size())], at, Time(1500, 6000));
+    if (Coin()) RollingStops(at + Time(0, 1500));
+    if (Coin()) WorkersReplaced(at + Time(0, 1500));
+  }
+
+  const FaultPlanInput& input_;
+  SeededRandom random_;
+  std::vector<PlannedFault> plan_;
+  std::vector<Series> waiting_;
+};
+
+}  // namespace
+
+std::string Describe(const PlannedFault& fault) {
+  return fmt::format("{:7.3f} s {} node={} peer={} mode={} leases_wait={} for {} ms",
+                     std::chrono::duration<double>(fault.at).count(), FaultName(fault.kind),
+                     fault.node, fault.peer, static_cast<int>(fault.mode), fault.leases_wait,
+                     ToMilliseconds(fault.time));
+}
+
+std::vector<PlannedFault> MakeFaultPlan(const FaultPlanInput& input) {
+  return Planner(input).Plan();
+}
+
+}  // namespace runshelf::soak
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -15,8 +15,9 @@
 // One connection of a caller and the one to the target that belongs to it.
 class FaultProxy::Pair {
  public:
-  Pair(FaultProxy* proxy, std::unique_ptr<event::TcpStream> caller)
+  Pair(FaultProxy* proxy, int source, std::unique_ptr<event::TcpStream> caller)
       : proxy_(proxy),
+        source_(source),
         to_target_(this, /*forward=*/true),
         to_caller_(this, /*forward=*/false),
         end_timer_(proxy->loop_, [this] { proxy_->Remove(this); }) {
@@ -26,7 +27,10 @@
     to_caller_.stream->StartReading();
   }
 
-  bool held_back() const { return held_back_; }
+  int source() const { return source_; }
+  // Something was kept back that should have passed, by a fault that may end.
+  bool held_back() const { return held_back_ && !silenced_; }
+  void Silence() { silenced_ = true; }
 
  private:
   // What was read at one end and is to be written at the other.
@@ -67,7 +71,8 @@
   };
 
   bool Blocked(bool forward) const {
-    switch (proxy_->mode_) {
+    if (silenced_) return true;
+    switch (proxy_->FaultOf(source_).mode) {
       case Mode::kSilent:
         return true;
       case Mode::kForwardOnly:
@@ -89,8 +94,9 @@
       return;
     }
     if (held_back_) return;
-    const bool late = proxy_->mode_ == Mode::kDelay;
-    to.Enqueue(proxy_->loop_.Now() + (late ? proxy_->delay_ : Duration(0)), data);
+    const Fault& fault = proxy_->FaultOf(source_);
+    const Duration delay = fault.mode == Mode::kDelay ? fault.delay : Duration(0);
+    to.Enqueue(proxy_->loop_.Now() + delay, data);
   }
 
   void OnEndOfEither() {
@@ -99,19 +105,22 @@
       held_back_ = true;
       return;
     }
-    if (proxy_->mode_ == Mode::kDelay) {
+    const Fault& fault = proxy_->FaultOf(source_);
+    if (fault.mode == Mode::kDelay) {
       // What was read before the end still arrives.
-      end_timer_.Start(proxy_->delay_ + kLingerAfterDelay);
+      end_timer_.Start(fault.delay + kLingerAfterDelay);
       return;
     }
     proxy_->Remove(this);
   }
 
   FaultProxy* proxy_;
+  int source_;
   End to_target_;
   End to_caller_;
   event::Timer end_timer_;
   bool held_back_ = false;
+  bool silenced_ = false;
 };
 
 FaultProxy::FaultProxy(event::EventLoop& loop, event::Endpoint target)
@@ -127,22 +136,40 @@
   return listener_.Listen({ip, 0});
 }
 
+const FaultProxy::Fault& FaultProxy::FaultOf(int source) const {
+  const auto own = faults_from_.find(source);
+  return own == faults_from_.end() ? fault_ : own->second;
+}
+
 void FaultProxy::Accept(std::unique_ptr<event::TcpStream> stream) {
-  if (mode_ == Mode::kReset) return;
-  pairs_.push_back(std::make_unique<Pair>(this, std::move(stream)));
+  const int source = source_of_ ? source_of_() : kUnknownSource;
+  if (FaultOf(source).mode == Mode::kReset) return;
+  pairs_.push_back(std::make_unique<Pair>(this, source, std::move(stream)));
 }
 
 void FaultProxy::SetMode(Mode mode, Duration delay) {
-  mode_ = mode;
-  delay_ = delay;
-  if (mode == Mode::kReset) BreakAll();
-  std::erase_if(pairs_, [](const auto& pair) { return pair->held_back(); });
+  fault_ = {mode, delay};
+  std::erase_if(pairs_,
+                [mode](const auto& pair) { return mode == Mode::kReset || pair->held_back(); });
+}
+
+void FaultProxy::SetModeFrom(int source, Mode mode, Duration delay) {
+  if (mode == Mode::kPass) {
+    faults_from_.erase(source);
+  } else {
+    faults_from_[source] = {mode, delay};
+  }
+  std::erase_if(pairs_, [source, mode](const auto& pair) {
+    return pair->source() == source && (mode == Mode::kReset || pair->held_back());
+  });
+}
+
+void FaultProxy::SilenceOpenConnections() {
+  for (const auto& pair : pairs_) pair->Silence();
 }
 
 void FaultProxy::Remove(const Pair* pair) {
   std::erase_if(pairs_, [&](const auto& other) { return other.get() == pair; });
 }
 
-void FaultProxy::BreakAll() { pairs_.clear(); }
-
 }  // namespace runshelf::soak
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,7 +1,9 @@
 // A TCP proxy on the loopback interface that misbehaves on demand.
 #pragma once
 
+#include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -30,26 +32,42 @@
   int Listen(const std::string& ip);
   event::Endpoint endpoint() const { return {ip_, listener_.bound_port()}; }
 
-  // Connections on which bytes were held back are broken when the fault ends: on a real network
-  // they would be late or lost, never out of order.
+  // Numbers the caller of the connection that was accepted last; kUnknownSource when it is not
+  // known.
+  using SourceOf = std::function<int()>;
+  static constexpr int kUnknownSource = -1;
+  void set_source_of(SourceOf source_of) { source_of_ = std::move(source_of); }
+
+  // Of all connections. Those on which bytes were held back are broken when the fault ends: on a
+  // real network they would be late or lost, never out of order.
   void SetMode(Mode mode, Duration delay = Duration(0));
-  Mode mode() const { return mode_; }
+  // Of the connections of one source; goes before the mode of all. kPass takes it away.
+  void SetModeFrom(int source, Mode mode, Duration delay = Duration(0));
+  // The connections that are open now say nothing more, not even that they end; new ones pass.
+  void SilenceOpenConnections();
+  Mode mode() const { return fault_.mode; }
+  Mode ModeOf(int source) const { return FaultOf(source).mode; }
   size_t connections() const { return pairs_.size(); }
 
  private:
   class Pair;
+  struct Fault {
+    Mode mode = Mode::kPass;
+    Duration delay{0};
+  };
 
+  const Fault& FaultOf(int source) const;
   void Accept(std::unique_ptr<event::TcpStream> stream);
   void Remove(const Pair* pair);
-  void BreakAll();
 
   event::EventLoop& loop_;
   event::Endpoint target_;
   std::string ip_;
   event::TcpListener listener_;
   std::list<std::unique_ptr<Pair>> pairs_;
-  Mode mode_ = Mode::kPass;
-  Duration delay_{0};
+  SourceOf source_of_;
+  Fault fault_;
+  std::map<int, Fault> faults_from_;  // By source.
 };
 
 }  // namespace runshelf::soak
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -79,3 +79,25 @@
   proxy->SetMode(FaultProxy::Mode::kPass);
   CHECK(Ask(std::chrono::seconds(1)));
 }
+
+TEST(FaultProxy, OneSourceIsHitAndOthersAreNot) {
+  int source = 1;
+  proxy->set_source_of([&] { return source; });
+  proxy->SetModeFrom(1, FaultProxy::Mode::kSilent);
+  CHECK_FALSE(Ask(std::chrono::milliseconds(60)));
+  source = 2;
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SetModeFrom(1, FaultProxy::Mode::kPass);
+  source = 1;
+  CHECK(Ask(std::chrono::seconds(1)));
+}
+
+TEST(FaultProxy, OpenConnectionsFallSilentForGoodAndNewOnesPass) {
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SilenceOpenConnections();
+  CHECK_FALSE(Ask(std::chrono::milliseconds(60)));  // On the kept connection.
+  CHECK_EQUAL(1, received);
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SetMode(FaultProxy::Mode::kPass);
+  CHECK_EQUAL(2, proxy->connections());
+}
--- /dev/null
+++ b/tests/soak/loss_judge.cc
@@ -0,0 +1,102 @@
+#include "tests/soak/loss_judge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace runshelf::soak {
+namespace {
+
+// A stop counts until this long after the grace period (users' pages).
+constexpr Duration kAfterGrace = std::chrono::seconds(1);
+// Requests that were sent so soon after the SIGTERM may be at work too long to be waited for.
+constexpr Duration kSentEarly = std::chrono::seconds(3);
+// The last part of the grace period, in which work that goes on is excused.
+constexpr int kLastPartOfGrace = 6;
+// A node counts a deadline from when it has read the request, and in whole milliseconds.
+constexpr Duration kDeadlineRounding = std::chrono::milliseconds(50);
+// Requests on kept connections that a node may pass on and close on outside of planned work.
+constexpr int kAllowedInPeace = 3;
+
+bool WorkBrokeOff(const FinishedAttempt& attempt) {
+  return std::any_of(attempt.work.begin(), attempt.work.end(), [](const Work& work) {
+    return work.ended.has_value() && work.end == WorkEnd::kBrokenOff;
+  });
+}
+
+bool WorkGoesOn(const FinishedAttempt& attempt) {
+  return std::any_of(attempt.work.begin(), attempt.work.end(), [](const Work& work) {
+    return !work.ended.has_value() || work.end == WorkEnd::kCancelled;
+  });
+}
+
+bool AtWorkAt(const FinishedAttempt& attempt, Instant moment) {
+  return std::any_of(attempt.work.begin(), attempt.work.end(), [&](const Work& work) {
+    return work.ended.value_or(attempt.ended_at) >= moment;
+  });
+}
+
+}  // namespace
+
+// The stop during which the attempt ended.
+std::optional<Instant> LossJudge::StopAround(const FinishedAttempt& attempt) const {
+  const auto stops = stops_.find(attempt.node);
+  if (stops == stops_.end()) return std::nullopt;
+  for (const Instant stop : stops->second) {
+    const bool within =
+        stop <= attempt.ended_at && attempt.ended_at <= stop + bounds_.grace_period + kAfterGrace;
+    if (within) return stop;
+  }
+  return std::nullopt;
+}
+
+bool LossJudge::ReloadAround(const FinishedAttempt& attempt) const {
+  const auto reloads = reloads_.find(attempt.node);
+  if (reloads == reloads_.end()) return false;
+  return std::any_of(reloads->second.begin(), reloads->second.end(), [&](Instant reload) {
+    return attempt.sent_at <= reload + bounds_.config_apply && reload <= attempt.ended_at;
+  });
+}
+
+// The node had read the request and did not answer it, or answered for a worker that was at work.
+bool LossJudge::IsCut(const FinishedAttempt& attempt) const {
+  if (attempt.end == FinishedAttempt::End::kAnswered) {
+    return !attempt.by_worker && WorkGoesOn(attempt);
+  }
+  const bool passed_on = !attempt.work.empty();
+  const bool read_long_ago = attempt.end == FinishedAttempt::End::kClosed &&
+                             attempt.ended_at - attempt.sent_at > bounds_.loss_slack;
+  return passed_on || read_long_ago;
+}
+
+void LossJudge::OnFinished(const FinishedAttempt& attempt) {
+  if (attempt.disturbed || !IsCut(attempt) || WorkBrokeOff(attempt)) return;
+  if (attempt.ended_at + kDeadlineRounding >= attempt.time_up) return;
+  const std::optional<Instant> stop = StopAround(attempt);
+  const bool answered = attempt.end == FinishedAttempt::End::kAnswered;
+  const char* how = answered ? "was answered for its worker" : "got no answer";
+  if (stop.has_value()) {
+    const Instant last_part =
+        *stop + bounds_.grace_period - bounds_.grace_period / kLastPartOfGrace;
+    if (attempt.sent_at <= *stop + kSentEarly && AtWorkAt(attempt, last_part)) return;
+    violations_.push_back(
+        fmt::format("lost: {} {} at node {}, sent {} ms and ended {} ms after its SIGTERM, {}",
+                    attempt.id, how, attempt.node, ToMilliseconds(attempt.sent_at - *stop),
+                    ToMilliseconds(attempt.ended_at - *stop),
+                    attempt.work.empty() ? "not passed on" : "passed on"));
+  } else if (!answered && ReloadAround(attempt)) {
+    violations_.push_back(
+        fmt::format("lost: {} {} at node {} around a SIGHUP", attempt.id, how, attempt.node));
+  } else if (!answered && attempt.kept_connection && !attempt.work.empty()) {
+    OnClosedInPeace(attempt);
+  }
+}
+
+void LossJudge::OnClosedInPeace(const FinishedAttempt& attempt) {
+  if (++closed_in_peace_[attempt.node] <= kAllowedInPeace) return;
+  violations_.push_back(fmt::format(
+      "lost: node {} closed kept connections on requests that it had passed on, last {}",
+      attempt.node, attempt.id));
+}
+
+}  // namespace runshelf::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -16,6 +16,15 @@
 constexpr int kExitInterrupted = 3;
 constexpr double kServedAtEnd = 0.95;
 constexpr int kMinSeconds = 30;
+// Each service has a worker; each node has an address of its own beside its proxies'.
+constexpr size_t kMinNodes = 4;
+constexpr size_t kMaxNodes = 100;
+// Processes of a run; some seeds play as many as a machine of 12 processors bears beside others.
+constexpr size_t kUsualNodes = 12;
+constexpr size_t kManyNodes = 32;
+constexpr uint64_t kManyNodesEvery = 8;
+
+size_t NodesOf(uint64_t seed) { return seed % kManyNodesEvery == 0 ? kManyNodes : kUsualNodes; }
 
 }  // namespace
 
@@ -33,8 +42,13 @@
                                    command);
     TCLAP::ValueArg<int> seconds("t", "seconds", "length, 30 or more", false, 60, "seconds",
                                  command);
+    TCLAP::ValueArg<int> nodes("n", "nodes", "sidecar processes, 4 to 100; default: by the seed",
+                               false, 0, "number", command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
+    options.nodes = NodesOf(seed.getValue());
+    if (nodes.isSet()) options.nodes = static_cast<size_t>(nodes.getValue());
+    if (options.nodes < kMinNodes || options.nodes > kMaxNodes) return kExitBadArguments;
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
@@ -51,9 +65,12 @@
   for (const std::string& fault : result.faults) fmt::print("fault {}\n", fault);
   for (const std::string& violation : result.violations) fmt::print("BROKEN {}\n", violation);
   const bool recovered = result.served_at_end >= kServedAtEnd;
-  fmt::print("seed={} requests={} served={} faults={} broken={} served_at_end={:.3f} verdict={}\n",
-             options.seed, result.requests, result.served, result.faults.size(),
-             result.violations.size(), result.served_at_end,
-             result.violations.empty() && recovered ? "kept" : "broken");
+  fmt::print(
+      "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
+      "cut_at_other_nodes={} stalls={} slowest_answer_ms={} verdict={}\n",
+      options.seed, options.nodes, result.counts.sent, result.counts.served, result.faults.size(),
+      result.violations.size(), result.served_at_end, result.counts.cut_at_other_nodes,
+      result.stalls, runshelf::ToMilliseconds(result.slowest_answer),
+      result.violations.empty() && recovered ? "kept" : "broken");
   return result.violations.empty() && recovered ? 0 : kExitBroken;
 }
--- /dev/null
+++ b/tests/soak/operator_configurations.cc
@@ -0,0 +1,81 @@
+#include "tests/soak/operator_configurations.h"
+
+#include <nlohmann/json.hpp>
+
+namespace runshelf::soak {
+namespace {
+
+using nlohmann::json;
+
+// Versions rise in uneven steps.
+constexpr uint64_t kLargestStep = 9;
+constexpr int kTargetLatencyMs = 1000;
+constexpr int kMaxAttempts = 2;
+const char* const kMovedRoutes[] = {"read", "send", "inner", "extra"};
+
+bool MayRunOnce(const std::string& route) {
+  return route == "send" || route == "note" || route == "order";
+}
+
+json Services() {
+  return {
+      {"columns", {"name", "health_check_path", "sharded"}},
+      {"rows",
+       {{"plain", "/health", nullptr}, {"other", "/health", nullptr}, {"keyed", "/health", true}}}};
+}
+
+}  // namespace
+
+OperatorConfigurations::Parts OperatorConfigurations::DrawParts() {
+  switch (random_.Below(3)) {
+    case 0:
+      return {{"plain", 1}};
+    case 1:
+      return {{"other", 1}};
+    default:
+      return {{"plain", 1 + static_cast<int>(random_.Below(9))},
+              {"other", 1 + static_cast<int>(random_.Below(9))}};
+  }
+}
+
+WrittenConfiguration OperatorConfigurations::Next() {
+  if (version_ == 0) {
+    routes_ = {{"read", {{"plain"}}}, {"send", {{"plain"}}},  {"inner", {{"other"}}},
+               {"note", {{"other"}}}, {"keyed", {{"keyed"}}}, {"order", {{"keyed"}}}};
+  } else {
+    const std::string route = kMovedRoutes[random_.Below(std::size(kMovedRoutes))];
+    const bool removed = route == "extra" && routes_.erase(route) != 0 && random_.Below(2) == 0;
+    if (!removed) routes_[route] = DrawParts();
+  }
+  version_ += 1 + static_cast<int>(random_.Below(kLargestStep));
+  WrittenConfiguration written;
+  json rows = json::array();
+  for (const auto& [route, parts] : routes_) {
+    json split = json::array();
+    for (const Part& part : parts) {
+      split.push_back({{"service", part.service}, {"weight", part.weight}});
+      written.allowed[route].insert(part.service);
+    }
+    const bool single = parts.size() == 1;
+    rows.push_back(
+        {route, "h.example", "/" + route + "/", MayRunOnce(route) ? "non_idempotent" : "idempotent",
+         ToMilliseconds(kRouteTimeout), kTargetLatencyMs, 1 + random_.Below(4),
+         single ? json(parts[0].service) : json(), kMaxAttempts, single ? json() : split});
+  }
+  const json body{{"version", "r" + std::to_string(version_)},
+                  {"routes",
+                   {{"columns",
+                     {"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
+                      "priority", "service", "max_attempts", "weighted_services"}},
+                    {"rows", rows}}},
+                  {"services", Services()},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 1000000},
+                    {"header_timeout_ms", 3000},
+                    {"idle_timeout_ms", 15000}}}};
+  written.text = body.dump();
+  return written;
+}
+
+}  // namespace runshelf::soak
--- a/tests/soak/promise_judge.cc
+++ b/tests/soak/promise_judge.cc
@@ -7,8 +7,6 @@
 namespace runshelf::soak {
 namespace {
 
-// Overlaps shorter than this may come from grants that were held up on the way.
-constexpr Duration kAllowedOverlap = std::chrono::milliseconds(500);
 constexpr int kFirstSuccess = 200;
 constexpr int kAfterSuccess = 300;
 
@@ -53,10 +51,16 @@
   }
 }
 
+void PromiseJudge::OnWorkerAnswered(const std::string& id, const std::string& worker, int status) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end()) found->second.statuses[worker] = status;
+}
+
 void PromiseJudge::OnAnswer(const ReceivedAnswer& answer) {
   const auto found = requests_.find(answer.id);
   if (found == requests_.end()) return;
   Request& request = found->second;
+  CheckStamp(request, answer);
   if (PromisesNotRun(answer.status)) {
     request.promised = answer.status;
     if (!request.sent.repeatable && !request.workers.empty()) {
@@ -73,43 +77,21 @@
   }
 }
 
-void PromiseJudge::OnNoAnswer(const std::string& id) {
-  Violate("unanswered", id + " had no end long after its deadline");
-}
-
-// A repeated grant that arrives at the next life of a worker is the same grant: the pages do not
-// count it.
-void PromiseJudge::OnGrant(const AcceptedGrant& grant) {
-  for (uint32_t key = grant.first; key <= grant.last; ++key) {
-    AcceptedGrant& latest = latest_grant_[key];
-    const bool repeated =
-        grant.fence == latest.fence && grant.first == latest.first && grant.last == latest.last;
-    const bool same_worker = latest.worker == grant.worker;
-    const bool above = grant.fence > latest.fence;
-    if (!repeated && !same_worker && !above && !latest.worker.empty()) {
-      Violate("fence", fmt::format("key {} went from {} ({}) to {} ({})", key, latest.worker,
-                                   latest.fence, grant.worker, grant.fence));
-      return;
-    }
-    if (above || repeated) latest = grant;
-  }
-}
-
-void PromiseJudge::OnSharedKey(uint32_t key, const std::string& runner, const std::string& other) {
-  Violate("owner", fmt::format("{} runs a request of key {} that {} holds", runner, key, other));
+// An answer in the name of a worker is that worker's.
+void PromiseJudge::CheckStamp(const Request& request, const ReceivedAnswer& answer) {
+  if (answer.worker_stamp.empty()) return;
+  const auto status = request.statuses.find(answer.worker_stamp);
+  if (status != request.statuses.end() && status->second == answer.status) return;
+  Violate("mixed", fmt::format("{} got {} in the name of {}, which did not answer so", answer.id,
+                               answer.status, answer.worker_stamp));
 }
 
-void PromiseJudge::OnOverlap(uint32_t key, Duration time) {
-  if (time <= kAllowedOverlap) return;
-  Violate("owner", fmt::format("two workers hold key {} for {} ms", key, ToMilliseconds(time)));
-}
-
-void PromiseJudge::OnRequestAfterDrain(const std::string& worker, const std::string& id) {
-  Violate("drain", fmt::format("{} got {} after it had left", worker, id));
+void PromiseJudge::OnNoAnswer(const std::string& id) {
+  Violate("unanswered", id + " had no end long after its deadline");
 }
 
-void PromiseJudge::OnOldConfiguration(const std::string& id, const std::string& service) {
-  Violate("configuration", fmt::format("{} ran at {} by an old configuration", id, service));
+void PromiseJudge::OnProcessEnded(const std::string& node, int exit) {
+  Violate("ended", fmt::format("{} ended by itself with {}", node, exit));
 }
 
 }  // namespace runshelf::soak
--- a/tests/soak/promise_judge.h
+++ b/tests/soak/promise_judge.h
@@ -1,12 +1,11 @@
-// Judges what callers and workers see against the promises of the users' pages. Free of input and
-// output; times are given by the caller.
+// Judges single requests, and the processes, against the promises of the users' pages: what callers
+// and workers see of them. Free of input and output. What spans several requests has judges of its
+// own, beside this one.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -14,8 +13,6 @@
 
 namespace runshelf::soak {
 
-constexpr uint32_t kKeyCount = 65536;
-
 // A request as a caller sent it.
 struct SentRequest {
   std::string id;
@@ -43,30 +40,17 @@
   std::string worker_stamp;  // Names the worker; empty when the answer is not a worker's.
 };
 
-// Keys that a worker holds from now on.
-struct AcceptedGrant {
-  std::string worker;
-  uint32_t first = 0;
-  uint32_t last = 0;  // Inside.
-  uint64_t fence = 0;
-};
-
 class PromiseJudge {
  public:
   void OnSent(const SentRequest& request);
   void OnExecuted(const Execution& execution);
+  // A worker gives its answer to a request that it ran.
+  void OnWorkerAnswered(const std::string& id, const std::string& worker, int status);
   void OnAnswer(const ReceivedAnswer& answer);
   // The caller waited for its whole deadline and more; nothing came, not even an end.
   void OnNoAnswer(const std::string& id);
-  void OnGrant(const AcceptedGrant& grant);
-  // A worker runs a request whose key another live worker holds as well.
-  void OnSharedKey(uint32_t key, const std::string& runner, const std::string& other);
-  // Two live workers have held the same key for `time`.
-  void OnOverlap(uint32_t key, Duration time);
-  // A worker got a request after its leaving was acknowledged and its time to drain was over.
-  void OnRequestAfterDrain(const std::string& worker, const std::string& id);
-  // A node that nothing disturbed used an older configuration than the one in force.
-  void OnOldConfiguration(const std::string& id, const std::string& service);
+  // A process ended that nobody had asked to end.
+  void OnProcessEnded(const std::string& node, int exit);
 
   // One line for each broken promise, in the order in which they were seen.
   const std::vector<std::string>& violations() const { return violations_; }
@@ -75,15 +59,15 @@
  private:
   struct Request {
     SentRequest sent;
-    std::vector<std::string> workers;  // That ran it.
-    std::optional<int> promised;       // A status that promises that it has not run.
+    std::vector<std::string> workers;     // That ran it.
+    std::map<std::string, int> statuses;  // That workers answered with.
+    std::optional<int> promised;          // A status that promises that it has not run.
   };
 
+  void CheckStamp(const Request& request, const ReceivedAnswer& answer);
   void Violate(const std::string& promise, const std::string& what);
 
   std::map<std::string, Request> requests_;
-  // Of each key: the grant with the highest fence so far.
-  std::array<AcceptedGrant, kKeyCount> latest_grant_;
   std::vector<std::string> violations_;
   uint64_t executions_ = 0;
 };
--- a/tests/soak/promise_judge_test.cc
+++ b/tests/soak/promise_judge_test.cc
@@ -17,6 +17,7 @@
   void Run(const std::string& id, const std::string& worker) {
     const bool order = id == "order";
     judge.OnExecuted({id, order ? "/send/1" : "/read/1", order ? "body" : "", "shop", worker, "s"});
+    judge.OnWorkerAnswered(id, worker, 200);
   }
 
   void ExpectOnly(const std::string& promise) {
@@ -79,33 +80,25 @@
   ExpectOnly("unasked");
 }
 
-TEST(PromiseJudge, FencesRiseFromWorkerToWorker) {
-  judge.OnGrant({"w1", 0, 99, 4});
-  judge.OnGrant({"w1", 0, 99, 4});
-  judge.OnGrant({"w2", 50, 60, 5});
-  CHECK(judge.violations().empty());
-  judge.OnGrant({"w1", 40, 70, 5});
-  ExpectOnly("fence");
-}
-
-TEST(PromiseJudge, ARepeatedGrantAtTheNextLifeOfAWorkerIsTheSameGrant) {
-  judge.OnGrant({"w1", 0, 99, 4});
-  judge.OnGrant({"w1-again", 0, 99, 4});
+TEST(PromiseJudge, AFailureInTheNameOfAWorkerIsThatWorkers) {
+  Run("read", "w1");
+  judge.OnWorkerAnswered("read", "w1", 500);
+  judge.OnAnswer({"read", 500, "", "w1"});
   CHECK(judge.violations().empty());
-  judge.OnGrant({"w2", 0, 98, 4});
-  ExpectOnly("fence");
+  judge.OnAnswer({"read", 502, "", "w1"});
+  ExpectOnly("mixed");
 }
 
-TEST(PromiseJudge, OnlyALongOverlapIsHeldAgainstTheNodes) {
-  judge.OnOverlap(7, std::chrono::milliseconds(400));
-  CHECK(judge.violations().empty());
-  judge.OnOverlap(7, std::chrono::milliseconds(600));
-  ExpectOnly("owner");
+TEST(PromiseJudge, ASuccessInPlaceOfAWorkersFailureIsSeen) {
+  Run("read", "w1");
+  judge.OnWorkerAnswered("read", "w1", 500);
+  judge.OnAnswer({"read", 200, ExpectedAnswerBody("w1", "read", ""), "w1"});
+  ExpectOnly("mixed");
 }
 
-TEST(PromiseJudge, ARunOnASharedKeyIsSeen) {
-  judge.OnSharedKey(7, "w1", "w2");
-  ExpectOnly("owner");
+TEST(PromiseJudge, AProcessThatEndsByItselfIsSeen) {
+  judge.OnProcessEnded("n1", -11);
+  ExpectOnly("ended");
 }
 
 TEST(PromiseJudge, ARequestWithoutAnEndIsSeen) {
--- a/tests/soak/sidecar_process.h
+++ b/tests/soak/sidecar_process.h
@@ -22,6 +22,8 @@
   void Signal(int signal_number);
   // Notices an end; true while the process runs.
   bool Running();
+  // Zero while it does not run.
+  pid_t pid() const { return pid_; }
   // Of the latest end: the exit status, or the negative number of the signal that ended it.
   int last_exit() const { return last_exit_; }
 
--- /dev/null
+++ b/tests/soak/soak_fleet.cc
@@ -0,0 +1,284 @@
+#include "tests/soak/soak_fleet.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include "tests/platform_adapter/fixtures.h"
+
+namespace runshelf::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Ports for datagrams among the nodes: below the ephemeral ones, the same on all addresses.
+constexpr uint16_t kPeerPort = 21000;
+// Host numbers of the nodes and, after them, of the proxies before them.
+constexpr size_t kFirstHost = 10;
+constexpr size_t kFirstProxyHost = 130;
+// The store answers within some milliseconds; health checks wait for a slot.
+constexpr Duration kShortestStoreLatency = milliseconds(2);
+constexpr Duration kLongestStoreLatency = milliseconds(16);
+constexpr Duration kLongestHealthDelay = milliseconds(60);
+// Heartbeat intervals of the platform's deployments are about a second.
+constexpr Duration kShortestHeartbeat = milliseconds(400);
+constexpr Duration kLongestHeartbeat = milliseconds(1300);
+// How late transactions, orders and heartbeats come that were left unanswered.
+constexpr Duration kShortestLateness = milliseconds(300);
+constexpr Duration kLongestLateness = milliseconds(4500);
+constexpr Duration kLateCallTimeout = std::chrono::seconds(1);
+constexpr int kRetryBudgetExtra = 20;
+
+// Each process has other addresses, so that soaks do not meet.
+std::string AddressOf(size_t host) {
+  const auto process = static_cast<unsigned>(getpid());
+  return fmt::format("127.{}.{}.{}", 1 + process / 256 % 254, process % 256, host);
+}
+
+}  // namespace
+
+SoakFleet::SoakFleet(event::EventLoop& loop, Witness& witness, FleetOptions options)
+    : loop_(loop),
+      witness_(witness),
+      options_(std::move(options)),
+      random_(options_.seed + 1),
+      heartbeat_interval_(random_.Between(kShortestHeartbeat, kLongestHeartbeat)),
+      store_(loop),
+      connection_source_(loop),
+      pool_(loop),
+      runner_(loop, witness, options_.seed + 2),
+      orders_unanswered_(options_.services.size()),
+      heartbeats_delayed_(options_.services.size()) {
+  store_.set_value_filter([this](const std::string& key, const std::string& value) {
+    return ThroughProxy(key, value);
+  });
+  store_.set_latency(
+      [this] { return random_.Between(kShortestStoreLatency, kLongestStoreLatency); });
+  store_.set_lateness([this] {
+    return random_.Below(2) == 0 ? Duration(0)
+                                 : random_.Between(kShortestLateness, kLongestLateness);
+  });
+  for (size_t index = 0; index < options_.services.size(); ++index) MakeNode(index);
+}
+
+SoakFleet::~SoakFleet() = default;
+
+void SoakFleet::MakeNode(size_t index) {
+  auto owned = std::make_unique<SoakNode>();
+  SoakNode* node = owned.get();
+  nodes_.push_back(std::move(owned));
+  node->index = index;
+  node->name = "n" + std::to_string(index);
+  node->ip = AddressOf(kFirstHost + index);
+  node->proxy_ip = AddressOf(kFirstProxyHost + index);
+  node->service = options_.services[index];
+  node->sharded = node->service == "keyed";
+  const auto endpoints = platform_adapter::FreeEndpoints(node->ip, 4);
+  node->outbound = endpoints[0];
+  node->inbound = endpoints[1];
+  node->readiness = endpoints[2];
+  node->control_plane = endpoints[3];
+  StartWorker(node);
+  node->store_entrance = store_.AddEntrance();
+  node->store_proxy = std::make_unique<FaultProxy>(loop_, store_.entrance(node->store_entrance));
+  node->node_proxy = std::make_unique<FaultProxy>(loop_, node->inbound);
+  node->node_proxy->set_source_of([this, node] { return SourceOfLatest(*node->node_proxy); });
+  node->worker_proxy =
+      std::make_unique<FaultProxy>(loop_, event::Endpoint{"127.0.0.1", node->worker_port});
+  for (FaultProxy* proxy :
+       {node->store_proxy.get(), node->node_proxy.get(), node->worker_proxy.get()}) {
+    proxy->Listen(node->proxy_ip);
+  }
+  node->datagrams = std::make_unique<DatagramRelay>(
+      loop_, node->proxy_ip, node->ip, kPeerPort,
+      [this, node](const std::string& sender) { return DatagramPasses(sender, *node); });
+  node->datagrams->Listen();
+  const std::string path = options_.directory + "/" + node->name;
+  node->process = std::make_unique<SupervisedProcess>(options_.program, path + ".toml",
+                                                      path + ".log", kGracePeriod);
+  WriteSettings(*node, kRetryBudgetExtra);
+}
+
+void SoakFleet::WriteSettings(const SoakNode& node, int retry_budget_extra) const {
+  std::ofstream file(options_.directory + "/" + node.name + ".toml");
+  file << fmt::format(
+      "node_name = \"{}\"\nip_address = \"{}\"\nzone = \"z\"\n"
+      "internal_port_range = [{},{}]\nheartbeat_interval_ms = {}\n"
+      "bounds = [\"drain_timeout_ms={}\",\"grace_period_s={}\",\"max_hold_ms=10000\","
+      "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra={}\"]\n"
+      "grants = \"{}\"\napplication_address = \"{}\"\nservice = \"{}\"\n"
+      "[listen_addresses]\ninbound = \"{}\"\noutbound = \"{}\"\nreadiness = \"{}\"\n"
+      "control_plane = \"{}\"\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
+      node.name, node.ip, kPeerPort, kPeerPort + 1, ToMilliseconds(heartbeat_interval_),
+      ToMilliseconds(kDrainTimeout), kGracePeriod / std::chrono::seconds(1), retry_budget_extra,
+      options_.keys_in_heartbeats ? "heartbeat" : "invocation",
+      node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
+      node.outbound.ToString(), node.readiness.ToString(), node.control_plane.ToString(),
+      node.store_proxy->endpoint().ToString());
+}
+
+void SoakFleet::ChangeSettings(const SoakNode& node) {
+  WriteSettings(node, kRetryBudgetExtra + ++settings_written_ % 2);
+}
+
+void SoakFleet::Start() {
+  for (const auto& node : nodes_) {
+    if (node->process->Start()) witness_.Disturb(node->index, /*planned=*/true);
+  }
+}
+
+void SoakFleet::Watch() {
+  const Instant now = loop_.Now();
+  for (const auto& node : nodes_) {
+    const bool was_stopping = node->process->stopping();
+    switch (node->process->Watch(now)) {
+      case SupervisedProcess::Event::kEndedByItself:
+        witness_.OnProcessEndedByItself(node->name, node->process->last_exit());
+        witness_.Disturb(node->index, /*planned=*/false);
+        break;
+      case SupervisedProcess::Event::kStarted:
+      case SupervisedProcess::Event::kEnded:
+        witness_.Disturb(node->index, /*planned=*/was_stopping);
+        break;
+      case SupervisedProcess::Event::kNone:
+        if (was_stopping || !node->process->running()) {
+          witness_.Disturb(node->index, /*planned=*/was_stopping);
+        }
+        break;
+    }
+  }
+  CheckKeys();
+}
+
+void SoakFleet::CheckKeys() {
+  std::vector<WorkerHoldings> holdings;
+  for (const auto& node : nodes_) {
+    if (!node->sharded || node->worker == nullptr) continue;
+    WorkerHoldings one;
+    one.worker = node->worker->id();
+    for (const FakeWorker::Grant& grant : node->worker->grants()) {
+      one.held.push_back({{grant.first, grant.last}, grant.fence, grant.until});
+    }
+    holdings.push_back(std::move(one));
+  }
+  witness_.ownership().Check(loop_.Now(), holdings);
+}
+
+void SoakFleet::StartWorker(SoakNode* node) {
+  if (node->worker != nullptr) return;
+  auto worker = std::make_unique<FakeWorker>(
+      loop_, fmt::format("w-{}-{}", node->name, ++node->worker_life), node->service);
+  SetUpWorker(node, worker.get());
+  // Fails while connections of the former life are still being closed; the caller tries again.
+  if (worker->Listen(node->worker_port) != 0) return;
+  node->worker_port = worker->endpoint().port;
+  worker->StartHeartbeats(node->control_plane, heartbeat_interval_);
+  node->worker = std::move(worker);
+}
+
+void SoakFleet::SetUpWorker(SoakNode* node, FakeWorker* worker) {
+  worker->set_sharded(node->sharded);
+  worker->set_keys_in_heartbeats(options_.keys_in_heartbeats);
+  worker->set_heartbeat_faults([this, node] { return NextHeartbeatFault(node->index); });
+  worker->set_order_faults([this, node] { return NextOrderFault(node->index); });
+  worker->set_on_held_back([this](const event::Endpoint& to, std::string request) {
+    SendLater(to, std::move(request));
+  });
+  worker->set_health_delay([this] { return random_.Between(Duration(0), kLongestHealthDelay); });
+  worker->set_busy_keys(
+      [this, node](uint32_t first, uint32_t last) { return runner_.Busy(*node, first, last); });
+  worker->set_behaviour(
+      [this, node](const http::ExchangePtr& exchange) { OnRequest(node, exchange); });
+  worker->set_on_granted(
+      [this, node, id = worker->id()](const FakeWorker::Grant& grant, bool late) {
+        const bool slow = node->worker_proxy->mode() != FaultProxy::Mode::kPass;
+        witness_.OnGrant(node->index, id, grant, late, slow);
+      });
+}
+
+void SoakFleet::EndWorker(SoakNode* node) {
+  if (node->worker == nullptr) return;
+  runner_.OnWorkerEnded(*node);
+  node->worker.reset();
+}
+
+void SoakFleet::OnRequest(SoakNode* node, const http::ExchangePtr& exchange) {
+  std::vector<std::string> others;
+  const std::string* key = exchange->request().head.headers.Find("Shard-Key");
+  if (node->sharded && key != nullptr) {
+    const auto number = static_cast<uint32_t>(std::stoul(*key));
+    for (const auto& other : nodes_) {
+      if (other.get() == node || !other->sharded || other->worker == nullptr) continue;
+      if (other->worker->Holds(number) != nullptr) others.push_back(other->worker->id());
+    }
+  }
+  runner_.Begin(*node, exchange, others);
+}
+
+SoakFleet::FakeWorker::HeartbeatFault SoakFleet::NextHeartbeatFault(size_t node) {
+  using Fault = FakeWorker::HeartbeatFault;
+  if (!heartbeats_delayed_[node] || random_.Below(2) == 0) return Fault::kNone;
+  constexpr Fault kFaults[] = {Fault::kSentTwice, Fault::kSentLate, Fault::kAnswerLost,
+                               Fault::kNotSent, Fault::kHeldBack};
+  return kFaults[random_.Below(std::size(kFaults))];
+}
+
+// Half of the orders are left unanswered; most of these are carried out, at once or late.
+SoakFleet::FakeWorker::OrderFault SoakFleet::NextOrderFault(size_t node) {
+  FakeWorker::OrderFault fault;
+  if (!orders_unanswered_[node] || random_.Below(2) == 0) return fault;
+  fault.answered = false;
+  if (random_.Below(3) != 0) fault.lateness = random_.Between(kShortestLateness, kLongestLateness);
+  return fault;
+}
+
+void SoakFleet::SendLater(const event::Endpoint& node, std::string request) {
+  std::erase_if(held_back_, [](const auto& timer) { return !timer->active(); });
+  held_back_.push_back(
+      std::make_unique<event::Timer>(loop_, [this, node, request = std::move(request)] {
+        late_calls_.push_back(std::make_unique<http::SimpleCall>(
+            loop_, pool_, node, request, http::CallOptions{}, kLateCallTimeout,
+            [](const std::optional<http::Response>&, http::ClientFailure) {}));
+      }));
+  held_back_.back()->Start(random_.Between(kShortestLateness, kLongestLateness));
+}
+
+// Nodes find each other through the store: what they read leads to the proxy before each node.
+std::string SoakFleet::ThroughProxy(const std::string& key, const std::string& value) const {
+  for (const auto& node : nodes_) {
+    if (key != "runshelf/nodes/" + node->name) continue;
+    const std::string address = node->inbound.ToString();
+    const size_t position = value.find(address);
+    if (position == std::string::npos) continue;
+    std::string changed = value;
+    return changed.replace(position, address.size(), node->node_proxy->endpoint().ToString());
+  }
+  return value;
+}
+
+int SoakFleet::SourceOfLatest(const FaultProxy& proxy) {
+  std::vector<pid_t> processes;
+  for (const auto& node : nodes_) processes.push_back(node->process->pid());
+  const auto found = connection_source_.ProcessOfLatest(proxy.endpoint(), processes);
+  if (!found.has_value() || *found == 0) return FaultProxy::kUnknownSource;
+  const auto at = std::find(processes.begin(), processes.end(), *found);
+  return static_cast<int>(at - processes.begin());
+}
+
+void SoakFleet::SetPairMode(size_t from, size_t to, FaultProxy::Mode mode, Duration delay) {
+  nodes_[to]->node_proxy->SetModeFrom(static_cast<int>(from), mode, delay);
+}
+
+bool SoakFleet::DatagramPasses(const std::string& sender, const SoakNode& to) const {
+  const auto from = std::find_if(nodes_.begin(), nodes_.end(),
+                                 [&](const auto& node) { return node->name == sender; });
+  const FaultProxy::Mode mode = from == nodes_.end()
+                                    ? to.node_proxy->mode()
+                                    : to.node_proxy->ModeOf(static_cast<int>((*from)->index));
+  return mode != FaultProxy::Mode::kSilent && mode != FaultProxy::Mode::kBackwardOnly;
+}
+
+}  // namespace runshelf::soak
