--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -28,6 +28,8 @@
   // Sends heartbeats to the node beside it until the worker is destroyed.
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
   void set_draining(bool draining) { draining_ = draining; }
+  // Requests that it runs at once, as heartbeats tell.
+  void set_slots(int slots) { slots_ = slots; }
   // The worker reports its keys in heartbeats, and holds what the answers list.
   void set_keys_in_heartbeats(bool keys_in_heartbeats) { keys_in_heartbeats_ = keys_in_heartbeats; }
   // Heartbeats are cut off from the node; the worker serves on.
@@ -145,6 +147,7 @@
   std::function<HeartbeatFault()> next_heartbeat_fault_;
   event::Timer late_heartbeat_;
   std::function<void()> send_late_;
+  int slots_ = 4;
   bool draining_ = false;
   bool sharded_ = false;
 };
--- a/tests/soak/responsiveness.h
+++ b/tests/soak/responsiveness.h
@@ -20,13 +20,14 @@
   void Watch();
   // The node's latest answer took too long, or is overdue.
   bool Slow(size_t node) const;
-  // The longest that any node took to answer.
+  // The longest that any node took to answer that was not paused meanwhile.
   Duration longest() const { return longest_; }
 
  private:
   struct Probe {
     Instant sent_at{};
     bool slow = false;
+    bool paused = false;  // The node was, at some time since.
     std::unique_ptr<http::SimpleCall> call;
   };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -62,6 +62,7 @@
   event::SignalWatcher terminate_;
   event::SignalWatcher interrupt_;
   event::SignalWatcher hang_up_;
+  Instant started_{};
   Instant watched_at_{};
   SoakResult result_;
 };
--- a/tests/soak/supervised_process.h
+++ b/tests/soak/supervised_process.h
@@ -31,6 +31,7 @@
   Event Watch(Instant now);
 
   bool running() const { return running_; }
+  bool paused() const { return paused_; }
   // Counts the starts.
   int life() const { return life_; }
   bool stopping() const { return terminated_at_.has_value(); }
@@ -46,6 +47,7 @@
   int life_ = 0;
   bool running_ = false;
   bool killed_ = false;
+  bool paused_ = false;
 };
 
 }  // namespace runshelf::soak
