Soak: workers that deregister first, tests of the stand-ins, what is not served at the end

Tests of late transactions, entrances, waiting leases, late orders and releases that wait. The result names what was not served, by route and status.

--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -41,6 +41,7 @@
 void FakeWorker::SendHeartbeat() {
   heartbeat_timer_.Start(interval_);
   if (heartbeats_cut_) return;
+  if (draining_ && leaves_without_draining_) return Deregister();
   const HeartbeatFault fault =
       next_heartbeat_fault_ ? next_heartbeat_fault_() : HeartbeatFault::kNone;
   const std::string body = HeartbeatBody();
@@ -53,6 +54,21 @@
   late_heartbeat_.Start(kAnswerWindow * 9 / 10);
 }
 
+// Again with each heartbeat that would be due, until it is acknowledged.
+void FakeWorker::Deregister() {
+  if (leaving_acknowledged_at_.has_value()) return;
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/runshelf/rpc?call=instances.deregister&of=" + id_;
+  head.headers.Add("Host", node_.ToString());
+  heartbeat_ = std::make_unique<http::SimpleCall>(
+      loop_, pool_, node_, http::SerializeRequest(head, ""), http::CallOptions{}, kAnswerWindow,
+      [this](const std::optional<http::Response>& response, http::ClientFailure) {
+        const bool acknowledged = response.has_value() && response->status == 200;
+        if (acknowledged && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
+      });
+}
+
 std::string FakeWorker::HeartbeatBody() {
   json body{{"service", service_},
             {"address", endpoint().ToString()},
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -28,6 +28,8 @@
   // Sends heartbeats to the node beside it until the worker is destroyed.
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
   void set_draining(bool draining) { draining_ = draining; }
+  // A draining worker deregisters at once, says nothing more, and serves on.
+  void set_leaves_without_draining(bool value) { leaves_without_draining_ = value; }
   // Requests that it runs at once, as heartbeats tell.
   void set_slots(int slots) { slots_ = slots; }
   // The worker reports its keys in heartbeats, and holds what the answers list.
@@ -79,7 +81,7 @@
   void set_busy_keys(BusyPredicate busy) { busy_ = std::move(busy); }
   // How long a health check waits for its answer.
   void set_health_delay(std::function<Duration()> delay) { health_delay_ = std::move(delay); }
-  // When a heartbeat that said that the worker leaves was acknowledged; nullopt: not yet.
+  // When the node acknowledged that the worker leaves; nullopt: not yet.
   std::optional<Instant> leaving_acknowledged_at() const { return leaving_acknowledged_at_; }
   // The worker's keys count: requests for others are refused.
   void set_sharded(bool sharded) { sharded_ = sharded; }
@@ -104,6 +106,7 @@
   void DoLater(Duration delay, std::function<void()> action);
   void HandleRequest(const http::ExchangePtr& exchange);
   void SendHeartbeat();
+  void Deregister();
   std::string HeartbeatBody();
   void CallNode(const std::string& body, Instant made, HeartbeatFault fault);
   void OnLease(const std::string& body, Instant sent);
@@ -149,6 +152,7 @@
   std::function<void()> send_late_;
   int slots_ = 4;
   bool draining_ = false;
+  bool leaves_without_draining_ = false;
   bool sharded_ = false;
 };
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -64,6 +64,9 @@
   }
   for (const std::string& fault : result.faults) fmt::print("fault {}\n", fault);
   for (const std::string& violation : result.violations) fmt::print("BROKEN {}\n", violation);
+  for (const std::string& unserved : result.unserved_at_end) {
+    fmt::print("unserved-at-end {}\n", unserved);
+  }
   const bool recovered = result.served_at_end >= kServedAtEnd;
   fmt::print(
       "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/soak.h"
 
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <algorithm>
@@ -91,6 +92,9 @@
   result_.violations = witness_.violations();
   result_.counts = witness_.counts();
   result_.served_at_end = witness_.measured_share();
+  for (const auto& [kind, count] : witness_.unserved()) {
+    result_.unserved_at_end.push_back(fmt::format("{} {}: {}", kind.first, kind.second, count));
+  }
   result_.slowest_answer = responsiveness_.longest();
   return result_;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -29,6 +29,7 @@
   AnswerCounts counts;
   bool interrupted = false;  // By a signal: nothing is shown.
   double served_at_end = 0;  // Share of the requests of the last calm seconds.
+  std::vector<std::string> unserved_at_end;
   // Of this process, and the longest time that a node took to answer: how busy the machine was.
   int stalls = 0;
   Duration slowest_answer{0};
--- /dev/null
+++ b/tests/soak/stand_ins_test.cc
@@ -0,0 +1,114 @@
+// The faults that only the soak asks of the stand-ins of store and workers.
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "source/http/client.h"
+#include "tests/event/loop_runner.h"
+#include "tests/platform_adapter/fake_store.h"
+#include "tests/platform_adapter/fake_worker.h"
+
+using namespace runshelf;
+using event::RunFor;
+using event::RunUntil;
+using nlohmann::json;
+using platform_adapter::FakeStore;
+using platform_adapter::FakeWorker;
+using std::chrono::milliseconds;
+
+TEST_GROUP(StandIns) {
+  event::EventLoop loop;
+  http::ConnectionPool pool{loop};
+  FakeStore store{loop};
+  FakeWorker worker{loop, "w1", "keyed"};
+
+  // The status of the answer; zero: none within a tenth of a second.
+  int Post(const event::Endpoint& to, const std::string& target, const json& body) {
+    bool over = false;
+    int status = 0;
+    http::RequestHead head;
+    head.method = "POST";
+    head.target = target;
+    head.headers.Add("Host", "h");
+    http::SimpleCall call(loop, pool, to, http::SerializeRequest(head, body.dump()), {},
+                          milliseconds(100),
+                          [&](const std::optional<http::Response>& response, http::ClientFailure) {
+                            over = true;
+                            if (response.has_value()) status = response->status;
+                          });
+    RunUntil(loop, [&] { return over; });
+    return status;
+  }
+  // Writes "a" if it is not there.
+  int Create(size_t entrance) {
+    return Post(store.entrance(entrance), "/runshelf/kv-txn",
+                {{"expected_revision", {{{"private_key", "a"}, {"revision", 0}}}},
+                 {"put", {{{"private_key", "a"}, {"value", ""}}}},
+                 {"remove", json::array()}});
+  }
+  int Order(const std::string& what, uint32_t first, uint32_t last, uint64_t token) {
+    return Post(
+        worker.endpoint(), "/runshelf/" + what,
+        {{"from_revision", first}, {"target_version", last}, {"fence", token}, {"hold_ms", 1000}});
+  }
+};
+
+TEST(StandIns, TheStoreTurnsOneEntranceAway) {
+  const size_t first = store.AddEntrance();
+  const size_t second = store.AddEntrance();
+  store.set_entrance_fault(first, FakeStore::Fault::kThrottle);
+  CHECK_EQUAL(429, Create(first));
+  store.set_entrance_fault(first, FakeStore::Fault::kReset);
+  CHECK_EQUAL(0, Create(first));
+  CHECK_EQUAL(200, Create(second));
+}
+
+TEST(StandIns, AnUnansweredTransactionIsDoneLateIfItsConditionStillHolds) {
+  const size_t entrance = store.AddEntrance();
+  store.set_lateness([] { return milliseconds(200); });
+  store.set_fault(FakeStore::Fault::kLateWrites);
+  CHECK_EQUAL(0, Create(entrance));
+  CHECK(store.Find("a") == nullptr);
+  CHECK(RunUntil(loop, [&] { return store.Find("a") != nullptr; }));
+  store.Remove("a");
+  CHECK_EQUAL(0, Create(entrance));
+  store.Put("a", "of the operator");
+  RunFor(loop, milliseconds(250));
+  CHECK_EQUAL(std::string("of the operator"), *store.Find("a"));
+}
+
+TEST(StandIns, LeasesWaitWhileTheStoreIsAway) {
+  const size_t entrance = store.AddEntrance();
+  CHECK_EQUAL(200, Post(store.entrance(entrance), "/runshelf/kv-lease", {{"ttl_ms", 100}}));
+  store.SetLeasesWait(true);
+  RunFor(loop, milliseconds(200));
+  CHECK_EQUAL(200, Post(store.entrance(entrance), "/runshelf/kv-keep/100", json::object()));
+  store.SetLeasesWait(false);
+  RunFor(loop, milliseconds(200));
+  CHECK_EQUAL(404, Post(store.entrance(entrance), "/runshelf/kv-keep/100", json::object()));
+}
+
+TEST(StandIns, AGrantIsTakenLateAndUnanswered) {
+  worker.Listen();
+  bool late = false;
+  worker.set_on_granted([&](const FakeWorker::Grant&, bool taken_late) { late = taken_late; });
+  worker.set_order_faults([] { return FakeWorker::OrderFault{false, milliseconds(200)}; });
+  CHECK_EQUAL(0, Order("grant", 0, 99, 1));
+  CHECK(worker.Holds(7) == nullptr);
+  CHECK(RunUntil(loop, [&] { return worker.Holds(7) != nullptr; }));
+  CHECK(late);
+}
+
+TEST(StandIns, AReleaseIsAnsweredWhenNothingRunsOnItsKeys) {
+  worker.Listen();
+  bool busy = true;
+  worker.set_busy_keys(
+      [&](uint32_t first, uint32_t last) { return busy && first <= 7 && 7 <= last; });
+  CHECK_EQUAL(200, Order("grant", 0, 99, 1));
+  CHECK_EQUAL(200, Order("release", 50, 99, 2));
+  CHECK_EQUAL(0, Order("release", 0, 49, 2));
+  CHECK(worker.Holds(7) == nullptr);
+  busy = false;
+  CHECK_EQUAL(200, Order("release", 0, 49, 2));
+}
