--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -18,6 +18,33 @@
   return grant.first <= last && first <= grant.last;
 }
 
+// The parts of a grant that none of `kept` covers.
+std::vector<FakeWorker::Grant> Without(const FakeWorker::Grant& grant,
+                                       const std::vector<FakeWorker::Grant>& kept) {
+  std::vector<FakeWorker::Grant> parts{grant};
+  for (const FakeWorker::Grant& cover : kept) {
+    std::vector<FakeWorker::Grant> rest;
+    for (FakeWorker::Grant part : parts) {
+      if (!Overlaps(cover, part.first, part.last)) {
+        rest.push_back(part);
+        continue;
+      }
+      const uint32_t last = part.last;
+      if (part.first < cover.first) {
+        part.last = cover.first - 1;
+        rest.push_back(part);
+      }
+      if (cover.last < last) {
+        part.first = cover.last + 1;
+        part.last = last;
+        rest.push_back(part);
+      }
+    }
+    parts = std::move(rest);
+  }
+  return parts;
+}
+
 }  // namespace
 
 FakeWorker::FakeWorker(event::EventLoop& loop, std::string id, std::string service)
@@ -139,10 +166,7 @@
     if (TakeRow(grant)) grants_.push_back(grant);
   }
   for (const Grant& old : before) {
-    const bool kept = std::any_of(grants_.begin(), grants_.end(), [&](const Grant& grant) {
-      return Overlaps(grant, old.first, old.last);
-    });
-    if (!kept) ending_.push_back(old);
+    for (const Grant& left_out : Without(old, grants_)) ending_.push_back(left_out);
   }
   FinishLetGo();
 }
@@ -159,6 +183,7 @@
     http::Headers headers;
     headers.Add("Handover", "from-" + id_);
     release.exchange->Respond(200, headers, "");
+    if (on_released_) on_released_(release.first, release.last);
     return true;
   });
   // At most a tenth of a second later the node is told.
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -69,6 +69,9 @@
   // Called for each order of keys that was accepted; `late`: some time after its arrival.
   using GrantCallback = std::function<void(const Grant& grant, bool late)>;
   void set_on_granted(GrantCallback callback) { on_granted_ = std::move(callback); }
+  // Called for each release that is answered.
+  using ReleaseCallback = std::function<void(uint32_t first, uint32_t last)>;
+  void set_on_released(ReleaseCallback callback) { on_released_ = std::move(callback); }
   // What happens to a grant or a release that arrives.
   struct OrderFault {
     bool answered = true;
@@ -123,6 +126,7 @@
   std::unique_ptr<http::SimpleCall> heartbeat_;
   Behaviour behaviour_;
   GrantCallback on_granted_;
+  ReleaseCallback on_released_;
   std::function<OrderFault()> next_order_fault_;
   HeldBackCallback on_held_back_;
   BusyPredicate busy_;
--- a/tests/soak/ownership_judge.cc
+++ b/tests/soak/ownership_judge.cc
@@ -24,7 +24,11 @@
 void OwnershipJudge::OnGrant(Instant now, const std::string& worker, const HeldKeys& grant,
                              OrderArrival arrival) {
   CheckToken(worker, grant, arrival);
-  if (arrival == OrderArrival::kTimely) CheckWorkUnderWay(now, worker, grant);
+  if (arrival == OrderArrival::kTimely) {
+    CheckWorkUnderWay(now, worker, grant);
+    std::erase_if(released_[worker],
+                  [&](const KeyRange& keys) { return keys.Overlaps(grant.keys); });
+  }
   Remember(worker, grant, arrival);
 }
 
@@ -41,8 +45,16 @@
   }
 }
 
+bool OwnershipJudge::HasReleased(const std::string& worker, uint32_t key) const {
+  const auto released = released_.find(worker);
+  return released != released_.end() &&
+         std::any_of(released->second.begin(), released->second.end(),
+                     [key](const KeyRange& keys) { return keys.Contains(key); });
+}
+
 // A repeated grant that arrives at the next life of a worker is the same grant: the pages do not
-// count it. One that was taken late may be older than what others hold by now.
+// count it. One that was taken late may be older than what others hold by now, unless the worker
+// answered a release after it had come.
 void OwnershipJudge::CheckToken(const std::string& worker, const HeldKeys& grant,
                                 OrderArrival arrival) {
   bool reported = false;
@@ -51,7 +63,7 @@
     const bool repeated = SameGrant(grant, latest.held);
     const bool above = grant.fence > latest.held.fence;
     const bool allowed = repeated || above || latest.worker == worker || latest.worker.empty() ||
-                         arrival == OrderArrival::kTakenLate;
+                         (arrival == OrderArrival::kTakenLate && !HasReleased(worker, key));
     if (!allowed && !reported) {
       reported = true;
       violations_.push_back(fmt::format("fence: key {} went from {} ({}) to {} ({})", key,
@@ -106,6 +118,7 @@
 void OwnershipJudge::OnWorkerEnded(const std::string& worker) {
   runs_.erase(worker);
   grants_.erase(worker);
+  released_.erase(worker);
 }
 
 // A grant taken shortly after a thaw is held against nobody; one taken late only counts when both
--- a/tests/soak/ownership_judge.h
+++ b/tests/soak/ownership_judge.h
@@ -48,8 +48,13 @@
 class OwnershipJudge {
  public:
   // A worker took keys. The token must be above those with which others held them, unless the same
-  // grant is repeated or was taken late; nobody else may still be at work on them under a lease.
+  // grant is repeated, or was taken late and the worker has not answered a release meanwhile, which
+  // could have carried a higher token. Nobody else may still be at work on them under a lease.
   void OnGrant(Instant now, const std::string& worker, const HeldKeys& grant, OrderArrival arrival);
+  // A worker answered a release.
+  void OnReleased(const std::string& worker, const KeyRange& keys) {
+    released_[worker].push_back(keys);
+  }
   // A worker begins a request on a key that it holds until `lease_end`. `others`: the workers that
   // hold the key at this moment as well.
   void OnRunBegan(Instant now, const std::string& worker, uint32_t key, Instant lease_end,
@@ -86,6 +91,7 @@
   };
 
   void CheckToken(const std::string& worker, const HeldKeys& grant, OrderArrival arrival);
+  bool HasReleased(const std::string& worker, uint32_t key) const;
   void CheckWorkUnderWay(Instant now, const std::string& worker, const HeldKeys& grant);
   void ComparePair(Instant now, const WorkerHoldings& left, const WorkerHoldings& right);
   void Remember(const std::string& worker, const HeldKeys& grant, OrderArrival arrival);
@@ -94,10 +100,11 @@
   bool HoldsBy(Instant now, const std::string& worker, uint32_t key, bool timely) const;
 
   std::array<Latest, kKeyCount> latest_;
-  std::map<std::string, std::vector<Grant>> grants_;    // By worker.
-  std::map<std::string, std::vector<Run>> runs_;        // By worker.
-  std::map<Pair, std::vector<SharedKeys>> shared_;      // By grants that came in time.
-  std::map<Pair, Instant> sharing_since_;               // By any grants.
+  std::map<std::string, std::vector<Grant>> grants_;       // By worker.
+  std::map<std::string, std::vector<KeyRange>> released_;  // Since they were granted, by worker.
+  std::map<std::string, std::vector<Run>> runs_;           // By worker.
+  std::map<Pair, std::vector<SharedKeys>> shared_;         // By grants that came in time.
+  std::map<Pair, Instant> sharing_since_;                  // By any grants.
   std::map<Pair, std::pair<Instant, uint32_t>> begun_;  // The first's latest request on a key that
                                                         // the second held too.
   std::vector<std::string> violations_;
--- a/tests/soak/ownership_judge_test.cc
+++ b/tests/soak/ownership_judge_test.cc
@@ -55,6 +55,23 @@
   ExpectOnly("fence");
 }
 
+TEST(OwnershipJudge, AReleaseThatWasAnsweredKeepsOlderGrantsOut) {
+  Grant("w1", Keys(0, 99, 4));
+  judge.OnReleased("w1", {0, 99});
+  Grant("w2", Keys(0, 99, 5));
+  Grant("w1", Keys(0, 99, 4), OrderArrival::kTakenLate);
+  ExpectOnly("fence");
+}
+
+TEST(OwnershipJudge, ANewGrantAfterAReleaseMayBeTakenLateAgain) {
+  Grant("w1", Keys(0, 99, 4));
+  judge.OnReleased("w1", {0, 99});
+  Grant("w1", Keys(0, 99, 6));
+  Grant("w2", Keys(0, 99, 7));
+  Grant("w1", Keys(0, 49, 6), OrderArrival::kTakenLate);
+  CHECK(judge.violations().empty());
+}
+
 TEST(OwnershipJudge, OnlyALongOverlapIsHeldAgainstTheNodes) {
   const HeldKeys left = Keys(0, 99, 1);
   const HeldKeys right = Keys(50, 149, 2);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -158,17 +158,19 @@
 }
 
 void SoakFleet::CheckKeys() {
+  const Instant now = loop_.Now();
   std::vector<WorkerHoldings> holdings;
   for (const auto& node : nodes_) {
     if (!node->sharded || node->worker == nullptr) continue;
     WorkerHoldings one;
     one.worker = node->worker->id();
     for (const FakeWorker::Grant& grant : node->worker->grants()) {
+      if (grant.until <= now) continue;
       one.held.push_back({{grant.first, grant.last}, grant.fence, grant.until});
     }
     holdings.push_back(std::move(one));
   }
-  witness_.ownership().Check(loop_.Now(), holdings);
+  witness_.ownership().Check(now, holdings);
 }
 
 void SoakFleet::StartWorker(SoakNode* node) {
--- a/tests/soak/supervised_process.cc
+++ b/tests/soak/supervised_process.cc
@@ -63,7 +63,10 @@
     running_ = false;
     start_at_ = std::max(start_at_, now + down_);
     down_ = Duration(0);
-    const bool asked = killed_ || (terminated_at_.has_value() && process_.last_exit() == 0);
+    // A process that gets SIGTERM before it has set its handlers ends by the signal.
+    const int exit = process_.last_exit();
+    const bool stopped = terminated_at_.has_value() && (exit == 0 || exit == -SIGTERM);
+    const bool asked = killed_ || stopped;
     return asked ? Event::kEnded : Event::kEndedByItself;
   }
   if (now < start_at_) return Event::kNone;
