Soak: sources of connections are looked up only while ways between pairs are cut

Change: a proxy remembers the port of a connection and asks for its process only while sources have faults of their own; one look at the open files serves all connections that are open then.

--- a/tests/soak/connection_source.cc
+++ b/tests/soak/connection_source.cc
@@ -22,33 +22,12 @@
 
 constexpr size_t kAnswerBytes = 8192;
 
-// The two ends of a connection, as the accepting side sees them.
-struct Ends {
-  sockaddr_in local{};
-  sockaddr_in peer{};
-};
-
-// Visits the handles of a loop; they are listed in the order in which they were made.
-struct Search {
-  sockaddr_in listener{};
-  std::optional<Ends> latest;
-
-  static void Visit(uv_handle_t* handle, void* argument) {
-    auto* search = static_cast<Search*>(argument);
-    if (handle->type != UV_TCP || uv_is_closing(handle) != 0) return;
-    const auto* tcp = reinterpret_cast<const uv_tcp_t*>(handle);
-    Ends ends;
-    int length = sizeof ends.local;
-    if (uv_tcp_getsockname(tcp, reinterpret_cast<sockaddr*>(&ends.local), &length) != 0) return;
-    const bool here = ends.local.sin_port == search->listener.sin_port &&
-                      ends.local.sin_addr.s_addr == search->listener.sin_addr.s_addr;
-    length = sizeof ends.peer;
-    if (!here || uv_tcp_getpeername(tcp, reinterpret_cast<sockaddr*>(&ends.peer), &length) != 0) {
-      return;
-    }
-    search->latest = ends;
+// Visits the handles of a loop, which are listed in the order in which they were made.
+void RememberLatest(uv_handle_t* handle, void* latest) {
+  if (handle->type == UV_TCP && uv_is_closing(handle) == 0) {
+    *static_cast<const uv_tcp_t**>(latest) = reinterpret_cast<const uv_tcp_t*>(handle);
   }
-};
+}
 
 // Asks the kernel for one socket by its two ends; returns its inode.
 std::optional<uint32_t> InodeOf(const sockaddr_in& local, const sockaddr_in& peer) {
@@ -84,33 +63,57 @@
   return message.idiag_inode;
 }
 
-bool HasSocket(pid_t process, uint32_t inode) {
-  const std::string wanted = "socket:[" + std::to_string(inode) + "]";
-  std::error_code error;
-  const std::filesystem::directory_iterator files("/proc/" + std::to_string(process) + "/fd",
-                                                  error);
-  if (error) return false;  // It has ended.
-  for (const auto& file : files) {
-    std::error_code gone;
-    if (std::filesystem::read_symlink(file.path(), gone) == wanted) return true;
-  }
-  return false;
+// The number in "socket:[number]"; nullopt for other files.
+std::optional<uint32_t> SocketInode(std::string_view link) {
+  constexpr std::string_view kPrefix = "socket:[";
+  if (!link.starts_with(kPrefix)) return std::nullopt;
+  uint32_t inode = 0;
+  const char* first = link.data() + kPrefix.size();
+  const auto [end, error] = std::from_chars(first, link.data() + link.size(), inode);
+  return error == std::errc() && end != first ? std::optional(inode) : std::nullopt;
 }
 
 }  // namespace
 
-std::optional<pid_t> ConnectionSource::ProcessOfLatest(const event::Endpoint& listener,
-                                                       const std::vector<pid_t>& processes) {
-  Search search;
-  if (uv_ip4_addr(listener.ip.c_str(), listener.port, &search.listener) != 0) return std::nullopt;
-  uv_walk(loop_.raw(), &Search::Visit, &search);
-  if (!search.latest.has_value()) return std::nullopt;
-  const auto inode = InodeOf(search.latest->peer, search.latest->local);
+uint16_t ConnectionSource::PortOfLatest(const event::Endpoint& listener) const {
+  const uv_tcp_t* latest = nullptr;
+  uv_walk(loop_.raw(), &RememberLatest, static_cast<void*>(&latest));
+  if (latest == nullptr) return 0;
+  sockaddr_in local{};
+  sockaddr_in peer{};
+  int length = sizeof local;
+  if (uv_tcp_getsockname(latest, reinterpret_cast<sockaddr*>(&local), &length) != 0) return 0;
+  length = sizeof peer;
+  if (uv_tcp_getpeername(latest, reinterpret_cast<sockaddr*>(&peer), &length) != 0) return 0;
+  return ntohs(local.sin_port) == listener.port ? ntohs(peer.sin_port) : 0;
+}
+
+std::optional<pid_t> ConnectionSource::ProcessOf(const event::Endpoint& listener, uint16_t port) {
+  sockaddr_in local{};
+  sockaddr_in peer{};
+  if (uv_ip4_addr(listener.ip.c_str(), listener.port, &local) != 0) return std::nullopt;
+  // Nobody binds the sockets by which the nodes connect.
+  if (uv_ip4_addr("127.0.0.1", port, &peer) != 0) return std::nullopt;
+  const auto inode = InodeOf(peer, local);
   if (!inode.has_value()) return std::nullopt;
-  for (const pid_t process : processes) {
-    if (HasSocket(process, *inode)) return process;
+  if (!owners_.contains(*inode)) Learn();
+  const auto owner = owners_.find(*inode);
+  return owner == owners_.end() ? std::nullopt : std::optional(owner->second);
+}
+
+void ConnectionSource::Learn() {
+  owners_.clear();
+  for (const pid_t process : processes_()) {
+    std::error_code error;
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(process) + "/fd",
+                                                    error);
+    if (error) continue;  // It has ended.
+    for (const auto& file : files) {
+      std::error_code gone;
+      const auto link = std::filesystem::read_symlink(file.path(), gone);
+      if (const auto inode = SocketInode(link.native())) owners_[*inode] = process;
+    }
   }
-  return std::nullopt;
 }
 
 }  // namespace runshelf::soak
--- a/tests/soak/connection_source_test.cc
+++ b/tests/soak/connection_source_test.cc
@@ -18,8 +18,11 @@
 TEST_GROUP(ConnectionSource) {
   event::EventLoop loop;
   std::vector<std::unique_ptr<event::TcpStream>> accepted;
+  std::vector<uint16_t> ports;
   std::vector<pid_t> children;
+  ConnectionSource source{loop, [this] { return children; }};
   event::TcpListener listener{loop, [this](std::unique_ptr<event::TcpStream> stream) {
+                                ports.push_back(source.PortOfLatest(Endpoint()));
                                 accepted.push_back(std::move(stream));
                               }};
 
@@ -31,6 +34,7 @@
     }
   }
 
+  event::Endpoint Endpoint() const { return {"127.0.0.1", listener.bound_port()}; }
   void ConnectFromChild() {
     const uint16_t port = listener.bound_port();
     const pid_t child = fork();
@@ -50,14 +54,16 @@
 };
 
 TEST(ConnectionSource, TheProcessAtTheOtherEndIsFound) {
-  ConnectionSource source(loop);
-  const event::Endpoint endpoint{"127.0.0.1", listener.bound_port()};
-  CHECK_FALSE(source.ProcessOfLatest(endpoint, children).has_value());
-  for (int count = 0; count < 2; ++count) {
-    ConnectFromChild();
-    const auto found = source.ProcessOfLatest(endpoint, children);
+  for (int count = 0; count < 3; ++count) ConnectFromChild();
+  for (size_t child : {1, 0, 2}) {
+    const auto found = source.ProcessOf(Endpoint(), ports[child]);
     CHECK(found.has_value());
-    CHECK_EQUAL(children.back(), *found);
+    CHECK_EQUAL(children[child], *found);
   }
-  CHECK_FALSE(source.ProcessOfLatest(endpoint, {children.front()}).has_value());
+}
+
+TEST(ConnectionSource, AnotherProcessIsNotKnown) {
+  ConnectFromChild();
+  ConnectionSource other(loop, [] { return std::vector<pid_t>(); });
+  CHECK_FALSE(other.ProcessOf(Endpoint(), ports[0]).has_value());
 }
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -15,9 +15,9 @@
 // One connection of a caller and the one to the target that belongs to it.
 class FaultProxy::Pair {
  public:
-  Pair(FaultProxy* proxy, int source, std::unique_ptr<event::TcpStream> caller)
+  Pair(FaultProxy* proxy, uint16_t port, std::unique_ptr<event::TcpStream> caller)
       : proxy_(proxy),
-        source_(source),
+        port_(port),
         to_target_(this, /*forward=*/true),
         to_caller_(this, /*forward=*/false),
         end_timer_(proxy->loop_, [this] { proxy_->Remove(this); }) {
@@ -27,7 +27,14 @@
     to_caller_.stream->StartReading();
   }
 
-  int source() const { return source_; }
+  // Asked for once, and only while sources have faults of their own.
+  int source() {
+    if (!source_.has_value()) {
+      const auto& source_of = proxy_->identification_.source_of;
+      source_ = source_of ? source_of(port_) : kUnknownSource;
+    }
+    return *source_;
+  }
   // Something was kept back that should have passed, by a fault that may end.
   bool held_back() const { return held_back_ && !silenced_; }
   void Silence() { silenced_ = true; }
@@ -70,9 +77,9 @@
     event::Timer timer;
   };
 
-  bool Blocked(bool forward) const {
+  bool Blocked(bool forward) {
     if (silenced_) return true;
-    switch (proxy_->FaultOf(source_).mode) {
+    switch (proxy_->FaultOf(this).mode) {
       case Mode::kSilent:
         return true;
       case Mode::kForwardOnly:
@@ -94,7 +101,7 @@
       return;
     }
     if (held_back_) return;
-    const Fault& fault = proxy_->FaultOf(source_);
+    const Fault& fault = proxy_->FaultOf(this);
     const Duration delay = fault.mode == Mode::kDelay ? fault.delay : Duration(0);
     to.Enqueue(proxy_->loop_.Now() + delay, data);
   }
@@ -105,7 +112,7 @@
       held_back_ = true;
       return;
     }
-    const Fault& fault = proxy_->FaultOf(source_);
+    const Fault& fault = proxy_->FaultOf(this);
     if (fault.mode == Mode::kDelay) {
       // What was read before the end still arrives.
       end_timer_.Start(fault.delay + kLingerAfterDelay);
@@ -115,7 +122,8 @@
   }
 
   FaultProxy* proxy_;
-  int source_;
+  uint16_t port_;  // Of the caller.
+  std::optional<int> source_;
   End to_target_;
   End to_caller_;
   event::Timer end_timer_;
@@ -136,15 +144,21 @@
   return listener_.Listen({ip, 0});
 }
 
-const FaultProxy::Fault& FaultProxy::FaultOf(int source) const {
+const FaultProxy::Fault& FaultProxy::FaultFrom(int source) const {
   const auto own = faults_from_.find(source);
   return own == faults_from_.end() ? fault_ : own->second;
 }
 
+const FaultProxy::Fault& FaultProxy::FaultOf(Pair* pair) const {
+  return faults_from_.empty() ? fault_ : FaultFrom(pair->source());
+}
+
 void FaultProxy::Accept(std::unique_ptr<event::TcpStream> stream) {
-  const int source = source_of_ ? source_of_() : kUnknownSource;
-  if (FaultOf(source).mode == Mode::kReset) return;
-  pairs_.push_back(std::make_unique<Pair>(this, source, std::move(stream)));
+  if (faults_from_.empty() && fault_.mode == Mode::kReset) return;
+  const auto& port_of_latest = identification_.port_of_latest;
+  const uint16_t port = port_of_latest ? port_of_latest() : uint16_t{0};
+  auto pair = std::make_unique<Pair>(this, port, std::move(stream));
+  if (FaultOf(pair.get()).mode != Mode::kReset) pairs_.push_back(std::move(pair));
 }
 
 void FaultProxy::SetMode(Mode mode, Duration delay) {
@@ -154,14 +168,16 @@
 }
 
 void FaultProxy::SetModeFrom(int source, Mode mode, Duration delay) {
+  // Before the fault of the source is gone: the pairs that it held back are known by it.
+  std::erase_if(pairs_, [source, mode](const auto& pair) {
+    const bool hit = mode == Mode::kReset || pair->held_back();
+    return hit && pair->source() == source;
+  });
   if (mode == Mode::kPass) {
     faults_from_.erase(source);
   } else {
     faults_from_[source] = {mode, delay};
   }
-  std::erase_if(pairs_, [source, mode](const auto& pair) {
-    return pair->source() == source && (mode == Mode::kReset || pair->held_back());
-  });
 }
 
 void FaultProxy::SilenceOpenConnections() {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -5,7 +5,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "source/event/event_loop.h"
 #include "source/event/tcp_stream.h"
@@ -32,11 +34,17 @@
   int Listen(const std::string& ip);
   event::Endpoint endpoint() const { return {ip_, listener_.bound_port()}; }
 
-  // Numbers the caller of the connection that was accepted last; kUnknownSource when it is not
-  // known.
-  using SourceOf = std::function<int()>;
+  // Tells the connections of several sources apart. `port_of_latest` is asked while a connection is
+  // accepted, `source_of` when it matters where the connection from that port comes from;
+  // kUnknownSource when it cannot tell.
   static constexpr int kUnknownSource = -1;
-  void set_source_of(SourceOf source_of) { source_of_ = std::move(source_of); }
+  struct Identification {
+    std::function<uint16_t()> port_of_latest;
+    std::function<int(uint16_t port)> source_of;
+  };
+  void set_identification(Identification identification) {
+    identification_ = std::move(identification);
+  }
 
   // Of all connections. Those on which bytes were held back are broken when the fault ends: on a
   // real network they would be late or lost, never out of order.
@@ -46,7 +54,7 @@
   // The connections that are open now say nothing more, not even that they end; new ones pass.
   void SilenceOpenConnections();
   Mode mode() const { return fault_.mode; }
-  Mode ModeOf(int source) const { return FaultOf(source).mode; }
+  Mode ModeOf(int source) const { return FaultFrom(source).mode; }
   size_t connections() const { return pairs_.size(); }
 
  private:
@@ -56,7 +64,8 @@
     Duration delay{0};
   };
 
-  const Fault& FaultOf(int source) const;
+  const Fault& FaultFrom(int source) const;
+  const Fault& FaultOf(Pair* pair) const;
   void Accept(std::unique_ptr<event::TcpStream> stream);
   void Remove(const Pair* pair);
 
@@ -65,7 +74,7 @@
   std::string ip_;
   event::TcpListener listener_;
   std::list<std::unique_ptr<Pair>> pairs_;
-  SourceOf source_of_;
+  Identification identification_;
   Fault fault_;
   std::map<int, Fault> faults_from_;  // By source.
 };
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -82,7 +82,8 @@
 
 TEST(FaultProxy, OneSourceIsHitAndOthersAreNot) {
   int source = 1;
-  proxy->set_source_of([&] { return source; });
+  proxy->set_identification({[&] { return static_cast<uint16_t>(source); },
+                             [](uint16_t port) { return static_cast<int>(port); }});
   proxy->SetModeFrom(1, FaultProxy::Mode::kSilent);
   CHECK_FALSE(Ask(std::chrono::milliseconds(60)));
   source = 2;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -51,7 +51,7 @@
       random_(options_.seed + 1),
       heartbeat_interval_(random_.Between(kShortestHeartbeat, kLongestHeartbeat)),
       store_(loop),
-      connection_source_(loop),
+      connection_source_(loop, [this] { return Processes(); }),
       pool_(loop),
       runner_(loop, witness, options_.seed + 2),
       orders_unanswered_(options_.services.size()),
@@ -89,7 +89,9 @@
   node->store_entrance = store_.AddEntrance();
   node->store_proxy = std::make_unique<FaultProxy>(loop_, store_.entrance(node->store_entrance));
   node->node_proxy = std::make_unique<FaultProxy>(loop_, node->inbound);
-  node->node_proxy->set_source_of([this, node] { return SourceOfLatest(*node->node_proxy); });
+  node->node_proxy->set_identification(
+      {[this, node] { return connection_source_.PortOfLatest(node->node_proxy->endpoint()); },
+       [this, node](uint16_t port) { return SourceOf(*node->node_proxy, port); }});
   node->worker_proxy =
       std::make_unique<FaultProxy>(loop_, event::Endpoint{"127.0.0.1", node->worker_port});
   for (FaultProxy* proxy :
@@ -267,13 +269,19 @@
   return value;
 }
 
-int SoakFleet::SourceOfLatest(const FaultProxy& proxy) {
+std::vector<pid_t> SoakFleet::Processes() const {
   std::vector<pid_t> processes;
   for (const auto& node : nodes_) processes.push_back(node->process->pid());
-  const auto found = connection_source_.ProcessOfLatest(proxy.endpoint(), processes);
+  return processes;
+}
+
+int SoakFleet::SourceOf(const FaultProxy& proxy, uint16_t port) {
+  const auto found = connection_source_.ProcessOf(proxy.endpoint(), port);
   if (!found.has_value() || *found == 0) return FaultProxy::kUnknownSource;
+  const std::vector<pid_t> processes = Processes();
   const auto at = std::find(processes.begin(), processes.end(), *found);
-  return static_cast<int>(at - processes.begin());
+  return at == processes.end() ? FaultProxy::kUnknownSource
+                               : static_cast<int>(at - processes.begin());
 }
 
 void SoakFleet::SetPairMode(size_t from, size_t to, FaultProxy::Mode mode, Duration delay) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -62,7 +62,9 @@
   FakeWorker::OrderFault NextOrderFault(size_t node);
   void SendLater(const event::Endpoint& node, std::string request);
   std::string ThroughProxy(const std::string& key, const std::string& value) const;
-  int SourceOfLatest(const FaultProxy& proxy);
+  std::vector<pid_t> Processes() const;
+  // The node whose process opened a connection from `port` to a proxy.
+  int SourceOf(const FaultProxy& proxy, uint16_t port);
   bool DatagramPasses(const std::string& sender, const SoakNode& to) const;
   void OnRequest(SoakNode* node, const http::ExchangePtr& exchange);
   void CheckKeys();
