--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -36,6 +36,11 @@
       DrawSeries(at);
       at += random_.Between(kShortestStep, kLongestStep);
     }
+    // Drawn by itself, so that it changes nothing of the series above.
+    random_ = SeededRandom(~input_.seed);
+    for (at = input_.first; at < input_.last; at += Time(7000, 16000)) {
+      MovesWithOrdersOut(at + Time(0, 5000));
+    }
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -197,6 +202,16 @@
     }
   }
 
+  // Keys move away from a worker that has orders which it did not answer, and carries out later.
+  void MovesWithOrdersOut(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(2), "keyed")) {
+      Add(FaultKind::kOrdersUnanswered, at, Time(3000, 6000), node);
+      const bool leaves = Coin();
+      Add(leaves ? FaultKind::kWorkerLeaves : FaultKind::kTerminateProcess, at + Time(1200, 2500),
+          Time(10, 500), node);
+    }
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
