--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -79,3 +79,26 @@
   proxy->SetMode(FaultProxy::Mode::kPass);
   CHECK(Ask(std::chrono::seconds(1)));
 }
+
+TEST(FaultProxy, OneSourceIsHitAndOthersAreNot) {
+  int source = 1;
+  proxy->set_identification({[&] { return static_cast<uint16_t>(source); },
+                             [](uint16_t port) { return static_cast<int>(port); }});
+  proxy->SetModeFrom(1, FaultProxy::Mode::kSilent);
+  CHECK_FALSE(Ask(std::chrono::milliseconds(60)));
+  source = 2;
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SetModeFrom(1, FaultProxy::Mode::kPass);
+  source = 1;
+  CHECK(Ask(std::chrono::seconds(1)));
+}
+
+TEST(FaultProxy, OpenConnectionsFallSilentForGoodAndNewOnesPass) {
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SilenceOpenConnections();
+  CHECK_FALSE(Ask(std::chrono::milliseconds(60)));  // On the kept connection.
+  CHECK_EQUAL(1, received);
+  CHECK(Ask(std::chrono::seconds(1)));
+  proxy->SetMode(FaultProxy::Mode::kPass);
+  CHECK_EQUAL(2, proxy->connections());
+}
