Traffic: bytes between nodes by kind and zone, calls to the store by kind

Cause: bytes between zones and calls to the store are the largest prices of the large sites, and nothing told which bytes and which calls they are. Change: TrafficMeter counts what a node sends to others and gets from them, by kind and by whether it leaves the zone; StoreClient counts its calls by kind. One line 'traffic' every 5 s.

--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -97,6 +97,11 @@
   balancer_.OnAttemptStart(InstanceOf(node));
 }
 
+void PeerDirectory::OnTraffic(TrafficKind kind, const std::string& node, size_t bytes) {
+  const Peer* peer = Find(node);
+  traffic_.Count(kind, peer != nullptr && peer->record.zone != own_zone_, bytes);
+}
+
 void PeerDirectory::OnAttemptEnd(const std::string& node) {
   balancer_.OnAttemptEnd(InstanceOf(node));
 }
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -15,6 +15,7 @@
 #include "runshelf/routing/routing_snapshot.h"
 #include "source/sidecar/node_record.h"
 #include "source/sidecar/stop_notice.h"
+#include "source/sidecar/traffic_meter.h"
 
 namespace runshelf::sidecar {
 
@@ -51,6 +52,9 @@
   void OnFailure(Instant now, const std::string& node);
   void OnLoad(Instant now, const std::string& node, const routing::TargetLoad& load);
   void OnAttemptStart(const std::string& node);
+  // Bytes were exchanged with a node.
+  void OnTraffic(TrafficKind kind, const std::string& node, size_t bytes);
+  const TrafficMeter& traffic() const { return traffic_; }
   void OnAttemptEnd(const std::string& node);
   // Called for each node that is first known to stop by one of its answers.
   void set_on_stop_notice(std::function<void(const std::string& node)> callback) {
@@ -95,6 +99,7 @@
   std::function<void(const std::string& node)> on_stop_notice_;
   routing::LoadBalancer balancer_;
   routing::FailureDetector failures_;
+  TrafficMeter traffic_;
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -30,8 +30,9 @@
   http::CallOptions options;
   options.idle_timeout = kPeerIdleTimeout;
   options.head_request = head.method == "HEAD";
-  call_ =
-      pool_.Send(endpoint_, http::SerializeRequest(head, request_.request->body), options, this);
+  const std::string bytes = http::SerializeRequest(head, request_.request->body);
+  peers_.OnTraffic(TrafficKind::kRequests, node_, bytes.size());
+  call_ = pool_.Send(endpoint_, bytes, options, this);
 }
 
 void RemoteAttempt::Pause() {
@@ -55,6 +56,9 @@
 }
 
 void RemoteAttempt::OnResponseBody(std::string_view data) {
+  const TrafficKind kind =
+      request_.large_answer ? TrafficKind::kLargeAnswers : TrafficKind::kAnswers;
+  peers_.OnTraffic(kind, node_, data.size());
   if (answering_) observer_->OnAnswerBody(data);
 }
 
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -104,6 +104,7 @@
     if (peer.record.service != config_.service || !peer.record.accepting()) continue;
     ++sent;
     if (node == config_.node) continue;
+    peers_.OnTraffic(TrafficKind::kLoadReports, node, text.size());
     reports_.Send({peer.record.inbound.ip, config_.report_port}, text);
   }
 }
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -19,6 +19,8 @@
 // must still arrive in time.
 constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
 // Time without a turn of the loop after which everything known may be old.
+// Between lines that tell what is exchanged with other nodes and the store.
+constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 
 }  // namespace
@@ -367,6 +369,7 @@
   peers_.Sweep(now);
   holder_.meter().Roll(elapsed);
   Announce();
+  if (now - traffic_logged_at_ >= kTrafficLogInterval) LogTraffic();
   if (elapsed > kPauseNoticed) {
     log_.Write(LogLevel::kWarning, "paused", {{"elapsed_ms", ToMilliseconds(elapsed)}});
     state_watcher_.Refresh();
@@ -374,6 +377,20 @@
   }
 }
 
+// Sums since the process started.
+void Sidecar::LogTraffic() {
+  traffic_logged_at_ = loop_.Now();
+  const store::StoreCallCounts& calls = store_.call_counts();
+  log_.Write(LogLevel::kInfo, "traffic",
+             {{"bytes_between_zones", peers_.traffic().BetweenZones()},
+              {"store_reads", calls.reads},
+              {"store_watches", calls.watches},
+              {"store_transactions", calls.transactions},
+              {"store_leases", calls.leases},
+              {"store_renewals", calls.renewals},
+              {"store_passed_on", calls.passed_on}});
+}
+
 void Sidecar::Stop(std::function<void()> on_stopped) {
   if (stop_schedule_.begun()) return;
   outbound_.StartClosing();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -81,6 +81,7 @@
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
   void OnTick();
+  void LogTraffic();
 
   event::EventLoop& loop_;
   Settings settings_;
@@ -119,6 +120,7 @@
   store::LeaseId confirmed_lease_ = 0;
   store::LeaseId lease_to_confirm_ = 0;
   Instant rolled_at_{};
+  Instant traffic_logged_at_{};
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -224,7 +224,9 @@
   }
   const std::string text = beacon.Serialize();
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node != config_.node) socket_.Send({peer.record.inbound.ip, config_.port}, text);
+    if (node == config_.node) continue;
+    peers_.OnTraffic(TrafficKind::kBeacons, node, text.size());
+    socket_.Send({peer.record.inbound.ip, config_.port}, text);
   }
 }
 
@@ -300,7 +302,9 @@
 
 void StateFeed::PushToAll(const std::string& body) {
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node != config_.node) Push(peer.record.inbound, body);
+    if (node == config_.node) continue;
+    peers_.OnTraffic(TrafficKind::kStateChanges, node, body.size());
+    Push(peer.record.inbound, body);
   }
 }
 
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -18,6 +18,7 @@
 }  // namespace
 
 struct StoreClient::PendingCall {
+  uint64_t* count = nullptr;
   http::Request request;
   ResponseCallback callback;
   bool tried_direct = false;
@@ -51,11 +52,13 @@
     callback(http::Response{kServiceUnavailable, {}, ""});
     return;
   }
+  ++counts_.passed_on;
   Start(config_.endpoint, request, timeout, std::move(callback));
 }
 
-void StoreClient::Call(http::Request request, ResponseCallback callback) {
+void StoreClient::Call(uint64_t* count, http::Request request, ResponseCallback callback) {
   auto call = std::make_shared<PendingCall>();
+  call->count = count;
   call->request = std::move(request);
   call->callback = std::move(callback);
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
@@ -65,6 +68,7 @@
 void StoreClient::Send(const std::shared_ptr<PendingCall>& call, Way way) {
   if (way == Way::kDirect) {
     call->tried_direct = true;
+    ++*call->count;
     Start(config_.endpoint, call->request, config_.call_timeout,
           [this, call](std::optional<http::Response> response) {
             OnResponse(call, Way::kDirect, std::move(response));
@@ -85,6 +89,7 @@
   }
   http::Request marked = call->request;
   relay_->MarkForRelay(&marked);
+  ++*call->count;
   Start(*peer, marked, config_.call_timeout, [this, call](std::optional<http::Response> response) {
     OnResponse(call, Way::kRelayed, std::move(response));
   });
@@ -144,7 +149,7 @@
 
 void StoreClient::Range(const std::string& prefix, const std::string& after_key,
                         std::function<void(absl::StatusOr<RangePage>)> callback) {
-  Call(codec_.EncodeRange(prefix, after_key),
+  Call(&counts_.reads, codec_.EncodeRange(prefix, after_key),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeRange(*response)
                                 : absl::StatusOr<RangePage>(response.status()));
@@ -159,6 +164,7 @@
   const Duration wait = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
   http::Request request = codec_.EncodeWatch(prefix, after, wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
+  ++counts_.watches;
   Start(peer.value_or(config_.endpoint), request, wait + config_.call_timeout,
         [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
           callback(response.has_value()
@@ -169,7 +175,7 @@
 
 void StoreClient::Commit(const Transaction& transaction,
                          std::function<void(absl::StatusOr<CommitResult>)> callback) {
-  Call(codec_.EncodeTransaction(transaction),
+  Call(&counts_.transactions, codec_.EncodeTransaction(transaction),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeTransaction(*response)
                                 : absl::StatusOr<CommitResult>(response.status()));
@@ -178,7 +184,7 @@
 
 void StoreClient::GrantLease(Duration time_to_live,
                              std::function<void(absl::StatusOr<Lease>)> callback) {
-  Call(codec_.EncodeGrantLease(time_to_live),
+  Call(&counts_.leases, codec_.EncodeGrantLease(time_to_live),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeGrantLease(*response)
                                 : absl::StatusOr<Lease>(response.status()));
@@ -186,14 +192,14 @@
 }
 
 void StoreClient::KeepLease(LeaseId lease, std::function<void(absl::Status)> callback) {
-  Call(codec_.EncodeKeepLease(lease),
+  Call(&counts_.renewals, codec_.EncodeKeepLease(lease),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeKeepLease(*response) : response.status());
        });
 }
 
 void StoreClient::EndLease(LeaseId lease) {
-  Call(codec_.EncodeEndLease(lease), [](const absl::StatusOr<http::Response>&) {});
+  Call(&counts_.leases, codec_.EncodeEndLease(lease), [](const absl::StatusOr<http::Response>&) {});
 }
 
 }  // namespace runshelf::store
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -33,6 +33,16 @@
   Duration avoid_direct = std::chrono::seconds(2);
 };
 
+// Calls by what they ask for, those that were sent again by another way included.
+struct StoreCallCounts {
+  uint64_t reads = 0;  // Of a range, page by page.
+  uint64_t watches = 0;
+  uint64_t transactions = 0;
+  uint64_t leases = 0;  // Taken or ended.
+  uint64_t renewals = 0;
+  uint64_t passed_on = 0;  // Of peers.
+};
+
 // Status codes of answers: those of StoreCodec, and kUnknown when no answer came, so that a write
 // may have been done or may still be done later. Callbacks are never made inside the call itself.
 class StoreClient {
@@ -71,13 +81,15 @@
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
   uint64_t calls() const { return call_count_; }
+  const StoreCallCounts& call_counts() const { return counts_; }
 
  private:
   using ResponseCallback = std::function<void(absl::StatusOr<http::Response>)>;
   enum class Way { kDirect, kRelayed };
   struct PendingCall;
 
-  void Call(http::Request request, ResponseCallback callback);
+  // `count`: the kind of the call in `counts_`.
+  void Call(uint64_t* count, http::Request request, ResponseCallback callback);
   void OnDirectFailed();
   void Send(const std::shared_ptr<PendingCall>& call, Way way);
   void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
@@ -95,6 +107,7 @@
   std::function<void(bool)> on_reachable_changed_;
   http::CallSet active_;
   uint64_t call_count_ = 0;
+  StoreCallCounts counts_;
   Instant avoid_direct_until_{};
   bool reachable_ = true;
 };
