Grants go only to a worker that is known to be the one at its address (OWNER)

Cause: a grant goes to the worker's address and names no worker. A worker that had ended and the next one at its address were told apart by the next one's heartbeat only, so that a renewal in between gave the next one the keys under the former's token. Two faults: grants to whoever is there, and a retry without a pause. Ruled out: a grant carried out late (the orders before it failed at once); the handling of undecided changes (none was under way). Change: WorkerMonitor keeps whether the process at the address is known to be the worker: a request that names it or a health check sent since the last doubt was answered by it, or a heartbeat came 2 s after the doubt. Doubt: a grant without an answer, a connection without a request that the worker closed, 700 ms without a turn of the loop, a worker that was just found. In doubt no grant is sent and the worker is asked. A grant without an answer waits 100 ms. Tests, which failed before: SidecarKeys.AGrantMeantForAFormerWorkerDoesNotReachTheNext (32 grants reached the next worker), GrantsThatFailAtOnceAreNotRepeatedInALoop. Groups SidecarKeys, UndecidedChanges, HeartbeatKeys, WorkerGate, StoppingNode of platform_adapter_test pass. Left: grants by calls only; by heartbeats the answer goes to the worker itself.

--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -116,6 +116,7 @@
     const auto self = shared_from_this();
     if (observer_ == nullptr) {
       Discard();
+      pool_->OnIdleLost(this);
       return;
     }
     if (!connected_) {
@@ -279,6 +280,10 @@
   if (found->second.empty()) idle_.erase(found);
 }
 
+void ConnectionPool::OnIdleLost(const ClientConnection* connection) {
+  if (on_idle_lost_) on_idle_lost_(connection->endpoint());
+}
+
 SimpleCall::SimpleCall(event::EventLoop& loop, ConnectionPool& pool,
                        const event::Endpoint& endpoint, std::string_view request,
                        const CallOptions& options, Duration timeout, Callback callback)
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -82,15 +82,21 @@
   // Closes the idle connections to an endpoint.
   void CloseIdle(const event::Endpoint& endpoint);
   uint64_t opened() const { return opened_; }
+  // Called when a peer closes or breaks a connection that no request is on.
+  void set_on_idle_lost(std::function<void(const event::Endpoint&)> callback) {
+    on_idle_lost_ = std::move(callback);
+  }
 
  private:
   friend class ClientConnection;
   void OnIdle(const std::shared_ptr<ClientConnection>& connection);
   void Forget(const ClientConnection* connection);
+  void OnIdleLost(const ClientConnection* connection);
 
   event::EventLoop& loop_;
   std::map<event::Endpoint, std::deque<std::shared_ptr<ClientConnection>>> idle_;
   uint64_t opened_ = 0;
+  std::function<void(const event::Endpoint&)> on_idle_lost_;
 };
 
 // Sends one request and collects its whole answer; calls back exactly once, unless destroyed.
--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -17,6 +17,7 @@
   Instant usable_until{};  // The worker certainly holds the keys until then.
   Instant held_until{};    // The worker may hold the keys until then.
   Instant sent_at{};       // Of the latest grant call.
+  Instant retry_at{};      // After a grant call without an answer: none before.
   uint64_t call = 0;       // Number of the call under way; zero: none.
   bool releasing = false;
   bool released = false;
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -85,6 +85,7 @@
 
 void ShardHolder::Reconcile() {
   if (!DividedByKey() || reconciling_) return;
+  NoticePause();
   reconciling_ = true;
   AdoptShards();
   if (ByHeartbeat()) {
@@ -97,6 +98,17 @@
   if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(CommitDelay());
 }
 
+void ShardHolder::OnWorkerConnectionLost() {
+  if (DividedByKey() && !ByHeartbeat()) context_.DoubtWorker();
+}
+
+void ShardHolder::NoticePause() {
+  const Instant now = loop_.Now();
+  const bool paused = turned_at_ != Instant{} && now - turned_at_ > config_.pause_noticed;
+  turned_at_ = now;
+  if (paused && !ByHeartbeat()) context_.DoubtWorker();
+}
+
 bool ShardHolder::HasChangeToCommit() const {
   const bool found = std::any_of(holdings_.begin(), holdings_.end(), [this](const auto& entry) {
     return entry.second.released || MustRenewToken(entry.second);
@@ -165,6 +177,7 @@
 void ShardHolder::RenewGrants() {
   const Instant now = loop_.Now();
   if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
+  if (!context_.ConfirmWorker()) return;
   std::vector<sharding::Shard> granted_anew;
   for (auto& [key, holding] : holdings_) {
     if (calls_.size() >= config_.calls_at_once) break;
@@ -173,6 +186,7 @@
     // A shard that is to move is renewed until its release is sent.
     if (MustMove(holding.shard)) continue;
     const bool held = holding.usable_until > now;
+    if (now < holding.retry_at) continue;
     if (held && now - holding.sent_at < config_.renewal_interval) continue;
     if (!held) granted_anew.push_back(holding.shard);
     SendGrant(key, &holding);
@@ -239,7 +253,10 @@
     holding.usable_until = Instant{};
     holding.superseded = true;
   } else {
-    holding.sent_at = Instant{};  // Again at once: the worker may not have it.
+    // Soon again: the worker may not have it.
+    holding.sent_at = Instant{};
+    holding.retry_at = loop_.Now() + config_.grant_retry;
+    context_.DoubtWorker();
   }
   Reconcile();
 }
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -38,6 +38,11 @@
   // Without a heartbeat for so long, a worker counts as cut off from this node.
   Duration heartbeat_silence = std::chrono::milliseconds(2500);
   Duration renewal_interval = std::chrono::seconds(1);
+  // A grant that got no answer is sent again after this long: the same worker may just be slow, and
+  // where nothing listens each one fails at once.
+  Duration grant_retry = std::chrono::milliseconds(100);
+  // Without a turn for this long, the process may have slept through the end of its worker.
+  Duration pause_noticed = std::chrono::milliseconds(700);
   Duration call_timeout = std::chrono::milliseconds(400);
   // A release answers when what runs on the keys has ended.
   Duration release_timeout = std::chrono::seconds(2);
@@ -54,6 +59,12 @@
   // Holds as long as this life of the node is the latest one: a change of the map that it sent must
   // not be done when a later life acts on the map as it was.
   virtual store::Condition StillThisLife() const = 0;
+  // The process at the worker's address is the worker that is known. An order meant for a worker
+  // must not reach the next one at its address, which would hold keys under the former's token.
+  // Asks who is there when that is not known.
+  virtual bool ConfirmWorker() = 0;
+  // An order may have met another process there.
+  virtual void DoubtWorker() = 0;
   // Workers that take the shards of this node when it gives all of them up, one for each; empty
   // when there is none.
   virtual std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) = 0;
@@ -79,6 +90,10 @@
   void SetLeaving(bool leaving);
   // The map in the store may have changed.
   void OnMapChanged();
+  // The worker proved its identity: grants that waited for it are sent.
+  void OnWorkerConfirmed() { Reconcile(); }
+  // The worker closed a connection that no request was on: maybe it ended.
+  void OnWorkerConnectionLost();
 
   std::optional<bool> Sharded() const override { return sharded_; }
   bool MaySend(Instant now, sharding::ShardKey key) const override;
@@ -101,6 +116,7 @@
  private:
   void Tick();
   void Reconcile();
+  void NoticePause();
   void AdoptShards();
   void RenewGrants();
   void LogGrants(const std::vector<sharding::Shard>& shards);
@@ -147,6 +163,7 @@
   http::CallSet calls_;
   HeartbeatGrants heartbeat_grants_;
   routes::GrantDelivery delivery_ = routes::GrantDelivery::kCalls;
+  Instant turned_at_{};       // The latest look at what is to be done.
   Instant heard_at_{};        // The latest heartbeat of the worker that reported keys.
   int conflicts_ = 0;         // Changes of the map in a row that another node's change came before.
   uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -41,7 +41,8 @@
       peers_(settings_.node_name, settings_.zone),
       gate_(loop, pool_, wire, settings_.worker),
       monitor_(loop, pool_, store_, wire, settings_, KeyOf(kDrainPrefix, settings_.node_name), log,
-               {[this](bool former_gone) { OnWorkerChanged(former_gone); }, &holder_}),
+               {[this](bool former_gone) { OnWorkerChanged(former_gone); },
+                [this] { holder_.OnWorkerConfirmed(); }, &holder_}),
       shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
       holder_(loop, pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
@@ -83,6 +84,9 @@
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
+  pool_.set_on_idle_lost([this](const event::Endpoint& endpoint) {
+    if (endpoint == settings_.worker) holder_.OnWorkerConnectionLost();
+  });
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
     for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -56,6 +56,11 @@
   // ShardHolderContext
   Instant AuthorityUntil() const override;
   store::Condition StillThisLife() const override { return lease_.ItemUnchanged(); }
+  bool ConfirmWorker() override {
+    monitor_.AskIdentity();
+    return monitor_.confirmed();
+  }
+  void DoubtWorker() override { monitor_.Doubt(); }
   std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) override;
   sharding::WorkerId WorkerOf(const std::string& node) override;
   // StoreRelay
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -105,11 +105,12 @@
 
   void OnResponseHead(http::ResponseHead&& head) override {
     const HeaderNames& names = gate_->wire_.headers();
-    if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerAnswered();
     if (head.status == kMisdirected) {
       NoteMisdirected(head);
       return;
     }
+    // Each request names the worker that is meant, and any other one says 421.
+    if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerAnswered(sent_at_);
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
       overloaded_ = head.status == kServiceUnavailable;
@@ -154,7 +155,12 @@
     if (other != nullptr && *other != gate_->worker_id_) {
       refusal_ = FailureReason::kWrongWorker;
       if (gate_->evidence_ != nullptr) gate_->evidence_->OnOtherWorker(*other);
-    } else if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
+      return;
+    }
+    if (other != nullptr && gate_->evidence_ != nullptr) {
+      gate_->evidence_->OnWorkerAnswered(sent_at_);
+    }
+    if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
       refusal_ = FailureReason::kNotOwner;
       gate_->key_authority_->OnKeyRefused(*request_.key);
     } else {
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -36,7 +36,8 @@
 class WorkerEvidence {
  public:
   virtual ~WorkerEvidence() = default;
-  virtual void OnWorkerAnswered() = 0;
+  // The worker answered a request that was sent to it at `sent`, and to no other.
+  virtual void OnWorkerAnswered(Instant sent) = 0;
   // No connection could be made, or one was lost.
   virtual void OnWorkerUnreachable() = 0;
   // A worker with another identity is at the address.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -1,5 +1,6 @@
 #include "source/sidecar/worker_monitor.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace runshelf::sidecar {
@@ -20,6 +21,10 @@
 // The longest that the answer to a heartbeat waits: a worker takes none after a second, and the
 // heartbeat itself was some time on its way.
 constexpr Duration kLongestDeferral = std::chrono::milliseconds(600);
+// A heartbeat may arrive this much later than it was sent, when a link or this process stood still,
+// and when its worker has ended already. A worker that answers no health check is known by it
+// alone.
+constexpr Duration kHeartbeatLateness = std::chrono::seconds(2);
 // How often a waiting answer is looked at again.
 constexpr Duration kDeferralPoll = std::chrono::milliseconds(20);
 
@@ -150,9 +155,10 @@
     Acknowledge(exchange, std::nullopt);
     return;
   }
-  if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id);
+  if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id, Instant{});
   heard_at_ = loop_.Now();
   if (heartbeat.sequence > sequence_) {
+    Confirm(loop_.Now() - kHeartbeatLateness);
     sequence_ = heartbeat.sequence;
     cold_until_ = loop_.Now() + heartbeat.cold_remaining;
     if (heartbeat.slots != slots_) {
@@ -178,13 +184,13 @@
   } else if (former_workers_.contains(leave.worker_id)) {
     Acknowledge(exchange, std::nullopt);
   } else {
-    if (leave.worker_id != worker_id_) AdoptWorker(leave.worker_id);
+    if (leave.worker_id != worker_id_) AdoptWorker(leave.worker_id, Instant{});
     RecordDrain(exchange, leave.worker_id,
                 [this, exchange] { Acknowledge(exchange, std::nullopt); });
   }
 }
 
-void WorkerMonitor::AdoptWorker(const std::string& worker_id) {
+void WorkerMonitor::AdoptWorker(const std::string& worker_id, Instant alive_at) {
   const bool replaced = !worker_id_.empty();
   if (replaced) former_workers_.insert(worker_id_);
   log_.Write(LogLevel::kInfo, "worker_found",
@@ -199,10 +205,28 @@
   heard_at_ = loop_.Now();
   failed_probes_ = 0;
   probe_timer_.Stop();
+  confirmed_at_ = alive_at;
+  doubted_at_ = alive_at == Instant{} ? loop_.Now() : Instant{};
   if (slots_ == 0) slots_ = 1;
   observer_.on_changed(replaced);
 }
 
+void WorkerMonitor::Doubt() {
+  if (worker_id_.empty()) return;
+  if (confirmed()) doubted_at_ = loop_.Now();
+  AskIdentity();
+}
+
+void WorkerMonitor::AskIdentity() {
+  if (!worker_id_.empty() && !confirmed()) OnWorkerUnreachable();
+}
+
+void WorkerMonitor::Confirm(Instant alive_at) {
+  const bool before = confirmed();
+  confirmed_at_ = std::max(confirmed_at_, alive_at);
+  if (!before && confirmed() && observer_.on_confirmed) observer_.on_confirmed();
+}
+
 void WorkerMonitor::MarkDraining() {
   if (draining_) return;
   draining_ = true;
@@ -242,9 +266,10 @@
   });
 }
 
-void WorkerMonitor::OnWorkerAnswered() {
+void WorkerMonitor::OnWorkerAnswered(Instant sent) {
   heard_at_ = loop_.Now();
   failed_probes_ = 0;
+  Confirm(sent);
 }
 
 void WorkerMonitor::OnWorkerUnreachable() {
@@ -254,7 +279,7 @@
 void WorkerMonitor::OnOtherWorker(const std::string& worker_id) {
   if (worker_id == worker_id_) return;
   former_workers_.erase(worker_id);
-  AdoptWorker(worker_id);
+  AdoptWorker(worker_id, Instant{});
 }
 
 void WorkerMonitor::Probe() {
@@ -264,6 +289,7 @@
   http::CallOptions options;
   // Longer than the whole probe: only a refused connection counts as "not sent".
   options.connect_timeout = 2 * kProbeTimeout;
+  probe_sent_at_ = loop_.Now();
   probe_ = std::make_unique<http::SimpleCall>(
       loop_, pool_, settings_.worker, http::SerializeRequest(request.head, ""), options,
       kProbeTimeout,
@@ -276,9 +302,7 @@
 void WorkerMonitor::OnProbe(const std::optional<http::Response>& response,
                             http::ClientFailure failure) {
   if (response.has_value()) {
-    OnWorkerAnswered();
-    const std::string* id = response->headers.Find(wire_.headers().worker_id);
-    if (id != nullptr && !id->empty() && *id != worker_id_) OnOtherWorker(*id);
+    OnProbeAnswer(*response);
     return;
   }
   const bool refused = failure == http::ClientFailure::kNotSent;
@@ -297,6 +321,21 @@
   }
 }
 
+void WorkerMonitor::OnProbeAnswer(const http::Response& response) {
+  heard_at_ = loop_.Now();
+  failed_probes_ = 0;
+  const std::string* id = response.headers.Find(wire_.headers().worker_id);
+  const bool named = id != nullptr && !id->empty();
+  if (named && *id == worker_id_) {
+    Confirm(probe_sent_at_);
+  } else if (named) {
+    former_workers_.erase(*id);
+    AdoptWorker(*id, probe_sent_at_);
+  }
+  // A full worker refuses probes without a word of who it is.
+  if (!worker_id_.empty() && !confirmed()) probe_timer_.Start(kProbeInterval);
+}
+
 void WorkerMonitor::CheckSilence() {
   if (worker_id_.empty() && !seeking_) return;
   const Duration limit =
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -28,7 +28,8 @@
     // Identity, state or slots changed, or none was found after a start; `former_gone`: the former
     // worker certainly ended.
     std::function<void(bool former_gone)> on_changed;
-    KeyLessor* lessor = nullptr;  // Must outlive the monitor.
+    std::function<void()> on_confirmed;  // The worker is known again to be the one at its address.
+    KeyLessor* lessor = nullptr;         // Must outlive the monitor.
   };
 
   WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool, store::StoreClient& store,
@@ -54,7 +55,16 @@
   // learnt it.
   Instant draining_since() const { return draining_since_; }
 
-  void OnWorkerAnswered() override;
+  // The process at the worker's address is the worker that is known: since the last doubt it said
+  // so itself, in answer to something that was sent to that address afterwards, or with a heartbeat
+  // that cannot have been sent before.
+  bool confirmed() const { return !worker_id_.empty() && confirmed_at_ > doubted_at_; }
+  // Another process may be at the worker's address by now: it is asked who it is.
+  void Doubt();
+  // Asks who is at the worker's address while that is not known.
+  void AskIdentity();
+
+  void OnWorkerAnswered(Instant sent) override;
   void OnWorkerUnreachable() override;
   void OnOtherWorker(const std::string& worker_id) override;
 
@@ -71,11 +81,14 @@
   void AnswerDeferred();
   void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                    std::function<void()> acknowledge);
-  void AdoptWorker(const std::string& worker_id);
+  // `alive_at`: when the worker certainly was at its address; Instant{}: never, so far.
+  void AdoptWorker(const std::string& worker_id, Instant alive_at);
+  void Confirm(Instant alive_at);
   void MarkDraining();
   void MarkDead(const char* reason);
   void Probe();
   void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure);
+  void OnProbeAnswer(const http::Response& response);
   void CheckSilence();
 
   event::EventLoop& loop_;
@@ -104,7 +117,10 @@
   bool draining_ = false;
   Instant draining_since_{};
   Instant cold_until_{};
-  Instant heard_at_{};           // The latest heartbeat or answer.
+  Instant heard_at_{};  // The latest heartbeat or answer.
+  Instant confirmed_at_{};
+  Instant doubted_at_{};
+  Instant probe_sent_at_{};
   uint32_t failed_probes_ = 0;   // In a row.
   bool refused_probes_ = false;  // All of those were refused at once, so nothing listens there.
   std::string recorded_drain_;   // Worker named by the drain record in the store.
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -239,6 +239,10 @@
 
 void FakeWorker::HandleOrder(const http::ExchangePtr& exchange) {
   const OrderFault fault = next_order_fault_ ? next_order_fault_() : OrderFault{};
+  if (fault.cut) {
+    exchange->Abort();
+    return;
+  }
   const bool late = fault.lateness > Duration(0);
   DoLater(fault.lateness, [this, exchange, answered = fault.answered, late] {
     CarryOut(exchange, answered, late);
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -77,6 +77,7 @@
   // What happens to a grant or a release that arrives.
   struct OrderFault {
     bool answered = true;
+    bool cut = false;  // Its connection is closed at once; it is not carried out.
     Duration lateness{0};  // It is carried out so much later; zero: at once.
   };
   void set_order_faults(std::function<OrderFault()> next) { next_order_fault_ = std::move(next); }
--- a/tests/platform_adapter/sidecar_keys_test.cc
+++ b/tests/platform_adapter/sidecar_keys_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+
 #include "tests/platform_adapter/fleet.h"
 
 using namespace runshelf;
@@ -53,6 +55,45 @@
   CHECK(fleet.nodes[*fleet.HolderOf(0)].worker->Holds(0)->fence > fence);
 }
 
+// Grants go to an address. A worker that has ended and the next one at its address are told apart
+// by what they say of themselves, which comes later.
+TEST(SidecarKeys, AGrantMeantForAFormerWorkerDoesNotReachTheNext) {
+  Fleet fleet({"keyed", "other"});
+  fleet.Start();
+  const uint64_t fence = fleet.nodes[0].worker->Holds(0)->fence;
+  const uint16_t port = fleet.nodes[0].worker->endpoint().port;
+  fleet.nodes[0].worker.reset();
+  RunFor(fleet.loop, std::chrono::milliseconds(5));
+  auto next = std::make_unique<FakeWorker>(fleet.loop, "w9", "keyed");
+  next->set_sharded(true);
+  next->set_health_silent(true);
+  next->Listen(port);
+  // Longer than grants are renewed after.
+  RunFor(fleet.loop, std::chrono::milliseconds(1300));
+  CHECK_EQUAL(0, next->grants().size());
+  next->set_health_silent(false);
+  next->StartHeartbeats(*fleet.nodes[0].settings.control_plane, std::chrono::milliseconds(100));
+  CHECK(RunUntil(fleet.loop, [&] { return next->Holds(0) != nullptr; }));
+  for (const FakeWorker::Grant& grant : next->grants()) CHECK(grant.fence > fence);
+}
+
+// Each of them would spend a connection and the processor time of a small machine.
+TEST(SidecarKeys, GrantsThatFailAtOnceAreNotRepeatedInALoop) {
+  Fleet fleet({"keyed", "other"});
+  fleet.Start();
+  size_t orders = 0;
+  fleet.nodes[0].worker->set_order_faults([&] {
+    ++orders;
+    FakeWorker::OrderFault fault;
+    fault.cut = true;
+    return fault;
+  });
+  RunFor(fleet.loop, std::chrono::milliseconds(2000));
+  // 32 shards, each some five times a second once its renewal is due.
+  CHECK(orders > 32);
+  CHECK(orders < 500);
+}
+
 TEST(SidecarKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
   Fleet fleet({"keyed", "keyed", "other"});
   fleet.Start();
