State feed: only the latest change of an item is passed on, and copies come from peers

Reproduced in Sidecar.ManyChangesOfALargeItemReachANewNodeWithoutReadsOfTheStore: every node asked again after every batch. A batch with two changes of one item became two patches, the second of which starts from the first, while receivers look the base up in the copy from before the batch. A node that had read the store had a revision that no patch starts from, read again, and so on. Change: the last change of an item in a batch is passed on. A node that is behind asks the first follower of its zone, that one the leader, for its copy; the store is read when no answer comes, or when three answers in a row left something missing. A node that watches the store takes no patch that does not fit. Tests: the one above failed before (22 reads and more, then at most 4); StateFeedForms.OnlyTheLatestChangeOfAnItemIsPassedOn.

--- a/source/sidecar/feed_tree.cc
+++ b/source/sidecar/feed_tree.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,32 @@
   return {peer.record.node, peer.record.inbound, peer.record.zone, peer.record.zone != own_zone_};
 }
 
+std::vector<std::string> FeedTree::Line() const {
+  std::vector<std::pair<LinePlace, std::string>> places;
+  for (const auto& [node, peer] : peers_.peers()) {
+    if (MayRead(peer)) places.emplace_back(PlaceInLine(peer.record), node);
+  }
+  std::sort(places.begin(), places.end(),
+            [](const auto& left, const auto& right) { return left.first < right.first; });
+  std::vector<std::string> line;
+  line.reserve(places.size());
+  for (auto& [place, node] : places) line.push_back(std::move(node));
+  return line;
+}
+
+size_t FeedTree::NodesBefore(const NodeRecord& record) const {
+  const LinePlace place = PlaceInLine(record);
+  return static_cast<size_t>(
+      std::count_if(peers_.peers().begin(), peers_.peers().end(), [&](const auto& entry) {
+        return MayRead(entry.second) && PlaceInLine(entry.second.record) < place;
+      }));
+}
+
+bool FeedTree::PassedOver(Instant now, const std::string& node) const {
+  const auto failed = passed_over_until_.find(node);
+  return failed != passed_over_until_.end() && now < failed->second;
+}
+
 std::vector<FeedReceiver> FeedTree::ReceiversOfOrigin(Instant now) const {
   std::vector<FeedReceiver> receivers = ReceiversInZone();
   std::set<std::string> zones;
@@ -56,9 +83,7 @@
   // Nodes that may read go before those that stop or lost their item, and among either kind those
   // that failed lately go last.
   const auto order = [&](const Peer& peer) {
-    const auto failed = passed_over_until_.find(peer.record.node);
-    const bool passed_over = failed != passed_over_until_.end() && now < failed->second;
-    return std::tuple(passed_over, !MayRead(peer), PlaceInLine(peer.record));
+    return std::tuple(PassedOver(now, peer.record.node), !MayRead(peer), PlaceInLine(peer.record));
   };
   for (const auto& [node, peer] : peers_.peers()) {
     if (node == own_node_ || peer.record.zone != zone) continue;
--- a/source/sidecar/feed_tree.h
+++ b/source/sidecar/feed_tree.h
@@ -49,6 +49,12 @@
  public:
   FeedTree(const PeerDirectory& peers, std::string own_node, std::string own_zone);
 
+  // The nodes that may lead the feed or read for their zones, in order.
+  std::vector<std::string> Line() const;
+  // How many of them go before the node of `record`, which need not be among them.
+  size_t NodesBefore(const NodeRecord& record) const;
+  // The node failed lately.
+  bool PassedOver(Instant now, const std::string& node) const;
   // Whom the origin of a change sends it to.
   std::vector<FeedReceiver> ReceiversOfOrigin(Instant now) const;
   // Whom a reader passes it on to.
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -149,6 +149,11 @@
     exchange->Respond(understood ? kOk : kBadRequest, {}, "");
     return;
   }
+  if (const auto prefix = peer_protocol::ReadSnapshotRequest(exchange->request().head.headers)) {
+    const auto snapshot = feed_.SnapshotFor(*prefix);
+    exchange->Respond(snapshot.has_value() ? kOk : kServiceUnavailable, {}, snapshot.value_or(""));
+    return;
+  }
   const auto attempt = peer_protocol::ReadAttempt(std::move(exchange->request()), loop_.Now());
   if (!attempt.has_value()) {
     exchange->Respond(kBadRequest, {}, "");
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -26,6 +26,7 @@
 constexpr std::string_view kStopEnds = "Runshelf-Stop-Ends-Ms";
 constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
+constexpr std::string_view kSnapshotOf = "Runshelf-Snapshot-Of";
 constexpr std::string_view kForZone = "Runshelf-For-Zone";
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
@@ -160,6 +161,15 @@
 
 bool IsChangeSet(const http::Headers& headers) { return headers.Has(kChangeSet); }
 
+void MarkSnapshotRequest(const std::string& prefix, http::Headers* headers) {
+  headers->Add(kSnapshotOf, prefix);
+}
+
+std::optional<std::string> ReadSnapshotRequest(const http::Headers& headers) {
+  const std::string* prefix = headers.Find(kSnapshotOf);
+  return prefix == nullptr ? std::nullopt : std::optional<std::string>(*prefix);
+}
+
 void MarkForZone(http::Headers* headers) { headers->Add(kForZone, "1"); }
 
 bool IsForZone(const http::Headers& headers) { return headers.Has(kForZone); }
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -42,6 +42,10 @@
 // Changes of the state in the store, which the receiving node takes over.
 void MarkChangeSet(http::Headers* headers);
 bool IsChangeSet(const http::Headers& headers);
+// A request for the copy of a prefix that the receiving node has.
+void MarkSnapshotRequest(const std::string& prefix, http::Headers* headers);
+// The prefix; nullopt: it is no such request.
+std::optional<std::string> ReadSnapshotRequest(const http::Headers& headers);
 // The receiving node is to pass them on to all others of its zone.
 void MarkForZone(http::Headers* headers);
 bool IsForZone(const http::Headers& headers);
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -1,6 +1,8 @@
 #include "source/sidecar/state_feed.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "source/sidecar/peer_protocol.h"
@@ -50,6 +52,18 @@
   return result;
 }
 
+store::ChangeSet LatestOfEachItem(store::ChangeSet changes) {
+  std::map<std::string, store::Revision> latest;
+  for (const store::WatchEvent& event : changes.events) {
+    store::Revision& revision = latest[event.item.key];
+    revision = std::max(revision, event.item.revision);
+  }
+  std::erase_if(changes.events, [&](const store::WatchEvent& event) {
+    return event.item.revision < latest.at(event.item.key);
+  });
+  return changes;
+}
+
 std::optional<store::ChangeSet> ApplyPatches(const PassedOnChanges& changes,
                                              const std::map<std::string, store::Item>& items) {
   store::ChangeSet result;
@@ -156,6 +170,10 @@
 
 void StateFeed::Start() {
   started_at_ = loop_.Now();
+  for (store::PrefixWatcher* watcher : watchers_) {
+    watcher->set_ask_other(
+        [this, watcher](const std::function<void(bool)>& done) { AskForSnapshot(watcher, done); });
+  }
   heard_at_ = started_at_;
   if (config_.port == 0) return;
   bound_ = socket_.Bind({config_.ip_address, config_.port}) == 0;
@@ -167,14 +185,7 @@
 
 size_t StateFeed::Rank() const {
   const Peer* own = peers_.Find(config_.node);
-  if (own == nullptr) return peers_.peers().size();
-  const LinePlace own_place = PlaceInLine(own->record);
-  size_t rank = 0;
-  for (const auto& [node, peer] : peers_.peers()) {
-    const bool candidate = peer.listed && !peer.record.stopping;
-    if (candidate && PlaceInLine(peer.record) < own_place) ++rank;
-  }
-  return rank;
+  return own == nullptr ? peers_.peers().size() : tree_.NodesBefore(own->record);
 }
 
 bool StateFeed::ShouldLead() const {
@@ -234,6 +245,7 @@
   auto beacon = StateBeacon::Parse(data);
   if (!beacon.has_value() || beacon->node == config_.node) return;
   heard_at_ = loop_.Now();
+  heard_of_ = beacon->node;
   if (stands_by_ && !leading_) HelpLeader(*beacon);
   announced_ = std::move(beacon->revisions);
   for (const store::PrefixWatcher* watcher : watchers_) {
@@ -262,6 +274,64 @@
   }
 }
 
+// The first of the zone that follows: its copy has exactly the revisions that the leader's patches
+// start from, while one that watches the store for itself has others in between. That first one
+// asks the leader.
+std::optional<FeedReceiver> StateFeed::SnapshotSource() const {
+  const Peer* leader = peers_.Find(heard_of_);
+  if (leader == nullptr) return std::nullopt;
+  const std::vector<std::string> line = tree_.Line();
+  const std::set<std::string> watching(
+      line.begin(), line.begin() + std::min<std::ptrdiff_t>(kWatchingNodes, std::ssize(line)));
+  for (const std::string& node : line) {
+    const Peer* peer = peers_.Find(node);
+    if (peer->record.zone != config_.zone || tree_.PassedOver(loop_.Now(), node)) continue;
+    if (node == config_.node) break;
+    if (node == heard_of_ || !watching.contains(node)) {
+      return FeedReceiver{node, peer->record.inbound, peer->record.zone, false};
+    }
+  }
+  return FeedReceiver{heard_of_, leader->record.inbound, leader->record.zone, false};
+}
+
+void StateFeed::AskForSnapshot(store::PrefixWatcher* watcher,
+                               const std::function<void(bool)>& done) {
+  const auto source = leading_ ? std::nullopt : SnapshotSource();
+  if (!source.has_value()) {
+    done(false);
+    return;
+  }
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = kPushTarget;
+  peer_protocol::MarkSnapshotRequest(watcher->prefix(), &head.headers);
+  pushes_.Start(source->endpoint, http::SerializeRequest(head, ""), http::CallOptions{},
+                config_.snapshot_timeout,
+                [this, done, node = source->node](const std::optional<http::Response>& response) {
+                  const bool answered = response.has_value() && response->status == kTaken;
+                  if (answered) {
+                    OnPassedOn(response->body, /*for_zone=*/false);
+                  } else {
+                    tree_.OnReaderFailed(loop_.Now(), node);
+                  }
+                  done(answered);
+                });
+}
+
+std::optional<std::string> StateFeed::SnapshotFor(const std::string& prefix) {
+  for (const store::PrefixWatcher* watcher : watchers_) {
+    if (watcher->prefix() != prefix || !watcher->synchronized()) continue;
+    SerializedSnapshot& kept = snapshots_[prefix];
+    const store::Revision revision = watcher->revision();
+    if (kept.bytes.empty() || kept.revision != revision) {
+      kept.revision = revision;
+      kept.bytes = SerializeChanges(prefix, Whole(watcher->Snapshot()));
+    }
+    return kept.bytes;
+  }
+  return std::nullopt;
+}
+
 void StateFeed::CatchUp() {
   for (store::PrefixWatcher* watcher : watchers_) {
     const auto announced = announced_.find(watcher->prefix());
@@ -282,7 +352,7 @@
 
 // Remembers the large items, so that the next change of one needs only what is new in it.
 PassedOnChanges StateFeed::PatchLargeItems(const store::ChangeSet& changes) {
-  PassedOnChanges result = Whole(changes);
+  PassedOnChanges result = Whole(LatestOfEachItem(changes));
   for (PassedOnEvent& passed_on : result.events) {
     store::Item& item = passed_on.event.item;
     if (passed_on.event.removed || item.value.size() < kPatchedItemBytes) continue;
@@ -345,9 +415,10 @@
     const auto whole = ApplyPatches(changes, watcher->items());
     if (whole.has_value()) {
       watcher->ApplyChanges(*whole);
-    } else {
+    } else if (watcher->following()) {
       watcher->CatchUp(changes.to);
     }
+    // One that watches the store gets from there what it cannot take from another's patch.
   }
   // After they were applied: they may tell of nodes of the zone.
   if (for_zone) PushToZone(body);
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -42,6 +42,7 @@
   // Longer than a zone's second reader takes to be asked in place of the first.
   Duration catch_up_delay = std::chrono::milliseconds(500);
   Duration push_timeout = std::chrono::milliseconds(400);
+  Duration snapshot_timeout = std::chrono::milliseconds(600);
   size_t readers_tried = 3;  // Of a zone, one after the other, for one change.
   // A change that the leader's beacons do not tell of within this time is passed on by the second.
   Duration leader_lag = std::chrono::milliseconds(200);
@@ -80,6 +81,9 @@
 
 // All values whole.
 PassedOnChanges Whole(const store::ChangeSet& changes);
+// Leaves out changes that a later one of the same item in the set replaces: a patch that started
+// from them would find another value at the receivers.
+store::ChangeSet LatestOfEachItem(store::ChangeSet changes);
 // Replaces patches by values, from the receiver's copy of the items; nullopt: it does not have the
 // value that a patch starts from.
 std::optional<store::ChangeSet> ApplyPatches(const PassedOnChanges& changes,
@@ -110,12 +114,17 @@
   // Another node passed changes on, `for_zone`: to be passed on to the others of the zone as well.
   // False when they cannot be understood.
   bool OnPassedOn(const std::string& body, bool for_zone);
+  // This node's copy of a prefix, for another one that lacks changes; nullopt: it has none.
+  std::optional<std::string> SnapshotFor(const std::string& prefix);
   bool leading() const { return leading_; }
 
  private:
   void Tick();
   void OnBeacon(std::string_view data);
   void CatchUp();
+  // Asks a node that is likely to have the changes that `watcher` lacks.
+  void AskForSnapshot(store::PrefixWatcher* watcher, const std::function<void(bool)>& done);
+  std::optional<FeedReceiver> SnapshotSource() const;
   void SendBeacons();
   void PushToAll(const std::string& body);
   void PushToZone(const std::string& body);
@@ -146,7 +155,14 @@
       helped_with_;  // By prefix: passed on in the leader's place.
   http::CallSet pushes_;
   Instant started_at_{};
-  Instant heard_at_{};  // The latest beacon of another node.
+  Instant heard_at_{};    // The latest beacon of another node.
+  std::string heard_of_;  // That node.
+  // Copies as they were handed out last, by prefix: many nodes may lack the same changes.
+  struct SerializedSnapshot {
+    store::Revision revision = 0;
+    std::string bytes;
+  };
+  std::map<std::string, SerializedSnapshot> snapshots_;
   bool bound_ = false;
   bool leading_ = false;
   bool watching_ = true;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -5,6 +5,12 @@
 #include <vector>
 
 namespace runshelf::store {
+namespace {
+
+// Answers of others that leave something missing, before the range is read.
+constexpr int kAsksBeforeRead = 3;
+
+}  // namespace
 
 PrefixWatcher::PrefixWatcher(event::EventLoop& loop, StoreClient& store, PrefixWatcherConfig config,
                              Observer observer)
@@ -107,7 +113,7 @@
 ChangeSet PrefixWatcher::Snapshot() const {
   ChangeSet snapshot;
   snapshot.complete = true;
-  snapshot.to = change_revision_;
+  snapshot.to = revision_;
   for (const auto& [key, item] : items_) snapshot.events.push_back({item, false});
   return snapshot;
 }
@@ -148,7 +154,28 @@
 }
 
 void PrefixWatcher::CatchUp(Revision revision) {
-  if (revision > revision_ && synchronized_ && !reading_range_) Refresh();
+  if (revision <= revision_ || !synchronized_ || reading_range_) return;
+  missing_up_to_ = std::max(missing_up_to_, revision);
+  if (asking_) return;
+  if (!ask_other_) {
+    Refresh();
+    return;
+  }
+  asking_ = true;
+  ask_other_([this](bool answered) { OnAsked(answered); });
+}
+
+void PrefixWatcher::OnAsked(bool answered) {
+  asking_ = false;
+  if (missing_up_to_ <= revision_) {
+    asked_in_vain_ = 0;
+    return;
+  }
+  // The other one may be behind by a moment itself, while many changes come.
+  const bool in_vain = !answered || ++asked_in_vain_ >= kAsksBeforeRead;
+  if (!in_vain || stopped_ || reading_range_) return;
+  asked_in_vain_ = 0;
+  Refresh();
 }
 
 void PrefixWatcher::WatchNext() {
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -70,11 +70,18 @@
   void ApplyChanges(const ChangeSet& changes);
   // The whole copy, for passing it on.
   ChangeSet Snapshot() const;
-  // Another process has the copy complete up to `revision`: reads the range when this one has not.
+  // Another process has the copy complete up to `revision`, and this one has not: asks for what is
+  // missing, or reads the range.
   void CatchUp(Revision revision);
+  // Asks another process for its copy, which comes by ApplyChanges; `done` is called after it, or
+  // with false when none came. Without it the range is read.
+  using AskOther = std::function<void(std::function<void(bool answered)> done)>;
+  void set_ask_other(AskOther ask_other) { ask_other_ = std::move(ask_other); }
   const std::string& prefix() const { return config_.prefix; }
   // The copy includes all changes up to `revision`.
   bool CompleteTo(Revision revision) const { return revision <= revision_; }
+  // The copy is complete up to here.
+  Revision revision() const { return revision_; }
   // Of the latest change that the copy includes, as far as is known.
   Revision change_revision() const { return change_revision_; }
   bool started() const { return !stopped_; }
@@ -92,6 +99,7 @@
   void WatchNext();
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
   void ContinueWatching();
+  void OnAsked(bool answered);
   void Apply(const WatchEvent& event);
   void ApplyItem(const Item& item);
   void ApplyRemoval(const std::string& key, Revision revision);
@@ -118,6 +126,10 @@
   bool following_ = false;
   bool read_next_ = true;
   bool stopped_ = true;
+  AskOther ask_other_;
+  bool asking_ = false;         // Another process, for its copy.
+  int asked_in_vain_ = 0;       // Times in a row that an answer did not bring all that was missing.
+  Revision missing_up_to_ = 0;  // What it was asked for.
 };
 
 }  // namespace runshelf::store
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -77,8 +77,8 @@
   // What happens to a grant or a release that arrives.
   struct OrderFault {
     bool answered = true;
-    bool cut = false;  // Its connection is closed at once; it is not carried out.
     Duration lateness{0};  // It is carried out so much later; zero: at once.
+    bool cut = false;      // Its connection is closed at once; it is not carried out.
   };
   void set_order_faults(std::function<OrderFault()> next) { next_order_fault_ = std::move(next); }
   // Tells whether requests run on keys of a range; a release is answered, and keys that heartbeats
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -415,6 +415,35 @@
   CHECK_EQUAL(watches + 2, fleet.store.calls("/runshelf/kv-watch"));
 }
 
+// A large item that changes faster than the feed's leader asks for changes: its patches skip
+// revisions, and a node that has read the store in between has one that no patch starts from.
+TEST(Sidecar, ManyChangesOfALargeItemReachANewNodeWithoutReadsOfTheStore) {
+  Fleet fleet({"plain", "other", "other", "other", "other", "other"});
+  for (size_t node = 0; node < fleet.nodes.size(); ++node) {
+    fleet.nodes[node].settings.zone = node % 2 == 0 ? "a" : "b";
+  }
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  int round = 0;
+  event::Timer writer(fleet.loop, [&] {
+    std::string value;
+    for (int row = 0; row < 300; ++row) {
+      value += "[" + std::to_string(row == round % 300 ? 10000 + round : row) + "],";
+    }
+    ++round;
+    fleet.store.Put("runshelf/large", value);
+  });
+  writer.Start(std::chrono::milliseconds(15), /*repeating=*/true);
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  const uint64_t before = fleet.store.calls("/runshelf/kv-range");
+  const size_t restarted = 5;
+  fleet.Kill(restarted);
+  fleet.Restart(restarted);
+  RunFor(fleet.loop, std::chrono::milliseconds(2500));
+  // Of the node that started: configuration and state, and once more when it missed the lease.
+  CHECK(fleet.store.calls("/runshelf/kv-range") - before <= 4);
+}
+
 TEST(Sidecar, AChangeReachesTheOthersWhenTheLeadersAreGone) {
   Fleet fleet({"other", "other", "plain", "other"});
   fleet.Start();
--- a/tests/sidecar/state_feed_test.cc
+++ b/tests/sidecar/state_feed_test.cc
@@ -53,6 +53,19 @@
   CHECK_FALSE(ApplyPatches(changes, items).has_value());
 }
 
+TEST(StateFeedForms, OnlyTheLatestChangeOfAnItemIsPassedOn) {
+  store::ChangeSet changes;
+  changes.from = 5;
+  changes.to = 8;
+  changes.events = {
+      {{"map", "[1]", 6, 0}, false}, {{"other", "x", 7, 0}, false}, {{"map", "[2]", 8, 0}, false}};
+  const store::ChangeSet latest = LatestOfEachItem(changes);
+  CHECK_EQUAL(2, latest.events.size());
+  STRCMP_EQUAL("other", latest.events[0].item.key.c_str());
+  STRCMP_EQUAL("[2]", latest.events[1].item.value.c_str());
+  CHECK_EQUAL(8, latest.to);
+}
+
 TEST(StateFeedForms, BytesThatAreNoChangeSetAreRefused) {
   std::string prefix;
   PassedOnChanges changes;
