--- a/include/runshelf/admission/admission_queue.h
+++ b/include/runshelf/admission/admission_queue.h
@@ -73,6 +73,10 @@
   Duration class_active_time = std::chrono::seconds(10);
   double service_time_smoothing = 0.1;  // Weight of a new measurement.
   Duration retry_after_min = std::chrono::milliseconds(50);
+  // Refusals of about this long count as requests that come back: those who are told to wait less
+  // than it takes to serve them are refused again. With one key in demand twelve times beyond what
+  // its server completes, eleven of twelve come back in vain.
+  Duration refusal_memory = std::chrono::seconds(1);
   Duration retry_after_draining = std::chrono::milliseconds(200);
 };
 
@@ -136,7 +140,7 @@
   void Start(const AdmissionRequest& request, AdmissionChanges& changes);
   void StartAllowed(Instant now, AdmissionChanges& changes);
   void RefuseLate(Instant now, AdmissionChanges& changes);
-  void RefuseOneOfTooMany(const AdmissionRequest& newcomer, AdmissionChanges& changes);
+  void RefuseOneOfTooMany(Instant now, const AdmissionRequest& newcomer, AdmissionChanges& changes);
   void Erase(Waiting::iterator position);
   void NoteClass(Instant now, const AdmissionRequest& request);
   uint32_t ClassCap(Instant now, const std::string& caller_class) const;
@@ -144,7 +148,7 @@
   double ServiceTimeOf(const ClassState& state) const;
   double CompletionsPerMicrosecond() const;
   Duration WaitBehind(size_t requests) const;
-  Refusal MakeRefusal(uint64_t id, RefusalReason reason) const;
+  Refusal MakeRefusal(Instant now, uint64_t id, RefusalReason reason);
   void OnShed(Instant now);
   void OnServed(ClassState& state, Duration service_time);
 
@@ -155,6 +159,8 @@
   std::optional<Instant> cold_since_;
   bool draining_ = false;
   double service_time_us_ = 0;
+  double refused_lately_ = 0;  // Decays with refusal_memory.
+  Instant refused_at_{};
   Waiting waiting_;
   std::unordered_map<uint64_t, Waiting::iterator> waiting_by_id_;
   std::unordered_map<uint64_t, std::string> running_;  // Id to class.
--- a/source/admission/admission_queue.cc
+++ b/source/admission/admission_queue.cc
@@ -57,7 +57,7 @@
 AdmissionChanges AdmissionQueue::Offer(Instant now, const AdmissionRequest& request) {
   AdmissionChanges changes;
   if (draining_) {
-    changes.refused.push_back(MakeRefusal(request.id, RefusalReason::kDraining));
+    changes.refused.push_back(MakeRefusal(now, request.id, RefusalReason::kDraining));
     return changes;
   }
   NoteClass(now, request);
@@ -65,7 +65,7 @@
   waiting_by_id_.emplace(request.id, position);
   StartAllowed(now, changes);
   RefuseLate(now, changes);
-  if (waiting_.size() > config_.queue_max) RefuseOneOfTooMany(request, changes);
+  if (waiting_.size() > config_.queue_max) RefuseOneOfTooMany(now, request, changes);
   return changes;
 }
 
@@ -138,7 +138,7 @@
     const auto next = std::next(position);
     const std::string& caller_class = position->caller_class;
     if (position->deadline <= now) {
-      changes.refused.push_back(MakeRefusal(position->id, RefusalReason::kDeadline));
+      changes.refused.push_back(MakeRefusal(now, position->id, RefusalReason::kDeadline));
       Erase(position);
     } else if (classes_[caller_class].running < ClassCap(now, caller_class)) {
       Start(*position, changes);
@@ -158,7 +158,7 @@
     const double needed_us = outlook.WaitUs(expected) + expected.service_time_us;
     const Instant answered_at = now + Duration(static_cast<int64_t>(needed_us));
     if (position->deadline <= now || answered_at > position->deadline) {
-      changes.refused.push_back(MakeRefusal(position->id, RefusalReason::kDeadline));
+      changes.refused.push_back(MakeRefusal(now, position->id, RefusalReason::kDeadline));
       Erase(position);
     } else {
       outlook.CountAhead(expected);
@@ -167,7 +167,7 @@
   }
 }
 
-void AdmissionQueue::RefuseOneOfTooMany(const AdmissionRequest& newcomer,
+void AdmissionQueue::RefuseOneOfTooMany(Instant now, const AdmissionRequest& newcomer,
                                         AdmissionChanges& changes) {
   auto refused = std::prev(waiting_.end());
   RefusalReason reason = RefusalReason::kDisplaced;
@@ -175,7 +175,7 @@
     refused = waiting_by_id_.at(newcomer.id);
     reason = RefusalReason::kQueueFull;
   }
-  changes.refused.push_back(MakeRefusal(refused->id, reason));
+  changes.refused.push_back(MakeRefusal(now, refused->id, reason));
   Erase(refused);
 }
 
@@ -240,9 +240,13 @@
   return Duration(static_cast<int64_t>(static_cast<double>(requests) / completions));
 }
 
-Refusal AdmissionQueue::MakeRefusal(uint64_t id, RefusalReason reason) const {
+Refusal AdmissionQueue::MakeRefusal(Instant now, uint64_t id, RefusalReason reason) {
   if (reason == RefusalReason::kDraining) return {id, reason, config_.retry_after_draining};
-  const Duration wait = WaitBehind(waiting_.size() + 1);
+  const double periods = static_cast<double>((now - refused_at_).count()) /
+                         static_cast<double>(config_.refusal_memory.count());
+  refused_lately_ = refused_lately_ * std::exp(-periods) + 1;
+  refused_at_ = now;
+  const Duration wait = WaitBehind(waiting_.size() + static_cast<size_t>(refused_lately_));
   return {id, reason, std::max(wait, config_.retry_after_min)};
 }
 
--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -250,6 +250,40 @@
   CHECK(changes.refused.at(0).retry_after >= Milliseconds(50));
 }
 
+// One key in demand: 290 requests a second for a server with 15 slots that completes 24 of them.
+// Who is told to come back at once is refused again; who comes after the others were served is not.
+TEST(AdmissionQueue, CallersOfAServerInDemandAreToldToComeBackLater) {
+  AdmissionQueue queue(PlainConfig(15, 400));
+  uint64_t next_id = 1;
+  for (; next_id <= 15; ++next_id) queue.Offer(kStart, Request(next_id, 1, Milliseconds(5000)));
+  for (uint64_t id = 1; id <= 15; ++id) {
+    queue.OnCompleted(kStart, id, Completion::kServed, Milliseconds(610));
+    queue.Offer(kStart, Request(next_id++, 1, Milliseconds(5000)));
+  }
+  const auto offer = [&](Instant at) {
+    return queue.Offer(at, Request(next_id++, 1, (at - kStart) + Milliseconds(900)));
+  };
+  Duration last{};
+  size_t refused = 0;
+  for (int count = 0; count < 290; ++count) {
+    const Instant at = kStart + Milliseconds(count * 1000 / 290);
+    for (const Refusal& refusal : offer(at).refused) {
+      ++refused;
+      last = refusal.retry_after;
+    }
+  }
+  CHECK(refused > 200);
+  CHECK(last > Milliseconds(4000));
+  // Ten seconds later nobody is expected back.
+  Duration alone{};
+  for (int count = 0; count < 20 && alone == Duration::zero(); ++count) {
+    const auto changes = offer(kStart + Milliseconds(11'000));
+    if (!changes.refused.empty()) alone = changes.refused.front().retry_after;
+  }
+  CHECK(alone > Duration::zero());
+  CHECK(alone < Milliseconds(1500));
+}
+
 TEST(AdmissionQueue, DrainingFinishesWhatWaitsAndRefusesTheRest) {
   AdmissionQueue queue(PlainConfig(1, 10));
   queue.Offer(kStart, Request(1, 1, Milliseconds(500)));
