--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -104,6 +104,7 @@
     rates[shard.owner.node] += loads.Of(shard.first, shard.last);
   }
   std::vector<Usage> usages;
+  usages.reserve(workers.size());
   for (const PlannerWorker* worker : workers) {
     usages.push_back({worker, rates[worker->id.node], ServiceSeconds(input, worker->id.node)});
   }
