--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -19,6 +19,7 @@
 #include "source/event/event_loop.h"
 #include "source/event/udp_socket.h"
 #include "source/http/call_set.h"
+#include "source/sidecar/feed_messages.h"
 #include "source/sidecar/feed_tree.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/peer_directory.h"
@@ -55,45 +56,6 @@
   store::WatchPace alone_pace{std::chrono::milliseconds(500), 1};
 };
 
-// What a beacon says: the leader's copy of each prefix is complete up to a revision.
-struct StateBeacon {
-  std::string node;
-  std::map<std::string, store::Revision> revisions;
-
-  std::string Serialize() const;
-  // nullopt when `text` is no beacon.
-  static std::optional<StateBeacon> Parse(std::string_view text);
-};
-
-// A change of the state as one node passes it on to another.
-struct PassedOnEvent {
-  store::WatchEvent event;
-  // Zero: the value is whole. Else it is a text patch of the value at this revision.
-  store::Revision base_revision = 0;
-};
-
-struct PassedOnChanges {
-  bool complete = false;  // The events are all items; see store::ChangeSet.
-  store::Revision from = 0;
-  store::Revision to = 0;
-  std::vector<PassedOnEvent> events;
-};
-
-// All values whole.
-PassedOnChanges Whole(const store::ChangeSet& changes);
-// Leaves out changes that a later one of the same item in the set replaces: a patch that started
-// from them would find another value at the receivers.
-store::ChangeSet LatestOfEachItem(store::ChangeSet changes);
-// Replaces patches by values, from the receiver's copy of the items; nullopt: it does not have the
-// value that a patch starts from.
-std::optional<store::ChangeSet> ApplyPatches(const PassedOnChanges& changes,
-                                             const std::map<std::string, store::Item>& items);
-
-// Forms of a change set between nodes: CBOR, since values may hold any bytes.
-std::string SerializeChanges(const std::string& prefix, const PassedOnChanges& changes);
-// Returns false when `text` is no change set.
-bool ParseChanges(std::string_view text, std::string* prefix, PassedOnChanges* changes);
-
 class StateFeed {
  public:
   StateFeed(event::EventLoop& loop, http::ConnectionPool& pool, PeerDirectory& peers,
