--- a/tests/soak/datagram_relay.cc
+++ b/tests/soak/datagram_relay.cc
@@ -6,7 +6,12 @@
 namespace runshelf::soak {
 
 std::string SenderOf(std::string_view datagram) {
-  const auto message = nlohmann::json::parse(datagram, nullptr, /*allow_exceptions=*/false);
+  // Beacons are JSON, load reports CBOR.
+  auto message = nlohmann::json::parse(datagram, nullptr, /*allow_exceptions=*/false);
+  if (message.is_discarded()) {
+    message = nlohmann::json::from_cbor(datagram.begin(), datagram.end(), /*strict=*/true,
+                                        /*allow_exceptions=*/false);
+  }
   if (!message.is_object() || !message.contains("node") || !message["node"].is_string()) return "";
   return message["node"].get<std::string>();
 }
