Sight: the soak plays workers as processes, lives are told apart in tests and in the log

Cause: workers of the soak came back under new identities only, and a proxy took connections for them while they were down, so that no node ever saw a refused connection. The ownership judge passed a repeated grant at the next life of a worker, which the protocol forbids ('another life of one, with a higher token'). No log line told the lives of a worker apart.

The test of the judge that passed the repeated grant is replaced by one that forbids it. Nodes log worker_life. No logic of the product is changed.

--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -77,7 +77,9 @@
   bool draining = false;
   Duration cold_remaining{0};  // How much longer it is slow from its start.
   int64_t sequence = 0;        // Rises with each call of the worker.
-  KeyReport keys;              // Empty where keys are granted by calls.
+  // When this life of the worker began, in milliseconds since 1970; nullopt: it does not say.
+  std::optional<int64_t> born;
+  KeyReport keys;  // Empty where keys are granted by calls.
 };
 
 // A worker has left or is about to.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -157,6 +157,14 @@
   }
   if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id, Instant{});
   heard_at_ = loop_.Now();
+  if (heartbeat.born != born_) {
+    log_.Write(LogLevel::kInfo, "worker_life",
+               {{"worker", heartbeat.worker_id},
+                {"born", heartbeat.born.value_or(0)},
+                {"former_born", born_.value_or(0)},
+                {"sequence", heartbeat.sequence}});
+    born_ = heartbeat.born;
+  }
   if (heartbeat.sequence > sequence_) {
     Confirm(loop_.Now() - kHeartbeatLateness);
     sequence_ = heartbeat.sequence;
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -114,6 +114,7 @@
   std::set<std::string> former_workers_;
   uint32_t slots_ = 0;
   int64_t sequence_ = -1;
+  std::optional<int64_t> born_;  // Of the latest heartbeat.
   bool draining_ = false;
   Instant draining_since_{};
   Instant cold_until_{};
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -88,8 +88,9 @@
   head.method = "POST";
   head.target = "/runshelf/rpc?call=instances.deregister&of=" + id_;
   head.headers.Add("Host", node_.ToString());
+  const std::string body = born_ == 0 ? std::string() : json{{"born", born_}}.dump();
   heartbeat_ = std::make_unique<http::SimpleCall>(
-      loop_, pool_, node_, http::SerializeRequest(head, ""), http::CallOptions{}, kAnswerWindow,
+      loop_, pool_, node_, http::SerializeRequest(head, body), http::CallOptions{}, kAnswerWindow,
       [this](const std::optional<http::Response>& response, http::ClientFailure) {
         const bool acknowledged = response.has_value() && response->status == 200;
         if (acknowledged && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
@@ -105,6 +106,7 @@
             {"state", draining_ ? "draining" : "ready"},
             {"cold_remaining_ms", 0},
             {"call_sequence", ++sequence_}};
+  if (born_ != 0) body["born"] = born_;
   if (!keys_in_heartbeats_) return body.dump();
   std::erase_if(grants_, [this](const Grant& grant) { return loop_.Now() >= grant.until; });
   body["holds"] = json::array();
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -22,8 +22,15 @@
 
   // Listens; port 0 lets the system choose. Returns zero, or a negative libuv error code.
   int Listen(uint16_t port = 0);
+  // New connections are refused from here on; those that are open are served.
+  void StopListening() { server_.StopListening(); }
   event::Endpoint endpoint() const { return {"127.0.0.1", server_.bound_port()}; }
   const std::string& id() const { return id_; }
+  // When this life of the worker began, in milliseconds since 1970: it says so in all that it tells
+  // of itself. Zero: it does not.
+  void set_born(int64_t born) { born_ = born; }
+  // Names this life: others may have the same identity.
+  std::string life() const { return born_ == 0 ? id_ : id_ + "@" + std::to_string(born_); }
 
   // Sends heartbeats to the node beside it until the worker is destroyed.
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
@@ -120,6 +127,7 @@
 
   event::EventLoop& loop_;
   std::string id_;
+  int64_t born_ = 0;
   std::string service_;
   http::Server server_;
   http::ConnectionPool pool_;
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -105,14 +105,19 @@
 
 void Fleet::Restart(size_t node) { StartNode(&nodes[node]); }
 
-void Fleet::ReplaceWorker(size_t node, const std::string& id) {
+void Fleet::SetBorn(int64_t born) {
+  for (Node& node : nodes) node.worker->set_born(born);
+}
+
+void Fleet::ReplaceWorker(size_t node, const std::string& id, int64_t born, Duration down) {
   const uint16_t port = nodes[node].worker->endpoint().port;
   nodes[node].worker.reset();
-  event::RunFor(loop, std::chrono::milliseconds(5));
+  event::RunFor(loop, down);
   nodes[node].worker = std::make_unique<FakeWorker>(loop, id, nodes[node].settings.worker_service);
   nodes[node].worker->set_sharded(nodes[node].settings.worker_service == "keyed");
   nodes[node].worker->set_keys_in_heartbeats(nodes[node].settings.grant_delivery ==
                                              routes::GrantDelivery::kHeartbeats);
+  nodes[node].worker->set_born(born);
   nodes[node].worker->Listen(port);
   nodes[node].worker->StartHeartbeats(*nodes[node].settings.control_plane, kHeartbeatInterval);
 }
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -34,6 +34,8 @@
                  routes::GrantDelivery grant_delivery = routes::GrantDelivery::kCalls);
   ~Fleet();
 
+  // All workers tell when they were born: at `born`. To be called before the start.
+  void SetBorn(int64_t born);
   // Starts all nodes and waits for nothing but their listening.
   void Launch();
   // Starts all nodes and waits until they are ready and every service is served; fails the test
@@ -43,8 +45,10 @@
   void Kill(size_t node);
   // A node process starts again beside the same worker.
   void Restart(size_t node);
-  // The worker beside a node is replaced by a new incarnation.
-  void ReplaceWorker(size_t node, const std::string& id);
+  // The worker beside a node ends, and the next one starts at its address `down` later. `born`: see
+  // FakeWorker::set_born.
+  void ReplaceWorker(size_t node, const std::string& id, int64_t born = 0,
+                     Duration down = std::chrono::milliseconds(5));
 
   struct Answer {
     int status = 0;
--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -29,6 +29,8 @@
       return FakeStore::Fault::kRefuse;
     case Mode::kBackwardOnly:
       return FakeStore::Fault::kLoseWrites;
+    case Mode::kResetNew:
+      return FakeStore::Fault::kReset;
   }
   return FakeStore::Fault::kNone;
 }
@@ -126,13 +128,23 @@
                                     EntranceFault(fault == nullptr ? Mode::kPass : fault->mode));
 }
 
+void FaultDriver::ApplyWorkerListener(size_t node) {
+  SoakNode& at = fleet_.node(node);
+  at.refuses_connections = Latest(FaultKind::kWorkerStopsListening, node) != nullptr;
+  fleet_.ApplyListener(&at);
+  ApplyPath(FaultKind::kWorkerPath, node);
+}
+
 void FaultDriver::ApplyPath(FaultKind kind, size_t node) {
   const PlannedFault* fault = Latest(kind, node);
   FaultProxy& proxy = ProxyOf(fleet_.node(node), kind);
-  if (fault == nullptr) {
-    proxy.SetMode(Mode::kPass);
-  } else {
+  const bool worker = kind == FaultKind::kWorkerPath;
+  if (fault != nullptr) {
     proxy.SetMode(fault->mode, fault->delay);
+  } else if (worker && Latest(FaultKind::kWorkerResetsNew, node) != nullptr) {
+    proxy.SetMode(Mode::kResetNew);
+  } else {
+    proxy.SetMode(Mode::kPass);
   }
 }
 
@@ -206,6 +218,12 @@
       return ProxyOf(node, fault.kind).SilenceOpenConnections();
     case FaultKind::kWorkerCrash:
       return fleet_.EndWorker(&node);
+    case FaultKind::kWorkerRestarts:
+      return fleet_.EndWorker(&node, /*returns=*/true);
+    case FaultKind::kWorkerResetsNew:
+    case FaultKind::kWorkerStopsListening:
+      witness_.BeginFault(fault.node, /*planned=*/false);
+      return ApplyWorkerListener(fault.node);
     case FaultKind::kWorkerLeaves:
       if (node.worker == nullptr || leaving_since_[fault.node] != Instant{}) return;
       node.worker->set_draining(true);
@@ -260,12 +278,17 @@
     case FaultKind::kHeartbeatsDelayed:
       if (Latest(fault.kind, fault.node) == nullptr) fleet_.SetHeartbeatsDelayed(fault.node, false);
       return;
+    case FaultKind::kWorkerResetsNew:
+    case FaultKind::kWorkerStopsListening:
+      witness_.EndFault(fault.node, /*planned=*/false);
+      return ApplyWorkerListener(fault.node);
     case FaultKind::kTerminateProcess:
     case FaultKind::kReloadSettings:
     case FaultKind::kStoreConnections:
     case FaultKind::kNodeConnections:
     case FaultKind::kWorkerConnections:
     case FaultKind::kWorkerCrash:
+    case FaultKind::kWorkerRestarts:
     case FaultKind::kWorkerLeaves:
     case FaultKind::kConfigurationChange:
       return;
@@ -278,12 +301,14 @@
     Instant& leaving_since = leaving_since_[node->index];
     if (node->worker == nullptr) {
       leaving_since = Instant{};
-      if (Latest(FaultKind::kWorkerCrash, node->index) == nullptr) fleet_.StartWorker(node.get());
+      const bool down = Latest(FaultKind::kWorkerCrash, node->index) != nullptr ||
+                        Latest(FaultKind::kWorkerRestarts, node->index) != nullptr;
+      if (!down) fleet_.StartWorker(node.get());
       continue;
     }
     if (leaving_since == Instant{}) continue;
     const auto acknowledged = node->worker->leaving_acknowledged_at();
-    if (acknowledged.has_value()) witness_.OnLeaveAcknowledged(node->worker->id(), *acknowledged);
+    if (acknowledged.has_value()) witness_.OnLeaveAcknowledged(node->worker->life(), *acknowledged);
     const bool drained =
         acknowledged.has_value() && now - *acknowledged > kDrainTimeout + kServesOn;
     if (drained || now - leaving_since > kLongestLeave) fleet_.EndWorker(node.get());
--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -38,6 +38,8 @@
   const PlannedFault* Latest(FaultKind kind, size_t node) const;
   void ApplyStore();
   void ApplyEntrance(size_t node);
+  // Whether the worker takes new connections.
+  void ApplyWorkerListener(size_t node);
   void ApplyPath(FaultKind kind, size_t node);
   void ApplyPair(size_t from, size_t to);
   void Kill(size_t node, Duration down);
--- a/tests/soak/fault_kind.cc
+++ b/tests/soak/fault_kind.cc
@@ -31,6 +31,9 @@
     "orders-unanswered",
     "heartbeats-delayed",
     "configuration-change",
+    "worker-restarts",
+    "worker-resets-new",
+    "worker-stops-listening",
 };
 
 }  // namespace
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -37,9 +37,15 @@
   kHeartbeatsDelayed,  // Some arrive seconds late, after newer ones or newer lives.
   // Planned.
   kConfigurationChange,
+  // Workers as processes. These are drawn by series of their own.
+  kWorkerRestarts,        // Ends without a word, and starts again under its identity.
+  kWorkerResetsNew,       // At its limit of connections: new ones are reset, it serves on.
+  kWorkerStopsListening,  // New connections are refused; it serves those that are open.
 };
 
-constexpr size_t kFaultKinds = 24;
+// Those that may come by themselves: the first ones.
+constexpr size_t kSingleFaultKinds = 24;
+constexpr size_t kFaultKinds = 27;
 
 std::string_view FaultName(FaultKind kind);
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -41,6 +41,8 @@
     for (at = input_.first; at < input_.last; at += Time(7000, 16000)) {
       MovesWithOrdersOut(at + Time(0, 5000));
     }
+    random_ = SeededRandom(~input_.seed + 1);
+    for (at = input_.first; at < input_.last; at += Time(2000, 7000)) WorkerProcesses(at);
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -123,7 +125,7 @@
   size_t Half() const { return std::max<size_t>(2, input_.services.size() / 2); }
 
   void SingleFault(Duration at) {
-    const auto kind = static_cast<FaultKind>(random_.Below(kFaultKinds));
+    const auto kind = static_cast<FaultKind>(random_.Below(kSingleFaultKinds));
     PlannedFault fault;
     fault.kind = kind;
     fault.at = at;
@@ -212,6 +214,28 @@
     }
   }
 
+  // Workers end and start again under their identity, after a moment or after the node has noticed,
+  // some while orders or heartbeats of the former life are under way; or they take no connections
+  // for a while and serve on.
+  void WorkerProcesses(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(3), Coin() ? "keyed" : "")) {
+      const size_t kind = random_.Below(4);
+      if (kind == 0) Add(FaultKind::kWorkerResetsNew, at, Time(300, 4000), node);
+      if (kind == 1) Add(FaultKind::kWorkerStopsListening, at, Time(300, 4000), node);
+      if (kind < 2) continue;
+      if (Coin()) Add(FaultKind::kHeartbeatsDelayed, at, Time(2500, 5000), node);
+      if (Coin()) Add(FaultKind::kOrdersUnanswered, at, Time(2000, 4000), node);
+      Duration restart = at + Time(0, 2000);
+      if (Coin()) Add(FaultKind::kPauseProcess, restart, Time(300, 2500), node);
+      if (random_.Below(4) == 0) Add(FaultKind::kKillProcess, restart, Time(5, 1500), node);
+      const size_t lives = 1 + random_.Below(3);
+      for (size_t life = 0; life < lives; ++life) {
+        Add(FaultKind::kWorkerRestarts, restart, Coin() ? Time(5, 100) : Time(300, 2500), node);
+        restart += Time(100, 3500);
+      }
+    }
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -10,6 +10,10 @@
 
 constexpr Duration kLingerAfterDelay = std::chrono::milliseconds(10);
 
+bool RefusesNew(FaultProxy::Mode mode) {
+  return mode == FaultProxy::Mode::kReset || mode == FaultProxy::Mode::kResetNew;
+}
+
 }  // namespace
 
 // One connection of a caller and the one to the target that belongs to it.
@@ -89,6 +93,7 @@
       case Mode::kPass:
       case Mode::kDelay:
       case Mode::kReset:
+      case Mode::kResetNew:
         return false;
     }
     return false;
@@ -132,16 +137,26 @@
 };
 
 FaultProxy::FaultProxy(event::EventLoop& loop, event::Endpoint target)
-    : loop_(loop),
-      target_(std::move(target)),
-      listener_(loop,
-                [this](std::unique_ptr<event::TcpStream> stream) { Accept(std::move(stream)); }) {}
+    : loop_(loop), target_(std::move(target)) {}
 
 FaultProxy::~FaultProxy() = default;
 
 int FaultProxy::Listen(const std::string& ip) {
   ip_ = ip;
-  return listener_.Listen({ip, 0});
+  return ListenAgain();
+}
+
+int FaultProxy::ListenAgain() {
+  if (listener_ != nullptr) return 0;
+  listener_ = std::make_unique<event::TcpListener>(
+      loop_, [this](std::unique_ptr<event::TcpStream> stream) { Accept(std::move(stream)); });
+  const int result = listener_->Listen({ip_, port_});
+  if (result != 0) {
+    listener_.reset();
+  } else {
+    port_ = listener_->bound_port();
+  }
+  return result;
 }
 
 const FaultProxy::Fault& FaultProxy::FaultFrom(int source) const {
@@ -154,11 +169,11 @@
 }
 
 void FaultProxy::Accept(std::unique_ptr<event::TcpStream> stream) {
-  if (faults_from_.empty() && fault_.mode == Mode::kReset) return;
+  if (faults_from_.empty() && RefusesNew(fault_.mode)) return;
   const auto& port_of_latest = identification_.port_of_latest;
   const uint16_t port = port_of_latest ? port_of_latest() : uint16_t{0};
   auto pair = std::make_unique<Pair>(this, port, std::move(stream));
-  if (FaultOf(pair.get()).mode != Mode::kReset) pairs_.push_back(std::move(pair));
+  if (!RefusesNew(FaultOf(pair.get()).mode)) pairs_.push_back(std::move(pair));
 }
 
 void FaultProxy::SetMode(Mode mode, Duration delay) {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -23,6 +23,7 @@
     kSilent,        // Nothing passes; connections stay open.
     kForwardOnly,   // Bytes pass to the target, none come back.
     kBackwardOnly,  // Bytes pass to the caller, none to the target.
+    kResetNew,      // New connections are reset at once; those that are open pass.
   };
 
   FaultProxy(event::EventLoop& loop, event::Endpoint target);
@@ -32,7 +33,11 @@
 
   // Listens on a free port of `ip`; returns zero or a negative libuv error code.
   int Listen(const std::string& ip);
-  event::Endpoint endpoint() const { return {ip_, listener_.bound_port()}; }
+  // New connections are refused, as by a machine where nothing listens; those that are open pass.
+  void StopListening() { listener_.reset(); }
+  // Listens again on the former port; returns zero or a negative libuv error code.
+  int ListenAgain();
+  event::Endpoint endpoint() const { return {ip_, port_}; }
 
   // Tells the connections of several sources apart. `port_of_latest` is asked while a connection is
   // accepted, `source_of` when it matters where the connection from that port comes from;
@@ -72,7 +77,8 @@
   event::EventLoop& loop_;
   event::Endpoint target_;
   std::string ip_;
-  event::TcpListener listener_;
+  uint16_t port_ = 0;
+  std::unique_ptr<event::TcpListener> listener_;
   std::list<std::unique_ptr<Pair>> pairs_;
   Identification identification_;
   Fault fault_;
--- a/tests/soak/ownership_judge.cc
+++ b/tests/soak/ownership_judge.cc
@@ -52,24 +52,23 @@
                      [key](const KeyRange& keys) { return keys.Contains(key); });
 }
 
-// A repeated grant that arrives at the next life of a worker is the same grant: the pages do not
-// count it. One that was taken late may be older than what others hold by now, unless the worker
+// Another life of a worker is another worker, also where both have one identity: it needs a higher
+// token. A grant that was taken late may be older than what others hold by now, unless the worker
 // answered a release after it had come.
 void OwnershipJudge::CheckToken(const std::string& worker, const HeldKeys& grant,
                                 OrderArrival arrival) {
   bool reported = false;
   for (uint32_t key = grant.keys.first; key <= grant.keys.last; ++key) {
     Latest& latest = latest_[key];
-    const bool repeated = SameGrant(grant, latest.held);
     const bool above = grant.fence > latest.held.fence;
-    const bool allowed = repeated || above || latest.worker == worker || latest.worker.empty() ||
+    const bool allowed = above || latest.worker == worker || latest.worker.empty() ||
                          (arrival == OrderArrival::kTakenLate && !HasReleased(worker, key));
     if (!allowed && !reported) {
       reported = true;
       violations_.push_back(fmt::format("fence: key {} went from {} ({}) to {} ({})", key,
                                         latest.worker, latest.held.fence, worker, grant.fence));
     }
-    if (above || repeated || latest.worker.empty()) latest = {worker, grant};
+    if (above || latest.worker.empty()) latest = {worker, grant};
   }
 }
 
--- a/tests/soak/ownership_judge.h
+++ b/tests/soak/ownership_judge.h
@@ -44,12 +44,13 @@
   std::vector<HeldKeys> held;
 };
 
-// Each worker is one life: a worker that starts again has another name.
+// Each worker is one life: a worker that starts again has another name here, whatever it calls
+// itself.
 class OwnershipJudge {
  public:
-  // A worker took keys. The token must be above those with which others held them, unless the same
-  // grant is repeated, or was taken late and the worker has not answered a release meanwhile, which
-  // could have carried a higher token. Nobody else may still be at work on them under a lease.
+  // A worker took keys. The token must be above those with which others held them, unless the grant
+  // was taken late and the worker has not answered a release meanwhile, which could have carried a
+  // higher token. Nobody else may still be at work on them under a lease.
   void OnGrant(Instant now, const std::string& worker, const HeldKeys& grant, OrderArrival arrival);
   // A worker answered a release.
   void OnReleased(const std::string& worker, const KeyRange& keys) {
--- a/tests/soak/ownership_judge_test.cc
+++ b/tests/soak/ownership_judge_test.cc
@@ -39,11 +39,11 @@
   ExpectOnly("fence");
 }
 
-TEST(OwnershipJudge, ARepeatedGrantAtTheNextLifeOfAWorkerIsTheSameGrant) {
-  Grant("w1", Keys(0, 99, 4));
-  Grant("w1-again", Keys(0, 99, 4));
+TEST(OwnershipJudge, ARepeatedGrantAtTheNextLifeOfAWorkerNeedsAHigherToken) {
+  Grant("w1@1", Keys(0, 99, 4));
+  Grant("w1@2", Keys(0, 99, 5));
   CHECK(judge.violations().empty());
-  Grant("w2", Keys(0, 98, 4));
+  Grant("w1@3", Keys(0, 99, 5));
   ExpectOnly("fence");
 }
 
--- a/tests/soak/request_runner.cc
+++ b/tests/soak/request_runner.cc
@@ -41,7 +41,7 @@
   Run(event::EventLoop& loop, const SoakNode& at, http::ExchangePtr open_exchange,
       std::function<void(Run*)> on_timer)
       : node(&at),
-        worker(at.worker->id()),
+        worker(at.worker->life()),
         exchange(std::move(open_exchange)),
         timer(loop, [this, on_timer = std::move(on_timer)] { on_timer(this); }) {}
 
@@ -188,7 +188,7 @@
     if (run->node == &node && !run->over) End(run.get(), WorkEnd::kBrokenOff, 0);
   }
   idle_.erase(&node);
-  witness_.ownership().OnWorkerEnded(node.worker->id());
+  witness_.ownership().OnWorkerEnded(node.worker->life());
 }
 
 bool RequestRunner::Busy(const SoakNode& node, uint32_t first, uint32_t last) const {
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -140,6 +140,7 @@
 void SoakFleet::Watch() {
   const Instant now = loop_.Now();
   for (const auto& node : nodes_) {
+    ApplyListener(node.get());
     const bool was_stopping = node->process->stopping();
     switch (node->process->Watch(now)) {
       case SupervisedProcess::Event::kEndedByItself:
@@ -166,7 +167,7 @@
   for (const auto& node : nodes_) {
     if (!node->sharded || node->worker == nullptr) continue;
     WorkerHoldings one;
-    one.worker = node->worker->id();
+    one.worker = node->worker->life();
     for (const FakeWorker::Grant& grant : node->worker->grants()) {
       if (grant.until <= now) continue;
       one.held.push_back({{grant.first, grant.last}, grant.fence, grant.until});
@@ -178,14 +179,38 @@
 
 void SoakFleet::StartWorker(SoakNode* node) {
   if (node->worker != nullptr) return;
-  auto worker = std::make_unique<FakeWorker>(
-      loop_, fmt::format("w-{}-{}", node->name, ++node->worker_life), node->service);
+  ++node->worker_life;
+  if (!node->worker_returns)
+    node->worker_id = fmt::format("w-{}-{}", node->name, node->worker_life);
+  auto worker = std::make_unique<FakeWorker>(loop_, node->worker_id, node->service);
+  worker->set_born(NextBirth());
   SetUpWorker(node, worker.get());
   // Fails while connections of the former life are still being closed; the caller tries again.
   if (worker->Listen(node->worker_port) != 0) return;
   node->worker_port = worker->endpoint().port;
   worker->StartHeartbeats(node->control_plane, heartbeat_interval_);
   node->worker = std::move(worker);
+  node->worker_returns = false;
+  ApplyListener(node);
+}
+
+// Milliseconds since 1970; rises, so that no two lives have the same.
+int64_t SoakFleet::NextBirth() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  last_birth_ =
+      std::max(last_birth_ + 1, std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  return last_birth_;
+}
+
+void SoakFleet::ApplyListener(SoakNode* node) {
+  // The proxy does not exist yet when the first worker starts.
+  if (node->worker_proxy == nullptr) return;
+  if (node->worker == nullptr || node->refuses_connections) {
+    node->worker_proxy->StopListening();
+  } else {
+    // Retried by the next look when the port is not free yet.
+    node->worker_proxy->ListenAgain();
+  }
 }
 
 void SoakFleet::SetUpWorker(SoakNode* node, FakeWorker* worker) {
@@ -204,16 +229,21 @@
   worker->set_behaviour(
       [this, node](const http::ExchangePtr& exchange) { OnRequest(node, exchange); });
   worker->set_on_granted(
-      [this, node, id = worker->id()](const FakeWorker::Grant& grant, bool late) {
+      [this, node, life = worker->life()](const FakeWorker::Grant& grant, bool late) {
         const bool slow = node->worker_proxy->mode() != FaultProxy::Mode::kPass;
-        witness_.OnGrant(node->index, id, grant, late, slow);
+        witness_.OnGrant(node->index, life, grant, late, slow);
       });
+  worker->set_on_released([this, life = worker->life()](uint32_t first, uint32_t last) {
+    witness_.ownership().OnReleased(life, {first, last});
+  });
 }
 
-void SoakFleet::EndWorker(SoakNode* node) {
+void SoakFleet::EndWorker(SoakNode* node, bool returns) {
   if (node->worker == nullptr) return;
   runner_.OnWorkerEnded(*node);
   node->worker.reset();
+  node->worker_returns = returns;
+  ApplyListener(node);
 }
 
 void SoakFleet::OnRequest(SoakNode* node, const http::ExchangePtr& exchange) {
@@ -223,7 +253,7 @@
     const auto number = static_cast<uint32_t>(std::stoul(*key));
     for (const auto& other : nodes_) {
       if (other.get() == node || !other->sharded || other->worker == nullptr) continue;
-      if (other->worker->Holds(number) != nullptr) others.push_back(other->worker->id());
+      if (other->worker->Holds(number) != nullptr) others.push_back(other->worker->life());
     }
   }
   runner_.Begin(*node, exchange, others);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -42,7 +42,10 @@
 
   // A new life of the worker, at the address of the former one; no effect while it runs.
   void StartWorker(SoakNode* node);
-  void EndWorker(SoakNode* node);
+  // It ends without a word; `returns`: its next life has the same identity.
+  void EndWorker(SoakNode* node, bool returns = false);
+  // The worker's address takes connections while the worker lives and is not told to refuse them.
+  void ApplyListener(SoakNode* node);
   // While set, the node's worker leaves orders unanswered, or its heartbeats come late.
   void SetOrdersUnanswered(size_t node, bool value) { orders_unanswered_[node] = value; }
   void SetHeartbeatsDelayed(size_t node, bool value) { heartbeats_delayed_[node] = value; }
@@ -55,6 +58,7 @@
   using FakeWorker = platform_adapter::FakeWorker;
 
   void MakeNode(size_t index);
+  int64_t NextBirth();
   void WriteSettings(const SoakNode& node, int retry_budget_extra) const;
   void SetUpWorker(SoakNode* node, FakeWorker* worker);
   FakeWorker::HeartbeatFault NextHeartbeatFault(size_t node);
@@ -84,6 +88,7 @@
   std::vector<std::unique_ptr<event::Timer>> held_back_;
   std::vector<std::unique_ptr<http::SimpleCall>> late_calls_;
   int settings_written_ = 0;
+  int64_t last_birth_ = 0;
 };
 
 }  // namespace runshelf::soak
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -25,6 +25,9 @@
   event::Endpoint control_plane;
   uint16_t worker_port = 0;
   int worker_life = 0;
+  std::string worker_id;        // Of the present or latest worker.
+  bool worker_returns = false;  // Its next life has the same identity.
+  bool refuses_connections = false;
   std::unique_ptr<platform_adapter::FakeWorker> worker;  // Empty while it is down.
   size_t store_entrance = 0;
   std::unique_ptr<FaultProxy> store_proxy;
