Planner: a worker that is alone in its service gets back what its node gave up

Cause: shards that a node gave up were offered to the workers of other nodes only. With no other accepting worker the list was empty, and the range stayed dark for good (12 s watched) after a worker had been missed for 0.4 s and had come back.

Change: with no other worker the node's own one takes them. While others accept, they are asked first as before: the record of the node may still tell the worker that was lost.

--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -262,7 +262,9 @@
     plan.changed = true;
   }
   for (const auto& [node, count] : orphans) {
-    const std::vector<WorkerId> targets = SpreadOver(map, input, node, count);
+    std::vector<WorkerId> targets = SpreadOver(map, input, node, count);
+    // A worker that is alone in its service, and has come back, is the only one that can take them.
+    if (targets.empty()) targets = SpreadOver(map, input, "", count);
     if (targets.empty()) continue;
     size_t next = 0;
     for (Shard& shard : plan.map.shards()) {
--- a/tests/sharding/shard_planner_test.cc
+++ b/tests/sharding/shard_planner_test.cc
@@ -118,6 +118,18 @@
   STRCMP_EQUAL("h", plan.map.shards()[3].handover.c_str());
 }
 
+TEST(ShardPlanner, AWorkerThatIsAloneTakesBackWhatItsNodeGaveUp) {
+  Plan first = PlanRepair({}, Fleet(1), config);
+  for (Shard& shard : first.map.shards()) shard.owner.worker.clear();
+  CHECK_FALSE(PlanRepair(first.map, {}, config).changed);
+  const Plan plan = PlanRepair(first.map, Fleet(1), config);
+  CHECK(plan.changed);
+  for (const Shard& shard : plan.map.shards()) {
+    STRCMP_EQUAL("worker-of-n0", shard.owner.worker.c_str());
+    CHECK(shard.token > first.map.last_token());
+  }
+}
+
 TEST(ShardPlanner, BalanceSpreadsAHotRange) {
   PlannerInput input = Fleet(4);
   ShardMap map = PlanRepair({}, input, config).map;
