--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -43,6 +43,7 @@
 
   const event::Endpoint& endpoint() const { return endpoint_; }
   Instant made_at() const { return made_at_; }
+  Instant heard_at() const { return heard_at_; }
   bool PeerGone() const { return stream_ == nullptr || stream_->PeerGone(); }
   bool reused() const { return requests_ > 1; }
 
@@ -96,6 +97,7 @@
 
   void OnData(std::string_view data) override {
     const auto self = shared_from_this();
+    heard_at_ = pool_->loop_.Now();
     if (observer_ == nullptr) {
       // Bytes that no request asked for.
       Discard();
@@ -222,6 +224,7 @@
   uint64_t requests_ = 0;
   bool connected_ = false;
   Instant made_at_{};
+  Instant heard_at_{};  // When bytes came last.
   bool reusable_ = true;
   bool skipping_ = false;
   bool head_seen_ = false;
@@ -276,11 +279,17 @@
   idle_.erase(found);
 }
 
-bool ConnectionPool::HasOpenConnection(const event::Endpoint& endpoint, Instant made_by) const {
+bool ConnectionPool::HasOpenConnection(const event::Endpoint& endpoint) const {
+  return HasLiveConnection(endpoint, Instant::max(), Instant::min());
+}
+
+bool ConnectionPool::HasLiveConnection(const event::Endpoint& endpoint, Instant made_by,
+                                       Instant heard_from) const {
   const auto found = made_.find(endpoint);
   if (found == made_.end()) return false;
-  return std::any_of(found->second.begin(), found->second.end(), [made_by](const auto* connection) {
-    return connection->made_at() <= made_by && !connection->PeerGone();
+  return std::any_of(found->second.begin(), found->second.end(), [&](const auto* connection) {
+    return connection->made_at() <= made_by && connection->heard_at() >= heard_from &&
+           !connection->PeerGone();
   });
 }
 
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -90,10 +90,14 @@
                                    const CallOptions& options, ResponseObserver* observer);
   // Closes the idle connections to an endpoint.
   void CloseIdle(const event::Endpoint& endpoint);
-  // A connection to the endpoint that was made at `made_by` or earlier is open, in use or idle, as
-  // far as the operating system knows: the process at its other end still runs. Costs a system call
-  // for each connection until one is found.
-  bool HasOpenConnection(const event::Endpoint& endpoint, Instant made_by) const;
+  // A connection to the endpoint is open, in use or idle, as far as the operating system knows: the
+  // process at its other end still runs. Costs a system call for each connection until one is
+  // found.
+  bool HasOpenConnection(const event::Endpoint& endpoint) const;
+  // The same of a connection that was made at `made_by` or earlier and brought something at
+  // `heard_from` or later: one that fell silent for good looks open for seconds.
+  bool HasLiveConnection(const event::Endpoint& endpoint, Instant made_by,
+                         Instant heard_from) const;
   uint64_t opened() const { return opened_; }
   // Called when a peer closes or breaks a connection that no request is on.
   void set_on_idle_lost(std::function<void(const event::Endpoint&)> callback) {
--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -11,6 +11,14 @@
 
 namespace runshelf::sidecar {
 
+// Whether a grant under a token was sent. If it was, the token must reach no other incarnation of
+// the worker, which would hold keys under the former one's.
+enum class TokenUse {
+  kNone,
+  kByThisProcess,
+  kMaybeBefore,  // By the former life of this process.
+};
+
 struct HeldShard {
   sharding::Shard shard;
   std::string worker_id;
@@ -19,6 +27,7 @@
   Instant sent_at{};       // Of the latest grant call.
   Instant retry_at{};      // After a grant call without an answer: none before.
   uint64_t call = 0;       // Number of the call under way; zero: none.
+  TokenUse token_use = TokenUse::kNone;
   bool releasing = false;
   bool released = false;
   bool superseded = false;  // The worker has seen a higher token on these keys.
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -67,6 +67,7 @@
   if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
   gone_workers_.erase(worker_id);
   worker_id_ = worker_id;
+  repeats_held_since_ = Instant{};
   Reconcile();
 }
 
@@ -89,6 +90,8 @@
   NoticePause();
   reconciling_ = true;
   AdoptShards();
+  // From here on the map is known as the former life of this process knew it.
+  had_authority_ = had_authority_ || context_.AuthorityUntil() > loop_.Now();
   if (ByHeartbeat()) {
     AbandonLapsed();
   } else {
@@ -99,15 +102,19 @@
   if (HasChangeToCommit() && !commit_timer_.active()) commit_timer_.Start(CommitDelay());
 }
 
-void ShardHolder::OnWorkerConnectionLost() {
-  if (DividedByKey() && !ByHeartbeat()) context_.DoubtWorker();
+void ShardHolder::OnWorkerConnectionLost() { SuspectEnd("idle-connection-lost"); }
+
+// One whose incarnation is known is looked at before each grant that is repeated.
+void ShardHolder::SuspectEnd(const char* reason) {
+  if (!DividedByKey() || ByHeartbeat() || context_.WorkerTellsIncarnation()) return;
+  context_.DoubtWorker(reason);
 }
 
 void ShardHolder::NoticePause() {
   const Instant now = loop_.Now();
   const bool paused = turned_at_ != Instant{} && now - turned_at_ > config_.pause_noticed;
   turned_at_ = now;
-  if (paused && !ByHeartbeat()) context_.DoubtWorker();
+  if (paused) SuspectEnd("process-paused");
 }
 
 bool ShardHolder::HasChangeToCommit() const {
@@ -124,6 +131,8 @@
 bool ShardHolder::OfFormerWorker(const sharding::Shard& shard) const {
   if (shard.owner.node != config_.node || shard.owner.worker.empty()) return false;
   if (shard.owner.worker == worker_id_) return false;
+  // Whoever is there has not told its incarnation: it may be the owner.
+  if (worker_id_ == wire_.StatedIdentity(shard.owner.worker)) return false;
   // There is one worker on a machine: another one's presence tells that the former ended.
   if (!worker_id_.empty() || gone_workers_.contains(shard.owner.worker)) return true;
   // A process that has just learnt of its shards may find the worker at any moment.
@@ -148,6 +157,7 @@
     if (shard.owner.node != config_.node || shard.owner.worker.empty()) continue;
     const HeldShardKey key(shard.first, shard.last, shard.token);
     HeldShard holding;
+    if (!had_authority_) holding.token_use = TokenUse::kMaybeBefore;
     if (const auto known = holdings_.find(key); known != holdings_.end()) {
       holding = known->second;
     } else if (const HeldShard* parent = FindHolding(shard.first);
@@ -157,6 +167,7 @@
       holding.usable_until = parent->usable_until;
       holding.held_until = parent->held_until;
       holding.leased = parent->leased;
+      holding.token_use = parent->token_use;
     }
     if (holding.worker_id != shard.owner.worker) holding.worker_id = shard.owner.worker;
     holding.shard = shard;
@@ -178,7 +189,9 @@
 void ShardHolder::RenewGrants() {
   const Instant now = loop_.Now();
   if (worker_id_.empty() || context_.AuthorityUntil() <= now + kMinHold) return;
-  if (!context_.ConfirmWorker()) return;
+  const WorkerProof proof = context_.ProveWorker();
+  if (proof == WorkerProof::kNone) return;
+  std::optional<bool> may_repeat;  // Found out when it is asked for.
   std::vector<sharding::Shard> granted_anew;
   for (auto& [key, holding] : holdings_) {
     if (grants_.size() >= config_.grants_at_once) break;
@@ -188,6 +201,14 @@
     if (MustMove(holding.shard)) continue;
     const bool held = holding.usable_until > now;
     if (now < holding.retry_at) continue;
+    const bool repeats = holding.token_use != TokenUse::kNone;
+    if (repeats && !may_repeat.has_value()) may_repeat = MayRepeatGrants(proof);
+    if (repeats && !*may_repeat) {
+      // A new token costs one change of the map for each start of a node whose keys were not handed
+      // over before; the proof takes two heartbeats, up to 2.6 s without the keys.
+      if (holding.token_use == TokenUse::kMaybeBefore) holding.superseded = true;
+      continue;
+    }
     if (held && now - holding.sent_at < config_.renewal_interval) continue;
     if (!held) granted_anew.push_back(holding.shard);
     SendGrant(key, &holding);
@@ -195,6 +216,35 @@
   LogGrants(granted_anew);
 }
 
+bool ShardHolder::MayRepeatGrants(WorkerProof proof) {
+  // What is known may be old: the worker may have ended since, the next one may listen, and the
+  // news lie unread. A connection that is open at this moment tells.
+  if (proof == WorkerProof::kIncarnation && context_.WorkerRuns()) {
+    repeats_held_since_ = Instant{};
+    return true;
+  }
+  const Instant now = loop_.Now();
+  if (repeats_held_since_ == Instant{}) {
+    repeats_held_since_ = now;
+    context_.ReachWorker();
+  }
+  if (now - repeats_held_since_ >= config_.incarnation_patience) AskForNewTokens();
+  return false;
+}
+
+void ShardHolder::AskForNewTokens() {
+  repeats_held_since_ = Instant{};
+  size_t count = 0;
+  for (auto& [key, holding] : holdings_) {
+    if (holding.token_use == TokenUse::kNone || holding.releasing) continue;
+    if (holding.worker_id != worker_id_) continue;
+    holding.superseded = true;
+    ++count;
+  }
+  log_.Write(LogLevel::kWarning, "worker_incarnation_unknown",
+             {{"worker", worker_id_}, {"shards_to_renew", count}});
+}
+
 // Only shards that the worker is not known to hold: renewals would be a line for each second. At
 // most one line for each tick, the first at once.
 void ShardHolder::LogGrants(const std::vector<sharding::Shard>& shards) {
@@ -225,6 +275,7 @@
   grant.hold = hold;
   grant.handover = holding->shard.handover;
   holding->sent_at = now;
+  holding->token_use = TokenUse::kByThisProcess;
   holding->held_until =
       std::max(holding->held_until, now + hold + hold / kClockRateDivisor + config_.call_timeout);
   ++grants_sent_;
@@ -257,7 +308,7 @@
     // Soon again: the worker may not have it.
     holding.sent_at = Instant{};
     holding.retry_at = loop_.Now() + config_.grant_retry;
-    context_.DoubtWorker();
+    SuspectEnd("grant-unanswered");
   }
   Reconcile();
 }
@@ -338,7 +389,13 @@
 }
 
 bool ShardHolder::AwaitsKeys() const {
-  if (!ByHeartbeat() || !DividedByKey() || leaving_ || shards_.map().empty()) return false;
+  if (!DividedByKey()) return false;
+  // A heartbeat proves that the worker was there when its former one was answered. Answered after
+  // there is a connection, this one lets the next prove whose connection that is.
+  if (!ByHeartbeat()) {
+    return context_.WorkerTellsIncarnation() && context_.ProveWorker() == WorkerProof::kNone;
+  }
+  if (leaving_ || shards_.map().empty()) return false;
   if (context_.AuthorityUntil() <= loop_.Now() + kMinHold) return true;
   // Shards of the worker's former life are about to be its own; others may be about to be so no
   // more.
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -25,6 +25,7 @@
 #include "source/sidecar/shard_store.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
+#include "source/sidecar/worker_proof.h"
 #include "source/store/store_operations.h"
 
 namespace runshelf::sidecar {
@@ -42,6 +43,11 @@
   // A grant that got no answer is sent again after this long: the same worker may just be slow, and
   // where nothing listens each one fails at once.
   Duration grant_retry = std::chrono::milliseconds(100);
+  // A worker whose grants are due and must not be repeated for so long, since another incarnation
+  // may be there, gets its keys under new tokens, which any incarnation may take: a change of the
+  // map. With the renewal interval it is less than a grant lasts, and more than a heartbeat takes
+  // to come on most deployments, which tells mostly.
+  Duration incarnation_patience = std::chrono::milliseconds(1600);
   // Without a turn for this long, the process may have slept through the end of its worker.
   Duration pause_noticed = std::chrono::milliseconds(700);
   Duration call_timeout = std::chrono::milliseconds(400);
@@ -63,12 +69,20 @@
   // Holds as long as this life of the node is the latest one: a change of the map that it sent must
   // not be done when a later life acts on the map as it was.
   virtual store::Condition StillThisLife() const = 0;
-  // The process at the worker's address is the worker that is known. An order meant for a worker
-  // must not reach the next one at its address, which would hold keys under the former's token.
-  // Asks who is there when that is not known.
-  virtual bool ConfirmWorker() = 0;
-  // An order may have met another process there.
-  virtual void DoubtWorker() = 0;
+  // What is known of the process at the worker's address. An order meant for a worker must not
+  // reach the next one there, which would hold keys under the former's token. Asks who is there
+  // when that is not known.
+  virtual WorkerProof ProveWorker() = 0;
+  // The incarnation that was proven runs at this moment.
+  virtual bool WorkerRuns() const = 0;
+  // Incarnations of the worker may state one identity: only a connection that is open, or the
+  // worker itself, tells which one is there.
+  virtual bool WorkerTellsIncarnation() const = 0;
+  // Makes a connection to whoever is at the worker's address, if none is idle.
+  virtual void ReachWorker() = 0;
+  // An order may have met another process there, or the worker may have ended. `reason`: for the
+  // log.
+  virtual void DoubtWorker(const char* reason) = 0;
   // Workers that take the shards of this node when it gives all of them up, one for each; empty
   // when there is none.
   virtual std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) = 0;
@@ -123,6 +137,11 @@
   void NoticePause();
   void AdoptShards();
   void RenewGrants();
+  // Whether grants under tokens that were granted before may be sent to the worker.
+  bool MayRepeatGrants(WorkerProof proof);
+  // The worker may have ended unnoticed.
+  void SuspectEnd(const char* reason);
+  void AskForNewTokens();
   void LogGrants(const std::vector<sharding::Shard>& shards);
   void SendGrant(const HeldShardKey& key, HeldShard* holding);
   void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
@@ -169,10 +188,12 @@
   http::CallSet releases_;
   HeartbeatGrants heartbeat_grants_;
   routes::GrantDelivery delivery_ = routes::GrantDelivery::kCalls;
-  Instant turned_at_{};       // The latest look at what is to be done.
-  Instant heard_at_{};        // The latest heartbeat of the worker that reported keys.
-  ConflictBackoff backoff_;   // Of changes of the map.
-  uint64_t order_count_ = 0;  // Grants and releases sent; numbers them.
+  bool had_authority_ = false;    // Since this process started.
+  Instant repeats_held_since_{};  // Grants are due that must not be repeated; Instant{}: none.
+  Instant turned_at_{};           // The latest look at what is to be done.
+  Instant heard_at_{};            // The latest heartbeat of the worker that reported keys.
+  ConflictBackoff backoff_;       // Of changes of the map.
+  uint64_t order_count_ = 0;      // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
   std::vector<sharding::Shard> granted_anew_;  // Not logged yet.
   Instant grants_logged_at_{};
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -54,7 +54,10 @@
     if (!OfFormerWorker(shard)) continue;
     if (!changed) token = map->NextToken();
     changed = true;
-    if (worker_id_.empty() || leaving_) {
+    // An owner whose incarnation was not known may be the worker that is here: it lets the keys go
+    // as any others, under a token that is known to be its own.
+    const bool may_be_here = shard.owner.worker == wire_.StatedIdentity(worker_id_);
+    if (worker_id_.empty() || (leaving_ && !may_be_here)) {
       shard.owner.worker.clear();
       shard.handover.clear();
       shard.move_to_node.clear();
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -37,14 +37,16 @@
       stop_schedule_(settings_.bounds),
       incarnation_(random.Next() >> 1U),
       pool_(loop),
+      order_pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
       peers_(settings_.node_name, settings_.zone),
       gate_(loop, pool_, wire, settings_.worker),
-      monitor_(loop, pool_, store_, wire, settings_, KeyOf(kDrainPrefix, settings_.node_name), log,
+      monitor_(loop, pool_, order_pool_, store_, wire, settings_,
+               KeyOf(kDrainPrefix, settings_.node_name), log,
                {[this](bool former_gone) { OnWorkerChanged(former_gone); },
                 [this] { holder_.OnWorkerConfirmed(); }, &holder_}),
       shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
-      holder_(loop, pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
+      holder_(loop, order_pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
       lease_(loop, store_, LeaseConfig(settings_)),
       configuration_watcher_(
@@ -84,9 +86,11 @@
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
-  pool_.set_on_idle_lost([this](const event::Endpoint& endpoint) {
-    if (endpoint == settings_.worker) holder_.OnWorkerConnectionLost();
-  });
+  for (http::ConnectionPool* pool : {&pool_, &order_pool_}) {
+    pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
+      if (endpoint == settings_.worker) holder_.OnWorkerConnectionLost();
+    });
+  }
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
     for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
@@ -206,7 +210,7 @@
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
-  gauges.connections_opened = pool_.opened();
+  gauges.connections_opened = pool_.opened() + order_pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
   gauges.retries = ingress_.retries();
   gauges.log_lines_dropped = log_.dropped();
@@ -320,7 +324,7 @@
   record.worker_id = monitor_.worker_id();
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
-  record.takes_keys = holder_.WorkerReports();
+  record.takes_keys = holder_.WorkerReports() && monitor_.IdentityIsWhole();
   record.processor_percent = static_cast<uint32_t>(settings_.processor_cores * kPercent);
   record.link_megabits = static_cast<uint32_t>(settings_.link_bytes_per_second / kBytesPerMegabit);
   record.stopping = stop_schedule_.Announced(loop_.Now());
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -56,11 +56,14 @@
   // ShardHolderContext
   Instant AuthorityUntil() const override;
   store::Condition StillThisLife() const override { return lease_.ItemUnchanged(); }
-  bool ConfirmWorker() override {
+  WorkerProof ProveWorker() override {
     monitor_.AskIdentity();
-    return monitor_.confirmed();
+    return monitor_.proof();
   }
-  void DoubtWorker() override { monitor_.Doubt(); }
+  bool WorkerRuns() const override { return monitor_.RunsNow(); }
+  bool WorkerTellsIncarnation() const override { return monitor_.TellsIncarnation(); }
+  void ReachWorker() override { monitor_.OnWorkerUnreachable(); }
+  void DoubtWorker(const char* reason) override { monitor_.Doubt(reason); }
   std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) override;
   sharding::WorkerId WorkerOf(const std::string& node) override;
   // StoreRelay
@@ -96,6 +99,9 @@
   StopSchedule stop_schedule_;
   uint64_t incarnation_;
   http::ConnectionPool pool_;
+  // For grants and releases. One without an answer takes its connection with it; those on which the
+  // worker answers requests last, and tell that it runs.
+  http::ConnectionPool order_pool_;
   store::StoreClient store_;
   PeerDirectory peers_;
   ShardDirectory shard_directory_;
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -69,7 +69,7 @@
 
 // A worker says that it is well, or that it is leaving.
 struct WorkerHeartbeat {
-  std::string worker_id;
+  std::string worker_id;  // Of this incarnation.
   std::string service;
   std::string address;
   std::string zone;
@@ -77,14 +77,12 @@
   bool draining = false;
   Duration cold_remaining{0};  // How much longer it is slow from its start.
   int64_t sequence = 0;        // Rises with each call of the worker.
-  // When this life of the worker began, in milliseconds since 1970; nullopt: it does not say.
-  std::optional<int64_t> born;
-  KeyReport keys;  // Empty where keys are granted by calls.
+  KeyReport keys;              // Empty where keys are granted by calls.
 };
 
 // A worker has left or is about to.
 struct WorkerLeave {
-  std::string worker_id;
+  std::string worker_id;  // Of this incarnation.
 };
 
 using WorkerNotice = std::variant<WorkerHeartbeat, WorkerLeave>;
@@ -111,6 +109,12 @@
 
   virtual const HeaderNames& headers() const = 0;
 
+  // The identity that a worker states in its answers, and that requests name. A worker that starts
+  // again may state the same one; then `worker_id`, which names one incarnation, is longer.
+  virtual std::string_view StatedIdentity(std::string_view worker_id) const = 0;
+  // Both are incarnations of one worker, and the first one says that it began before the other.
+  virtual bool BeganBefore(std::string_view worker_id, std::string_view other) const = 0;
+
   // Id of the request during whose run a worker sent the request with this id; empty when the id
   // does not tell. Whether the worker really runs that request is for the caller to check.
   virtual std::string_view ParentRequestId(std::string_view request_id) const = 0;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -88,7 +88,8 @@
     const HeaderNames& names = gate_->wire_.headers();
     http::RequestHead head = request_.request->head;
     head.headers.Set(names.deadline, std::to_string(ToMilliseconds(request_.deadline - now)));
-    head.headers.Set(names.expected_worker, gate_->worker_id_);
+    head.headers.Set(names.expected_worker,
+                     std::string(gate_->wire_.StatedIdentity(gate_->worker_id_)));
     head.headers.Set(names.caller_service, request_.caller_service);
     http::CallOptions options;
     options.head_request = head.method == "HEAD";
@@ -110,7 +111,7 @@
       return;
     }
     // Each request names the worker that is meant, and any other one says 421.
-    if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerAnswered(sent_at_);
+    NoteAnswer();
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
       overloaded_ = head.status == kServiceUnavailable;
@@ -150,16 +151,20 @@
   }
 
  private:
+  void NoteAnswer() {
+    if (gate_->evidence_ == nullptr) return;
+    gate_->evidence_->OnWorkerAnswered(
+        sent_at_, call_ == nullptr ? Instant::max() : call_->connection_made_at());
+  }
+
   void NoteMisdirected(const http::ResponseHead& head) {
     const std::string* other = head.headers.Find(gate_->wire_.headers().worker_id);
-    if (other != nullptr && *other != gate_->worker_id_) {
+    if (other != nullptr && *other != gate_->wire_.StatedIdentity(gate_->worker_id_)) {
       refusal_ = FailureReason::kWrongWorker;
       if (gate_->evidence_ != nullptr) gate_->evidence_->OnOtherWorker(*other);
       return;
     }
-    if (other != nullptr && gate_->evidence_ != nullptr) {
-      gate_->evidence_->OnWorkerAnswered(sent_at_);
-    }
+    if (other != nullptr) NoteAnswer();
     if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
       refusal_ = FailureReason::kNotOwner;
       gate_->key_authority_->OnKeyRefused(*request_.key);
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -36,12 +36,13 @@
 class WorkerEvidence {
  public:
   virtual ~WorkerEvidence() = default;
-  // The worker answered a request that was sent to it at `sent`, and to no other.
-  virtual void OnWorkerAnswered(Instant sent) = 0;
+  // The worker answered a request that was sent to it at `sent`, and to no other, on a connection
+  // that was made at `connection_made`.
+  virtual void OnWorkerAnswered(Instant sent, Instant connection_made) = 0;
   // No connection could be made, or one was lost.
   virtual void OnWorkerUnreachable() = 0;
-  // A worker with another identity is at the address.
-  virtual void OnOtherWorker(const std::string& worker_id) = 0;
+  // A worker that states another identity is at the address.
+  virtual void OnOtherWorker(const std::string& stated_identity) = 0;
 };
 
 class WorkerGate {
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -27,15 +27,19 @@
 constexpr Duration kHeartbeatLateness = std::chrono::seconds(2);
 // How often a waiting answer is looked at again.
 constexpr Duration kDeferralPoll = std::chrono::milliseconds(20);
+// A connection that is open, and brought something so lately, tells that the worker runs. Grants,
+// each renewed once a second, keep one that lively at an idle worker.
+constexpr Duration kLiveConnectionAge = std::chrono::milliseconds(1200);
 
 }  // namespace
 
 WorkerMonitor::WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool,
-                             store::StoreClient& store, const WireFormat& wire,
-                             const Settings& settings, std::string drain_key, LogWriter& log,
-                             Observer observer)
+                             http::ConnectionPool& order_pool, store::StoreClient& store,
+                             const WireFormat& wire, const Settings& settings,
+                             std::string drain_key, LogWriter& log, Observer observer)
     : loop_(loop),
       pool_(pool),
+      order_pool_(order_pool),
       store_(store),
       wire_(wire),
       settings_(settings),
@@ -57,7 +61,7 @@
   if (revision < drain_revision_) return;
   recorded_drain_ = worker_id;
   drain_revision_ = revision;
-  if (worker_id == worker_id_ && !worker_id.empty()) MarkDraining();
+  if (RecordedDraining()) MarkDraining();
 }
 
 void WorkerMonitor::OnSynchronized() {
@@ -101,6 +105,7 @@
 // twice, tells of keys that may have moved since.
 void WorkerMonitor::AcknowledgeHeartbeat(const http::ExchangePtr& exchange,
                                          const WorkerHeartbeat& heartbeat) {
+  if (IsNewest(heartbeat) && answered_at_ == Instant{}) answered_at_ = loop_.Now();
   Acknowledge(exchange, IsNewest(heartbeat) && observer_.lessor != nullptr
                             ? observer_.lessor->LeaseFor(heartbeat)
                             : std::nullopt);
@@ -150,24 +155,28 @@
     Defer(exchange, heartbeat, /*noted=*/false);
     return;
   }
-  const bool former = former_workers_.contains(heartbeat.worker_id);
-  if (former || heartbeat.service != settings_.worker_service) {
+  if (Resolve(heartbeat.worker_id) != heartbeat.worker_id) {
+    log_.Write(LogLevel::kWarning, "worker_notice_refused",
+               {{"reason", std::string("the worker's incarnation is missing")}});
+    exchange->Respond(kBadRequest, {}, "");
+    return;
+  }
+  if (heartbeat.service != settings_.worker_service || IsOfFormerWorker(heartbeat)) {
     Acknowledge(exchange, std::nullopt);
     return;
   }
-  if (heartbeat.worker_id != worker_id_) AdoptWorker(heartbeat.worker_id, Instant{});
-  heard_at_ = loop_.Now();
-  if (heartbeat.born != born_) {
-    log_.Write(LogLevel::kInfo, "worker_life",
-               {{"worker", heartbeat.worker_id},
-                {"born", heartbeat.born.value_or(0)},
-                {"former_born", born_.value_or(0)},
-                {"sequence", heartbeat.sequence}});
-    born_ = heartbeat.born;
+  if (heartbeat.worker_id != worker_id_) {
+    AdoptWorker(heartbeat.worker_id, Instant{}, Source::kNotice);
   }
+  source_ = Source::kNotice;
+  heard_at_ = loop_.Now();
+  for (auto& [worker_id, former] : former_workers_) former.heard_at = Instant{};
   if (heartbeat.sequence > sequence_) {
     Confirm(loop_.Now() - kHeartbeatLateness);
+    // A worker sends one heartbeat at a time: this one was sent after the former was answered.
+    ConfirmIncarnation(answered_at_);
     sequence_ = heartbeat.sequence;
+    answered_at_ = Instant{};
     cold_until_ = loop_.Now() + heartbeat.cold_remaining;
     if (heartbeat.slots != slots_) {
       slots_ = heartbeat.slots;
@@ -189,30 +198,62 @@
 void WorkerMonitor::OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave) {
   if (!synchronized_) {
     exchange->Respond(kServiceUnavailable, {}, "");
-  } else if (former_workers_.contains(leave.worker_id)) {
+    return;
+  }
+  const std::string worker_id = Resolve(leave.worker_id);
+  if (former_workers_.contains(worker_id)) {
     Acknowledge(exchange, std::nullopt);
-  } else {
-    if (leave.worker_id != worker_id_) AdoptWorker(leave.worker_id, Instant{});
-    RecordDrain(exchange, leave.worker_id,
-                [this, exchange] { Acknowledge(exchange, std::nullopt); });
+    return;
   }
+  if (worker_id != worker_id_) AdoptWorker(worker_id, Instant{}, Source::kNotice);
+  RecordDrain(exchange, worker_id, [this, exchange] { Acknowledge(exchange, std::nullopt); });
 }
 
-void WorkerMonitor::AdoptWorker(const std::string& worker_id, Instant alive_at) {
-  const bool replaced = !worker_id_.empty();
-  if (replaced) former_workers_.insert(worker_id_);
+std::string WorkerMonitor::Resolve(const std::string& worker_id) const {
+  const bool same = TellsIncarnation() && worker_id == wire_.StatedIdentity(worker_id_);
+  return same ? worker_id_ : worker_id;
+}
+
+// What a worker sent before it ended may come seconds late, after the next one was heard. But if
+// the one that was taken for the former is heard twice, a heartbeat interval apart, and the present
+// one not at all meanwhile, then it was the message of the present one that came late.
+bool WorkerMonitor::IsOfFormerWorker(const WorkerHeartbeat& heartbeat) {
+  auto found = former_workers_.find(heartbeat.worker_id);
+  if (found == former_workers_.end()) {
+    if (!wire_.BeganBefore(heartbeat.worker_id, worker_id_)) return false;
+    found = former_workers_.try_emplace(heartbeat.worker_id).first;
+  }
+  FormerWorker& former = found->second;
+  const Instant now = loop_.Now();
+  if (former.heard_at == Instant{}) former = {now, heartbeat.sequence};
+  const bool alive =
+      heartbeat.sequence > former.sequence && now - former.heard_at >= settings_.heartbeat_interval;
+  if (!alive) return true;
+  log_.Write(LogLevel::kWarning, "former_worker_returned",
+             {{"worker", heartbeat.worker_id}, {"taken_for_present", worker_id_}});
+  former_workers_.erase(found);
+  return false;
+}
+
+void WorkerMonitor::AdoptWorker(const std::string& worker_id, Instant alive_at, Source source) {
+  const bool replaced = !worker_id_.empty() && !Completes(worker_id);
+  source_ = source;
+  adopted_at_ = loop_.Now();
+  if (replaced) former_workers_[worker_id_] = {};
+  former_workers_.erase(worker_id);
   log_.Write(LogLevel::kInfo, "worker_found",
              {{"worker", worker_id},
               {"former", worker_id_},
-              {"recorded_draining", worker_id == recorded_drain_}});
+              {"told_by_worker", source == Source::kNotice},
+              {"recorded_drain", recorded_drain_}});
   worker_id_ = worker_id;
   seeking_ = false;
   sequence_ = -1;
-  draining_ = worker_id == recorded_drain_;
+  answered_at_ = Instant{};
+  incarnation_proven_at_ = Instant{};
+  draining_ = RecordedDraining();
   draining_since_ = Instant{};
-  heard_at_ = loop_.Now();
-  failed_probes_ = 0;
-  refused_probes_ = 0;
+  NoteAnswer();
   probe_timer_.Stop();
   confirmed_at_ = alive_at;
   doubted_at_ = alive_at == Instant{} ? loop_.Now() : Instant{};
@@ -220,20 +261,60 @@
   observer_.on_changed(replaced);
 }
 
-void WorkerMonitor::Doubt() {
+// An incarnation that is not told yet may be the one that leaves.
+bool WorkerMonitor::RecordedDraining() const {
+  if (worker_id_.empty() || recorded_drain_.empty()) return false;
+  return recorded_drain_ == worker_id_ ||
+         (source_ == Source::kAddress && wire_.StatedIdentity(recorded_drain_) == worker_id_);
+}
+
+bool WorkerMonitor::RunsNow() const {
+  // A worker whose incarnations state different identities is known by these.
+  if (!TellsIncarnation()) return true;
+  const Instant heard_from = loop_.Now() - kLiveConnectionAge;
+  return pool_.HasLiveConnection(settings_.worker, incarnation_proven_at_, heard_from) ||
+         order_pool_.HasLiveConnection(settings_.worker, incarnation_proven_at_, heard_from);
+}
+
+bool WorkerMonitor::IdentityIsWhole() const {
+  const auto patience =
+      std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
+  return source_ == Source::kNotice || loop_.Now() - adopted_at_ > patience;
+}
+
+void WorkerMonitor::Doubt(const char* reason) {
   if (worker_id_.empty()) return;
-  if (confirmed()) doubted_at_ = loop_.Now();
+  if (proof() != WorkerProof::kNone) {
+    log_.Write(LogLevel::kInfo, "worker_doubted",
+               {{"worker", worker_id_},
+                {"reason", std::string(reason)},
+                {"proven_ms_ago", ToMilliseconds(loop_.Now() - incarnation_proven_at_)}});
+    doubted_at_ = loop_.Now();
+  }
   AskIdentity();
 }
 
 void WorkerMonitor::AskIdentity() {
-  if (!worker_id_.empty() && !confirmed()) OnWorkerUnreachable();
+  if (!worker_id_.empty() && !Confirmed()) OnWorkerUnreachable();
+}
+
+WorkerProof WorkerMonitor::proof() const {
+  if (worker_id_.empty()) return WorkerProof::kNone;
+  if (incarnation_proven_at_ > doubted_at_) return WorkerProof::kIncarnation;
+  if (!Confirmed()) return WorkerProof::kNone;
+  return TellsIncarnation() ? WorkerProof::kIdentity : WorkerProof::kIncarnation;
 }
 
 void WorkerMonitor::Confirm(Instant alive_at) {
-  const bool before = confirmed();
+  const WorkerProof before = proof();
   confirmed_at_ = std::max(confirmed_at_, alive_at);
-  if (!before && confirmed() && observer_.on_confirmed) observer_.on_confirmed();
+  if (proof() != before && observer_.on_confirmed) observer_.on_confirmed();
+}
+
+void WorkerMonitor::ConfirmIncarnation(Instant alive_at) {
+  const WorkerProof before = proof();
+  incarnation_proven_at_ = std::max(incarnation_proven_at_, alive_at);
+  if (proof() != before && observer_.on_confirmed) observer_.on_confirmed();
 }
 
 void WorkerMonitor::MarkDraining() {
@@ -275,21 +356,27 @@
   });
 }
 
-void WorkerMonitor::OnWorkerAnswered(Instant sent) {
+void WorkerMonitor::NoteAnswer() {
   heard_at_ = loop_.Now();
   failed_probes_ = 0;
   refused_probes_ = 0;
+}
+
+void WorkerMonitor::OnWorkerAnswered(Instant sent, Instant connection_made) {
+  NoteAnswer();
   Confirm(sent);
+  // The process at the other end is the one that was there when the connection was made, and the
+  // incarnation was at its address since: so it was when this was sent.
+  if (connection_made <= incarnation_proven_at_) ConfirmIncarnation(sent);
 }
 
 void WorkerMonitor::OnWorkerUnreachable() {
   if (!probe_timer_.active() && probe_ == nullptr) probe_timer_.Start(Duration(0));
 }
 
-void WorkerMonitor::OnOtherWorker(const std::string& worker_id) {
-  if (worker_id == worker_id_) return;
-  former_workers_.erase(worker_id);
-  AdoptWorker(worker_id, Instant{});
+void WorkerMonitor::OnOtherWorker(const std::string& stated_identity) {
+  if (stated_identity == wire_.StatedIdentity(worker_id_)) return;
+  AdoptWorker(stated_identity, Instant{}, Source::kAddress);
 }
 
 void WorkerMonitor::Probe() {
@@ -305,21 +392,22 @@
       kProbeTimeout,
       [this](const std::optional<http::Response>& response, http::ClientFailure failure) {
         const auto finished = std::move(probe_);
-        OnProbe(response, failure);
+        OnProbe(response, failure, finished->connection_made_at());
       });
 }
 
 void WorkerMonitor::OnProbe(const std::optional<http::Response>& response,
-                            http::ClientFailure failure) {
+                            http::ClientFailure failure, Instant connection_made) {
   if (response.has_value()) {
-    OnProbeAnswer(*response);
+    OnProbeAnswer(*response, connection_made);
     return;
   }
-  // Nothing listens there. A worker at its limit of connections resets new ones, and one that closed
-  // its listening socket may still be at work: its keys must not be given to others before its
-  // grants have run out. An ended process leaves no connection open.
+  // Nothing listens there. A worker at its limit of connections resets new ones, and one that
+  // closed its listening socket may still be at work: its keys must not be given to others before
+  // its grants have run out. An ended process leaves no connection open.
   const bool refused = failure == http::ClientFailure::kRefused &&
-                       !pool_.HasOpenConnection(settings_.worker, loop_.Now());
+                       !pool_.HasOpenConnection(settings_.worker) &&
+                       !order_pool_.HasOpenConnection(settings_.worker);
   refused_probes_ = refused ? refused_probes_ + 1 : 0;
   ++failed_probes_;
   if (worker_id_.empty() && !seeking_) return;
@@ -335,20 +423,17 @@
   }
 }
 
-void WorkerMonitor::OnProbeAnswer(const http::Response& response) {
-  heard_at_ = loop_.Now();
-  failed_probes_ = 0;
-  refused_probes_ = 0;
+void WorkerMonitor::OnProbeAnswer(const http::Response& response, Instant connection_made) {
+  NoteAnswer();
   const std::string* id = response.headers.Find(wire_.headers().worker_id);
   const bool named = id != nullptr && !id->empty();
-  if (named && *id == worker_id_) {
-    Confirm(probe_sent_at_);
+  if (named && !worker_id_.empty() && *id == wire_.StatedIdentity(worker_id_)) {
+    OnWorkerAnswered(probe_sent_at_, connection_made);
   } else if (named) {
-    former_workers_.erase(*id);
-    AdoptWorker(*id, probe_sent_at_);
+    AdoptWorker(*id, probe_sent_at_, Source::kAddress);
   }
   // A full worker refuses probes without a word of who it is.
-  if (!worker_id_.empty() && !confirmed()) probe_timer_.Start(kProbeInterval);
+  if (!worker_id_.empty() && !Confirmed()) probe_timer_.Start(kProbeInterval);
 }
 
 void WorkerMonitor::CheckSilence() {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "source/event/event_loop.h"
@@ -16,6 +16,7 @@
 #include "source/sidecar/settings.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
+#include "source/sidecar/worker_proof.h"
 #include "source/store/store_client.h"
 
 namespace runshelf::sidecar {
@@ -32,9 +33,10 @@
     KeyLessor* lessor = nullptr;         // Must outlive the monitor.
   };
 
-  WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool, store::StoreClient& store,
-                const WireFormat& wire, const Settings& settings, std::string drain_key,
-                LogWriter& log, Observer observer);
+  // `order_pool`: of the other connections to the worker.
+  WorkerMonitor(event::EventLoop& loop, http::ConnectionPool& pool,
+                http::ConnectionPool& order_pool, store::StoreClient& store, const WireFormat& wire,
+                const Settings& settings, std::string drain_key, LogWriter& log, Observer observer);
   ~WorkerMonitor() override;
 
   // The drain record of this node, as the store holds it; `synchronized` once it is known whether
@@ -47,6 +49,7 @@
   // Answers a call of the worker.
   void HandleNotice(const http::ExchangePtr& exchange);
 
+  // Names the incarnation of the worker.
   const std::string& worker_id() const { return worker_id_; }
   uint32_t slots() const { return slots_; }
   WorkerState state() const;
@@ -55,18 +58,23 @@
   // learnt it.
   Instant draining_since() const { return draining_since_; }
 
-  // The process at the worker's address is the worker that is known: since the last doubt it said
-  // so itself, in answer to something that was sent to that address afterwards, or with a heartbeat
-  // that cannot have been sent before.
-  bool confirmed() const { return !worker_id_.empty() && confirmed_at_ > doubted_at_; }
+  // What is known since the last doubt of the process at the worker's address.
+  WorkerProof proof() const;
   // Another process may be at the worker's address by now: it is asked who it is.
-  void Doubt();
+  void Doubt(const char* reason);
   // Asks who is at the worker's address while that is not known.
   void AskIdentity();
+  // The worker's identity is known well enough to give it keys. Somebody at its address who stated
+  // it may be an incarnation that has not told its own yet.
+  bool IdentityIsWhole() const;
+  // Incarnations of the worker may state one identity, as far as is known.
+  bool TellsIncarnation() const { return wire_.StatedIdentity(worker_id_) != worker_id_; }
+  // The incarnation runs at this moment: a connection to it is open and alive.
+  bool RunsNow() const;
 
-  void OnWorkerAnswered(Instant sent) override;
+  void OnWorkerAnswered(Instant sent, Instant connection_made) override;
   void OnWorkerUnreachable() override;
-  void OnOtherWorker(const std::string& worker_id) override;
+  void OnOtherWorker(const std::string& stated_identity) override;
 
  private:
   void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
@@ -74,6 +82,16 @@
   void Acknowledge(const http::ExchangePtr& exchange, const std::optional<KeyLease>& lease);
   void AcknowledgeHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
   bool IsNewest(const WorkerHeartbeat& heartbeat) const;
+  // A former incarnation speaks, or a message of it came late.
+  bool IsOfFormerWorker(const WorkerHeartbeat& heartbeat);
+  // The identity with which a worker that does not tell its incarnation is known here.
+  std::string Resolve(const std::string& worker_id) const;
+  // `worker_id` tells the incarnation of the present worker, which was not known.
+  bool Completes(const std::string& worker_id) const {
+    return worker_id != worker_id_ && worker_id_ == wire_.StatedIdentity(worker_id);
+  }
+  bool RecordedDraining() const;
+  bool Confirmed() const { return !worker_id_.empty() && confirmed_at_ > doubted_at_; }
   // Keeps a heartbeat whose answer waits until more is known; at most one.
   void Defer(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat, bool noted);
   void ContinueDeferred();
@@ -81,18 +99,27 @@
   void AnswerDeferred();
   void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                    std::function<void()> acknowledge);
+  // How the identity of a worker became known.
+  enum class Source {
+    kNotice,   // The worker told it.
+    kAddress,  // Whoever is at its address stated it; the incarnation may be missing.
+  };
   // `alive_at`: when the worker certainly was at its address; Instant{}: never, so far.
-  void AdoptWorker(const std::string& worker_id, Instant alive_at);
+  void AdoptWorker(const std::string& worker_id, Instant alive_at, Source source);
+  void NoteAnswer();
   void Confirm(Instant alive_at);
+  void ConfirmIncarnation(Instant alive_at);
   void MarkDraining();
   void MarkDead(const char* reason);
   void Probe();
-  void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure);
-  void OnProbeAnswer(const http::Response& response);
+  void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure,
+               Instant connection_made);
+  void OnProbeAnswer(const http::Response& response, Instant connection_made);
   void CheckSilence();
 
   event::EventLoop& loop_;
   http::ConnectionPool& pool_;
+  http::ConnectionPool& order_pool_;
   store::StoreClient& store_;
   const WireFormat& wire_;
   const Settings& settings_;
@@ -111,15 +138,24 @@
   std::unique_ptr<http::SimpleCall> probe_;
   std::string health_path_;
   std::string worker_id_;  // Empty while none is known to be alive.
-  std::set<std::string> former_workers_;
+  // Incarnations that another one has replaced, with the latest heartbeat that came of each since
+  // the present one was heard last.
+  struct FormerWorker {
+    Instant heard_at{};
+    int64_t sequence = 0;
+  };
+  std::map<std::string, FormerWorker> former_workers_;
   uint32_t slots_ = 0;
   int64_t sequence_ = -1;
-  std::optional<int64_t> born_;  // Of the latest heartbeat.
+  Instant answered_at_{};  // When the heartbeat with that sequence was answered.
   bool draining_ = false;
   Instant draining_since_{};
   Instant cold_until_{};
-  Instant heard_at_{};  // The latest heartbeat or answer.
-  Instant confirmed_at_{};
+  Instant heard_at_{};                // The latest heartbeat or answer.
+  Source source_ = Source::kAddress;  // Of the identity.
+  Instant adopted_at_{};
+  Instant confirmed_at_{};           // Somebody stated the worker's identity.
+  Instant incarnation_proven_at_{};  // This incarnation was certainly the one at its address.
   Instant doubted_at_{};
   Instant probe_sent_at_{};
   uint32_t failed_probes_ = 0;   // In a row.
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -257,17 +257,20 @@
     RawServer::Send(connection, Answer("1", "abc"));
     while (!close_it) std::this_thread::sleep_for(std::chrono::milliseconds(1));
   });
-  CHECK_FALSE(pool.HasOpenConnection(server.endpoint(), loop.Now()));
+  CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
   const Instant before = loop.Now();
   event::RunFor(loop, std::chrono::milliseconds(5));
   Collector collector;
   Expect(server.endpoint(), WithId("1"), &collector);
-  CHECK(pool.HasOpenConnection(server.endpoint(), loop.Now()));
-  CHECK_FALSE(pool.HasOpenConnection(server.endpoint(), before));
+  CHECK(pool.HasOpenConnection(server.endpoint()));
+  CHECK(pool.HasLiveConnection(server.endpoint(), loop.Now(), before));
+  CHECK_FALSE(pool.HasLiveConnection(server.endpoint(), before, before));
+  event::RunFor(loop, std::chrono::milliseconds(5));
+  CHECK_FALSE(pool.HasLiveConnection(server.endpoint(), loop.Now(), loop.Now()));
   close_it = true;
   // The loop has had no turn since.
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  CHECK_FALSE(pool.HasOpenConnection(server.endpoint(), loop.Now()));
+  CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
 }
 
 TEST(Client, AConnectionThatIsClosedHereIsOpenNoMore) {
@@ -278,7 +281,7 @@
   });
   Collector collector;
   Expect(server.endpoint(), WithId("1"), &collector);
-  CHECK(pool.HasOpenConnection(server.endpoint(), loop.Now()));
+  CHECK(pool.HasOpenConnection(server.endpoint()));
   pool.CloseIdle(server.endpoint());
-  CHECK_FALSE(pool.HasOpenConnection(server.endpoint(), loop.Now()));
+  CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
 }
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/configuration.h"
 #include "platform/settings.h"
 #include "platform/store_codec.h"
@@ -64,6 +66,17 @@
 
 }  // namespace
 
+namespace {
+
+// A heartbeat with these further fields.
+std::string HeartbeatWith(const std::string& fields) {
+  return R"({"service":"s1","address":"10.0.0.1:8080","zone":"z","version":"v1","slots":18,)"
+         R"("state":"ready","cold_remaining_ms":0,"call_sequence":4)" +
+         (fields.empty() ? std::string() : "," + fields) + "}";
+}
+
+}  // namespace
+
 TEST_GROUP(Translation) {
   PlatformWireFormat wire;
   PlatformStoreCodec codec;
@@ -111,8 +124,8 @@
 TEST(Translation, AHeartbeatSaysWhichKeysAreHeldAndReleased) {
   const auto notice = wire.DecodeWorkerNotice(
       Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
-           R"({"service":"s1","slots":18,"state":"ready","call_sequence":4,)"
-           R"("holds":[[0,4095,7],[9000,9000,12]],"released":[[4096,8191,"h1"],[1,2,null]]})"));
+           HeartbeatWith(
+               R"("holds":[[0,4095,7],[9000,9000,12]],"released":[[4096,8191,"h1"],[1,2,null]])")));
   CHECK(notice.ok());
   const auto& keys = std::get<sidecar::WorkerHeartbeat>(*notice).keys;
   CHECK_EQUAL(2, keys.held.size());
@@ -147,19 +160,16 @@
   };
   for (const std::string& rows : broken) {
     const auto notice = wire.DecodeWorkerNotice(
-        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
-             R"({"service":"s1","slots":18,"state":"ready","call_sequence":4,)" + rows + "}"));
+        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1", HeartbeatWith(rows)));
     CHECK_TEXT(absl::IsInvalidArgument(notice.status()), rows.substr(0, 60).c_str());
     CHECK_FALSE_TEXT(notice.status().message().empty(), rows.substr(0, 60).c_str());
   }
 }
 
 TEST(Translation, MissingAndNullRowsOfKeysCountAsNone) {
-  for (const char* rows : {"", R"(,"holds":null,"released":null)", R"(,"holds":[])"}) {
+  for (const char* rows : {"", R"("holds":null,"released":null)", R"("holds":[])"}) {
     const auto notice = wire.DecodeWorkerNotice(
-        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1",
-             R"({"service":"s1","slots":18,"state":"ready","call_sequence":4)" + std::string(rows) +
-                 "}"));
+        Post("/runshelf/rpc?call=instances.heartbeat&of=i-1", HeartbeatWith(rows)));
     CHECK(notice.ok());
     CHECK(std::get<sidecar::WorkerHeartbeat>(*notice).keys.held.empty());
   }
@@ -220,22 +230,74 @@
   STRCMP_EQUAL("i-1", std::get<sidecar::WorkerLeave>(*notice).worker_id.c_str());
 }
 
-TEST(Translation, BrokenCallsOfWorkersAreRefused) {
-  const std::string heartbeat = "/runshelf/rpc?call=instances.heartbeat&of=i-1";
-  const char* bodies[] = {
-      "",
-      "[]",
-      R"({"service":"s","slots":18,"state":"ready"})",
-      R"({"service":"s","slots":18,"state":"well","call_sequence":1})",
-      R"({"service":"s","slots":-1,"state":"ready","call_sequence":1})",
-      R"({"service":7,"slots":1,"state":"ready","call_sequence":1})",
+// Each differs from a heartbeat that is read in one thing, so that this one is what refuses it.
+TEST(Translation, AHeartbeatThatIsBrokenInOneFieldIsRefusedAsAWhole) {
+  const std::string target = "/runshelf/rpc?call=instances.heartbeat&of=i-1";
+  const nlohmann::json whole = nlohmann::json::parse(HeartbeatWith(R"("born":1700000000000)"));
+  CHECK(wire.DecodeWorkerNotice(Post(target, whole.dump())).ok());
+  const auto check_refused = [&](const std::string& body) {
+    const auto status = wire.DecodeWorkerNotice(Post(target, body)).status();
+    CHECK_TEXT(absl::IsInvalidArgument(status), body.substr(0, 200).c_str());
+    CHECK_FALSE_TEXT(status.message().empty(), body.substr(0, 200).c_str());
   };
-  for (const char* body : bodies) {
-    CHECK_TEXT(absl::IsInvalidArgument(wire.DecodeWorkerNotice(Post(heartbeat, body)).status()),
-               body);
+  const nlohmann::json of_other_types[] = {
+      nullptr, true, nlohmann::json::array(), nlohmann::json::object(), {{"a", {1, 2}}}};
+  for (const auto& [name, value] : whole.items()) {
+    nlohmann::json broken = whole;
+    if (name != "born") {
+      broken.erase(name);
+      check_refused(broken.dump());
+    }
+    for (const nlohmann::json& other : of_other_types) {
+      broken[name] = other;
+      check_refused(broken.dump());
+    }
+    broken[name] = value.is_string() ? nlohmann::json(7) : nlohmann::json(value.dump());
+    check_refused(broken.dump());
+  }
+  const std::pair<const char*, nlohmann::json> out_of_range[] = {
+      {"slots", -1},
+      {"slots", 3000000000},
+      {"slots", 1.5},
+      {"call_sequence", -1},
+      {"call_sequence", 2.0},
+      {"call_sequence", UINT64_MAX},
+      {"cold_remaining_ms", -1},
+      {"cold_remaining_ms", 1e300},
+      {"born", -1},
+      {"born", 1700000000000.5},
+      {"born", UINT64_MAX},
+      {"state", "well"},
+      {"state", ""},
+      {"address", "nowhere"},
+      {"address", "10.0.0.1:99999"},
+  };
+  for (const auto& [name, value] : out_of_range) {
+    nlohmann::json broken = whole;
+    broken[name] = value;
+    check_refused(broken.dump());
+  }
+  for (const std::string& body :
+       {std::string(), std::string("[]"), std::string("7"), std::string("{"),
+        std::string(100000, '['), std::string(5000, '\0'), std::string("\xff\xfe{}"),
+        HeartbeatWith("\"extra\":\"\xc3\x28\""), HeartbeatWith(R"("extra":NaN)"),
+        HeartbeatWith(R"("extra":)" + std::string(5000, '[') + std::string(5000, ']'))}) {
+    check_refused(body);
   }
+}
+
+TEST(Translation, ALeaveThatIsBrokenIsRefused) {
+  const std::string target = "/runshelf/rpc?call=instances.deregister&of=i-1";
+  for (const char* body : {"[]", "x", R"({"born":"1700000000000"})", R"({"born":1.5})",
+                           R"({"born":null})", R"({"born":-4})"}) {
+    CHECK_TEXT(absl::IsInvalidArgument(wire.DecodeWorkerNotice(Post(target, body)).status()), body);
+  }
+}
+
+TEST(Translation, CallsOfWorkersWithoutAnIdAreRefused) {
   CHECK_FALSE(
-      wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=instances.heartbeat&of=", "{}")).ok());
+      wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=instances.heartbeat&of=", HeartbeatWith("")))
+          .ok());
   CHECK_FALSE(
       wire.DecodeWorkerNotice(
               Post("/runshelf/rpc?call=instances.deregister&of=" + std::string(1000, 'x'), ""))
@@ -243,6 +305,36 @@
   CHECK(absl::IsNotFound(wire.DecodeWorkerNotice(Post("/other", "")).status()));
 }
 
+TEST(Translation, TheBirthOfAWorkerTellsItsIncarnationsApart) {
+  const auto identity = [this](const std::string& call, const std::string& id,
+                               const std::string& body) {
+    const auto notice =
+        wire.DecodeWorkerNotice(Post("/runshelf/rpc?call=" + call + "&of=" + id, body));
+    CHECK(notice.ok());
+    const auto* heartbeat = std::get_if<sidecar::WorkerHeartbeat>(&*notice);
+    return heartbeat != nullptr ? heartbeat->worker_id
+                                : std::get<sidecar::WorkerLeave>(*notice).worker_id;
+  };
+  const std::string first = identity("instances.heartbeat", "i-1", HeartbeatWith(R"("born":1700)"));
+  const std::string second =
+      identity("instances.heartbeat", "i-1", HeartbeatWith(R"("born":1701)"));
+  CHECK(first != second);
+  CHECK(first == identity("instances.deregister", "i-1", R"({"born":1700})"));
+  CHECK(wire.StatedIdentity(first) == "i-1");
+  CHECK(wire.StatedIdentity(second) == "i-1");
+  CHECK(wire.StatedIdentity("i-1") == "i-1");
+  CHECK(wire.BeganBefore(first, second));
+  CHECK_FALSE(wire.BeganBefore(second, first));
+  CHECK_FALSE(wire.BeganBefore(first, first));
+  CHECK_FALSE(wire.BeganBefore("i-1", second));
+  CHECK_FALSE(wire.BeganBefore(identity("instances.heartbeat", "i-0", HeartbeatWith(R"("born":1)")),
+                               second));
+  // An id that looks like an incarnation of another one is none.
+  const std::string odd = identity("instances.heartbeat", "i-1@1700", HeartbeatWith(""));
+  CHECK(odd != first);
+  CHECK(wire.StatedIdentity(odd) == "i-1@1700");
+}
+
 TEST(Translation, OrdersToWorkersSayWhatTheyMean) {
   sidecar::KeyGrant grant;
   grant.first = 1;
--- a/tests/platform_adapter/worker_lives_test.cc
+++ b/tests/platform_adapter/worker_lives_test.cc
@@ -114,6 +114,38 @@
   CHECK(fleet.nodes[0].worker->Holds(0) != nullptr);
 }
 
+// New tokens cost a change of the map each time: the worker's heartbeats and the connections to it
+// tell that it is the one that has the keys.
+TEST(WorkerLives, AWorkerWithoutRequestsKeepsItsKeysUnderTheirTokens) {
+  Fleet fleet({"keyed", "other"});
+  fleet.SetBorn(kFirstBirth);
+  fleet.Start();
+  const uint64_t token = HighestToken(fleet, 0);
+  RunFor(fleet.loop, milliseconds(7000));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK_EQUAL(token, HighestToken(fleet, 0));
+}
+
+// Which incarnation the former life of the node gave the keys to takes heartbeats to prove, which
+// come seldom here. Its keys need not wait for them: they come under new tokens.
+TEST(WorkerLives, ANodeThatStartsAgainGivesItsWorkerTheKeysUnderNewTokens) {
+  Fleet fleet({"keyed", "other"});
+  fleet.SetBorn(kFirstBirth);
+  fleet.Start();
+  const uint64_t former = HighestToken(fleet, 0);
+  fleet.Kill(0);
+  RunFor(fleet.loop, milliseconds(200));
+  fleet.Restart(0);
+  // The first heartbeat names the worker, and is the last one for a while.
+  RunFor(fleet.loop, milliseconds(20));
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  CHECK(RunUntil(fleet.loop, [&] {
+    const auto answer = fleet.Keyed(1, 0);
+    return answer.has_value() && answer->status == 200;
+  }));
+  CHECK(fleet.nodes[0].worker->Holds(0)->fence > former);
+}
+
 TEST(WorkerLives, AHeartbeatOfTheFormerLifeThatComesLateChangesNothing) {
   for (const auto delivery : kDeliveries) {
     Fleet fleet({"keyed", "other"}, delivery);
@@ -137,6 +169,72 @@
   }
 }
 
+// As another writer may send them; its service or its state may be none of ours.
+TEST(WorkerLives, AHeartbeatOfAnotherWriterNamesNoWorker) {
+  Fleet fleet({"keyed", "other"});
+  fleet.SetBorn(kFirstBirth);
+  fleet.Start();
+  const uint64_t token = HighestToken(fleet, 0);
+  const char* bodies[] = {
+      "",
+      "{}",
+      R"({"service":"keyed","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"ready","cold_remaining_ms":"0","call_sequence":9000,"born":1800000000000})",
+      R"({"service":"keyed","address":7,"zone":"z","version":"v1","slots":4,)"
+      R"("state":"draining","cold_remaining_ms":0,"call_sequence":9000,"born":1800000000000})",
+      R"({"service":"keyed","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"gone","cold_remaining_ms":0,"call_sequence":9000,"born":1800000000000})",
+      R"({"service":"unheard-of","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"draining","cold_remaining_ms":0,"call_sequence":9000,"born":1800000000000})",
+      // The worker's own identity, and nothing that tells the incarnation.
+      R"({"service":"keyed","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,)"
+      R"("state":"draining","cold_remaining_ms":0,"call_sequence":9000})",
+  };
+  for (const char* id : {"w0", "w7"}) {
+    for (const char* body : bodies) {
+      if (std::string(id) == "w7" && body == bodies[std::size(bodies) - 1]) continue;
+      CHECK(fleet.Heartbeat(0, id, body).has_value());
+    }
+  }
+  RunFor(fleet.loop, milliseconds(1500));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK_EQUAL(token, HighestToken(fleet, 0));
+  CHECK_EQUAL(200, fleet.Keyed(1, 0)->status);
+}
+
+// The node's process starts again beside a worker that leaves. A health check answers first, and
+// names the identity alone: the worker that it belongs to may be the one that leaves, and its keys
+// are not those of a worker that has ended.
+TEST(WorkerLives, ANodeThatStartsBesideALeavingWorkerGivesItsKeysToNobodyTooEarly) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.SetBorn(kFirstBirth);
+  fleet.Start();
+  FakeWorker& worker = *fleet.nodes[0].worker;
+  uint32_t key = 0;
+  while (worker.Holds(key) == nullptr) key += 512;
+  // Requests run on it: a release is not answered.
+  worker.set_busy_keys([](uint32_t, uint32_t) { return true; });
+  worker.set_draining(true);
+  CHECK(RunUntil(fleet.loop, [&] { return worker.leaving_acknowledged_at().has_value(); }));
+  fleet.Kill(0);
+  worker.set_heartbeats_cut(true);
+  RunFor(fleet.loop, milliseconds(20));
+  fleet.Restart(0);
+  bool shared = false;
+  const Instant heartbeats_at = fleet.loop.Now() + milliseconds(500);
+  RunUntil(
+      fleet.loop,
+      [&] {
+        if (fleet.loop.Now() >= heartbeats_at) worker.set_heartbeats_cut(false);
+        for (uint32_t other = 0; other < 65536 && !shared; other += 512) {
+          shared = fleet.HoldersOf(other) > 1;
+        }
+        return shared;
+      },
+      std::chrono::seconds(4));
+  CHECK_FALSE(shared);
+}
+
 // Nobody else is there to take its keys.
 TEST(WorkerLives, AWorkerAloneInItsServiceGetsItsKeysBack) {
   for (const auto delivery : kDeliveries) {
