Event loop: the clock also counts while the machine is suspended

Cause, by reading, not reproduced: authority over keys was counted on CLOCK_MONOTONIC, which stands still while a machine is suspended, while its lease runs out at the store and others take its keys. No run showed it: no machine here can be suspended.

Change: EventLoop::Now reads CLOCK_BOOTTIME by way of SystemClock, as runshelfd does. Timers still count without the suspension; a pause is noticed by the clock.

EventLoop.The- TimeOfASuspensionCounts fails with the former clock on a machine that was suspended since it started, and passes with it on others.

Conclusion: kept as a precaution; only suspected.

--- a/source/event/event_loop.cc
+++ b/source/event/event_loop.cc
@@ -1,6 +1,5 @@
 #include "source/event/event_loop.h"
 
-#include <ctime>
 #include <utility>
 
 namespace runshelf::event {
@@ -15,12 +14,7 @@
   }
 }
 
-Instant EventLoop::Now() const {
-  timespec time{};
-  clock_gettime(CLOCK_MONOTONIC, &time);
-  return Instant(std::chrono::seconds(time.tv_sec) +
-                 std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
-}
+Instant EventLoop::Now() const { return SystemClock().Now(); }
 
 void EventLoop::Run() { uv_run(&loop_, UV_RUN_DEFAULT); }
 
--- a/source/event/event_loop.h
+++ b/source/event/event_loop.h
@@ -20,7 +20,9 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // Reads the steady clock, which also counts while the process is stopped.
+  // Reads a steady clock that also counts while the process is stopped or the machine is suspended:
+  // meanwhile the node's lease runs out at the store, and what it may act on runs out with it.
+  // Timers do not count the time of a suspension.
   Instant Now() const override;
 
   // Runs until Stop is called.
--- a/tests/event/event_loop_test.cc
+++ b/tests/event/event_loop_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <ctime>
 #include <memory>
 
 #include "source/event/tcp_stream.h"
@@ -38,6 +39,17 @@
   CHECK(RunUntil(loop, [&] { return fired; }));
 }
 
+// On a machine that was suspended since it started, the monotonic clock is behind.
+TEST(EventLoop, TheTimeOfASuspensionCounts) {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  const Instant since_start(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+  CHECK(loop.Now() >= since_start);
+  CHECK(loop.Now() < since_start + std::chrono::seconds(1));
+}
+
 TEST(EventLoop, ASignalIsDelivered) {
   int count = 0;
   SignalWatcher watcher(loop, SIGUSR1, [&] { ++count; });
