--- a/source/sidecar/shard_directory.h
+++ b/source/sidecar/shard_directory.h
@@ -11,14 +11,16 @@
 
 class ShardDirectory {
  public:
-  // Takes over the map of a service when it is newer than the one known.
-  void OnItem(const std::string& service, const store::Item& item) {
+  // Takes over the map of a service when it is newer than the one known. Returns false when the
+  // item is newer and no map: the one known holds on.
+  bool OnItem(const std::string& service, const store::Item& item) {
     Entry& entry = entries_[service];
-    if (item.revision <= entry.revision) return;
+    if (item.revision <= entry.revision) return true;
     auto parsed = sharding::ShardMap::Parse(item.value);
-    if (!parsed.ok()) return;
+    if (!parsed.ok()) return false;
     entry.revision = item.revision;
     entry.map = *std::move(parsed);
+    return true;
   }
 
   // The shard of a key; nullptr while the service has no map.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -257,12 +257,16 @@
 void Sidecar::OnStateItem(const store::Item& item) {
   if (!NameAfter(item.key, kNodePrefix).empty()) {
     const auto record = NodeRecord::Parse(item.value);
-    if (record.has_value()) peers_.OnRecord(*record);
+    if (record.has_value() && record->node == NameAfter(item.key, kNodePrefix)) {
+      peers_.OnRecord(*record);
+    } else {
+      RefuseItem(item, "no record of this node");
+    }
     ingress_.OnShardsChanged();
     return;
   }
   if (const std::string service = NameAfter(item.key, kShardPrefix); !service.empty()) {
-    shard_directory_.OnItem(service, item);
+    if (!shard_directory_.OnItem(service, item)) RefuseItem(item, "no shard map");
     if (shard_store_.OnItem(item)) holder_.OnMapChanged();
     ingress_.OnShardsChanged();
     return;
@@ -278,6 +282,15 @@
   }
 }
 
+// Another writer may have put it there. What was known before holds on.
+void Sidecar::RefuseItem(const store::Item& item, const char* reason) {
+  log_.Write(LogLevel::kError, "state_item_refused",
+             {{"key", item.key},
+              {"revision", item.revision},
+              {"bytes", item.value.size()},
+              {"reason", std::string(reason)}});
+}
+
 void Sidecar::OnStateRemoved(const std::string& key) {
   const std::string node = NameAfter(key, kNodePrefix);
   if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -77,6 +77,7 @@
   void OnConfigurationItem(const store::Item& item);
   void ApplyLimits(const routes::ClientLimits& limits);
   void OnStateItem(const store::Item& item);
+  void RefuseItem(const store::Item& item, const char* reason);
   void OnStateRemoved(const std::string& key);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
--- a/tests/platform_adapter/sidecar_keys_test.cc
+++ b/tests/platform_adapter/sidecar_keys_test.cc
@@ -94,6 +94,36 @@
   CHECK(orders < 500);
 }
 
+// Whoever wrote it: the map that is known holds, and is written again.
+TEST(SidecarKeys, AShardMapThatCannotBeReadChangesNothing) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  const size_t holder = *fleet.HolderOf(0);
+  const uint64_t fence = fleet.nodes[holder].worker->Holds(0)->fence;
+  const std::string map = *fleet.store.Find("runshelf/shards/keyed");
+  for (const char* broken : {"", "{", "[]", R"({"last_token":1})", "\xff\xfe"}) {
+    fleet.store.Put("runshelf/shards/keyed", broken);
+    CHECK(RunUntil(fleet.loop, [&] { return *fleet.store.Find("runshelf/shards/keyed") == map; }));
+  }
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK_EQUAL(fence, fleet.nodes[holder].worker->Holds(0)->fence);
+  CHECK_EQUAL(200, fleet.Keyed(2, 0)->status);
+}
+
+TEST(SidecarKeys, ARecordOfANodeThatCannotBeReadDisturbsNoOther) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.Start();
+  for (const char* broken :
+       {"", "{", "[]", R"({"node":"n0"})", R"({"node":7,"worker":"w9"})", "\xff\xfe"}) {
+    fleet.store.Put("runshelf/nodes/nobody", broken);
+    fleet.store.Put("runshelf/nodes/n0", broken);
+  }
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  CHECK(fleet.EveryKeyHeld());
+  for (uint32_t key = 0; key < 65536; key += 8000) CHECK_EQUAL(200, fleet.Keyed(2, key)->status);
+}
+
 TEST(SidecarKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
   Fleet fleet({"keyed", "keyed", "other"});
   fleet.Start();
