State: a shard map that cannot be read is not written again

Cause: the map that a node knows may be older than one that another writer's item has replaced, by a change that was undecided or has not been seen. Written again, it would name a former owner of keys that others hold by now.

Conclusion: the safe half is kept.

--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -120,17 +120,7 @@
   loads_[report.node] = std::move(report);
 }
 
-void ShardCoordinator::WriteAgain() {
-  // A first assignment would begin with the tokens of long ago.
-  if (shards_.map().empty()) return;
-  sharding::Plan plan;
-  plan.map = shards_.map();
-  plan.reason = "unreadable";
-  Commit(plan);
-}
-
 void ShardCoordinator::Repair() {
-  if (shards_.unreadable()) return WriteAgain();
   const Instant now = loop_.Now();
   if (shards_.map().empty() && now - active_since_ < config_.settle_time) return;
   const sharding::Plan plan = PlanRepair(shards_.map(), MakeInput(), config_.planner);
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -56,8 +56,6 @@
   void SendReport();
   void OnReport(std::string_view data);
   void Repair();
-  // Writes the map that is known here over an item that is none.
-  void WriteAgain();
   void Balance();
   void Commit(const sharding::Plan& plan);
   void OnOutcome(ShardStore::Outcome outcome);
--- a/source/sidecar/shard_store.cc
+++ b/source/sidecar/shard_store.cc
@@ -10,12 +10,7 @@
 bool ShardStore::OnItem(const store::Item& item) {
   if (item.key != key_ || item.revision <= revision_) return false;
   auto parsed = sharding::ShardMap::Parse(item.value);
-  if (!parsed.ok()) {
-    // Changes are made from this revision on.
-    TakeOver(map_, item.revision);
-    unreadable_ = true;
-    return true;
-  }
+  if (!parsed.ok()) return false;
   TakeOver(*std::move(parsed), item.revision);
   return true;
 }
@@ -23,7 +18,6 @@
 void ShardStore::TakeOver(sharding::ShardMap map, store::Revision revision) {
   map_ = std::move(map);
   revision_ = revision;
-  unreadable_ = false;
   // Changes of an earlier revision were done, and are in this map, or never will be.
   changing_.clear();
   undecided_.clear();
--- a/source/sidecar/shard_store.h
+++ b/source/sidecar/shard_store.h
@@ -16,17 +16,13 @@
  public:
   ShardStore(store::StoreClient& store, std::string key);
 
-  // Takes over an item that the watch or a whole read delivered; returns true when it is newer. The
-  // map in force stays when the item cannot be read.
+  // Takes over an item that the watch or a whole read delivered; returns true when it is newer.
   bool OnItem(const store::Item& item);
 
   const sharding::ShardMap& map() const { return map_; }
   store::Revision revision() const { return revision_; }
   const std::string& key() const { return key_; }
   bool busy() const { return busy_; }
-  // Another writer has put something into the store that is no map. The map in force, if there is
-  // one, is to be written again; without one nothing is known of the tokens that were given.
-  bool unreadable() const { return unreadable_; }
 
   // No change that this process sent may still take `shard`, one of `map()`, from its owner or
   // change its token. A change is open from when it is sent until its outcome is known; one without
@@ -56,7 +52,6 @@
   sharding::ShardMap map_;
   store::Revision revision_ = 0;
   bool busy_ = false;
-  bool unreadable_ = false;
   FirstKeys changing_;   // Taken away by the change that is on its way.
   FirstKeys undecided_;  // Taken away by changes that got no answer.
 };
