Worker monitor: a leave of an earlier life that comes late changes nothing

Cause: a node that has started since knows no former lives; a leave of one that came late was adopted as a new worker, and drained it. Found on reading.

Change: a leave counts as late when the worker that is present tells a later birth, as a heartbeat does.

Figures: WorkerLives.ALeaveOfAnEarlierLifeThatComesLateChangesNothing fails before and passes.

--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -201,7 +201,7 @@
     return;
   }
   const std::string worker_id = Resolve(leave.worker_id);
-  if (former_workers_.contains(worker_id)) {
+  if (former_workers_.contains(worker_id) || wire_.BeganBefore(worker_id, worker_id_)) {
     Acknowledge(exchange, std::nullopt);
     return;
   }
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -201,8 +201,9 @@
   return CallControlPlane(node, "/runshelf/rpc?call=instances.heartbeat&of=" + worker_id, body);
 }
 
-std::optional<Fleet::Answer> Fleet::Leave(size_t node, const std::string& worker_id) {
-  return CallControlPlane(node, "/runshelf/rpc?call=instances.deregister&of=" + worker_id, "");
+std::optional<Fleet::Answer> Fleet::Leave(size_t node, const std::string& worker_id,
+                                          const std::string& body) {
+  return CallControlPlane(node, "/runshelf/rpc?call=instances.deregister&of=" + worker_id, body);
 }
 
 std::optional<Fleet::Answer> Fleet::CallControlPlane(size_t node, const std::string& target,
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -79,7 +79,8 @@
   std::optional<Answer> Heartbeat(size_t node, const std::string& worker_id,
                                   const std::string& body);
   // Says in the name of a worker that it leaves.
-  std::optional<Answer> Leave(size_t node, const std::string& worker_id);
+  std::optional<Answer> Leave(size_t node, const std::string& worker_id,
+                              const std::string& body = "");
   // An order to a worker that somebody sent earlier arrives now; returns the status of its answer.
   int LateOrder(size_t node, const std::string& target, const std::string& body);
 
--- a/tests/platform_adapter/worker_lives_test.cc
+++ b/tests/platform_adapter/worker_lives_test.cc
@@ -169,6 +169,19 @@
   }
 }
 
+// The node has started since, and has not heard of the former life before.
+TEST(WorkerLives, ALeaveOfAnEarlierLifeThatComesLateChangesNothing) {
+  Fleet fleet({"keyed", "other"});
+  fleet.SetBorn(kSecondBirth);
+  fleet.Start();
+  const std::string body = fmt::format(R"({{"born":{}}})", kFirstBirth);
+  CHECK_EQUAL(200, fleet.Leave(0, "w0", body)->status);
+  RunFor(fleet.loop, milliseconds(500));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK_EQUAL(200, fleet.Keyed(1, 0)->status);
+  CHECK(fleet.Log().find("event=worker_draining") == std::string::npos);
+}
+
 // As another writer may send them; its service or its state may be none of ours.
 TEST(WorkerLives, AHeartbeatOfAnotherWriterNamesNoWorker) {
   Fleet fleet({"keyed", "other"});
