Worker monitor: that no connection is open tells nothing of a worker to which there was none (OWNER)

Three refused connections and none open counted as its end, and others got its keys.

Change: a worker counts as ended only if its side closed the connections to it and it has not been heard since; the pool tells when that was.

--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -125,6 +125,7 @@
 
   void OnEnd(event::StreamEnd end) override {
     const auto self = shared_from_this();
+    if (connected_) pool_->lost_at_[endpoint_] = pool_->loop_.Now();
     if (observer_ == nullptr) {
       Discard();
       pool_->OnIdleLost(this);
@@ -293,6 +294,11 @@
   });
 }
 
+Instant ConnectionPool::LostAt(const event::Endpoint& endpoint) const {
+  const auto found = lost_at_.find(endpoint);
+  return found == lost_at_.end() ? Instant{} : found->second;
+}
+
 void ConnectionPool::OnClosed(const ClientConnection* connection) {
   const auto found = made_.find(connection->endpoint());
   if (found == made_.end()) return;
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -98,6 +98,8 @@
   // `heard_from` or later: one that fell silent for good looks open for seconds.
   bool HasLiveConnection(const event::Endpoint& endpoint, Instant made_by,
                          Instant heard_from) const;
+  // When the other end last closed or broke a connection to the endpoint; Instant{}: never.
+  Instant LostAt(const event::Endpoint& endpoint) const;
   uint64_t opened() const { return opened_; }
   // Called when a peer closes or breaks a connection that no request is on.
   void set_on_idle_lost(std::function<void(const event::Endpoint&)> callback) {
@@ -114,6 +116,7 @@
   event::EventLoop& loop_;
   std::map<event::Endpoint, std::deque<std::shared_ptr<ClientConnection>>> idle_;
   std::map<event::Endpoint, std::set<const ClientConnection*>> made_;  // And not closed here.
+  std::map<event::Endpoint, Instant> lost_at_;
   uint64_t opened_ = 0;
   std::function<void(const event::Endpoint&)> on_idle_lost_;
 };
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -403,11 +403,9 @@
     return;
   }
   // Nothing listens there. A worker at its limit of connections resets new ones, and one that
-  // closed its listening socket may still be at work: its keys must not be given to others before
-  // its grants have run out. An ended process leaves no connection open.
-  const bool refused = failure == http::ClientFailure::kRefused &&
-                       !pool_.HasOpenConnection(settings_.worker) &&
-                       !order_pool_.HasOpenConnection(settings_.worker);
+  // closed its listening socket may still be at work or hold keys: they must not be given to others
+  // before its grants have run out.
+  const bool refused = failure == http::ClientFailure::kRefused && ConnectionsEnded();
   refused_probes_ = refused ? refused_probes_ + 1 : 0;
   ++failed_probes_;
   if (worker_id_.empty() && !seeking_) return;
@@ -423,6 +421,16 @@
   }
 }
 
+// The operating system closes all connections of a process that ends, at once. That none is open
+// tells nothing of a worker to which this process has had none.
+bool WorkerMonitor::ConnectionsEnded() const {
+  if (pool_.HasOpenConnection(settings_.worker)) return false;
+  if (order_pool_.HasOpenConnection(settings_.worker)) return false;
+  const Instant lost_at =
+      std::max(pool_.LostAt(settings_.worker), order_pool_.LostAt(settings_.worker));
+  return lost_at != Instant{} && lost_at >= heard_at_;
+}
+
 void WorkerMonitor::OnProbeAnswer(const http::Response& response, Instant connection_made) {
   NoteAnswer();
   const std::string* id = response.headers.Find(wire_.headers().worker_id);
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -115,6 +115,8 @@
   void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure,
                Instant connection_made);
   void OnProbeAnswer(const http::Response& response, Instant connection_made);
+  // The connections to the worker were closed by its side, and it has not been heard since.
+  bool ConnectionsEnded() const;
   void CheckSilence();
 
   event::EventLoop& loop_;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -271,6 +271,9 @@
   // The loop has had no turn since.
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
   CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+  CHECK(pool.LostAt(server.endpoint()) == Instant{});
+  const Instant closed_by = loop.Now();
+  CHECK(RunUntil(loop, [&] { return pool.LostAt(server.endpoint()) >= closed_by; }));
 }
 
 TEST(Client, AConnectionThatIsClosedHereIsOpenNoMore) {
@@ -284,4 +287,6 @@
   CHECK(pool.HasOpenConnection(server.endpoint()));
   pool.CloseIdle(server.endpoint());
   CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+  event::RunFor(loop, std::chrono::milliseconds(20));
+  CHECK(pool.LostAt(server.endpoint()) == Instant{});
 }
--- a/tests/platform_adapter/worker_lives_test.cc
+++ b/tests/platform_adapter/worker_lives_test.cc
@@ -289,3 +289,28 @@
   CHECK_EQUAL(holder, fleet.HolderOf(0).value_or(holder));
   CHECK_EQUAL(1, fleet.HoldersOf(0));
 }
+
+// The node's process starts again meanwhile: it has had no connection to the worker that could have
+// ended. The worker holds its keys by a lease of the former process.
+TEST(WorkerLives, KeysOfAWorkerThatTakesNoConnectionsStayWhenItsNodeStartsAgain) {
+  for (const auto delivery : kDeliveries) {
+    Fleet fleet({"keyed", "keyed", "other"}, delivery);
+    fleet.SetBorn(kFirstBirth);
+    fleet.Start();
+    fleet.nodes[0].worker->StopListening();
+    fleet.Kill(0);
+    RunFor(fleet.loop, milliseconds(50));
+    fleet.Restart(0);
+    bool shared = false;
+    RunUntil(
+        fleet.loop,
+        [&] {
+          for (uint32_t key = 0; key < 65536 && !shared; key += 512) {
+            shared = fleet.HoldersOf(key) > 1;
+          }
+          return shared;
+        },
+        std::chrono::seconds(3));
+    CHECK_FALSE(shared);
+  }
+}
