Node record: a stated identity is whole where no owner in the map tells its incarnation

Cause: a node that starts learns the worker's id from a health check and told the others that it takes no keys until a heartbeat came; where workers do not tell their birth, nothing is missing in that id, and each start cost a second change of the node's record and up to a heartbeat without keys.

Change: the owners in the service's map tell whether workers there tell their incarnations.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -461,6 +461,13 @@
   });
 }
 
+bool ShardHolder::OwnersTellIncarnation() const {
+  const auto& shards = shards_.map().shards();
+  return std::any_of(shards.begin(), shards.end(), [this](const sharding::Shard& shard) {
+    return wire_.StatedIdentity(shard.owner.worker) != shard.owner.worker;
+  });
+}
+
 bool ShardHolder::WorkerMayHoldKeys() const {
   const Instant now = loop_.Now();
   return std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& entry) {
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -127,6 +127,9 @@
   sharding::KeyLoadMeter& meter() { return meter_; }
   // No shard of the map names this node as its owner.
   bool HoldsNothing() const;
+  // Workers of the service tell their incarnations, as the owners in the map show: an identity
+  // without one is not whole.
+  bool OwnersTellIncarnation() const;
   // A grant of a shard that the worker has not released may still be in force there.
   bool WorkerMayHoldKeys() const;
   uint64_t grants_sent() const { return grants_sent_; }
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -337,7 +337,8 @@
   record.worker_id = monitor_.worker_id();
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
-  record.takes_keys = holder_.WorkerReports() && monitor_.IdentityIsWhole();
+  record.takes_keys =
+      holder_.WorkerReports() && (monitor_.IdentityIsWhole() || !holder_.OwnersTellIncarnation());
   record.processor_percent = static_cast<uint32_t>(settings_.processor_cores * kPercent);
   record.link_megabits = static_cast<uint32_t>(settings_.link_bytes_per_second / kBytesPerMegabit);
   record.stopping = stop_schedule_.Announced(loop_.Now());
