Sight: which requests were at work in a worker when it ended

Cause: from the logs of the incident a request that ends its workers could be found by its key only. They name neither what repeated requests have in common, nor, on the node beside the worker, which requests were at work in it: a broken connection looks the same whether the worker ended, reset it, or was gone already.

A worker counts as ended when its side closed all connections and nothing listens, or when another one is at its address; a request counts when its connection went with it, and not when it was sent after that.

Conclusion: two lines with the same fingerprint and different workers name the request.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -44,7 +44,8 @@
       monitor_(loop, pool_, order_pool_, store_, wire, settings_,
                KeyOf(kDrainPrefix, settings_.node_name), log,
                {[this](bool former_gone) { OnWorkerChanged(former_gone); },
-                [this] { holder_.OnWorkerConfirmed(); }, &holder_}),
+                [this] { holder_.OnWorkerConfirmed(); },
+                [this](const std::string& worker_id) { OnWorkerEnded(worker_id); }, &holder_}),
       shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
       holder_(loop, order_pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
@@ -327,6 +328,23 @@
   Announce();
 }
 
+// Which requests end their workers can be told from these lines alone: it is at work under each
+// end.
+void Sidecar::OnWorkerEnded(const std::string& worker_id) {
+  const auto at_work = gate_.TakeAtWork(worker_id);
+  if (at_work.empty()) return;
+  log_.Write(LogLevel::kWarning, "worker_ended_at_work",
+             {{"worker", worker_id}, {"requests", at_work.size()}});
+  for (const InterruptedRequest& request : at_work) {
+    log_.Write(LogLevel::kWarning, "request_at_work_in_ended_worker",
+               {{"request", request.request_id},
+                {"fingerprint", request.fingerprint.ToString()},
+                {"asks", request.description},
+                {"ran_ms", ToMilliseconds(request.interrupted_at - request.sent_at)},
+                {"worker", worker_id}});
+  }
+}
+
 void Sidecar::Announce() {
   NodeRecord record;
   record.node = settings_.node_name;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -81,6 +81,7 @@
   void OnStateRemoved(const std::string& key);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
+  void OnWorkerEnded(const std::string& worker_id);
   // Of the limit of a cell, the part of the worker beside this node; nullopt: no limit.
   std::optional<double> RateOf(const std::string& caller_class);
   void Announce();
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -37,6 +37,8 @@
   ~GateAttempt() override {
     call_.reset();
     if (registered_) {
+      // The caller left, while the worker may be at work.
+      if (sent_) gate_->NoteInterrupted(request_, sent_at_);
       Unregister();
       gate_->Withdraw(id_, sent_, Elapsed());
     }
@@ -138,6 +140,9 @@
 
   void OnClientFailure(http::ClientFailure failure) override {
     if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerUnreachable();
+    if (!http::CertainlyNotSent(failure) && !refusal_.has_value()) {
+      gate_->NoteInterrupted(request_, sent_at_);
+    }
     GiveBackSlot(admission::Completion::kFailed);
     if (http::CertainlyNotSent(failure)) {
       Fail({Verdict::kNotRun, FailureReason::kUnreachable, false, Duration(0)});
@@ -312,6 +317,12 @@
   if (found != running_ids_.end()) running_ids_.erase(found);
 }
 
+void WorkerGate::NoteInterrupted(const AttemptRequest& request, Instant sent_at) {
+  const auto key = BoundByKey(request) ? request.key : std::nullopt;
+  interrupted_.Add({FingerprintOf(*request.request, key), DescribeRequest(*request.request),
+                    request.request_id, worker_id_, sent_at, loop_.Now()});
+}
+
 void WorkerGate::ScheduleTick() {
   if (queue_.queued() > 0 && !tick_.active()) tick_.Start(kTickInterval);
 }
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "runshelf/admission/admission_queue.h"
 #include "runshelf/routing/target_load.h"
@@ -14,6 +15,7 @@
 #include "source/http/client.h"
 #include "source/sidecar/attempt.h"
 #include "source/sidecar/class_limiter.h"
+#include "source/sidecar/interrupted_requests.h"
 #include "source/sidecar/wire_format.h"
 
 namespace runshelf::sidecar {
@@ -80,6 +82,10 @@
   // True while the worker is at work on the request with this id, as far as the gate knows.
   bool Runs(const std::string& request_id) const { return running_ids_.contains(request_id); }
   size_t running() const { return queue_.running(); }
+  // The worker has ended: the requests that were at work in it then. Each is told once.
+  std::vector<InterruptedRequest> TakeAtWork(const std::string& worker_id) {
+    return interrupted_.TakeAtWork(loop_.Now(), worker_id);
+  }
 
  private:
   class GateAttempt;
@@ -94,6 +100,8 @@
   std::optional<FailureReason> Objection(const AttemptRequest& request) const;
   void RefuseWaiting();
   void ForgetRunning(const std::string& request_id);
+  // The connection on which the request was sent at `sent_at` went without its answer.
+  void NoteInterrupted(const AttemptRequest& request, Instant sent_at);
   void ScheduleTick();
 
   event::EventLoop& loop_;
@@ -115,6 +123,7 @@
   event::Timer tick_;
   std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Waiting or sent.
   std::unordered_multiset<std::string> running_ids_;     // Of the requests that were sent.
+  InterruptedRequests interrupted_;
   uint64_t next_id_ = 1;
 };
 
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -237,6 +237,7 @@
 
 void WorkerMonitor::AdoptWorker(const std::string& worker_id, Instant alive_at, Source source) {
   const bool replaced = !worker_id_.empty() && !Completes(worker_id);
+  if (replaced && observer_.on_ended) observer_.on_ended(worker_id_);
   source_ = source;
   adopted_at_ = loop_.Now();
   if (replaced) former_workers_[worker_id_] = {};
@@ -408,6 +409,7 @@
   const bool refused = failure == http::ClientFailure::kRefused && ConnectionsEnded();
   refused_probes_ = refused ? refused_probes_ + 1 : 0;
   ++failed_probes_;
+  if (refused && !worker_id_.empty() && observer_.on_ended) observer_.on_ended(worker_id_);
   if (worker_id_.empty() && !seeking_) return;
   const Duration silence = loop_.Now() - heard_at_;
   const bool silent = silence > std::chrono::duration_cast<Duration>(settings_.heartbeat_interval *
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -30,7 +30,9 @@
     // worker certainly ended.
     std::function<void(bool former_gone)> on_changed;
     std::function<void()> on_confirmed;  // The worker is known again to be the one at its address.
-    KeyLessor* lessor = nullptr;         // Must outlive the monitor.
+    // A worker certainly ended; may be told more than once.
+    std::function<void(const std::string& worker_id)> on_ended;
+    KeyLessor* lessor = nullptr;  // Must outlive the monitor.
   };
 
   // `order_pool`: of the other connections to the worker.
--- /dev/null
+++ b/tests/sidecar/interrupted_requests_test.cc
@@ -0,0 +1,64 @@
+#include "source/sidecar/interrupted_requests.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Instant kStart = Instant{} + std::chrono::seconds(100);
+
+InterruptedRequest Make(const std::string& id, Duration sent, Duration interrupted,
+                        const std::string& worker = "w1") {
+  http::Request request;
+  request.head.target = "/" + id;
+  return {
+      FingerprintOf(request, std::nullopt), "", id, worker, kStart + sent, kStart + interrupted};
+}
+
+std::string Ids(const std::vector<InterruptedRequest>& requests) {
+  std::string ids;
+  for (const InterruptedRequest& request : requests) ids += request.request_id + " ";
+  return ids;
+}
+
+}  // namespace
+
+TEST_GROUP(InterruptedRequests) { InterruptedRequests requests; };
+
+TEST(InterruptedRequests, TellsWhatWasAtWorkInTheEndedWorker) {
+  requests.Add(Make("other", milliseconds(0), milliseconds(90), "w2"));
+  requests.Add(Make("a", milliseconds(0), milliseconds(100)));
+  requests.Add(Make("b", milliseconds(50), milliseconds(101)));
+  STRCMP_EQUAL("a b ", Ids(requests.TakeAtWork(kStart + milliseconds(110), "w1")).c_str());
+  STRCMP_EQUAL("", Ids(requests.TakeAtWork(kStart + milliseconds(111), "w1")).c_str());
+}
+
+TEST(InterruptedRequests, WhatWasSentToAWorkerThatWasGoneIsNotTold) {
+  requests.Add(Make("a", milliseconds(0), milliseconds(100)));
+  requests.Add(Make("late", milliseconds(120), milliseconds(121)));
+  STRCMP_EQUAL("a ", Ids(requests.TakeAtWork(kStart + milliseconds(130), "w1")).c_str());
+}
+
+// A connection that the worker reset seconds before its end says nothing of the end.
+TEST(InterruptedRequests, WhatBrokeLongBeforeTheEndIsNotTold) {
+  requests.Add(Make("reset", milliseconds(0), milliseconds(10)));
+  requests.Add(Make("a", milliseconds(900), milliseconds(1000)));
+  STRCMP_EQUAL("a ", Ids(requests.TakeAtWork(kStart + milliseconds(1010), "w1")).c_str());
+}
+
+TEST(InterruptedRequests, NothingIsToldOfWhatIsLongPast) {
+  requests.Add(Make("a", milliseconds(0), milliseconds(100)));
+  STRCMP_EQUAL("", Ids(requests.TakeAtWork(kStart + milliseconds(4200), "w1")).c_str());
+}
+
+TEST(InterruptedRequests, IsBounded) {
+  for (int index = 0; index < 1000; ++index) {
+    requests.Add(Make(std::to_string(index), milliseconds(0), milliseconds(100)));
+  }
+  CHECK_EQUAL(256U, requests.TakeAtWork(kStart + milliseconds(110), "w1").size());
+}
--- /dev/null
+++ b/tests/sidecar/request_fingerprint_test.cc
@@ -0,0 +1,89 @@
+#include "source/sidecar/request_fingerprint.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+
+namespace {
+
+http::Request Request() {
+  http::Request request;
+  request.head.method = "POST";
+  request.head.target = "/send/order?from=7";
+  request.head.headers.Add("Host", "h.example");
+  request.head.headers.Add("Cookie", "caller=1");
+  request.body = "body";
+  return request;
+}
+
+std::string Print(const http::Request& request) {
+  return FingerprintOf(request, std::nullopt).ToString();
+}
+
+}  // namespace
+
+TEST_GROUP(RequestFingerprint){};
+
+TEST(RequestFingerprint, ChangesWithWhatIsAskedAndByWhom) {
+  const std::string print = Print(Request());
+  http::Request other = Request();
+  other.head.target = "/send/order?from=8";
+  CHECK(Print(other) != print);
+  other = Request();
+  other.head.method = "PUT";
+  CHECK(Print(other) != print);
+  other = Request();
+  other.body = "another";
+  CHECK(Print(other) != print);
+  other = Request();
+  other.head.headers.Set("Cookie", "caller=2");
+  CHECK(Print(other) != print);
+  other = Request();
+  other.head.headers.Set("Host", "other.example");
+  CHECK(Print(other) != print);
+  CHECK(FingerprintOf(Request(), 7).ToString() != print);
+}
+
+TEST(RequestFingerprint, StaysWithWhatIsNewEachTime) {
+  http::Request again = Request();
+  again.head.headers.Add("Attempt-Id", "2");
+  again.head.headers.Add("Deadline-Ms", "900");
+  again.head.headers.Add("Traceparent", "00-1-1-00");
+  again.head.headers.Set("Host", "H.example");
+  STRCMP_EQUAL(Print(Request()).c_str(), Print(again).c_str());
+}
+
+// A field that ends where another one begins must not give the same bytes.
+TEST(RequestFingerprint, KeepsFieldsApart) {
+  http::Request left = Request();
+  left.head.headers.Remove("Cookie");
+  left.head.headers.Add("Authorization", "ab");
+  http::Request right = Request();
+  right.head.headers.Set("Cookie", "ab");
+  CHECK(Print(left) != Print(right));
+}
+
+// All nodes must agree, whatever they are built with.
+TEST(RequestFingerprint, IsTheSameEverywhere) {
+  http::Request request;
+  request.head.method = "GET";
+  request.head.target = "/";
+  STRCMP_EQUAL("5082b49fc9f5b5058282f46f0e22fd77", Print(request).c_str());
+}
+
+TEST(RequestFingerprint, ReadsOnlyWhatItWrote) {
+  const auto print = FingerprintOf(Request(), std::nullopt);
+  CHECK(RequestFingerprint::Parse(print.ToString()) == print);
+  CHECK(!RequestFingerprint::Parse("").has_value());
+  CHECK(!RequestFingerprint::Parse(print.ToString() + "0").has_value());
+  CHECK(!RequestFingerprint::Parse(std::string(32, 'G')).has_value());
+}
+
+TEST(RequestFingerprint, ADescriptionIsBounded) {
+  http::Request request = Request();
+  request.head.target = "/" + std::string(5000, 'x');
+  CHECK_EQUAL(160U, DescribeRequest(request).size());
+}
