--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -29,6 +29,7 @@
   Instant answer_by;           // Later than this an answer is worth little: refuse instead.
   std::optional<sharding::ShardKey> key;
   bool large_answer = false;  // Answers of the route are large: they are paced on the link.
+  bool trial = false;         // Of a request in quarantine; see RequestQuarantine.
 };
 
 enum class FailureReason {
@@ -45,6 +46,7 @@
   kCallerGone,     // The caller left before the request was sent.
   kBroken,         // The connection was lost after the request was sent.
   kIncomplete,     // The answer broke off, or was no answer.
+  kQuarantined,    // Workers ended under requests like this one.
 };
 
 std::string_view FailureReasonName(FailureReason reason);
--- /dev/null
+++ b/source/sidecar/crash_record.cc
@@ -0,0 +1,245 @@
+#include "source/sidecar/crash_record.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace runshelf::sidecar {
+namespace {
+
+// Users take three ends for proof. Fewer would put bystanders in quarantine: a caller that repeats
+// a failed request at once may be there when the next worker ends.
+constexpr size_t kEndsForQuarantine = 3;
+constexpr size_t kEndsForRunningAlone = 2;
+// Users allow three more runs after that, over the whole day.
+constexpr uint32_t kMaxTrials = 3;
+// A run takes some 100 ms, and its outcome is known everywhere within about half a second.
+constexpr Duration kTrialSpacing = std::chrono::seconds(1);
+// Some hundred bytes each. A common loss of power ends hundreds of workers, with some 20 requests
+// in each.
+constexpr size_t kMaxSuspects = 20000;
+// Each lapses some minutes after it was written. Of a flood beyond this the rest is not counted.
+constexpr size_t kMaxEnds = 5000;
+// Named in an item, which is passed on to all nodes.
+constexpr size_t kMaxWorkersInItem = 16;
+
+// How many of `names` are not in `others`.
+size_t CountMissing(const std::set<std::string>& names, const std::set<std::string>& others) {
+  return static_cast<size_t>(std::count_if(
+      names.begin(), names.end(), [&](const std::string& name) { return !others.contains(name); }));
+}
+
+}  // namespace
+
+size_t CrashRecord::Ends(const Suspect& suspect) {
+  return CountMissing(suspect.worker_ids, suspect.excused);
+}
+
+bool CrashRecord::Quarantined(const Suspect& suspect) {
+  if (suspect.item.has_value() && !suspect.item->released) return true;
+  const size_t enough = suspect.was_quarantined ? 1 : kEndsForQuarantine;
+  return Ends(suspect) >= enough;
+}
+
+const CrashRecord::Suspect* CrashRecord::Find(const RequestFingerprint& request) const {
+  const auto found = suspects_.find(request);
+  return found == suspects_.end() ? nullptr : &found->second;
+}
+
+CrashRecord::Suspect& CrashRecord::Remember(const RequestFingerprint& request) {
+  const auto found = suspects_.find(request);
+  if (found != suspects_.end()) return found->second;
+  if (suspects_.size() >= kMaxSuspects) MakeRoom();
+  Suspect& suspect = suspects_[request];
+  suspect.number = next_number_++;
+  by_age_.emplace(suspect.number, request);
+  return suspect;
+}
+
+// Those that were there once go first, the oldest before others: what ends workers is there again
+// and again, and a flood of bystanders does not push it out.
+void CrashRecord::MakeRoom() {
+  const auto dispensable = [this](const auto& entry) {
+    const Suspect& suspect = suspects_.at(entry.second);
+    return Ends(suspect) < kEndsForRunningAlone && !Quarantined(suspect);
+  };
+  auto victim = std::find_if(by_age_.begin(), by_age_.end(), dispensable);
+  if (victim == by_age_.end()) victim = by_age_.begin();
+  Forget(victim->second);
+}
+
+void CrashRecord::Forget(const RequestFingerprint& request) {
+  const auto found = suspects_.find(request);
+  by_age_.erase(found->second.number);
+  quarantined_.erase(request);
+  suspects_.erase(found);
+}
+
+void CrashRecord::NoteChanged(const RequestFingerprint& request) {
+  if (Quarantined(suspects_.at(request))) {
+    quarantined_.insert(request);
+  } else {
+    quarantined_.erase(request);
+  }
+}
+
+std::vector<RequestFingerprint> CrashRecord::OnWorkerEnd(
+    const std::string& worker_id, const std::vector<RequestFingerprint>& requests) {
+  std::vector<RequestFingerprint> brought;
+  if (ends_.size() >= kMaxEnds && !ends_.contains(worker_id)) return brought;
+  std::vector<RequestFingerprint>& known = ends_[worker_id];
+  for (const RequestFingerprint& request : requests) {
+    Suspect& suspect = Remember(request);
+    const bool before = Quarantined(suspect);
+    if (!suspect.worker_ids.insert(worker_id).second) continue;
+    known.push_back(request);
+    NoteChanged(request);
+    if (!before && Quarantined(suspect)) brought.push_back(request);
+  }
+  return brought;
+}
+
+void CrashRecord::OnWorkerEndLapsed(const std::string& worker_id) {
+  const auto found = ends_.find(worker_id);
+  if (found == ends_.end()) return;
+  for (const RequestFingerprint& request : found->second) {
+    const auto suspect = suspects_.find(request);
+    if (suspect == suspects_.end()) continue;
+    suspect->second.worker_ids.erase(worker_id);
+    suspect->second.excused.erase(worker_id);
+    suspect->second.released.erase(worker_id);
+    NoteChanged(request);
+    ForgetIfClear(request);
+  }
+  ends_.erase(found);
+}
+
+void CrashRecord::ForgetIfClear(const RequestFingerprint& request) {
+  const Suspect& suspect = suspects_.at(request);
+  if (!suspect.worker_ids.empty() || suspect.item.has_value() || suspect.was_quarantined) return;
+  Forget(request);
+}
+
+void CrashRecord::OnQuarantine(Instant now, const RequestFingerprint& request,
+                               const QuarantineItem& item, store::Revision revision) {
+  Suspect& suspect = Remember(request);
+  if (revision <= suspect.revision) return;
+  suspect.item = item;
+  suspect.revision = revision;
+  suspect.item_since = now;
+  if (item.released) {
+    suspect.was_quarantined = false;
+    suspect.excused.insert(item.worker_ids.begin(), item.worker_ids.end());
+    suspect.released.insert(item.worker_ids.begin(), item.worker_ids.end());
+  }
+  NoteChanged(request);
+}
+
+void CrashRecord::OnQuarantineLapsed(const RequestFingerprint& request) {
+  const auto found = suspects_.find(request);
+  if (found == suspects_.end() || !found->second.item.has_value()) return;
+  found->second.was_quarantined = !found->second.item->released;
+  found->second.item.reset();
+  NoteChanged(request);
+  ForgetIfClear(request);
+}
+
+bool CrashRecord::OnGoodRun(const RequestFingerprint& request) {
+  const auto found = suspects_.find(request);
+  if (found == suspects_.end()) return false;
+  Suspect& suspect = found->second;
+  const bool held_against =
+      Quarantined(suspect) ||
+      CountMissing(suspect.worker_ids, suspect.released) >= kEndsForRunningAlone;
+  suspect.excused = suspect.worker_ids;
+  suspect.was_quarantined = false;
+  if (suspect.item.has_value()) suspect.item->released = true;
+  NoteChanged(request);
+  return held_against;
+}
+
+bool CrashRecord::IsQuarantined(const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  return suspect != nullptr && Quarantined(*suspect);
+}
+
+size_t CrashRecord::Ends(const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  return suspect == nullptr ? 0 : Ends(*suspect);
+}
+
+Clearance CrashRecord::ClearanceOf(Instant now, const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  if (suspect == nullptr) return Clearance::kFree;
+  if (Quarantined(*suspect)) {
+    const auto until_trial = UntilTrial(now, request);
+    return until_trial == Duration(0) ? Clearance::kTrial : Clearance::kQuarantined;
+  }
+  return Ends(*suspect) >= kEndsForRunningAlone ? Clearance::kAlone : Clearance::kFree;
+}
+
+std::optional<Duration> CrashRecord::UntilTrial(Instant now,
+                                                const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  if (suspect == nullptr || !Quarantined(*suspect) || suspect->was_quarantined) return std::nullopt;
+  if (!suspect->item.has_value() || suspect->item->released) return Duration(0);
+  if (suspect->item->trials >= kMaxTrials) return std::nullopt;
+  return std::max(Duration(0), suspect->item_since + kTrialSpacing - now);
+}
+
+// A new quarantine begins with no trials, one that goes on keeps its count.
+CrashRecord::Change CrashRecord::ChangeOf(const RequestFingerprint& request) const {
+  Change change;
+  const Suspect* suspect = Find(request);
+  if (suspect == nullptr) return change;
+  change.expected = suspect->item.has_value() ? suspect->revision : 0;
+  if (suspect->item.has_value()) change.item = *suspect->item;
+  if (change.item.released) change.item.trials = 0;
+  change.item.released = false;
+  change.item.worker_ids.clear();
+  for (const std::string& worker_id : suspect->worker_ids) {
+    if (change.item.worker_ids.size() == kMaxWorkersInItem) break;
+    change.item.worker_ids.push_back(worker_id);
+  }
+  return change;
+}
+
+CrashRecord::Change CrashRecord::BeginTrial(const RequestFingerprint& request) const {
+  Change change = ChangeOf(request);
+  ++change.item.trials;
+  return change;
+}
+
+CrashRecord::Change CrashRecord::ReturnTrial(const RequestFingerprint& request) const {
+  Change change = ChangeOf(request);
+  if (change.item.trials > 0) --change.item.trials;
+  return change;
+}
+
+CrashRecord::Change CrashRecord::Release(const RequestFingerprint& request) const {
+  Change change = ChangeOf(request);
+  change.item.released = true;
+  return change;
+}
+
+bool CrashRecord::KnownGood(const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  if (suspect == nullptr || Ends(*suspect) > 0) return false;
+  if (!suspect->item.has_value()) return true;
+  const std::vector<std::string>& held_against = suspect->item->worker_ids;
+  return std::all_of(held_against.begin(), held_against.end(), [&](const std::string& worker_id) {
+    return suspect->excused.contains(worker_id);
+  });
+}
+
+std::vector<RequestFingerprint> CrashRecord::RequestsOf(const std::string& worker_id) const {
+  const auto found = ends_.find(worker_id);
+  return found == ends_.end() ? std::vector<RequestFingerprint>() : found->second;
+}
+
+std::vector<std::string> CrashRecord::WorkersOf(const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  if (suspect == nullptr) return {};
+  return {suspect->worker_ids.begin(), suspect->worker_ids.end()};
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/crash_record.h
@@ -0,0 +1,107 @@
+// Decides which requests may run, from the ends of workers that they were at work under.
+//
+// A request that ends the worker that begins it comes again, at any node, and each run costs a
+// worker, its keys and all other requests in it. Workers also end for reasons of their own, and
+// then everything at work in them is innocent. What tells the two apart is repetition without a
+// good run: of 84 requests under 11 ends that had other reasons, none was at work under two, while
+// the guilty one is under every end. So the first end changes nothing for a request but that it is
+// not sent on to another worker by the node that sees it happen twice; under the second one it runs
+// one at a time; the third puts it in quarantine. There only trials run, one in the fleet at a
+// time, each counted before it is sent: an innocent request proves itself with the first, and the
+// guilty one costs a bounded number of workers.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "runshelf/common/clock.h"
+#include "source/sidecar/crash_items.h"
+#include "source/store/store_operations.h"
+
+namespace runshelf::sidecar {
+
+enum class Clearance {
+  kFree,         // Nothing speaks against it.
+  kAlone,        // May run while no other request like it does.
+  kTrial,        // In quarantine, and a trial may begin.
+  kQuarantined,  // In quarantine; refused at once.
+};
+
+// Deterministic; not thread-safe. Bounded, however many workers end.
+class CrashRecord {
+ public:
+  // The end of a worker; told again, it adds what is new. Returns the requests that this end brings
+  // into quarantine.
+  std::vector<RequestFingerprint> OnWorkerEnd(const std::string& worker_id,
+                                              const std::vector<RequestFingerprint>& requests);
+  // Nobody has seen requests of this end in quarantine for long.
+  void OnWorkerEndLapsed(const std::string& worker_id);
+  // What the store holds of a request, as of `revision`.
+  void OnQuarantine(Instant now, const RequestFingerprint& request, const QuarantineItem& item,
+                    store::Revision revision);
+  void OnQuarantineLapsed(const RequestFingerprint& request);
+  // The request ran to an answer: no end that is known so far was its doing. True when the other
+  // nodes should hear of it, which may hold these ends against it.
+  bool OnGoodRun(const RequestFingerprint& request);
+
+  bool empty() const { return suspects_.empty(); }
+  bool IsQuarantined(const RequestFingerprint& request) const;
+  // Ends that speak against the request.
+  size_t Ends(const RequestFingerprint& request) const;
+  Clearance ClearanceOf(Instant now, const RequestFingerprint& request) const;
+  // Of one in quarantine: until the next trial may begin; nullopt: none will.
+  std::optional<Duration> UntilTrial(Instant now, const RequestFingerprint& request) const;
+  // What the store should hold once another trial has begun, and the revision that it replaces.
+  struct Change {
+    QuarantineItem item;
+    store::Revision expected = 0;  // Zero: there is no item yet.
+  };
+  Change BeginTrial(const RequestFingerprint& request) const;
+  // The trial did not reach a worker.
+  Change ReturnTrial(const RequestFingerprint& request) const;
+  // The request was found good.
+  Change Release(const RequestFingerprint& request) const;
+  // This node has seen a good run since all the ends that are held against the request.
+  bool KnownGood(const RequestFingerprint& request) const;
+  // Of the end of this worker.
+  std::vector<RequestFingerprint> RequestsOf(const std::string& worker_id) const;
+  std::vector<std::string> WorkersOf(const RequestFingerprint& request) const;
+  // Requests in quarantine.
+  size_t quarantined() const { return quarantined_.size(); }
+
+ private:
+  struct Suspect {
+    uint64_t number = 0;               // In the order in which they came to be known.
+    std::set<std::string> worker_ids;  // That ended under it.
+    std::set<std::string> excused;     // Ends before a good run.
+    std::set<std::string> released;    // Of these, the ones that all nodes know of.
+    std::optional<QuarantineItem> item;
+    store::Revision revision = 0;  // Of the item.
+    Instant item_since{};
+    // It was in quarantine until nobody sent it any more: one more end is enough.
+    bool was_quarantined = false;
+  };
+
+  static size_t Ends(const Suspect& suspect);
+  static bool Quarantined(const Suspect& suspect);
+  const Suspect* Find(const RequestFingerprint& request) const;
+  Suspect& Remember(const RequestFingerprint& request);
+  void MakeRoom();
+  void ForgetIfClear(const RequestFingerprint& request);
+  void Forget(const RequestFingerprint& request);
+  // To be called after every change of the suspect.
+  void NoteChanged(const RequestFingerprint& request);
+  Change ChangeOf(const RequestFingerprint& request) const;
+
+  std::map<RequestFingerprint, Suspect> suspects_;
+  std::set<RequestFingerprint> quarantined_;                     // Of the suspects.
+  std::map<std::string, std::vector<RequestFingerprint>> ends_;  // By worker.
+  std::map<uint64_t, RequestFingerprint> by_age_;                // By number.
+  uint64_t next_number_ = 0;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -17,6 +18,7 @@
 #include "source/sidecar/patience_meter.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/request_counts.h"
+#include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_directory.h"
 #include "source/sidecar/stop_schedule.h"
@@ -35,6 +37,7 @@
   PeerDirectory& peers;
   ShardDirectory& shards;
   TableOverrides& table;
+  RequestQuarantine& quarantine;
   WorkerGate& gate;
   LogWriter& log;
   NodeMetrics& metrics;
@@ -100,6 +103,8 @@
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
   std::map<std::string, ServiceBudgets> budgets_;
   std::map<std::string, PatienceMeter> patience_;  // By route.
+  // Requests that run alone and are under way.
+  std::set<RequestFingerprint> alone_;
   uint64_t retries_ = 0;
   uint64_t refused_in_stop_ = 0;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -78,6 +78,13 @@
   gauge("runshelf_stopping", "Whether the node was told to stop.", gauges.stopping ? 1 : 0);
   gauge("runshelf_live_nodes", "Nodes of the fleet that this one knows.",
         static_cast<double>(gauges.live_nodes));
+  gauge("runshelf_quarantined_requests",
+        "Different requests in quarantine: workers ended under them.",
+        static_cast<double>(gauges.quarantined_requests));
+  counter("runshelf_quarantine_refusals_total", "Requests refused since they are in quarantine.",
+          gauges.quarantine_refusals);
+  counter("runshelf_quarantine_trials_total", "Requests in quarantine that were sent to a worker.",
+          gauges.quarantine_trials);
   counter("runshelf_store_calls_total", "Calls to the store, those passed on included.",
           gauges.store_calls);
   counter("runshelf_connections_opened_total",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -39,6 +39,9 @@
   uint64_t connections_opened = 0;
   uint64_t grants_sent = 0;
   uint64_t retries = 0;
+  size_t quarantined_requests = 0;  // Under which workers ended.
+  uint64_t quarantine_refusals = 0;
+  uint64_t quarantine_trials = 0;
   uint64_t log_lines_dropped = 0;
 };
 
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -17,6 +17,7 @@
 constexpr std::string_view kAnswerBy = "Runshelf-Answer-By-Ms";
 constexpr std::string_view kKey = "Runshelf-Key";
 constexpr std::string_view kLargeAnswer = "Runshelf-Large-Answer";
+constexpr std::string_view kTrial = "Runshelf-Trial";
 constexpr std::string_view kLoad = "Runshelf-Load";
 constexpr std::string_view kVerdict = "Runshelf-Verdict";
 constexpr std::string_view kReason = "Runshelf-Reason";
@@ -77,6 +78,7 @@
   headers->Add(kAnswerBy, std::to_string(MillisecondsLeft(attempt.answer_by - now)));
   if (attempt.key.has_value()) headers->Add(kKey, std::to_string(*attempt.key));
   if (attempt.large_answer) headers->Add(kLargeAnswer, "1");
+  if (attempt.trial) headers->Add(kTrial, "1");
 }
 
 std::optional<AttemptRequest> ReadAttempt(http::Request request, Instant now) {
@@ -98,6 +100,7 @@
   attempt.deadline = now + *deadline;
   attempt.answer_by = now + *answer_by;
   attempt.large_answer = headers.Has(kLargeAnswer);
+  attempt.trial = headers.Has(kTrial);
   if (headers.Has(kKey)) {
     const auto key = ReadNumber(headers, kKey);
     if (!key.has_value() || *key > sharding::kMaxShardKey) return std::nullopt;
--- a/source/sidecar/request_fingerprint.cc
+++ b/source/sidecar/request_fingerprint.cc
@@ -6,13 +6,13 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <iterator>
 
 namespace runshelf::sidecar {
 namespace {
 
 constexpr size_t kFingerprintBytes = 16;
 constexpr size_t kMaxDescriptionBytes = 160;
+constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr std::array<std::string_view, 2> kCredentialHeaders{"Authorization", "Cookie"};
 
 // Each field goes in with its length: no two lists of fields give the same bytes.
@@ -30,7 +30,11 @@
     std::array<uint8_t, kFingerprintBytes> bytes{};
     sha256_digest(&context_, bytes.size(), bytes.data());
     std::string text;
-    for (const uint8_t byte : bytes) fmt::format_to(std::back_inserter(text), "{:02x}", byte);
+    text.reserve(2 * bytes.size());
+    for (const uint8_t byte : bytes) {
+      text.push_back(kHexDigits[byte >> 4U]);
+      text.push_back(kHexDigits[byte & 0xFU]);
+    }
     return text;
   }
 
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -120,6 +120,11 @@
     OnTimer();
     return;
   }
+  if (context_.quarantine.watches_any() &&
+      context_.quarantine.ClearanceOf(Fingerprint()) == Clearance::kQuarantined && !trial_) {
+    RefuseQuarantined();
+    return;
+  }
   if (OwnerServes()) {
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
@@ -165,6 +170,10 @@
     OnClientGone();
     return;
   }
+  if (!StopForQuarantine(node, worker_id)) Send(node, worker_id);
+}
+
+void RequestFlow::Send(const std::string& node, const std::string& worker_id) {
   AttemptRequest attempt;
   attempt.request = request_;
   attempt.request_id = request_id_;
@@ -179,6 +188,7 @@
   attempt.answer_by = times_.answer_by;
   attempt.key = key_;
   attempt.large_answer = route_.kind == routes::RequestKind::kDownload;
+  attempt.trial = trial_;
   relay_.Reset();
   current_node_ = node;
   last_node_ = node;
@@ -201,13 +211,14 @@
   current_node_.clear();
   relay_.set_attempt(nullptr);
   attempt_.reset();
+  if (std::exchange(runs_alone_, false)) ingress_->alone_.erase(Fingerprint());
 }
 
 void RequestFlow::OnAnswerHead(http::ResponseHead&& head) { relay_.OnHead(std::move(head)); }
 
 // The worker ran the request and failed: another one may do better, when it may run again.
 bool RequestFlow::WorkerFailureWorthRetry() const {
-  return relay_.head().status == kInternalError && !relay_.streaming() &&
+  return relay_.head().status == kInternalError && !relay_.streaming() && !trial_ &&
          routes::IsRepeatable(route_.kind) && arrivals_ + 1 < route_.max_attempts &&
          context_.loop.Now() < times_.answer_by;
 }
@@ -216,6 +227,7 @@
 
 void RequestFlow::OnAnswerComplete() {
   const auto self = shared_from_this();
+  NoteGoodRun(relay_.head().status);
   if (WorkerFailureWorthRetry() &&
       ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun)) {
     ++arrivals_;
@@ -266,6 +278,7 @@
 }
 
 bool RequestFlow::MayRunAgain(const AttemptFailure& failure) {
+  if (MayEndWorkers()) return false;
   if (!routes::IsRepeatable(route_.kind) || failure.reason == FailureReason::kExpired) return false;
   if (arrivals_ >= route_.max_attempts || context_.loop.Now() >= times_.deadline) return false;
   return ingress_->TakeRetry(service_, Ingress::RetryKind::kRepeatedRun);
@@ -276,6 +289,11 @@
 }
 
 void RequestFlow::OnNotRun(const AttemptFailure& failure) {
+  if (trial_) {
+    if (!failure.reached_worker) context_.quarantine.ReturnTrial(Fingerprint());
+    Refuse(failure.reason, failure.retry_after);
+    return;
+  }
   switch (failure.reason) {
     case FailureReason::kNotOwner:
     case FailureReason::kWrongWorker:
@@ -312,6 +330,9 @@
         Refuse(failure.reason, failure.retry_after);
       }
       return;
+    case FailureReason::kQuarantined:
+      RefuseQuarantined();
+      return;
     case FailureReason::kLimited:
     case FailureReason::kExpired:
     case FailureReason::kBroken:
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -41,6 +41,15 @@
   routing::AnswerSize SizeOfAnswer() const;
   std::string WorkerBeside(const std::string& node) const;
   void StartAttempt(const std::string& node, const std::string& worker_id);
+  void Send(const std::string& node, const std::string& worker_id);
+  // What the request is known by when it comes again.
+  const RequestFingerprint& Fingerprint();
+  // Workers ended under requests like this one, so that it is refused or waits for a trial.
+  bool StopForQuarantine(const std::string& node, const std::string& worker_id);
+  void BeginTrial(const std::string& node, const std::string& worker_id);
+  void RefuseQuarantined();
+  bool MayEndWorkers();
+  void NoteGoodRun(int status);
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
   void WaitForOwner(FailureReason reason);
@@ -70,6 +79,7 @@
   std::string service_;
   std::optional<sharding::ShardKey> key_;
   RequestTimes times_;
+  std::optional<RequestFingerprint> fingerprint_;
   std::vector<std::string> tried_nodes_;
   std::string current_node_;  // Of the attempt under way; empty while there is none.
   std::string last_node_;     // Of the latest attempt.
@@ -78,6 +88,8 @@
   uint32_t arrivals_ = 0;     // At workers, as far as is known.
   uint32_t refusals_ = 0;     // By queues of nodes.
   uint32_t owner_waits_ = 0;  // For the owner of the key to be known or ready.
+  bool runs_alone_ = false;   // No other request like it is sent meanwhile.
+  bool trial_ = false;        // Of a request in quarantine: sent once, whatever becomes of it.
   bool nested_ = false;       // A call that the worker of this node makes during a run.
   bool may_have_run_ = false;
   bool waiting_for_owner_ = false;
--- /dev/null
+++ b/source/sidecar/request_quarantine.h
@@ -0,0 +1,109 @@
+// Keeps requests that end their workers away from them, on all nodes together.
+//
+// The node beside a worker writes its end to the store, with the requests that were at work in it.
+// All nodes hear of it as of every change of the state, those that start later too, and decide
+// alike (CrashRecord). Trials are begun by compare-and-swap, so that the whole fleet runs one at a
+// time and no more than are allowed, whatever each node knows.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "runshelf/common/random.h"
+#include "source/event/event_loop.h"
+#include "source/sidecar/crash_record.h"
+#include "source/sidecar/interrupted_requests.h"
+#include "source/sidecar/log_writer.h"
+#include "source/store/store_client.h"
+
+namespace runshelf::sidecar {
+
+// Belongs to the thread of its loop.
+class RequestQuarantine {
+ public:
+  RequestQuarantine(event::EventLoop& loop, store::StoreClient& store, Random& random,
+                    LogWriter& log, std::string node);
+
+  // True when the key is one of the items that are kept here.
+  static bool IsItemKey(const std::string& key);
+  // False when the item cannot be read; what was known before holds.
+  bool OnItem(const store::Item& item);
+  void OnRemoved(const std::string& key);
+
+  // The worker beside this node ended.
+  void OnWorkerEnded(const std::string& worker_id, const std::vector<InterruptedRequest>& at_work);
+
+  // False: no request needs to be looked at.
+  bool watches_any() const { return !record_.empty(); }
+  Clearance ClearanceOf(const RequestFingerprint& request) const {
+    return record_.ClearanceOf(loop_.Now(), request);
+  }
+  bool IsQuarantined(const RequestFingerprint& request) const {
+    return record_.IsQuarantined(request);
+  }
+  // Workers ended under it, and it had no good run since.
+  bool IsSuspect(const RequestFingerprint& request) const { return record_.Ends(request) > 0; }
+  // Takes note that one in quarantine was refused; returns when its caller may come back.
+  Duration OnRefused(const RequestFingerprint& request);
+  // Calls back with true when the request may be sent to one worker, once; never inside the call.
+  void BeginTrial(const RequestFingerprint& request, const std::string& description,
+                  std::function<void(bool granted)> callback);
+  // The trial ended without reaching a worker.
+  void ReturnTrial(const RequestFingerprint& request);
+  // The request ran to an answer.
+  void OnGoodRun(const RequestFingerprint& request);
+
+  size_t quarantined() const { return record_.quarantined(); }
+  uint64_t refusals() const { return refusals_; }
+  uint64_t trials() const { return trials_; }
+
+ private:
+  struct PendingEnd {
+    Instant since;
+    bool writing = false;
+  };
+
+  // Writes what is not in the store yet.
+  void WritePending();
+  void WriteEnds();
+  void WriteReleases();
+  void WriteEnd(const std::string& worker_id);
+  // Calls back with a lease that lasts for minutes, or with zero when there is none to be had.
+  void WithLease(std::function<void(store::LeaseId)> callback);
+  // Calls back with whether the change was made.
+  void Commit(const RequestFingerprint& request, const CrashRecord::Change& change,
+              std::function<void(bool)> callback);
+  void Release(const RequestFingerprint& request);
+  void TakeQuarantineItem(const RequestFingerprint& request, const QuarantineItem& item,
+                          const store::Item& stored);
+  void TakeEnd(const WorkerEnd& end);
+
+  event::EventLoop& loop_;
+  store::StoreClient& store_;
+  Random& random_;
+  LogWriter& log_;
+  std::string node_;
+  CrashRecord record_;
+  std::map<std::string, PendingEnd> pending_ends_;  // By worker.
+  struct PendingRelease {
+    int tries_left = 0;
+    bool writing = false;
+  };
+  std::map<RequestFingerprint, PendingRelease> pending_releases_;
+  event::Timer write_timer_;
+  store::LeaseId lease_ = 0;
+  Instant lease_taken_at_{};
+  struct SeenItem {
+    store::LeaseId lease = 0;
+    Instant renew_at{};
+  };
+  std::map<RequestFingerprint, SeenItem> seen_;  // Of those in quarantine.
+  uint64_t refusals_ = 0;
+  uint64_t trials_ = 0;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -40,6 +40,7 @@
       order_pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
       peers_(settings_.node_name, settings_.zone),
+      quarantine_(loop, store_, random, log, settings_.node_name),
       gate_(loop, pool_, wire, settings_.worker),
       monitor_(loop, pool_, order_pool_, store_, wire, settings_,
                KeyOf(kDrainPrefix, settings_.node_name), log,
@@ -64,8 +65,8 @@
            [this](const store::ChangeSet& changes) { feed_.OnChanges(state_watcher_, changes); }}),
       feed_(loop, pool_, peers_, {&configuration_watcher_, &state_watcher_}, log,
             FeedConfig(settings_)),
-      ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_, gate_,
-                              log, metrics_, random, stop_schedule_}),
+      ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
+                              quarantine_, gate_, log, metrics_, random, stop_schedule_}),
       inbound_handler_(loop, gate_, store_, feed_, log, stop_schedule_,
                        settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
@@ -86,6 +87,7 @@
                       }}) {
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
+  gate_.set_quarantine(&quarantine_);
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
   for (http::ConnectionPool* pool : {&pool_, &order_pool_}) {
     pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
@@ -214,6 +216,9 @@
   gauges.connections_opened = pool_.opened() + order_pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
   gauges.retries = ingress_.retries();
+  gauges.quarantined_requests = quarantine_.quarantined();
+  gauges.quarantine_refusals = quarantine_.refusals();
+  gauges.quarantine_trials = quarantine_.trials();
   gauges.log_lines_dropped = log_.dropped();
   http::Headers headers;
   headers.Add("Content-Type", "text/plain; version=0.0.4");
@@ -272,6 +277,10 @@
     ingress_.OnShardsChanged();
     return;
   }
+  if (RequestQuarantine::IsItemKey(item.key)) {
+    if (!quarantine_.OnItem(item)) RefuseItem(item, "no record of a worker's end or a quarantine");
+    return;
+  }
   if (TableOverrides::IsCellKey(item.key)) {
     const bool understood = table_.OnItem(item);
     log_.Write(understood ? LogLevel::kInfo : LogLevel::kError, "table_cell",
@@ -295,6 +304,7 @@
 void Sidecar::OnStateRemoved(const std::string& key) {
   const std::string node = NameAfter(key, kNodePrefix);
   if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
+  if (RequestQuarantine::IsItemKey(key)) quarantine_.OnRemoved(key);
   if (TableOverrides::IsCellKey(key)) {
     table_.OnRemoved(key);
     log_.Write(LogLevel::kInfo, "table_cell", {{"key", key}, {"in_force", false}});
@@ -343,6 +353,7 @@
                 {"ran_ms", ToMilliseconds(request.interrupted_at - request.sent_at)},
                 {"worker", worker_id}});
   }
+  quarantine_.OnWorkerEnded(worker_id, at_work);
 }
 
 void Sidecar::Announce() {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -14,6 +14,7 @@
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/node_metrics.h"
 #include "source/sidecar/peer_directory.h"
+#include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_coordinator.h"
 #include "source/sidecar/shard_directory.h"
@@ -108,6 +109,7 @@
   PeerDirectory peers_;
   ShardDirectory shard_directory_;
   TableOverrides table_;
+  RequestQuarantine quarantine_;
   WorkerGate gate_;
   WorkerMonitor monitor_;
   ShardStore shard_store_;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -252,6 +252,7 @@
     return FailureReason::kWrongWorker;
   }
   if (request.deadline <= loop_.Now()) return FailureReason::kExpired;
+  if (Quarantined(request)) return FailureReason::kQuarantined;
   // Without a configuration nobody here knows whether the worker must hold the key.
   const bool known = key_authority_ == nullptr || key_authority_->Sharded().has_value();
   if (!known && request.key.has_value()) return FailureReason::kNoWorker;
@@ -318,11 +319,19 @@
 }
 
 void WorkerGate::NoteInterrupted(const AttemptRequest& request, Instant sent_at) {
-  const auto key = BoundByKey(request) ? request.key : std::nullopt;
-  interrupted_.Add({FingerprintOf(*request.request, key), DescribeRequest(*request.request),
+  interrupted_.Add({FingerprintOfAttempt(request), DescribeRequest(*request.request),
                     request.request_id, worker_id_, sent_at, loop_.Now()});
 }
 
+RequestFingerprint WorkerGate::FingerprintOfAttempt(const AttemptRequest& request) const {
+  return FingerprintOf(*request.request, BoundByKey(request) ? request.key : std::nullopt);
+}
+
+bool WorkerGate::Quarantined(const AttemptRequest& request) const {
+  if (request.trial || quarantine_ == nullptr || quarantine_->quarantined() == 0) return false;
+  return quarantine_->IsQuarantined(FingerprintOfAttempt(request));
+}
+
 void WorkerGate::ScheduleTick() {
   if (queue_.queued() > 0 && !tick_.active()) tick_.Start(kTickInterval);
 }
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -16,6 +16,7 @@
 #include "source/sidecar/attempt.h"
 #include "source/sidecar/class_limiter.h"
 #include "source/sidecar/interrupted_requests.h"
+#include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/wire_format.h"
 
 namespace runshelf::sidecar {
@@ -62,6 +63,8 @@
   using RateSource = std::function<std::optional<double>(const std::string& caller_class)>;
   void set_rate_source(RateSource source) { rate_source_ = std::move(source); }
 
+  void set_quarantine(const RequestQuarantine* quarantine) { quarantine_ = quarantine; }
+
   // Another worker, or none (an empty identity), is beside this node.
   void SetWorker(const std::string& worker_id, const std::string& service, uint32_t slots);
   // A draining worker gets nothing new, and what waits is refused; but for requests with keys,
@@ -91,6 +94,9 @@
   class GateAttempt;
 
   void Offer(GateAttempt* attempt);
+  RequestFingerprint FingerprintOfAttempt(const AttemptRequest& request) const;
+  // In quarantine, and no trial. The node that took the request may not know of it yet.
+  bool Quarantined(const AttemptRequest& request) const;
   // Zero: the class is below its limit, and one request of it was counted.
   Duration LimitWait(const std::string& caller_class);
   void Apply(const admission::AdmissionChanges& changes);
@@ -111,6 +117,7 @@
   KeyAuthority* key_authority_ = nullptr;
   WorkerEvidence* evidence_ = nullptr;
   RateSource rate_source_;
+  const RequestQuarantine* quarantine_ = nullptr;
   ClassLimiter limiter_;
   std::string worker_id_;
   std::string service_;
--- /dev/null
+++ b/tests/sidecar/crash_record_test.cc
@@ -0,0 +1,186 @@
+// The load that CrashRecord answers: one request that comes about once a second, at any node, and
+// ends each worker that begins it, among hundreds of others that are at work in those workers.
+#include "source/sidecar/crash_record.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Instant kStart = Instant{} + seconds(1000);
+
+RequestFingerprint Print(const std::string& name) {
+  http::Request request;
+  request.head.target = "/" + name;
+  return FingerprintOf(request, std::nullopt);
+}
+
+std::string Worker(size_t index) { return "w" + std::to_string(index); }
+
+}  // namespace
+
+TEST_GROUP(CrashRecord) {
+  CrashRecord record;
+  const RequestFingerprint guilty = Print("guilty");
+  store::Revision revision = 10;
+
+  void End(size_t worker, const std::vector<RequestFingerprint>& requests) {
+    record.OnWorkerEnd(Worker(worker), requests);
+  }
+
+  // As the store takes the change.
+  void Take(Instant now, const CrashRecord::Change& change) {
+    record.OnQuarantine(now, guilty, change.item, ++revision);
+  }
+
+  Clearance At(Instant now) const { return record.ClearanceOf(now, guilty); }
+};
+
+TEST(CrashRecord, TheThirdEndPutsARequestInQuarantine) {
+  CHECK(At(kStart) == Clearance::kFree);
+  End(1, {guilty, Print("a")});
+  CHECK(At(kStart) == Clearance::kFree);
+  End(2, {guilty, Print("b")});
+  CHECK(At(kStart) == Clearance::kAlone);
+  const auto brought = record.OnWorkerEnd(Worker(3), {guilty, Print("c")});
+  CHECK_EQUAL(1U, brought.size());
+  CHECK(brought[0] == guilty);
+  CHECK(At(kStart) == Clearance::kTrial);
+  CHECK(record.ClearanceOf(kStart, Print("a")) == Clearance::kFree);
+}
+
+// Nodes hear of an end from the store, the one beside the worker before that.
+TEST(CrashRecord, AnEndThatIsToldTwiceCountsOnce) {
+  for (int time = 0; time < 5; ++time) End(1, {guilty});
+  CHECK_EQUAL(1U, record.Ends(guilty));
+}
+
+TEST(CrashRecord, WhatIsToldLaterOfAnEndIsAdded) {
+  End(1, {Print("a")});
+  End(1, {Print("a"), guilty});
+  CHECK_EQUAL(1U, record.Ends(guilty));
+  CHECK_EQUAL(2U, record.RequestsOf(Worker(1)).size());
+}
+
+// The guilty one costs three workers and three more, however often it comes.
+TEST(CrashRecord, ItReachesABoundedNumberOfWorkers) {
+  size_t workers = 0;
+  Instant now = kStart;
+  for (int second = 0; second < 600; ++second, now += seconds(1)) {
+    const Clearance clearance = At(now);
+    if (clearance == Clearance::kQuarantined) continue;
+    if (clearance == Clearance::kTrial) Take(now, record.BeginTrial(guilty));
+    End(++workers, {guilty, Print("bystander" + std::to_string(second))});
+  }
+  CHECK_EQUAL(6U, workers);
+  CHECK(!record.UntilTrial(now, guilty).has_value());
+}
+
+TEST(CrashRecord, TrialsAreSpaced) {
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  Take(kStart, record.BeginTrial(guilty));
+  CHECK(At(kStart + milliseconds(999)) == Clearance::kQuarantined);
+  CHECK(record.UntilTrial(kStart, guilty) == seconds(1));
+  CHECK(At(kStart + seconds(1)) == Clearance::kTrial);
+}
+
+TEST(CrashRecord, ATrialThatReachedNoWorkerIsGivenBack) {
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  Take(kStart, record.BeginTrial(guilty));
+  Take(kStart, record.ReturnTrial(guilty));
+  CHECK_EQUAL(1U, record.BeginTrial(guilty).item.trials);
+}
+
+TEST(CrashRecord, AGoodRunClearsARequest) {
+  End(1, {guilty});
+  End(2, {guilty});
+  record.OnGoodRun(guilty);
+  CHECK_EQUAL(0U, record.Ends(guilty));
+  End(3, {guilty});
+  End(4, {guilty});
+  CHECK(At(kStart) == Clearance::kAlone);
+}
+
+TEST(CrashRecord, OthersHearOfAGoodRunOnlyWhereItMatters) {
+  End(1, {guilty});
+  CHECK(!record.OnGoodRun(guilty));
+  End(2, {guilty});
+  // They may hold both against it.
+  CHECK(record.OnGoodRun(guilty));
+  Take(kStart, record.Release(guilty));
+  CHECK(!record.OnGoodRun(guilty));
+}
+
+TEST(CrashRecord, AReleaseIsUnderstoodBeforeTheEndsThatItIsAbout) {
+  QuarantineItem item;
+  item.released = true;
+  item.worker_ids = {Worker(1), Worker(2), Worker(3)};
+  record.OnQuarantine(kStart, guilty, item, 5);
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  CHECK(At(kStart) == Clearance::kFree);
+  End(4, {guilty});
+  CHECK_EQUAL(1U, record.Ends(guilty));
+}
+
+TEST(CrashRecord, AfterAReleaseTrialsCountAnew) {
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  Take(kStart, record.BeginTrial(guilty));
+  Take(kStart, record.Release(guilty));
+  CHECK(At(kStart) == Clearance::kFree);
+  for (size_t worker = 4; worker <= 6; ++worker) End(worker, {guilty});
+  CHECK(At(kStart) == Clearance::kTrial);
+  CHECK_EQUAL(1U, record.BeginTrial(guilty).item.trials);
+}
+
+TEST(CrashRecord, AnOlderItemChangesNothing) {
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  const CrashRecord::Change first = record.BeginTrial(guilty);
+  record.OnQuarantine(kStart, guilty, first.item, 20);
+  const CrashRecord::Change second = record.BeginTrial(guilty);
+  CHECK_EQUAL(20, second.expected);
+  record.OnQuarantine(kStart, guilty, second.item, 21);
+  record.OnQuarantine(kStart, guilty, first.item, 20);
+  CHECK_EQUAL(3U, record.BeginTrial(guilty).item.trials);
+}
+
+// Once it has lapsed one run, not three, tells whether the request still ends its worker.
+TEST(CrashRecord, AfterALapseOneEndIsEnough) {
+  for (size_t worker = 1; worker <= 3; ++worker) End(worker, {guilty});
+  Take(kStart, record.BeginTrial(guilty));
+  record.OnQuarantineLapsed(guilty);
+  for (size_t worker = 1; worker <= 3; ++worker) record.OnWorkerEndLapsed(Worker(worker));
+  CHECK(At(kStart) == Clearance::kFree);
+  End(7, {guilty});
+  CHECK(At(kStart + seconds(60)) == Clearance::kQuarantined);
+  record.OnGoodRun(guilty);
+  CHECK(At(kStart) == Clearance::kFree);
+}
+
+TEST(CrashRecord, WhatLapsedIsForgotten) {
+  End(1, {guilty, Print("a")});
+  record.OnWorkerEndLapsed(Worker(1));
+  CHECK(record.empty());
+}
+
+// A common loss of power ends hundreds of workers, with some twenty requests in each.
+TEST(CrashRecord, AFloodOfBystandersDoesNotPushTheGuiltyOneOut) {
+  End(1, {guilty});
+  End(2, {guilty});
+  for (size_t worker = 100; worker < 1700; ++worker) {
+    std::vector<RequestFingerprint> bystanders;
+    for (int request = 0; request < 20; ++request) {
+      bystanders.push_back(Print(Worker(worker) + "/" + std::to_string(request)));
+    }
+    End(worker, bystanders);
+  }
+  CHECK_EQUAL(2U, record.Ends(guilty));
+  End(3, {guilty});
+  CHECK(At(kStart) == Clearance::kTrial);
+}
