Soak: requests that end the workers that begin them; a caller that leaves does not hide one

Sight: workers of the soak ended by plan only. A judge counts the runs that nodes in touch send later than 3 s after the third end; the share that is served at the end is judged as before, with these requests still coming.

Cause: the moment of a worker's end was taken from the first interrupted request of the last 300 ms, which may be one whose caller left or whose connection was reset for another reason. What was sent after that counted as sent to a worker that was gone; the guilty one is sent just before the end.

Change: the end is when the last group of connections broke, no more than 20 ms apart; requests whose caller left are suspects, and tell nothing of the time. What is sent after an end that is known is left out by that time.

One expectation of the sight's own unit test is narrower: a request that breaks 21 ms after the others, on its own, could be the one, and is told now. The test uses 3 ms, and a new one shows that what comes after the end was noticed is not told.

--- a/source/sidecar/interrupted_requests.cc
+++ b/source/sidecar/interrupted_requests.cc
@@ -1,6 +1,7 @@
 #include "source/sidecar/interrupted_requests.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace runshelf::sidecar {
@@ -14,6 +15,20 @@
 // The operating system closes all connections of a process at once; this node reads that one by
 // one, and late when it is short of processor time. A caller may have left that long before.
 constexpr Duration kSameEnd = std::chrono::milliseconds(300);
+// Between two of the connections that one end closes, as they are read. A connection that broke
+// longer before the others was reset for another reason, and says nothing of when the end was.
+constexpr Duration kLargestGap = std::chrono::milliseconds(20);
+
+// When the first of the connections that the end closed broke; nullopt: no request was on any.
+std::optional<Instant> EndOf(const std::vector<InterruptedRequest>& requests) {
+  std::optional<Instant> end;
+  for (auto request = requests.rbegin(); request != requests.rend(); ++request) {
+    if (request->by_caller) continue;
+    if (end.has_value() && *end - request->interrupted_at > kLargestGap) break;
+    end = request->interrupted_at;
+  }
+  return end;
+}
 
 }  // namespace
 
@@ -34,14 +49,13 @@
     return true;
   });
   if (of_worker.empty()) return of_worker;
-  const Instant since = of_worker.back().interrupted_at - kSameEnd;
-  std::erase_if(of_worker, [since](const InterruptedRequest& request) {
-    return request.interrupted_at < since;
-  });
-  // What was sent after the first connection broke went to a worker that was gone already.
-  const Instant ended_by = of_worker.front().interrupted_at;
-  std::erase_if(of_worker, [ended_by](const InterruptedRequest& request) {
-    return request.sent_at > ended_by;
+  if (worker_id != ended_worker_) {
+    ended_worker_ = worker_id;
+    ended_at_ = EndOf(of_worker).value_or(now);
+  }
+  std::erase_if(of_worker, [this](const InterruptedRequest& request) {
+    // What was sent later went to a worker that was gone already.
+    return request.interrupted_at < ended_at_ - kSameEnd || request.sent_at > ended_at_;
   });
   return of_worker;
 }
--- a/source/sidecar/interrupted_requests.h
+++ b/source/sidecar/interrupted_requests.h
@@ -18,6 +18,7 @@
   std::string worker_id;
   Instant sent_at;
   Instant interrupted_at;
+  bool by_caller = false;  // Its caller left; the worker may have worked on for a moment.
 };
 
 // Remembers interrupted requests for a short while. That a connection broke says little: a worker
@@ -32,6 +33,8 @@
 
  private:
   std::deque<InterruptedRequest> requests_;  // By `interrupted_at`.
+  std::string ended_worker_;                 // That was asked for last,
+  Instant ended_at_{};                       // and when it had ended.
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -38,7 +38,7 @@
     call_.reset();
     if (registered_) {
       // The caller left, while the worker may be at work.
-      if (sent_) gate_->NoteInterrupted(request_, sent_at_);
+      if (sent_) gate_->NoteInterrupted(request_, sent_at_, /*by_caller=*/true);
       Unregister();
       gate_->Withdraw(id_, sent_, Elapsed());
     }
@@ -141,7 +141,7 @@
   void OnClientFailure(http::ClientFailure failure) override {
     if (gate_->evidence_ != nullptr) gate_->evidence_->OnWorkerUnreachable();
     if (!http::CertainlyNotSent(failure) && !refusal_.has_value()) {
-      gate_->NoteInterrupted(request_, sent_at_);
+      gate_->NoteInterrupted(request_, sent_at_, /*by_caller=*/false);
     }
     GiveBackSlot(admission::Completion::kFailed);
     if (http::CertainlyNotSent(failure)) {
@@ -318,9 +318,9 @@
   if (found != running_ids_.end()) running_ids_.erase(found);
 }
 
-void WorkerGate::NoteInterrupted(const AttemptRequest& request, Instant sent_at) {
+void WorkerGate::NoteInterrupted(const AttemptRequest& request, Instant sent_at, bool by_caller) {
   interrupted_.Add({FingerprintOfAttempt(request), DescribeRequest(*request.request),
-                    request.request_id, worker_id_, sent_at, loop_.Now()});
+                    request.request_id, worker_id_, sent_at, loop_.Now(), by_caller});
 }
 
 RequestFingerprint WorkerGate::FingerprintOfAttempt(const AttemptRequest& request) const {
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -107,7 +107,7 @@
   void RefuseWaiting();
   void ForgetRunning(const std::string& request_id);
   // The connection on which the request was sent at `sent_at` went without its answer.
-  void NoteInterrupted(const AttemptRequest& request, Instant sent_at);
+  void NoteInterrupted(const AttemptRequest& request, Instant sent_at, bool by_caller);
   void ScheduleTick();
 
   event::EventLoop& loop_;
--- a/tests/sidecar/interrupted_requests_test.cc
+++ b/tests/sidecar/interrupted_requests_test.cc
@@ -40,8 +40,25 @@
 
 TEST(InterruptedRequests, WhatWasSentToAWorkerThatWasGoneIsNotTold) {
   requests.Add(Make("a", milliseconds(0), milliseconds(100)));
-  requests.Add(Make("late", milliseconds(120), milliseconds(121)));
+  requests.Add(Make("late", milliseconds(102), milliseconds(103)));
   STRCMP_EQUAL("a ", Ids(requests.TakeAtWork(kStart + milliseconds(130), "w1")).c_str());
+  // Nor what came after the end was noticed.
+  requests.Add(Make("later", milliseconds(160), milliseconds(161)));
+  requests.Add(Make("read late", milliseconds(20), milliseconds(170)));
+  STRCMP_EQUAL("read late ", Ids(requests.TakeAtWork(kStart + milliseconds(180), "w1")).c_str());
+}
+
+// The one that ended the worker was sent a moment before that; a caller of another one had left
+// just then, and a connection had been reset.
+TEST(InterruptedRequests, WhatCallersAndResetsInterruptDoesNotTellWhenTheWorkerEnded) {
+  InterruptedRequest left = Make("left", milliseconds(0), milliseconds(50));
+  left.by_caller = true;
+  requests.Add(left);
+  requests.Add(Make("reset", milliseconds(0), milliseconds(60)));
+  requests.Add(Make("a", milliseconds(10), milliseconds(100)));
+  requests.Add(Make("guilty", milliseconds(90), milliseconds(101)));
+  STRCMP_EQUAL("left reset a guilty ",
+               Ids(requests.TakeAtWork(kStart + milliseconds(110), "w1")).c_str());
 }
 
 // A connection that the worker reset seconds before its end says nothing of the end.
@@ -51,6 +68,14 @@
   STRCMP_EQUAL("a ", Ids(requests.TakeAtWork(kStart + milliseconds(1010), "w1")).c_str());
 }
 
+// The only one at work, and its caller did not wait for the end.
+TEST(InterruptedRequests, ACallerThatLeftAMomentBeforeTheEndHidesNothing) {
+  InterruptedRequest left = Make("guilty", milliseconds(0), milliseconds(50));
+  left.by_caller = true;
+  requests.Add(left);
+  STRCMP_EQUAL("guilty ", Ids(requests.TakeAtWork(kStart + milliseconds(150), "w1")).c_str());
+}
+
 TEST(InterruptedRequests, NothingIsToldOfWhatIsLongPast) {
   requests.Add(Make("a", milliseconds(0), milliseconds(100)));
   STRCMP_EQUAL("", Ids(requests.TakeAtWork(kStart + milliseconds(4200), "w1")).c_str());
--- /dev/null
+++ b/tests/soak/fatal_request_judge_test.cc
@@ -0,0 +1,47 @@
+#include "tests/soak/fatal_request_judge.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace runshelf;
+using namespace runshelf::soak;
+using std::chrono::seconds;
+
+namespace {
+
+const Instant kStart = Instant{} + seconds(100);
+
+}  // namespace
+
+TEST_GROUP(FatalRequestJudge) {
+  FatalRequestJudge judge;
+
+  void RunAndEnd(Duration at, bool in_touch = true) {
+    judge.OnBegan("/read/fatal", kStart + at, in_touch);
+    judge.OnEnded("/read/fatal", kStart + at);
+  }
+};
+
+TEST(FatalRequestJudge, ThreeRunsAreAllowedLaterThanTheTimeToLearn) {
+  for (int second = 0; second < 3; ++second) RunAndEnd(seconds(second));
+  // Within the time to learn.
+  RunAndEnd(seconds(4));
+  for (int second = 6; second < 9; ++second) RunAndEnd(seconds(second));
+  CHECK_EQUAL(0U, judge.violations().size());
+  RunAndEnd(seconds(20));
+  CHECK_EQUAL(1U, judge.violations().size());
+  CHECK_EQUAL(8, judge.ends());
+}
+
+TEST(FatalRequestJudge, RunsThatAreNotHeldAgainstANodeDoNotCount) {
+  for (int second = 0; second < 3; ++second) RunAndEnd(seconds(second));
+  for (int second = 6; second < 20; ++second) RunAndEnd(seconds(second), /*in_touch=*/false);
+  CHECK_EQUAL(0U, judge.violations().size());
+}
+
+TEST(FatalRequestJudge, RequestsAreJudgedOneByOne) {
+  for (int second = 0; second < 3; ++second) RunAndEnd(seconds(second));
+  for (int second = 6; second < 12; ++second) {
+    judge.OnBegan("/read/other", kStart + seconds(second), /*in_touch=*/true);
+  }
+  CHECK_EQUAL(0U, judge.violations().size());
+}
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -44,11 +44,14 @@
                                  command);
     TCLAP::ValueArg<int> nodes("n", "nodes", "sidecar processes, 4 to 100; default: by the seed",
                                false, 0, "number", command);
+    TCLAP::SwitchArg fatal("f", "fatal-requests", "some requests end the workers that begin them",
+                           command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodesOf(seed.getValue());
     if (nodes.isSet()) options.nodes = static_cast<size_t>(nodes.getValue());
     if (options.nodes < kMinNodes || options.nodes > kMaxNodes) return kExitBadArguments;
+    options.fatal_requests = fatal.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
@@ -70,10 +73,10 @@
   const bool recovered = result.served_at_end >= kServedAtEnd;
   fmt::print(
       "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
-      "cut_at_other_nodes={} stalls={} slowest_answer_ms={} verdict={}\n",
+      "cut_at_other_nodes={} stalls={} slowest_answer_ms={} fatal_ends={} verdict={}\n",
       options.seed, options.nodes, result.counts.sent, result.counts.served, result.faults.size(),
       result.violations.size(), result.served_at_end, result.counts.cut_at_other_nodes,
-      result.stalls, runshelf::ToMilliseconds(result.slowest_answer),
+      result.stalls, runshelf::ToMilliseconds(result.slowest_answer), result.fatal_ends,
       result.violations.empty() && recovered ? "kept" : "broken");
   return result.violations.empty() && recovered ? 0 : kExitBroken;
 }
--- a/tests/soak/request_runner.cc
+++ b/tests/soak/request_runner.cc
@@ -31,6 +31,7 @@
 }
 
 bool MakesCalls(const std::string& target) {
+  if (IsFatalRequest(target)) return false;
   return !target.starts_with("/inner/") && !target.starts_with("/note/");
 }
 
@@ -74,7 +75,8 @@
   run->id = HeaderOf(request, "Attempt-Id");
   const auto deadline = http::ParseNumber(HeaderOf(request, "Deadline-Ms"));
   run->deadline = now + (deadline.has_value() ? milliseconds(*deadline) : kNoDeadline);
-  run->planned_end = now + DrawWorkTime(random_, node.sharded);
+  const bool fatal = IsFatalRequest(request.head.target);
+  run->planned_end = now + (fatal ? kNoDeadline : DrawWorkTime(random_, node.sharded));
   run->calls = MakesCalls(request.head.target) && random_.Below(kCallEvery) == 0;
   witness_.OnWorkBegan(node.index, run->worker,
                        {run->id, request.head.target, request.body,
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -21,6 +21,8 @@
 // part of the time between.
 constexpr Duration kMeasuredFrom = std::chrono::seconds(9);
 constexpr Duration kMeasuredUntil = std::chrono::seconds(2);
+// So that these requests change nothing of what else a seed draws.
+constexpr uint64_t kFatalSeedOffset = 3;
 // Every other seed plays a fleet whose workers get their keys in the answers to heartbeats.
 constexpr uint64_t kWaysOfGranting = 2;
 
@@ -63,6 +65,7 @@
       fleet_(loop_, witness_, OptionsOfFleet(options_, services_)),
       driver_(loop_, fleet_, witness_, plan_, options_.seed),
       clients_(loop_, witness_, fleet_.nodes(), options_.seed),
+      fatal_requests_(loop_, witness_, fleet_.nodes(), options_.seed + kFatalSeedOffset),
       responsiveness_(loop_, fleet_.nodes()),
       watch_timer_(loop_, [this] { Watch(); }),
       end_timer_(loop_, [this] { loop_.Stop(); }),
@@ -84,6 +87,7 @@
   driver_.Start();
   fleet_.Start();
   clients_.Start();
+  if (options_.fatal_requests) fatal_requests_.Start();
   watched_at_ = loop_.Now();
   watch_timer_.Start(kWatchInterval, /*repeating=*/true);
   end_timer_.Start(options_.duration);
@@ -97,6 +101,7 @@
   for (const auto& [kind, count] : witness_.unserved()) {
     result_.unserved_at_end.push_back(fmt::format("{} {}: {}", kind.first, kind.second, count));
   }
+  result_.fatal_ends = witness_.fatal_ends();
   result_.slowest_answer = responsiveness_.longest();
   return result_;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -8,6 +8,7 @@
 
 #include "source/event/event_loop.h"
 #include "tests/soak/clients.h"
+#include "tests/soak/fatal_requests.h"
 #include "tests/soak/fault_driver.h"
 #include "tests/soak/responsiveness.h"
 #include "tests/soak/soak_fleet.h"
@@ -21,6 +22,7 @@
   uint64_t seed = 1;
   Duration duration = std::chrono::seconds(60);  // Includes the calm time at the end.
   size_t nodes = 12;
+  bool fatal_requests = false;  // Some requests end the workers that begin them, until the end.
 };
 
 struct SoakResult {
@@ -32,6 +34,7 @@
   std::vector<std::string> unserved_at_end;
   // Of this process, and the longest time that a node took to answer: how busy the machine was.
   int stalls = 0;
+  int fatal_ends = 0;  // Of workers, by requests that end them.
   Duration slowest_answer{0};
 };
 
@@ -56,6 +59,7 @@
   SoakFleet fleet_;
   FaultDriver driver_;
   Clients clients_;
+  FatalRequests fatal_requests_;
   Responsiveness responsiveness_;
   event::Timer watch_timer_;
   event::Timer end_timer_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -34,6 +34,11 @@
 constexpr int kRetryBudgetExtra = 20;
 // More than the clients keep busy when every route leads to one of the two services.
 constexpr int kSlots = 28;
+// How long a request that ends its worker runs, and its worker is down.
+constexpr Duration kShortestFatalRun = milliseconds(2);
+constexpr Duration kLongestFatalRun = milliseconds(120);
+constexpr Duration kShortestDown = milliseconds(700);
+constexpr Duration kLongestDown = milliseconds(2500);
 // Of so many lives of a worker one leaves without saying that it drains.
 constexpr int kSilentLeaverEvery = 3;
 
@@ -178,7 +183,7 @@
 }
 
 void SoakFleet::StartWorker(SoakNode* node) {
-  if (node->worker != nullptr) return;
+  if (node->worker != nullptr || loop_.Now() < node->worker_down_until) return;
   ++node->worker_life;
   if (!node->worker_returns)
     node->worker_id = fmt::format("w-{}-{}", node->name, node->worker_life);
@@ -257,6 +262,21 @@
     }
   }
   runner_.Begin(*node, exchange, others);
+  if (IsFatalRequest(exchange->request().head.target)) {
+    EndSoon(node, exchange->request().head.target);
+  }
+}
+
+void SoakFleet::EndSoon(SoakNode* node, const std::string& target) {
+  std::erase_if(fatal_ends_, [](const auto& timer) { return !timer->active(); });
+  fatal_ends_.push_back(
+      std::make_unique<event::Timer>(loop_, [this, node, target, life = node->worker->life()] {
+        if (node->worker == nullptr || node->worker->life() != life) return;
+        node->worker_down_until = loop_.Now() + random_.Between(kShortestDown, kLongestDown);
+        EndWorker(node, /*returns=*/random_.Below(2) == 0);
+        witness_.OnFatalEnd(target);
+      }));
+  fatal_ends_.back()->Start(random_.Between(kShortestFatalRun, kLongestFatalRun));
 }
 
 SoakFleet::FakeWorker::HeartbeatFault SoakFleet::NextHeartbeatFault(size_t node) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -70,6 +70,8 @@
   int SourceOf(const FaultProxy& proxy, uint16_t port);
   bool DatagramPasses(const std::string& sender, const SoakNode& to) const;
   void OnRequest(SoakNode* node, const http::ExchangePtr& exchange);
+  // The worker has begun a request that ends it.
+  void EndSoon(SoakNode* node, const std::string& target);
   void CheckKeys();
 
   event::EventLoop& loop_;
@@ -87,6 +89,7 @@
   // Heartbeats that were held back, and their calls.
   std::vector<std::unique_ptr<event::Timer>> held_back_;
   std::vector<std::unique_ptr<http::SimpleCall>> late_calls_;
+  std::vector<std::unique_ptr<event::Timer>> fatal_ends_;
   int settings_written_ = 0;
   int64_t last_birth_ = 0;
 };
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -28,6 +28,7 @@
   std::string worker_id;        // Of the present or latest worker.
   bool worker_returns = false;  // Its next life has the same identity.
   bool refuses_connections = false;
+  Instant worker_down_until{};                           // It is not started again before.
   std::unique_ptr<platform_adapter::FakeWorker> worker;  // Empty while it is down.
   size_t store_entrance = 0;
   std::unique_ptr<FaultProxy> store_proxy;
--- a/tests/soak/witness.cc
+++ b/tests/soak/witness.cc
@@ -57,9 +57,10 @@
   if (end != CallerConnection::End::kNotSent) Judge(*open, end, stamp != nullptr);
 }
 
-// The route "extra" is missing at times.
+// The route "extra" is missing at times. Nobody misses what ends workers.
 void Witness::Measure(const OpenAttempt& open, int status) {
   if (open.attempt.nested || open.attempt.route == "extra") return;
+  if (IsFatalRequest(open.attempt.request.target)) return;
   if (status == kOk) ++counts_.served;
   const Instant sent_at = open.attempt.sent_at;
   if (sent_at < measured_from_ || sent_at >= measured_until_) return;
@@ -131,6 +132,10 @@
   const bool knows_of_leaving = attempt.node == node || contact_.StoreUndisturbed(now);
   drain_.OnBegan(worker, execution.id, now, nodes_in_touch && knows_of_leaving);
   abandonment_.OnBegan(execution.id, now, nodes_in_touch);
+  if (IsFatalRequest(execution.target)) {
+    const bool in_touch = contact_.Undisturbed(attempt.node, now) && contact_.StoreUndisturbed(now);
+    fatal_.OnBegan(execution.target, now, in_touch);
+  }
 }
 
 void Witness::JudgeRoute(const OpenAttempt& open, std::optional<std::string> service) {
@@ -236,7 +241,8 @@
 
 std::vector<std::vector<std::string>> Witness::Findings() const {
   return {promises_.violations(),      ownership_->violations(), loss_.violations(),
-          configuration_.violations(), drain_.violations(),      abandonment_.violations()};
+          configuration_.violations(), drain_.violations(),      abandonment_.violations(),
+          fatal_.violations()};
 }
 
 void Witness::Watch(Instant started) {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -16,6 +16,7 @@
 #include "tests/soak/configuration_judge.h"
 #include "tests/soak/contact_tracker.h"
 #include "tests/soak/drain_judge.h"
+#include "tests/soak/fatal_request_judge.h"
 #include "tests/soak/loss_judge.h"
 #include "tests/soak/ownership_judge.h"
 #include "tests/soak/promise_judge.h"
@@ -69,6 +70,10 @@
     drain_.OnLeaveAcknowledged(worker, at);
   }
 
+  // A worker ended under a request that ends workers.
+  void OnFatalEnd(const std::string& target) { fatal_.OnEnded(target, clock_.Now()); }
+  int fatal_ends() const { return fatal_.ends(); }
+
   // Keys.
   void OnGrant(size_t node, const std::string& worker,
                const platform_adapter::FakeWorker::Grant& grant, bool late, bool way_is_slow);
@@ -150,6 +155,7 @@
   ConfigurationJudge configuration_{ConfigurationBounds{}};
   DrainJudge drain_;
   AbandonmentJudge abandonment_;
+  FatalRequestJudge fatal_;
   std::map<std::string, OpenAttempt> attempts_;  // By id; kept, since work may begin late.
   AnswerCounts counts_;
   std::vector<size_t> noted_;  // Of each judge: how many of its findings.
