runshelfctl quarantine: operators list requests in quarantine with their evidence, and release one

Cause: a verdict that nobody can see or take back would turn a bystander's requests away for as long as they are sent.

Change: quarantine list and quarantine release, on the platform's store. The exit codes are those of the other commands.

--- a/source/ctl/command.cc
+++ b/source/ctl/command.cc
@@ -22,6 +22,8 @@
   runshelfctl table import   --platform IP:PORT [--base EXPORTED.csv] FILE.csv
   runshelfctl table export   --platform IP:PORT [--output FILE.csv]
   runshelfctl table history  --platform IP:PORT [--edit ID]
+  runshelfctl quarantine list    --store platform --platform IP:PORT
+  runshelfctl quarantine release --store platform --platform IP:PORT FINGERPRINT
   runshelfctl status         --daemon IP:PORT
   runshelfctl explain        REQUEST LOG...
 
@@ -32,6 +34,9 @@
 Services and classes are then those of the routes: SERVICE priority-N, or SERVICE calls for calls that
 workers make while they run a request. A cell goes before what the route gives; deleting it ends that.
 
+Sidecars keep requests from their workers under which workers ended again and again; quarantine lists
+them, and releases one that is held by mistake.
+
 Each command prints its options with --help.
 )";
 
@@ -208,6 +213,28 @@
   return options.ToInvocation(command);
 }
 
+// The quarantine is kept by sidecars only.
+Invocation OnPlatformStore(Invocation invocation) {
+  if (invocation.store != StoreKind::kPlatform) {
+    throw TCLAP::ArgException("platform is expected", "store");
+  }
+  return invocation;
+}
+
+Invocation ParseQuarantineList(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  request.line.Parse(request.arguments);
+  return OnPlatformStore(options.ToInvocation(QuarantineListCommand{}));
+}
+
+Invocation ParseQuarantineRelease(const ParseRequest& request) {
+  TableOptions options(request.line, request.default_author);
+  TCLAP::UnlabeledValueArg<std::string> fingerprint("fingerprint", "As the list shows it", true, "",
+                                                    "FINGERPRINT", request.line.tclap);
+  request.line.Parse(request.arguments);
+  return OnPlatformStore(options.ToInvocation(QuarantineReleaseCommand{fingerprint.getValue()}));
+}
+
 Invocation ParseStatus(const ParseRequest& request) {
   TCLAP::ValueArg<std::string> daemon("d", "daemon", "http_address of any daemon", true, "",
                                       "IP:PORT", request.line.tclap);
@@ -240,6 +267,12 @@
        {"table import --platform 127.0.0.1:2379 --base exported.csv changed.csv", ParseImport}},
       {"table export", {"table export --platform 127.0.0.1:2379 --output table.csv", ParseExport}},
       {"table history", {"table history --platform 127.0.0.1:2379", ParseHistory}},
+      {"quarantine list",
+       {"quarantine list --store platform --platform 10.200.1.7:8309", ParseQuarantineList}},
+      {"quarantine release",
+       {"quarantine release --store platform --platform 10.200.1.7:8309 "
+        "0123456789abcdef0123456789abcdef",
+        ParseQuarantineRelease}},
       {"status", {"status --daemon 127.0.0.1:7101", ParseStatus}},
       {"explain", {"explain 9c41d07be2a35f68 node-1.log node-2.log", ParseExplain}},
   };
@@ -280,7 +313,7 @@
   }
   std::string name = first;
   size_t name_length = 1;
-  if (first == "table" && arguments.size() > 1) {
+  if ((first == "table" || first == "quarantine") && arguments.size() > 1) {
     if (arguments[1] == "--help" || arguments[1] == "-h") {
       return ParseExit{kExitOk, std::string(kOverview) + kExitCodes};
     }
--- a/source/ctl/command.h
+++ b/source/ctl/command.h
@@ -54,8 +54,15 @@
   std::vector<std::string> files;  // Logs of nodes.
 };
 
+struct QuarantineListCommand {};
+
+struct QuarantineReleaseCommand {
+  std::string fingerprint;  // Of the request.
+};
+
 using Command = std::variant<ShowCommand, SetCommand, DeleteCommand, ImportCommand, ExportCommand,
-                             HistoryCommand, StatusCommand, ExplainCommand>;
+                             HistoryCommand, StatusCommand, ExplainCommand, QuarantineListCommand,
+                             QuarantineReleaseCommand>;
 
 // The key-value service that holds the table.
 enum class StoreKind {
--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -13,6 +13,7 @@
 #include "runshelf/infrastructure/etcd_key_value_store.h"
 #include "source/ctl/command.h"
 #include "source/ctl/explain_command.h"
+#include "source/ctl/quarantine_commands.h"
 #include "source/ctl/status_command.h"
 #include "source/ctl/table_commands.h"
 #include "source/store/blocking_store.h"
@@ -51,6 +52,12 @@
   }
   platform_adapter::PlatformStoreCodec codec;
   store::BlockingStore store(codec, endpoint);
+  if (std::holds_alternative<QuarantineListCommand>(invocation.command)) {
+    return RunQuarantineList(store, streams);
+  }
+  if (const auto* const release = std::get_if<QuarantineReleaseCommand>(&invocation.command)) {
+    return RunQuarantineRelease(*release, store, streams);
+  }
   table::TableEditorOptions options;
   options.max_cells_per_edit = kMaxCellsOfPlatformEdit;
   return RunOnStore(invocation, store, options, streams);
--- a/source/ctl/table_commands.cc
+++ b/source/ctl/table_commands.cc
@@ -182,6 +182,10 @@
 
 int Run(const Context&, const ExplainCommand&) { return kExitUsage; }
 
+int Run(const Context&, const QuarantineListCommand&) { return kExitUsage; }
+
+int Run(const Context&, const QuarantineReleaseCommand&) { return kExitUsage; }
+
 }  // namespace
 
 int RunTableCommand(const Invocation& invocation, int64_t unix_seconds, table::TableEditor& editor,
--- a/source/sidecar/crash_items.h
+++ b/source/sidecar/crash_items.h
@@ -4,12 +4,17 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "source/sidecar/request_fingerprint.h"
 
 namespace runshelf::sidecar {
 
+// Keys of the items: a worker's identity, and a request's fingerprint, follow.
+constexpr std::string_view kWorkerEndPrefix = "runshelf/worker-ends/";
+constexpr std::string_view kQuarantinePrefix = "runshelf/quarantine/";
+
 // The end of one worker, written by the node beside it: one item, however many requests were at
 // work, so that ends at many machines are never written over each other.
 struct WorkerEnd {
--- a/source/sidecar/part_configs.h
+++ b/source/sidecar/part_configs.h
@@ -19,8 +19,6 @@
 constexpr std::string_view kNodePrefix = "runshelf/nodes/";
 constexpr std::string_view kShardPrefix = "runshelf/shards/";
 constexpr std::string_view kDrainPrefix = "runshelf/drains/";
-constexpr std::string_view kWorkerEndPrefix = "runshelf/worker-ends/";
-constexpr std::string_view kQuarantinePrefix = "runshelf/quarantine/";
 
 std::string KeyOf(std::string_view prefix, const std::string& name);
 // The part of `key` after `prefix`; empty when the key does not begin so.
--- a/tests/ctl/command_test.cc
+++ b/tests/ctl/command_test.cc
@@ -56,6 +56,10 @@
   STRCMP_EQUAL("new", import.file.c_str());
   STRCMP_EQUAL("old", import.base_file->c_str());
   CHECK(CommandOf<HistoryCommand>({"table", "history", kPlatform, "-e", "x"}).edit_id == "x");
+  CommandOf<QuarantineListCommand>({"quarantine", "list", kPlatform, "--store=platform"});
+  STRCMP_EQUAL("ab", CommandOf<QuarantineReleaseCommand>(
+                         {"quarantine", "release", kPlatform, "--store=platform", "ab"})
+                         .fingerprint.c_str());
   CommandOf<StatusCommand>({"status", "--daemon", "127.0.0.1:1"});
 }
 
@@ -72,6 +76,9 @@
       {"table", "set", kPlatform, "a", "b", "--limit", "1", "--no-limit"},
       {"table", "import", kPlatform},
       {"status"},
+      {"quarantine"},
+      {"quarantine", "list", kPlatform},
+      {"quarantine", "release", kPlatform, "--store=platform"},
   };
   for (const auto& arguments : command_lines) {
     const ParseExit parse_exit = ExitOf(arguments);
