--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -16,6 +16,8 @@
 #include <algorithm>
 #include <string>
 
+#include "source/sidecar/crash_items.h"
+#include "source/sidecar/request_fingerprint.h"
 #include "tests/platform_adapter/crashing_workers.h"
 #include "tests/platform_adapter/fleet.h"
 
@@ -199,3 +201,53 @@
   fleet.Request(0, "GET", "/read/fatal?of=2", "");
   CHECK_COMPARE(workers.ends(), >, ends);
 }
+
+// The record survives what other writers put beside it.
+TEST(CrashingRequests, BrokenItemsOfOtherWritersChangeNothing) {
+  Fleet fleet(kPlainFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  fleet.store.Put("runshelf/worker-ends/w2", "\xff{");
+  fleet.store.Put("runshelf/worker-ends/", R"({"worker":"","node":"","requests":[]})");
+  fleet.store.Put("runshelf/quarantine/x", R"({"released":false})");
+  fleet.store.Put("runshelf/quarantine/0123456789abcdef0123456789abcdef", "[[[[");
+  RunFor(fleet.loop, milliseconds(300));
+  CHECK(Served(fleet, 0, "/read/1"));
+  STRCMP_CONTAINS("event=state_item_refused key=runshelf/quarantine/x", fleet.Log().c_str());
+  RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal", "", {}}, kCallerInterval);
+  RunFor(fleet.loop, kWatched);
+  caller.Finish();
+  CHECK_COMPARE(workers.Begun("/read/fatal").size(), <=, kAllowedInAll);
+}
+
+// An operator who has mended the worker lets the request run again.
+TEST(CrashingRequests, AReleasedRequestRuns) {
+  Fleet fleet(kPlainFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  {
+    RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal", "", {}}, kCallerInterval);
+    RunFor(fleet.loop, kWatched);
+    caller.Finish();
+  }
+  CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
+  http::Request request;
+  request.head.method = "GET";
+  request.head.target = "/read/fatal";
+  request.head.headers.Add("Host", "h.example");
+  const std::string key =
+      "runshelf/quarantine/" + sidecar::FingerprintOf(request, std::nullopt).ToString();
+  const std::string* item = fleet.store.Find(key);
+  CHECK(item != nullptr);
+  auto quarantine = sidecar::QuarantineItem::Parse(*item);
+  CHECK(quarantine.has_value());
+  CHECK_EQUAL(3U, quarantine->trials);
+  const size_t begun = workers.Begun("/read/fatal").size();
+  fleet.Request(0, "GET", "/read/fatal", "");
+  CHECK_EQUAL(begun, workers.Begun("/read/fatal").size());
+  quarantine->released = true;
+  fleet.store.Put(key, quarantine->Serialize());
+  RunFor(fleet.loop, milliseconds(500));
+  fleet.Request(0, "GET", "/read/fatal", "");
+  CHECK_COMPARE(workers.Begun("/read/fatal").size(), >, begun);
+}
