--- a/source/sidecar/request_fingerprint.h
+++ b/source/sidecar/request_fingerprint.h
@@ -19,7 +19,8 @@
   static std::optional<RequestFingerprint> Parse(std::string_view text);
 
   const std::string& ToString() const { return text_; }
-  auto operator<=>(const RequestFingerprint&) const = default;
+  bool operator==(const RequestFingerprint& other) const { return text_ == other.text_; }
+  bool operator<(const RequestFingerprint& other) const { return text_ < other.text_; }
 
  private:
   explicit RequestFingerprint(std::string text) : text_(std::move(text)) {}
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -175,7 +175,7 @@
   const auto seen = seen_.find(request);
   if (seen != seen_.end() && seen->second.lease != 0 && loop_.Now() >= seen->second.renew_at) {
     seen->second.renew_at = loop_.Now() + random_.Between(kRenewMin, kRenewMax);
-    store_.KeepLease(seen->second.lease, [this, request](absl::Status status) {
+    store_.KeepLease(seen->second.lease, [this, request](const absl::Status& status) {
       if (status.ok()) return;
       log_.Write(LogLevel::kInfo, "quarantine_not_renewed",
                  {{"fingerprint", request.ToString()}, {"reason", std::string(status.message())}});
