--- a/tests/daemon/test_fleet.cc
+++ b/tests/daemon/test_fleet.cc
@@ -74,7 +74,11 @@
   snapshot->version = ++routes_version_;
   routing::ServiceRoutes service;
   service.slot_count = kSlots;
-  service.targets = {{{"egress", 9}, "zone", forward_address, false}};
+  routing::RouteTarget& target = service.targets.emplace_back();
+  target.instance.node = "egress";
+  target.instance.incarnation = 9;
+  target.zone = "zone";
+  target.forward_address = forward_address;
   service.slot_owners.assign(kSlots, 0);
   snapshot->services["feedread"] = service;
   routes.Publish(snapshot);
--- a/tests/http/message_test.cc
+++ b/tests/http/message_test.cc
@@ -33,9 +33,7 @@
 }
 
 TEST(Message, ARequestWithoutABodyHasALengthUnlessItIsAGet) {
-  RequestHead head;
-  head.method = "GET";
-  head.target = "/a";
+  RequestHead head{"GET", "/a", {}};
   STRCMP_EQUAL("GET /a HTTP/1.1\r\n\r\n", SerializeRequest(head, "").c_str());
   head.method = "DELETE";
   STRCMP_EQUAL("DELETE /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
