Quarantine: nodes tell each other of a worker's end while the store is away

Cause: the store refused when the first worker ended; the node beside it was told to stop before the store was back, and what only it knew was gone.

Change: when the store does not take the end, the node tells all others directly, once. They keep it as if the store had told it.

--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -124,12 +124,13 @@
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               StateFeed& feed, LogWriter& log, const StopSchedule& stop,
-                               double link_bytes_per_second)
+                               StateFeed& feed, RequestQuarantine& quarantine, LogWriter& log,
+                               const StopSchedule& stop, double link_bytes_per_second)
     : loop_(loop),
       gate_(gate),
       store_(store),
       feed_(feed),
+      quarantine_(quarantine),
       log_(log),
       stop_(stop),
       pacer_(loop, link_bytes_per_second) {}
@@ -149,6 +150,11 @@
     exchange->Respond(understood ? kOk : kBadRequest, {}, "");
     return;
   }
+  if (peer_protocol::IsWorkerEnd(exchange->request().head.headers)) {
+    const bool understood = quarantine_.OnToldEnd(exchange->request().body);
+    exchange->Respond(understood ? kOk : kBadRequest, {}, "");
+    return;
+  }
   if (const auto prefix = peer_protocol::ReadSnapshotRequest(exchange->request().head.headers)) {
     const auto snapshot = feed_.SnapshotFor(*prefix);
     exchange->Respond(snapshot.has_value() ? kOk : kServiceUnavailable, {}, snapshot.value_or(""));
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -9,6 +9,7 @@
 #include "source/sidecar/answer_pacer.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/request_counts.h"
+#include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/state_feed.h"
 #include "source/sidecar/stop_schedule.h"
 #include "source/sidecar/worker_gate.h"
@@ -20,8 +21,8 @@
  public:
   // `link_bytes_per_second` is the bandwidth of the machine's link; zero: no bound.
   InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                 StateFeed& feed, LogWriter& log, const StopSchedule& stop,
-                 double link_bytes_per_second);
+                 StateFeed& feed, RequestQuarantine& quarantine, LogWriter& log,
+                 const StopSchedule& stop, double link_bytes_per_second);
   ~InboundHandler();
 
   void Handle(const http::ExchangePtr& exchange);
@@ -44,6 +45,7 @@
   WorkerGate& gate_;
   store::StoreClient& store_;
   StateFeed& feed_;
+  RequestQuarantine& quarantine_;
   LogWriter& log_;
   const StopSchedule& stop_;
   uint64_t refused_in_stop_ = 0;
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -28,6 +28,7 @@
 constexpr std::string_view kStoreCall = "Runshelf-Store-Call";
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
 constexpr std::string_view kSnapshotOf = "Runshelf-Snapshot-Of";
+constexpr std::string_view kWorkerEnd = "Runshelf-Worker-End";
 constexpr std::string_view kForZone = "Runshelf-For-Zone";
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
@@ -173,6 +174,10 @@
   return prefix == nullptr ? std::nullopt : std::optional<std::string>(*prefix);
 }
 
+void MarkWorkerEnd(http::Headers* headers) { headers->Add(kWorkerEnd, "1"); }
+
+bool IsWorkerEnd(const http::Headers& headers) { return headers.Has(kWorkerEnd); }
+
 void MarkForZone(http::Headers* headers) { headers->Add(kForZone, "1"); }
 
 bool IsForZone(const http::Headers& headers) { return headers.Has(kForZone); }
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -108,7 +108,7 @@
   WorkerEnd end{worker_id, node_, {}};
   for (const InterruptedRequest& request : at_work) end.requests.push_back(request.fingerprint);
   TakeEnd(end);
-  pending_ends_.try_emplace(worker_id, PendingEnd{loop_.Now(), false});
+  pending_ends_.try_emplace(worker_id, PendingEnd{loop_.Now()});
   WritePending();
 }
 
@@ -131,29 +131,41 @@
 
 void RequestQuarantine::WriteEnd(const std::string& worker_id) {
   WithLease([this, worker_id](store::LeaseId lease) {
-    const auto retry = [this, worker_id] {
-      const auto pending = pending_ends_.find(worker_id);
-      if (pending != pending_ends_.end()) pending->second.writing = false;
-      write_timer_.Start(kWriteRetry);
-    };
-    if (lease == 0) return retry();
+    if (lease == 0) return OnEndNotWritten(worker_id);
     const WorkerEnd end{worker_id, node_, record_.RequestsOf(worker_id)};
     store::Transaction transaction;
     transaction.puts.push_back({EndKey(worker_id), end.Serialize(), lease});
     const size_t written = end.requests.size();
     store_.Commit(transaction,
-                  [this, worker_id, written, retry](absl::StatusOr<store::CommitResult> result) {
+                  [this, worker_id, written](absl::StatusOr<store::CommitResult> result) {
                     if (!result.ok() || result->outcome != store::CommitOutcome::kCommitted) {
                       if (result.ok()) lease_ = 0;
-                      return retry();
+                      return OnEndNotWritten(worker_id);
                     }
-                    // More of its requests may have been told of meanwhile.
-                    if (record_.RequestsOf(worker_id).size() > written) return retry();
                     pending_ends_.erase(worker_id);
+                    // More of its requests may have been told of meanwhile.
+                    if (record_.RequestsOf(worker_id).size() == written) return;
+                    pending_ends_.try_emplace(worker_id, PendingEnd{loop_.Now()});
+                    write_timer_.Start(kWriteRetry);
                   });
   });
 }
 
+void RequestQuarantine::OnEndNotWritten(const std::string& worker_id) {
+  write_timer_.Start(kWriteRetry);
+  const auto pending = pending_ends_.find(worker_id);
+  if (pending == pending_ends_.end()) return;
+  pending->second.writing = false;
+  if (std::exchange(pending->second.told, true) || !tell_others_) return;
+  tell_others_(WorkerEnd{worker_id, node_, record_.RequestsOf(worker_id)}.Serialize());
+}
+
+bool RequestQuarantine::OnToldEnd(const std::string& message) {
+  const auto end = WorkerEnd::Parse(message);
+  if (end.has_value()) TakeEnd(*end);
+  return end.has_value();
+}
+
 void RequestQuarantine::WithLease(std::function<void(store::LeaseId)> callback) {
   if (lease_ != 0 && loop_.Now() - lease_taken_at_ < kLeaseReuse) {
     callback(lease_);
--- a/source/sidecar/request_quarantine.h
+++ b/source/sidecar/request_quarantine.h
@@ -34,6 +34,13 @@
   bool OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
 
+  // Tells all other nodes of a worker's end while the store does not take it: this process may be
+  // gone before the store is back.
+  using EndTeller = std::function<void(const std::string& message)>;
+  void set_end_teller(EndTeller teller) { tell_others_ = std::move(teller); }
+  // Another node told of an end; false when that cannot be read.
+  bool OnToldEnd(const std::string& message);
+
   // The worker beside this node ended.
   void OnWorkerEnded(const std::string& worker_id, const std::vector<InterruptedRequest>& at_work);
 
@@ -65,6 +72,7 @@
   struct PendingEnd {
     Instant since;
     bool writing = false;
+    bool told = false;  // To the other nodes, in place of the store.
   };
 
   // Writes what is not in the store yet.
@@ -72,6 +80,7 @@
   void WriteEnds();
   void WriteReleases();
   void WriteEnd(const std::string& worker_id);
+  void OnEndNotWritten(const std::string& worker_id);
   // Calls back with a lease that lasts for minutes, or with zero when there is none to be had.
   void WithLease(std::function<void(store::LeaseId)> callback);
   // Calls back with whether the change was made.
@@ -87,6 +96,7 @@
   Random& random_;
   LogWriter& log_;
   std::string node_;
+  EndTeller tell_others_;
   CrashRecord record_;
   std::map<std::string, PendingEnd> pending_ends_;  // By worker.
   struct PendingRelease {
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -24,6 +24,8 @@
 // Between lines that tell what is exchanged with other nodes and the store.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
+// For another node to take a message. One that does not is told by the store, once it is back.
+constexpr Duration kTellTimeout = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -40,6 +42,7 @@
       order_pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
       peers_(settings_.node_name, settings_.zone),
+      told_ends_(loop, pool_),
       quarantine_(loop, store_, random, log, settings_.node_name),
       gate_(loop, pool_, wire, settings_.worker),
       monitor_(loop, pool_, order_pool_, store_, wire, settings_,
@@ -67,7 +70,7 @@
             FeedConfig(settings_)),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
-      inbound_handler_(loop, gate_, store_, feed_, log, stop_schedule_,
+      inbound_handler_(loop, gate_, store_, feed_, quarantine_, log, stop_schedule_,
                        settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
@@ -88,6 +91,7 @@
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_quarantine(&quarantine_);
+  quarantine_.set_end_teller([this](const std::string& message) { TellOthers(message); });
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
   for (http::ConnectionPool* pool : {&pool_, &order_pool_}) {
     pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
@@ -356,6 +360,19 @@
   quarantine_.OnWorkerEnded(worker_id, at_work);
 }
 
+void Sidecar::TellOthers(const std::string& worker_end) {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/worker-end";
+  peer_protocol::MarkWorkerEnd(&head.headers);
+  const std::string message = http::SerializeRequest(head, worker_end);
+  for (const auto& [node, peer] : peers_.peers()) {
+    if (node == settings_.node_name) continue;
+    told_ends_.Start(peer.record.inbound, message, http::CallOptions{}, kTellTimeout,
+                     [](const std::optional<http::Response>&) {});
+  }
+}
+
 void Sidecar::Announce() {
   NodeRecord record;
   record.node = settings_.node_name;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -7,6 +7,7 @@
 
 #include "runshelf/common/random.h"
 #include "source/event/event_loop.h"
+#include "source/http/call_set.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
 #include "source/sidecar/inbound_handler.h"
@@ -83,6 +84,8 @@
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
   void OnWorkerEnded(const std::string& worker_id);
+  // Of a worker's end, directly.
+  void TellOthers(const std::string& worker_end);
   // Of the limit of a cell, the part of the worker beside this node; nullopt: no limit.
   std::optional<double> RateOf(const std::string& caller_class);
   void Announce();
@@ -109,6 +112,7 @@
   PeerDirectory peers_;
   ShardDirectory shard_directory_;
   TableOverrides table_;
+  http::CallSet told_ends_;
   RequestQuarantine quarantine_;
   WorkerGate gate_;
   WorkerMonitor monitor_;
--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -251,3 +251,25 @@
   fleet.Request(0, "GET", "/read/fatal", "");
   CHECK_COMPARE(workers.Begun("/read/fatal").size(), >, begun);
 }
+
+// The store is away when a worker ends, and the node beside it is gone before it is back: the other
+// nodes were told.
+TEST(CrashingRequests, AnEndIsKnownThoughTheStoreWasAwayAndTheNodeBesideIsGone) {
+  Fleet fleet({"other", "other", "plain", "plain"});
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  fleet.Request(0, "POST", "/send/fatal", "order 666");
+  RunFor(fleet.loop, milliseconds(300));
+  const size_t beside = workers.LastNode("/send/fatal");
+  fleet.Kill(beside);
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  // Its worker is back before its process.
+  CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
+  fleet.Restart(beside);
+  RunFor(fleet.loop, milliseconds(1500));
+  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
+  RunFor(fleet.loop, kWatched);
+  caller.Finish();
+  CHECK_EQUAL(kAllowedInAll, workers.Begun("/send/fatal").size());
+}
