Build: the flag for g++ 12 goes to Release builds only

Cause: clang-tidy reads the flags of the build that it checks and does not know -Wno-restrict.

Change: only Release builds, where g++ 12 gives that warning, have it.

--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -7,7 +7,7 @@
 # g++ 12 warns at -O3 of overlapping copies inside std::string's own operator+ (its bug 105651, mended
 # in 13): 47 places in some 20 files of a Release build.
 if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
-  list(APPEND RUNSHELF_WARNINGS -Wno-restrict)
+  list(APPEND RUNSHELF_WARNINGS $<$<CONFIG:Release>:-Wno-restrict>)
 endif()
 
 # Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
