--- a/cmake/RunshelfTargets.cmake
+++ b/cmake/RunshelfTargets.cmake
@@ -4,11 +4,6 @@
 if(RUNSHELF_WARNINGS_AS_ERRORS)
   list(APPEND RUNSHELF_WARNINGS -Werror)
 endif()
-# g++ 12 warns at -O3 of overlapping copies inside std::string's own operator+ (its bug 105651, mended
-# in 13): 47 places in some 20 files of a Release build.
-if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
-  list(APPEND RUNSHELF_WARNINGS $<$<CONFIG:Release>:-Wno-restrict>)
-endif()
 
 # Ends a test that hangs, in seconds. Sanitizers make tests up to ten times slower.
 if(RUNSHELF_SANITIZE)
