Soak: a finding of a request that ends its workers tells all of its runs

Cause: a finding said how many workers had ended, not which, so that nobody could tell from it which end the nodes had not counted.

Change: it lists each run: the worker's life, when, the node that its caller sent it to, and whether that node and the store were disturbed.

--- a/tests/soak/fatal_request_judge.cc
+++ b/tests/soak/fatal_request_judge.cc
@@ -13,16 +13,28 @@
 
 }  // namespace
 
-void FatalRequestJudge::OnBegan(const std::string& target, Instant at, bool in_touch) {
-  Request& request = requests_[target];
-  if (!in_touch || request.ends.size() < kEndsThatShow) return;
-  if (at - request.ends[kEndsThatShow - 1] <= kTimeToLearn) return;
+void FatalRequestJudge::OnBegan(const FatalRun& run) {
+  Request& request = requests_[run.target];
+  request.runs.push_back(run);
+  if (!run.in_touch || request.ends.size() < kEndsThatShow) return;
+  const Instant shown_at = request.ends[kEndsThatShow - 1];
+  if (run.at - shown_at <= kTimeToLearn) return;
   if (++request.begun_too_late <= kLaterRuns) return;
   violations_.push_back(
       fmt::format("budget: {} began once more, {} ms after the third worker had ended under it; {} "
-                  "ended so far, {} began so late",
-                  target, ToMilliseconds(at - request.ends[kEndsThatShow - 1]), request.ends.size(),
-                  request.begun_too_late));
+                  "ended so far, {} began so late; runs:{}",
+                  run.target, ToMilliseconds(run.at - shown_at), request.ends.size(),
+                  request.begun_too_late, History(request)));
+}
+
+std::string FatalRequestJudge::History(const Request& request) {
+  std::string history;
+  for (const FatalRun& run : request.runs) {
+    history += fmt::format(" {} at {} ms by n{}{},", run.worker,
+                           ToMilliseconds(run.at - request.runs.front().at), run.node,
+                           run.in_touch ? "" : " (disturbed)");
+  }
+  return history;
 }
 
 void FatalRequestJudge::OnEnded(const std::string& target, Instant at) {
--- a/tests/soak/fatal_request_judge.h
+++ b/tests/soak/fatal_request_judge.h
@@ -2,6 +2,7 @@
 // input and output.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,11 +14,18 @@
 // Tells such a request, for workers that are to end under it as well.
 inline bool IsFatalRequest(const std::string& target) { return target.ends_with("/fatal"); }
 
+// A worker began such a request.
+struct FatalRun {
+  std::string target;
+  std::string worker;  // Its life.
+  size_t node = 0;     // That its caller sent it to.
+  Instant at{};
+  bool in_touch = false;  // Nothing disturbed that node, nor the store.
+};
+
 class FatalRequestJudge {
  public:
-  // A worker began the request `target`. `in_touch`: nothing disturbed the node that it was sent
-  // to, nor the store.
-  void OnBegan(const std::string& target, Instant at, bool in_touch);
+  void OnBegan(const FatalRun& run);
   // It ended the worker.
   void OnEnded(const std::string& target, Instant at);
 
@@ -29,8 +37,13 @@
  private:
   struct Request {
     std::vector<Instant> ends;
+    std::vector<FatalRun> runs;
     int begun_too_late = 0;  // By nodes in touch.
   };
+
+  // All runs of the request, for whoever looks for the ends that nobody counted.
+  static std::string History(const Request& request);
+
   std::map<std::string, Request> requests_;  // By target.
   std::vector<std::string> violations_;
   int ends_ = 0;
--- a/tests/soak/fatal_request_judge_test.cc
+++ b/tests/soak/fatal_request_judge_test.cc
@@ -16,7 +16,7 @@
   FatalRequestJudge judge;
 
   void RunAndEnd(Duration at, bool in_touch = true) {
-    judge.OnBegan("/read/fatal", kStart + at, in_touch);
+    judge.OnBegan({"/read/fatal", "w1", 1, kStart + at, in_touch});
     judge.OnEnded("/read/fatal", kStart + at);
   }
 };
@@ -29,6 +29,7 @@
   CHECK_EQUAL(0U, judge.violations().size());
   RunAndEnd(seconds(20));
   CHECK_EQUAL(1U, judge.violations().size());
+  STRCMP_CONTAINS("runs: w1 at 0 ms by n1, w1 at 1000 ms by n1,", judge.violations()[0].c_str());
   CHECK_EQUAL(8, judge.ends());
 }
 
@@ -41,7 +42,7 @@
 TEST(FatalRequestJudge, RequestsAreJudgedOneByOne) {
   for (int second = 0; second < 3; ++second) RunAndEnd(seconds(second));
   for (int second = 6; second < 12; ++second) {
-    judge.OnBegan("/read/other", kStart + seconds(second), /*in_touch=*/true);
+    judge.OnBegan({"/read/other", "w1", 1, kStart + seconds(second), /*in_touch=*/true});
   }
   CHECK_EQUAL(0U, judge.violations().size());
 }
--- a/tests/soak/witness.cc
+++ b/tests/soak/witness.cc
@@ -134,7 +134,7 @@
   abandonment_.OnBegan(execution.id, now, nodes_in_touch);
   if (IsFatalRequest(execution.target)) {
     const bool in_touch = contact_.Undisturbed(attempt.node, now) && contact_.StoreUndisturbed(now);
-    fatal_.OnBegan(execution.target, now, in_touch);
+    fatal_.OnBegan({execution.target, worker, attempt.node, now, in_touch});
   }
 }
 
