--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -273,3 +273,65 @@
   caller.Finish();
   CHECK_EQUAL(kAllowedInAll, workers.Begun("/send/fatal").size());
 }
+
+// What nodes were told while the store was away goes to the store once it is back: the node beside
+// the worker and most of those that were told are gone by then.
+TEST(CrashingRequests, AnEndThatNodesWereToldOfOutlivesThem) {
+  Fleet fleet({"other", "other", "other", "plain", "plain"});
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  fleet.store.set_fault(FakeStore::Fault::kRefuse);
+  fleet.Request(0, "POST", "/send/fatal", "order 666");
+  RunFor(fleet.loop, milliseconds(600));
+  const size_t beside = workers.LastNode("/send/fatal");
+  fleet.Kill(beside);
+  fleet.Kill(0);
+  fleet.Kill(1);
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
+  for (const size_t node : {beside, size_t{0}, size_t{1}}) fleet.Restart(node);
+  RunFor(fleet.loop, milliseconds(3500));
+  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
+  RunFor(fleet.loop, kWatched);
+  caller.Finish();
+  CHECK_COMPARE(workers.Begun("/send/fatal").size(), <=, kAllowedInAll);
+}
+
+// The machine of the third worker is lost with it, so that nobody counts that end.
+TEST(CrashingRequests, AnEndThatNobodyCountsCostsNoFurtherRun) {
+  Fleet fleet(kPlainFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  for (size_t run = 1; run <= 3; ++run) {
+    const auto pending = fleet.Begin(run % 2, "POST", "/send/fatal", "order 666");
+    CHECK(RunUntil(fleet.loop, [&] { return workers.Begun("/send/fatal").size() == run; }));
+    if (run == 3) fleet.Kill(workers.LastNode("/send/fatal"));
+    CHECK(RunUntil(fleet.loop, [&] { return pending->over; }));
+    CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
+    RunFor(fleet.loop, milliseconds(1200));
+  }
+  fleet.Restart(workers.LastNode("/send/fatal"));
+  RunFor(fleet.loop, milliseconds(2000));
+  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
+  RunFor(fleet.loop, kWatched);
+  caller.Finish();
+  CHECK_COMPARE(workers.BegunAfterThird("/send/fatal", kTimeToLearn), <=, kAllowedLater);
+  CHECK_COMPARE(workers.Begun("/send/fatal").size(), <=, kAllowedInAll);
+}
+
+// Requests that wait for the owner of their key come to it together.
+TEST(CrashingRequests, RunsAtOneWorkerComeOneAfterTheOther) {
+  Fleet fleet(kKeyedFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  workers.set_run_time(milliseconds(150));
+  RepeatingCaller first(fleet, {0}, {"GET", "/keyed/fatal", "", KeyHeader(51364)}, milliseconds(60));
+  RepeatingCaller second(fleet, {1}, {"GET", "/keyed/fatal", "", KeyHeader(51364)}, milliseconds(60));
+  CHECK(RunUntil(fleet.loop, [&] { return workers.ends() == 1; }));
+  const size_t at_first = workers.Begun("/keyed/fatal").size();
+  RunFor(fleet.loop, kWatched);
+  first.Finish();
+  second.Finish();
+  // Nothing is known of it before the first end.
+  CHECK_COMPARE(workers.Begun("/keyed/fatal").size() - at_first, <=, kAllowedInAll - 1);
+}
