--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -30,6 +30,7 @@
   std::optional<sharding::ShardKey> key;
   bool large_answer = false;  // Answers of the route are large: they are paced on the link.
   bool trial = false;         // Of a request in quarantine; see RequestQuarantine.
+  uint32_t excused_ends = 0;  // Of workers, under requests like it; see CrashRecord.
 };
 
 enum class FailureReason {
--- a/source/sidecar/crash_record.cc
+++ b/source/sidecar/crash_record.cc
@@ -6,12 +6,13 @@
 namespace runshelf::sidecar {
 namespace {
 
-// Users take three ends for proof. Fewer would put bystanders in quarantine: a caller that repeats
-// a failed request at once may be there when the next worker ends.
-constexpr size_t kEndsForQuarantine = 3;
-constexpr size_t kEndsForRunningAlone = 2;
-// Users allow three more runs after that, over the whole day.
-constexpr uint32_t kMaxTrials = 3;
+// From here on each run is counted before it is sent. One end would be too few: it puts all
+// requests of a worker in quarantine, some 8 to 20, each time that one ends for a reason of its
+// own.
+constexpr size_t kEndsForQuarantine = 2;
+// Users take three ends for proof, and allow three more runs after that, over the whole day. The
+// first trial is the third run. A request that is there by chance under five ends is served.
+constexpr uint32_t kMaxTrials = 4;
 // A run takes some 100 ms, and its outcome is known everywhere within about half a second.
 constexpr Duration kTrialSpacing = std::chrono::seconds(1);
 // Some hundred bytes each. A common loss of power ends hundreds of workers, with some 20 requests
@@ -30,14 +31,28 @@
 
 }  // namespace
 
-size_t CrashRecord::Ends(const Suspect& suspect) {
-  return CountMissing(suspect.worker_ids, suspect.excused);
+// Excused are always the first ones.
+size_t CrashRecord::Ends(const Suspect& suspect, size_t excused_elsewhere) {
+  const size_t all = suspect.worker_ids.size();
+  return std::min(CountMissing(suspect.worker_ids, suspect.excused),
+                  all - std::min(all, excused_elsewhere));
 }
 
-bool CrashRecord::Quarantined(const Suspect& suspect) {
+bool CrashRecord::Quarantined(const Suspect& suspect, size_t excused_elsewhere) {
   if (suspect.item.has_value() && !suspect.item->released) return true;
   const size_t enough = suspect.was_quarantined ? 1 : kEndsForQuarantine;
-  return Ends(suspect) >= enough;
+  return Ends(suspect, excused_elsewhere) >= enough;
+}
+
+// Runs that began before the second end was known everywhere are no trials, but take the place of
+// one: then the request has ended three workers before its first trial. They do not take more,
+// since a common loss of power ends many workers under a request that is innocent.
+uint32_t CrashRecord::TrialsLeft(const Suspect& suspect) {
+  const bool has_item = suspect.item.has_value() && !suspect.item->released;
+  const uint32_t begun = has_item ? suspect.item->trials : 0;
+  const bool more_ended = Ends(suspect) > kEndsForQuarantine + begun;
+  const uint32_t used = begun + (more_ended ? 1 : 0);
+  return used >= kMaxTrials ? 0 : kMaxTrials - used;
 }
 
 const CrashRecord::Suspect* CrashRecord::Find(const RequestFingerprint& request) const {
@@ -60,7 +75,7 @@
 void CrashRecord::MakeRoom() {
   const auto dispensable = [this](const auto& entry) {
     const Suspect& suspect = suspects_.at(entry.second);
-    return Ends(suspect) < kEndsForRunningAlone && !Quarantined(suspect);
+    return !Quarantined(suspect);
   };
   auto victim = std::find_if(by_age_.begin(), by_age_.end(), dispensable);
   if (victim == by_age_.end()) victim = by_age_.begin();
@@ -124,6 +139,7 @@
   Suspect& suspect = Remember(request);
   if (revision <= suspect.revision) return;
   suspect.item = item;
+  suspect.release_stored = item.released;
   suspect.revision = revision;
   suspect.item_since = now;
   if (item.released) {
@@ -139,6 +155,7 @@
   if (found == suspects_.end() || !found->second.item.has_value()) return;
   found->second.was_quarantined = !found->second.item->released;
   found->second.item.reset();
+  found->second.release_stored = false;
   NoteChanged(request);
   ForgetIfClear(request);
 }
@@ -149,7 +166,7 @@
   Suspect& suspect = found->second;
   const bool held_against =
       Quarantined(suspect) ||
-      CountMissing(suspect.worker_ids, suspect.released) >= kEndsForRunningAlone;
+      CountMissing(suspect.worker_ids, suspect.released) >= kEndsForQuarantine;
   suspect.excused = suspect.worker_ids;
   suspect.was_quarantined = false;
   if (suspect.item.has_value()) suspect.item->released = true;
@@ -157,32 +174,34 @@
   return held_against;
 }
 
-bool CrashRecord::IsQuarantined(const RequestFingerprint& request) const {
+bool CrashRecord::IsQuarantined(const RequestFingerprint& request, size_t excused_elsewhere) const {
+  const Suspect* suspect = Find(request);
+  return suspect != nullptr && Quarantined(*suspect, excused_elsewhere);
+}
+
+size_t CrashRecord::Ends(const RequestFingerprint& request, size_t excused_elsewhere) const {
   const Suspect* suspect = Find(request);
-  return suspect != nullptr && Quarantined(*suspect);
+  return suspect == nullptr ? 0 : Ends(*suspect, excused_elsewhere);
 }
 
-size_t CrashRecord::Ends(const RequestFingerprint& request) const {
+size_t CrashRecord::ExcusedEnds(const RequestFingerprint& request) const {
   const Suspect* suspect = Find(request);
-  return suspect == nullptr ? 0 : Ends(*suspect);
+  return suspect == nullptr ? 0 : suspect->worker_ids.size() - Ends(*suspect);
 }
 
 Clearance CrashRecord::ClearanceOf(Instant now, const RequestFingerprint& request) const {
   const Suspect* suspect = Find(request);
-  if (suspect == nullptr) return Clearance::kFree;
-  if (Quarantined(*suspect)) {
-    const auto until_trial = UntilTrial(now, request);
-    return until_trial == Duration(0) ? Clearance::kTrial : Clearance::kQuarantined;
-  }
-  return Ends(*suspect) >= kEndsForRunningAlone ? Clearance::kAlone : Clearance::kFree;
+  if (suspect == nullptr || !Quarantined(*suspect)) return Clearance::kFree;
+  const auto until_trial = UntilTrial(now, request);
+  return until_trial == Duration(0) ? Clearance::kTrial : Clearance::kQuarantined;
 }
 
 std::optional<Duration> CrashRecord::UntilTrial(Instant now,
                                                 const RequestFingerprint& request) const {
   const Suspect* suspect = Find(request);
   if (suspect == nullptr || !Quarantined(*suspect) || suspect->was_quarantined) return std::nullopt;
+  if (TrialsLeft(*suspect) == 0) return std::nullopt;
   if (!suspect->item.has_value() || suspect->item->released) return Duration(0);
-  if (suspect->item->trials >= kMaxTrials) return std::nullopt;
   return std::max(Duration(0), suspect->item_since + kTrialSpacing - now);
 }
 
@@ -231,6 +250,12 @@
   });
 }
 
+bool CrashRecord::ReleaseIsKnown(const RequestFingerprint& request) const {
+  const Suspect* suspect = Find(request);
+  return suspect != nullptr && suspect->release_stored &&
+         CountMissing(suspect->worker_ids, suspect->released) == 0;
+}
+
 std::vector<RequestFingerprint> CrashRecord::RequestsOf(const std::string& worker_id) const {
   const auto found = ends_.find(worker_id);
   return found == ends_.end() ? std::vector<RequestFingerprint>() : found->second;
--- a/source/sidecar/crash_record.h
+++ b/source/sidecar/crash_record.h
@@ -4,11 +4,11 @@
 // worker, its keys and all other requests in it. Workers also end for reasons of their own, and
 // then everything at work in them is innocent. What tells the two apart is repetition without a
 // good run: of 84 requests under 11 ends that had other reasons, none was at work under two, while
-// the guilty one is under every end. So the first end changes nothing for a request but that it is
-// not sent on to another worker by the node that sees it happen twice; under the second one it runs
-// one at a time; the third puts it in quarantine. There only trials run, one in the fleet at a
-// time, each counted before it is sent: an innocent request proves itself with the first, and the
-// guilty one costs a bounded number of workers.
+// the guilty one is under every end. So after the first end a worker runs a request only once at a
+// time, and the node that saw its try end does not send it on. The second end puts it in
+// quarantine. There only trials run, one in the fleet at a time, each counted before it is sent: an
+// innocent request proves itself with the first, and the guilty one costs six workers in all, also
+// when nobody sees how a trial ended.
 #pragma once
 
 #include <cstdint>
@@ -26,7 +26,6 @@
 
 enum class Clearance {
   kFree,         // Nothing speaks against it.
-  kAlone,        // May run while no other request like it does.
   kTrial,        // In quarantine, and a trial may begin.
   kQuarantined,  // In quarantine; refused at once.
 };
@@ -49,9 +48,13 @@
   bool OnGoodRun(const RequestFingerprint& request);
 
   bool empty() const { return suspects_.empty(); }
-  bool IsQuarantined(const RequestFingerprint& request) const;
+  // `excused_elsewhere`: another node, which takes its requests, has seen a good run since so many
+  // of the ends.
+  bool IsQuarantined(const RequestFingerprint& request, size_t excused_elsewhere = 0) const;
   // Ends that speak against the request.
-  size_t Ends(const RequestFingerprint& request) const;
+  size_t Ends(const RequestFingerprint& request, size_t excused_elsewhere = 0) const;
+  // Ends since which this node has seen a good run.
+  size_t ExcusedEnds(const RequestFingerprint& request) const;
   Clearance ClearanceOf(Instant now, const RequestFingerprint& request) const;
   // Of one in quarantine: until the next trial may begin; nullopt: none will.
   std::optional<Duration> UntilTrial(Instant now, const RequestFingerprint& request) const;
@@ -67,6 +70,8 @@
   Change Release(const RequestFingerprint& request) const;
   // This node has seen a good run since all the ends that are held against the request.
   bool KnownGood(const RequestFingerprint& request) const;
+  // All nodes know that the ends that are known here do not speak against it.
+  bool ReleaseIsKnown(const RequestFingerprint& request) const;
   // Of the end of this worker.
   std::vector<RequestFingerprint> RequestsOf(const std::string& worker_id) const;
   std::vector<std::string> WorkersOf(const RequestFingerprint& request) const;
@@ -80,14 +85,17 @@
     std::set<std::string> excused;     // Ends before a good run.
     std::set<std::string> released;    // Of these, the ones that all nodes know of.
     std::optional<QuarantineItem> item;
+    bool release_stored = false;   // The store's item is a release.
     store::Revision revision = 0;  // Of the item.
     Instant item_since{};
     // It was in quarantine until nobody sent it any more: one more end is enough.
     bool was_quarantined = false;
   };
 
-  static size_t Ends(const Suspect& suspect);
-  static bool Quarantined(const Suspect& suspect);
+  static size_t Ends(const Suspect& suspect, size_t excused_elsewhere = 0);
+  static bool Quarantined(const Suspect& suspect, size_t excused_elsewhere = 0);
+  // Trials that may still begin.
+  static uint32_t TrialsLeft(const Suspect& suspect);
   const Suspect* Find(const RequestFingerprint& request) const;
   Suspect& Remember(const RequestFingerprint& request);
   void MakeRoom();
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -151,7 +151,8 @@
     return;
   }
   if (peer_protocol::IsWorkerEnd(exchange->request().head.headers)) {
-    const bool understood = quarantine_.OnToldEnd(exchange->request().body);
+    const bool write = peer_protocol::IsWorkerEndToWrite(exchange->request().head.headers);
+    const bool understood = quarantine_.OnToldEnd(exchange->request().body, write);
     exchange->Respond(understood ? kOk : kBadRequest, {}, "");
     return;
   }
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -104,7 +103,6 @@
   std::map<std::string, ServiceBudgets> budgets_;
   std::map<std::string, PatienceMeter> patience_;  // By route.
   // Requests that run alone and are under way.
-  std::set<RequestFingerprint> alone_;
   uint64_t retries_ = 0;
   uint64_t refused_in_stop_ = 0;
   std::unordered_map<RequestFlow*, std::shared_ptr<RequestFlow>> flows_;
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kKey = "Runshelf-Key";
 constexpr std::string_view kLargeAnswer = "Runshelf-Large-Answer";
 constexpr std::string_view kTrial = "Runshelf-Trial";
+constexpr std::string_view kExcusedEnds = "Runshelf-Excused-Ends";
 constexpr std::string_view kLoad = "Runshelf-Load";
 constexpr std::string_view kVerdict = "Runshelf-Verdict";
 constexpr std::string_view kReason = "Runshelf-Reason";
@@ -29,7 +30,10 @@
 constexpr std::string_view kChangeSet = "Runshelf-Change-Set";
 constexpr std::string_view kSnapshotOf = "Runshelf-Snapshot-Of";
 constexpr std::string_view kWorkerEnd = "Runshelf-Worker-End";
+constexpr std::string_view kWriteEnd = "Runshelf-Write-End";
 constexpr std::string_view kForZone = "Runshelf-For-Zone";
+// More ends are not remembered.
+constexpr int64_t kMaxExcusedEnds = 5000;
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
 int64_t MillisecondsLeft(Duration left) { return std::max<int64_t>(0, ToMilliseconds(left)); }
@@ -80,6 +84,7 @@
   if (attempt.key.has_value()) headers->Add(kKey, std::to_string(*attempt.key));
   if (attempt.large_answer) headers->Add(kLargeAnswer, "1");
   if (attempt.trial) headers->Add(kTrial, "1");
+  if (attempt.excused_ends > 0) headers->Add(kExcusedEnds, std::to_string(attempt.excused_ends));
 }
 
 std::optional<AttemptRequest> ReadAttempt(http::Request request, Instant now) {
@@ -102,6 +107,11 @@
   attempt.answer_by = now + *answer_by;
   attempt.large_answer = headers.Has(kLargeAnswer);
   attempt.trial = headers.Has(kTrial);
+  if (headers.Has(kExcusedEnds)) {
+    const auto excused = ReadNumber(headers, kExcusedEnds);
+    if (!excused.has_value() || *excused > kMaxExcusedEnds) return std::nullopt;
+    attempt.excused_ends = static_cast<uint32_t>(*excused);
+  }
   if (headers.Has(kKey)) {
     const auto key = ReadNumber(headers, kKey);
     if (!key.has_value() || *key > sharding::kMaxShardKey) return std::nullopt;
@@ -174,10 +184,15 @@
   return prefix == nullptr ? std::nullopt : std::optional<std::string>(*prefix);
 }
 
-void MarkWorkerEnd(http::Headers* headers) { headers->Add(kWorkerEnd, "1"); }
+void MarkWorkerEnd(bool write, http::Headers* headers) {
+  headers->Add(kWorkerEnd, "1");
+  if (write) headers->Add(kWriteEnd, "1");
+}
 
 bool IsWorkerEnd(const http::Headers& headers) { return headers.Has(kWorkerEnd); }
 
+bool IsWorkerEndToWrite(const http::Headers& headers) { return headers.Has(kWriteEnd); }
+
 void MarkForZone(http::Headers* headers) { headers->Add(kForZone, "1"); }
 
 bool IsForZone(const http::Headers& headers) { return headers.Has(kForZone); }
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -46,9 +46,11 @@
 void MarkSnapshotRequest(const std::string& prefix, http::Headers* headers);
 // The prefix; nullopt: it is no such request.
 std::optional<std::string> ReadSnapshotRequest(const http::Headers& headers);
-// The end of a worker, which the sender cannot write to the store; see WorkerEnd.
-void MarkWorkerEnd(http::Headers* headers);
+// The end of a worker, which the sender cannot write to the store; see WorkerEnd. `write`: the
+// receiving node is to write it once the store takes it.
+void MarkWorkerEnd(bool write, http::Headers* headers);
 bool IsWorkerEnd(const http::Headers& headers);
+bool IsWorkerEndToWrite(const http::Headers& headers);
 // The receiving node is to pass them on to all others of its zone.
 void MarkForZone(http::Headers* headers);
 bool IsForZone(const http::Headers& headers);
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -189,6 +189,7 @@
   attempt.key = key_;
   attempt.large_answer = route_.kind == routes::RequestKind::kDownload;
   attempt.trial = trial_;
+  attempt.excused_ends = ExcusedEnds();
   relay_.Reset();
   current_node_ = node;
   last_node_ = node;
@@ -211,7 +212,6 @@
   current_node_.clear();
   relay_.set_attempt(nullptr);
   attempt_.reset();
-  if (std::exchange(runs_alone_, false)) ingress_->alone_.erase(Fingerprint());
 }
 
 void RequestFlow::OnAnswerHead(http::ResponseHead&& head) { relay_.OnHead(std::move(head)); }
@@ -268,6 +268,7 @@
     return;
   }
   may_have_run_ = true;
+  NoteBroken(failure, node);
   if (MayRunAgain(failure)) {
     tried_nodes_.push_back(node);
     TryNext();
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -50,6 +50,9 @@
   void RefuseQuarantined();
   bool MayEndWorkers();
   void NoteGoodRun(int status);
+  uint32_t ExcusedEnds();
+  // The try at the worker beside `node` may have run.
+  void NoteBroken(const AttemptFailure& failure, const std::string& node);
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
   void WaitForOwner(FailureReason reason);
@@ -88,7 +91,6 @@
   uint32_t arrivals_ = 0;     // At workers, as far as is known.
   uint32_t refusals_ = 0;     // By queues of nodes.
   uint32_t owner_waits_ = 0;  // For the owner of the key to be known or ready.
-  bool runs_alone_ = false;   // No other request like it is sent meanwhile.
   bool trial_ = false;        // Of a request in quarantine: sent once, whatever becomes of it.
   bool nested_ = false;       // A call that the worker of this node makes during a run.
   bool may_have_run_ = false;
--- a/source/sidecar/request_flow_quarantine.cc
+++ b/source/sidecar/request_flow_quarantine.cc
@@ -7,8 +7,6 @@
 
 // The deadline passed in the worker: what the run would have come to is not known.
 constexpr int kGatewayTimeout = 504;
-// About as long as the other one runs.
-constexpr Duration kAloneRetryAfter = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -31,11 +29,6 @@
   switch (context_.quarantine.ClearanceOf(Fingerprint())) {
     case Clearance::kFree:
       return false;
-    case Clearance::kAlone:
-      // Several at a time would each cost a worker before anything is known of the first.
-      runs_alone_ = ingress_->alone_.insert(Fingerprint()).second;
-      if (!runs_alone_) Refuse(FailureReason::kQuarantined, kAloneRetryAfter);
-      return !runs_alone_;
     case Clearance::kTrial:
       BeginTrial(node, worker_id);
       return true;
@@ -47,8 +40,9 @@
 }
 
 void RequestFlow::BeginTrial(const std::string& node, const std::string& worker_id) {
-  // This try may have ended a worker already: one is enough.
-  if (may_have_run_) {
+  // This try may have ended a worker already: one is enough. A trial that cannot be counted now is
+  // not waited for: the store may be away for seconds.
+  if (may_have_run_ || !context_.quarantine.CanCountTrials()) {
     RefuseQuarantined();
     return;
   }
@@ -81,4 +75,18 @@
   context_.quarantine.OnGoodRun(Fingerprint());
 }
 
+// The node beside the worker may have run no request like it, and hold all ends against it.
+uint32_t RequestFlow::ExcusedEnds() {
+  if (!context_.quarantine.watches_any()) return 0;
+  return static_cast<uint32_t>(context_.quarantine.ExcusedEnds(Fingerprint()));
+}
+
+// The node beside the worker knows whether this ended it, unless it is lost with the worker.
+void RequestFlow::NoteBroken(const AttemptFailure& failure, const std::string& node) {
+  const bool broken =
+      failure.reason == FailureReason::kBroken || failure.reason == FailureReason::kIncomplete;
+  if (!broken || last_worker_.empty() || node == context_.settings.node_name) return;
+  context_.quarantine.OnAttemptBroken(node, last_worker_, Fingerprint());
+}
+
 }  // namespace runshelf::sidecar
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -19,6 +19,17 @@
 constexpr Duration kRenewMin = std::chrono::minutes(3);
 constexpr Duration kRenewMax = std::chrono::minutes(6);
 constexpr Duration kWriteRetry = std::chrono::milliseconds(250);
+// A write takes some 10 to 40 ms, an unanswered one up to 1.8 s: for that long only this node would
+// know of the end.
+constexpr Duration kToldAfter = std::chrono::milliseconds(250);
+// Nodes that were told of an end write it at different times: the first one's item spares the
+// others theirs.
+constexpr Duration kToldWriteMin = std::chrono::milliseconds(250);
+constexpr Duration kToldWriteMax = std::chrono::milliseconds(1500);
+// How often attempts that broke off are looked at.
+constexpr Duration kWitnessInterval = std::chrono::milliseconds(250);
+// Callers of a request that is at work in the worker it would go to: about as long as it runs.
+constexpr Duration kAtWorkRetryAfter = std::chrono::milliseconds(150);
 // Longer than the store is away on bad days; the end is known at this node all the same.
 constexpr Duration kWriteGivenUp = std::chrono::seconds(60);
 // Callers of a request that no trial will be made of are told the longest.
@@ -27,8 +38,9 @@
 // The store takes keys of up to 200 bytes.
 constexpr size_t kMaxKeyBytes = 190;
 
-std::string EndKey(const std::string& worker_id) {
-  return KeyOf(kWorkerEndPrefix, worker_id).substr(0, kMaxKeyBytes);
+// One item for each witness of an end: none writes over what another one saw.
+std::string EndKey(const std::string& worker_id, const std::string& witness) {
+  return KeyOf(kWorkerEndPrefix, worker_id + "/" + witness).substr(0, kMaxKeyBytes);
 }
 
 std::string QuarantineKey(const RequestFingerprint& request) {
@@ -38,12 +50,18 @@
 }  // namespace
 
 RequestQuarantine::RequestQuarantine(event::EventLoop& loop, store::StoreClient& store,
-                                     Random& random, LogWriter& log, std::string node)
+                                     const WireFormat& wire, Random& random, LogWriter& log,
+                                     std::string node)
     : loop_(loop),
       store_(store),
       random_(random),
       log_(log),
       node_(std::move(node)),
+      unresolved_([&wire](const std::string& worker_id, const std::string& other) {
+        return worker_id == other || worker_id == wire.StatedIdentity(other) ||
+               other == wire.StatedIdentity(worker_id);
+      }),
+      witness_timer_(loop, [this] { CountWitnessedEnds(); }),
       write_timer_(loop, [this] { WritePending(); }) {}
 
 bool RequestQuarantine::IsItemKey(const std::string& key) {
@@ -53,8 +71,8 @@
 bool RequestQuarantine::OnItem(const store::Item& item) {
   if (item.key.starts_with(kWorkerEndPrefix)) {
     const auto end = WorkerEnd::Parse(item.value);
-    if (!end.has_value() || EndKey(end->worker_id) != item.key) return false;
-    TakeEnd(*end);
+    if (!end.has_value() || EndKey(end->worker_id, end->node) != item.key) return false;
+    TakeEndItem(item.key, *end);
     return true;
   }
   const auto request = RequestFingerprint::Parse(NameAfter(item.key, kQuarantinePrefix));
@@ -91,9 +109,24 @@
   if (record_.KnownGood(request)) Release(request);
 }
 
+void RequestQuarantine::TakeEndItem(const std::string& key, const WorkerEnd& end) {
+  TakeEnd(end);
+  end_items_[key] = end.worker_id;
+  const auto pending = pending_ends_.find(end.worker_id);
+  if (pending == pending_ends_.end() || pending->second.writing) return;
+  // Another node has written it.
+  if (record_.RequestsOf(end.worker_id).size() == end.requests.size()) pending_ends_.erase(pending);
+}
+
 void RequestQuarantine::OnRemoved(const std::string& key) {
   if (key.starts_with(kWorkerEndPrefix)) {
-    record_.OnWorkerEndLapsed(NameAfter(key, kWorkerEndPrefix));
+    const auto item = end_items_.find(key);
+    if (item == end_items_.end()) return;
+    const std::string worker_id = item->second;
+    end_items_.erase(item);
+    const bool another = std::any_of(end_items_.begin(), end_items_.end(),
+                                     [&](const auto& entry) { return entry.second == worker_id; });
+    if (!another) record_.OnWorkerEndLapsed(worker_id);
     return;
   }
   const auto request = RequestFingerprint::Parse(NameAfter(key, kQuarantinePrefix));
@@ -108,62 +141,109 @@
   WorkerEnd end{worker_id, node_, {}};
   for (const InterruptedRequest& request : at_work) end.requests.push_back(request.fingerprint);
   TakeEnd(end);
-  pending_ends_.try_emplace(worker_id, PendingEnd{loop_.Now()});
+  AddPendingEnd(worker_id, {loop_.Now(), node_});
+}
+
+void RequestQuarantine::AddPendingEnd(const std::string& worker_id, PendingEnd pending) {
+  pending_ends_.try_emplace(worker_id, std::move(pending));
   WritePending();
 }
 
+void RequestQuarantine::OnAttemptBroken(const std::string& node, const std::string& worker_id,
+                                        const RequestFingerprint& request) {
+  unresolved_.Add(loop_.Now(), {node, worker_id, request});
+  if (!witness_timer_.active()) witness_timer_.Start(kWitnessInterval);
+}
+
+void RequestQuarantine::OnWorkerAt(const std::string& node, const std::string& worker_id) {
+  unresolved_.OnWorkerAt(loop_.Now(), node, worker_id);
+}
+
+// The node beside the worker tells of its end itself, as a rule within some 50 ms. This is for an
+// end after which that node was gone.
+void RequestQuarantine::CountWitnessedEnds() {
+  for (const UnresolvedAttempts::Attempt& attempt : unresolved_.TakeEnded(loop_.Now())) {
+    const auto known = record_.RequestsOf(attempt.worker_id);
+    if (std::find(known.begin(), known.end(), attempt.request) != known.end()) continue;
+    log_.Write(LogLevel::kWarning, "worker_end_witnessed",
+               {{"worker", attempt.worker_id},
+                {"beside", attempt.node},
+                {"fingerprint", attempt.request.ToString()}});
+    TakeEnd({attempt.worker_id, node_, {attempt.request}});
+    AddPendingEnd(attempt.worker_id, {loop_.Now(), node_});
+  }
+  if (!unresolved_.empty()) witness_timer_.Start(kWitnessInterval);
+}
+
 void RequestQuarantine::WritePending() {
   WriteEnds();
   WriteReleases();
 }
 
 void RequestQuarantine::WriteEnds() {
+  const Instant now = loop_.Now();
   for (auto entry = pending_ends_.begin(); entry != pending_ends_.end();) {
-    if (loop_.Now() - entry->second.since > kWriteGivenUp) {
+    PendingEnd& pending = entry->second;
+    if (now - pending.since > kWriteGivenUp) {
       log_.Write(LogLevel::kError, "worker_end_not_told", {{"worker", entry->first}});
       entry = pending_ends_.erase(entry);
       continue;
     }
-    if (!std::exchange(entry->second.writing, true)) WriteEnd(entry->first);
+    if (pending.writing && now - pending.since >= kToldAfter) TellOthers(entry->first, &pending);
+    if (!pending.writing && now >= pending.not_before) {
+      pending.writing = true;
+      WriteEnd(entry->first, pending.witness);
+    }
     ++entry;
   }
+  if (!pending_ends_.empty()) write_timer_.Start(kWriteRetry);
 }
 
-void RequestQuarantine::WriteEnd(const std::string& worker_id) {
-  WithLease([this, worker_id](store::LeaseId lease) {
+void RequestQuarantine::WriteEnd(const std::string& worker_id, const std::string& witness) {
+  WithLease([this, worker_id, witness](store::LeaseId lease) {
     if (lease == 0) return OnEndNotWritten(worker_id);
-    const WorkerEnd end{worker_id, node_, record_.RequestsOf(worker_id)};
+    const WorkerEnd end{worker_id, witness, record_.RequestsOf(worker_id)};
+    const std::string key = EndKey(worker_id, witness);
     store::Transaction transaction;
-    transaction.puts.push_back({EndKey(worker_id), end.Serialize(), lease});
-    const size_t written = end.requests.size();
-    store_.Commit(transaction,
-                  [this, worker_id, written](absl::StatusOr<store::CommitResult> result) {
-                    if (!result.ok() || result->outcome != store::CommitOutcome::kCommitted) {
-                      if (result.ok()) lease_ = 0;
-                      return OnEndNotWritten(worker_id);
-                    }
-                    pending_ends_.erase(worker_id);
-                    // More of its requests may have been told of meanwhile.
-                    if (record_.RequestsOf(worker_id).size() == written) return;
-                    pending_ends_.try_emplace(worker_id, PendingEnd{loop_.Now()});
-                    write_timer_.Start(kWriteRetry);
-                  });
+    transaction.puts.push_back({key, end.Serialize(), lease});
+    store_.Commit(transaction, [this, key, end](absl::StatusOr<store::CommitResult> result) {
+      if (!result.ok() || result->outcome != store::CommitOutcome::kCommitted) {
+        if (result.ok()) lease_ = 0;
+        return OnEndNotWritten(end.worker_id);
+      }
+      const auto pending = pending_ends_.find(end.worker_id);
+      // When more of its requests have been told of meanwhile, it is written again.
+      if (pending != pending_ends_.end()) pending->second.writing = false;
+      TakeEndItem(key, end);
+    });
   });
 }
 
 void RequestQuarantine::OnEndNotWritten(const std::string& worker_id) {
-  write_timer_.Start(kWriteRetry);
   const auto pending = pending_ends_.find(worker_id);
   if (pending == pending_ends_.end()) return;
   pending->second.writing = false;
-  if (std::exchange(pending->second.told, true) || !tell_others_) return;
-  tell_others_(WorkerEnd{worker_id, node_, record_.RequestsOf(worker_id)}.Serialize());
+  TellOthers(worker_id, &pending->second);
+  if (pending->second.witness == node_) return;
+  pending->second.not_before = loop_.Now() + random_.Between(kToldWriteMin, kToldWriteMax);
+}
+
+void RequestQuarantine::TellOthers(const std::string& worker_id, PendingEnd* pending) {
+  if (std::exchange(pending->told, true) || !tell_others_) return;
+  const WorkerEnd end{worker_id, pending->witness, record_.RequestsOf(worker_id)};
+  tell_others_(end.Serialize());
 }
 
-bool RequestQuarantine::OnToldEnd(const std::string& message) {
+bool RequestQuarantine::OnToldEnd(const std::string& message, bool write) {
   const auto end = WorkerEnd::Parse(message);
-  if (end.has_value()) TakeEnd(*end);
-  return end.has_value();
+  if (!end.has_value()) return false;
+  TakeEnd(*end);
+  if (!write) return true;
+  const Instant now = loop_.Now();
+  PendingEnd pending{now, end->node, now + random_.Between(kToldWriteMin, kToldWriteMax)};
+  pending.told = true;
+  AddPendingEnd(end->worker_id, std::move(pending));
+  return true;
 }
 
 void RequestQuarantine::WithLease(std::function<void(store::LeaseId)> callback) {
@@ -193,6 +273,7 @@
                  {{"fingerprint", request.ToString()}, {"reason", std::string(status.message())}});
     });
   }
+  if (!record_.IsQuarantined(request)) return kAtWorkRetryAfter;
   const Duration until = record_.UntilTrial(loop_.Now(), request).value_or(kLongRetryAfter);
   return std::max<Duration>(until, std::chrono::milliseconds(1));
 }
@@ -228,7 +309,8 @@
     PendingRelease& release = entry->second;
     ++entry;
     if (release.writing) continue;
-    if (release.tries_left-- == 0 || !record_.KnownGood(request)) {
+    if (release.tries_left-- == 0 || !record_.KnownGood(request) ||
+        record_.ReleaseIsKnown(request)) {
       pending_releases_.erase(request);
       continue;
     }
--- a/source/sidecar/request_quarantine.h
+++ b/source/sidecar/request_quarantine.h
@@ -1,9 +1,10 @@
 // Keeps requests that end their workers away from them, on all nodes together.
 //
-// The node beside a worker writes its end to the store, with the requests that were at work in it.
-// All nodes hear of it as of every change of the state, those that start later too, and decide
-// alike (CrashRecord). Trials are begun by compare-and-swap, so that the whole fleet runs one at a
-// time and no more than are allowed, whatever each node knows.
+// The node beside a worker writes its end to the store, with the requests that were at work in it;
+// so does a node whose try broke off there, in case the node beside the worker is gone as well
+// (UnresolvedAttempts). All nodes hear of it as of every change of the state, those that start
+// later too, and decide alike (CrashRecord). Trials are begun by compare-and-swap, so that the
+// whole fleet runs one at a time and no more than are allowed, whatever each node knows.
 #pragma once
 
 #include <cstdint>
@@ -18,6 +19,8 @@
 #include "source/sidecar/crash_record.h"
 #include "source/sidecar/interrupted_requests.h"
 #include "source/sidecar/log_writer.h"
+#include "source/sidecar/unresolved_attempts.h"
+#include "source/sidecar/wire_format.h"
 #include "source/store/store_client.h"
 
 namespace runshelf::sidecar {
@@ -25,8 +28,8 @@
 // Belongs to the thread of its loop.
 class RequestQuarantine {
  public:
-  RequestQuarantine(event::EventLoop& loop, store::StoreClient& store, Random& random,
-                    LogWriter& log, std::string node);
+  RequestQuarantine(event::EventLoop& loop, store::StoreClient& store, const WireFormat& wire,
+                    Random& random, LogWriter& log, std::string node);
 
   // True when the key is one of the items that are kept here.
   static bool IsItemKey(const std::string& key);
@@ -38,24 +41,37 @@
   // gone before the store is back.
   using EndTeller = std::function<void(const std::string& message)>;
   void set_end_teller(EndTeller teller) { tell_others_ = std::move(teller); }
-  // Another node told of an end; false when that cannot be read.
-  bool OnToldEnd(const std::string& message);
+  // Another node told of an end; false when that cannot be read. `write`: it is to be written to
+  // the store by this node as well.
+  bool OnToldEnd(const std::string& message, bool write);
 
   // The worker beside this node ended.
   void OnWorkerEnded(const std::string& worker_id, const std::vector<InterruptedRequest>& at_work);
+  // A try at the worker beside another node broke off, and the request may have run.
+  void OnAttemptBroken(const std::string& node, const std::string& worker_id,
+                       const RequestFingerprint& request);
+  // This worker is beside the node now.
+  void OnWorkerAt(const std::string& node, const std::string& worker_id);
 
   // False: no request needs to be looked at.
   bool watches_any() const { return !record_.empty(); }
   Clearance ClearanceOf(const RequestFingerprint& request) const {
     return record_.ClearanceOf(loop_.Now(), request);
   }
-  bool IsQuarantined(const RequestFingerprint& request) const {
-    return record_.IsQuarantined(request);
+  bool IsQuarantined(const RequestFingerprint& request, size_t excused_elsewhere) const {
+    return record_.IsQuarantined(request, excused_elsewhere);
   }
   // Workers ended under it, and it had no good run since.
-  bool IsSuspect(const RequestFingerprint& request) const { return record_.Ends(request) > 0; }
+  bool IsSuspect(const RequestFingerprint& request, size_t excused_elsewhere = 0) const {
+    return record_.Ends(request, excused_elsewhere) > 0;
+  }
+  size_t ExcusedEnds(const RequestFingerprint& request) const {
+    return record_.ExcusedEnds(request);
+  }
   // Takes note that one in quarantine was refused; returns when its caller may come back.
   Duration OnRefused(const RequestFingerprint& request);
+  // Trials can be counted now. While the store is away none begins.
+  bool CanCountTrials() const { return store_.reachable(); }
   // Calls back with true when the request may be sent to one worker, once; never inside the call.
   void BeginTrial(const RequestFingerprint& request, const std::string& description,
                   std::function<void(bool granted)> callback);
@@ -71,6 +87,8 @@
  private:
   struct PendingEnd {
     Instant since;
+    std::string witness;   // The node that saw the end.
+    Instant not_before{};  // It is not written earlier.
     bool writing = false;
     bool told = false;  // To the other nodes, in place of the store.
   };
@@ -79,8 +97,14 @@
   void WritePending();
   void WriteEnds();
   void WriteReleases();
-  void WriteEnd(const std::string& worker_id);
+  void WriteEnd(const std::string& worker_id, const std::string& witness);
   void OnEndNotWritten(const std::string& worker_id);
+  void TellOthers(const std::string& worker_id, PendingEnd* pending);
+  void AddPendingEnd(const std::string& worker_id, PendingEnd pending);
+  // The store's item of an end.
+  void TakeEndItem(const std::string& key, const WorkerEnd& end);
+  // Counts the ends that broken attempts tell of, once the node beside the worker had its time.
+  void CountWitnessedEnds();
   // Calls back with a lease that lasts for minutes, or with zero when there is none to be had.
   void WithLease(std::function<void(store::LeaseId)> callback);
   // Calls back with whether the change was made.
@@ -99,6 +123,9 @@
   EndTeller tell_others_;
   CrashRecord record_;
   std::map<std::string, PendingEnd> pending_ends_;  // By worker.
+  std::map<std::string, std::string> end_items_;    // Worker, by key of the item in the store.
+  UnresolvedAttempts unresolved_;
+  event::Timer witness_timer_;
   struct PendingRelease {
     int tries_left = 0;
     bool writing = false;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -25,6 +25,9 @@
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 // For another node to take a message. One that does not is told by the store, once it is back.
+// Nodes that write an end they were told of to the store. Of a fleet whose nodes are started again
+// while the store is away some must live on; each may cost a call or two when the store is back.
+constexpr size_t kEndWriters = 8;
 constexpr Duration kTellTimeout = std::chrono::seconds(1);
 
 }  // namespace
@@ -43,7 +46,7 @@
       store_(loop, pool_, codec, StoreConfig(settings_)),
       peers_(settings_.node_name, settings_.zone),
       told_ends_(loop, pool_),
-      quarantine_(loop, store_, random, log, settings_.node_name),
+      quarantine_(loop, store_, wire, random, log, settings_.node_name),
       gate_(loop, pool_, wire, settings_.worker),
       monitor_(loop, pool_, order_pool_, store_, wire, settings_,
                KeyOf(kDrainPrefix, settings_.node_name), log,
@@ -269,6 +272,7 @@
     const auto record = NodeRecord::Parse(item.value);
     if (record.has_value() && record->node == NameAfter(item.key, kNodePrefix)) {
       peers_.OnRecord(*record);
+      quarantine_.OnWorkerAt(record->node, record->worker_id);
     } else {
       RefuseItem(item, "no record of this node");
     }
@@ -361,15 +365,22 @@
 }
 
 void Sidecar::TellOthers(const std::string& worker_end) {
-  http::RequestHead head;
-  head.method = "POST";
-  head.target = "/worker-end";
-  peer_protocol::MarkWorkerEnd(&head.headers);
-  const std::string message = http::SerializeRequest(head, worker_end);
+  std::vector<event::Endpoint> others;
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node == settings_.node_name) continue;
-    told_ends_.Start(peer.record.inbound, message, http::CallOptions{}, kTellTimeout,
-                     [](const std::optional<http::Response>&) {});
+    if (node != settings_.node_name) others.push_back(peer.record.inbound);
+  }
+  const size_t writers = std::min(others.size(), kEndWriters);
+  for (size_t index = 0; index < others.size(); ++index) {
+    // The first ones are drawn among all.
+    if (index < writers) {
+      std::swap(others[index], others[index + random_.Below(others.size() - index)]);
+    }
+    http::RequestHead head;
+    head.method = "POST";
+    head.target = "/worker-end";
+    peer_protocol::MarkWorkerEnd(/*write=*/index < writers, &head.headers);
+    told_ends_.Start(others[index], http::SerializeRequest(head, worker_end), http::CallOptions{},
+                     kTellTimeout, [](const std::optional<http::Response>&) {});
   }
 }
 
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -9,6 +9,8 @@
 
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
+// The deadline passed in the worker: what the run would have come to is not known.
+constexpr int kGatewayTimeout = 504;
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 // How long after the deadline a request that nobody cancelled is given up.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(100);
@@ -120,6 +122,7 @@
       return;
     }
     answering_ = true;
+    status_ = head.status;
     head.headers.RemoveConnectionHeaders();
     observer_->OnAnswerHead(std::move(head));
   }
@@ -134,6 +137,7 @@
       Fail({Verdict::kNotRun, *refusal_, true, Duration(0)});
       return;
     }
+    gate_->NoteGoodRun(request_, status_);
     GiveBackSlot(admission::Completion::kServed);
     observer_->OnAnswerComplete();
   }
@@ -215,6 +219,7 @@
   std::optional<FailureReason> refusal_;
   bool overloaded_ = false;
   bool answering_ = false;
+  int status_ = 0;  // Of the answer.
   bool registered_ = false;
   bool sent_ = false;
   Instant sent_at_{};
@@ -328,8 +333,25 @@
 }
 
 bool WorkerGate::Quarantined(const AttemptRequest& request) const {
-  if (request.trial || quarantine_ == nullptr || quarantine_->quarantined() == 0) return false;
-  return quarantine_->IsQuarantined(FingerprintOfAttempt(request));
+  if (quarantine_ == nullptr || !quarantine_->watches_any()) return false;
+  const RequestFingerprint fingerprint = FingerprintOfAttempt(request);
+  // What the node that took the request has seen run well is as good as a run here.
+  if (!quarantine_->IsSuspect(fingerprint, request.excused_ends)) return false;
+  if (!request.trial && quarantine_->IsQuarantined(fingerprint, request.excused_ends)) return true;
+  // Requests that waited for the worker together would each be a run that ends it. For an innocent
+  // one this lasts until its first good run here.
+  return IsAtWork(fingerprint);
+}
+
+bool WorkerGate::IsAtWork(const RequestFingerprint& fingerprint) const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& entry) {
+    return entry.second->sent() && FingerprintOfAttempt(entry.second->request()) == fingerprint;
+  });
+}
+
+void WorkerGate::NoteGoodRun(const AttemptRequest& request, int status) {
+  if (quarantine_ == nullptr || !quarantine_->watches_any() || status == kGatewayTimeout) return;
+  quarantine_->OnGoodRun(FingerprintOfAttempt(request));
 }
 
 void WorkerGate::ScheduleTick() {
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -63,7 +63,7 @@
   using RateSource = std::function<std::optional<double>(const std::string& caller_class)>;
   void set_rate_source(RateSource source) { rate_source_ = std::move(source); }
 
-  void set_quarantine(const RequestQuarantine* quarantine) { quarantine_ = quarantine; }
+  void set_quarantine(RequestQuarantine* quarantine) { quarantine_ = quarantine; }
 
   // Another worker, or none (an empty identity), is beside this node.
   void SetWorker(const std::string& worker_id, const std::string& service, uint32_t slots);
@@ -95,8 +95,11 @@
 
   void Offer(GateAttempt* attempt);
   RequestFingerprint FingerprintOfAttempt(const AttemptRequest& request) const;
-  // In quarantine, and no trial. The node that took the request may not know of it yet.
+  // In quarantine, and no trial; or a suspect that is at work in the worker. The node that took the
+  // request may not know of it.
   bool Quarantined(const AttemptRequest& request) const;
+  bool IsAtWork(const RequestFingerprint& fingerprint) const;
+  void NoteGoodRun(const AttemptRequest& request, int status);
   // Zero: the class is below its limit, and one request of it was counted.
   Duration LimitWait(const std::string& caller_class);
   void Apply(const admission::AdmissionChanges& changes);
@@ -117,7 +120,7 @@
   KeyAuthority* key_authority_ = nullptr;
   WorkerEvidence* evidence_ = nullptr;
   RateSource rate_source_;
-  const RequestQuarantine* quarantine_ = nullptr;
+  RequestQuarantine* quarantine_ = nullptr;
   ClassLimiter limiter_;
   std::string worker_id_;
   std::string service_;
--- a/tests/platform_adapter/crashing_workers.cc
+++ b/tests/platform_adapter/crashing_workers.cc
@@ -34,6 +34,8 @@
     begun_[target].push_back(fleet_.loop.Now());
     last_node_[target] = node;
     if (IsFatal(exchange)) {
+      const bool beside_another = !doomed_.insert(node).second;
+      if (beside_another && ends_ == 0) ++beside_first_[target];
       Later(run_time_, [this, node] { End(node); });
       return;
     }
@@ -49,6 +51,7 @@
 void CrashingWorkers::End(size_t node) {
   if (fleet_.nodes[node].worker == nullptr) return;
   ++ends_;
+  doomed_.erase(node);
   fleet_.nodes[node].worker.reset();
   Later(down_, [this, node] { StartNext(node); });
 }
--- a/tests/platform_adapter/crashing_workers.h
+++ b/tests/platform_adapter/crashing_workers.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
   size_t LastNode(const std::string& target) { return last_node_[target]; }
   // How many of them began later than `after` the third; zero when there were fewer.
   size_t BegunAfterThird(const std::string& target, Duration after);
+  // How many began in the first worker that was to end, beside the one that ended it.
+  size_t BegunBesideFirst(const std::string& target) { return beside_first_[target]; }
   // Ends of workers so far.
   size_t ends() const { return ends_; }
   bool AllUp() const;
@@ -46,6 +49,8 @@
   std::vector<std::unique_ptr<event::Timer>> later_;
   std::map<std::string, std::vector<Instant>> begun_;
   std::map<std::string, size_t> last_node_;
+  std::map<std::string, size_t> beside_first_;
+  std::set<size_t> doomed_;  // Nodes whose worker runs a fatal request.
   size_t ends_ = 0;
 };
 
--- a/tests/sidecar/peer_protocol_test.cc
+++ b/tests/sidecar/peer_protocol_test.cc
@@ -20,6 +20,7 @@
   attempt.deadline = now + std::chrono::milliseconds(1500);
   attempt.answer_by = now + std::chrono::milliseconds(300);
   attempt.key = 65535;
+  attempt.excused_ends = 3;
   http::Request request;
   request.head.method = "GET";
   request.head.headers.Add("Other", "1");
@@ -32,6 +33,7 @@
   CHECK(read->deadline == attempt.deadline);
   CHECK(read->answer_by == attempt.answer_by);
   CHECK_EQUAL(65535, *read->key);
+  CHECK_EQUAL(3U, read->excused_ends);
   CHECK_EQUAL(1, read->request->head.headers.all().size());
 }
 
@@ -43,6 +45,8 @@
       {"Runshelf-Weight", "4294967296"},
       {"Runshelf-Key", "65536"},
       {"Runshelf-Key", ""},
+      {"Runshelf-Excused-Ends", "-1"},
+      {"Runshelf-Excused-Ends", "5001"},
   };
   for (const auto& [name, value] : changes) {
     AttemptRequest attempt;
