Test that fails: a stopping node gives up keys that its worker holds (OWNER)

Traced from the logs of n7 and n1: while the store was away w-n7-1 ended, w-n7-2 came, and n7 was told to stop. When the store was back n7 wrote its shards to w-n7-2 and answered its heartbeat with them. n1, whose record of n7 still named w-n7-1, took w-n7-2 for replaced and gave the shards to w-n7-1 (takeover), three times in turn with n7. The last time n7 was free to leave: shards of "a former worker" it gave up at once, among them those that w-n7-2 held, and ended.

--- a/tests/platform_adapter/heartbeat_keys_test.cc
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include "source/sharding/shard_map.h"
 #include "tests/platform_adapter/fleet.h"
 
 using namespace runshelf;
@@ -22,6 +23,20 @@
       sequence, rows);
 }
 
+// What a planner writes that knows the machine's former worker only.
+void GiveShardsToFormerWorker(Fleet* fleet, size_t node) {
+  const std::string key = "runshelf/shards/keyed";
+  auto map = sharding::ShardMap::Parse(*fleet->store.Find(key));
+  CHECK(map.ok());
+  const std::string& name = fleet->nodes[node].settings.node_name;
+  const sharding::FencingToken token = map->NextToken();
+  for (sharding::Shard& shard : map->shards()) {
+    if (shard.owner.node != name) continue;
+    sharding::ShardMap::Assign(&shard, {name, "former"}, token, "");
+  }
+  fleet->store.Put(key, map->Serialize());
+}
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -145,6 +160,34 @@
   CHECK_FALSE(Contains(answer->body, "\"holds\":[["));
 }
 
+// Another node whose record of this machine is older than the map gives the shards to the worker
+// that was there before. The node that stops took them for those of a worker that had ended, and
+// gave them up, while the present one held them: the next owner's worker held them as well. Seen
+// where a worker and then its node ended while the store was away, so that the record was late.
+TEST(HeartbeatKeys, AStoppingNodeGivesNothingAwayThatItsWorkerHolds) {
+  for (const auto delivery : {kByHeartbeat, routes::GrantDelivery::kCalls}) {
+    Fleet fleet({"keyed", "keyed", "other"}, delivery);
+    fleet.Start();
+    const size_t leaving = *fleet.HolderOf(0);
+    // The worker goes on holding what no answer and no order takes away.
+    fleet.nodes[leaving].worker->set_heartbeats_cut(true);
+    fleet.nodes[leaving].worker->set_order_faults([] {
+      FakeWorker::OrderFault fault;
+      fault.cut = true;
+      return fault;
+    });
+    fleet.nodes[leaving].sidecar->Stop([] {});
+    // The store has answered since: the node may give its keys up.
+    RunFor(fleet.loop, std::chrono::milliseconds(50));
+    GiveShardsToFormerWorker(&fleet, leaving);
+    const Instant end = fleet.loop.Now() + std::chrono::milliseconds(1500);
+    while (fleet.loop.Now() < end) {
+      CHECK_COMPARE(fleet.HoldersOf(0), <=, 1);
+      RunFor(fleet.loop, std::chrono::milliseconds(5));
+    }
+  }
+}
+
 TEST(HeartbeatKeys, KeysOfADrainingWorkerMoveWithTheirHandover) {
   Fleet fleet({"keyed", "keyed", "other"}, kByHeartbeat);
   fleet.Start();
