Shards: a node gives up no keys that its worker may hold, whomever the map names (OWNER)

Cause: what the worker holds was forgotten as soon as the map named another owner at this machine. A shard of a former worker was then given up at once where the node is leaving, though the present worker held its keys by a grant under an earlier token.

Change: grants whose shard the map gives to a predecessor are remembered until they run out or the worker has let the keys go. Such a shard is written back to the present worker and handed over in order; a node ends its lease only when they are settled; a worker that fell silent is waited for. The same cause was looked for where a node's worker is absent: there the grant was forgotten as well.

Figures: the test, both ways of giving keys: two holders before, one after. Groups HeartbeatKeys (20), SidecarKeys (12), UndecidedChanges (5), StoppingNode (13), Sidecar (38), WorkerGate (9): passed.

Left: the planner and the node still write against each other while the node's record is older than the map, which costs changes, no keys.

--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -39,6 +39,19 @@
   int64_t left_out_after = 0;  // Sequence of the heartbeat whose answer first left it out.
 };
 
+// Keys that the worker may hold under a grant whose shard the map has given to a former worker of
+// this machine since, as another node does that knows no better.
+struct DisownedGrant {
+  std::string worker_id;
+  sharding::ShardKey first = 0;
+  sharding::ShardKey last = 0;
+  Instant held_until{};
+
+  bool Overlaps(const sharding::Shard& shard) const {
+    return first <= shard.last && shard.first <= last;
+  }
+};
+
 // First key, last key, token.
 using HeldShardKey = std::tuple<sharding::ShardKey, sharding::ShardKey, sharding::FencingToken>;
 // Ascending by key: shards do not overlap.
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -67,6 +67,8 @@
   if (gone && !worker_id_.empty()) gone_workers_.insert(worker_id_);
   gone_workers_.erase(worker_id);
   worker_id_ = worker_id;
+  std::erase_if(disowned_,
+                [this](const DisownedGrant& grant) { return !MayBePresent(grant.worker_id); });
   repeats_held_since_ = Instant{};
   Reconcile();
 }
@@ -89,6 +91,7 @@
   if (!DividedByKey() || reconciling_) return;
   NoticePause();
   reconciling_ = true;
+  ForgetSettledDisowned();
   AdoptShards();
   // From here on the map is known as the former life of this process knew it.
   had_authority_ = had_authority_ || context_.AuthorityUntil() > loop_.Now();
@@ -140,7 +143,8 @@
   // It fell silent: its grants, those of an earlier life of this process too, must have run out.
   const Instant now = loop_.Now();
   const auto found = holdings_.find({shard.first, shard.last, shard.token});
-  const bool grant_out = found != holdings_.end() && now <= found->second.held_until;
+  const bool grant_out =
+      found != holdings_.end() ? now <= found->second.held_until : MayBeHeldDisowned(shard);
   return !grant_out && EarlierGrantsRanOut(now);
 }
 
@@ -173,9 +177,44 @@
     holding.shard = shard;
     wanted[key] = std::move(holding);
   }
+  RememberDisowned(wanted);
   holdings_ = std::move(wanted);
 }
 
+void ShardHolder::RememberDisowned(const HeldShards& wanted) {
+  const Instant now = loop_.Now();
+  for (const auto& [key, holding] : holdings_) {
+    if (wanted.contains(key) || holding.released || holding.held_until < now) continue;
+    if (!MayBePresent(holding.worker_id)) continue;
+    disowned_.push_back(
+        {holding.worker_id, holding.shard.first, holding.shard.last, holding.held_until});
+  }
+}
+
+// No other worker is here, as far as is known; of this one the incarnation may not be known yet.
+bool ShardHolder::MayBePresent(const std::string& worker_id) const {
+  if (worker_id_.empty()) return !gone_workers_.contains(worker_id);
+  return worker_id == worker_id_ || worker_id == wire_.StatedIdentity(worker_id_) ||
+         worker_id_ == wire_.StatedIdentity(worker_id);
+}
+
+// The grants have run out, or the worker has let the keys go since.
+void ShardHolder::ForgetSettledDisowned() {
+  const Instant now = loop_.Now();
+  std::erase_if(disowned_, [&](const DisownedGrant& grant) {
+    if (grant.held_until < now) return true;
+    const HeldShard* holding = FindHolding(grant.first);
+    return holding != nullptr && holding->released && holding->shard.Contains(grant.last);
+  });
+}
+
+bool ShardHolder::MayBeHeldDisowned(const sharding::Shard& shard) const {
+  const Instant now = loop_.Now();
+  return std::any_of(disowned_.begin(), disowned_.end(), [&](const DisownedGrant& grant) {
+    return now <= grant.held_until && grant.Overlaps(shard);
+  });
+}
+
 bool ShardHolder::MustMove(const sharding::Shard& shard) const {
   return leaving_ || !shard.move_to_node.empty();
 }
@@ -470,6 +509,10 @@
 
 bool ShardHolder::WorkerMayHoldKeys() const {
   const Instant now = loop_.Now();
+  if (std::any_of(disowned_.begin(), disowned_.end(),
+                  [now](const DisownedGrant& grant) { return now <= grant.held_until; })) {
+    return true;
+  }
   return std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& entry) {
     const HeldShard& holding = entry.second;
     return !holding.released && (now <= holding.held_until || !EarlierGrantsRanOut(now));
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -171,6 +171,11 @@
   bool EarlierGrantsRanOut(Instant now) const;
   void AbandonLapsed();
   bool OfFormerWorker(const sharding::Shard& shard) const;
+  // Of grants that the worker may have when the map has its shards no more.
+  void RememberDisowned(const HeldShards& wanted);
+  void ForgetSettledDisowned();
+  bool MayBePresent(const std::string& worker_id) const;
+  bool MayBeHeldDisowned(const sharding::Shard& shard) const;
   void StartCall(http::CallSet* calls, const http::Request& request, Duration timeout,
                  http::CallSet::Callback callback);
   const HeldShard* FindHolding(sharding::ShardKey key) const;
@@ -187,6 +192,7 @@
   event::Timer commit_timer_;
   sharding::KeyLoadMeter meter_;
   HeldShards holdings_;
+  std::vector<DisownedGrant> disowned_;  // Of the present worker, or of one that fell silent.
   http::CallSet grants_;
   http::CallSet releases_;
   HeartbeatGrants heartbeat_grants_;
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -54,9 +54,12 @@
     if (!OfFormerWorker(shard)) continue;
     if (!changed) token = map->NextToken();
     changed = true;
-    // An owner whose incarnation was not known may be the worker that is here: it lets the keys go
-    // as any others, under a token that is known to be its own.
-    const bool may_be_here = shard.owner.worker == wire_.StatedIdentity(worker_id_);
+    // An owner whose incarnation was not known may be the worker that is here, and a worker that is
+    // here may hold what another node took for its predecessor's: it lets the keys go as any
+    // others, under a token that is known to be its own. Given up at once, they had two holders for
+    // as long as the grant lasts, up to 10 s.
+    const bool may_be_here =
+        shard.owner.worker == wire_.StatedIdentity(worker_id_) || MayBeHeldDisowned(shard);
     if (worker_id_.empty() || (leaving_ && !may_be_here)) {
       shard.owner.worker.clear();
       shard.handover.clear();
