Quarantine: a trial that the store does not count in time is refused

Cause: a caller whose request may run as a trial waited for two calls to the store. One that has just fallen silent shows that after up to 3.6 s: the caller waited out its deadline, and was told to come back after 1 ms while the store was known to be away.

Change: 300 ms for the two calls, which take 10 to 40 ms each; then 503, and for a second no further trial at that node. A trial that is counted later is given back. Callers are told a second while trials cannot be counted, and 150 ms at the least.

--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -32,6 +32,13 @@
 constexpr Duration kAtWorkRetryAfter = std::chrono::milliseconds(150);
 // Longer than the store is away on bad days; the end is known at this node all the same.
 constexpr Duration kWriteGivenUp = std::chrono::seconds(60);
+// A trial is counted with two calls to the store, some 10 to 40 ms each. Callers do not wait for a
+// store that has fallen silent, which takes up to 3.6 s to show.
+constexpr Duration kTrialDecision = std::chrono::milliseconds(300);
+// Callers that were refused because a trial had just begun come back once it is over.
+constexpr Duration kTrialSpread = std::chrono::milliseconds(150);
+// Callers come back no earlier while trials cannot be counted: the store is away for seconds.
+constexpr Duration kStoreAwayRetryAfter = std::chrono::seconds(1);
 // Callers of a request that no trial will be made of are told the longest.
 constexpr Duration kLongRetryAfter = std::chrono::seconds(30);
 constexpr int kReleaseTries = 4;
@@ -144,8 +151,8 @@
   AddPendingEnd(worker_id, {loop_.Now(), node_});
 }
 
-void RequestQuarantine::AddPendingEnd(const std::string& worker_id, PendingEnd pending) {
-  pending_ends_.try_emplace(worker_id, std::move(pending));
+void RequestQuarantine::AddPendingEnd(const std::string& worker_id, const PendingEnd& pending) {
+  pending_ends_.try_emplace(worker_id, pending);
   WritePending();
 }
 
@@ -242,7 +249,7 @@
   const Instant now = loop_.Now();
   PendingEnd pending{now, end->node, now + random_.Between(kToldWriteMin, kToldWriteMax)};
   pending.told = true;
-  AddPendingEnd(end->worker_id, std::move(pending));
+  AddPendingEnd(end->worker_id, pending);
   return true;
 }
 
@@ -275,15 +282,28 @@
   }
   if (!record_.IsQuarantined(request)) return kAtWorkRetryAfter;
   const Duration until = record_.UntilTrial(loop_.Now(), request).value_or(kLongRetryAfter);
-  return std::max<Duration>(until, std::chrono::milliseconds(1));
+  return std::max(until, CanCountTrials() ? kTrialSpread : kStoreAwayRetryAfter);
 }
 
 void RequestQuarantine::BeginTrial(const RequestFingerprint& request,
                                    const std::string& description,
-                                   std::function<void(bool granted)> callback) {
+                                   const std::function<void(bool granted)>& callback) {
   CrashRecord::Change change = record_.BeginTrial(request);
   change.item.description = description;
-  Commit(request, change, [this, request, callback = std::move(callback)](bool committed) {
+  const auto decided = std::make_shared<bool>(false);
+  const auto timer = std::make_shared<event::Timer>(loop_, [this, decided, callback] {
+    *decided = true;
+    no_trials_until_ = loop_.Now() + kStoreAwayRetryAfter;
+    callback(false);
+  });
+  timer->Start(kTrialDecision);
+  Commit(request, change, [this, request, decided, timer, callback](bool committed) {
+    timer->Stop();
+    if (std::exchange(*decided, true)) {
+      // It was counted too late, and its caller has been refused.
+      if (committed) ReturnTrial(request);
+      return;
+    }
     if (committed) ++trials_;
     callback(committed);
   });
--- a/source/sidecar/request_quarantine.h
+++ b/source/sidecar/request_quarantine.h
@@ -71,10 +71,10 @@
   // Takes note that one in quarantine was refused; returns when its caller may come back.
   Duration OnRefused(const RequestFingerprint& request);
   // Trials can be counted now. While the store is away none begins.
-  bool CanCountTrials() const { return store_.reachable(); }
+  bool CanCountTrials() const { return store_.reachable() && loop_.Now() >= no_trials_until_; }
   // Calls back with true when the request may be sent to one worker, once; never inside the call.
   void BeginTrial(const RequestFingerprint& request, const std::string& description,
-                  std::function<void(bool granted)> callback);
+                  const std::function<void(bool granted)>& callback);
   // The trial ended without reaching a worker.
   void ReturnTrial(const RequestFingerprint& request);
   // The request ran to an answer.
@@ -100,7 +100,7 @@
   void WriteEnd(const std::string& worker_id, const std::string& witness);
   void OnEndNotWritten(const std::string& worker_id);
   void TellOthers(const std::string& worker_id, PendingEnd* pending);
-  void AddPendingEnd(const std::string& worker_id, PendingEnd pending);
+  void AddPendingEnd(const std::string& worker_id, const PendingEnd& pending);
   // The store's item of an end.
   void TakeEndItem(const std::string& key, const WorkerEnd& end);
   // Counts the ends that broken attempts tell of, once the node beside the worker had its time.
@@ -139,6 +139,7 @@
     Instant renew_at{};
   };
   std::map<RequestFingerprint, SeenItem> seen_;  // Of those in quarantine.
+  Instant no_trials_until_{};                    // The store did not answer the latest one in time.
   uint64_t refusals_ = 0;
   uint64_t trials_ = 0;
 };
--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -372,3 +372,28 @@
   RunFor(fleet.loop, milliseconds(500));
   CheckThatItIsServedAtOnce(fleet, 1);
 }
+
+// The store has fallen silent: whether a trial may begin cannot be known for seconds.
+TEST(CrashingRequests, ARequestIsRefusedAtOnceWhenItsTrialCannotBeCounted) {
+  Fleet fleet(kPlainFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  for (size_t run = 1; run <= 2; ++run) {
+    fleet.Request(run % 2, "POST", "/send/fatal", "order 666");
+    CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
+    RunFor(fleet.loop, milliseconds(1200));
+  }
+  fleet.store.set_fault(FakeStore::Fault::kSilent);
+  for (size_t time = 0; time < 6; ++time) {
+    const Instant sent = fleet.loop.Now();
+    const auto answer = fleet.Request(0, "POST", "/send/fatal", "order 666");
+    CHECK(answer.has_value());
+    CHECK_EQUAL(503, answer->status);
+    CHECK_COMPARE(ToMilliseconds(fleet.loop.Now() - sent), <, 600);
+    const std::string* retry_after = answer->headers.Find("Retry-After");
+    CHECK(retry_after != nullptr);
+    CHECK_COMPARE(std::stod(*retry_after), >=, 0.9);
+    RunFor(fleet.loop, milliseconds(500));
+  }
+  CHECK_EQUAL(2U, workers.Begun("/send/fatal").size());
+}
