Crash record: a suspect that makes room is not read after it was freed

While nothing was in quarantine the lookup compared nothing; a node with 20,000 suspects and one in quarantine read freed memory, and may have kept one in quarantine that it had forgotten.

Change: that entry goes last.

--- a/source/sidecar/crash_record.cc
+++ b/source/sidecar/crash_record.cc
@@ -84,9 +84,11 @@
 
 void CrashRecord::Forget(const RequestFingerprint& request) {
   const auto found = suspects_.find(request);
-  by_age_.erase(found->second.number);
+  const uint64_t number = found->second.number;
   quarantined_.erase(request);
   suspects_.erase(found);
+  // Last: `request` may be the one that stands here.
+  by_age_.erase(number);
 }
 
 void CrashRecord::NoteChanged(const RequestFingerprint& request) {
