Test that fails: a burst fills the fleet in which nodes are stopped

Not the cause: steps of the time of day or of the machine's clock alone, forwards (some 2,000 runs, at most 1 not served); the process stopped for 0.05 to 1.5 s (some 600 runs, at most 1); datagrams lost, connections refused (240 runs, at most 1); 24 to 64 at once, 240 of them beside 24 busy processes (528 runs, none failed). Each run takes a slot and makes a call to the same workers, which needs another one: a burst of runs takes them all and waits for itself until the calls' deadlines.

That the machine's standstill held back what was read is inferred; the machine cannot be stopped here.

Change: the test of a burst, and failed checks tell which requests were not served, when, and the nodes' log.

Conclusion: the fleet of these tests is too small for its own traffic.

--- a/tests/platform_adapter/steady_traffic.cc
+++ b/tests/platform_adapter/steady_traffic.cc
@@ -1,6 +1,7 @@
 #include "tests/platform_adapter/steady_traffic.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -73,6 +74,10 @@
   timer_.Start(kSendInterval, /*repeating=*/true);
 }
 
+void SteadyClients::SendAtOnce(size_t count) {
+  for (size_t sent = 0; sent < count; ++sent) Send();
+}
+
 void SteadyClients::Finish() {
   timer_.Stop();
   CHECK(event::RunUntil(fleet_.loop, [this] {
@@ -90,6 +95,19 @@
       }));
 }
 
+std::string SteadyClients::NotServed() const {
+  std::string text;
+  for (const Sent& request : requests_) {
+    const auto& answer = request.pending->answer;
+    const int status = answer.has_value() ? answer->status : 0;
+    if (status == 200) continue;
+    text += fmt::format("{} ms: {}{} {}\n", ToMilliseconds(request.at - requests_.front().at),
+                        status, request.pending->over ? "" : " (not over)",
+                        answer.has_value() ? answer->body : "");
+  }
+  return text;
+}
+
 void SteadyClients::Send() {
   requests_.push_back({fleet_.loop.Now(), fleet_.Begin(node_, "POST", "/send/order", "")});
 }
--- a/tests/platform_adapter/steady_traffic.h
+++ b/tests/platform_adapter/steady_traffic.h
@@ -54,12 +54,17 @@
  public:
   SteadyClients(Fleet& fleet, size_t node);
 
+  // Sends so many at once, as when the machine has held the traffic back for a while.
+  void SendAtOnce(size_t count);
   // Sends nothing more and waits for all answers.
   void Finish();
 
   // Answers with `status` to requests that were sent between two moments; zero: no answer.
   size_t Count(int status, Instant from = {}, Instant until = Instant::max()) const;
   size_t sent() const { return requests_.size(); }
+  // When each request that was not served was sent, counted from the first one, and how it ended;
+  // for the text of a failed check.
+  std::string NotServed() const;
 
  private:
   struct Sent {
--- a/tests/platform_adapter/stopping_node_test.cc
+++ b/tests/platform_adapter/stopping_node_test.cc
@@ -61,12 +61,30 @@
   // The test is one only while calls are made through the stopping node.
   CHECK(leaving.calls_made() > 10);
   CHECK_EQUAL(0, leaving.calls_cut());
-  CHECK_EQUAL(clients.sent(), clients.Count(200));
+  CHECK_EQUAL_TEXT(clients.sent(), clients.Count(200), (clients.NotServed() + fleet.Log()).c_str());
   // The others' requests move to the other worker soon, and the stop ends without them.
   CHECK(leaving.last_begun() - told_to_stop < kTold + kSlack);
   CHECK(elapsed < kTakesRequests + kSlack);
 }
 
+// Seen once in the test above, on a machine that stood still for some 14 s meanwhile: 5 of 128
+// requests were not served. Runs hold slots while their calls need slots of the same workers, so
+// that a burst of runs waits for itself until the calls' deadlines. Proved by holding back all that
+// the process reads for 0.1 s: 2 to 59 were not served then, in 36 of 66 runs.
+TEST(StoppingNode, ABurstDoesNotFillTheFleetOfTheseTests) {
+  Fleet fleet({"plain", "plain", "other"});
+  fleet.Start();
+  const CallingWorker first(fleet, 0);
+  const CallingWorker second(fleet, 1);
+  SteadyClients clients(fleet, 2);
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  // What comes in 0.3 s.
+  clients.SendAtOnce(12);
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  clients.Finish();
+  CHECK_EQUAL_TEXT(clients.sent(), clients.Count(200), (clients.NotServed() + fleet.Log()).c_str());
+}
+
 // A service with one node: what it can finish is served, what it cannot is refused, nothing is cut.
 TEST(StoppingNode, TheLastNodeOfAServiceServesWhileItTakesRequests) {
   Fleet fleet({"plain", "other"});
