Shard holder: what it asks of the worker by calls is a file of its own; tests of crashing requests share a step

Cause: shard_holder.cc had grown to 532 lines; seven tests wrote the same three lines; a comment stood above the wrong constant.

--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -7,8 +7,6 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
 // Of one log line.
 constexpr size_t kMaxRangesLogged = 8;
 
@@ -300,97 +298,6 @@
   granted_anew_.clear();
 }
 
-void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
-  const Instant now = loop_.Now();
-  const Duration authority = context_.AuthorityUntil() - now;
-  // The worker's clock may run slow, and it counts from the arrival.
-  const Duration hold =
-      std::min(config_.hold, authority - authority / kClockRateDivisor - config_.call_timeout / 4);
-  if (hold < kMinHold) return;
-  KeyGrant grant;
-  grant.first = holding->shard.first;
-  grant.last = holding->shard.last;
-  grant.token = holding->shard.token;
-  grant.hold = hold;
-  grant.handover = holding->shard.handover;
-  holding->sent_at = now;
-  holding->token_use = TokenUse::kByThisProcess;
-  holding->held_until =
-      std::max(holding->held_until, now + hold + hold / kClockRateDivisor + config_.call_timeout);
-  ++grants_sent_;
-  holding->call = ++order_count_;
-  StartCall(
-      &grants_, wire_.EncodeGrant(grant), config_.call_timeout,
-      [this, key, now, hold, call = holding->call](const std::optional<http::Response>& response) {
-        OnGrantAnswer(key, call, now, hold, response);
-      });
-}
-
-void ShardHolder::OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
-                                const std::optional<http::Response>& response) {
-  const auto found = holdings_.find(key);
-  if (found == holdings_.end() || found->second.call != call) return;
-  HeldShard& holding = found->second;
-  holding.call = 0;
-  if (response.has_value() && response->status == kOk) {
-    holding.usable_until = std::max(holding.usable_until, sent + hold - hold / kClockRateDivisor);
-  } else if (response.has_value() && response->status == kConflict) {
-    log_.Write(LogLevel::kWarning, "grant_refused",
-               {{"first", holding.shard.first},
-                {"last", holding.shard.last},
-                {"token", holding.shard.token},
-                {"worker", holding.worker_id}});
-    // An earlier life of this node released the keys and did not live to hand them over.
-    holding.usable_until = Instant{};
-    holding.superseded = true;
-  } else {
-    // Soon again: the worker may not have it.
-    holding.sent_at = Instant{};
-    holding.retry_at = loop_.Now() + config_.grant_retry;
-    SuspectEnd("grant-unanswered");
-  }
-  Reconcile();
-}
-
-void ShardHolder::ReleaseMoving() {
-  for (auto& [key, holding] : holdings_) {
-    if (!MustMove(holding.shard) || holding.released || holding.call != 0) continue;
-    if (holding.worker_id != worker_id_) continue;
-    if (releases_.size() >= config_.releases_at_once) return;
-    SendRelease(key, &holding);
-  }
-}
-
-void ShardHolder::SendRelease(const HeldShardKey& key, HeldShard* holding) {
-  holding->releasing = true;
-  holding->usable_until = Instant{};
-  KeyRelease release;
-  release.first = holding->shard.first;
-  release.last = holding->shard.last;
-  // Above the grants of this shard, so that one without an answer is refused when it is taken late;
-  // at most the token that the next owner gets.
-  release.token = shards_.map().last_token() + 1;
-  holding->call = ++order_count_;
-  StartCall(&releases_, wire_.EncodeRelease(release), config_.release_timeout,
-            [this, key, call = holding->call](const std::optional<http::Response>& response) {
-              OnReleaseAnswer(key, call, response);
-            });
-}
-
-void ShardHolder::OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
-                                  const std::optional<http::Response>& response) {
-  const auto found = holdings_.find(key);
-  if (found == holdings_.end() || found->second.call != call) return;
-  HeldShard& holding = found->second;
-  holding.call = 0;
-  if (response.has_value() && response->status == kOk) {
-    holding.released = true;
-    const std::string* handover = response->headers.Find(wire_.headers().handover);
-    if (handover != nullptr) holding.handover = *handover;
-  }
-  Reconcile();
-}
-
 bool ShardHolder::MaySend(Instant now, sharding::ShardKey key) const {
   if (now >= context_.AuthorityUntil()) return false;
   const HeldShard* holding = FindHolding(key);
@@ -519,14 +426,4 @@
   });
 }
 
-void ShardHolder::StartCall(http::CallSet* calls, const http::Request& request, Duration timeout,
-                            http::CallSet::Callback callback) {
-  http::RequestHead head = request.head;
-  head.headers.Set("Host", config_.worker.ToString());
-  http::CallOptions options;
-  options.connect_timeout = config_.call_timeout;
-  calls->Start(config_.worker, http::SerializeRequest(head, request.body), options, timeout,
-               std::move(callback));
-}
-
 }  // namespace runshelf::sidecar
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -24,10 +24,10 @@
 // Between lines that tell what is exchanged with other nodes and the store.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
-// For another node to take a message. One that does not is told by the store, once it is back.
 // Nodes that write an end they were told of to the store. Of a fleet whose nodes are started again
 // while the store is away some must live on; each may cost a call or two when the store is back.
 constexpr size_t kEndWriters = 8;
+// For another node to take a message. One that does not is told by the store, once it is back.
 constexpr Duration kTellTimeout = std::chrono::seconds(1);
 
 }  // namespace
--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -44,6 +44,14 @@
   return headers;
 }
 
+// The request comes at nodes 0 and 1 in turn; returns once all are answered.
+void SendRepeatedly(Fleet& fleet, const RepeatingCaller::Message& message,
+                    Duration time = kWatched) {
+  RepeatingCaller caller(fleet, {0, 1}, message, kCallerInterval);
+  RunFor(fleet.loop, time);
+  caller.Finish();
+}
+
 // The fatal request comes at nodes 0 and 1 in turn, beside proper reads that go on at node 0.
 void CheckThatItReachesFewWorkers(Fleet& fleet, const RepeatingCaller::Message& fatal,
                                   const RepeatingCaller::Message& proper) {
@@ -163,11 +171,7 @@
   Fleet fleet(kPlainFleet);
   fleet.Start();
   CrashingWorkers workers(fleet);
-  {
-    RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal", "", {}}, kCallerInterval);
-    RunFor(fleet.loop, kWatched);
-    caller.Finish();
-  }
+  SendRepeatedly(fleet, {"GET", "/read/fatal", "", {}});
   const size_t begun = workers.Begun("/read/fatal").size();
   fleet.Kill(0);
   RunFor(fleet.loop, milliseconds(200));
@@ -218,11 +222,7 @@
   Fleet fleet(kPlainFleet);
   fleet.Start();
   CrashingWorkers workers(fleet);
-  {
-    RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal?of=1", "", {}}, kCallerInterval);
-    RunFor(fleet.loop, seconds(8));
-    caller.Finish();
-  }
+  SendRepeatedly(fleet, {"GET", "/read/fatal?of=1", "", {}}, seconds(8));
   CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
   RunFor(fleet.loop, milliseconds(1500));
   CHECK(Served(fleet, 0, "/read/1?of=1"));
@@ -244,9 +244,7 @@
   RunFor(fleet.loop, milliseconds(300));
   CHECK(Served(fleet, 0, "/read/1"));
   STRCMP_CONTAINS("event=state_item_refused key=runshelf/quarantine/x", fleet.Log().c_str());
-  RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal", "", {}}, kCallerInterval);
-  RunFor(fleet.loop, kWatched);
-  caller.Finish();
+  SendRepeatedly(fleet, {"GET", "/read/fatal", "", {}});
   CHECK_COMPARE(workers.Begun("/read/fatal").size(), <=, kAllowedInAll);
 }
 
@@ -255,11 +253,7 @@
   Fleet fleet(kPlainFleet);
   fleet.Start();
   CrashingWorkers workers(fleet);
-  {
-    RepeatingCaller caller(fleet, {0, 1}, {"GET", "/read/fatal", "", {}}, kCallerInterval);
-    RunFor(fleet.loop, kWatched);
-    caller.Finish();
-  }
+  SendRepeatedly(fleet, {"GET", "/read/fatal", "", {}});
   CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
   http::Request request;
   request.head.method = "GET";
@@ -300,9 +294,7 @@
   CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
   fleet.Restart(beside);
   RunFor(fleet.loop, milliseconds(1500));
-  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
-  RunFor(fleet.loop, kWatched);
-  caller.Finish();
+  SendRepeatedly(fleet, {"POST", "/send/fatal", "order 666", {}});
   CHECK_EQUAL(kAllowedInAll, workers.Begun("/send/fatal").size());
 }
 
@@ -323,9 +315,7 @@
   CHECK(RunUntil(fleet.loop, [&] { return workers.AllUp(); }));
   for (const size_t node : {beside, size_t{0}, size_t{1}}) fleet.Restart(node);
   RunFor(fleet.loop, milliseconds(3500));
-  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
-  RunFor(fleet.loop, kWatched);
-  caller.Finish();
+  SendRepeatedly(fleet, {"POST", "/send/fatal", "order 666", {}});
   CHECK_COMPARE(workers.Begun("/send/fatal").size(), <=, kAllowedInAll);
 }
 
@@ -344,9 +334,7 @@
   }
   fleet.Restart(workers.LastNode("/send/fatal"));
   RunFor(fleet.loop, milliseconds(2000));
-  RepeatingCaller caller(fleet, {0, 1}, {"POST", "/send/fatal", "order 666", {}}, kCallerInterval);
-  RunFor(fleet.loop, kWatched);
-  caller.Finish();
+  SendRepeatedly(fleet, {"POST", "/send/fatal", "order 666", {}});
   CHECK_COMPARE(workers.BegunAfterThird("/send/fatal", kTimeToLearn), <=, kAllowedLater);
   CHECK_COMPARE(workers.Begun("/send/fatal").size(), <=, kAllowedInAll);
 }
--- a/tests/soak/fatal_requests.h
+++ b/tests/soak/fatal_requests.h
@@ -1,4 +1,4 @@
-// Requests that end the worker that begins them, and come again and again at any node.
+// Requests that crash the worker that begins them, and come again and again at any node.
 #pragma once
 
 #include <cstdint>
