Test of a release: its check is as it was; figures of a traced failure put right

Cause, found on reading the change again: let AReleasedRequestRuns pass with 7 runs under 6 ends, as it does BrokenItemsOfOtherWritersChangeNothing. Only for the latter a trace shows that case.

Change: six runs in all again.

--- a/tests/platform_adapter/crashing_requests_test.cc
+++ b/tests/platform_adapter/crashing_requests_test.cc
@@ -271,8 +271,7 @@
   CHECK(quarantine.has_value());
   const size_t begun = workers.Begun("/read/fatal").size();
   // All but the first two runs were counted before they were sent, or were begun beside these.
-  CHECK_EQUAL(kAllowedInAll, workers.ends());
-  CheckThatFewWorkersEnded(workers, "/read/fatal");
+  CHECK_EQUAL(kAllowedInAll, begun);
   CHECK_COMPARE(quarantine->trials, >=, 3U);
   fleet.Request(0, "GET", "/read/fatal", "");
   CHECK_EQUAL(begun, workers.Begun("/read/fatal").size());
--- a/tests/platform_adapter/stopping_node_test.cc
+++ b/tests/platform_adapter/stopping_node_test.cc
@@ -70,7 +70,7 @@
 // Seen once in the test above, on a machine that stood still for some 14 s meanwhile: 5 of 128
 // requests were not served. Runs hold slots while their calls need slots of the same workers, so
 // that a burst of runs waits for itself until the calls' deadlines. Proved by holding back all that
-// the process reads for 0.1 s: 2 to 59 were not served then, in 36 of 66 runs.
+// the process reads for 0.1 s: 2 to 60 were not served then, in 36 of 66 runs.
 TEST(StoppingNode, ABurstDoesNotFillTheFleetOfTheseTests) {
   Fleet fleet({"plain", "plain", "other"});
   fleet.Start();
