State feed: what carries its messages stands behind an interface

Cause: the time that a change of the state takes to all nodes depends on links and on busy machines, and could be tested on the real network of one machine only. Change: FeedTransport sends beacons and changes and asks for copies; NetworkFeedTransport does so by UDP and the kept connections, as before. No logic is changed.

--- /dev/null
+++ b/source/sidecar/feed_transport.cc
@@ -0,0 +1,68 @@
+#include "source/sidecar/feed_transport.h"
+
+#include <utility>
+
+#include "source/sidecar/peer_protocol.h"
+
+namespace runshelf::sidecar {
+namespace {
+
+constexpr int kOk = 200;
+constexpr const char* kTarget = "/state";
+
+http::RequestHead MessageHead() {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = kTarget;
+  return head;
+}
+
+http::CallSet::Callback AnswerTo(FeedTransport::Callback callback) {
+  return [callback = std::move(callback)](std::optional<http::Response> response) {
+    if (!response.has_value()) {
+      callback(std::nullopt);
+      return;
+    }
+    callback(FeedAnswer{response->status == kOk, std::move(response->body)});
+  };
+}
+
+}  // namespace
+
+NetworkFeedTransport::NetworkFeedTransport(event::EventLoop& loop, http::ConnectionPool& pool,
+                                           std::string ip_address, uint16_t port)
+    : ip_address_(std::move(ip_address)),
+      port_(port),
+      socket_(loop,
+              [this](std::string_view data) {
+                if (on_beacon_) on_beacon_(data);
+              }),
+      calls_(loop, pool) {}
+
+bool NetworkFeedTransport::ListenForBeacons(std::function<void(std::string_view)> on_beacon) {
+  on_beacon_ = std::move(on_beacon);
+  return port_ != 0 && socket_.Bind({ip_address_, port_}) == 0;
+}
+
+void NetworkFeedTransport::SendBeacon(const std::string& ip_address, std::string_view beacon) {
+  socket_.Send({ip_address, port_}, beacon);
+}
+
+void NetworkFeedTransport::SendChanges(const FeedReceiver& receiver, const std::string& changes,
+                                       Duration timeout, Callback callback) {
+  http::RequestHead head = MessageHead();
+  peer_protocol::MarkChangeSet(&head.headers);
+  if (receiver.reads_for_zone) peer_protocol::MarkForZone(&head.headers);
+  calls_.Start(receiver.endpoint, http::SerializeRequest(head, changes), http::CallOptions{},
+               timeout, AnswerTo(std::move(callback)));
+}
+
+void NetworkFeedTransport::AskForCopy(const event::Endpoint& source, const std::string& prefix,
+                                      Duration timeout, Callback callback) {
+  http::RequestHead head = MessageHead();
+  peer_protocol::MarkSnapshotRequest(prefix, &head.headers);
+  calls_.Start(source, http::SerializeRequest(head, ""), http::CallOptions{}, timeout,
+               AnswerTo(std::move(callback)));
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/feed_transport.h
@@ -0,0 +1,63 @@
+// How nodes tell each other of the state in the store, apart from what they tell.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "source/event/event_loop.h"
+#include "source/event/tcp_stream.h"
+#include "source/event/udp_socket.h"
+#include "source/http/call_set.h"
+#include "source/sidecar/feed_tree.h"
+
+namespace runshelf::sidecar {
+
+// What a node answered to a message of the feed.
+struct FeedAnswer {
+  bool accepted = false;
+  std::string body;
+};
+
+// Callbacks are never made inside a call. Destroying the transport cancels its calls.
+class FeedTransport {
+ public:
+  // The answer is absent when none came in time.
+  using Callback = std::function<void(std::optional<FeedAnswer>)>;
+
+  virtual ~FeedTransport() = default;
+  // Returns whether beacons of others can be received.
+  virtual bool ListenForBeacons(std::function<void(std::string_view)> on_beacon) = 0;
+  virtual void SendBeacon(const std::string& ip_address, std::string_view beacon) = 0;
+  virtual void SendChanges(const FeedReceiver& receiver, const std::string& changes,
+                           Duration timeout, Callback callback) = 0;
+  // Asks for the copy that a node has of a prefix.
+  virtual void AskForCopy(const event::Endpoint& source, const std::string& prefix,
+                          Duration timeout, Callback callback) = 0;
+};
+
+// Beacons by UDP, everything else by the kept connections between nodes.
+class NetworkFeedTransport : public FeedTransport {
+ public:
+  // `port`: of beacons, the same on all nodes; zero: none are exchanged.
+  NetworkFeedTransport(event::EventLoop& loop, http::ConnectionPool& pool, std::string ip_address,
+                       uint16_t port);
+
+  bool ListenForBeacons(std::function<void(std::string_view)> on_beacon) override;
+  void SendBeacon(const std::string& ip_address, std::string_view beacon) override;
+  void SendChanges(const FeedReceiver& receiver, const std::string& changes, Duration timeout,
+                   Callback callback) override;
+  void AskForCopy(const event::Endpoint& source, const std::string& prefix, Duration timeout,
+                  Callback callback) override;
+
+ private:
+  std::string ip_address_;
+  uint16_t port_;
+  std::function<void(std::string_view)> on_beacon_;
+  event::UdpSocket socket_;
+  http::CallSet calls_;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -61,14 +61,15 @@
   StateFeedConfig config;
   config.node = settings.node_name;
   config.zone = settings.zone;
-  config.ip_address = settings.ip_address;
-  // The first of the nodes' own ports carries load reports.
-  if (settings.peer_port_last > settings.peer_port_first) {
-    config.port = static_cast<uint16_t>(settings.peer_port_first + 1);
-  }
   return config;
 }
 
+uint16_t BeaconPort(const Settings& settings) {
+  // The first of the nodes' own ports carries load reports.
+  if (settings.peer_port_last <= settings.peer_port_first) return 0;
+  return static_cast<uint16_t>(settings.peer_port_first + 1);
+}
+
 // The part of `key` after `prefix`; empty when the key does not begin so.
 std::string NameAfter(const std::string& key, std::string_view prefix) {
   return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string();
--- a/source/sidecar/part_configs.h
+++ b/source/sidecar/part_configs.h
@@ -30,5 +30,7 @@
 ShardHolderConfig HolderConfig(const Settings& settings);
 ShardCoordinatorConfig CoordinatorConfig(const Settings& settings);
 StateFeedConfig FeedConfig(const Settings& settings);
+// Of the beacons of the state feed; zero: the settings name no port for them.
+uint16_t BeaconPort(const Settings& settings);
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "source/sidecar/peer_protocol.h"
 #include "source/sidecar/text_patch.h"
 
 namespace runshelf::sidecar {
@@ -12,26 +11,23 @@
 
 // Nodes that watch the store: the leader and the one that stands by.
 constexpr size_t kWatchingNodes = 2;
-constexpr int kTaken = 200;
-constexpr const char* kPushTarget = "/state";
 // Larger items are passed on as patches.
 constexpr size_t kPatchedItemBytes = 1024;
 
 }  // namespace
 
-StateFeed::StateFeed(event::EventLoop& loop, http::ConnectionPool& pool, PeerDirectory& peers,
-                     std::vector<store::PrefixWatcher*> watchers, LogWriter& log,
+StateFeed::StateFeed(event::EventLoop& loop, std::unique_ptr<FeedTransport> transport,
+                     PeerDirectory& peers, std::vector<store::PrefixWatcher*> watchers, LogWriter& log,
                      StateFeedConfig config)
     : loop_(loop),
+      transport_(std::move(transport)),
       peers_(peers),
       watchers_(std::move(watchers)),
       log_(log),
       config_(std::move(config)),
       tree_(peers, config_.node, config_.zone),
       timer_(loop, [this] { Tick(); }),
-      catch_up_timer_(loop, [this] { CatchUp(); }),
-      socket_(loop, [this](std::string_view data) { OnBeacon(data); }),
-      pushes_(loop, pool) {}
+      catch_up_timer_(loop, [this] { CatchUp(); }) {}
 
 StateFeed::~StateFeed() = default;
 
@@ -42,9 +38,7 @@
         [this, watcher](const std::function<void(bool)>& done) { AskForSnapshot(watcher, done); });
   }
   heard_at_ = started_at_;
-  if (config_.port == 0) return;
-  bound_ = socket_.Bind({config_.ip_address, config_.port}) == 0;
-  if (!bound_) return;
+  if (!transport_->ListenForBeacons([this](std::string_view data) { OnBeacon(data); })) return;
   // Until a leader is heard, or none is after all.
   SetRole(/*leading=*/false, /*watching=*/false);
   Tick();
@@ -104,7 +98,7 @@
   for (const auto& [node, peer] : peers_.peers()) {
     if (node == config_.node) continue;
     peers_.OnTraffic(TrafficKind::kBeacons, node, text.size());
-    socket_.Send({peer.record.inbound.ip, config_.port}, text);
+    transport_->SendBeacon(peer.record.inbound.ip, text);
   }
 }
 
@@ -168,21 +162,17 @@
     done(false);
     return;
   }
-  http::RequestHead head;
-  head.method = "POST";
-  head.target = kPushTarget;
-  peer_protocol::MarkSnapshotRequest(watcher->prefix(), &head.headers);
-  pushes_.Start(source->endpoint, http::SerializeRequest(head, ""), http::CallOptions{},
-                config_.snapshot_timeout,
-                [this, done, node = source->node](const std::optional<http::Response>& response) {
-                  const bool answered = response.has_value() && response->status == kTaken;
-                  if (answered) {
-                    OnPassedOn(response->body, /*for_zone=*/false);
-                  } else {
-                    tree_.OnReaderFailed(loop_.Now(), node);
-                  }
-                  done(answered);
-                });
+  transport_->AskForCopy(
+      source->endpoint, watcher->prefix(), config_.snapshot_timeout,
+      [this, done, node = source->node](const std::optional<FeedAnswer>& answer) {
+        const bool answered = answer.has_value() && answer->accepted;
+        if (answered) {
+          OnPassedOn(answer->body, /*for_zone=*/false);
+        } else {
+          tree_.OnReaderFailed(loop_.Now(), node);
+        }
+        done(answered);
+      });
 }
 
 std::optional<std::string> StateFeed::SnapshotFor(const std::string& prefix) {
@@ -251,26 +241,21 @@
 
 void StateFeed::Push(const FeedReceiver& receiver, const std::shared_ptr<const std::string>& body,
                      size_t tries_left) {
-  http::RequestHead head;
-  head.method = "POST";
-  head.target = kPushTarget;
-  peer_protocol::MarkChangeSet(&head.headers);
-  if (receiver.reads_for_zone) peer_protocol::MarkForZone(&head.headers);
   peers_.OnTraffic(TrafficKind::kStateChanges, receiver.node, body->size());
   // A change that does not arrive is noticed by the next beacon. A zone without its reader would
   // read the store node by node, so that the next one in line is asked.
-  pushes_.Start(receiver.endpoint, http::SerializeRequest(head, *body), http::CallOptions{},
-                config_.push_timeout,
-                [this, receiver, body, tries_left](const std::optional<http::Response>& response) {
-                  const bool taken = response.has_value() && response->status == kTaken;
-                  if (taken || !receiver.reads_for_zone) return;
-                  tree_.OnReaderFailed(loop_.Now(), receiver.node);
-                  log_.Write(LogLevel::kInfo, "zone_reader_failed",
-                             {{"node", receiver.node}, {"zone", receiver.zone}});
-                  const auto next = tree_.ReaderOf(loop_.Now(), receiver.zone);
-                  if (tries_left <= 1 || !next.has_value() || next->node == receiver.node) return;
-                  Push(*next, body, tries_left - 1);
-                });
+  transport_->SendChanges(
+      receiver, *body, config_.push_timeout,
+      [this, receiver, body, tries_left](const std::optional<FeedAnswer>& answer) {
+        const bool taken = answer.has_value() && answer->accepted;
+        if (taken || !receiver.reads_for_zone) return;
+        tree_.OnReaderFailed(loop_.Now(), receiver.node);
+        log_.Write(LogLevel::kInfo, "zone_reader_failed",
+                   {{"node", receiver.node}, {"zone", receiver.zone}});
+        const auto next = tree_.ReaderOf(loop_.Now(), receiver.zone);
+        if (tries_left <= 1 || !next.has_value() || next->node == receiver.node) return;
+        Push(*next, body, tries_left - 1);
+      });
 }
 
 bool StateFeed::OnPassedOn(const std::string& body, bool for_zone) {
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -17,9 +17,8 @@
 #include <vector>
 
 #include "source/event/event_loop.h"
-#include "source/event/udp_socket.h"
-#include "source/http/call_set.h"
 #include "source/sidecar/feed_messages.h"
+#include "source/sidecar/feed_transport.h"
 #include "source/sidecar/feed_tree.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/peer_directory.h"
@@ -30,8 +29,6 @@
 struct StateFeedConfig {
   std::string node;
   std::string zone;
-  std::string ip_address;
-  uint16_t port = 0;  // Of beacons, the same on all nodes; zero: every node watches for itself.
   Duration beacon_interval = std::chrono::milliseconds(400);
   // Without a beacon for this long the second node leads, for twice as long the third, and so on:
   // several of the first may have been lost together, and stay listed until their leases end.
@@ -58,7 +55,8 @@
 
 class StateFeed {
  public:
-  StateFeed(event::EventLoop& loop, http::ConnectionPool& pool, PeerDirectory& peers,
+  // A node whose transport receives no beacons watches the store for itself.
+  StateFeed(event::EventLoop& loop, std::unique_ptr<FeedTransport> transport, PeerDirectory& peers,
             std::vector<store::PrefixWatcher*> watchers, LogWriter& log, StateFeedConfig config);
   ~StateFeed();
 
@@ -101,6 +99,7 @@
   void SetRole(bool leading, bool watching);
 
   event::EventLoop& loop_;
+  std::unique_ptr<FeedTransport> transport_;
   PeerDirectory& peers_;
   std::vector<store::PrefixWatcher*> watchers_;
   LogWriter& log_;
@@ -108,14 +107,12 @@
   FeedTree tree_;
   event::Timer timer_;
   event::Timer catch_up_timer_;
-  event::UdpSocket socket_;
   std::map<std::string, store::Revision> announced_;  // By the latest beacon.
   std::function<bool()> store_answers_;
   std::map<std::string, store::Item> large_items_;  // As they were passed on, or seen, last.
   std::map<std::string, Instant> changed_at_;       // By prefix: the latest change from the store.
   std::map<std::string, store::Revision>
       helped_with_;  // By prefix: passed on in the leader's place.
-  http::CallSet pushes_;
   Instant started_at_{};
   Instant heard_at_{};    // The latest beacon of another node.
   std::string heard_of_;  // That node.
@@ -125,7 +122,6 @@
     std::string bytes;
   };
   std::map<std::string, SerializedSnapshot> snapshots_;
-  bool bound_ = false;
   bool leading_ = false;
   bool watching_ = true;
   bool stands_by_ = false;
