State feed: nodes tell how long they are behind, how long turns of the loop last, and what transfers take

Cause: the record of the incident does not tell apart a node that was told of a change and could not get it, one that was told nothing, one whose loop stood still, and one whose leader was behind.

Change: FreshnessTracker compares each part of the state with what others announced; metrics runshelf_state_behind_seconds, _revision, _announced_revision, _silence_seconds, runshelf_loop_turn_seconds, runshelf_state_transfer_seconds and _bytes_total; lines state_caught_up, state_transfer_failed, long_loop_turn. No logic of the feed is changed.

--- a/source/event/event_loop.cc
+++ b/source/event/event_loop.cc
@@ -4,7 +4,10 @@
 
 namespace runshelf::event {
 
-EventLoop::EventLoop() { uv_loop_init(&loop_); }
+EventLoop::EventLoop() {
+  uv_loop_init(&loop_);
+  uv_loop_configure(&loop_, UV_METRICS_IDLE_TIME);  // See LoopMonitor.
+}
 
 EventLoop::~EventLoop() {
   // Handles that were closed are freed by their close callbacks, which need turns of the loop.
--- /dev/null
+++ b/source/event/loop_monitor.cc
@@ -0,0 +1,45 @@
+#include "source/event/loop_monitor.h"
+
+#include <utility>
+
+namespace runshelf::event {
+
+struct LoopMonitor::Handle {
+  uv_prepare_t prepare{};
+  std::function<void(Duration)> on_turn;
+  uint64_t turn_started_at = 0;  // In nanoseconds; zero: no turn was seen yet.
+  uint64_t idle_at_start = 0;    // Nanoseconds that the loop had waited by then.
+
+  void OnBeforeWait() {
+    const uint64_t now = uv_hrtime();
+    const uint64_t idle = uv_metrics_idle_time(prepare.loop);
+    const uint64_t elapsed = now - turn_started_at;
+    const uint64_t waited = idle - idle_at_start;
+    const bool measured = turn_started_at != 0;
+    turn_started_at = now;
+    idle_at_start = idle;
+    if (!measured || !on_turn) return;
+    const uint64_t worked = elapsed > waited ? elapsed - waited : 0;
+    on_turn(std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(worked)));
+  }
+};
+
+LoopMonitor::LoopMonitor(EventLoop& loop, std::function<void(Duration)> on_turn)
+    : handle_(new Handle) {
+  handle_->on_turn = std::move(on_turn);
+  uv_prepare_init(loop.raw(), &handle_->prepare);
+  handle_->prepare.data = handle_;
+  uv_prepare_start(&handle_->prepare, [](uv_prepare_t* prepare) {
+    static_cast<Handle*>(prepare->data)->OnBeforeWait();
+  });
+  // It does not keep the loop running by itself.
+  uv_unref(reinterpret_cast<uv_handle_t*>(&handle_->prepare));
+}
+
+LoopMonitor::~LoopMonitor() {
+  handle_->on_turn = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->prepare),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+}  // namespace runshelf::event
--- /dev/null
+++ b/source/sidecar/freshness_tracker.cc
@@ -0,0 +1,24 @@
+#include "source/sidecar/freshness_tracker.h"
+
+#include <algorithm>
+
+namespace runshelf::sidecar {
+
+void FreshnessTracker::OnAnnounced(Instant now, store::Revision announced) {
+  announced_ = std::max(announced_, announced);
+  if (announced_ > known_ && !behind_since_.has_value()) behind_since_ = now;
+}
+
+std::optional<Duration> FreshnessTracker::OnKnown(Instant now, store::Revision known) {
+  known_ = std::max(known_, known);
+  if (!behind_since_.has_value() || known_ < announced_) return std::nullopt;
+  const Duration behind_for = now - *behind_since_;
+  behind_since_.reset();
+  return behind_for;
+}
+
+Freshness FreshnessTracker::At(Instant now) const {
+  return {known_, announced_, behind_since_.has_value() ? now - *behind_since_ : Duration(0)};
+}
+
+}  // namespace runshelf::sidecar
--- /dev/null
+++ b/source/sidecar/freshness_tracker.h
@@ -0,0 +1,34 @@
+// Tells how far this node's copy of a part of the state is behind, and for how long.
+#pragma once
+
+#include <optional>
+
+#include "runshelf/common/clock.h"
+#include "source/store/store_operations.h"
+
+namespace runshelf::sidecar {
+
+// What one node knows of a part of the state, and what it could know.
+struct Freshness {
+  store::Revision known = 0;      // Its copy includes all changes up to this one.
+  store::Revision announced = 0;  // The newest that another node said to include.
+  Duration behind_for{0};         // Since that was heard; zero: the copy includes it.
+};
+
+// Deterministic; not thread-safe.
+class FreshnessTracker {
+ public:
+  // Another node has all changes up to `announced`.
+  void OnAnnounced(Instant now, store::Revision announced);
+  // The copy includes all changes up to `known`. Returns for how long it was behind, when it no
+  // longer is.
+  std::optional<Duration> OnKnown(Instant now, store::Revision known);
+  Freshness At(Instant now) const;
+
+ private:
+  store::Revision known_ = 0;
+  store::Revision announced_ = 0;
+  std::optional<Instant> behind_since_;
+};
+
+}  // namespace runshelf::sidecar
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -25,6 +25,10 @@
 
 struct NodeMetrics::Families {
   std::array<prometheus::Histogram*, kOutcomeNames.size()> latencies{};
+  prometheus::Histogram* loop_turns;
+  prometheus::Histogram* transfers_succeeded;
+  prometheus::Histogram* transfers_failed;
+  prometheus::Counter* transfer_bytes;
 
   explicit Families(prometheus::Registry* registry) {
     auto& latency = prometheus::BuildHistogram()
@@ -34,6 +38,22 @@
     for (size_t index = 0; index < kOutcomeNames.size(); ++index) {
       latencies[index] = &latency.Add({{"outcome", kOutcomeNames[index]}}, LatencyBuckets());
     }
+    loop_turns = &prometheus::BuildHistogram()
+                      .Name("runshelf_loop_turn_seconds")
+                      .Help("Time for which the event loop was at work between two waits.")
+                      .Register(*registry)
+                      .Add({}, LatencyBuckets());
+    auto& transfers = prometheus::BuildHistogram()
+                          .Name("runshelf_state_transfer_seconds")
+                          .Help("Duration of transfers of the state that this node began.")
+                          .Register(*registry);
+    transfers_succeeded = &transfers.Add({{"outcome", "succeeded"}}, LatencyBuckets());
+    transfers_failed = &transfers.Add({{"outcome", "failed"}}, LatencyBuckets());
+    transfer_bytes = &prometheus::BuildCounter()
+                          .Name("runshelf_state_transfer_bytes_total")
+                          .Help("Bytes of the state in transfers that this node began.")
+                          .Register(*registry)
+                          .Add({});
   }
 };
 
@@ -48,6 +68,17 @@
       std::chrono::duration<double>(age).count());
 }
 
+void NodeMetrics::OnLoopTurn(Duration turn) {
+  families_->loop_turns->Observe(std::chrono::duration<double>(turn).count());
+}
+
+void NodeMetrics::OnStateTransfer(bool succeeded, size_t bytes, Duration took) {
+  prometheus::Histogram* transfers =
+      succeeded ? families_->transfers_succeeded : families_->transfers_failed;
+  transfers->Observe(std::chrono::duration<double>(took).count());
+  families_->transfer_bytes->Increment(static_cast<double>(bytes));
+}
+
 std::string NodeMetrics::Serialize(const NodeGauges& gauges) const {
   prometheus::Registry now;
   const auto gauge = [&](const char* name, const char* help, double value) {
@@ -94,6 +125,26 @@
   counter("runshelf_retries_total", "Requests sent once more.", gauges.retries);
   counter("runshelf_log_lines_dropped_total", "Log lines lost since nobody read them in time.",
           gauges.log_lines_dropped);
+  gauge("runshelf_state_silence_seconds", "Since the latest beacon of another node.",
+        std::chrono::duration<double>(gauges.silence_of_others).count());
+  auto& behind = prometheus::BuildGauge()
+                     .Name("runshelf_state_behind_seconds")
+                     .Help("For how long others have announced changes that are missing here.")
+                     .Register(now);
+  auto& known = prometheus::BuildGauge()
+                    .Name("runshelf_state_revision")
+                    .Help("Up to which the copy of a part of the state is complete.")
+                    .Register(now);
+  auto& announced = prometheus::BuildGauge()
+                        .Name("runshelf_state_announced_revision")
+                        .Help("The newest that another node said to have.")
+                        .Register(now);
+  for (const auto& [prefix, freshness] : gauges.freshness) {
+    behind.Add({{"prefix", prefix}})
+        .Set(std::chrono::duration<double>(freshness.behind_for).count());
+    known.Add({{"prefix", prefix}}).Set(static_cast<double>(freshness.known));
+    announced.Add({{"prefix", prefix}}).Set(static_cast<double>(freshness.announced));
+  }
   // Single values first: a reader that takes only the beginning of a long text still has them.
   auto collected = now.Collect();
   for (auto& family : registry_->Collect()) collected.push_back(std::move(family));
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
 #include "runshelf/common/clock.h"
 #include "runshelf/routing/target_load.h"
+#include "source/sidecar/freshness_tracker.h"
 #include "source/sidecar/request_counts.h"
 #include "source/store/store_operations.h"
 
@@ -43,6 +45,8 @@
   uint64_t quarantine_refusals = 0;
   uint64_t quarantine_trials = 0;
   uint64_t log_lines_dropped = 0;
+  std::map<std::string, Freshness> freshness;  // Of the parts of the state, by prefix.
+  Duration silence_of_others{0};               // Since the latest beacon of another node.
 };
 
 class NodeMetrics {
@@ -54,6 +58,10 @@
 
   // `age`: from the arrival of the request to its final answer.
   void OnRequest(RequestOutcome outcome, Duration age);
+  // `turn`: time for which the event loop was at work between two waits.
+  void OnLoopTurn(Duration turn);
+  // A transfer of a part of the state that this node began has ended.
+  void OnStateTransfer(bool succeeded, size_t bytes, Duration took);
   std::string Serialize(const NodeGauges& gauges) const;
 
  private:
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -20,9 +20,11 @@
 // Before the end of the time in which a draining worker may be sent requests: what is sent then
 // must still arrive in time.
 constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
-// Time without a turn of the loop after which everything known may be old.
 // Between lines that tell what is exchanged with other nodes and the store.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
+// A turn of the event loop that is worth a line: health checks and beacons wait as long.
+constexpr Duration kLongTurn = std::chrono::milliseconds(250);
+// Time without a turn of the loop after which everything known may be old.
 constexpr Duration kPauseNoticed = std::chrono::milliseconds(2500);
 // Nodes that write an end they were told of to the store. Of a fleet whose nodes are started again
 // while the store is away some must live on; each may cost a call or two when the store is back.
@@ -73,6 +75,7 @@
             std::make_unique<NetworkFeedTransport>(loop, pool_, settings_.ip_address,
                                                    BeaconPort(settings_)),
             peers_, {&configuration_watcher_, &state_watcher_}, log, FeedConfig(settings_)),
+      loop_monitor_(loop, [this](Duration turn) { OnLoopTurn(turn); }),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
       inbound_handler_(loop, gate_, store_, feed_, quarantine_, log, stop_schedule_,
@@ -117,6 +120,9 @@
     configuration_watcher_.RetryNow();
     state_watcher_.RetryNow();
   });
+  feed_.set_on_transfer([this](const StateTransfer& transfer) {
+    metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
+  });
   feed_.set_store_answers([this] { return store_.direct_way_works(); });
   peers_.set_on_stop_notice([this](const std::string& node) {
     log_.Write(LogLevel::kInfo, "peer_stopping",
@@ -229,6 +235,8 @@
   gauges.quarantine_refusals = quarantine_.refusals();
   gauges.quarantine_trials = quarantine_.trials();
   gauges.log_lines_dropped = log_.dropped();
+  gauges.freshness = feed_.FreshnessOfState();
+  gauges.silence_of_others = feed_.SilenceOfOthers();
   http::Headers headers;
   headers.Add("Content-Type", "text/plain; version=0.0.4");
   exchange->Respond(kOk, headers, metrics_.Serialize(gauges));
@@ -479,6 +487,12 @@
               {"store_passed_on", calls.passed_on}});
 }
 
+void Sidecar::OnLoopTurn(Duration turn) {
+  metrics_.OnLoopTurn(turn);
+  if (turn < kLongTurn) return;
+  log_.Write(LogLevel::kWarning, "long_loop_turn", {{"turn_ms", ToMilliseconds(turn)}});
+}
+
 void Sidecar::Stop(std::function<void()> on_stopped) {
   if (stop_schedule_.begun()) return;
   outbound_.StartClosing();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -7,6 +7,7 @@
 
 #include "runshelf/common/random.h"
 #include "source/event/event_loop.h"
+#include "source/event/loop_monitor.h"
 #include "source/http/call_set.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
@@ -96,6 +97,7 @@
   void ReadState();
   void OnTick();
   void LogTraffic();
+  void OnLoopTurn(Duration turn);
 
   event::EventLoop& loop_;
   Settings settings_;
@@ -124,6 +126,7 @@
   store::PrefixWatcher state_watcher_;
   StateFeed feed_;
   NodeMetrics metrics_;
+  event::LoopMonitor loop_monitor_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
   http::Server outbound_;
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -17,8 +17,8 @@
 }  // namespace
 
 StateFeed::StateFeed(event::EventLoop& loop, std::unique_ptr<FeedTransport> transport,
-                     PeerDirectory& peers, std::vector<store::PrefixWatcher*> watchers, LogWriter& log,
-                     StateFeedConfig config)
+                     PeerDirectory& peers, std::vector<store::PrefixWatcher*> watchers,
+                     LogWriter& log, StateFeedConfig config)
     : loop_(loop),
       transport_(std::move(transport)),
       peers_(peers),
@@ -111,11 +111,47 @@
   announced_ = std::move(beacon->revisions);
   for (const store::PrefixWatcher* watcher : watchers_) {
     const auto announced = announced_.find(watcher->prefix());
-    if (announced == announced_.end() || watcher->CompleteTo(announced->second)) continue;
+    if (announced == announced_.end()) continue;
+    freshness_[watcher->prefix()].OnAnnounced(heard_at_, announced->second);
+    UpdateFreshness(*watcher);
+    if (watcher->CompleteTo(announced->second)) continue;
     if (!catch_up_timer_.active()) catch_up_timer_.Start(config_.catch_up_delay);
   }
 }
 
+void StateFeed::UpdateFreshness(const store::PrefixWatcher& watcher) {
+  const auto behind_for = freshness_[watcher.prefix()].OnKnown(loop_.Now(), watcher.revision());
+  // Announcements overtake changes; only what takes longer than that is worth a line.
+  if (!behind_for.has_value() || *behind_for < config_.beacon_interval) return;
+  log_.Write(LogLevel::kInfo, "state_caught_up",
+             {{"prefix", watcher.prefix()},
+              {"revision", watcher.revision()},
+              {"behind_ms", ToMilliseconds(*behind_for)}});
+}
+
+std::map<std::string, Freshness> StateFeed::FreshnessOfState() const {
+  std::map<std::string, Freshness> result;
+  for (const store::PrefixWatcher* watcher : watchers_) {
+    const auto tracker = freshness_.find(watcher->prefix());
+    Freshness freshness;
+    if (tracker != freshness_.end()) freshness = tracker->second.At(loop_.Now());
+    freshness.known = watcher->revision();
+    result[watcher->prefix()] = freshness;
+  }
+  return result;
+}
+
+void StateFeed::OnTransferEnd(const StateTransfer& transfer, const std::string& node) {
+  if (on_transfer_) on_transfer_(transfer);
+  if (transfer.succeeded) return;
+  const bool copy = transfer.kind == StateTransfer::Kind::kCopy;
+  log_.Write(LogLevel::kInfo, "state_transfer_failed",
+             {{"kind", copy ? "copy" : "changes"},
+              {"node", node},
+              {"bytes", transfer.bytes},
+              {"took_ms", ToMilliseconds(transfer.took)}});
+}
+
 // The store may refuse the leader while it serves this node.
 void StateFeed::HelpLeader(const StateBeacon& beacon) {
   for (const store::PrefixWatcher* watcher : watchers_) {
@@ -164,8 +200,11 @@
   }
   transport_->AskForCopy(
       source->endpoint, watcher->prefix(), config_.snapshot_timeout,
-      [this, done, node = source->node](const std::optional<FeedAnswer>& answer) {
+      [this, done, node = source->node,
+       begun_at = loop_.Now()](const std::optional<FeedAnswer>& answer) {
         const bool answered = answer.has_value() && answer->accepted;
+        const size_t bytes = answered ? answer->body.size() : 0;
+        OnTransferEnd({StateTransfer::Kind::kCopy, bytes, answered, loop_.Now() - begun_at}, node);
         if (answered) {
           OnPassedOn(answer->body, /*for_zone=*/false);
         } else {
@@ -203,6 +242,7 @@
 
 void StateFeed::OnChanges(const store::PrefixWatcher& watcher, const store::ChangeSet& changes) {
   changed_at_[watcher.prefix()] = loop_.Now();
+  UpdateFreshness(watcher);
   const PassedOnChanges passed_on = PatchLargeItems(changes);
   if (leading_) PushToAll(SerializeChanges(watcher.prefix(), passed_on));
 }
@@ -246,8 +286,11 @@
   // read the store node by node, so that the next one in line is asked.
   transport_->SendChanges(
       receiver, *body, config_.push_timeout,
-      [this, receiver, body, tries_left](const std::optional<FeedAnswer>& answer) {
+      [this, receiver, body, tries_left,
+       begun_at = loop_.Now()](const std::optional<FeedAnswer>& answer) {
         const bool taken = answer.has_value() && answer->accepted;
+        OnTransferEnd({StateTransfer::Kind::kChanges, body->size(), taken, loop_.Now() - begun_at},
+                      receiver.node);
         if (taken || !receiver.reads_for_zone) return;
         tree_.OnReaderFailed(loop_.Now(), receiver.node);
         log_.Write(LogLevel::kInfo, "zone_reader_failed",
@@ -271,6 +314,7 @@
       watcher->CatchUp(changes.to);
     }
     // One that watches the store gets from there what it cannot take from another's patch.
+    UpdateFreshness(*watcher);
   }
   // After they were applied: they may tell of nodes of the zone.
   if (for_zone) PushToZone(body);
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -20,6 +20,7 @@
 #include "source/sidecar/feed_messages.h"
 #include "source/sidecar/feed_transport.h"
 #include "source/sidecar/feed_tree.h"
+#include "source/sidecar/freshness_tracker.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/store/prefix_watcher.h"
@@ -53,6 +54,15 @@
   store::WatchPace alone_pace{std::chrono::milliseconds(500), 1};
 };
 
+// A transfer of a part of the state between two nodes, seen by the one that began it.
+struct StateTransfer {
+  enum class Kind { kChanges, kCopy };
+  Kind kind = Kind::kChanges;
+  size_t bytes = 0;        // Of the changes that were sent, or of the copy that came.
+  bool succeeded = false;  // The other node answered in time, and did not refuse.
+  Duration took{0};
+};
+
 class StateFeed {
  public:
   // A node whose transport receives no beacons watches the store for itself.
@@ -65,6 +75,11 @@
     store_answers_ = std::move(store_answers);
   }
 
+  // Called at the end of each transfer that this node began.
+  void set_on_transfer(std::function<void(const StateTransfer&)> on_transfer) {
+    on_transfer_ = std::move(on_transfer);
+  }
+
   void Start();
   // This node is about to end: it does not begin to lead, and if it leads, it goes on to until it
   // ends, so that nobody is without news before the next one in line knows.
@@ -77,11 +92,18 @@
   // This node's copy of a prefix, for another one that lacks changes; nullopt: it has none.
   std::optional<std::string> SnapshotFor(const std::string& prefix);
   bool leading() const { return leading_; }
+  // By prefix.
+  std::map<std::string, Freshness> FreshnessOfState() const;
+  // Since the latest beacon of another node, or since the start.
+  Duration SilenceOfOthers() const { return loop_.Now() - heard_at_; }
 
  private:
   void Tick();
   void OnBeacon(std::string_view data);
   void CatchUp();
+  // Compares this node's copy of a prefix with what others announced.
+  void UpdateFreshness(const store::PrefixWatcher& watcher);
+  void OnTransferEnd(const StateTransfer& transfer, const std::string& node);
   // Asks a node that is likely to have the changes that `watcher` lacks.
   void AskForSnapshot(store::PrefixWatcher* watcher, const std::function<void(bool)>& done);
   std::optional<FeedReceiver> SnapshotSource() const;
@@ -107,8 +129,10 @@
   FeedTree tree_;
   event::Timer timer_;
   event::Timer catch_up_timer_;
-  std::map<std::string, store::Revision> announced_;  // By the latest beacon.
+  std::map<std::string, store::Revision> announced_;   // By the latest beacon.
+  std::map<std::string, FreshnessTracker> freshness_;  // By prefix.
   std::function<bool()> store_answers_;
+  std::function<void(const StateTransfer&)> on_transfer_;
   std::map<std::string, store::Item> large_items_;  // As they were passed on, or seen, last.
   std::map<std::string, Instant> changed_at_;       // By prefix: the latest change from the store.
   std::map<std::string, store::Revision>
--- a/tests/event/event_loop_test.cc
+++ b/tests/event/event_loop_test.cc
@@ -2,10 +2,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <memory>
 
+#include "source/event/loop_monitor.h"
 #include "source/event/tcp_stream.h"
 #include "source/event/udp_socket.h"
 #include "tests/event/loop_runner.h"
@@ -50,6 +52,23 @@
   CHECK(loop.Now() < since_start + std::chrono::seconds(1));
 }
 
+// Guards against a loop that stands still over one event, and of which nothing shows it.
+TEST(EventLoop, ALongTurnIsMeasuredAndWaitingIsNot) {
+  Duration longest{0};
+  LoopMonitor monitor(loop, [&](Duration turn) { longest = std::max(longest, turn); });
+  RunFor(loop, std::chrono::milliseconds(60));
+  const Duration longest_without_work = longest;
+  Timer busy(loop, [&] {
+    const Instant end = loop.Now() + std::chrono::milliseconds(200);
+    while (loop.Now() < end) {
+    }
+  });
+  busy.Start(Duration(0));
+  RunFor(loop, std::chrono::milliseconds(300));
+  CHECK(longest >= std::chrono::milliseconds(200));
+  CHECK(longest_without_work < std::chrono::milliseconds(50));
+}
+
 TEST(EventLoop, ASignalIsDelivered) {
   int count = 0;
   SignalWatcher watcher(loop, SIGUSR1, [&] { ++count; });
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -502,7 +502,9 @@
   for (const char* line : {"runshelf_request_duration_seconds_count{outcome=\"served\"} 1",
                            "runshelf_request_duration_seconds_count{outcome=\"unknown_route\"} 1",
                            "runshelf_configuration_version 1", "runshelf_live_nodes 2",
-                           "runshelf_ready 1", "# TYPE runshelf_store_calls_total counter"}) {
+                           "runshelf_ready 1", "# TYPE runshelf_store_calls_total counter",
+                           "runshelf_state_behind_seconds{prefix=\"op/config\"} 0",
+                           "runshelf_loop_turn_seconds_count"}) {
     CHECK_TEXT(text.find(line) != std::string::npos, line);
   }
   // A reader that takes only the beginning of the text has the single values.
