Test that fails: a large change reaches nodes behind narrow links too late (CONFIG)

What callers saw: a node answered by a configuration that had been replaced more than 2.5 s before; it had not answered health checks for 4.7 s, though nothing had happened to its machine.

Reproduction: state feeds of 30 nodes over simulated links of 13 Mbit/s (packets in line, 32 kB in flight for each connection), a store behind the same links, and the processor time that a change takes.

The reader that has the narrow link sends 28 copies of 110 kB at once, none of which arrives within the 400 ms that a push may take; then all nodes ask for whole copies, and then read the store.

--- /dev/null
+++ b/tests/platform_adapter/state_spread.cc
@@ -0,0 +1,414 @@
+#include "tests/platform_adapter/state_spread.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "source/sidecar/feed_transport.h"
+#include "tests/event/loop_runner.h"
+
+namespace runshelf::platform_adapter {
+namespace {
+
+constexpr const char* kKey = "op/config";
+constexpr const char* kStoreMachine = "store";
+constexpr double kStoreBytesPerSecond = 125e6;
+constexpr double kBytesPerMegabit = 125000;
+// Processor time to take over a changed item, of one whole core.
+constexpr double kSecondsPerByte = 1.0e-7;
+constexpr size_t kMessageOverheadBytes = 200;
+constexpr double kPercent = 100;
+
+}  // namespace
+
+// A connection of a node to the store: bytes of answers share the node's link with all others.
+class StateSpread::StoreConnection : public std::enable_shared_from_this<StoreConnection> {
+ public:
+  StoreConnection(StateSpread* spread, std::string node, std::unique_ptr<event::TcpStream> stream)
+      : spread_(spread), node_(std::move(node)), to_node_(this), to_store_(this) {
+    node_side_ = std::move(stream);
+    node_side_->set_observer(&to_store_);
+    store_side_ = event::TcpStream::Connect(spread->loop, spread->store.endpoint(), &to_node_);
+    node_side_->StartReading();
+    store_side_->StartReading();
+  }
+
+ private:
+  struct Side : event::StreamObserver {
+    explicit Side(StoreConnection* owner) : connection(owner) {}
+    void OnData(std::string_view data) override { connection->Carry(this, std::string(data)); }
+    void OnEnd(event::StreamEnd) override { connection->Close(); }
+    StoreConnection* connection;
+  };
+
+  void Carry(const Side* side, std::string data) {
+    const bool to_node = side == &to_node_;
+    std::string& waiting = to_node ? waiting_for_node_ : waiting_for_store_;
+    SimulatedLinks::Flow flow;
+    flow.from = to_node ? kStoreMachine : node_;
+    flow.to = to_node ? node_ : kStoreMachine;
+    flow.left = data.size();
+    waiting += data;
+    const std::weak_ptr<StoreConnection> self = weak_from_this();
+    flow.on_arrival = [self, to_node](size_t bytes) {
+      if (const auto connection = self.lock()) connection->Arrive(to_node, bytes);
+    };
+    spread_->links_.Send(std::move(flow));
+  }
+
+  void Arrive(bool to_node, size_t bytes) {
+    std::string& waiting = to_node ? waiting_for_node_ : waiting_for_store_;
+    const auto& stream = to_node ? node_side_ : store_side_;
+    if (stream != nullptr) stream->Write(std::string_view(waiting).substr(0, bytes));
+    waiting.erase(0, bytes);
+  }
+
+  void Close() {
+    node_side_.reset();
+    store_side_.reset();
+  }
+
+  StateSpread* spread_;
+  std::string node_;
+  Side to_node_;
+  Side to_store_;
+  std::unique_ptr<event::TcpStream> node_side_;
+  std::unique_ptr<event::TcpStream> store_side_;
+  std::string waiting_for_node_;
+  std::string waiting_for_store_;
+};
+
+class StateSpread::Transport : public sidecar::FeedTransport {
+ public:
+  Transport(StateSpread* spread, Node* node) : spread_(spread), node_(node) {}
+  ~Transport() override {
+    for (const auto& call : calls_) {
+      call->callback = nullptr;
+      call->timer.reset();
+    }
+  }
+
+  bool ListenForBeacons(std::function<void(std::string_view)> on_beacon) override {
+    on_beacon_ = std::move(on_beacon);
+    return true;
+  }
+  void SendBeacon(const std::string& ip_address, std::string_view beacon) override;
+  void SendChanges(const sidecar::FeedReceiver& receiver, const std::string& changes,
+                   Duration timeout, Callback callback) override;
+  void AskForCopy(const event::Endpoint& source, const std::string& prefix, Duration timeout,
+                  Callback callback) override;
+  void ReceiveBeacon(const std::string& beacon) {
+    if (on_beacon_) on_beacon_(beacon);
+  }
+
+ private:
+  struct Call {
+    Callback callback;
+    std::unique_ptr<event::Timer> timer;
+    std::shared_ptr<SimulatedLinks::Flow> flow;  // Under way now, of either direction.
+  };
+  using Handler =
+      std::function<void(Node* receiver, std::function<void(sidecar::FeedAnswer)> respond)>;
+
+  void Begin(const event::Endpoint& to, size_t bytes, Duration timeout, Handler handler,
+             Callback callback);
+  void End(std::shared_ptr<Call> call, std::optional<sidecar::FeedAnswer> answer);
+
+  StateSpread* spread_;
+  Node* node_;
+  std::function<void(std::string_view)> on_beacon_;
+  std::set<std::shared_ptr<Call>> calls_;  // Under way.
+};
+
+class StateSpread::Node {
+ public:
+  Node(StateSpread* spread, const std::string& name, const std::string& zone,
+       const MachineKind& machine, const event::Endpoint& inbound)
+      : spread_(spread),
+        processor_percent_(machine.processor_percent),
+        pool_(spread->loop),
+        listener_(spread->loop,
+                  [this](std::unique_ptr<event::TcpStream> stream) {
+                    connections_.push_back(std::make_shared<StoreConnection>(spread_, record_.node,
+                                                                             std::move(stream)));
+                  }),
+        store_(spread->loop, pool_, spread->codec_, StoreConfig()),
+        peers_(name, zone),
+        watcher_(spread->loop, store_, WatcherConfig(),
+                 {[this](const store::Item& item) { OnItem(item); }, nullptr, nullptr,
+                  [this](const store::ChangeSet& changes) { feed_.OnChanges(watcher_, changes); }}),
+        transport_(new Transport(spread, this)),
+        feed_(spread->loop, std::unique_ptr<sidecar::FeedTransport>(transport_), peers_,
+              {&watcher_}, spread->log_, FeedConfig(name, zone, machine)) {
+    record_.node = name;
+    record_.inbound = inbound;
+    record_.zone = zone;
+    record_.processor_percent = machine.processor_percent;
+    record_.link_megabits = machine.link_megabits;
+  }
+
+  void Start() {
+    watcher_.Start();
+    feed_.Start();
+  }
+  // Does it when the processor has nothing else to do.
+  void DoWhenFree(std::function<void()> action) {
+    const Duration wait = std::max(Duration(0), busy_until_ - spread_->loop.Now());
+    later_.push_back(std::make_unique<event::Timer>(spread_->loop, [this, action] {
+      if (busy_until_ > spread_->loop.Now()) {
+        DoWhenFree(action);
+      } else {
+        action();
+      }
+    }));
+    later_.back()->Start(wait);
+  }
+  void KeepBusy(Duration time) { busy_until_ = std::max(busy_until_, spread_->loop.Now()) + time; }
+
+  const sidecar::NodeRecord& record() const { return record_; }
+  sidecar::PeerDirectory& peers() { return peers_; }
+  sidecar::StateFeed& feed() { return feed_; }
+  Transport& transport() { return *transport_; }
+  Instant busy_until() const { return busy_until_; }
+  const std::string& value() const { return value_; }
+
+ private:
+  store::StoreClientConfig StoreConfig() {
+    listener_.Listen({"127.0.0.1", 0});
+    store::StoreClientConfig config;
+    config.endpoint = {"127.0.0.1", listener_.bound_port()};
+    return config;
+  }
+  static store::PrefixWatcherConfig WatcherConfig() {
+    store::PrefixWatcherConfig config;
+    config.prefix = kKey;
+    return config;
+  }
+  static sidecar::StateFeedConfig FeedConfig(const std::string& name, const std::string& zone,
+                                             const MachineKind&) {
+    sidecar::StateFeedConfig config;
+    config.node = name;
+    config.zone = zone;
+    return config;
+  }
+  void OnItem(const store::Item& item) {
+    value_ = item.value;
+    const double seconds =
+        static_cast<double>(item.value.size()) * kSecondsPerByte * kPercent / processor_percent_;
+    KeepBusy(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
+  }
+
+  StateSpread* spread_;
+  double processor_percent_;
+  sidecar::NodeRecord record_;
+  http::ConnectionPool pool_;
+  event::TcpListener listener_;
+  std::vector<std::shared_ptr<StoreConnection>> connections_;
+  store::StoreClient store_;
+  sidecar::PeerDirectory peers_;
+  store::PrefixWatcher watcher_;
+  Transport* transport_;  // Owned by the feed.
+  sidecar::StateFeed feed_;
+  std::vector<std::unique_ptr<event::Timer>> later_;
+  Instant busy_until_{};
+  std::string value_;
+};
+
+void StateSpread::Transport::SendBeacon(const std::string& ip_address, std::string_view beacon) {
+  Node* receiver = spread_->NodeAt({ip_address, 1});
+  SimulatedLinks::Flow flow;
+  flow.from = node_->record().node;
+  flow.to = receiver->record().node;
+  flow.left = beacon.size();
+  flow.not_before = node_->busy_until();
+  auto left = std::make_shared<size_t>(beacon.size());
+  flow.on_arrival = [receiver, left, text = std::string(beacon)](size_t bytes) {
+    *left -= bytes;
+    if (*left > 0) return;
+    receiver->DoWhenFree([receiver, text] { receiver->transport().ReceiveBeacon(text); });
+  };
+  spread_->links_.Send(std::move(flow));
+}
+
+void StateSpread::Transport::SendChanges(const sidecar::FeedReceiver& receiver,
+                                         const std::string& changes, Duration timeout,
+                                         Callback callback) {
+  Begin(
+      receiver.endpoint, changes.size(), timeout,
+      [changes, for_zone = receiver.reads_for_zone](
+          Node* node, const std::function<void(sidecar::FeedAnswer)>& respond) {
+        const bool understood = node->feed().OnPassedOn(changes, for_zone);
+        respond({understood, ""});
+      },
+      std::move(callback));
+}
+
+void StateSpread::Transport::AskForCopy(const event::Endpoint& source, const std::string& prefix,
+                                        Duration timeout, Callback callback) {
+  Begin(
+      source, 0, timeout,
+      [prefix](Node* node, const std::function<void(sidecar::FeedAnswer)>& respond) {
+        const auto copy = node->feed().SnapshotFor(prefix);
+        respond({copy.has_value(), copy.value_or("")});
+      },
+      std::move(callback));
+}
+
+void StateSpread::Transport::Begin(const event::Endpoint& to, size_t bytes, Duration timeout,
+                                   Handler handler, Callback callback) {
+  auto call = std::make_shared<Call>();
+  call->callback = std::move(callback);
+  calls_.insert(call);
+  const std::weak_ptr<Call> begun = call;
+  call->timer = std::make_unique<event::Timer>(spread_->loop,
+                                               [this, begun] { End(begun.lock(), std::nullopt); });
+  call->timer->Start(timeout);
+  Node* receiver = spread_->NodeAt(to);
+  const auto respond = [this, call, receiver](const sidecar::FeedAnswer& answer) {
+    if (!call->callback) return;
+    SimulatedLinks::Flow flow;
+    flow.from = receiver->record().node;
+    flow.to = node_->record().node;
+    flow.left = answer.body.size() + kMessageOverheadBytes;
+    flow.not_before = receiver->busy_until();
+    auto left = std::make_shared<size_t>(flow.left);
+    flow.on_arrival = [this, call, left, answer](size_t arrived) {
+      *left -= arrived;
+      if (*left > 0) return;
+      node_->DoWhenFree([this, call, answer] { End(call, answer); });
+    };
+    call->flow = spread_->links_.Send(std::move(flow));
+  };
+  SimulatedLinks::Flow flow;
+  flow.from = node_->record().node;
+  flow.to = receiver->record().node;
+  flow.left = bytes + kMessageOverheadBytes;
+  flow.not_before = node_->busy_until();
+  auto left = std::make_shared<size_t>(flow.left);
+  flow.on_arrival = [call, receiver, respond, handler = std::move(handler), left](size_t arrived) {
+    *left -= arrived;
+    if (*left > 0) return;
+    receiver->DoWhenFree([receiver, respond, handler] { handler(receiver, respond); });
+  };
+  call->flow = spread_->links_.Send(std::move(flow));
+}
+
+void StateSpread::Transport::End(std::shared_ptr<Call> call,
+                                 std::optional<sidecar::FeedAnswer> answer) {
+  if (!call->callback) return;
+  calls_.erase(call);
+  call->timer->Stop();
+  if (!answer.has_value() && call->flow != nullptr) spread_->links_.Abandon(call->flow);
+  const Callback callback = std::exchange(call->callback, nullptr);
+  callback(std::move(answer));
+}
+
+StateSpread::StateSpread()
+    : log_file_(std::tmpfile()), log_(loop, fileno(log_file_), sidecar::LogWriterConfig{}) {
+  links_.AddMachine(kStoreMachine, kStoreBytesPerSecond);
+}
+
+StateSpread::~StateSpread() {
+  nodes_.clear();
+  std::fclose(log_file_);
+}
+
+void StateSpread::AddNode(const std::string& name, const std::string& zone,
+                          const MachineKind& kind) {
+  links_.AddMachine(name, kind.link_megabits * kBytesPerMegabit);
+  const event::Endpoint inbound{fmt::format("10.0.0.{}", nodes_.size()), 1};
+  nodes_[name] = std::make_unique<Node>(this, name, zone, kind, inbound);
+}
+
+StateSpread::Node* StateSpread::NodeAt(const event::Endpoint& inbound) const {
+  const auto found = std::find_if(nodes_.begin(), nodes_.end(), [&](const auto& entry) {
+    return entry.second->record().inbound == inbound;
+  });
+  CHECK_TEXT(found != nodes_.end(), "no node has this address");
+  return found->second.get();
+}
+
+void StateSpread::Start() {
+  for (auto& [name, node] : nodes_) {
+    for (const auto& [other, peer] : nodes_) node->peers().OnRecord(peer->record());
+  }
+  for (auto& [name, node] : nodes_) node->Start();
+  const bool up = event::RunUntil(
+      loop, [this] { return NodesWithoutLatest().empty(); }, std::chrono::seconds(10));
+  CHECK_TEXT(up, "not every node has read the state");
+  written_.back().took = Duration(0);
+  event::RunFor(loop, std::chrono::seconds(2));
+}
+
+void StateSpread::KeepBusy(const std::string& node, Duration time) {
+  nodes_.at(node)->KeepBusy(time);
+}
+
+void StateSpread::Write(const std::string& value) {
+  written_.push_back({value, loop.Now(), std::nullopt});
+  store.Put(kKey, value);
+}
+
+std::optional<size_t> StateSpread::PlaceOf(const Node& node) const {
+  if (node.busy_until() > loop.Now()) return std::nullopt;
+  const auto found = std::find_if(written_.rbegin(), written_.rend(), [&](const auto& written) {
+    return written.value == node.value();
+  });
+  if (found == written_.rend()) return std::nullopt;
+  return static_cast<size_t>(written_.rend() - found) - 1;
+}
+
+std::vector<std::string> StateSpread::NodesWithoutLatest() const {
+  std::vector<std::string> names;
+  for (const auto& [name, node] : nodes_) {
+    if (PlaceOf(*node) != written_.size() - 1) names.push_back(name);
+  }
+  return names;
+}
+
+void StateSpread::NoteProgress() {
+  for (size_t place = 0; place < written_.size(); ++place) {
+    if (written_[place].took.has_value()) continue;
+    const bool everywhere = std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& entry) {
+      return PlaceOf(*entry.second) >= place;
+    });
+    if (everywhere) written_[place].took = loop.Now() - written_[place].written_at;
+  }
+}
+
+Duration StateSpread::AwaitLatest(Duration limit) {
+  const Instant end = written_.back().written_at + limit;
+  event::RunUntil(
+      loop,
+      [&] {
+        NoteProgress();
+        return written_.back().took.has_value();
+      },
+      end - loop.Now());
+  Duration longest{0};
+  for (const WrittenValue& written : written_) {
+    longest = std::max(longest, written.took.value_or(loop.Now() - written.written_at));
+  }
+  return longest;
+}
+
+Duration StateSpread::LongestWait() const {
+  Duration longest{0};
+  for (const auto& [name, node] : nodes_) longest = std::max(longest, links_.LongestWait(name));
+  return longest;
+}
+
+std::string StateSpread::Log() {
+  log_.Flush();
+  std::rewind(log_file_);
+  std::string text;
+  char buffer[4096];
+  size_t count = 0;
+  while ((count = std::fread(buffer, 1, sizeof buffer, log_file_)) > 0) text.append(buffer, count);
+  return text;
+}
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/state_spread_test.cc
@@ -0,0 +1,79 @@
+// How long changes of the state take to all nodes when their links are narrow.
+#include "tests/platform_adapter/state_spread.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include "runshelf/common/random.h"
+#include "tests/event/loop_runner.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+
+namespace {
+
+constexpr MachineKind kNarrow{10, 13};
+constexpr MachineKind kWide{50, 200};
+constexpr MachineKind kLeader{100, 200};
+// Fleets promise their operators two seconds or more.
+constexpr Duration kInForceWithin = std::chrono::seconds(2);
+
+// Rows of routes, as a configuration has them; those of a longer one begin with those of a shorter.
+std::string Routes(size_t count, int version = 1) {
+  SeededRandom random(7);
+  std::string text = fmt::format("{{\"version\":{},\"rows\":[", version);
+  for (size_t index = 0; index < count; ++index) {
+    text += fmt::format(
+        "[\"host{}.example\",\"/{:016x}/\",\"service-{}\",\"idempotent\",2,800,2000,{}],",
+        index % 5, random.Next(), index % 3, index);
+  }
+  return text + "]}";
+}
+
+}  // namespace
+
+TEST_GROUP(StateSpread) {
+  StateSpread spread;
+
+  void AddZone(const std::string& zone, size_t count, const MachineKind& kind) {
+    for (size_t index = 0; index < count; ++index) {
+      spread.AddNode(fmt::format("{}-{}", zone, index), zone, kind);
+    }
+  }
+  void CheckInForceInTime() {
+    const Duration took = spread.AwaitLatest(std::chrono::seconds(8));
+    std::string late;
+    for (const std::string& node : spread.NodesWithoutLatest()) late += " " + node;
+    const std::string text = fmt::format(
+        "in force after {} ms, longest wait at a link {} ms, nodes without the latest:{}",
+        ToMilliseconds(took), ToMilliseconds(spread.LongestWait()), late);
+    CHECK_TEXT(took <= kInForceWithin, text.c_str());
+  }
+};
+
+// Guards against transfers that share a narrow link, all run out of their time, and begin anew.
+TEST(StateSpread, ALargeChangeReachesAZoneOfNarrowLinksInTime) {
+  AddZone("a", 2, kLeader);
+  AddZone("b", 28, kNarrow);
+  spread.Write(Routes(2820));
+  spread.Start();
+  spread.Write(Routes(4220, 2));
+  CheckInForceInTime();
+}
+
+// Guards against a second change that meets the transfers of the first, in a zone whose strongest
+// nodes were busy for a moment, so that one with a narrow link was asked to send to all others.
+TEST(StateSpread, ChangesInARowReachAZoneWhoseWideReadersAreBusyForAMoment) {
+  AddZone("a", 2, kLeader);
+  spread.AddNode("wide-0", "b", kWide);
+  spread.AddNode("wide-1", "b", kWide);
+  AddZone("b", 26, kNarrow);
+  spread.Write(Routes(2820));
+  spread.Start();
+  spread.KeepBusy("wide-0", std::chrono::milliseconds(1200));
+  spread.KeepBusy("wide-1", std::chrono::milliseconds(1200));
+  spread.Write(Routes(4220, 2));
+  spread.AwaitLatest(std::chrono::seconds(1));
+  spread.Write(Routes(4221, 3));
+  CheckInForceInTime();
+}
