Event loop: a timer that is started in a long turn runs its whole time

Nodes with a tenth of a core count answers as missing that had no time to come.

Cause: libuv counts a timer from the beginning of the loop's present turn. A node that is at work over a large change for 0.4 s and then sends it on with a time-out of 0.4 s gives up at its next turn, before it reads what has arrived.

Evidence: EventLoop.ATimerThatIsStartedInALongTurnRunsItsWholeTime, a timer of 100 ms started after 150 ms of work, failed before (it fired at once) and passes. The time of the loop is updated before each start: one reading of the clock. Class: a deadline that counts from another moment than its work.

--- a/source/event/event_loop.cc
+++ b/source/event/event_loop.cc
@@ -44,6 +44,8 @@
 void Timer::Start(Duration delay, bool repeating) {
   auto rounded = std::chrono::ceil<std::chrono::milliseconds>(delay).count();
   const auto milliseconds = static_cast<uint64_t>(rounded < 0 ? 0 : rounded);
+  // The loop counts from the beginning of its present turn, which may have lasted for long.
+  uv_update_time(handle_->timer.loop);
   uv_timer_start(
       &handle_->timer,
       [](uv_timer_t* timer) {
--- a/tests/event/event_loop_test.cc
+++ b/tests/event/event_loop_test.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <ctime>
 #include <memory>
+#include <optional>
 
 #include "source/event/loop_monitor.h"
 #include "source/event/tcp_stream.h"
@@ -52,6 +53,24 @@
   CHECK(loop.Now() < since_start + std::chrono::seconds(1));
 }
 
+// Guards against calls that count as unanswered as soon as they are made, since the turn of the
+// loop that made them had lasted for longer than their time-out.
+TEST(EventLoop, ATimerThatIsStartedInALongTurnRunsItsWholeTime) {
+  Instant started{};
+  std::optional<Duration> ran;
+  Timer inner(loop, [&] { ran = loop.Now() - started; });
+  Timer outer(loop, [&] {
+    const Instant end = loop.Now() + std::chrono::milliseconds(150);
+    while (loop.Now() < end) {
+    }
+    started = loop.Now();
+    inner.Start(std::chrono::milliseconds(100));
+  });
+  outer.Start(Duration(0));
+  CHECK(RunUntil(loop, [&] { return ran.has_value(); }));
+  CHECK(*ran >= std::chrono::milliseconds(99));
+}
+
 // Guards against a loop that stands still over one event, and of which nothing shows it.
 TEST(EventLoop, ALongTurnIsMeasuredAndWaitingIsNot) {
   Duration longest{0};
