HTTP client: reads of the store and of copies are waited for while they arrive

Cause: a read of the store had 0.9 s and a copy from another node 0.6 s, whatever their size and the links on their way. One that takes longer fails, is begun anew, and never ends: 1 MB in base64 takes 0.8 s of a link of 13 Mbit/s that carries nothing else.

Change: CallOptions::wait_while_answer_arrives. The time-out is for the first byte and between parts; ten time-outs end the call in any case. Used for calls to the store and for copies of the state.

Evidence: Client.ACallThatWaitsWhileItsAnswerArrivesGetsASlowOne (an answer of 0.32 s, time-out 0.15 s: none without the option, whole with it) and ...EndsAllTheSame.

--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -6,6 +6,9 @@
 namespace runshelf::http {
 namespace {
 
+// However slowly an answer arrives, a call lasts no longer than this many of its timeouts.
+constexpr int kLongestAnswerInTimeouts = 10;
+
 // Share of the server's Keep-Alive time after which an idle connection is not used any more: the
 // server counts from when it sent its answer, and may close early.
 constexpr double kKeepAliveShare = 0.7;
@@ -330,7 +333,11 @@
 SimpleCall::SimpleCall(event::EventLoop& loop, ConnectionPool& pool,
                        const event::Endpoint& endpoint, std::string_view request,
                        const CallOptions& options, Duration timeout, Callback callback)
-    : callback_(std::move(callback)),
+    : wait_while_answer_arrives_(options.wait_while_answer_arrives),
+      timeout_(timeout),
+      loop_(loop),
+      give_up_at_(loop.Now() + timeout * kLongestAnswerInTimeouts),
+      callback_(std::move(callback)),
       timer_(loop, [this] { OnClientFailure(ClientFailure::kBroken); }) {
   timer_.Start(timeout);
   call_ = pool.Send(endpoint, request, options, this);
@@ -339,9 +346,17 @@
 void SimpleCall::OnResponseHead(ResponseHead&& head) {
   response_.status = head.status;
   response_.headers = std::move(head.headers);
+  OnAnswerArrives();
+}
+
+void SimpleCall::OnResponseBody(std::string_view data) {
+  response_.body.append(data);
+  OnAnswerArrives();
 }
 
-void SimpleCall::OnResponseBody(std::string_view data) { response_.body.append(data); }
+void SimpleCall::OnAnswerArrives() {
+  if (wait_while_answer_arrives_) timer_.Start(std::min(timeout_, give_up_at_ - loop_.Now()));
+}
 
 void SimpleCall::OnResponseComplete() { Finish(std::move(response_), ClientFailure::kBroken); }
 
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -47,6 +47,10 @@
   // wins.
   Duration idle_timeout = std::chrono::seconds(4);
   bool head_request = false;  // The method is HEAD.
+  // Of a SimpleCall: its timeout is for the first byte of the answer, and then between its parts.
+  // So an answer that is large for the links on its way arrives, and one that stands still is given
+  // up.
+  bool wait_while_answer_arrives = false;
   // When set, an answer that carries this header with another value belongs to an earlier request
   // and is skipped.
   std::string id_header;
@@ -139,7 +143,12 @@
 
  private:
   void Finish(std::optional<Response> response, ClientFailure failure);
+  void OnAnswerArrives();
 
+  bool wait_while_answer_arrives_;
+  Duration timeout_;
+  event::EventLoop& loop_;
+  Instant give_up_at_;
   Callback callback_;
   Response response_;
   event::Timer timer_;
--- a/source/sidecar/feed_transport.cc
+++ b/source/sidecar/feed_transport.cc
@@ -53,6 +53,8 @@
   http::RequestHead head = MessageHead();
   peer_protocol::MarkChangeSet(&head.headers);
   if (receiver.reads_for_zone) peer_protocol::MarkForZone(&head.headers);
+  peer_protocol::MarkPassOnTo(receiver.pass_on_to, &head.headers);
+  peer_protocol::MarkFailedReaders(receiver.failed, &head.headers);
   calls_.Start(receiver.endpoint, http::SerializeRequest(head, changes), http::CallOptions{},
                timeout, AnswerTo(std::move(callback)));
 }
@@ -61,7 +63,9 @@
                                       Duration timeout, Callback callback) {
   http::RequestHead head = MessageHead();
   peer_protocol::MarkSnapshotRequest(prefix, &head.headers);
-  calls_.Start(source, http::SerializeRequest(head, ""), http::CallOptions{}, timeout,
+  http::CallOptions options;
+  options.wait_while_answer_arrives = true;
+  calls_.Start(source, http::SerializeRequest(head, ""), options, timeout,
                AnswerTo(std::move(callback)));
 }
 
--- a/source/sidecar/feed_transport.h
+++ b/source/sidecar/feed_transport.h
@@ -33,7 +33,8 @@
   virtual void SendBeacon(const std::string& ip_address, std::string_view beacon) = 0;
   virtual void SendChanges(const FeedReceiver& receiver, const std::string& changes,
                            Duration timeout, Callback callback) = 0;
-  // Asks for the copy that a node has of a prefix.
+  // Asks for the copy that a node has of a prefix. `timeout` is for the first byte of the answer,
+  // and between its parts.
   virtual void AskForCopy(const event::Endpoint& source, const std::string& prefix,
                           Duration timeout, Callback callback) = 0;
 };
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -42,6 +42,7 @@
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
+  options.wait_while_answer_arrives = true;
   active_.Start(endpoint, http::SerializeRequest(head, request.body), options, timeout,
                 std::move(callback));
 }
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -237,6 +237,60 @@
   CHECK_FALSE(answered);
 }
 
+// Guards against an answer that is too large for the links on its way and is asked for from the
+// start each time, in vain.
+TEST(Client, ACallThatWaitsWhileItsAnswerArrivesGetsASlowOne) {
+  for (const bool waits : {false, true}) {
+    RawServer server([](int connection) {
+      RawServer::ReadHead(connection);
+      RawServer::Send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+      for (int part = 0; part < 8; ++part) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        RawServer::Send(connection, "x");
+      }
+    });
+    ConnectionPool own_pool(loop);
+    CallOptions options;
+    options.wait_while_answer_arrives = waits;
+    std::optional<std::string> body;
+    bool over = false;
+    SimpleCall call(loop, pool, server.endpoint(), kRequest, options,
+                    std::chrono::milliseconds(150),
+                    [&](const std::optional<Response>& response, ClientFailure) {
+                      over = true;
+                      if (response.has_value()) body = response->body;
+                    });
+    CHECK(RunUntil(loop, [&] { return over; }));
+    CHECK_EQUAL(waits, body.has_value());
+  }
+}
+
+// Guards against a call that never ends, since a byte of its answer comes now and then.
+TEST(Client, ACallThatWaitsWhileItsAnswerArrivesEndsAllTheSame) {
+  std::atomic<bool> ended = false;
+  RawServer server([&](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+    while (!ended) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      RawServer::Send(connection, "x");
+    }
+  });
+  CallOptions options;
+  options.wait_while_answer_arrives = true;
+  bool over = false;
+  bool answered = true;
+  SimpleCall call(loop, pool, server.endpoint(), kRequest, options, std::chrono::milliseconds(30),
+                  [&](const std::optional<Response>& response, ClientFailure) {
+                    over = true;
+                    answered = response.has_value();
+                  });
+  CHECK(RunUntil(
+      loop, [&] { return over; }, std::chrono::seconds(2)));
+  CHECK_FALSE(answered);
+  ended = true;
+}
+
 // As by a server at its limit of connections: it is there.
 TEST(Client, AConnectionThatIsResetIsNotARefusedOne) {
   RawServer server([](int connection) { RawServer::Reset(connection); });
