Store watcher: a read that waits for its next try does not keep it from asking others

Cause: while a read that failed waits for its next try, up to 3 s, CatchUp did nothing: a node that hears beacons and knows that it is behind asks nobody. Change: it asks the others meanwhile; the read is still made, since a lease may have to be confirmed by it.

Evidence: PrefixWatcher.AReadThatFailedDoesNotKeepItFromAskingOthers; by the code as it was CatchUp returns before it asks while reading_range_ is set, which it stays until a read succeeds.

--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -154,11 +154,11 @@
 }
 
 void PrefixWatcher::CatchUp(Revision revision) {
-  if (revision <= revision_ || !synchronized_ || reading_range_) return;
+  if (revision <= revision_ || !synchronized_ || (reading_range_ && !WaitsToReadAgain())) return;
   missing_up_to_ = std::max(missing_up_to_, revision);
   if (asking_) return;
   if (!ask_other_) {
-    Refresh();
+    if (!reading_range_) Refresh();
     return;
   }
   asking_ = true;
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -71,7 +71,8 @@
   // The whole copy, for passing it on.
   ChangeSet Snapshot() const;
   // Another process has the copy complete up to `revision`, and this one has not: asks for what is
-  // missing, or reads the range.
+  // missing, or reads the range. A read of the store that waits for its next try is no reason to
+  // wait: the other one may be reached while the store is not.
   void CatchUp(Revision revision);
   // Asks another process for its copy, which comes by ApplyChanges; `done` is called after it, or
   // with false when none came. Without it the range is read.
@@ -104,6 +105,8 @@
   void ApplyItem(const Item& item);
   void ApplyRemoval(const std::string& key, Revision revision);
   void RetryLater(bool read_again);
+  // A read failed, and its next try is not due yet.
+  bool WaitsToReadAgain() const { return reading_range_ && timer_.active(); }
   // How long to wait for further changes after a batch has come.
   Duration WaitAfterChanges();
 
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -236,6 +236,35 @@
       loop, [&] { return watcher.synchronized(); }, std::chrono::milliseconds(300)));
 }
 
+// Guards against a node that knows that it is behind and asks nobody, since a read of the store
+// failed and waits for up to three seconds for its next try.
+TEST(PrefixWatcher, AReadThatFailedDoesNotKeepItFromAskingOthers) {
+  fake.Put("p/a", "1");
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return watcher.synchronized(); }));
+  watcher.SetFollowing(true);
+  int asked = 0;
+  watcher.set_ask_other([&](const std::function<void(bool)>& done) {
+    ++asked;
+    store::ChangeSet copy;
+    copy.complete = true;
+    copy.to = watcher.revision() + 7;
+    copy.events = {{{"p/a", "2", copy.to, 0}, false}};
+    watcher.ApplyChanges(copy);
+    done(true);
+  });
+  fake.set_fault(FakeStore::Fault::kRefuse);
+  watcher.Refresh();
+  RunFor(loop, std::chrono::milliseconds(300));
+  watcher.CatchUp(watcher.revision() + 7);
+  CHECK_EQUAL(1, asked);
+  STRCMP_EQUAL("2", seen["p/a"].c_str());
+  // The store is still read once it answers: a lease may have to be confirmed by that.
+  fake.set_fault(FakeStore::Fault::kNone);
+  const uint64_t reads = fake.calls("/runshelf/kv-range");
+  CHECK(RunUntil(loop, [&] { return fake.calls("/runshelf/kv-range") > reads; }));
+}
+
 TEST(PrefixWatcher, ItReadsAgainWhenTheHistoryIsGone) {
   fake.Put("p/a", "1");
   watcher.Start();
