State feed: a large change goes through a zone in steps that its links carry

What callers saw: a node answered by a configuration that had been replaced more than 2.5 s before, after it had answered no health check for 4.7 s (CONFIG).

Cause: whoever passed a change on to its zone sent all copies at once, whatever its link. A reader behind 13 Mbit/s sends 28 copies of 110 kB in 1.9 s, a push had 0.4 s, so that none arrived, all nodes asked one of them for whole copies (0.6 s), and read the store after that. Such a reader was asked since the wide ones before it acknowledge a change only when it is decoded, in force and passed on. Meanwhile everything else on the link waits: beacons, health checks, requests.

Change: a node makes as many copies as its link carries within 0.25 s, two at least, and asks their receivers to serve the others, those with wide links most of them (transfer_plan). Receivers acknowledge before they work, and pass on before they apply; nodes that the change itself tells of are served afterwards. A push has 0.2 s and the time of its bytes on the links. In place of a reader that does not acknowledge, two others are asked at once, and told which nodes not to rely on. A node hands out copies for 0.5 s of its link; others are refused and read the store.

--- a/source/sidecar/feed_tree.cc
+++ b/source/sidecar/feed_tree.cc
@@ -9,10 +9,6 @@
 namespace runshelf::sidecar {
 namespace {
 
-// A reader that did not answer may be frozen or cut off for some seconds; asking it again costs its
-// zone the wait for an answer each time.
-constexpr Duration kPassedOver = std::chrono::seconds(3);
-
 bool MayRead(const Peer& peer) { return peer.listed && !peer.stopping(); }
 
 }  // namespace
@@ -22,11 +18,21 @@
           XXH64(record.node.data(), record.node.size(), 0)};
 }
 
-FeedTree::FeedTree(const PeerDirectory& peers, std::string own_node, std::string own_zone)
-    : peers_(peers), own_node_(std::move(own_node)), own_zone_(std::move(own_zone)) {}
+FeedTree::FeedTree(const PeerDirectory& peers, std::string own_node, std::string own_zone,
+                   Duration pass_over_for)
+    : peers_(peers),
+      own_node_(std::move(own_node)),
+      own_zone_(std::move(own_zone)),
+      pass_over_for_(pass_over_for) {}
 
 FeedReceiver FeedTree::ReceiverAt(const Peer& peer) const {
-  return {peer.record.node, peer.record.inbound, peer.record.zone, peer.record.zone != own_zone_};
+  FeedReceiver receiver;
+  receiver.node = peer.record.node;
+  receiver.endpoint = peer.record.inbound;
+  receiver.zone = peer.record.zone;
+  receiver.link_megabits = peer.record.link_megabits;
+  receiver.reads_for_zone = peer.record.zone != own_zone_;
+  return receiver;
 }
 
 std::vector<std::string> FeedTree::Line() const {
@@ -55,8 +61,31 @@
   return failed != passed_over_until_.end() && now < failed->second;
 }
 
-std::vector<FeedReceiver> FeedTree::ReceiversOfOrigin(Instant now) const {
-  std::vector<FeedReceiver> receivers = ReceiversInZone();
+std::vector<std::string> FeedTree::PassedOverIn(Instant now, const std::string& zone) const {
+  std::vector<std::string> nodes;
+  for (const auto& [node, until] : passed_over_until_) {
+    const Peer* peer = peers_.Find(node);
+    if (now < until && peer != nullptr && peer->record.zone == zone) nodes.push_back(node);
+  }
+  return nodes;
+}
+
+std::tuple<bool, bool, LinePlace> FeedTree::OrderOf(Instant now, const Peer& peer) const {
+  return {PassedOver(now, peer.record.node), !MayRead(peer), PlaceInLine(peer.record)};
+}
+
+std::vector<FeedReceiver> FeedTree::InOrder(Instant now, std::vector<const Peer*> peers) const {
+  std::sort(peers.begin(), peers.end(), [&](const Peer* left, const Peer* right) {
+    return OrderOf(now, *left) < OrderOf(now, *right);
+  });
+  std::vector<FeedReceiver> receivers;
+  receivers.reserve(peers.size());
+  for (const Peer* peer : peers) receivers.push_back(ReceiverAt(*peer));
+  return receivers;
+}
+
+std::vector<FeedReceiver> FeedTree::ReadersOfOtherZones(Instant now) const {
+  std::vector<FeedReceiver> receivers;
   std::set<std::string> zones;
   for (const auto& [node, peer] : peers_.peers()) zones.insert(peer.record.zone);
   for (const std::string& zone : zones) {
@@ -66,31 +95,44 @@
   return receivers;
 }
 
-std::vector<FeedReceiver> FeedTree::ReceiversInZone() const {
-  std::vector<FeedReceiver> receivers;
+std::vector<FeedReceiver> FeedTree::ReceiversInZone(Instant now) const {
+  std::vector<const Peer*> neighbours;
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node != own_node_ && peer.record.zone == own_zone_) receivers.push_back(ReceiverAt(peer));
+    if (node != own_node_ && peer.record.zone == own_zone_) neighbours.push_back(&peer);
   }
-  return receivers;
+  return InOrder(now, std::move(neighbours));
+}
+
+std::vector<FeedReceiver> FeedTree::ReceiversAmong(Instant now,
+                                                   const std::vector<std::string>& nodes) const {
+  std::vector<const Peer*> known;
+  for (const std::string& node : nodes) {
+    const Peer* peer = peers_.Find(node);
+    const bool neighbour = peer != nullptr && node != own_node_ && peer->record.zone == own_zone_;
+    if (neighbour) known.push_back(peer);
+  }
+  return InOrder(now, std::move(known));
 }
 
 void FeedTree::OnReaderFailed(Instant now, const std::string& node) {
-  passed_over_until_[node] = now + kPassedOver;
+  passed_over_until_[node] = now + pass_over_for_;
 }
 
 std::optional<FeedReceiver> FeedTree::ReaderOf(Instant now, const std::string& zone) const {
-  const Peer* best = nullptr;
-  // Nodes that may read go before those that stop or lost their item, and among either kind those
-  // that failed lately go last.
-  const auto order = [&](const Peer& peer) {
-    return std::tuple(PassedOver(now, peer.record.node), !MayRead(peer), PlaceInLine(peer.record));
-  };
+  std::vector<FeedReceiver> readers = ReadersOf(now, zone, 1);
+  if (readers.empty()) return std::nullopt;
+  return std::move(readers.front());
+}
+
+std::vector<FeedReceiver> FeedTree::ReadersOf(Instant now, const std::string& zone,
+                                              size_t count) const {
+  std::vector<const Peer*> nodes;
   for (const auto& [node, peer] : peers_.peers()) {
-    if (node == own_node_ || peer.record.zone != zone) continue;
-    if (best == nullptr || order(peer) < order(*best)) best = &peer;
+    if (node != own_node_ && peer.record.zone == zone) nodes.push_back(&peer);
   }
-  if (best == nullptr) return std::nullopt;
-  return ReceiverAt(*best);
+  std::vector<FeedReceiver> readers = InOrder(now, std::move(nodes));
+  if (readers.size() > count) readers.resize(count);
+  return readers;
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/feed_tree.h
+++ b/source/sidecar/feed_tree.h
@@ -41,13 +41,19 @@
   std::string node;
   event::Endpoint endpoint;
   std::string zone;
-  bool reads_for_zone = false;  // It is asked to pass the change on to its zone.
+  uint32_t link_megabits = 0;           // Of its machine; zero: not known.
+  bool reads_for_zone = false;          // It is asked to pass the change on to its zone.
+  std::vector<std::string> pass_on_to;  // Nodes that it is asked to pass the change on to.
+  std::vector<std::string> failed;      // Nodes of its zone that it should not rely on.
 };
 
 // Deterministic; not thread-safe.
 class FeedTree {
  public:
-  FeedTree(const PeerDirectory& peers, std::string own_node, std::string own_zone);
+  // `pass_over_for`: how long a node that failed is not relied on. It may be frozen or cut off for
+  // some seconds, and asking it again costs its zone the wait for an answer each time.
+  FeedTree(const PeerDirectory& peers, std::string own_node, std::string own_zone,
+           Duration pass_over_for = std::chrono::seconds(3));
 
   // The nodes that may lead the feed or read for their zones, in order.
   std::vector<std::string> Line() const;
@@ -55,22 +61,34 @@
   size_t NodesBefore(const NodeRecord& record) const;
   // The node failed lately.
   bool PassedOver(Instant now, const std::string& node) const;
-  // Whom the origin of a change sends it to.
-  std::vector<FeedReceiver> ReceiversOfOrigin(Instant now) const;
-  // Whom a reader passes it on to.
-  std::vector<FeedReceiver> ReceiversInZone() const;
+  // The nodes of a zone that did.
+  std::vector<std::string> PassedOverIn(Instant now, const std::string& zone) const;
+  // The readers of the other zones, whom the origin of a change sends it to besides its own zone.
+  std::vector<FeedReceiver> ReadersOfOtherZones(Instant now) const;
+  // Whom a reader passes it on to: those first that may best pass it on themselves.
+  std::vector<FeedReceiver> ReceiversInZone(Instant now) const;
+  // Those of the nodes of this zone that are known, in the same order.
+  std::vector<FeedReceiver> ReceiversAmong(Instant now,
+                                           const std::vector<std::string>& nodes) const;
   // A zone's reader did not take a change: it is passed over for a while.
   void OnReaderFailed(Instant now, const std::string& node);
   // The reader of a zone, the first in line that did not fail lately; when all failed, the first.
   // nullopt: no node of the zone is known.
   std::optional<FeedReceiver> ReaderOf(Instant now, const std::string& zone) const;
+  // The first `count` of them, fewer when the zone has not as many.
+  std::vector<FeedReceiver> ReadersOf(Instant now, const std::string& zone, size_t count) const;
 
  private:
   FeedReceiver ReceiverAt(const Peer& peer) const;
+  // Sooner is better: nodes that may read go before those that stop or lost their item, and among
+  // either kind those that failed lately go last.
+  std::tuple<bool, bool, LinePlace> OrderOf(Instant now, const Peer& peer) const;
+  std::vector<FeedReceiver> InOrder(Instant now, std::vector<const Peer*> peers) const;
 
   const PeerDirectory& peers_;
   std::string own_node_;
   std::string own_zone_;
+  Duration pass_over_for_;
   std::map<std::string, Instant> passed_over_until_;  // By node.
 };
 
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -145,9 +145,14 @@
     return;
   }
   if (peer_protocol::IsChangeSet(exchange->request().head.headers)) {
-    const bool for_zone = peer_protocol::IsForZone(exchange->request().head.headers);
-    const bool understood = feed_.OnPassedOn(exchange->request().body, for_zone);
-    exchange->Respond(understood ? kOk : kBadRequest, {}, "");
+    PassOnOrder order;
+    order.whole_zone = peer_protocol::IsForZone(exchange->request().head.headers);
+    order.nodes = peer_protocol::ReadPassOnTo(exchange->request().head.headers);
+    order.failed = peer_protocol::ReadFailedReaders(exchange->request().head.headers);
+    const std::string body = std::move(exchange->request().body);
+    feed_.OnPassedOn(body, order, [&](bool understood) {
+      exchange->Respond(understood ? kOk : kBadRequest, {}, "");
+    });
     return;
   }
   if (peer_protocol::IsWorkerEnd(exchange->request().head.headers)) {
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -10,6 +10,7 @@
 constexpr Duration kGrantHold = std::chrono::seconds(3);
 // Heartbeats that may be missed before a worker counts as cut off; single ones come late.
 constexpr double kSilentHeartbeats = 2.5;
+constexpr double kBytesPerMegabit = 125000;
 
 }  // namespace
 
@@ -61,9 +62,14 @@
   StateFeedConfig config;
   config.node = settings.node_name;
   config.zone = settings.zone;
+  config.link_megabits = LinkMegabits(settings);
   return config;
 }
 
+uint32_t LinkMegabits(const Settings& settings) {
+  return static_cast<uint32_t>(settings.link_bytes_per_second / kBytesPerMegabit);
+}
+
 uint16_t BeaconPort(const Settings& settings) {
   // The first of the nodes' own ports carries load reports.
   if (settings.peer_port_last <= settings.peer_port_first) return 0;
--- a/source/sidecar/part_configs.h
+++ b/source/sidecar/part_configs.h
@@ -32,5 +32,7 @@
 StateFeedConfig FeedConfig(const Settings& settings);
 // Of the beacons of the state feed; zero: the settings name no port for them.
 uint16_t BeaconPort(const Settings& settings);
+// Of the machine, a second; zero: not known.
+uint32_t LinkMegabits(const Settings& settings);
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -1,6 +1,7 @@
 #include "source/sidecar/peer_protocol.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace runshelf::sidecar::peer_protocol {
@@ -32,6 +33,9 @@
 constexpr std::string_view kWorkerEnd = "Runshelf-Worker-End";
 constexpr std::string_view kWriteEnd = "Runshelf-Write-End";
 constexpr std::string_view kForZone = "Runshelf-For-Zone";
+constexpr std::string_view kPassOnTo = "Runshelf-Pass-On-To";
+constexpr std::string_view kFailedReaders = "Runshelf-Failed-Readers";
+constexpr char kNameSeparator = ',';
 // More ends are not remembered.
 constexpr int64_t kMaxExcusedEnds = 5000;
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
@@ -61,6 +65,31 @@
   return std::nullopt;
 }
 
+void AddNames(std::string_view header, const std::vector<std::string>& nodes,
+              http::Headers* headers) {
+  std::string names;
+  for (const std::string& node : nodes) {
+    const bool plain = std::all_of(node.begin(), node.end(), [](char character) {
+      return character > ' ' && character <= '~' && character != kNameSeparator;
+    });
+    if (!plain || node.empty()) continue;
+    if (!names.empty()) names += kNameSeparator;
+    names += node;
+  }
+  if (!names.empty()) headers->Add(header, names);
+}
+
+std::vector<std::string> ReadNames(const http::Headers& headers, std::string_view header) {
+  std::vector<std::string> nodes;
+  const std::string* names = headers.Find(header);
+  if (names == nullptr) return nodes;
+  std::istringstream text(*names);
+  for (std::string node; std::getline(text, node, kNameSeparator);) {
+    if (!node.empty()) nodes.push_back(node);
+  }
+  return nodes;
+}
+
 }  // namespace
 
 void RemoveHeaders(http::Headers* headers) {
@@ -197,4 +226,20 @@
 
 bool IsForZone(const http::Headers& headers) { return headers.Has(kForZone); }
 
+void MarkPassOnTo(const std::vector<std::string>& nodes, http::Headers* headers) {
+  AddNames(kPassOnTo, nodes, headers);
+}
+
+std::vector<std::string> ReadPassOnTo(const http::Headers& headers) {
+  return ReadNames(headers, kPassOnTo);
+}
+
+void MarkFailedReaders(const std::vector<std::string>& nodes, http::Headers* headers) {
+  AddNames(kFailedReaders, nodes, headers);
+}
+
+std::vector<std::string> ReadFailedReaders(const http::Headers& headers) {
+  return ReadNames(headers, kFailedReaders);
+}
+
 }  // namespace runshelf::sidecar::peer_protocol
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "runshelf/routing/target_load.h"
 #include "source/http/message.h"
@@ -54,5 +55,12 @@
 // The receiving node is to pass them on to all others of its zone.
 void MarkForZone(http::Headers* headers);
 bool IsForZone(const http::Headers& headers);
+// The receiving node is to pass them on to these. Nodes whose names cannot stand in a header are
+// left out; they catch up by themselves.
+void MarkPassOnTo(const std::vector<std::string>& nodes, http::Headers* headers);
+std::vector<std::string> ReadPassOnTo(const http::Headers& headers);
+// Nodes that were asked before and did not acknowledge the changes.
+void MarkFailedReaders(const std::vector<std::string>& nodes, http::Headers* headers);
+std::vector<std::string> ReadFailedReaders(const http::Headers& headers);
 
 }  // namespace runshelf::sidecar::peer_protocol
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -15,7 +15,6 @@
 // without a lease for this long (some calls to the store, at 4 ms each), it is read all the same.
 constexpr Duration kStateReadDelay = std::chrono::milliseconds(400);
 constexpr double kPercent = 100;
-constexpr double kBytesPerMegabit = 125000;
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 // Before the end of the time in which a draining worker may be sent requests: what is sent then
 // must still arrive in time.
@@ -407,7 +406,7 @@
   record.takes_keys =
       holder_.WorkerReports() && (monitor_.IdentityIsWhole() || !holder_.OwnersTellIncarnation());
   record.processor_percent = static_cast<uint32_t>(settings_.processor_cores * kPercent);
-  record.link_megabits = static_cast<uint32_t>(settings_.link_bytes_per_second / kBytesPerMegabit);
+  record.link_megabits = LinkMegabits(settings_);
   record.stopping = stop_schedule_.Announced(loop_.Now());
   lease_.SetValue(record.Serialize());
 }
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "source/sidecar/text_patch.h"
+#include "source/sidecar/transfer_plan.h"
 
 namespace runshelf::sidecar {
 namespace {
@@ -13,6 +14,10 @@
 constexpr size_t kWatchingNodes = 2;
 // Larger items are passed on as patches.
 constexpr size_t kPatchedItemBytes = 1024;
+// Other nodes that are asked in place of one that did not acknowledge a change.
+constexpr size_t kFurtherTries = 2;
+// The links carry other things too.
+constexpr int kLinkShareFactor = 2;
 
 }  // namespace
 
@@ -25,7 +30,7 @@
       watchers_(std::move(watchers)),
       log_(log),
       config_(std::move(config)),
-      tree_(peers, config_.node, config_.zone),
+      tree_(peers, config_.node, config_.zone, config_.pass_over_for),
       timer_(loop, [this] { Tick(); }),
       catch_up_timer_(loop, [this] { CatchUp(); }) {}
 
@@ -174,7 +179,7 @@
 // The first of the zone that follows: its copy has exactly the revisions that the leader's patches
 // start from, while one that watches the store for itself has others in between. That first one
 // asks the leader.
-std::optional<FeedReceiver> StateFeed::SnapshotSource() const {
+std::optional<StateFeed::CopySource> StateFeed::SnapshotSource() const {
   const Peer* leader = peers_.Find(heard_of_);
   if (leader == nullptr) return std::nullopt;
   const std::vector<std::string> line = tree_.Line();
@@ -185,10 +190,10 @@
     if (peer->record.zone != config_.zone || tree_.PassedOver(loop_.Now(), node)) continue;
     if (node == config_.node) break;
     if (node == heard_of_ || !watching.contains(node)) {
-      return FeedReceiver{node, peer->record.inbound, peer->record.zone, false};
+      return CopySource{node, peer->record.inbound};
     }
   }
-  return FeedReceiver{heard_of_, leader->record.inbound, leader->record.zone, false};
+  return CopySource{heard_of_, leader->record.inbound};
 }
 
 void StateFeed::AskForSnapshot(store::PrefixWatcher* watcher,
@@ -206,8 +211,8 @@
         const size_t bytes = answered ? answer->body.size() : 0;
         OnTransferEnd({StateTransfer::Kind::kCopy, bytes, answered, loop_.Now() - begun_at}, node);
         if (answered) {
-          OnPassedOn(answer->body, /*for_zone=*/false);
-        } else {
+          OnPassedOn(answer->body, PassOnOrder{}, [](bool) {});
+        } else if (!answer.has_value()) {
           tree_.OnReaderFailed(loop_.Now(), node);
         }
         done(answered);
@@ -223,11 +228,19 @@
       kept.revision = revision;
       kept.bytes = SerializeChanges(prefix, Whole(watcher->Snapshot()));
     }
+    if (!LinkTakesCopy(kept.bytes.size())) return std::nullopt;
     return kept.bytes;
   }
   return std::nullopt;
 }
 
+bool StateFeed::LinkTakesCopy(size_t bytes) {
+  const Instant now = loop_.Now();
+  if (copies_sent_at_ - now > config_.copies_budget) return false;
+  copies_sent_at_ = std::max(now, copies_sent_at_) + TimeOnLink(bytes, config_.link_megabits);
+  return true;
+}
+
 void StateFeed::CatchUp() {
   for (store::PrefixWatcher* watcher : watchers_) {
     const auto announced = announced_.find(watcher->prefix());
@@ -269,42 +282,109 @@
 
 void StateFeed::PushToAll(const std::string& body) {
   const auto shared = std::make_shared<const std::string>(body);
-  for (const FeedReceiver& receiver : tree_.ReceiversOfOrigin(loop_.Now())) {
-    Push(receiver, shared, config_.readers_tried);
+  for (const FeedReceiver& receiver : tree_.ReadersOfOtherZones(loop_.Now())) {
+    Push(receiver, shared, kFurtherTries);
   }
+  PushToNeighbours(tree_.ReceiversInZone(loop_.Now()), shared);
 }
 
-void StateFeed::PushToZone(const std::string& body) {
-  const auto shared = std::make_shared<const std::string>(body);
-  for (const FeedReceiver& receiver : tree_.ReceiversInZone()) Push(receiver, shared, 1);
+std::set<std::string> StateFeed::PassOn(const std::string& body, const PassOnOrder& order) {
+  if (!order.whole_zone && order.nodes.empty()) return {};
+  const Instant now = loop_.Now();
+  for (const std::string& node : order.failed) tree_.OnReaderFailed(now, node);
+  std::vector<FeedReceiver> receivers =
+      order.whole_zone ? tree_.ReceiversInZone(now) : tree_.ReceiversAmong(now, order.nodes);
+  std::set<std::string> nodes;
+  for (const FeedReceiver& receiver : receivers) nodes.insert(receiver.node);
+  PushToNeighbours(std::move(receivers), std::make_shared<const std::string>(body));
+  return nodes;
+}
+
+void StateFeed::PushToNeighbours(std::vector<FeedReceiver> receivers,
+                                 const std::shared_ptr<const std::string>& body) {
+  const size_t copies =
+      CopiesWithin(config_.link_budget, config_.link_megabits, body->size(), bytes_under_way_);
+  for (const FeedReceiver& receiver : ShareOut(std::move(receivers), copies)) {
+    Push(receiver, body, kFurtherTries);
+  }
 }
 
-void StateFeed::Push(const FeedReceiver& receiver, const std::shared_ptr<const std::string>& body,
+Duration StateFeed::PushTimeout(const FeedReceiver& receiver, size_t bytes) const {
+  const Duration on_links = TimeOnLink(bytes_under_way_, config_.link_megabits) +
+                            TimeOnLink(bytes, receiver.link_megabits);
+  return config_.push_timeout + on_links * kLinkShareFactor;
+}
+
+void StateFeed::Push(FeedReceiver receiver, const std::shared_ptr<const std::string>& body,
                      size_t tries_left) {
+  const bool passes_on = receiver.reads_for_zone || !receiver.pass_on_to.empty();
+  if (passes_on) {
+    for (std::string& node : tree_.PassedOverIn(loop_.Now(), receiver.zone)) {
+      receiver.failed.push_back(std::move(node));
+    }
+  }
   peers_.OnTraffic(TrafficKind::kStateChanges, receiver.node, body->size());
-  // A change that does not arrive is noticed by the next beacon. A zone without its reader would
-  // read the store node by node, so that the next one in line is asked.
+  bytes_under_way_ += body->size();
   transport_->SendChanges(
-      receiver, *body, config_.push_timeout,
+      receiver, *body, PushTimeout(receiver, body->size()),
       [this, receiver, body, tries_left,
        begun_at = loop_.Now()](const std::optional<FeedAnswer>& answer) {
         const bool taken = answer.has_value() && answer->accepted;
         OnTransferEnd({StateTransfer::Kind::kChanges, body->size(), taken, loop_.Now() - begun_at},
                       receiver.node);
-        if (taken || !receiver.reads_for_zone) return;
-        tree_.OnReaderFailed(loop_.Now(), receiver.node);
-        log_.Write(LogLevel::kInfo, "zone_reader_failed",
-                   {{"node", receiver.node}, {"zone", receiver.zone}});
-        const auto next = tree_.ReaderOf(loop_.Now(), receiver.zone);
-        if (tries_left <= 1 || !next.has_value() || next->node == receiver.node) return;
-        Push(*next, body, tries_left - 1);
+        bytes_under_way_ -= body->size();
+        if (!taken) OnPushFailed(receiver, body, tries_left);
       });
 }
 
-bool StateFeed::OnPassedOn(const std::string& body, bool for_zone) {
+// A change that does not arrive at one node is noticed by its next beacon. Nodes that wait for one
+// that failed would all read the store, so that others are asked.
+void StateFeed::OnPushFailed(const FeedReceiver& receiver,
+                             const std::shared_ptr<const std::string>& body, size_t tries_left) {
+  if (!receiver.reads_for_zone && receiver.pass_on_to.empty()) return;
+  const Instant now = loop_.Now();
+  tree_.OnReaderFailed(now, receiver.node);
+  log_.Write(LogLevel::kInfo, "zone_reader_failed",
+             {{"node", receiver.node}, {"zone", receiver.zone}, {"tries_left", tries_left}});
+  if (tries_left == 0) return;
+  // All at once: nodes that are neighbours in line may stand still together, and each costs the
+  // wait for its answer.
+  auto next = receiver.reads_for_zone
+                  ? tree_.ReadersOf(now, receiver.zone, tries_left)
+                  : ShareOut(tree_.ReceiversAmong(now, receiver.pass_on_to), tries_left);
+  std::erase_if(next, [&](const FeedReceiver& other) { return other.node == receiver.node; });
+  for (FeedReceiver& one : next) {
+    // None of them relies on another, which may not answer either.
+    for (const FeedReceiver& other : next) {
+      if (other.node != one.node) one.failed.push_back(other.node);
+    }
+    Push(one, body, 0);
+  }
+}
+
+void StateFeed::OnPassedOn(const std::string& body, const PassOnOrder& order,
+                           const std::function<void(bool understood)>& acknowledge) {
   std::string prefix;
   PassedOnChanges changes;
-  if (!ParseChanges(body, &prefix, &changes)) return false;
+  const bool understood = ParseChanges(body, &prefix, &changes);
+  acknowledge(understood);
+  if (!understood) return;
+  // Before they are applied: a configuration of thousands of routes keeps a small machine busy for
+  // longer than it takes to send.
+  const std::set<std::string> sent_to = PassOn(body, order);
+  ApplyPassedOn(prefix, changes);
+  if (order.whole_zone) PassOnToNewNodes(body, sent_to);
+}
+
+// The changes may have told of nodes of the zone that were not known when they were passed on.
+void StateFeed::PassOnToNewNodes(const std::string& body, const std::set<std::string>& sent_to) {
+  std::vector<FeedReceiver> receivers = tree_.ReceiversInZone(loop_.Now());
+  std::erase_if(receivers,
+                [&](const FeedReceiver& receiver) { return sent_to.contains(receiver.node); });
+  if (!receivers.empty()) PushToNeighbours(receivers, std::make_shared<const std::string>(body));
+}
+
+void StateFeed::ApplyPassedOn(const std::string& prefix, const PassedOnChanges& changes) {
   for (store::PrefixWatcher* watcher : watchers_) {
     if (watcher->prefix() != prefix) continue;
     const auto whole = ApplyPatches(changes, watcher->items());
@@ -316,9 +396,6 @@
     // One that watches the store gets from there what it cannot take from another's patch.
     UpdateFreshness(*watcher);
   }
-  // After they were applied: they may tell of nodes of the zone.
-  if (for_zone) PushToZone(body);
-  return true;
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,9 +41,18 @@
   // Changes that a beacon tells of and that did not come within this time are read.
   // Longer than a zone's second reader takes to be asked in place of the first.
   Duration catch_up_delay = std::chrono::milliseconds(500);
-  Duration push_timeout = std::chrono::milliseconds(400);
-  Duration snapshot_timeout = std::chrono::milliseconds(600);
-  size_t readers_tried = 3;  // Of a zone, one after the other, for one change.
+  // For a node to acknowledge a change, besides the time that its bytes take on the links. Several
+  // that stand still may be asked one after the other.
+  Duration push_timeout = std::chrono::milliseconds(200);
+  // For the first byte of a copy, and between its parts.
+  Duration snapshot_timeout = std::chrono::milliseconds(300);
+  // For which a node that did not acknowledge a change is not relied on.
+  Duration pass_over_for = std::chrono::seconds(3);
+  uint32_t link_megabits = 0;  // Of this machine; zero: not known.
+  // For which the copies of one change may fill this machine's link; other nodes make the rest.
+  Duration link_budget = std::chrono::milliseconds(250);
+  // For which copies that were asked for may; further requests are refused.
+  Duration copies_budget = std::chrono::milliseconds(500);
   // A change that the leader's beacons do not tell of within this time is passed on by the second.
   Duration leader_lag = std::chrono::milliseconds(200);
   // How often the store is asked for changes while there are many: by the leader, whom all wait
@@ -63,6 +73,14 @@
   Duration took{0};
 };
 
+// Whom the receiver of changes is asked to pass them on to.
+struct PassOnOrder {
+  bool whole_zone = false;         // All nodes of its zone.
+  std::vector<std::string> nodes;  // These, of its zone.
+  // These did not acknowledge the changes when they were asked the same.
+  std::vector<std::string> failed;
+};
+
 class StateFeed {
  public:
   // A node whose transport receives no beacons watches the store for itself.
@@ -86,10 +104,12 @@
   void SetStopping() { stopping_ = true; }
   // One of the watchers got changes from the store.
   void OnChanges(const store::PrefixWatcher& watcher, const store::ChangeSet& changes);
-  // Another node passed changes on, `for_zone`: to be passed on to the others of the zone as well.
-  // False when they cannot be understood.
-  bool OnPassedOn(const std::string& body, bool for_zone);
-  // This node's copy of a prefix, for another one that lacks changes; nullopt: it has none.
+  // Another node passed changes on. `acknowledge` is called before they are applied and passed on,
+  // with false when they cannot be understood.
+  void OnPassedOn(const std::string& body, const PassOnOrder& order,
+                  const std::function<void(bool understood)>& acknowledge);
+  // This node's copy of a prefix, for another one that lacks changes; nullopt: it has none, or its
+  // link is full of others. Many nodes that miss the same change ask at the same time.
   std::optional<std::string> SnapshotFor(const std::string& prefix);
   bool leading() const { return leading_; }
   // By prefix.
@@ -98,6 +118,12 @@
   Duration SilenceOfOthers() const { return loop_.Now() - heard_at_; }
 
  private:
+  // A node that is asked for its copy.
+  struct CopySource {
+    std::string node;
+    event::Endpoint endpoint;
+  };
+
   void Tick();
   void OnBeacon(std::string_view data);
   void CatchUp();
@@ -106,14 +132,26 @@
   void OnTransferEnd(const StateTransfer& transfer, const std::string& node);
   // Asks a node that is likely to have the changes that `watcher` lacks.
   void AskForSnapshot(store::PrefixWatcher* watcher, const std::function<void(bool)>& done);
-  std::optional<FeedReceiver> SnapshotSource() const;
+  std::optional<CopySource> SnapshotSource() const;
   void SendBeacons();
   void PushToAll(const std::string& body);
-  void PushToZone(const std::string& body);
+  // Returns the nodes that the changes are on their way to.
+  std::set<std::string> PassOn(const std::string& body, const PassOnOrder& order);
+  void PassOnToNewNodes(const std::string& body, const std::set<std::string>& sent_to);
+  // Sends to as many as the link carries soon, which serve the others.
+  void PushToNeighbours(std::vector<FeedReceiver> receivers,
+                        const std::shared_ptr<const std::string>& body);
+  // The receiver did not acknowledge in time: another one takes over what it was asked to do.
+  void OnPushFailed(const FeedReceiver& receiver, const std::shared_ptr<const std::string>& body,
+                    size_t tries_left);
+  void ApplyPassedOn(const std::string& prefix, const PassedOnChanges& changes);
+  Duration PushTimeout(const FeedReceiver& receiver, size_t bytes) const;
+  // Whether a copy may be handed out now: those before it leave the link soon.
+  bool LinkTakesCopy(size_t bytes);
   PassedOnChanges PatchLargeItems(const store::ChangeSet& changes);
   // Passes on what the leader of `beacon` lacks.
   void HelpLeader(const StateBeacon& beacon);
-  void Push(const FeedReceiver& receiver, const std::shared_ptr<const std::string>& body,
+  void Push(FeedReceiver receiver, const std::shared_ptr<const std::string>& body,
             size_t tries_left);
   // Place of this node in line among those that are listed and not stopping.
   size_t Rank() const;
@@ -136,7 +174,8 @@
   std::map<std::string, store::Item> large_items_;  // As they were passed on, or seen, last.
   std::map<std::string, Instant> changed_at_;       // By prefix: the latest change from the store.
   std::map<std::string, store::Revision>
-      helped_with_;  // By prefix: passed on in the leader's place.
+      helped_with_;             // By prefix: passed on in the leader's place.
+  size_t bytes_under_way_ = 0;  // Of changes that were not acknowledged yet.
   Instant started_at_{};
   Instant heard_at_{};    // The latest beacon of another node.
   std::string heard_of_;  // That node.
@@ -146,6 +185,7 @@
     std::string bytes;
   };
   std::map<std::string, SerializedSnapshot> snapshots_;
+  Instant copies_sent_at_{};  // When the link will have sent the copies that were handed out.
   bool leading_ = false;
   bool watching_ = true;
   bool stands_by_ = false;
--- a/tests/platform_adapter/state_spread.cc
+++ b/tests/platform_adapter/state_spread.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,21 @@
 constexpr double kSecondsPerByte = 1.0e-7;
 constexpr size_t kMessageOverheadBytes = 200;
 constexpr double kPercent = 100;
+// Time runs slower by this factor.
+constexpr double kSlowMotion = 13;
+
+Duration Slowed(Duration time) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time) * kSlowMotion);
+}
+
+Duration Unslowed(Duration time) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time) / kSlowMotion);
+}
+
+MachineKind Slowed(MachineKind machine) {
+  machine.link_megabits = static_cast<uint32_t>(std::lround(machine.link_megabits / kSlowMotion));
+  return machine;
+}
 
 }  // namespace
 
@@ -88,6 +104,7 @@
     for (const auto& call : calls_) {
       call->callback = nullptr;
       call->timer.reset();
+      Forget(call->flow);
     }
   }
 
@@ -115,6 +132,11 @@
 
   void Begin(const event::Endpoint& to, size_t bytes, Duration timeout, Handler handler,
              Callback callback);
+  // What is still under way leads nowhere.
+  void Forget(std::shared_ptr<SimulatedLinks::Flow>& flow) {
+    spread_->links_.Abandon(flow);
+    flow.reset();
+  }
   void End(std::shared_ptr<Call> call, std::optional<sidecar::FeedAnswer> answer);
 
   StateSpread* spread_;
@@ -166,39 +188,64 @@
     }));
     later_.back()->Start(wait);
   }
-  void KeepBusy(Duration time) { busy_until_ = std::max(busy_until_, spread_->loop.Now()) + time; }
+  void KeepBusy(Duration time) {
+    busy_until_ = std::max(busy_until_, spread_->loop.Now()) + Slowed(time);
+  }
 
   const sidecar::NodeRecord& record() const { return record_; }
   sidecar::PeerDirectory& peers() { return peers_; }
   sidecar::StateFeed& feed() { return feed_; }
   Transport& transport() { return *transport_; }
   Instant busy_until() const { return busy_until_; }
-  const std::string& value() const { return value_; }
+  // The value that was in force at `now`, worked off by then; nullopt: none.
+  std::optional<std::string> ValueInForce(Instant now) const {
+    std::optional<std::string> value;
+    for (const TakenValue& taken : taken_) {
+      if (taken.in_force_at <= now) value = taken.value;
+    }
+    return value;
+  }
 
  private:
+  struct TakenValue {
+    std::string value;
+    Instant in_force_at{};
+  };
+
   store::StoreClientConfig StoreConfig() {
     listener_.Listen({"127.0.0.1", 0});
     store::StoreClientConfig config;
     config.endpoint = {"127.0.0.1", listener_.bound_port()};
+    config.call_timeout = Slowed(config.call_timeout);
     return config;
   }
   static store::PrefixWatcherConfig WatcherConfig() {
     store::PrefixWatcherConfig config;
     config.prefix = kKey;
+    config.retry_min = Slowed(config.retry_min);
+    config.retry_max = Slowed(config.retry_max);
     return config;
   }
   static sidecar::StateFeedConfig FeedConfig(const std::string& name, const std::string& zone,
-                                             const MachineKind&) {
+                                             const MachineKind& machine) {
     sidecar::StateFeedConfig config;
     config.node = name;
     config.zone = zone;
+    config.link_megabits = machine.link_megabits;
+    for (Duration* time : {&config.beacon_interval, &config.standby_timeout,
+                           &config.follower_timeout, &config.catch_up_delay, &config.push_timeout,
+                           &config.snapshot_timeout, &config.leader_lag, &config.pass_over_for,
+                           &config.link_budget, &config.copies_budget, &config.leader_pace.interval,
+                           &config.standby_pace.interval, &config.alone_pace.interval}) {
+      *time = Slowed(*time);
+    }
     return config;
   }
   void OnItem(const store::Item& item) {
-    value_ = item.value;
     const double seconds =
         static_cast<double>(item.value.size()) * kSecondsPerByte * kPercent / processor_percent_;
     KeepBusy(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
+    taken_.push_back({item.value, busy_until_});
   }
 
   StateSpread* spread_;
@@ -214,7 +261,7 @@
   sidecar::StateFeed feed_;
   std::vector<std::unique_ptr<event::Timer>> later_;
   Instant busy_until_{};
-  std::string value_;
+  std::vector<TakenValue> taken_;
 };
 
 void StateSpread::Transport::SendBeacon(const std::string& ip_address, std::string_view beacon) {
@@ -238,10 +285,12 @@
                                          Callback callback) {
   Begin(
       receiver.endpoint, changes.size(), timeout,
-      [changes, for_zone = receiver.reads_for_zone](
+      [changes,
+       order = sidecar::PassOnOrder{receiver.reads_for_zone, receiver.pass_on_to, receiver.failed}](
           Node* node, const std::function<void(sidecar::FeedAnswer)>& respond) {
-        const bool understood = node->feed().OnPassedOn(changes, for_zone);
-        respond({understood, ""});
+        node->feed().OnPassedOn(changes, order, [&](bool understood) {
+          respond({understood, ""});
+        });
       },
       std::move(callback));
 }
@@ -265,9 +314,10 @@
   const std::weak_ptr<Call> begun = call;
   call->timer = std::make_unique<event::Timer>(spread_->loop,
                                                [this, begun] { End(begun.lock(), std::nullopt); });
-  call->timer->Start(timeout);
+  // The call is made when the sender has come to it.
+  call->timer->Start(timeout + std::max(Duration(0), node_->busy_until() - spread_->loop.Now()));
   Node* receiver = spread_->NodeAt(to);
-  const auto respond = [this, call, receiver](const sidecar::FeedAnswer& answer) {
+  const auto respond = [this, call, receiver, timeout](const sidecar::FeedAnswer& answer) {
     if (!call->callback) return;
     SimulatedLinks::Flow flow;
     flow.from = receiver->record().node;
@@ -275,8 +325,9 @@
     flow.left = answer.body.size() + kMessageOverheadBytes;
     flow.not_before = receiver->busy_until();
     auto left = std::make_shared<size_t>(flow.left);
-    flow.on_arrival = [this, call, left, answer](size_t arrived) {
+    flow.on_arrival = [this, call, left, answer, timeout](size_t arrived) {
       *left -= arrived;
+      if (call->callback) call->timer->Start(timeout);
       if (*left > 0) return;
       node_->DoWhenFree([this, call, answer] { End(call, answer); });
     };
@@ -301,14 +352,14 @@
   if (!call->callback) return;
   calls_.erase(call);
   call->timer->Stop();
-  if (!answer.has_value() && call->flow != nullptr) spread_->links_.Abandon(call->flow);
+  Forget(call->flow);
   const Callback callback = std::exchange(call->callback, nullptr);
   callback(std::move(answer));
 }
 
 StateSpread::StateSpread()
     : log_file_(std::tmpfile()), log_(loop, fileno(log_file_), sidecar::LogWriterConfig{}) {
-  links_.AddMachine(kStoreMachine, kStoreBytesPerSecond);
+  links_.AddMachine(kStoreMachine, kStoreBytesPerSecond / kSlowMotion);
 }
 
 StateSpread::~StateSpread() {
@@ -318,9 +369,10 @@
 
 void StateSpread::AddNode(const std::string& name, const std::string& zone,
                           const MachineKind& kind) {
-  links_.AddMachine(name, kind.link_megabits * kBytesPerMegabit);
+  const MachineKind slowed = Slowed(kind);
+  links_.AddMachine(name, slowed.link_megabits * kBytesPerMegabit);
   const event::Endpoint inbound{fmt::format("10.0.0.{}", nodes_.size()), 1};
-  nodes_[name] = std::make_unique<Node>(this, name, zone, kind, inbound);
+  nodes_[name] = std::make_unique<Node>(this, name, zone, slowed, inbound);
 }
 
 StateSpread::Node* StateSpread::NodeAt(const event::Endpoint& inbound) const {
@@ -337,10 +389,10 @@
   }
   for (auto& [name, node] : nodes_) node->Start();
   const bool up = event::RunUntil(
-      loop, [this] { return NodesWithoutLatest().empty(); }, std::chrono::seconds(10));
+      loop, [this] { return NodesWithoutLatest().empty(); }, Slowed(std::chrono::seconds(10)));
   CHECK_TEXT(up, "not every node has read the state");
   written_.back().took = Duration(0);
-  event::RunFor(loop, std::chrono::seconds(2));
+  event::RunFor(loop, Slowed(std::chrono::seconds(1)));
 }
 
 void StateSpread::KeepBusy(const std::string& node, Duration time) {
@@ -353,10 +405,9 @@
 }
 
 std::optional<size_t> StateSpread::PlaceOf(const Node& node) const {
-  if (node.busy_until() > loop.Now()) return std::nullopt;
-  const auto found = std::find_if(written_.rbegin(), written_.rend(), [&](const auto& written) {
-    return written.value == node.value();
-  });
+  const std::optional<std::string> value = node.ValueInForce(loop.Now());
+  const auto found = std::find_if(written_.rbegin(), written_.rend(),
+                                  [&](const auto& written) { return value == written.value; });
   if (found == written_.rend()) return std::nullopt;
   return static_cast<size_t>(written_.rend() - found) - 1;
 }
@@ -380,7 +431,7 @@
 }
 
 Duration StateSpread::AwaitLatest(Duration limit) {
-  const Instant end = written_.back().written_at + limit;
+  const Instant end = written_.back().written_at + Slowed(limit);
   event::RunUntil(
       loop,
       [&] {
@@ -392,13 +443,21 @@
   for (const WrittenValue& written : written_) {
     longest = std::max(longest, written.took.value_or(loop.Now() - written.written_at));
   }
-  return longest;
+  return Unslowed(longest);
 }
 
 Duration StateSpread::LongestWait() const {
   Duration longest{0};
   for (const auto& [name, node] : nodes_) longest = std::max(longest, links_.LongestWait(name));
-  return longest;
+  return Unslowed(longest);
+}
+
+size_t StateSpread::CopiesGranted(const std::string& node, size_t requests) {
+  size_t granted = 0;
+  for (size_t request = 0; request < requests; ++request) {
+    if (nodes_.at(node)->feed().SnapshotFor(kKey).has_value()) ++granted;
+  }
+  return granted;
 }
 
 std::string StateSpread::Log() {
--- a/tests/platform_adapter/state_spread.h
+++ b/tests/platform_adapter/state_spread.h
@@ -1,5 +1,7 @@
 // Nodes that spread one part of the state over simulated links: the state feed of each, its copy,
-// and its way to the store. What a change costs a machine's processor is simulated too.
+// and its way to the store. What a change costs a machine's processor is simulated too. All of it
+// runs in slow motion, so that what the test itself costs counts little; times given and returned
+// are those without.
 #pragma once
 
 #include <cstdio>
@@ -49,6 +51,8 @@
   // How long a node's answers to health checks have waited for its link, at most.
   Duration LongestWait() const;
   size_t size() const { return nodes_.size(); }
+  // How many of so many requests for its copy, all at once, a node grants.
+  size_t CopiesGranted(const std::string& node, size_t requests);
   std::string Log();
 
   event::EventLoop loop;
--- a/tests/platform_adapter/state_spread_test.cc
+++ b/tests/platform_adapter/state_spread_test.cc
@@ -55,9 +55,9 @@
 TEST(StateSpread, ALargeChangeReachesAZoneOfNarrowLinksInTime) {
   AddZone("a", 2, kLeader);
   AddZone("b", 28, kNarrow);
-  spread.Write(Routes(2820));
+  spread.Write(Routes(4220));
   spread.Start();
-  spread.Write(Routes(4220, 2));
+  spread.Write(Routes(5620, 2));
   CheckInForceInTime();
 }
 
@@ -68,12 +68,23 @@
   spread.AddNode("wide-0", "b", kWide);
   spread.AddNode("wide-1", "b", kWide);
   AddZone("b", 26, kNarrow);
-  spread.Write(Routes(2820));
+  spread.Write(Routes(4220));
   spread.Start();
   spread.KeepBusy("wide-0", std::chrono::milliseconds(1200));
   spread.KeepBusy("wide-1", std::chrono::milliseconds(1200));
-  spread.Write(Routes(4220, 2));
+  spread.Write(Routes(5620, 2));
   spread.AwaitLatest(std::chrono::seconds(1));
-  spread.Write(Routes(4221, 3));
+  spread.Write(Routes(5621, 3));
   CheckInForceInTime();
 }
+
+// Guards against a node that all its neighbours ask for its copy at once, and whose link is full
+// for seconds: the others read the store.
+TEST(StateSpread, ANodeHandsOutNoMoreCopiesThanItsLinkCarriesSoon) {
+  AddZone("a", 2, kLeader);
+  AddZone("b", 1, kNarrow);
+  spread.Write(Routes(4220));
+  spread.Start();
+  CHECK_EQUAL(3, spread.CopiesGranted("b-0", 28));
+  CHECK(spread.CopiesGranted("a-0", 28) >= 15);
+}
--- a/tests/sidecar/feed_tree_test.cc
+++ b/tests/sidecar/feed_tree_test.cc
@@ -49,12 +49,16 @@
   AddFleet();
   std::multiset<std::string> reached{"n0"};
   size_t between_zones = 0;
-  for (const FeedReceiver& receiver : tree.ReceiversOfOrigin(now)) {
+  for (const FeedReceiver& neighbour : tree.ReceiversInZone(now)) {
+    CHECK_FALSE(neighbour.reads_for_zone);
+    reached.insert(neighbour.node);
+  }
+  for (const FeedReceiver& receiver : tree.ReadersOfOtherZones(now)) {
     reached.insert(receiver.node);
-    if (!receiver.reads_for_zone) continue;
+    CHECK(receiver.reads_for_zone);
     ++between_zones;
     FeedTree of_reader(peers, receiver.node, receiver.zone);
-    for (const FeedReceiver& neighbour : of_reader.ReceiversInZone()) {
+    for (const FeedReceiver& neighbour : of_reader.ReceiversInZone(now)) {
       STRCMP_EQUAL(receiver.zone.c_str(), neighbour.zone.c_str());
       CHECK_FALSE(neighbour.reads_for_zone);
       reached.insert(neighbour.node);
@@ -68,7 +72,7 @@
 
 TEST(FeedTree, NoNodeSendsAChangeToMoreThanItsZoneAndOneOfEachOther) {
   AddFleet();
-  const size_t of_origin = tree.ReceiversOfOrigin(now).size();
+  const size_t of_origin = tree.ReadersOfOtherZones(now).size() + tree.ReceiversInZone(now).size();
   CHECK(of_origin <= kNodes / kZones + kZones);
 }
 
@@ -82,6 +86,19 @@
   STRCMP_EQUAL("wide", tree.ReaderOf(now, "z2")->node.c_str());
 }
 
+TEST(FeedTree, NeighboursThatMayBestPassAChangeOnComeFirst) {
+  AddFleet();
+  NodeRecord wide = Record("wide", "z0", 50);
+  wide.link_megabits = 200;
+  peers.OnRecord(wide);
+  STRCMP_EQUAL("wide", tree.ReceiversInZone(now).front().node.c_str());
+  tree.OnReaderFailed(now, "wide");
+  STRCMP_EQUAL("wide", tree.ReceiversInZone(now).back().node.c_str());
+  // Of a list, those of this zone that are known, without this node.
+  const auto among = tree.ReceiversAmong(now, {"n0", "n6", "n1", "gone", "n12"});
+  CHECK_EQUAL(2, among.size());
+}
+
 TEST(FeedTree, AReaderThatFailedIsPassedOverForAWhile) {
   AddFleet();
   peers.OnRecord(Record("strong", "z1", /*processor_percent=*/50));
--- a/tests/sidecar/peer_protocol_test.cc
+++ b/tests/sidecar/peer_protocol_test.cc
@@ -37,6 +37,17 @@
   CHECK_EQUAL(1, read->request->head.headers.all().size());
 }
 
+TEST(PeerProtocol, NodesToPassAChangeOnToSurviveTheirWay) {
+  http::Headers headers;
+  peer_protocol::MarkPassOnTo({"node-1", "node 2", "bad\r\nX: 1", "a,b", "", "node-3"}, &headers);
+  const auto nodes = peer_protocol::ReadPassOnTo(headers);
+  CHECK(nodes == (std::vector<std::string>{"node-1", "node-3"}));
+  http::Headers none;
+  peer_protocol::MarkPassOnTo({}, &none);
+  CHECK(none.all().empty());
+  CHECK(peer_protocol::ReadPassOnTo(none).empty());
+}
+
 TEST(PeerProtocol, ABrokenAttemptIsRefused) {
   const std::pair<const char*, const char*> changes[] = {
       {"Runshelf-Deadline-Ms", "-1"},
