Ingress: a node that is behind does not say that a route is missing

What callers saw: 404 for a route that was in force elsewhere, from a node that had not got the configuration (CONFIG).

Cause: a node did not know that its knowledge is old; a path without a route was 404 whatever its age. Change: while others announce a newer configuration than the node has, such a request is refused with 503 and Retry-After, which is true: it has not run, and whether it has a route is not known here. An announcement that is not repeated for 5 s lapses, so that one wrong beacon does not last.

Not changed: a node that is behind goes on serving the routes that it knows. Which of them are still in force it cannot tell, and a leader that announces what nobody can get would stop the fleet.

--- a/source/sidecar/freshness_tracker.cc
+++ b/source/sidecar/freshness_tracker.cc
@@ -3,9 +3,18 @@
 #include <algorithm>
 
 namespace runshelf::sidecar {
+namespace {
+
+constexpr Duration kAnnouncementHolds = std::chrono::seconds(5);
+
+}  // namespace
 
 void FreshnessTracker::OnAnnounced(Instant now, store::Revision announced) {
-  announced_ = std::max(announced_, announced);
+  if (announced >= announced_ || now - announced_at_ > kAnnouncementHolds) {
+    announced_ = announced;
+    announced_at_ = now;
+  }
+  if (announced_ <= known_) behind_since_.reset();
   if (announced_ > known_ && !behind_since_.has_value()) behind_since_ = now;
 }
 
--- a/source/sidecar/freshness_tracker.h
+++ b/source/sidecar/freshness_tracker.h
@@ -18,7 +18,8 @@
 // Deterministic; not thread-safe.
 class FreshnessTracker {
  public:
-  // Another node has all changes up to `announced`.
+  // Another node has all changes up to `announced`. An older announcement takes a newer one back
+  // only when that was not repeated for some seconds: whoever made it may have been wrong.
   void OnAnnounced(Instant now, store::Revision announced);
   // The copy includes all changes up to `known`. Returns for how long it was behind, when it no
   // longer is.
@@ -28,6 +29,7 @@
  private:
   store::Revision known_ = 0;
   store::Revision announced_ = 0;
+  Instant announced_at_{};
   std::optional<Instant> behind_since_;
 };
 
--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -41,19 +41,14 @@
 void Ingress::Handle(const http::ExchangePtr& exchange) {
   const http::RequestHead& head = exchange->request().head;
   if (configuration_ == nullptr) {
-    RefuseUnconfigured(exchange);
+    RefuseUnconfigured(exchange, "no-configuration");
     return;
   }
   const std::string* host = head.headers.Find("host");
   const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
   const routes::Route* route = host == nullptr ? nullptr : configuration_->Match(*host, path);
   if (route == nullptr) {
-    context_.metrics.OnRequest(RequestOutcome::kUnknownRoute, Duration(0));
-    context_.log.Write(LogLevel::kInfo, "route_unknown",
-                       {{"host", host == nullptr ? std::string() : *host},
-                        {"path", std::string(path)},
-                        {"configuration", configuration_->version()}});
-    exchange->Respond(kNotFound, {}, "");
+    AnswerUnknownRoute(exchange, host == nullptr ? std::string() : *host, path);
     return;
   }
   auto flow = std::make_shared<RequestFlow>(this, exchange, *route);
@@ -66,12 +61,27 @@
   return nested && context_.stop.EndsInTime(deadline);
 }
 
-void Ingress::RefuseUnconfigured(const http::ExchangePtr& exchange) {
+// A route that is missing here may be in a configuration that this node has not got yet. 404 would
+// say that there is none, and clients do not come again.
+void Ingress::AnswerUnknownRoute(const http::ExchangePtr& exchange, const std::string& host,
+                                 std::string_view path) {
+  if (configuration_is_behind_ && configuration_is_behind_()) {
+    RefuseUnconfigured(exchange, "configuration-behind");
+    return;
+  }
+  context_.metrics.OnRequest(RequestOutcome::kUnknownRoute, Duration(0));
+  context_.log.Write(
+      LogLevel::kInfo, "route_unknown",
+      {{"host", host}, {"path", std::string(path)}, {"configuration", configuration_->version()}});
+  exchange->Respond(kNotFound, {}, "");
+}
+
+void Ingress::RefuseUnconfigured(const http::ExchangePtr& exchange, const char* reason) {
   const std::string* id = exchange->request().head.headers.Find(context_.wire.headers().request_id);
   context_.log.Write(LogLevel::kInfo, "request_refused",
                      {{"request", id == nullptr ? std::string() : *id},
                       {"status", kServiceUnavailable},
-                      {"reason", "no-configuration"},
+                      {"reason", std::string(reason)},
                       {"verdict", VerdictName(Verdict::kNotRun)}});
   http::Headers headers;
   headers.Add(context_.wire.headers().retry_after, kRetryAfterShortly);
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -55,6 +55,10 @@
 
   // The configuration in force; nullptr while none is known.
   void SetConfiguration(std::shared_ptr<const routes::RoutingConfiguration> configuration);
+  // Tells whether a newer configuration is known to be in force elsewhere.
+  void set_configuration_is_behind(std::function<bool()> is_behind) {
+    configuration_is_behind_ = std::move(is_behind);
+  }
   void Handle(const http::ExchangePtr& exchange);
   // The owner of some keys changed: requests that wait for one look again.
   void OnShardsChanged() { RetryWaiting(); }
@@ -76,7 +80,10 @@
   // of the worker's runs, which need them to end, while they are certainly over before the node
   // ends.
   bool Takes(bool nested, Instant deadline) const;
-  void RefuseUnconfigured(const http::ExchangePtr& exchange);
+  // This node cannot tell whether the request has a route.
+  void RefuseUnconfigured(const http::ExchangePtr& exchange, const char* reason);
+  void AnswerUnknownRoute(const http::ExchangePtr& exchange, const std::string& host,
+                          std::string_view path);
   void RetryWaiting();
   // The worker beside this node sent the request while it runs another one.
   bool IsNestedCall(const http::RequestHead& head) const;
@@ -100,6 +107,7 @@
 
   IngressContext context_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
+  std::function<bool()> configuration_is_behind_;
   std::map<std::string, ServiceBudgets> budgets_;
   std::map<std::string, PatienceMeter> patience_;  // By route.
   // Requests that run alone and are under way.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -122,6 +122,7 @@
   feed_.set_on_transfer([this](const StateTransfer& transfer) {
     metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
   });
+  ingress_.set_configuration_is_behind([this] { return feed_.IsBehind(wire_.ConfigurationKey()); });
   feed_.set_store_answers([this] { return store_.direct_way_works(); });
   peers_.set_on_stop_notice([this](const std::string& node) {
     log_.Write(LogLevel::kInfo, "peer_stopping",
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -146,6 +146,11 @@
   return result;
 }
 
+bool StateFeed::IsBehind(const std::string& prefix) const {
+  const auto tracker = freshness_.find(prefix);
+  return tracker != freshness_.end() && tracker->second.At(loop_.Now()).behind_for > Duration(0);
+}
+
 void StateFeed::OnTransferEnd(const StateTransfer& transfer, const std::string& node) {
   if (on_transfer_) on_transfer_(transfer);
   if (transfer.succeeded) return;
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -114,6 +114,8 @@
   bool leading() const { return leading_; }
   // By prefix.
   std::map<std::string, Freshness> FreshnessOfState() const;
+  // Others announced a change of the prefix that this node has not got yet.
+  bool IsBehind(const std::string& prefix) const;
   // Since the latest beacon of another node, or since the start.
   Duration SilenceOfOthers() const { return loop_.Now() - heard_at_; }
 
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <thread>
 
+#include "source/event/udp_socket.h"
+#include "source/sidecar/feed_messages.h"
 #include "tests/platform_adapter/fleet.h"
 
 using namespace runshelf;
@@ -511,6 +513,26 @@
   CHECK(text.find("runshelf_grants_sent_total") < text.find("runshelf_request_duration_seconds"));
 }
 
+// Guards against a 404 for a route that is in force elsewhere, from a node that was told of a newer
+// configuration and has not got it.
+TEST(Sidecar, ANodeThatIsBehindDoesNotSayThatARouteIsMissing) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  CHECK_EQUAL(404, fleet.Request(1, "GET", "/none/1", "")->status);
+  sidecar::StateBeacon beacon;
+  beacon.node = "n0";
+  beacon.revisions["op/config"] = 1000000;
+  event::UdpSocket sender(fleet.loop, [](std::string_view) {});
+  const sidecar::Settings& settings = fleet.nodes[1].settings;
+  sender.Send({settings.ip_address, static_cast<uint16_t>(settings.peer_port_first + 1)},
+              beacon.Serialize());
+  event::RunFor(fleet.loop, std::chrono::milliseconds(50));
+  const std::optional<Fleet::Answer> answer = fleet.Request(1, "GET", "/none/1", "");
+  CHECK_EQUAL(503, answer->status);
+  CHECK(answer->headers.Has("Retry-After"));
+  CHECK_EQUAL(200, fleet.Request(1, "GET", "/read/1", "")->status);
+}
+
 TEST(Sidecar, AReloadTakesBoundsOverAndRefusesBrokenSettings) {
   Fleet fleet({"plain", "other"});
   fleet.Start();
--- a/tests/sidecar/freshness_tracker_test.cc
+++ b/tests/sidecar/freshness_tracker_test.cc
@@ -30,6 +30,16 @@
   CHECK(tracker.At(now + std::chrono::seconds(5)).behind_for == Duration(0));
 }
 
+// Guards against a node that takes itself for old for ever after one wrong announcement.
+TEST(FreshnessTracker, AnAnnouncementThatIsNotRepeatedLapses) {
+  tracker.OnKnown(now, 5);
+  tracker.OnAnnounced(now, 1000);
+  tracker.OnAnnounced(now + std::chrono::seconds(4), 5);
+  CHECK(tracker.At(now + std::chrono::seconds(4)).behind_for == std::chrono::seconds(4));
+  tracker.OnAnnounced(now + std::chrono::seconds(6), 5);
+  CHECK(tracker.At(now + std::chrono::seconds(6)).behind_for == Duration(0));
+}
+
 // Guards against a node that takes itself for current since a leader is behind.
 TEST(FreshnessTracker, AnOlderAnnouncementTakesNothingBack) {
   tracker.OnKnown(now, 5);
