Store: nodes tell the era of the store, dropped items and lost histories

To tell the hypotheses of the incident apart from a node's own output: that the store came back from an older copy (store_restored, runshelf_store_era), that a node dropped items for their revision (runshelf_state_stale_items_total), and that watches were refused (runshelf_state_lost_histories_total). No decision changes.

--- a/source/sidecar/freshness_tracker.cc
+++ b/source/sidecar/freshness_tracker.cc
@@ -27,7 +27,11 @@
 }
 
 Freshness FreshnessTracker::At(Instant now) const {
-  return {known_, announced_, behind_since_.has_value() ? now - *behind_since_ : Duration(0)};
+  Freshness freshness;
+  freshness.known = known_;
+  freshness.announced = announced_;
+  if (behind_since_.has_value()) freshness.behind_for = now - *behind_since_;
+  return freshness;
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/freshness_tracker.h
+++ b/source/sidecar/freshness_tracker.h
@@ -1,6 +1,7 @@
 // Tells how far this node's copy of a part of the state is behind, and for how long.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "runshelf/common/clock.h"
@@ -13,6 +14,8 @@
   store::Revision known = 0;      // Its copy includes all changes up to this one.
   store::Revision announced = 0;  // The newest that another node said to include.
   Duration behind_for{0};         // Since that was heard; zero: the copy includes it.
+  uint64_t stale_items = 0;       // Dropped, since the copy has a higher revision of them.
+  uint64_t lost_histories = 0;    // Watches that the store had no history for.
 };
 
 // Deterministic; not thread-safe.
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -105,6 +105,8 @@
         static_cast<double>(gauges.shard_map_revision));
   gauge("runshelf_store_reachable", "Whether the store answered lately.",
         gauges.store_reachable ? 1 : 0);
+  gauge("runshelf_store_era", "Rises each time the store comes back from an older copy.",
+        static_cast<double>(gauges.store_era));
   gauge("runshelf_ready", "Whether the node takes new clients.", gauges.ready ? 1 : 0);
   gauge("runshelf_stopping", "Whether the node was told to stop.", gauges.stopping ? 1 : 0);
   gauge("runshelf_live_nodes", "Nodes of the fleet that this one knows.",
@@ -139,11 +141,22 @@
                         .Name("runshelf_state_announced_revision")
                         .Help("The newest that another node said to have.")
                         .Register(now);
+  auto& stale_items = prometheus::BuildCounter()
+                          .Name("runshelf_state_stale_items_total")
+                          .Help("Items dropped since the copy has a higher revision of them.")
+                          .Register(now);
+  auto& lost_histories = prometheus::BuildCounter()
+                             .Name("runshelf_state_lost_histories_total")
+                             .Help("Watches that the store had no history for.")
+                             .Register(now);
   for (const auto& [prefix, freshness] : gauges.freshness) {
     behind.Add({{"prefix", prefix}})
         .Set(std::chrono::duration<double>(freshness.behind_for).count());
     known.Add({{"prefix", prefix}}).Set(static_cast<double>(freshness.known));
     announced.Add({{"prefix", prefix}}).Set(static_cast<double>(freshness.announced));
+    stale_items.Add({{"prefix", prefix}}).Increment(static_cast<double>(freshness.stale_items));
+    lost_histories.Add({{"prefix", prefix}})
+        .Increment(static_cast<double>(freshness.lost_histories));
   }
   // Single values first: a reader that takes only the beginning of a long text still has them.
   auto collected = now.Collect();
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -33,6 +33,7 @@
   int64_t configuration_version = 0;  // Zero: none is known.
   store::Revision shard_map_revision = 0;
   bool store_reachable = false;
+  store::StoreEra store_era = 0;
   bool ready = false;
   size_t live_nodes = 0;
   bool stopping = false;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -119,6 +119,9 @@
     configuration_watcher_.RetryNow();
     state_watcher_.RetryNow();
   });
+  store_.set_on_restored([this](store::StoreEra former, store::StoreEra present) {
+    log_.Write(LogLevel::kWarning, "store_restored", {{"former_era", former}, {"era", present}});
+  });
   feed_.set_on_transfer([this](const StateTransfer& transfer) {
     metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
   });
@@ -220,9 +223,10 @@
 void Sidecar::HandleMetrics(const http::ExchangePtr& exchange) {
   NodeGauges gauges;
   gauges.load = gate_.load();
-  gauges.configuration_version = configuration_ == nullptr ? 0 : configuration_->version();
+  gauges.configuration_version = configuration_version();
   gauges.shard_map_revision = shard_store_.revision();
   gauges.store_reachable = store_.reachable();
+  gauges.store_era = store_.era();
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -49,6 +49,10 @@
   // it was at the start, and the log says so.
   void Reload(const absl::StatusOr<Settings>& settings);
   bool ready() const;
+  // Of the configuration in force; zero: none is known.
+  int64_t configuration_version() const {
+    return configuration_ == nullptr ? 0 : configuration_->version();
+  }
   // This node passes the state in the store on to the others.
   bool leads_feed() const { return feed_.leading(); }
   const Ingress& ingress() const { return ingress_; }
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -141,6 +141,8 @@
     Freshness freshness;
     if (tracker != freshness_.end()) freshness = tracker->second.At(loop_.Now());
     freshness.known = watcher->revision();
+    freshness.stale_items = watcher->stale_items();
+    freshness.lost_histories = watcher->lost_histories();
     result[watcher->prefix()] = freshness;
   }
   return result;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -100,7 +100,10 @@
   }
   for (const auto& [key, item] : items) {
     const auto known = items_.find(key);
-    if (known != items_.end() && known->second.revision >= item.revision) continue;
+    if (known != items_.end() && known->second.revision >= item.revision) {
+      if (known->second.revision > item.revision) ++stale_items_;
+      continue;
+    }
     events.push_back({item, false});
   }
   for (const WatchEvent& event : events) Apply(event);
@@ -193,6 +196,7 @@
   if (!page.ok()) {
     // After a cut the history may be incomplete for this process: a whole read settles it.
     if (absl::IsOutOfRange(page.status())) {
+      ++lost_histories_;
       Refresh();
     } else {
       RetryLater(/*read_again=*/true);
@@ -234,7 +238,10 @@
 
 void PrefixWatcher::ApplyItem(const Item& item) {
   const auto known = items_.find(item.key);
-  if (known != items_.end() && known->second.revision >= item.revision) return;
+  if (known != items_.end() && known->second.revision >= item.revision) {
+    if (known->second.revision > item.revision) ++stale_items_;
+    return;
+  }
   items_[item.key] = item;
   if (observer_.on_item) observer_.on_item(item);
 }
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -89,6 +89,10 @@
   // True once the range was read whole.
   bool synchronized() const { return synchronized_; }
   const std::map<std::string, Item>& items() const { return items_; }
+  // Items that came with a lower revision than the copy has, and were dropped.
+  uint64_t stale_items() const { return stale_items_; }
+  // Watches that the store refused since it has no history from their revision on.
+  uint64_t lost_histories() const { return lost_histories_; }
 
  private:
   void ReadPage(uint64_t generation, const std::string& after_key);
@@ -133,6 +137,8 @@
   bool asking_ = false;         // Another process, for its copy.
   int asked_in_vain_ = 0;       // Times in a row that an answer did not bring all that was missing.
   Revision missing_up_to_ = 0;  // What it was asked for.
+  uint64_t stale_items_ = 0;
+  uint64_t lost_histories_ = 0;
 };
 
 }  // namespace runshelf::store
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -44,7 +44,18 @@
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
   active_.Start(endpoint, http::SerializeRequest(head, request.body), options, timeout,
-                std::move(callback));
+                [this, callback = std::move(callback)](std::optional<http::Response> response) {
+                  if (response.has_value()) NoteEra(*response);
+                  callback(std::move(response));
+                });
+}
+
+void StoreClient::NoteEra(const http::Response& response) {
+  const std::optional<StoreEra> era = codec_.DecodeEra(response);
+  // An answer of an earlier era may have been held up.
+  if (!era.has_value() || (era_.has_value() && *era <= *era_)) return;
+  const std::optional<StoreEra> former = std::exchange(era_, era);
+  if (former.has_value() && on_restored_) on_restored_(*former, *era);
 }
 
 void StoreClient::PassOn(const http::Request& request, Duration timeout,
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -60,6 +60,10 @@
   void set_on_reachable_changed(std::function<void(bool)> callback) {
     on_reachable_changed_ = std::move(callback);
   }
+  // Called when an answer tells that the store came back from an older copy of its data.
+  void set_on_restored(std::function<void(StoreEra former, StoreEra present)> callback) {
+    on_restored_ = std::move(callback);
+  }
 
   void Range(const std::string& prefix, const std::string& after_key,
              std::function<void(absl::StatusOr<RangePage>)> callback);
@@ -80,6 +84,8 @@
   bool reachable() const { return reachable_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
+  // The latest that an answer told of; zero before.
+  StoreEra era() const { return era_.value_or(0); }
   uint64_t calls() const { return call_count_; }
   const StoreCallCounts& call_counts() const { return counts_; }
 
@@ -98,6 +104,7 @@
   void Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
              std::function<void(std::optional<http::Response>)> callback);
   void SetReachable(bool reachable);
+  void NoteEra(const http::Response& response);
 
   event::EventLoop& loop_;
   StoreCodec& codec_;
@@ -105,6 +112,8 @@
   StoreRelay* relay_ = nullptr;
   std::function<void()> on_direct_lost_;
   std::function<void(bool)> on_reachable_changed_;
+  std::function<void(StoreEra, StoreEra)> on_restored_;
+  std::optional<StoreEra> era_;
   http::CallSet active_;
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
--- a/source/store/store_operations.h
+++ b/source/store/store_operations.h
@@ -8,6 +8,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 
 using Revision = int64_t;  // Rises with every change of the store; zero stands for "absent".
 using LeaseId = int64_t;   // Zero stands for "no lease".
+using StoreEra = int64_t;  // Rises each time the store comes back from an older copy of its data.
 
 struct Item {
   std::string key;
@@ -106,6 +108,9 @@
   virtual absl::Status DecodeKeepLease(const http::Response& response) = 0;
 
   virtual http::Request EncodeEndLease(LeaseId lease) = 0;
+
+  // The era in which the store gave an answer; nullopt when the answer does not tell.
+  virtual std::optional<StoreEra> DecodeEra(const http::Response& response) = 0;
 };
 
 }  // namespace runshelf::store
