Tests that fail: the store comes back from an older copy (OWNER, CONFIG)

What callers saw: 404 for a route that an acknowledged configuration had added; two workers held the same keys, the second under the token of the first; keys of a worker that left were refused as not-owner for a minute and more.

Reproduction: the tests' store is restored from a copy (what nodes wrote since, leases and revisions go back, watches are cut, one from a later revision gets 410, the operator's items are written again, Store-Era rises), 300 ms away.

Judged by the soak's judge of owners as it is.

--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -18,12 +18,21 @@
   return "";
 }
 
+bool IsOperatorsKey(const std::string& key) { return key.starts_with("op/"); }
+
 int64_t NumberAfter(const std::string& path, const std::string& prefix) {
   return std::stoll(path.substr(prefix.size()));
 }
 
 }  // namespace
 
+struct FakeStore::Copy {
+  std::map<std::string, Entry> entries;
+  std::map<int64_t, int64_t> leases;  // Times to live in milliseconds, by id.
+  int64_t revision = 0;
+  int64_t next_lease = 0;
+};
+
 FakeStore::FakeStore(event::EventLoop& loop)
     : loop_(loop),
       server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange, Fault::kNone); }) {
@@ -113,9 +122,36 @@
   for (const int64_t id : ids) EndLease(id);
 }
 
+std::shared_ptr<const FakeStore::Copy> FakeStore::TakeCopy() const {
+  auto copy = std::make_shared<Copy>();
+  copy->entries = entries_;
+  for (const auto& [id, lease] : leases_) copy->leases[id] = lease.time_to_live_ms;
+  copy->revision = revision_;
+  copy->next_lease = next_lease_;
+  return copy;
+}
+
+void FakeStore::Restore(const Copy& copy) {
+  for (const auto& watch : std::exchange(watches_, {})) watch->exchange->Abort();
+  ++era_;
+  const std::map<std::string, Entry> lost = std::exchange(entries_, copy.entries);
+  revision_ = copy.revision;
+  compacted_ = copy.revision;
+  history_.clear();
+  leases_.clear();
+  next_lease_ = copy.next_lease;
+  for (const auto& [id, time_to_live_ms] : copy.leases) AddLease(id, time_to_live_ms);
+  for (const auto& [key, entry] : lost) {
+    if (!IsOperatorsKey(key)) continue;
+    const auto copied = entries_.find(key);
+    if (copied == entries_.end() || copied->second.value != entry.value) Write(key, entry.value, 0);
+  }
+}
+
 void FakeStore::Reply(const http::ExchangePtr& exchange, int status, const json& body) {
   http::Headers headers;
   headers.Add("Content-Type", "application/json");
+  headers.Add("Store-Era", std::to_string(era_));
   const Duration latency = latency_ ? latency_() : Duration(0);
   if (latency <= Duration(0)) return exchange->Respond(status, headers, body.dump());
   DoLater(latency, [exchange, status, headers, text = body.dump()] {
@@ -231,7 +267,7 @@
   watch->exchange = exchange;
   watch->prefix = QueryValue(target, "path_prefix");
   watch->after = std::stoll(QueryValue(target, "after"));
-  if (watch->after < compacted_) return Reply(exchange, 410, json::object());
+  if (watch->after < compacted_ || watch->after > revision_) return Reply(exchange, 410, json::object());
   if (AnswerWatch(watch.get())) return;
   const auto wait = std::chrono::milliseconds(std::stoll(QueryValue(target, "wait_timeout_ms")));
   watch->timer = std::make_unique<event::Timer>(loop_, [this, waiting = watch.get()] {
@@ -306,11 +342,16 @@
 
 void FakeStore::HandleLease(const http::ExchangePtr& exchange, bool answer) {
   const int64_t id = next_lease_++;
+  const int64_t time_to_live_ms = json::parse(exchange->request().body)["ttl_ms"];
+  AddLease(id, time_to_live_ms);
+  if (answer) Reply(exchange, 200, {{"lease", id}, {"ttl_ms", time_to_live_ms}});
+}
+
+void FakeStore::AddLease(int64_t id, int64_t time_to_live_ms) {
   Lease& lease = leases_[id];
-  lease.time_to_live_ms = json::parse(exchange->request().body)["ttl_ms"];
+  lease.time_to_live_ms = time_to_live_ms;
   lease.timer = std::make_unique<event::Timer>(loop_, [this, id] { EndLease(id); });
-  RestartLease(&lease, std::chrono::milliseconds(lease.time_to_live_ms));
-  if (answer) Reply(exchange, 200, {{"lease", id}, {"ttl_ms", lease.time_to_live_ms}});
+  RestartLease(&lease, std::chrono::milliseconds(time_to_live_ms));
 }
 
 void FakeStore::HandleKeep(const http::ExchangePtr& exchange, int64_t id) {
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -62,6 +62,13 @@
   // Ends every lease now.
   void LapseLeases();
 
+  // What the store holds at one moment.
+  struct Copy;
+  std::shared_ptr<const Copy> TakeCopy() const;
+  // Comes back from a copy that was taken earlier: what nodes wrote since then is gone, leases too,
+  // and revisions and lease ids are given out again. What the operator wrote is written again.
+  void Restore(const Copy& copy);
+
   // What is read of a key is changed by this filter, from the value as it was written. Lets a test
   // put itself between nodes that find each other through the store.
   using ValueFilter = std::function<std::string(const std::string& key, const std::string& value)>;
@@ -113,6 +120,7 @@
   void DoLater(Duration delay, std::function<void()> action);
   void HandleLease(const http::ExchangePtr& exchange, bool answer);
   void HandleKeep(const http::ExchangePtr& exchange, int64_t id);
+  void AddLease(int64_t id, int64_t time_to_live_ms);
   void RestartLease(Lease* lease, Duration time);
   void EndLease(int64_t id);
   void Write(const std::string& key, const std::string& encoded, int64_t lease);
@@ -139,6 +147,7 @@
   std::function<bool(const http::Request&)> fault_filter_;
   ValueFilter value_filter_;
   Fault fault_ = Fault::kNone;
+  int64_t era_ = 1;
   int64_t revision_ = 0;
   int64_t compacted_ = 0;
   int64_t next_lease_ = 100;
--- /dev/null
+++ b/tests/platform_adapter/store_restore_test.cc
@@ -0,0 +1,214 @@
+// The store comes back from an older copy of its data: revisions, leases and what nodes wrote go
+// back.
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "source/sharding/shard_map.h"
+#include "tests/platform_adapter/fleet.h"
+#include "tests/soak/ownership_judge.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+
+namespace {
+
+constexpr Duration kAway = std::chrono::milliseconds(300);
+// By then every node acts on a change that the operator has written.
+constexpr Duration kConfigurationBound = std::chrono::seconds(2);
+// Grants that were given before the restore end within 8 s; then come a change of the map and the
+// next grants.
+constexpr Duration kSettleTime = std::chrono::seconds(12);
+constexpr Duration kJudgeInterval = std::chrono::milliseconds(5);
+
+enum class Restarts { kNone, kAll };
+
+const char kMapKey[] = "runshelf/shards/keyed";
+
+// What a planner writes that moves all shards of node `from` to node `to`.
+void PlanMoves(Fleet* fleet, size_t from, size_t to) {
+  auto map = sharding::ShardMap::Parse(*fleet->store.Find(kMapKey));
+  CHECK(map.ok());
+  for (sharding::Shard& shard : map->shards()) {
+    if (shard.owner.node != fleet->nodes[from].settings.node_name) continue;
+    shard.move_to_node = fleet->nodes[to].settings.node_name;
+  }
+  fleet->store.Put(kMapKey, map->Serialize());
+}
+
+// Sees which worker takes which keys, and judges it.
+class OwnershipWatch {
+ public:
+  explicit OwnershipWatch(Fleet* fleet)
+      : fleet_(fleet),
+        judge_(std::make_unique<soak::OwnershipJudge>()),
+        timer_(fleet->loop, [this] { Check(); }) {
+    for (const Fleet::Node& node : fleet->nodes) {
+      if (node.settings.worker_service != "keyed") continue;
+      FakeWorker* worker = node.worker.get();
+      worker->set_on_granted([this, worker](const FakeWorker::Grant& grant, bool late) {
+        const auto arrival = late ? soak::OrderArrival::kTakenLate : soak::OrderArrival::kTimely;
+        judge_->OnGrant(fleet_->loop.Now(), worker->life(), HeldOf(grant), arrival);
+      });
+      worker->set_on_released([this, worker](uint32_t first, uint32_t last) {
+        judge_->OnReleased(worker->life(), {first, last});
+      });
+    }
+    timer_.Start(kJudgeInterval, /*repeating=*/true);
+  }
+
+  void ExpectNoViolation() const {
+    const auto& violations = judge_->violations();
+    if (violations.empty()) return;
+    FAIL(fmt::format("{} violations, the first: {}", violations.size(), violations.front()).c_str());
+  }
+
+ private:
+  static soak::HeldKeys HeldOf(const FakeWorker::Grant& grant) {
+    return {{grant.first, grant.last}, grant.fence, grant.until};
+  }
+
+  void Check() {
+    const Instant now = fleet_->loop.Now();
+    std::vector<soak::WorkerHoldings> holdings;
+    for (const Fleet::Node& node : fleet_->nodes) {
+      if (node.settings.worker_service != "keyed") continue;
+      soak::WorkerHoldings held;
+      held.worker = node.worker->life();
+      for (const FakeWorker::Grant& grant : node.worker->grants()) {
+        if (grant.until > now) held.held.push_back(HeldOf(grant));
+      }
+      holdings.push_back(std::move(held));
+    }
+    judge_->Check(now, holdings);
+  }
+
+  Fleet* fleet_;
+  std::unique_ptr<soak::OwnershipJudge> judge_;
+  event::Timer timer_;
+};
+
+// The store is away, and comes back from `copy`. Nodes that start again do so as it returns.
+void RestoreStore(Fleet* fleet, const FakeStore::Copy& copy, Restarts restarts) {
+  fleet->store.set_fault(FakeStore::Fault::kReset);
+  RunFor(fleet->loop, kAway);
+  fleet->store.Restore(copy);
+  const bool restart = restarts == Restarts::kAll;
+  for (size_t node = 0; restart && node < fleet->nodes.size(); ++node) fleet->Kill(node);
+  fleet->store.set_fault(FakeStore::Fault::kNone);
+  for (size_t node = 0; restart && node < fleet->nodes.size(); ++node) fleet->Restart(node);
+}
+
+bool AllHaveVersion(const Fleet& fleet, int64_t version) {
+  return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [version](const Fleet::Node& node) {
+    return node.sidecar->configuration_version() == version;
+  });
+}
+
+// Keys move from one node to another while the copy that is restored has the move under way.
+void CheckKeysThatMoved(routes::GrantDelivery delivery, Restarts restarts) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"}, delivery);
+  fleet.Start();
+  OwnershipWatch watch(&fleet);
+  const size_t from = *fleet.HolderOf(0);
+  const size_t to = (from + 1) % 3;
+  PlanMoves(&fleet, from, to);
+  const auto copy = fleet.store.TakeCopy();
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.HolderOf(0) == to && fleet.EveryKeyHeld(); }));
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  watch.ExpectNoViolation();
+  RestoreStore(&fleet, *copy, restarts);
+  RunFor(fleet.loop, kSettleTime);
+  watch.ExpectNoViolation();
+  CHECK(fleet.EveryKeyHeld());
+  for (uint32_t key = 0; key < 65536; key += 8000) CHECK_EQUAL(200, fleet.Keyed(3, key)->status);
+}
+
+}  // namespace
+
+TEST_GROUP(StoreRestore){};
+
+// A configuration that was written after a restore was dropped for its revision: 404 for a route
+// that it had added, 2 s and more after it was acknowledged.
+TEST(StoreRestore, AConfigurationWrittenAfterwardsIsInForceInTime) {
+  Fleet fleet({"plain", "keyed", "keyed", "other"});
+  fleet.Start();
+  const auto copy = fleet.store.TakeCopy();
+  for (int version = 2; version <= 6; ++version) {
+    fleet.store.Put("op/config", TestConfiguration(version, "plain"));
+    RunFor(fleet.loop, std::chrono::milliseconds(200));
+  }
+  CHECK(AllHaveVersion(fleet, 6));
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  RunFor(fleet.loop, std::chrono::seconds(1));
+  fleet.store.Put("op/config", TestConfiguration(7, "other"));
+  CHECK(RunUntil(
+      fleet.loop, [&] { return AllHaveVersion(fleet, 7); }, kConfigurationBound));
+}
+
+// A watch from a revision that the store has given up was refused, and made again at once from the
+// same revision, 14 times a second on each node.
+TEST(StoreRestore, RefusedWatchesAreNotRepeatedInALoop) {
+  Fleet fleet({"plain", "keyed", "keyed", "other"});
+  fleet.Start();
+  const auto copy = fleet.store.TakeCopy();
+  for (int version = 2; version <= 9; ++version) {
+    fleet.store.Put("op/config", TestConfiguration(version, "plain"));
+    RunFor(fleet.loop, std::chrono::milliseconds(50));
+  }
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  const uint64_t before = fleet.store.calls("/runshelf/kv-watch");
+  RunFor(fleet.loop, std::chrono::seconds(5));
+  const uint64_t most = 10 * fleet.nodes.size();
+  CHECK(fleet.store.calls("/runshelf/kv-watch") - before <= most);
+}
+
+// A restored shard map had the move under way that had long been done: the move was made again,
+// under the same token, while the worker that had the keys still held them.
+TEST(StoreRestore, KeysThatMovedSinceTheCopyHaveOneHolder) {
+  CheckKeysThatMoved(routes::GrantDelivery::kCalls, Restarts::kNone);
+}
+
+// The same, when no node lives on that remembers the map as it was.
+TEST(StoreRestore, KeysThatMovedSinceTheCopyHaveOneHolderWhenAllNodesStartAgain) {
+  CheckKeysThatMoved(routes::GrantDelivery::kCalls, Restarts::kAll);
+}
+
+// The same with keys that travel in heartbeats.
+TEST(StoreRestore, LeasedKeysThatMovedSinceTheCopyHaveOneHolder) {
+  CheckKeysThatMoved(routes::GrantDelivery::kHeartbeats, Restarts::kNone);
+}
+
+TEST(StoreRestore, LeasedKeysThatMovedSinceTheCopyHaveOneHolderWhenAllNodesStartAgain) {
+  CheckKeysThatMoved(routes::GrantDelivery::kHeartbeats, Restarts::kAll);
+}
+
+// Changes of the shard map were made from a revision that the store had given up, and all failed:
+// the keys of a worker that left were served by nobody.
+TEST(StoreRestore, KeysOfAWorkerThatLeavesAfterwardsMove) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"});
+  fleet.Start();
+  OwnershipWatch watch(&fleet);
+  const size_t from = *fleet.HolderOf(0);
+  const auto copy = fleet.store.TakeCopy();
+  PlanMoves(&fleet, from, (from + 1) % 3);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.HolderOf(0) == (from + 1) % 3; }));
+  RunFor(fleet.loop, std::chrono::milliseconds(500));
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  RunFor(fleet.loop, std::chrono::seconds(2));
+  const size_t leaving = (from + 1) % 3;
+  fleet.nodes[leaving].worker->set_draining(true);
+  CHECK(RunUntil(
+      fleet.loop,
+      [&] {
+        return fleet.EveryKeyHeld() && fleet.HolderOf(0).has_value() &&
+               *fleet.HolderOf(0) != leaving;
+      },
+      kSettleTime));
+  watch.ExpectNoViolation();
+}
