--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -267,7 +267,8 @@
   watch->exchange = exchange;
   watch->prefix = QueryValue(target, "path_prefix");
   watch->after = std::stoll(QueryValue(target, "after"));
-  if (watch->after < compacted_ || watch->after > revision_) return Reply(exchange, 410, json::object());
+  if (watch->after < compacted_ || watch->after > revision_)
+    return Reply(exchange, 410, json::object());
   if (AnswerWatch(watch.get())) return;
   const auto wait = std::chrono::milliseconds(std::stoll(QueryValue(target, "wait_timeout_ms")));
   watch->timer = std::make_unique<event::Timer>(loop_, [this, waiting = watch.get()] {
--- a/tests/platform_adapter/store_restore_test.cc
+++ b/tests/platform_adapter/store_restore_test.cc
@@ -65,7 +65,8 @@
   void ExpectNoViolation() const {
     const auto& violations = judge_->violations();
     if (violations.empty()) return;
-    FAIL(fmt::format("{} violations, the first: {}", violations.size(), violations.front()).c_str());
+    FAIL(
+        fmt::format("{} violations, the first: {}", violations.size(), violations.front()).c_str());
   }
 
  private:
