--- a/source/sharding/shard_map.cc
+++ b/source/sharding/shard_map.cc
@@ -12,12 +12,16 @@
 
 absl::Status Invalid(const char* reason) { return absl::InvalidArgumentError(reason); }
 
-// A shard is the row [first, last, owner, token, handover, move_to]; owners are listed apart, since
-// many shards share one.
+// A shard is the row [first, last, owner, token, handover, move_to], with a seventh value, true,
+// when it was carried over; owners are listed apart, since many shards share one.
 constexpr size_t kRowSize = 6;
+constexpr size_t kCarriedOverRowSize = 7;
 
 bool IsShardRow(const json& row) {
-  return row.is_array() && row.size() == kRowSize && row[0].is_number_unsigned() &&
+  if (!row.is_array()) return false;
+  const bool carried_over =
+      row.size() == kCarriedOverRowSize && row[kRowSize].is_boolean() && row[kRowSize].get<bool>();
+  return (row.size() == kRowSize || carried_over) && row[0].is_number_unsigned() &&
          row[1].is_number_unsigned() && row[2].is_number_unsigned() &&
          row[3].is_number_unsigned() && row[4].is_string() && row[5].is_string();
 }
@@ -44,6 +48,24 @@
   });
 }
 
+void ShardMap::CarryOver(FencingToken token_base) {
+  RaiseLastToken(token_base);
+  const FencingToken token = NextToken();
+  for (Shard& shard : shards_) {
+    shard.token = token;
+    shard.carried_over = true;
+  }
+}
+
+void ShardMap::EndCarryOver() {
+  for (Shard& shard : shards_) shard.carried_over = false;
+}
+
+bool ShardMap::HasCarriedOver() const {
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [](const Shard& shard) { return shard.carried_over; });
+}
+
 void ShardMap::Assign(Shard* shard, const WorkerId& owner, FencingToken token,
                       const std::string& handover) {
   shard->owner = owner;
@@ -90,6 +112,7 @@
     if (added) owners.push_back({shard.owner.node, shard.owner.worker});
     rows.push_back({shard.first, shard.last, position->second, shard.token, shard.handover,
                     shard.move_to_node});
+    if (shard.carried_over) rows.back().push_back(true);
   }
   return json{{"last_token", last_token_}, {"owners", owners}, {"shards", rows}}.dump();
 }
@@ -107,7 +130,7 @@
   map.last_token_ = token->get<FencingToken>();
   uint64_t next_key = 0;
   for (const json& row : *rows) {
-    if (!IsShardRow(row)) return Invalid("a shard is not a row of six");
+    if (!IsShardRow(row)) return Invalid("a shard is no row of its values");
     const auto owner_index = row[2].get<size_t>();
     if (owner_index >= owners->size()) return Invalid("a shard names an unknown owner");
     const json& owner = (*owners)[owner_index];
@@ -125,6 +148,7 @@
     shard.token = row[3].get<FencingToken>();
     shard.handover = row[4].get<std::string>();
     shard.move_to_node = row[5].get<std::string>();
+    shard.carried_over = row.size() == kCarriedOverRowSize;
     if (shard.token > map.last_token_) return Invalid("a token is above last_token");
     map.shards_.push_back(std::move(shard));
   }
--- a/source/sharding/shard_map.h
+++ b/source/sharding/shard_map.h
@@ -35,6 +35,9 @@
   FencingToken token = 0;
   std::string handover;      // What the last holder released it with; empty when there is none.
   std::string move_to_node;  // Node that the owner is to hand it to; empty when it stays.
+  // The map went back with the store since the owner was named: until the grants of that time have
+  // run out, another worker may hold the keys.
+  bool carried_over = false;
 
   bool Contains(ShardKey key) const { return first <= key && key <= last; }
   ShardKey size() const { return last - first + 1; }
@@ -60,6 +63,13 @@
   // Tokens up to `token` were seen at a worker: later ones are drawn above.
   void RaiseLastToken(FencingToken token) { last_token_ = std::max(last_token_, token); }
 
+  // Makes this the map of a new era of the store, with the same owners: all tokens are new, and
+  // above `token_base`.
+  void CarryOver(FencingToken token_base);
+  // The grants that were given before the map was carried over have run out.
+  void EndCarryOver();
+  bool HasCarriedOver() const;
+
   // Gives a shard to a new owner under `token`, which NextToken returned after the last assignment
   // of any of its keys.
   static void Assign(Shard* shard, const WorkerId& owner, FencingToken token,
--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -177,8 +177,10 @@
   }
 }
 
-ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerConfig& config) {
+ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerInput& input,
+                    const PlannerConfig& config) {
   ShardMap map;
+  map.RaiseLastToken(input.token_base);
   const FencingToken token = map.NextToken();
   const size_t per_worker =
       std::clamp(config.initial_shards / workers.size(), config.initial_shards_per_worker_min,
@@ -190,6 +192,7 @@
     shard.first = static_cast<ShardKey>(index * kBucketCount / count * kKeysPerBucket);
     shard.last = static_cast<ShardKey>((index + 1) * kBucketCount / count * kKeysPerBucket - 1);
     ShardMap::Assign(&shard, workers[index % workers.size()]->id, token, "");
+    shard.carried_over = input.former_grants_may_run;
     map.shards().push_back(std::move(shard));
   }
   return map;
@@ -240,7 +243,7 @@
   if (accepting.empty()) return plan;
   if (map.empty()) {
     plan.changed = true;
-    plan.map = InitialMap(accepting, config);
+    plan.map = InitialMap(accepting, input, config);
     plan.reason = "first-assignment";
     return plan;
   }
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -23,6 +23,10 @@
   std::vector<PlannerWorker> workers;       // Of the live nodes, each with its current worker.
   std::set<std::string> departed_nodes;     // Without a lease in the store.
   std::map<std::string, LoadReport> loads;  // The latest report of each node.
+  // Of a new map: tokens up to this one may be known to workers.
+  FencingToken token_base = 0;
+  // Of a new map: grants of one that was lost may still be in force.
+  bool former_grants_may_run = false;
 };
 
 struct PlannerConfig {
--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -32,7 +32,9 @@
   bool released = false;
   bool superseded = false;  // The worker has seen a higher token on these keys.
   bool abandoned = false;   // Released because its grant ran out, by a worker that cannot renew it.
-  std::string handover;     // Of the release.
+  // Of a shard that was carried over: the worker held it before, and has held it since.
+  bool held_since_former_era = false;
+  std::string handover;  // Of the release.
   // With grants in heartbeats:
   bool leased = false;         // A lease that lists the shard was sent.
   uint32_t missing = 0;        // Heartbeats in a row that did not report it although it was leased.
--- a/source/sidecar/request_flow_outcome.cc
+++ b/source/sidecar/request_flow_outcome.cc
@@ -103,7 +103,7 @@
        {"worker", last_worker_},
        {"owner_waits", owner_waits_},
        {"key", key_.has_value() ? std::to_string(*key_) : std::string("none")},
-       {"shards_revision", context_.shards.RevisionOf(service_)},
+       {"shards_revision", store::RevisionText(context_.shards.RevisionOf(service_))},
        {"configuration",
         ingress_->configuration_ == nullptr ? 0 : ingress_->configuration_->version()}});
 }
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -107,7 +107,7 @@
               {"asks", item.description},
               {"trials", item.trials},
               {"workers", absl::StrJoin(item.worker_ids, ",")},
-              {"revision", stored.revision}});
+              {"revision", store::RevisionText(stored.revision)}});
   if (item.released) {
     seen_.erase(request);
     return;
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -46,14 +46,20 @@
   SendReport();
   if (shards_.busy()) return;
   Repair();
-  if (shards_.busy() || loop_.Now() - balanced_at_ < config_.balance_interval) return;
+  if (shards_.busy() || !shards_.OfPresentEra()) return;
+  if (loop_.Now() - balanced_at_ < config_.balance_interval) return;
   balanced_at_ = loop_.Now();
   Balance();
 }
 
 sharding::PlannerInput ShardCoordinator::MakeInput() const {
   const Instant now = loop_.Now();
+  const Duration departure_wait = shards_.restored() && FormerGrantsMayRun(now)
+                                      ? config_.departure_wait_restored
+                                      : config_.departure_wait;
   sharding::PlannerInput input;
+  input.token_base = shards_.TokenBase();
+  input.former_grants_may_run = shards_.restored() || !config_.first_start;
   for (const auto& [node, peer] : peers_.peers()) {
     if (peer.record.service != config_.service) continue;
     sharding::PlannerWorker worker;
@@ -67,7 +73,7 @@
     // An unknown node's item went before this node started to watch.
     const bool never_seen =
         peers_.Find(node) == nullptr && now - active_since_ > config_.settle_time;
-    if (never_seen || peers_.Departed(now, node, config_.departure_wait)) {
+    if (never_seen || peers_.Departed(now, node, departure_wait)) {
       input.departed_nodes.insert(node);
     }
   }
@@ -121,17 +127,52 @@
 }
 
 void ShardCoordinator::Repair() {
+  if (!shards_.OfPresentEra()) {
+    CarryOver();
+    return;
+  }
   const Instant now = loop_.Now();
   if (shards_.map().empty() && now - active_since_ < config_.settle_time) return;
-  const sharding::Plan plan = PlanRepair(shards_.map(), MakeInput(), config_.planner);
+  sharding::Plan plan = PlanRepair(shards_.map(), MakeInput(), config_.planner);
+  if (!plan.changed && shards_.map().HasCarriedOver() && !FormerGrantsMayRun(now)) {
+    plan.map = shards_.map();
+    plan.map.EndCarryOver();
+    plan.reason = "carry-over-ended";
+    plan.changed = true;
+  }
   if (!plan.changed) {
     repair_needed_since_ = Instant{};
     return;
   }
   if (repair_needed_since_ == Instant{}) repair_needed_since_ = now;
-  const auto wait = config_.rank_delay * static_cast<int64_t>(Rank());
-  if (now - repair_needed_since_ < wait) return;
-  Commit(plan);
+  if (IsDue(repair_needed_since_, now)) Commit(plan);
+}
+
+bool ShardCoordinator::IsDue(Instant since, Instant now) const {
+  return now - since >= config_.rank_delay * static_cast<int64_t>(Rank());
+}
+
+bool ShardCoordinator::FormerGrantsMayRun(Instant now) const {
+  return now < shards_.era_since() + config_.former_grants_last;
+}
+
+void ShardCoordinator::CarryOver() {
+  const Instant since =
+      shards_.era_since() + (shards_.FromCopy() ? config_.carry_over_wait : Duration(0));
+  if (!shards_.MustBeCarriedOver() || !IsDue(since, loop_.Now())) return;
+  const store::StoreEra former_era = shards_.era();
+  const store::Revision former_revision = shards_.revision();
+  sharding::ShardMap map = shards_.map();
+  map.CarryOver(shards_.TokenBase());
+  shards_.CarryOver(map, [this, former_era, former_revision](ShardStore::Outcome outcome) {
+    log_.Write(LogLevel::kWarning, "shard_map_carried_over",
+               {{"committed", outcome == ShardStore::Outcome::kCommitted},
+                {"known", outcome != ShardStore::Outcome::kUnknown},
+                {"former_era", former_era},
+                {"former_revision", store::RevisionText(former_revision)},
+                {"revision", store::RevisionText(shards_.revision())}});
+    if (on_committed_) on_committed_();
+  });
 }
 
 void ShardCoordinator::Balance() {
@@ -140,7 +181,7 @@
   if (plan.reason != balance_reason_) {
     balance_reason_ = plan.reason;
     log_.Write(LogLevel::kInfo, "balance_considered",
-               {{"outcome", plan.reason}, {"revision", shards_.revision()}});
+               {{"outcome", plan.reason}, {"revision", store::RevisionText(shards_.revision())}});
   }
   if (plan.changed) Commit(plan);
 }
@@ -157,8 +198,8 @@
     log_.Write(LogLevel::kInfo, "shard_map_planned",
                {{"reason", reason},
                 {"committed", outcome == ShardStore::Outcome::kCommitted},
-                {"revision_before", before},
-                {"revision", shards_.revision()},
+                {"revision_before", store::RevisionText(before)},
+                {"revision", store::RevisionText(shards_.revision())},
                 {"shards", count}});
     OnOutcome(outcome);
     if (on_committed_) on_committed_();
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -29,6 +29,14 @@
   Duration settle_time = std::chrono::milliseconds(2500);
   // How long a node's item must be gone before its shards are taken.
   Duration departure_wait = std::chrono::milliseconds(300);
+  // The same after the store came back from an older copy: nodes write their items again.
+  Duration departure_wait_restored = std::chrono::milliseconds(2500);
+  // A node that knows the map from the store's copy only waits for those that know it from before.
+  Duration carry_over_wait = std::chrono::seconds(3);
+  // See ShardHolderConfig.
+  Duration former_grants_last = std::chrono::seconds(8);
+  // This is the first start of the whole fleet: there are no grants from before.
+  bool first_start = false;
   // Each further node by name waits this much longer before it repairs the map.
   Duration rank_delay = std::chrono::milliseconds(500);
   Duration tick_interval = std::chrono::milliseconds(250);
@@ -56,6 +64,12 @@
   void SendReport();
   void OnReport(std::string_view data);
   void Repair();
+  // Makes the map that is known here the one of the present era of the store.
+  void CarryOver();
+  // What has been due since then is this node's to do: those before it had the time.
+  bool IsDue(Instant since, Instant now) const;
+  // Grants of former eras of the store may still be in force.
+  bool FormerGrantsMayRun(Instant now) const;
   void Balance();
   void Commit(const sharding::Plan& plan);
   void OnOutcome(ShardStore::Outcome outcome);
--- a/source/sidecar/shard_directory.h
+++ b/source/sidecar/shard_directory.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "source/sharding/shard_map.h"
+#include "source/sidecar/shard_map_key.h"
 #include "source/store/store_operations.h"
 
 namespace runshelf::sidecar {
@@ -13,12 +14,12 @@
  public:
   // Takes over the map of a service when it is newer than the one known. Returns false when the
   // item is newer and no map: the one known holds on.
-  bool OnItem(const std::string& service, const store::Item& item) {
-    Entry& entry = entries_[service];
-    if (item.revision <= entry.revision) return true;
+  bool OnItem(const ShardMapKey& key, const store::Item& item) {
+    Entry& entry = entries_[key.service];
+    if (!entry.version.OlderThan(key, item.revision)) return true;
     auto parsed = sharding::ShardMap::Parse(item.value);
     if (!parsed.ok()) return false;
-    entry.revision = item.revision;
+    entry.version = {key.era, item.revision};
     entry.map = *std::move(parsed);
     return true;
   }
@@ -31,12 +32,12 @@
 
   store::Revision RevisionOf(const std::string& service) const {
     const auto found = entries_.find(service);
-    return found == entries_.end() ? 0 : found->second.revision;
+    return found == entries_.end() ? 0 : found->second.version.revision;
   }
 
  private:
   struct Entry {
-    store::Revision revision = 0;
+    ShardMapVersion version;
     sharding::ShardMap map;
   };
   std::map<std::string, Entry> entries_;
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -170,6 +170,9 @@
       holding.held_until = parent->held_until;
       holding.leased = parent->leased;
       holding.token_use = parent->token_use;
+      holding.held_since_former_era = parent->held_since_former_era;
+    } else if (shard.carried_over) {
+      InheritHold(shard, loop_.Now(), &holding);
     }
     if (holding.worker_id != shard.owner.worker) holding.worker_id = shard.owner.worker;
     holding.shard = shard;
@@ -179,6 +182,30 @@
   holdings_ = std::move(wanted);
 }
 
+void ShardHolder::InheritHold(const sharding::Shard& shard, Instant now, HeldShard* holding) const {
+  Instant usable_until = Instant::max();
+  Instant held_until{};
+  uint32_t next_key = shard.first;
+  for (const auto& [key, former] : holdings_) {
+    if (former.shard.last < next_key || next_key > shard.last) continue;
+    const bool held = former.shard.first <= next_key && former.worker_id == shard.owner.worker &&
+                      !former.releasing && former.usable_until > now;
+    if (!held) return;
+    usable_until = std::min(usable_until, former.usable_until);
+    held_until = std::max(held_until, former.held_until);
+    next_key = former.shard.last + 1;
+  }
+  if (next_key <= shard.last) return;
+  holding->usable_until = usable_until;
+  holding->held_until = held_until;
+  holding->held_since_former_era = true;
+}
+
+bool ShardHolder::MayBeHeldElsewhere(const HeldShard& holding, Instant now) const {
+  return holding.shard.carried_over && !holding.held_since_former_era &&
+         now < shards_.era_since() + config_.former_grants_last;
+}
+
 void ShardHolder::RememberDisowned(const HeldShards& wanted) {
   const Instant now = loop_.Now();
   for (const auto& [key, holding] : holdings_) {
@@ -235,7 +262,7 @@
     if (holding.call != 0 || holding.releasing || holding.superseded) continue;
     if (!OfThisWorker(holding)) continue;
     // A shard that is to move is renewed until its release is sent.
-    if (MustMove(holding.shard)) continue;
+    if (MustMove(holding.shard) || MayBeHeldElsewhere(holding, now)) continue;
     const bool held = holding.usable_until > now;
     if (now < holding.retry_at) continue;
     const bool repeats = holding.token_use != TokenUse::kNone;
@@ -293,7 +320,7 @@
               {"shards", granted_anew_.size()},
               {"keys", KeyRanges(granted_anew_)},
               {"token", granted_anew_.front().token},
-              {"revision", shards_.revision()},
+              {"revision", store::RevisionText(shards_.revision())},
               {"change_under_way", shards_.busy()}});
   granted_anew_.clear();
 }
@@ -360,6 +387,12 @@
   const Duration authority = context_.AuthorityUntil() - now;
   const Duration hold = std::min(config_.heartbeat_hold, authority - authority / kClockRateDivisor);
   if (hold < kMinHold) return std::nullopt;
+  std::set<sharding::ShardKey> held_elsewhere;  // Maybe; first keys.
+  for (const auto& [key, holding] : holdings_) {
+    if (MayBeHeldElsewhere(holding, now)) held_elsewhere.insert(holding.shard.first);
+  }
+  // A lease without them would take away what the worker may hold itself.
+  if (!held_elsewhere.empty() && held_elsewhere.size() == holdings_.size()) return std::nullopt;
   ++grants_sent_;
   std::vector<HeldShardKey> lapsed;
   for (const auto& [key, holding] : holdings_) {
@@ -367,7 +400,10 @@
   }
   KeyLease lease = heartbeat_grants_.MakeLease(
       heartbeat, now, hold, [this](const sharding::Shard& shard) { return MustMove(shard); },
-      [this](const sharding::Shard& shard) { return shards_.Settled(shard); }, &holdings_);
+      [&](const sharding::Shard& shard) {
+        return shards_.Settled(shard) && !held_elsewhere.contains(shard.first);
+      },
+      &holdings_);
   std::vector<sharding::Shard> granted_anew;
   for (const HeldShardKey& key : lapsed) {
     const HeldShard& holding = holdings_.at(key);
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -54,6 +54,9 @@
   // A release answers when what runs on the keys has ended.
   Duration release_timeout = std::chrono::seconds(2);
   Duration tick_interval = std::chrono::milliseconds(200);
+  // No grant outlasts the lease of the node that gave it. From when this process knows that the
+  // store came back from an older copy, none from before is in force after this time.
+  Duration former_grants_last = std::chrono::seconds(8);
   size_t grants_at_once = 4;
   // A release only waits, for what runs on its keys; keys that must leave a busy worker leave it
   // together.
@@ -145,6 +148,11 @@
   // The worker may have ended unnoticed.
   void SuspectEnd(const char* reason);
   void AskForNewTokens();
+  // Another worker may hold the shard under a grant of a former era of the store.
+  bool MayBeHeldElsewhere(const HeldShard& holding, Instant now) const;
+  // The worker certainly holds all keys of the shard, which was carried over, under the tokens of
+  // the former era: nobody else does.
+  void InheritHold(const sharding::Shard& shard, Instant now, HeldShard* holding) const;
   void LogGrants(const std::vector<sharding::Shard>& shards);
   void SendGrant(const HeldShardKey& key, HeldShard* holding);
   void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -15,7 +15,7 @@
 Duration ShardHolder::CommitDelay() { return backoff_.Wait(random_, reassigning_); }
 
 void ShardHolder::CommitChanges() {
-  if (!DividedByKey() || shards_.map().empty()) return;
+  if (!DividedByKey() || shards_.map().empty() || !shards_.OfPresentEra()) return;
   if (shards_.busy()) {
     commit_timer_.Start(kCommitRetry);
     return;
@@ -31,7 +31,7 @@
                     log_.Write(LogLevel::kInfo, "shards_changed",
                                {{"committed", outcome == ShardStore::Outcome::kCommitted},
                                 {"known", outcome != ShardStore::Outcome::kUnknown},
-                                {"revision", shards_.revision()},
+                                {"revision", store::RevisionText(shards_.revision())},
                                 {"reassigned", reassigned},
                                 {"renewed", renewed},
                                 {"released", released}});
@@ -123,6 +123,7 @@
       successor = {config_.node, worker_id_};
     }
     const std::string handover = found->second.handover;
+    shard.carried_over = shard.carried_over && MayBeHeldElsewhere(found->second, loop_.Now());
     if (successor.worker.empty()) {
       shard.owner.worker.clear();
       shard.handover = handover;
--- a/source/sidecar/shard_store.cc
+++ b/source/sidecar/shard_store.cc
@@ -4,20 +4,35 @@
 
 namespace runshelf::sidecar {
 
-ShardStore::ShardStore(store::StoreClient& store, std::string key)
-    : store_(store), key_(std::move(key)) {}
+namespace {
+
+// Tokens of one era of the store: far more than are ever drawn, and workers know tokens of up to
+// 2^53.
+constexpr int kTokenBitsOfEra = 32;
+
+}  // namespace
+
+ShardStore::ShardStore(store::StoreClient& store, std::string service)
+    : store_(store), service_(std::move(service)) {}
+
+sharding::FencingToken ShardStore::TokenBase() const {
+  return static_cast<sharding::FencingToken>(store_.era()) << kTokenBitsOfEra;
+}
 
 bool ShardStore::OnItem(const store::Item& item) {
-  if (item.key != key_ || item.revision <= revision_) return false;
+  const auto key = ShardMapKey::Parse(item.key);
+  if (!key.has_value() || key->service != service_) return false;
+  if (store::EraOf(item.revision) > key->era) former_keys_.insert(item.key);
+  if (!version_.OlderThan(*key, item.revision)) return false;
   auto parsed = sharding::ShardMap::Parse(item.value);
   if (!parsed.ok()) return false;
-  TakeOver(*std::move(parsed), item.revision);
+  TakeOver(*std::move(parsed), {key->era, item.revision});
   return true;
 }
 
-void ShardStore::TakeOver(sharding::ShardMap map, store::Revision revision) {
+void ShardStore::TakeOver(sharding::ShardMap map, const ShardMapVersion& version) {
   map_ = std::move(map);
-  revision_ = revision;
+  version_ = version;
   // Changes of an earlier revision were done, and are in this map, or never will be.
   changing_.clear();
   undecided_.clear();
@@ -38,14 +53,31 @@
 void ShardStore::Replace(const sharding::ShardMap& map,
                          const std::vector<store::Condition>& conditions,
                          std::function<void(Outcome)> callback) {
-  busy_ = true;
   changing_ = NotKeptBy(map);
+  const ShardMapKey key{service_, era()};
   store::Transaction transaction;
   transaction.conditions = conditions;
-  transaction.conditions.push_back({key_, revision_});
-  transaction.puts.push_back({key_, map.Serialize(), 0});
-  store_.Commit(transaction, [this, map, callback = std::move(callback)](
-                                 absl::StatusOr<store::CommitResult> result) {
+  transaction.conditions.push_back({key.ToString(), version_.revision});
+  Commit(transaction, key, map, std::move(callback));
+}
+
+// The owners stay, and what they hold under the grants of the former era they hold on: no shard is
+// uncertain while the outcome is not known.
+void ShardStore::CarryOver(const sharding::ShardMap& map, std::function<void(Outcome)> callback) {
+  const ShardMapKey key{service_, store_.era()};
+  store::Transaction transaction;
+  transaction.conditions.push_back({key.ToString(), 0});
+  transaction.removals.assign(former_keys_.begin(), former_keys_.end());
+  Commit(transaction, key, map, std::move(callback));
+}
+
+void ShardStore::Commit(const store::Transaction& transaction, const ShardMapKey& key,
+                        const sharding::ShardMap& map, std::function<void(Outcome)> callback) {
+  busy_ = true;
+  store::Transaction with_map = transaction;
+  with_map.puts.push_back({key.ToString(), map.Serialize(), 0});
+  store_.Commit(with_map, [this, key, map, callback = std::move(callback)](
+                              absl::StatusOr<store::CommitResult> result) {
     busy_ = false;
     if (!result.ok()) {
       undecided_.merge(changing_);
@@ -59,7 +91,7 @@
       callback(Outcome::kConflict);
       return;
     }
-    if (result->revision > revision_) TakeOver(map, result->revision);
+    if (version_.OlderThan(key, result->revision)) TakeOver(map, {key.era, result->revision});
     callback(Outcome::kCommitted);
   });
 }
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -54,7 +54,7 @@
                {[this](bool former_gone) { OnWorkerChanged(former_gone); },
                 [this] { holder_.OnWorkerConfirmed(); },
                 [this](const std::string& worker_id) { OnWorkerEnded(worker_id); }, &holder_}),
-      shard_store_(store_, KeyOf(kShardPrefix, settings_.worker_service)),
+      shard_store_(store_, settings_.worker_service),
       holder_(loop, order_pool_, wire, shard_store_, *this, random, log, HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
       lease_(loop, store_, LeaseConfig(settings_)),
@@ -120,7 +120,7 @@
     state_watcher_.RetryNow();
   });
   store_.set_on_restored([this](store::StoreEra former, store::StoreEra present) {
-    log_.Write(LogLevel::kWarning, "store_restored", {{"former_era", former}, {"era", present}});
+    OnStoreRestored(former, present);
   });
   feed_.set_on_transfer([this](const StateTransfer& transfer) {
     metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
@@ -187,6 +187,18 @@
   return absl::OkStatus();
 }
 
+// What nodes wrote since the copy is gone, their leases too. Whoever follows another node's changes
+// gets the present state from it; this node's own lease has the state read in any case.
+void Sidecar::OnStoreRestored(store::StoreEra former, store::StoreEra present) {
+  log_.Write(LogLevel::kWarning, "store_restored", {{"former_era", former}, {"era", present}});
+  lease_.OnStoreRestored();
+  lease_to_confirm_ = 0;
+  confirmed_lease_ = 0;
+  for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
+    if (!watcher->following()) watcher->Refresh();
+  }
+}
+
 void Sidecar::ReadState() {
   state_read_timer_.Stop();
   if (state_watcher_.started()) {
@@ -251,14 +263,15 @@
   auto decoded = wire_.DecodeConfiguration(item.value);
   if (!decoded.ok()) {
     log_.Write(LogLevel::kError, "configuration_refused",
-               {{"revision", item.revision}, {"reason", std::string(decoded.status().message())}});
+               {{"revision", store::RevisionText(item.revision)},
+                {"reason", std::string(decoded.status().message())}});
     return;
   }
   if (configuration_ != nullptr && decoded->version() <= configuration_->version()) return;
   configuration_ = std::make_shared<const routes::RoutingConfiguration>(*std::move(decoded));
   log_.Write(LogLevel::kInfo, "configuration_in_force",
              {{"version", configuration_->version()},
-              {"revision", item.revision},
+              {"revision", store::RevisionText(item.revision)},
               {"routes", configuration_->routes().size()}});
   ApplyLimits(configuration_->limits());
   const routes::Service* service = configuration_->FindService(settings_.worker_service);
@@ -293,8 +306,8 @@
     ingress_.OnShardsChanged();
     return;
   }
-  if (const std::string service = NameAfter(item.key, kShardPrefix); !service.empty()) {
-    if (!shard_directory_.OnItem(service, item)) RefuseItem(item, "no shard map");
+  if (const auto key = ShardMapKey::Parse(item.key); key.has_value()) {
+    if (!shard_directory_.OnItem(*key, item)) RefuseItem(item, "no shard map");
     if (shard_store_.OnItem(item)) holder_.OnMapChanged();
     ingress_.OnShardsChanged();
     return;
@@ -306,7 +319,9 @@
   if (TableOverrides::IsCellKey(item.key)) {
     const bool understood = table_.OnItem(item);
     log_.Write(understood ? LogLevel::kInfo : LogLevel::kError, "table_cell",
-               {{"key", item.key}, {"revision", item.revision}, {"in_force", understood}});
+               {{"key", item.key},
+                {"revision", store::RevisionText(item.revision)},
+                {"in_force", understood}});
     return;
   }
   if (item.key == KeyOf(kDrainPrefix, settings_.node_name)) {
@@ -318,7 +333,7 @@
 void Sidecar::RefuseItem(const store::Item& item, const char* reason) {
   log_.Write(LogLevel::kError, "state_item_refused",
              {{"key", item.key},
-              {"revision", item.revision},
+              {"revision", store::RevisionText(item.revision)},
               {"bytes", item.value.size()},
               {"reason", std::string(reason)}});
 }
@@ -326,6 +341,7 @@
 void Sidecar::OnStateRemoved(const std::string& key) {
   const std::string node = NameAfter(key, kNodePrefix);
   if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
+  shard_store_.OnRemoved(key);
   if (RequestQuarantine::IsItemKey(key)) quarantine_.OnRemoved(key);
   if (TableOverrides::IsCellKey(key)) {
     table_.OnRemoved(key);
@@ -440,6 +456,8 @@
 }
 
 Instant Sidecar::AuthorityUntil() const {
+  // Until the map is carried over into the present era, the lease of the former one backs it.
+  if (!shard_store_.OfPresentEra()) return lease_.ValidUntilIn(shard_store_.era());
   if (confirmed_lease_ == 0 || confirmed_lease_ != lease_.lease()) return Instant{};
   return lease_.ValidUntil();
 }
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -97,6 +97,7 @@
   void AnnounceStop();
   bool LeavesKeys() const;
   void EndLease();
+  void OnStoreRestored(store::StoreEra former, store::StoreEra present);
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
   void OnTick();
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -130,7 +130,7 @@
   if (!behind_for.has_value() || *behind_for < config_.beacon_interval) return;
   log_.Write(LogLevel::kInfo, "state_caught_up",
              {{"prefix", watcher.prefix()},
-              {"revision", watcher.revision()},
+              {"revision", store::RevisionText(watcher.revision())},
               {"behind_ms", ToMilliseconds(*behind_for)}});
 }
 
@@ -177,8 +177,8 @@
     log_.Write(LogLevel::kInfo, "leader_behind",
                {{"leader", beacon.node},
                 {"prefix", prefix},
-                {"announced", announced->second},
-                {"revision", revision}});
+                {"announced", store::RevisionText(announced->second)},
+                {"revision", store::RevisionText(revision)}});
     PushToAll(SerializeChanges(prefix, Whole(watcher->Snapshot())));
   }
 }
@@ -254,8 +254,8 @@
     if (announced == announced_.end() || watcher->CompleteTo(announced->second)) continue;
     log_.Write(LogLevel::kInfo, "state_behind",
                {{"prefix", watcher->prefix()},
-                {"announced", announced->second},
-                {"change_revision", watcher->change_revision()}});
+                {"announced", store::RevisionText(announced->second)},
+                {"change_revision", store::RevisionText(watcher->change_revision())}});
     watcher->CatchUp(announced->second);
   }
 }
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -32,6 +32,20 @@
   lease_ = 0;
 }
 
+void LeaseKeeper::OnStoreRestored() {
+  if (ended_) return;
+  if (lease_ != 0) {
+    former_era_ = era_;
+    former_valid_until_ = valid_until_;
+  }
+  OnLeaseLost();
+}
+
+Instant LeaseKeeper::ValidUntilIn(StoreEra era) const {
+  if (lease_ != 0 && era == era_) return valid_until_;
+  return era == former_era_ ? former_valid_until_ : Instant{};
+}
+
 void LeaseKeeper::SetValue(const std::string& value) {
   if (value == value_) return;
   value_ = value;
@@ -71,8 +85,10 @@
   store_.GrantLease(config_.time_to_live, [this, sent](absl::StatusOr<Lease> lease) {
     calling_ = false;
     if (ended_) return;
-    if (!lease.ok()) return;
+    // One that was granted in a former era is gone.
+    if (!lease.ok() || lease->era != store_.era()) return;
     lease_ = lease->id;
+    era_ = lease->era;
     time_to_live_ = lease->time_to_live;
     valid_until_ = Instant{};
     Extend(sent, time_to_live_);
@@ -84,10 +100,9 @@
   calling_ = true;
   const Instant sent = loop_.Now();
   renewal_sent_at_ = sent;
-  const LeaseId lease = lease_;
-  store_.KeepLease(lease, [this, sent, lease](const absl::Status& status) {
+  store_.KeepLease(lease_, [this, sent, generation = generation_](const absl::Status& status) {
     calling_ = false;
-    if (ended_ || lease != lease_) return;
+    if (ended_ || generation != generation_) return;
     if (status.ok()) {
       Extend(sent, time_to_live_);
       timer_.Start(config_.renewal_interval);
@@ -98,7 +113,9 @@
 }
 
 void LeaseKeeper::OnLeaseLost() {
+  ++generation_;
   lease_ = 0;
+  written_lease_ = 0;
   valid_until_ = Instant{};
   timer_.Start(Duration(0));
 }
@@ -112,9 +129,10 @@
   Transaction transaction;
   transaction.conditions.push_back({config_.key, item_revision_});
   transaction.puts.push_back({config_.key, value, lease});
-  store_.Commit(transaction, [this, lease, value](absl::StatusOr<CommitResult> result) {
+  store_.Commit(transaction, [this, lease, value, generation = generation_](
+                                 absl::StatusOr<CommitResult> result) {
     writing_ = false;
-    if (ended_ || lease != lease_) return;
+    if (ended_ || generation != generation_) return;
     if (!result.ok()) return;
     if (result->outcome == CommitOutcome::kLeaseEnded) {
       OnLeaseLost();
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -33,6 +33,9 @@
   void RenewNow();
   // Ends the lease: its item goes at once.
   void End();
+  // The store came back from an older copy of its data: the lease may be gone, and its id
+  // another's.
+  void OnStoreRestored();
   // The value of the item; written as soon as a lease is held.
   void SetValue(const std::string& value);
   // A new lease was taken and its item is written: what depended on an earlier one must be read
@@ -42,6 +45,9 @@
   // The lease is in force at least until then: counted from before the last renewal was sent.
   // Instant{} when there is none.
   Instant ValidUntil() const { return valid_until_; }
+  // The same for a lease of this process that was granted in `era` of the store. The one of the era
+  // before runs on as far as this process alone is concerned.
+  Instant ValidUntilIn(StoreEra era) const;
   LeaseId lease() const { return lease_; }
   // When the latest call that the store granted or renewed the lease for was sent.
   Instant renewed_at() const { return renewed_at_; }
@@ -68,6 +74,10 @@
   event::Timer write_timer_;
   std::function<void()> on_new_lease_;
   LeaseId lease_ = 0;
+  uint64_t generation_ = 0;  // Of the lease: ids may come again. Answers of earlier ones are ignored.
+  StoreEra era_ = 0;  // Of the lease held last.
+  StoreEra former_era_ = 0;
+  Instant former_valid_until_{};  // Of the lease of that era.
   LeaseId written_lease_ = 0;
   std::string value_;
   std::string written_value_;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -61,8 +61,12 @@
     return;
   }
   // Pages are no snapshot: what changes between them comes again by the watch, which starts from
-  // the revision of the first page.
+  // the revision of the first page. The store may come back from an older copy between two.
   if (read_revision_ == 0) read_revision_ = page->revision;
+  if (EraOf(page->revision) != EraOf(read_revision_)) {
+    Refresh();
+    return;
+  }
   std::string last_key;
   for (Item& item : page->items) {
     last_key = item.key;
@@ -82,6 +86,9 @@
   changes.from = change_revision_;
   changes.events = ApplySnapshot(std::exchange(reading_, {}), read_revision_);
   changes.to = change_revision_;
+  // Others may have had changes of the former era that this process had not.
+  const bool era_began = EraOf(changes.from) != EraOf(changes.to);
+  if (era_began && !changes.events.empty()) changes = Snapshot();
   if (observer_.on_synchronized) observer_.on_synchronized();
   if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
   ContinueWatching();
@@ -183,6 +190,11 @@
 
 void PrefixWatcher::WatchNext() {
   if (stopped_) return;
+  // The store cannot tell what has changed since a revision of a former era.
+  if (EraOf(revision_) < store_.era()) {
+    Refresh();
+    return;
+  }
   const uint64_t generation = ++generation_;
   watching_ = true;
   store_.Watch(config_.prefix, revision_, [this, generation](absl::StatusOr<WatchPage> page) {
@@ -204,6 +216,11 @@
     return;
   }
   retry_delay_ = Duration(0);
+  // The watch was asked for in one era and answered in the next.
+  if (EraOf(page->revision) > EraOf(revision_)) {
+    Refresh();
+    return;
+  }
   ChangeSet changes;
   changes.from = change_revision_;
   changes.events = std::move(page->events);
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -40,8 +40,8 @@
 };
 
 // Reads the range once, then watches from its revision on, or follows what another process passes
-// on; reads the range again whenever something may be missing. The copy never goes back to an older
-// revision of an item.
+// on; reads the range again whenever something may be missing, as when the store comes back from an
+// older copy of its data. The copy never goes back to an older revision of an item.
 class PrefixWatcher {
  public:
   struct Observer {
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -5,6 +5,34 @@
 namespace runshelf::store {
 namespace {
 
+void JoinWithEra(StoreEra era, Item* item) { item->revision = MakeRevision(era, item->revision); }
+
+void JoinWithEra(StoreEra era, RangePage* page) {
+  page->revision = MakeRevision(era, page->revision);
+  for (Item& item : page->items) JoinWithEra(era, &item);
+}
+
+void JoinWithEra(StoreEra era, WatchPage* page) {
+  page->revision = MakeRevision(era, page->revision);
+  for (WatchEvent& event : page->events) JoinWithEra(era, &event.item);
+}
+
+void JoinWithEra(StoreEra era, CommitResult* result) {
+  if (result->outcome == CommitOutcome::kCommitted) {
+    result->revision = MakeRevision(era, result->revision);
+  }
+  for (Item& item : result->found) JoinWithEra(era, &item);
+}
+
+void JoinWithEra(StoreEra era, Lease* lease) { lease->era = era; }
+
+// What the codec decoded, with the era in which the store said it.
+template <typename Result>
+absl::StatusOr<Result> InEra(StoreEra era, absl::StatusOr<Result> decoded) {
+  if (decoded.ok()) JoinWithEra(era, &*decoded);
+  return decoded;
+}
+
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
@@ -55,7 +83,23 @@
   // An answer of an earlier era may have been held up.
   if (!era.has_value() || (era_.has_value() && *era <= *era_)) return;
   const std::optional<StoreEra> former = std::exchange(era_, era);
-  if (former.has_value() && on_restored_) on_restored_(*former, *era);
+  era_since_ = loop_.Now();
+  if (!former.has_value()) return;
+  restored_ = true;
+  if (on_restored_) on_restored_(*former, *era);
+}
+
+StoreEra StoreClient::EraOfAnswer(const http::Response& response) const {
+  return codec_.DecodeEra(response).value_or(era());
+}
+
+Transaction StoreClient::WithCounters(Transaction transaction) const {
+  for (Condition& condition : transaction.conditions) {
+    if (condition.revision == 0) continue;
+    const bool present = EraOf(condition.revision) == era();
+    condition.revision = present ? CounterOf(condition.revision) : kRevisionCounterMax;
+  }
+  return transaction;
 }
 
 void StoreClient::PassOn(const http::Request& request, Duration timeout,
@@ -163,7 +207,7 @@
                         std::function<void(absl::StatusOr<RangePage>)> callback) {
   Call(&counts_.reads, codec_.EncodeRange(prefix, after_key),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-         callback(response.ok() ? codec_.DecodeRange(*response)
+         callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeRange(*response))
                                 : absl::StatusOr<RangePage>(response.status()));
        });
 }
@@ -174,22 +218,22 @@
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
   const auto peer = avoid_direct ? relay_->ChoosePeer() : std::nullopt;
   const Duration wait = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
-  http::Request request = codec_.EncodeWatch(prefix, after, wait);
+  http::Request request = codec_.EncodeWatch(prefix, CounterOf(after), wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
   ++counts_.watches;
   Start(peer.value_or(config_.endpoint), request, wait + config_.call_timeout,
         [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
           callback(response.has_value()
-                       ? codec_.DecodeWatch(*response)
+                       ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
                        : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
         });
 }
 
 void StoreClient::Commit(const Transaction& transaction,
                          std::function<void(absl::StatusOr<CommitResult>)> callback) {
-  Call(&counts_.transactions, codec_.EncodeTransaction(transaction),
+  Call(&counts_.transactions, codec_.EncodeTransaction(WithCounters(transaction)),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-         callback(response.ok() ? codec_.DecodeTransaction(*response)
+         callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeTransaction(*response))
                                 : absl::StatusOr<CommitResult>(response.status()));
        });
 }
@@ -198,7 +242,7 @@
                              std::function<void(absl::StatusOr<Lease>)> callback) {
   Call(&counts_.leases, codec_.EncodeGrantLease(time_to_live),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-         callback(response.ok() ? codec_.DecodeGrantLease(*response)
+         callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeGrantLease(*response))
                                 : absl::StatusOr<Lease>(response.status()));
        });
 }
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -60,7 +60,8 @@
   void set_on_reachable_changed(std::function<void(bool)> callback) {
     on_reachable_changed_ = std::move(callback);
   }
-  // Called when an answer tells that the store came back from an older copy of its data.
+  // Called when an answer tells that the store came back from an older copy of its data, before
+  // the callback of that call.
   void set_on_restored(std::function<void(StoreEra former, StoreEra present)> callback) {
     on_restored_ = std::move(callback);
   }
@@ -86,6 +87,10 @@
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
   // The latest that an answer told of; zero before.
   StoreEra era() const { return era_.value_or(0); }
+  // When this process first knew of the present era.
+  Instant era_since() const { return era_since_; }
+  // The present era began since this process started.
+  bool restored() const { return restored_; }
   uint64_t calls() const { return call_count_; }
   const StoreCallCounts& call_counts() const { return counts_; }
 
@@ -105,6 +110,10 @@
              std::function<void(std::optional<http::Response>)> callback);
   void SetReachable(bool reachable);
   void NoteEra(const http::Response& response);
+  // In which the store gave the answer, as far as is known.
+  StoreEra EraOfAnswer(const http::Response& response) const;
+  // The transaction as the store understands it. A condition from another era holds for no item.
+  Transaction WithCounters(Transaction transaction) const;
 
   event::EventLoop& loop_;
   StoreCodec& codec_;
@@ -114,6 +123,8 @@
   std::function<void(bool)> on_reachable_changed_;
   std::function<void(StoreEra, StoreEra)> on_restored_;
   std::optional<StoreEra> era_;
+  Instant era_since_{};
+  bool restored_ = false;
   http::CallSet active_;
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
--- a/source/store/store_operations.h
+++ b/source/store/store_operations.h
@@ -17,10 +17,24 @@
 
 namespace runshelf::store {
 
-using Revision = int64_t;  // Rises with every change of the store; zero stands for "absent".
 using LeaseId = int64_t;   // Zero stands for "no lease".
 using StoreEra = int64_t;  // Rises each time the store comes back from an older copy of its data.
 
+// Orders all changes of the store: by era, and within one by the store's own counter, which goes
+// back when an era begins. Zero stands for "absent". Made by MakeRevision only.
+using Revision = int64_t;
+
+constexpr int kRevisionCounterBits = 40;
+constexpr int64_t kRevisionCounterMax = (int64_t{1} << kRevisionCounterBits) - 1;
+
+constexpr Revision MakeRevision(StoreEra era, int64_t counter) {
+  return (era << kRevisionCounterBits) + counter;
+}
+constexpr StoreEra EraOf(Revision revision) { return revision >> kRevisionCounterBits; }
+constexpr int64_t CounterOf(Revision revision) { return revision & kRevisionCounterMax; }
+// For logs and people: "ERA.COUNTER", without the era where the store tells none.
+std::string RevisionText(Revision revision);
+
 struct Item {
   std::string key;
   std::string value;
@@ -79,10 +93,12 @@
 
 struct Lease {
   LeaseId id = 0;
+  StoreEra era = 0;  // In which it was granted; in a later one the id may be another's.
   Duration time_to_live{0};
 };
 
-// Translates operations into HTTP requests and answers back. Free of input and output.
+// Translates operations into HTTP requests and answers back. Free of input and output. Revisions
+// are the store's own counters here; StoreClient joins them with the era.
 //
 // Decoders return: kUnavailable or kResourceExhausted when the store refused and nothing was done;
 // kNotFound and kOutOfRange as said below; kInternal for an answer that makes no sense.
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -147,7 +147,7 @@
   std::function<bool(const http::Request&)> fault_filter_;
   ValueFilter value_filter_;
   Fault fault_ = Fault::kNone;
-  int64_t era_ = 1;
+  int64_t era_ = 0;
   int64_t revision_ = 0;
   int64_t compacted_ = 0;
   int64_t next_lease_ = 100;
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -47,6 +47,7 @@
     node.settings.store = store.endpoint();
     node.settings.heartbeat_interval = kHeartbeatInterval;
     node.settings.grant_delivery = grant_delivery;
+    node.settings.first_start = true;
     node.worker->set_keys_in_heartbeats(grant_delivery == routes::GrantDelivery::kHeartbeats);
     nodes.push_back(std::move(node));
   }
@@ -103,7 +104,10 @@
 
 void Fleet::Kill(size_t node) { nodes[node].sidecar.reset(); }
 
-void Fleet::Restart(size_t node) { StartNode(&nodes[node]); }
+void Fleet::Restart(size_t node) {
+  nodes[node].settings.first_start = false;
+  StartNode(&nodes[node]);
+}
 
 void Fleet::SetBorn(int64_t born) {
   for (Node& node : nodes) node.worker->set_born(born);
--- a/tests/platform_adapter/store_restore_test.cc
+++ b/tests/platform_adapter/store_restore_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "source/sharding/shard_map.h"
+#include "source/sidecar/shard_map_key.h"
 #include "tests/platform_adapter/fleet.h"
 #include "tests/soak/ownership_judge.h"
 
@@ -18,6 +19,9 @@
 
 namespace {
 
+// Requests for a key are refused while its grants are renewed under new tokens: less than clients
+// wait for an answer.
+constexpr Duration kLongestGap = std::chrono::milliseconds(500);
 constexpr Duration kAway = std::chrono::milliseconds(300);
 // By then every node acts on a change that the operator has written.
 constexpr Duration kConfigurationBound = std::chrono::seconds(2);
@@ -28,17 +32,26 @@
 
 enum class Restarts { kNone, kAll };
 
-const char kMapKey[] = "runshelf/shards/keyed";
+// Each era of the store has a map of its own, the latest being in force.
+std::string MapKey(const Fleet& fleet) {
+  constexpr store::StoreEra kLatestEra = 5;
+  for (store::StoreEra era = kLatestEra; era > 0; --era) {
+    const std::string key = sidecar::ShardMapKey{"keyed", era}.ToString();
+    if (fleet.store.Find(key) != nullptr) return key;
+  }
+  return sidecar::ShardMapKey{"keyed", 0}.ToString();
+}
 
 // What a planner writes that moves all shards of node `from` to node `to`.
 void PlanMoves(Fleet* fleet, size_t from, size_t to) {
-  auto map = sharding::ShardMap::Parse(*fleet->store.Find(kMapKey));
+  const std::string key = MapKey(*fleet);
+  auto map = sharding::ShardMap::Parse(*fleet->store.Find(key));
   CHECK(map.ok());
   for (sharding::Shard& shard : map->shards()) {
     if (shard.owner.node != fleet->nodes[from].settings.node_name) continue;
     shard.move_to_node = fleet->nodes[to].settings.node_name;
   }
-  fleet->store.Put(kMapKey, map->Serialize());
+  fleet->store.Put(key, map->Serialize());
 }
 
 // Sees which worker takes which keys, and judges it.
@@ -213,3 +226,87 @@
       kSettleTime));
   watch.ExpectNoViolation();
 }
+
+// Nobody has to wait for the grants of before where the worker that had the keys keeps them.
+TEST(StoreRestore, KeysAreServedWhileTheStoreGoesBack) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"});
+  fleet.Start();
+  const auto copy = fleet.store.TakeCopy();
+  PlanMoves(&fleet, 0, 1);
+  CHECK(
+      RunUntil(fleet.loop, [&] { return fleet.HolderOf(0).has_value() && fleet.EveryKeyHeld(); }));
+  RunFor(fleet.loop, std::chrono::seconds(1));
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  const Instant end = fleet.loop.Now() + std::chrono::seconds(4);
+  Instant served_at = fleet.loop.Now();
+  Duration longest{0};
+  for (uint32_t key = 0; fleet.loop.Now() < end; key = (key + 4099) % 65536) {
+    const auto answer = fleet.Keyed(3, key);
+    if (!answer.has_value() || answer->status != 200) continue;
+    longest = std::max(longest, fleet.loop.Now() - served_at);
+    served_at = fleet.loop.Now();
+  }
+  CHECK(longest < kLongestGap);
+  CHECK(end - served_at < kLongestGap);
+}
+
+// Each time the tokens go up and the owners stay.
+TEST(StoreRestore, TheStoreMayGoBackMoreThanOnce) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"});
+  fleet.Start();
+  OwnershipWatch watch(&fleet);
+  const auto first = fleet.store.TakeCopy();
+  PlanMoves(&fleet, 0, 1);
+  RunFor(fleet.loop, std::chrono::seconds(1));
+  RestoreStore(&fleet, *first, Restarts::kNone);
+  RunFor(fleet.loop, std::chrono::milliseconds(700));
+  const auto second = fleet.store.TakeCopy();
+  PlanMoves(&fleet, 1, 2);
+  RunFor(fleet.loop, std::chrono::seconds(1));
+  RestoreStore(&fleet, *second, Restarts::kNone);
+  RunFor(fleet.loop, std::chrono::milliseconds(200));
+  // From before the former one.
+  RestoreStore(&fleet, *first, Restarts::kNone);
+  fleet.store.Put("op/config", TestConfiguration(9, "other"));
+  CHECK(RunUntil(
+      fleet.loop, [&] { return AllHaveVersion(fleet, 9); }, kConfigurationBound));
+  RunFor(fleet.loop, kSettleTime);
+  watch.ExpectNoViolation();
+  CHECK(fleet.EveryKeyHeld());
+}
+
+// A change that was sent before and is done late has a condition that may hold by accident.
+TEST(StoreRestore, AChangeOfTheMapThatIsDoneLateTakesNoKeys) {
+  Fleet fleet({"keyed", "keyed", "keyed", "other"});
+  fleet.Start();
+  OwnershipWatch watch(&fleet);
+  const size_t from = *fleet.HolderOf(0);
+  const auto copy = fleet.store.TakeCopy();
+  fleet.store.set_fault(FakeStore::Fault::kHoldWrites);
+  PlanMoves(&fleet, from, (from + 1) % 3);
+  CHECK(RunUntil(fleet.loop, [&] { return fleet.store.held() > 0; }));
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  // The revision that the change was made from is given out again.
+  PlanMoves(&fleet, from, (from + 2) % 3);
+  fleet.store.CarryOutHeld();
+  RunFor(fleet.loop, kSettleTime);
+  watch.ExpectNoViolation();
+  CHECK(fleet.EveryKeyHeld());
+}
+
+// Lease ids are given out again: a node that renewed its former one would keep another's item.
+TEST(StoreRestore, EachNodeTakesALeaseOfItsOwn) {
+  Fleet fleet({"plain", "keyed", "other"});
+  const auto copy = fleet.store.TakeCopy();
+  fleet.Start();
+  RestoreStore(&fleet, *copy, Restarts::kNone);
+  CHECK(RunUntil(fleet.loop, [&] {
+    return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const Fleet::Node& node) {
+      return fleet.store.Find("runshelf/nodes/" + node.settings.node_name) != nullptr;
+    });
+  }));
+  fleet.Kill(0);
+  RunFor(fleet.loop, std::chrono::seconds(10));
+  CHECK(fleet.store.Find("runshelf/nodes/n0") == nullptr);
+  CHECK(fleet.store.Find("runshelf/nodes/n1") != nullptr);
+}
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -117,15 +117,16 @@
 void SoakFleet::WriteSettings(const SoakNode& node, int retry_budget_extra) const {
   std::ofstream file(options_.directory + "/" + node.name + ".toml");
   file << fmt::format(
-      "node_name = \"{}\"\nip_address = \"{}\"\nzone = \"z\"\n"
+      "node_name = \"{}\"\nfirst_start = {}\nip_address = \"{}\"\nzone = \"z\"\n"
       "internal_port_range = [{},{}]\nheartbeat_interval_ms = {}\n"
       "bounds = [\"drain_timeout_ms={}\",\"grace_period_s={}\",\"max_hold_ms=10000\","
       "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra={}\"]\n"
       "grants = \"{}\"\napplication_address = \"{}\"\nservice = \"{}\"\n"
       "[listen_addresses]\ninbound = \"{}\"\noutbound = \"{}\"\nreadiness = \"{}\"\n"
       "control_plane = \"{}\"\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
-      node.name, node.ip, kPeerPort, kPeerPort + 1, ToMilliseconds(heartbeat_interval_),
-      ToMilliseconds(kDrainTimeout), kGracePeriod / std::chrono::seconds(1), retry_budget_extra,
+      node.name, node.process == nullptr || node.process->life() == 0, node.ip, kPeerPort,
+      kPeerPort + 1, ToMilliseconds(heartbeat_interval_), ToMilliseconds(kDrainTimeout),
+      kGracePeriod / std::chrono::seconds(1), retry_budget_extra,
       options_.keys_in_heartbeats ? "heartbeat" : "invocation",
       node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
       node.outbound.ToString(), node.readiness.ToString(), node.control_plane.ToString(),
@@ -151,9 +152,12 @@
       case SupervisedProcess::Event::kEndedByItself:
         witness_.OnProcessEndedByItself(node->name, node->process->last_exit());
         witness_.Disturb(node->index, /*planned=*/false);
+        ChangeSettings(*node);
         break;
-      case SupervisedProcess::Event::kStarted:
       case SupervisedProcess::Event::kEnded:
+        ChangeSettings(*node);
+        [[fallthrough]];
+      case SupervisedProcess::Event::kStarted:
         witness_.Disturb(node->index, /*planned=*/was_stopping);
         break;
       case SupervisedProcess::Event::kNone:
