Soak: the store comes back from older copies of its data

Drawn apart from everything else: the plans of all seeds without that option stay as they were (a test says so).

--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -13,6 +13,9 @@
 constexpr Duration kServesOn = std::chrono::milliseconds(1500);
 // A leaving worker that nobody acknowledges ends all the same.
 constexpr Duration kLongestLeave = std::chrono::seconds(8);
+constexpr Duration kCopyInterval = std::chrono::milliseconds(250);
+// Longer than the oldest copy that a plan restores, and its fault.
+constexpr Duration kCopyKept = std::chrono::seconds(13);
 
 // What the store does to a node that it turns away.
 FakeStore::Fault EntranceFault(Mode mode) {
@@ -41,6 +44,7 @@
     case FaultKind::kStoreDownPastLeases:
       return FakeStore::Fault::kRefuse;
     case FaultKind::kStoreSilent:
+    case FaultKind::kStoreRestored:
       return FakeStore::Fault::kSilent;
     case FaultKind::kStoreLosesAnswers:
       return FakeStore::Fault::kLoseWrites;
@@ -196,6 +200,7 @@
     case FaultKind::kStoreCarriesOutLate:
     case FaultKind::kStoreForgetsHistory:
     case FaultKind::kStoreDownPastLeases:
+    case FaultKind::kStoreRestored:
       witness_.BeginStoreFault(std::nullopt);
       return ApplyStore();
     case FaultKind::kStoreTurnsAway:
@@ -253,6 +258,10 @@
       witness_.EndStoreFault(std::nullopt);
       ApplyStore();
       return fleet_.store().CompactAndCutWatches();
+    case FaultKind::kStoreRestored:
+      RestoreStore(fault);
+      witness_.EndStoreFault(std::nullopt);
+      return ApplyStore();
     case FaultKind::kStoreRefuses:
     case FaultKind::kStoreSilent:
     case FaultKind::kStoreLosesAnswers:
@@ -295,7 +304,25 @@
   }
 }
 
+void FaultDriver::TakeStoreCopy() {
+  const Instant now = loop_.Now();
+  if (!store_copies_.empty() && now - store_copies_.back().taken_at < kCopyInterval) return;
+  store_copies_.push_back({now, fleet_.store().TakeCopy()});
+  while (now - store_copies_.front().taken_at > kCopyKept) store_copies_.pop_front();
+}
+
+void FaultDriver::RestoreStore(const PlannedFault& fault) {
+  const Instant taken_at = started_ + fault.at - fault.copy_age;
+  const auto after =
+      std::find_if(store_copies_.begin(), store_copies_.end(),
+                   [taken_at](const StoreCopy& copy) { return copy.taken_at > taken_at; });
+  // There is none so old: the oldest one.
+  const auto chosen = after == store_copies_.begin() ? after : std::prev(after);
+  fleet_.store().Restore(*chosen->copy);
+}
+
 void FaultDriver::Watch() {
+  TakeStoreCopy();
   const Instant now = loop_.Now();
   for (const auto& node : fleet_.nodes()) {
     Instant& leaving_since = leaving_since_[node->index];
--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -1,6 +1,7 @@
 // Carries a plan of faults out on the fleet.
 #pragma once
 
+#include <deque>
 #include <list>
 #include <memory>
 #include <string>
@@ -45,6 +46,9 @@
   void Kill(size_t node, Duration down);
   void Terminate(const PlannedFault& fault);
   void WriteConfiguration();
+  // Keeps copies of what the store holds, as old as a restore may need them.
+  void TakeStoreCopy();
+  void RestoreStore(const PlannedFault& fault);
 
   event::EventLoop& loop_;
   SoakFleet& fleet_;
@@ -53,6 +57,11 @@
   size_t next_ = 0;  // In the plan.
   std::list<Active> active_;
   std::vector<Instant> leaving_since_;  // By node; of its present worker.
+  struct StoreCopy {
+    Instant taken_at{};
+    std::shared_ptr<const platform_adapter::FakeStore::Copy> copy;
+  };
+  std::deque<StoreCopy> store_copies_;  // The oldest first.
   OperatorConfigurations operators_;
   event::Timer next_timer_;
   Instant started_{};
--- a/tests/soak/fault_kind.cc
+++ b/tests/soak/fault_kind.cc
@@ -34,6 +34,7 @@
     "worker-restarts",
     "worker-resets-new",
     "worker-stops-listening",
+    "store-restored",
 };
 
 }  // namespace
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -41,11 +41,13 @@
   kWorkerRestarts,        // Ends without a word, and starts again under its identity.
   kWorkerResetsNew,       // At its limit of connections: new ones are reset, it serves on.
   kWorkerStopsListening,  // New connections are refused; it serves those that are open.
+  // Drawn only when a run asks for it.
+  kStoreRestored,  // Away, and then back from an older copy of its data.
 };
 
 // Those that may come by themselves: the first ones.
 constexpr size_t kSingleFaultKinds = 24;
-constexpr size_t kFaultKinds = 27;
+constexpr size_t kFaultKinds = 28;
 
 std::string_view FaultName(FaultKind kind);
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -43,6 +43,10 @@
     }
     random_ = SeededRandom(~input_.seed + 1);
     for (at = input_.first; at < input_.last; at += Time(2000, 7000)) WorkerProcesses(at);
+    random_ = SeededRandom(~input_.seed + 2);
+    for (at = input_.first; input_.store_restores && at < input_.last; at += Time(3000, 9000)) {
+      StoreRestored(at);
+    }
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -236,6 +240,34 @@
     }
   }
 
+  // Beside changes that the copy does not have, some of which are under way.
+  void StoreRestored(Duration at) {
+    const Duration away = Time(100, 2500);
+    AddRestore(at, away);
+    if (random_.Below(3) == 0) AddRestore(at + away + Time(-100, 1500), Time(100, 1000));
+    const Duration beside = std::max(input_.first, at + Time(-3000, 1000));
+    if (Coin()) WorkersReplaced(beside);
+    if (Coin()) Configurations(beside);
+    if (Coin()) MovesWithOrdersOut(beside);
+    if (random_.Below(4) == 0) RollingStops(beside);
+    const size_t killed = random_.Below(4);
+    if (killed == 0) Add(FaultKind::kKillAllProcesses, at + away + Time(-500, 500), Time(5, 500));
+    if (killed > 1) return;
+    for (const size_t node : SomeNodes(random_.Below(Half()))) {
+      Add(FaultKind::kKillProcess, at + Time(-500, 3000), Time(5, 1500), node);
+    }
+  }
+
+  void AddRestore(Duration at, Duration away) {
+    PlannedFault fault;
+    fault.kind = FaultKind::kStoreRestored;
+    fault.at = std::max(input_.first, at);
+    fault.time = away;
+    fault.copy_age = Time(500, 10000);
+    fault.leases_wait = Coin();
+    Add(fault);
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
@@ -292,10 +324,10 @@
 }  // namespace
 
 std::string Describe(const PlannedFault& fault) {
-  return fmt::format("{:7.3f} s {} node={} peer={} mode={} leases_wait={} for {} ms",
+  return fmt::format("{:7.3f} s {} node={} peer={} mode={} leases_wait={} copy_age_ms={} for {} ms",
                      std::chrono::duration<double>(fault.at).count(), FaultName(fault.kind),
                      fault.node, fault.peer, static_cast<int>(fault.mode), fault.leases_wait,
-                     ToMilliseconds(fault.time));
+                     ToMilliseconds(fault.copy_age), ToMilliseconds(fault.time));
 }
 
 std::vector<PlannedFault> MakeFaultPlan(const FaultPlanInput& input) {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -21,6 +21,7 @@
   FaultProxy::Mode mode = FaultProxy::Mode::kPass;  // Of ways, and of kStoreTurnsAway.
   Duration delay{0};                                // Of ways that are slow.
   bool leases_wait = false;  // Of faults of the whole store: no lease runs out meanwhile.
+  Duration copy_age{0};      // Of kStoreRestored: from the copy to the beginning of the fault.
 };
 
 // One line, for results.
@@ -31,6 +32,7 @@
   std::vector<std::string> services;  // Of the workers, by node.
   Duration first{0};                  // No fault begins before this,
   Duration last{0};                   // or ends after it, but for workers that leave.
+  bool store_restores = false;        // The store comes back from older copies of its data.
 };
 
 // In the order of their beginnings. Faults come in series, which overlap.
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -2,14 +2,18 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
 using namespace runshelf;
 using namespace runshelf::soak;
 
-TEST_GROUP(FaultPlan){static std::vector<PlannedFault> Plan(uint64_t seed){FaultPlanInput input;
+TEST_GROUP(FaultPlan){
+    static std::vector<PlannedFault> Plan(uint64_t seed,
+                                          bool store_restores = false){FaultPlanInput input;
 input.seed = seed;
+input.store_restores = store_restores;
 input.services = {"plain", "plain", "other", "keyed", "keyed", "keyed"};
 input.first = std::chrono::seconds(8);
 input.last = std::chrono::seconds(60);
@@ -31,7 +35,7 @@
 TEST(FaultPlan, FaultsStayWithinTheirTimeAndNodes) {
   for (uint64_t seed = 1; seed <= 200; ++seed) {
     Duration latest{0};
-    for (const PlannedFault& fault : Plan(seed)) {
+    for (const PlannedFault& fault : Plan(seed, seed % 2 == 0)) {
       CHECK(fault.at >= std::chrono::seconds(8));
       CHECK(fault.at + fault.time <= std::chrono::seconds(60));
       CHECK(fault.at >= latest);
@@ -43,13 +47,30 @@
   }
 }
 
+// The plans of seeds that are kept stay as they were.
+TEST(FaultPlan, TheStoreIsRestoredOnlyWhereARunAsksForIt) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    std::vector<std::string> without;
+    for (const PlannedFault& fault : Plan(seed)) {
+      CHECK(fault.kind != FaultKind::kStoreRestored);
+      without.push_back(Describe(fault));
+    }
+    std::vector<std::string> with;
+    for (const PlannedFault& fault : Plan(seed, true)) with.push_back(Describe(fault));
+    for (const std::string& fault : without) {
+      CHECK(std::find(with.begin(), with.end(), fault) != with.end());
+    }
+    CHECK(with.size() > without.size());
+  }
+}
+
 TEST(FaultPlan, EveryKindComesAndTheyOverlap) {
   std::map<FaultKind, int> kinds;
   size_t overlapping = 0;
   size_t all = 0;
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     Duration end{0};
-    for (const PlannedFault& fault : Plan(seed)) {
+    for (const PlannedFault& fault : Plan(seed, true)) {
       ++kinds[fault.kind];
       ++all;
       if (fault.at < end) ++overlapping;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -46,12 +46,15 @@
                                false, 0, "number", command);
     TCLAP::SwitchArg fatal("f", "fatal-requests", "some requests end the workers that begin them",
                            command);
+    TCLAP::SwitchArg restores("r", "store-restores",
+                              "the store comes back from older copies of its data", command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodesOf(seed.getValue());
     if (nodes.isSet()) options.nodes = static_cast<size_t>(nodes.getValue());
     if (options.nodes < kMinNodes || options.nodes > kMaxNodes) return kExitBadArguments;
     options.fatal_requests = fatal.getValue();
+    options.store_restores = restores.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -42,6 +42,7 @@
   input.services = services;
   input.first = kStartTime;
   input.last = options.duration - kCalmEnd;
+  input.store_restores = options.store_restores;
   return input;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,7 @@
   uint64_t seed = 1;
   Duration duration = std::chrono::seconds(60);  // Includes the calm time at the end.
   size_t nodes = 12;
+  bool store_restores = false;  // The store comes back from older copies of its data.
   bool fatal_requests = false;  // Some requests end the workers that begin them, until the end.
 };
 
