--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -101,6 +101,25 @@
   STRCMP_EQUAL("a", fake.Find("k")->c_str());
 }
 
+// The revision of the condition is given out again, to another change of the item.
+TEST(StoreAccess, AConditionFromAFormerEraHoldsForNoItem) {
+  const auto copy = fake.TakeCopy();
+  store::Transaction first;
+  first.puts.push_back({"k", "a", 0});
+  const store::Revision known = Commit(first).revision;
+  fake.Restore(*copy);
+  const store::Revision given_again = Commit(first).revision;
+  CHECK_EQUAL(store::CounterOf(known), store::CounterOf(given_again));
+  CHECK(given_again > known);
+  store::Transaction second;
+  second.conditions.push_back({"k", known});
+  second.puts.push_back({"k", "b", 0});
+  const auto conflict = Commit(second);
+  CHECK(conflict.outcome == store::CommitOutcome::kConflict);
+  CHECK_EQUAL(given_again, conflict.found[0].revision);
+  STRCMP_EQUAL("a", fake.Find("k")->c_str());
+}
+
 TEST(StoreAccess, ACallGoesThroughAPeerWhileTheDirectWayFails) {
   TestRelay relay(loop, fake.endpoint());
   client.set_relay(&relay);
--- a/tests/sharding/shard_map_test.cc
+++ b/tests/sharding/shard_map_test.cc
@@ -71,6 +71,24 @@
   CHECK_EQUAL(6, map.NextToken());
 }
 
+// A worker that held keys in the former era got them again under a token that it had seen.
+TEST(ShardMap, AMapThatIsCarriedOverHasNewTokensAndTheSameOwners) {
+  const ShardMap former = TwoShards();
+  ShardMap map = former;
+  constexpr FencingToken kBase = 1000;
+  map.CarryOver(kBase);
+  CHECK(map.HasCarriedOver());
+  for (size_t index = 0; index < map.shards().size(); ++index) {
+    CHECK(map.shards()[index].token > kBase);
+    CHECK(map.shards()[index].owner == former.shards()[index].owner);
+    STRCMP_EQUAL(former.shards()[index].handover.c_str(), map.shards()[index].handover.c_str());
+  }
+  CHECK(ShardMap::Parse(map.Serialize())->shards() == map.shards());
+  map.EndCarryOver();
+  CHECK_FALSE(map.HasCarriedOver());
+  CHECK(ShardMap::Parse(map.Serialize())->shards() == map.shards());
+}
+
 TEST(ShardMap, WhatDoesNotCoverAllKeysOnceIsRefused) {
   for (const char* broken :
        {"", "[]", "{}", "{\"last_token\":1}",
--- /dev/null
+++ b/tests/sidecar/shard_map_key_test.cc
@@ -0,0 +1,44 @@
+#include "source/sidecar/shard_map_key.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace runshelf;
+using namespace runshelf::sidecar;
+using store::MakeRevision;
+
+TEST_GROUP(ShardMapKeys){};
+
+TEST(ShardMapKeys, AKeySurvivesItsWay) {
+  for (const ShardMapKey& key : {ShardMapKey{"keyed", 0}, ShardMapKey{"keyed", 17}}) {
+    const auto parsed = ShardMapKey::Parse(key.ToString());
+    CHECK(parsed.has_value());
+    STRCMP_EQUAL(key.service.c_str(), parsed->service.c_str());
+    CHECK_EQUAL(key.era, parsed->era);
+  }
+}
+
+TEST(ShardMapKeys, OtherKeysAreNone) {
+  for (const char* key : {"runshelf/nodes/n0", "runshelf/shards/", "runshelf/shards/keyed/",
+                          "runshelf/shards/keyed/x", "runshelf/shards/keyed/0",
+                          "runshelf/shards//3", "runshelf/shards/keyed/3/4"}) {
+    CHECK_FALSE(ShardMapKey::Parse(key).has_value());
+  }
+}
+
+TEST(ShardMapKeys, TheMapOfALaterEraIsNewerWhateverItsRevision) {
+  const ShardMapVersion version{1, MakeRevision(1, 900)};
+  CHECK(version.OlderThan({"keyed", 2}, MakeRevision(2, 3)));
+  CHECK_FALSE(version.OlderThan({"keyed", 0}, MakeRevision(1, 901)));
+  CHECK(version.OlderThan({"keyed", 1}, MakeRevision(1, 901)));
+  CHECK_FALSE(version.OlderThan({"keyed", 1}, MakeRevision(1, 900)));
+}
+
+// A restored map was taken for a newer one, and a move that had been done was made again.
+TEST(ShardMapKeys, WhatTheCopyHoldsOfAFormerErasMapIsNotNewer) {
+  const ShardMapVersion known{1, MakeRevision(1, 40)};
+  CHECK_FALSE(known.OlderThan({"keyed", 1}, MakeRevision(2, 38)));
+  const ShardMapVersion none;
+  CHECK(none.OlderThan({"keyed", 1}, MakeRevision(2, 38)));
+  CHECK_FALSE(known.FromCopy());
+  CHECK((ShardMapVersion{1, MakeRevision(2, 38)}.FromCopy()));
+}
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -82,8 +82,9 @@
     return kModes[random_.Below(kModes.size())];
   }
 
-  // Leaves out what would begin too late, and ends in time what would end too late.
+  // Leaves out what would begin too late, and begins and ends in time what would not.
   void Add(PlannedFault fault) {
+    fault.at = std::max(fault.at, input_.first);
     if (fault.at >= input_.last) return;
     fault.time = std::min(fault.time, input_.last - fault.at);
     plan_.push_back(fault);
@@ -245,7 +246,7 @@
     const Duration away = Time(100, 2500);
     AddRestore(at, away);
     if (random_.Below(3) == 0) AddRestore(at + away + Time(-100, 1500), Time(100, 1000));
-    const Duration beside = std::max(input_.first, at + Time(-3000, 1000));
+    const Duration beside = at + Time(-3000, 1000);
     if (Coin()) WorkersReplaced(beside);
     if (Coin()) Configurations(beside);
     if (Coin()) MovesWithOrdersOut(beside);
@@ -261,7 +262,7 @@
   void AddRestore(Duration at, Duration away) {
     PlannedFault fault;
     fault.kind = FaultKind::kStoreRestored;
-    fault.at = std::max(input_.first, at);
+    fault.at = at;
     fault.time = away;
     fault.copy_age = Time(500, 10000);
     fault.leases_wait = Coin();
