Store client: once a connection has fallen silent, the other open ones are not used

The node that led the state feed had one call run out, and made the next ones, the watch among them, on other connections of its pool that were as silent. A watch waits 25 s.

Change: when a call gets no answer, the idle connections to that address are closed.

Evidence: StoreAccess.NoCallIsMadeOnAnotherConnectionOnceOneHasFallenSilent failed before and passes now.

--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -129,8 +129,8 @@
   Transaction transaction;
   transaction.conditions.push_back({config_.key, item_revision_});
   transaction.puts.push_back({config_.key, value, lease});
-  store_.Commit(transaction, [this, lease, value, generation = generation_](
-                                 absl::StatusOr<CommitResult> result) {
+  store_.Commit(transaction, [this, lease, value,
+                              generation = generation_](absl::StatusOr<CommitResult> result) {
     writing_ = false;
     if (ended_ || generation != generation_) return;
     if (!result.ok()) return;
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -74,7 +74,8 @@
   event::Timer write_timer_;
   std::function<void()> on_new_lease_;
   LeaseId lease_ = 0;
-  uint64_t generation_ = 0;  // Of the lease: ids may come again. Answers of earlier ones are ignored.
+  uint64_t generation_ =
+      0;              // Of the lease: ids may come again. Answers of earlier ones are ignored.
   StoreEra era_ = 0;  // Of the lease held last.
   StoreEra former_era_ = 0;
   Instant former_valid_until_{};  // Of the lease of that era.
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -57,7 +57,7 @@
 
 StoreClient::StoreClient(event::EventLoop& loop, http::ConnectionPool& pool, StoreCodec& codec,
                          StoreClientConfig config)
-    : loop_(loop), codec_(codec), config_(std::move(config)), active_(loop, pool) {}
+    : loop_(loop), pool_(pool), codec_(codec), config_(std::move(config)), active_(loop, pool) {}
 
 StoreClient::~StoreClient() = default;
 
@@ -71,11 +71,17 @@
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
-  active_.Start(endpoint, http::SerializeRequest(head, request.body), options, timeout,
-                [this, callback = std::move(callback)](std::optional<http::Response> response) {
-                  if (response.has_value()) NoteEra(*response);
-                  callback(std::move(response));
-                });
+  active_.Start(
+      endpoint, http::SerializeRequest(head, request.body), options, timeout,
+      [this, endpoint, callback = std::move(callback)](std::optional<http::Response> response) {
+        if (response.has_value()) {
+          NoteEra(*response);
+        } else {
+          // Others that are open may have fallen silent with this one.
+          pool_.CloseIdle(endpoint);
+        }
+        callback(std::move(response));
+      });
 }
 
 void StoreClient::NoteEra(const http::Response& response) {
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -116,6 +116,7 @@
   Transaction WithCounters(Transaction transaction) const;
 
   event::EventLoop& loop_;
+  http::ConnectionPool& pool_;
   StoreCodec& codec_;
   StoreClientConfig config_;
   StoreRelay* relay_ = nullptr;
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -8,6 +8,7 @@
 #include "source/store/store_client.h"
 #include "tests/event/loop_runner.h"
 #include "tests/platform_adapter/fake_store.h"
+#include "tests/soak/fault_proxy.h"
 
 using namespace runshelf;
 using namespace runshelf::platform_adapter;
@@ -120,6 +121,32 @@
   STRCMP_EQUAL("a", fake.Find("k")->c_str());
 }
 
+// Connections that had fallen silent were used one after the other: the leader's watch waited on
+// one for 25 s, and no node heard of a change.
+TEST(StoreAccess, NoCallIsMadeOnAnotherConnectionOnceOneHasFallenSilent) {
+  soak::FaultProxy proxy(loop, fake.endpoint());
+  proxy.Listen("127.0.0.1");
+  store::StoreClientConfig config = Config();
+  config.endpoint = proxy.endpoint();
+  store::StoreClient disturbed(loop, pool, codec, config);
+  int answered = 0;
+  int failed = 0;
+  const auto count = [&](const absl::StatusOr<store::RangePage>& page) {
+    ++(page.ok() ? answered : failed);
+  };
+  constexpr int kConnections = 4;
+  for (int call = 0; call < kConnections; ++call) disturbed.Range("", "", count);
+  CHECK(RunUntil(loop, [&] { return answered == kConnections; }));
+  proxy.SilenceOpenConnections();
+  disturbed.Range("", "", count);
+  CHECK(RunUntil(loop, [&] { return failed == 1; }));
+  bool heard = false;
+  disturbed.Watch("", 0, [&](const absl::StatusOr<store::WatchPage>& page) { heard = page.ok(); });
+  fake.Put("k", "v");
+  CHECK(RunUntil(
+      loop, [&] { return heard; }, std::chrono::milliseconds(500)));
+}
+
 TEST(StoreAccess, ACallGoesThroughAPeerWhileTheDirectWayFails) {
   TestRelay relay(loop, fake.endpoint());
   client.set_relay(&relay);
