--- a/tests/platform_adapter/store_restore_test.cc
+++ b/tests/platform_adapter/store_restore_test.cc
@@ -35,11 +35,11 @@
 // Each era of the store has a map of its own, the latest being in force.
 std::string MapKey(const Fleet& fleet) {
   constexpr store::StoreEra kLatestEra = 5;
-  for (store::StoreEra era = kLatestEra; era > 0; --era) {
-    const std::string key = sidecar::ShardMapKey{"keyed", era}.ToString();
-    if (fleet.store.Find(key) != nullptr) return key;
+  store::StoreEra era = kLatestEra;
+  while (era > 0 && fleet.store.Find(sidecar::ShardMapKey{"keyed", era}.ToString()) == nullptr) {
+    --era;
   }
-  return sidecar::ShardMapKey{"keyed", 0}.ToString();
+  return sidecar::ShardMapKey{"keyed", era}.ToString();
 }
 
 // What a planner writes that moves all shards of node `from` to node `to`.
