--- a/source/sidecar/crash_record.cc
+++ b/source/sidecar/crash_record.cc
@@ -13,6 +13,8 @@
 // Users take three ends for proof, and allow three more runs after that, over the whole day. The
 // first trial is the third run. A request that is there by chance under five ends is served.
 constexpr uint32_t kMaxTrials = 4;
+// Several runs of a request may be at work in one worker: users count each run that an end cuts.
+constexpr size_t kRunsThatAreProof = 3;
 // A run takes some 100 ms, and its outcome is known everywhere within about half a second.
 constexpr Duration kTrialSpacing = std::chrono::seconds(1);
 // Some hundred bytes each. A common loss of power ends hundreds of workers, with some 20 requests
@@ -44,14 +46,30 @@
   return Ends(suspect, excused_elsewhere) >= enough;
 }
 
+size_t CrashRecord::RunsCut(const Suspect& suspect) {
+  size_t sum = 0;
+  for (const auto& [worker_id, runs] : suspect.runs) {
+    if (!suspect.excused.contains(worker_id)) sum += runs;
+  }
+  return sum;
+}
+
+bool CrashRecord::OneEndIsProof(const Suspect& suspect) {
+  return std::any_of(suspect.runs.begin(), suspect.runs.end(), [&suspect](const auto& entry) {
+    return entry.second >= kRunsThatAreProof && !suspect.excused.contains(entry.first);
+  });
+}
+
 // Runs that began before the second end was known everywhere are no trials, but take the place of
-// one: then the request has ended three workers before its first trial. They do not take more,
-// since a common loss of power ends many workers under a request that is innocent.
+// one: then the request has been cut three times before its first trial, and all trials come after
+// the proof. Where the first end was proof by itself, the second one may come after it as well.
+// They do not take more, since a common loss of power ends many workers under a request that is
+// innocent.
 uint32_t CrashRecord::TrialsLeft(const Suspect& suspect) {
   const bool has_item = suspect.item.has_value() && !suspect.item->released;
   const uint32_t begun = has_item ? suspect.item->trials : 0;
-  const bool more_ended = Ends(suspect) > kEndsForQuarantine + begun;
-  const uint32_t used = begun + (more_ended ? 1 : 0);
+  const bool proven_before = RunsCut(suspect) > kEndsForQuarantine + begun;
+  const uint32_t used = begun + (proven_before ? 1 : 0) + (OneEndIsProof(suspect) ? 1 : 0);
   return used >= kMaxTrials ? 0 : kMaxTrials - used;
 }
 
@@ -104,11 +122,15 @@
   std::vector<RequestFingerprint> brought;
   if (ends_.size() >= kMaxEnds && !ends_.contains(worker_id)) return brought;
   std::vector<RequestFingerprint>& known = ends_[worker_id];
+  std::map<RequestFingerprint, size_t> told;
   for (const RequestFingerprint& request : requests) {
     Suspect& suspect = Remember(request);
+    size_t& runs = suspect.runs[worker_id];
+    if (++told[request] <= runs) continue;
+    ++runs;
+    known.push_back(request);
     const bool before = Quarantined(suspect);
     if (!suspect.worker_ids.insert(worker_id).second) continue;
-    known.push_back(request);
     NoteChanged(request);
     if (!before && Quarantined(suspect)) brought.push_back(request);
   }
@@ -122,6 +144,7 @@
     const auto suspect = suspects_.find(request);
     if (suspect == suspects_.end()) continue;
     suspect->second.worker_ids.erase(worker_id);
+    suspect->second.runs.erase(worker_id);
     suspect->second.excused.erase(worker_id);
     suspect->second.released.erase(worker_id);
     NoteChanged(request);
--- a/source/sidecar/crash_record.h
+++ b/source/sidecar/crash_record.h
@@ -72,7 +72,7 @@
   bool KnownGood(const RequestFingerprint& request) const;
   // All nodes know that the ends that are known here do not speak against it.
   bool ReleaseIsKnown(const RequestFingerprint& request) const;
-  // Of the end of this worker.
+  // Of the end of this worker; one that ran there more than once is named as often.
   std::vector<RequestFingerprint> RequestsOf(const std::string& worker_id) const;
   std::vector<std::string> WorkersOf(const RequestFingerprint& request) const;
   // Requests in quarantine.
@@ -80,10 +80,11 @@
 
  private:
   struct Suspect {
-    uint64_t number = 0;               // In the order in which they came to be known.
-    std::set<std::string> worker_ids;  // That ended under it.
-    std::set<std::string> excused;     // Ends before a good run.
-    std::set<std::string> released;    // Of these, the ones that all nodes know of.
+    uint64_t number = 0;                 // In the order in which they came to be known.
+    std::set<std::string> worker_ids;    // That ended under it.
+    std::map<std::string, size_t> runs;  // Of it, that the end of each of these cut.
+    std::set<std::string> excused;       // Ends before a good run.
+    std::set<std::string> released;      // Of these, the ones that all nodes know of.
     std::optional<QuarantineItem> item;
     bool release_stored = false;   // The store's item is a release.
     store::Revision revision = 0;  // Of the item.
@@ -94,6 +95,10 @@
 
   static size_t Ends(const Suspect& suspect, size_t excused_elsewhere = 0);
   static bool Quarantined(const Suspect& suspect, size_t excused_elsewhere = 0);
+  // Runs that were cut by ends that speak against it.
+  static size_t RunsCut(const Suspect& suspect);
+  // So many were cut by one of these ends that it alone is proof for the users.
+  static bool OneEndIsProof(const Suspect& suspect);
   // Trials that may still begin.
   static uint32_t TrialsLeft(const Suspect& suspect);
   const Suspect* Find(const RequestFingerprint& request) const;
--- a/tests/sidecar/crash_record_test.cc
+++ b/tests/sidecar/crash_record_test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,34 @@
   CHECK_EQUAL(6U, workers);
 }
 
+// Users count each run that the end of a worker cut. A request that was at work four times in the
+// first worker was run four times more, long after that.
+TEST(CrashRecord, RunsThatOneEndCutTakeThePlaceOfTrials) {
+  const std::map<size_t, size_t> trials_by_runs{{1, 4}, {2, 3}, {3, 2}, {4, 2}};
+  for (const auto& [runs, allowed] : trials_by_runs) {
+    record = CrashRecord();
+    End(1, std::vector<RequestFingerprint>(runs, guilty));
+    End(2, {guilty});
+    size_t trials = 0;
+    Instant now = kStart;
+    for (int second = 0; second < 600; ++second, now += seconds(1)) {
+      if (At(now) != Clearance::kTrial) continue;
+      Take(now, record.BeginTrial(guilty));
+      ++trials;
+      End(2 + trials, {guilty});
+    }
+    CHECK_EQUAL(allowed, trials);
+  }
+}
+
+// Other nodes write the end that they were told of.
+TEST(CrashRecord, TheRunsOfAnEndAreToldOn) {
+  End(1, {guilty, Print("a"), guilty});
+  End(1, {guilty, guilty, Print("a")});
+  CHECK_EQUAL(3U, record.RequestsOf(Worker(1)).size());
+  CHECK_EQUAL(1U, record.Ends(guilty));
+}
+
 // However many workers a common loss of power ended under it.
 TEST(CrashRecord, ARequestUnderManyEndsAtOnceIsTried) {
   for (size_t worker = 1; worker <= 40; ++worker) End(worker, {guilty});
