Answers that belong to nobody are logged and counted

Hypothesis: the record fits a second answer to a health check, one to a request that a health check took, and a mix-up between nodes; nothing that a node logs or counts tells these apart.

Change: the HTTP client reports what comes in place of an answer, right behind one, or on an idle connection, with the connection's age and what its latest two requests were for; the gate reports a success without the worker's stamp, the monitor an answer to a health check that names a request. Nothing is decided by it.

--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -29,6 +29,18 @@
 
 }  // namespace
 
+std::string_view NameOf(UnexpectedAnswer::Kind kind) {
+  switch (kind) {
+    case UnexpectedAnswer::Kind::kSkipped:
+      return "skipped";
+    case UnexpectedAnswer::Kind::kTrailing:
+      return "trailing";
+    case UnexpectedAnswer::Kind::kIdle:
+      return "idle";
+  }
+  return "unknown";
+}
+
 // A connection to one endpoint. Owned by its call while a request is under way, else by the pool.
 class ClientConnection : public event::StreamObserver,
                          public ParserObserver,
@@ -52,6 +64,7 @@
 
   void Begin(std::string_view request, const CallOptions& options, ResponseObserver* observer) {
     observer_ = observer;
+    purpose_before_ = requests_ == 0 ? std::string_view() : options_.purpose;
     options_ = options;
     reusable_ = true;
     skipping_ = false;
@@ -102,7 +115,7 @@
     const auto self = shared_from_this();
     heard_at_ = pool_->loop_.Now();
     if (observer_ == nullptr) {
-      // Bytes that no request asked for.
+      Report(UnexpectedAnswer::Kind::kIdle, "");
       Discard();
       return;
     }
@@ -120,7 +133,10 @@
         reusable_ = false;
         continue;
       }
-      if (!data.empty()) reusable_ = false;
+      if (!data.empty()) {
+        Report(UnexpectedAnswer::Kind::kTrailing, "");
+        reusable_ = false;
+      }
       Complete();
       return;
     }
@@ -155,6 +171,7 @@
       const std::string* id = head.headers.Find(options_.id_header);
       if (id != nullptr && *id != options_.expected_id) {
         skipping_ = true;
+        Report(UnexpectedAnswer::Kind::kSkipped, *id);
         return;
       }
     }
@@ -202,6 +219,11 @@
     if (observer != nullptr) observer->OnClientFailure(failure);
   }
 
+  void Report(UnexpectedAnswer::Kind kind, const std::string& found_id) const {
+    pool_->OnUnexpectedAnswer({kind, endpoint_, pool_->loop_.Now() - made_at_, requests_,
+                               options_.purpose, purpose_before_, options_.expected_id, found_id});
+  }
+
   // Leaves the pool's idle connections and closes.
   void Discard() {
     Close();
@@ -224,6 +246,7 @@
   event::Timer timer_;  // Of the connect, then of idleness.
   ResponseObserver* observer_ = nullptr;
   CallOptions options_;
+  std::string_view purpose_before_;
   Duration idle_timeout_{0};
   uint64_t requests_ = 0;
   bool connected_ = false;
@@ -330,6 +353,10 @@
   if (on_idle_lost_) on_idle_lost_(connection->endpoint());
 }
 
+void ConnectionPool::OnUnexpectedAnswer(const UnexpectedAnswer& answer) {
+  if (on_unexpected_answer_) on_unexpected_answer_(answer);
+}
+
 SimpleCall::SimpleCall(event::EventLoop& loop, ConnectionPool& pool,
                        const event::Endpoint& endpoint, std::string_view request,
                        const CallOptions& options, Duration timeout, Callback callback)
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -42,6 +42,8 @@
 };
 
 struct CallOptions {
+  // What the call is for, in logs; a literal.
+  std::string_view purpose = "call";
   Duration connect_timeout = std::chrono::milliseconds(400);
   // A connection without a request for this long is closed; a shorter Keep-Alive of the server
   // wins.
@@ -59,6 +61,25 @@
 
 class ClientConnection;
 
+// Bytes of a server that belong to no request under way on their connection.
+struct UnexpectedAnswer {
+  enum class Kind {
+    kSkipped,   // An answer that names another request, while one was under way.
+    kTrailing,  // Followed a whole answer at once.
+    kIdle,      // Came while no request was under way.
+  };
+  Kind kind = Kind::kSkipped;
+  event::Endpoint endpoint;
+  Duration connection_age{0};
+  uint64_t requests = 0;            // Sent on the connection so far.
+  std::string_view purpose;         // Of the latest of them.
+  std::string_view purpose_before;  // Of the one before it; empty: there was none.
+  std::string expected_id;          // Of the latest; empty: its answer names none.
+  std::string found_id;             // In the answer; empty: none, or it was not read.
+};
+
+std::string_view NameOf(UnexpectedAnswer::Kind kind);
+
 // One request under way. Destroying it cancels the request by closing its connection.
 class ClientCall {
  public:
@@ -109,6 +130,9 @@
   void set_on_idle_lost(std::function<void(const event::Endpoint&)> callback) {
     on_idle_lost_ = std::move(callback);
   }
+  void set_on_unexpected_answer(std::function<void(const UnexpectedAnswer&)> callback) {
+    on_unexpected_answer_ = std::move(callback);
+  }
 
  private:
   friend class ClientConnection;
@@ -116,6 +140,7 @@
   void Forget(const ClientConnection* connection);
   void OnClosed(const ClientConnection* connection);
   void OnIdleLost(const ClientConnection* connection);
+  void OnUnexpectedAnswer(const UnexpectedAnswer& answer);
 
   event::EventLoop& loop_;
   std::map<event::Endpoint, std::deque<std::shared_ptr<ClientConnection>>> idle_;
@@ -123,6 +148,7 @@
   std::map<event::Endpoint, Instant> lost_at_;
   uint64_t opened_ = 0;
   std::function<void(const event::Endpoint&)> on_idle_lost_;
+  std::function<void(const UnexpectedAnswer&)> on_unexpected_answer_;
 };
 
 // Sends one request and collects its whole answer; calls back exactly once, unless destroyed.
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -12,6 +12,9 @@
 namespace runshelf::sidecar {
 namespace {
 
+constexpr std::array<http::UnexpectedAnswer::Kind, 3> kUnexpectedAnswerKinds{
+    http::UnexpectedAnswer::Kind::kSkipped, http::UnexpectedAnswer::Kind::kTrailing,
+    http::UnexpectedAnswer::Kind::kIdle};
 constexpr std::array<const char*, 5> kOutcomeNames{"served", "refused", "failed", "unknown_route",
                                                    "cancelled"};
 
@@ -29,6 +32,7 @@
   prometheus::Histogram* transfers_succeeded;
   prometheus::Histogram* transfers_failed;
   prometheus::Counter* transfer_bytes;
+  std::array<prometheus::Counter*, kUnexpectedAnswerKinds.size()> unexpected_answers{};
 
   explicit Families(prometheus::Registry* registry) {
     auto& latency = prometheus::BuildHistogram()
@@ -54,6 +58,14 @@
                           .Help("Bytes of the state in transfers that this node began.")
                           .Register(*registry)
                           .Add({});
+    auto& unexpected = prometheus::BuildCounter()
+                           .Name("runshelf_unexpected_answers_total")
+                           .Help("Answers that belong to no request under way; none was passed on.")
+                           .Register(*registry);
+    for (const http::UnexpectedAnswer::Kind kind : kUnexpectedAnswerKinds) {
+      unexpected_answers[static_cast<size_t>(kind)] =
+          &unexpected.Add({{"kind", std::string(http::NameOf(kind))}});
+    }
   }
 };
 
@@ -72,6 +84,10 @@
   families_->loop_turns->Observe(std::chrono::duration<double>(turn).count());
 }
 
+void NodeMetrics::OnUnexpectedAnswer(http::UnexpectedAnswer::Kind kind) {
+  families_->unexpected_answers[static_cast<size_t>(kind)]->Increment();
+}
+
 void NodeMetrics::OnStateTransfer(bool succeeded, size_t bytes, Duration took) {
   prometheus::Histogram* transfers =
       succeeded ? families_->transfers_succeeded : families_->transfers_failed;
@@ -124,6 +140,9 @@
           "Connections opened to workers, nodes and the store.", gauges.connections_opened);
   counter("runshelf_grants_sent_total", "Grants of keys sent to the worker, renewals included.",
           gauges.grants_sent);
+  counter("runshelf_unstamped_successes_total",
+          "Successes at the worker beside the node for which it does not vouch.",
+          gauges.unstamped_successes);
   counter("runshelf_retries_total", "Requests sent once more.", gauges.retries);
   counter("runshelf_log_lines_dropped_total", "Log lines lost since nobody read them in time.",
           gauges.log_lines_dropped);
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -8,6 +8,7 @@
 
 #include "runshelf/common/clock.h"
 #include "runshelf/routing/target_load.h"
+#include "source/http/client.h"
 #include "source/sidecar/freshness_tracker.h"
 #include "source/sidecar/request_counts.h"
 #include "source/store/store_operations.h"
@@ -41,6 +42,7 @@
   uint64_t store_calls = 0;
   uint64_t connections_opened = 0;
   uint64_t grants_sent = 0;
+  uint64_t unstamped_successes = 0;
   uint64_t retries = 0;
   size_t quarantined_requests = 0;  // Under which workers ended.
   uint64_t quarantine_refusals = 0;
@@ -61,6 +63,7 @@
   void OnRequest(RequestOutcome outcome, Duration age);
   // `turn`: time for which the event loop was at work between two waits.
   void OnLoopTurn(Duration turn);
+  void OnUnexpectedAnswer(http::UnexpectedAnswer::Kind kind);
   // A transfer of a part of the state that this node began has ended.
   void OnStateTransfer(bool succeeded, size_t bytes, Duration took);
   std::string Serialize(const NodeGauges& gauges) const;
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -109,6 +109,7 @@
   http::RequestHead head = request.head;
   head.headers.Set("Host", config_.worker.ToString());
   http::CallOptions options;
+  options.purpose = calls == &grants_ ? "grant" : "release";
   options.connect_timeout = config_.call_timeout;
   calls->Start(config_.worker, http::SerializeRequest(head, request.body), options, timeout,
                std::move(callback));
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -106,6 +106,8 @@
     pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
       if (endpoint == settings_.worker) holder_.OnWorkerConnectionLost();
     });
+    pool->set_on_unexpected_answer(
+        [this](const http::UnexpectedAnswer& answer) { OnUnexpectedAnswer(answer); });
   }
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
@@ -236,6 +238,19 @@
       wire_.IsReadinessCheck(exchange->request()) && ready() ? kOk : kServiceUnavailable, {}, "");
 }
 
+void Sidecar::OnUnexpectedAnswer(const http::UnexpectedAnswer& answer) {
+  metrics_.OnUnexpectedAnswer(answer.kind);
+  log_.Write(LogLevel::kWarning, "unexpected_answer",
+             {{"kind", std::string(http::NameOf(answer.kind))},
+              {"from", answer.endpoint.ToString()},
+              {"connection_age_ms", ToMilliseconds(answer.connection_age)},
+              {"requests", answer.requests},
+              {"purpose", std::string(answer.purpose)},
+              {"purpose_before", std::string(answer.purpose_before)},
+              {"expected_id", answer.expected_id},
+              {"found_id", answer.found_id}});
+}
+
 void Sidecar::HandleMetrics(const http::ExchangePtr& exchange) {
   NodeGauges gauges;
   gauges.load = gate_.load();
@@ -250,6 +265,7 @@
   gauges.store_calls = store_.calls();
   gauges.connections_opened = pool_.opened() + order_pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
+  gauges.unstamped_successes = monitor_.unstamped_successes();
   gauges.retries = ingress_.retries();
   gauges.quarantined_requests = quarantine_.quarantined();
   gauges.quarantine_refusals = quarantine_.refusals();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -81,6 +81,7 @@
   absl::Status Listen(http::Server* server, const std::optional<event::Endpoint>& endpoint,
                       const char* name);
   void HandleReadiness(const http::ExchangePtr& exchange);
+  void OnUnexpectedAnswer(const http::UnexpectedAnswer& answer);
   void HandleMetrics(const http::ExchangePtr& exchange);
   void OnConfigurationItem(const store::Item& item);
   void ApplyLimits(const routes::ClientLimits& limits);
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -26,6 +26,7 @@
   std::string expected_worker;  // Every other worker refuses the request.
   std::string caller_service;   // Service of the machine where the request began.
   std::string shard_key;        // Key of a request to a sharded service.
+  std::string worker_stamp;     // On an answer to a request that ran: the worker vouches for it.
   std::string not_executed;     // On an answer: the worker did not run the request.
   std::string worker_load;      // On an answer: running, waiting and slots, joined by commas.
   std::string worker_id;        // On an answer to a health check.
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -7,6 +7,8 @@
 namespace runshelf::sidecar {
 namespace {
 
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 // The deadline passed in the worker: what the run would have come to is not known.
@@ -15,6 +17,8 @@
 // How long after the deadline a request that nobody cancelled is given up.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(100);
 
+bool IsSuccess(int status) { return status >= kOk && status < kMultipleChoices; }
+
 admission::AdmissionConfig QueueConfig() {
   admission::AdmissionConfig config;
   // Order by weight protects callers enough; a reserve would leave slots empty.
@@ -96,6 +100,7 @@
                      std::string(gate_->wire_.StatedIdentity(gate_->worker_id_)));
     head.headers.Set(names.caller_service, request_.caller_service);
     http::CallOptions options;
+    options.purpose = "request";
     options.head_request = head.method == "HEAD";
     options.id_header = names.request_id;
     options.expected_id = request_.request_id;
@@ -121,6 +126,7 @@
       overloaded_ = head.status == kServiceUnavailable;
       return;
     }
+    if (IsSuccess(head.status) && !head.headers.Has(names.worker_stamp)) NoteUnstampedSuccess();
     answering_ = true;
     status_ = head.status;
     head.headers.RemoveConnectionHeaders();
@@ -166,6 +172,12 @@
         sent_at_, call_ == nullptr ? Instant::max() : call_->connection_made_at());
   }
 
+  void NoteUnstampedSuccess() {
+    if (gate_->evidence_ == nullptr) return;
+    gate_->evidence_->OnUnstampedSuccess(request_.request_id,
+                                         call_ != nullptr && call_->on_reused_connection());
+  }
+
   void NoteMisdirected(const http::ResponseHead& head) {
     const std::string* other = head.headers.Find(gate_->wire_.headers().worker_id);
     if (other != nullptr && *other != gate_->wire_.StatedIdentity(gate_->worker_id_)) {
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -44,6 +44,8 @@
   virtual void OnWorkerAnswered(Instant sent, Instant connection_made) = 0;
   // No connection could be made, or one was lost.
   virtual void OnWorkerUnreachable() = 0;
+  // The answer to a request is a success for which the worker does not vouch.
+  virtual void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) = 0;
   // A worker that states another identity is at the address.
   virtual void OnOtherWorker(const std::string& stated_identity) = 0;
 };
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -408,6 +408,14 @@
   if (!probe_timer_.active() && probe_ == nullptr) probe_timer_.Start(Duration(0));
 }
 
+void WorkerMonitor::OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) {
+  ++unstamped_successes_;
+  log_.Write(LogLevel::kWarning, "success_without_stamp",
+             {{"request", request_id},
+              {"worker", worker_id_},
+              {"reused_connection", on_reused_connection}});
+}
+
 void WorkerMonitor::OnOtherWorker(const std::string& stated_identity) {
   if (stated_identity == wire_.StatedIdentity(worker_id_)) return;
   AdoptWorker(stated_identity, Instant{}, Source::kAddress);
@@ -418,6 +426,7 @@
   http::Request request = wire_.EncodeHealthCheck(health_path_);
   request.head.headers.Set("Host", settings_.worker.ToString());
   http::CallOptions options;
+  options.purpose = "health_check";
   // Longer than the whole probe: only a refused connection counts as "not sent".
   options.connect_timeout = 2 * kProbeTimeout;
   probe_sent_at_ = loop_.Now();
@@ -468,6 +477,10 @@
 
 void WorkerMonitor::OnProbeAnswer(const http::Response& response, Instant connection_made) {
   NoteAnswer();
+  if (const std::string* request_id = response.headers.Find(wire_.headers().request_id)) {
+    log_.Write(LogLevel::kWarning, "health_check_answer_names_request",
+               {{"request", *request_id}, {"worker", worker_id_}});
+  }
   const std::string* id = response.headers.Find(wire_.headers().worker_id);
   const bool named = id != nullptr && !id->empty();
   if (named && !worker_id_.empty() && *id == wire_.StatedIdentity(worker_id_)) {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -78,7 +78,9 @@
 
   void OnWorkerAnswered(Instant sent, Instant connection_made) override;
   void OnWorkerUnreachable() override;
+  void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) override;
   void OnOtherWorker(const std::string& stated_identity) override;
+  uint64_t unstamped_successes() const { return unstamped_successes_; }
 
  private:
   void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
@@ -171,6 +173,7 @@
   uint32_t refused_probes_ = 0;  // The latest of those: nothing listens there, nothing is open.
   std::string recorded_drain_;   // Worker named by the drain record in the store.
   store::Revision drain_revision_ = 0;
+  uint64_t unstamped_successes_ = 0;
   bool synchronized_ = false;
   bool seeking_ = true;  // Since the start of the process no worker was found, nor its absence.
 };
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -68,6 +68,7 @@
   http::RequestHead head = request.head;
   if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
   http::CallOptions options;
+  options.purpose = "store_call";
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <thread>
+#include <vector>
 
 #include "tests/event/loop_runner.h"
 #include "tests/http/raw_server.h"
@@ -176,6 +177,56 @@
   CHECK(RunUntil(loop, [&] { return server.connections() == 2; }));
 }
 
+// An operator must be able to tell what came in place of an answer, and on which connection.
+TEST(Client, UnexpectedAnswersAreReported) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "first"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "again") + Answer("2", "second") + Answer("2", "more"));
+  });
+  std::vector<UnexpectedAnswer> reported;
+  pool.set_on_unexpected_answer(
+      [&](const UnexpectedAnswer& answer) { reported.push_back(answer); });
+  Collector first;
+  CallOptions options = WithId("1");
+  options.purpose = "first";
+  Expect(server.endpoint(), options, &first);
+  Collector second;
+  options = WithId("2");
+  options.purpose = "second";
+  Expect(server.endpoint(), options, &second);
+  CHECK_EQUAL(2, reported.size());
+  CHECK(reported[0].kind == UnexpectedAnswer::Kind::kSkipped);
+  CHECK(reported[0].endpoint == server.endpoint());
+  CHECK_EQUAL(2, reported[0].requests);
+  CHECK(reported[0].purpose == "second");
+  CHECK(reported[0].purpose_before == "first");
+  STRCMP_EQUAL("2", reported[0].expected_id.c_str());
+  STRCMP_EQUAL("1", reported[0].found_id.c_str());
+  CHECK(reported[1].kind == UnexpectedAnswer::Kind::kTrailing);
+}
+
+TEST(Client, BytesOnAnIdleConnectionAreReportedAndEndIt) {
+  std::atomic<bool> answered{false};
+  RawServer server([&](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "first"));
+    while (!answered) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    RawServer::Send(connection, Answer("1", "again"));
+    RawServer::ReadHead(connection);
+  });
+  std::vector<UnexpectedAnswer> reported;
+  pool.set_on_unexpected_answer(
+      [&](const UnexpectedAnswer& answer) { reported.push_back(answer); });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  answered = true;
+  CHECK(RunUntil(loop, [&] { return !reported.empty(); }));
+  CHECK(reported[0].kind == UnexpectedAnswer::Kind::kIdle);
+  CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+}
+
 TEST(Client, BytesAfterAWholeAnswerEndTheConnection) {
   RawServer server([](int connection) {
     RawServer::ReadHead(connection);
