--- /dev/null
+++ b/tests/platform_adapter/repeating_relay.cc
@@ -0,0 +1,110 @@
+#include "tests/platform_adapter/repeating_relay.h"
+
+#include <utility>
+#include <vector>
+
+namespace runshelf::platform_adapter {
+namespace {
+
+constexpr Duration kBetweenPieces = std::chrono::milliseconds(3);
+
+RepeatingRelay::Exchange ExchangeOf(std::string_view request) {
+  const size_t target = request.find(' ') + 1;
+  const auto is = [&](std::string_view path) {
+    return request.substr(target, path.size()) == path;
+  };
+  if (is("/health")) return RepeatingRelay::Exchange::kHealthCheck;
+  if (is("/runshelf/grant")) return RepeatingRelay::Exchange::kGrant;
+  if (is("/runshelf/release")) return RepeatingRelay::Exchange::kRelease;
+  return RepeatingRelay::Exchange::kRequest;
+}
+
+}  // namespace
+
+// One connection of the node, and the one to the worker that belongs to it. A connection carries
+// one exchange at a time, so what the worker says between two requests is one answer.
+class RepeatingRelay::Pair {
+ public:
+  Pair(RepeatingRelay* relay, std::unique_ptr<event::TcpStream> node)
+      : relay_(relay), node_(this), worker_(this) {
+    node_.stream = std::move(node);
+    worker_.stream = event::TcpStream::Connect(relay->loop_, relay->worker_, &worker_);
+    node_.stream->set_observer(&node_);
+    node_.stream->StartReading();
+  }
+
+ private:
+  struct End : public event::StreamObserver {
+    explicit End(Pair* owner) : pair(owner) {}
+    void OnConnected() override { stream->StartReading(); }
+    void OnData(std::string_view data) override { pair->OnData(this, data); }
+    void OnEnd(event::StreamEnd) override { pair->Close(); }
+
+    Pair* pair;
+    std::unique_ptr<event::TcpStream> stream;
+  };
+
+  void OnData(const End* from, std::string_view data) {
+    if (from == &worker_) {
+      answer_.append(data);
+      node_.stream->Write(data);
+      return;
+    }
+    // The head of a request comes in one piece, after the answer to the one before it.
+    if (!begun_ || !answer_.empty()) Begin(ExchangeOf(data));
+    worker_.stream->Write(data);
+  }
+
+  void Begin(Exchange exchange) {
+    ++relay_->sent_[static_cast<size_t>(exchange)];
+    const std::string former_answer = std::exchange(answer_, "");
+    const Exchange former = std::exchange(exchange_, exchange);
+    if (!std::exchange(begun_, true) || !relay_->policy_) return;
+    if (const auto repetition = relay_->policy_(former, exchange)) {
+      ++relay_->repeated_;
+      Repeat(*repetition, former_answer + repetition->followed_by);
+    }
+  }
+
+  void Repeat(const Repetition& repetition, const std::string& bytes) {
+    if (repetition.first_piece == 0) return Say(repetition.after, bytes);
+    Say(repetition.after, bytes.substr(0, repetition.first_piece));
+    Say(repetition.after + kBetweenPieces, bytes.substr(repetition.first_piece));
+  }
+
+  void Say(Duration after, const std::string& bytes) {
+    if (after <= Duration(0)) return node_.stream->Write(bytes);
+    timers_.push_back(std::make_unique<event::Timer>(relay_->loop_, [this, bytes] {
+      if (node_.stream != nullptr) node_.stream->Write(bytes);
+    }));
+    timers_.back()->Start(after);
+  }
+
+  void Close() {
+    relay_->pairs_.remove_if([this](const auto& other) { return other.get() == this; });
+  }
+
+  RepeatingRelay* relay_;
+  End node_;
+  End worker_;
+  std::string answer_;  // To the latest request.
+  Exchange exchange_ = Exchange::kRequest;
+  bool begun_ = false;
+  std::vector<std::unique_ptr<event::Timer>> timers_;
+};
+
+RepeatingRelay::RepeatingRelay(event::EventLoop& loop, event::Endpoint worker)
+    : loop_(loop),
+      worker_(std::move(worker)),
+      listener_(loop, [this](std::unique_ptr<event::TcpStream> stream) {
+        ++connections_made_;
+        pairs_.push_back(std::make_unique<Pair>(this, std::move(stream)));
+      }) {
+  listener_.Listen({"127.0.0.1", 0});
+}
+
+RepeatingRelay::~RepeatingRelay() = default;
+
+event::Endpoint RepeatingRelay::endpoint() const { return {"127.0.0.1", listener_.bound_port()}; }
+
+}  // namespace runshelf::platform_adapter
--- /dev/null
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -0,0 +1,169 @@
+// Workers that answer twice, the second time in the place where the next answer on the connection
+// is expected. Such an answer belongs to nobody.
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/platform_adapter/fleet.h"
+#include "tests/platform_adapter/repeating_relay.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+using Exchange = RepeatingRelay::Exchange;
+
+namespace {
+
+// Repeats answers to exchanges of one kind where the answer to one of another kind is expected.
+RepeatingRelay::Policy Repeat(Exchange former, Exchange next) {
+  return [former, next](Exchange answered,
+                        Exchange expected) -> std::optional<RepeatingRelay::Repetition> {
+    if (answered != former || expected != next) return std::nullopt;
+    return RepeatingRelay::Repetition{};
+  };
+}
+
+void PutRelayBefore(Fleet& fleet, size_t node, const RepeatingRelay& relay) {
+  fleet.nodes[node].settings.worker = relay.endpoint();
+}
+
+}  // namespace
+
+TEST_GROUP(SecondAnswers) {
+  // Answers of the fleet's only worker that were not its own whole answers to the callers'
+  // requests.
+  int strange_answers = 0;
+
+  void Ask(Fleet & fleet, const std::string& body) {
+    const auto answer = fleet.Request(0, "GET", "/read/1", body);
+    CHECK(answer.has_value());
+    if (answer->status != 200) return;
+    const bool stamped = answer->headers.Has("Server-Stamp");
+    if (!stamped || answer->body != "w0:" + body) ++strange_answers;
+  }
+
+  // A worker that is silent is asked for its health. Waits until it has been once more.
+  void AwaitHealthCheck(Fleet & fleet, const RepeatingRelay& relay) {
+    const size_t before = relay.Sent(Exchange::kHealthCheck);
+    CHECK(RunUntil(fleet.loop, [&] { return relay.Sent(Exchange::kHealthCheck) > before; }));
+  }
+};
+
+// Guards against a success that is the second answer to a health check.
+TEST(SecondAnswers, OfAHealthCheckReachNoCaller) {
+  Fleet fleet({"plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  relay.set_policy(Repeat(Exchange::kHealthCheck, Exchange::kRequest));
+  PutRelayBefore(fleet, 0, relay);
+  fleet.Start();
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  for (int round = 0; round < 6; ++round) {
+    AwaitHealthCheck(fleet, relay);
+    RunFor(fleet.loop, std::chrono::milliseconds(20));
+    Ask(fleet, std::to_string(round));
+  }
+  CHECK_EQUAL(0, strange_answers);
+}
+
+// Guards against a health check that takes the second answer to a request, and so leaves its own
+// answer to the next request.
+TEST(SecondAnswers, OfARequestAreNotTakenForThatToAHealthCheck) {
+  Fleet fleet({"plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  relay.set_policy(Repeat(Exchange::kRequest, Exchange::kHealthCheck));
+  PutRelayBefore(fleet, 0, relay);
+  // Health checks wait for a slot.
+  fleet.nodes[0].worker->set_health_delay([] { return std::chrono::milliseconds(200); });
+  fleet.Start();
+  fleet.nodes[0].worker->set_heartbeats_cut(true);
+  // Takes its time, so that the answer to the health check comes first.
+  fleet.nodes[0].worker->set_behaviour([&fleet](const http::ExchangePtr& exchange) {
+    auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
+    *timer = std::make_unique<event::Timer>(fleet.loop, [exchange, timer] {
+      http::Headers headers;
+      headers.Add("Attempt-Id", *exchange->request().head.headers.Find("Attempt-Id"));
+      headers.Add("Server-Stamp", "stamp-of-w0");
+      exchange->Respond(200, headers, "w0:" + exchange->request().body);
+      const auto last = std::move(*timer);
+    });
+    (*timer)->Start(std::chrono::milliseconds(300));
+  });
+  for (int round = 0; round < 6; ++round) {
+    Ask(fleet, std::to_string(round));
+    AwaitHealthCheck(fleet, relay);
+    RunFor(fleet.loop, std::chrono::milliseconds(20));
+  }
+  CHECK_EQUAL(0, strange_answers);
+}
+
+// Guards against keys that are given on while their holder is still at work on them, since the
+// second answer to a grant was taken for that to a release.
+TEST(SecondAnswers, OfAGrantAreNotTakenForThatToARelease) {
+  Fleet fleet({"keyed", "keyed", "plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  relay.set_policy(Repeat(Exchange::kGrant, Exchange::kRelease));
+  PutRelayBefore(fleet, 0, relay);
+  fleet.Start();
+  // Runs on all of its keys go on, so no release is answered: its grants have to run out.
+  std::vector<FakeWorker::Grant> of_busy_worker;
+  size_t taken = 0;
+  size_t taken_early = 0;
+  fleet.nodes[0].worker->set_busy_keys([](uint32_t, uint32_t) { return true; });
+  fleet.nodes[0].worker->set_on_granted(
+      [&](const FakeWorker::Grant& grant, bool) { of_busy_worker.push_back(grant); });
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  fleet.nodes[1].worker->set_on_granted([&](const FakeWorker::Grant& grant, bool) {
+    for (const FakeWorker::Grant& former : of_busy_worker) {
+      if (former.last < grant.first || grant.last < former.first) continue;
+      ++taken;
+      if (fleet.loop.Now() < former.until) ++taken_early;
+    }
+  });
+  fleet.nodes[0].worker->set_draining(true);
+  RunFor(fleet.loop, std::chrono::seconds(7));
+  CHECK(relay.Sent(Exchange::kRelease) > 0);
+  CHECK(taken > 0);
+  CHECK_EQUAL(0, taken_early);
+}
+
+// Guards against a shard that is taken for refused, or for granted, by the answer to the grant of
+// another one.
+TEST(SecondAnswers, OfAGrantAreNotTakenForThatToAnotherGrant) {
+  Fleet fleet({"keyed", "plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  PutRelayBefore(fleet, 0, relay);
+  fleet.Start();
+  relay.set_policy(Repeat(Exchange::kGrant, Exchange::kGrant));
+  // The worker has seen a higher token on one key.
+  fleet.LateOrder(0, "/runshelf/release", R"({"from_revision":0,"target_version":0,"fence":900})");
+  RunFor(fleet.loop, std::chrono::milliseconds(2500));
+  const std::string log = fleet.Log();
+  size_t refusals = 0;
+  size_t of_other_shards = 0;
+  for (size_t at = log.find("event=grant_refused"); at != std::string::npos;
+       at = log.find("event=grant_refused", at + 1)) {
+    ++refusals;
+    if (log.compare(at, 28, "event=grant_refused first=0 ") != 0) ++of_other_shards;
+  }
+  CHECK(refusals > 0);
+  CHECK_EQUAL(0, of_other_shards);
+}
+
+// Guards against a success that no worker vouches for, wherever it came from.
+TEST(SecondAnswers, ASuccessWithoutTheStampIsAFailureInDoubt) {
+  Fleet fleet({"plain"});
+  fleet.Start();
+  fleet.nodes[0].worker->set_behaviour([](const http::ExchangePtr& exchange) {
+    http::Headers headers;
+    headers.Add("Attempt-Id", *exchange->request().head.headers.Find("Attempt-Id"));
+    exchange->Respond(200, headers, "of nobody");
+  });
+  const auto answer = fleet.Request(0, "POST", "/send/1", "x");
+  CHECK(answer.has_value());
+  CHECK_EQUAL(502, answer->status);
+}
