HTTP client: each call states how the answer to it is known; health checks have connections of their own

Callers saw a success without the worker's stamp. Cause: which request an answer belongs to was known by its place on a reused connection alone, unless it named another request. Health checks and requests shared connections, so the second answer to a health check, or its own answer after it had taken that of a request, went to the next caller.

Change: CallOptions has no default any more; it takes an AnswerMatch. A request to a worker takes an answer that repeats its id, or the first one of a connection; the same id never goes out twice on one connection. Health checks share connections with nothing else. Nodes and the store answer once and in order, and say so at the call. A connection on which something lies unread carries no request, and one that carried a HEAD request is closed. Grants and releases follow.

Stand-ins of workers that answered without the id now repeat it, as the platform's workers do; no check or bound changed. In Client.AnAnswerWithALength... each request has an id of its own, since one that is sent again takes another connection by design.

--- a/source/event/tcp_stream.cc
+++ b/source/event/tcp_stream.cc
@@ -26,6 +26,8 @@
   return buffer.data();
 }
 
+bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
 enum class Side { kOutgoing, kAccepted };
 
 // An accepted connection gets no bound on unacknowledged bytes: a client may read slowly.
@@ -227,8 +229,11 @@
 bool TcpStream::PeerGone() const {
   if (handle_->ended) return true;
   const ssize_t bytes = handle_->Peek();
-  if (bytes >= 0) return bytes == 0;
-  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  return bytes == 0 || (bytes < 0 && !WouldBlock(errno));
+}
+
+bool TcpStream::Quiet() const {
+  return !handle_->ended && handle_->Peek() < 0 && WouldBlock(errno);
 }
 
 void TcpStream::ShutdownWriting() {
--- a/source/event/tcp_stream.h
+++ b/source/event/tcp_stream.h
@@ -65,6 +65,9 @@
   // The peer closed or broke the connection, which may not have been read yet while other events
   // are worked off. Costs a system call. False while unread bytes lie before the end.
   bool PeerGone() const;
+  // Nothing lies unread, and the peer has neither closed nor broken the connection. Costs a system
+  // call.
+  bool Quiet() const;
   // Sends what is outstanding and then closes the writing side; reading goes on.
   void ShutdownWriting();
 
--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -1,6 +1,8 @@
 #include "source/http/client.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace runshelf::http {
@@ -12,7 +14,9 @@
 // Share of the server's Keep-Alive time after which an idle connection is not used any more: the
 // server counts from when it sent its answer, and may close early.
 constexpr double kKeepAliveShare = 0.7;
-constexpr size_t kMaxIdlePerEndpoint = 32;
+constexpr size_t kMaxIdlePerLane = 32;
+// An answer that comes a second time is not later than this many requests on its connection.
+constexpr size_t kRememberedValues = 64;
 
 // The "timeout" of a Keep-Alive header, in whole seconds.
 std::optional<Duration> KeepAliveTimeout(const Headers& headers) {
@@ -46,11 +50,12 @@
                          public ParserObserver,
                          public std::enable_shared_from_this<ClientConnection> {
  public:
-  ClientConnection(ConnectionPool* pool, event::Endpoint endpoint)
+  ClientConnection(ConnectionPool* pool, event::Endpoint endpoint, const CallOptions& options)
       : pool_(pool),
         endpoint_(std::move(endpoint)),
         parser_(ParserKind::kResponse, this),
-        timer_(pool->loop_, [this] { OnTimeout(); }) {}
+        timer_(pool->loop_, [this] { OnTimeout(); }),
+        options_(options) {}
 
   ~ClientConnection() override { Close(); }
   ClientConnection(const ClientConnection&) = delete;
@@ -61,12 +66,23 @@
   Instant heard_at() const { return heard_at_; }
   bool PeerGone() const { return stream_ == nullptr || stream_->PeerGone(); }
   bool reused() const { return requests_ > 1; }
+  const std::optional<std::string>& lane() const { return options_.answer_match.lane(); }
+
+  // Whether this idle connection may carry a request that is matched so. Not when something lies
+  // unread on it, or it has ended: the event loop is about to tell.
+  bool MayCarry(const AnswerMatch& match) const {
+    const bool repeated = match.by_header() && std::find(values_.begin(), values_.end(),
+                                                         ValueHash(match)) != values_.end();
+    return !repeated && stream_ != nullptr && stream_->Quiet();
+  }
 
   void Begin(std::string_view request, const CallOptions& options, ResponseObserver* observer) {
     observer_ = observer;
     purpose_before_ = requests_ == 0 ? std::string_view() : options_.purpose;
     options_ = options;
-    reusable_ = true;
+    // Of an answer that came a second time nobody could tell whether it has a body.
+    reusable_ = options.answer_match.lane().has_value() && !options.head_request;
+    RememberValue(options.answer_match);
     skipping_ = false;
     head_seen_ = false;
     ++requests_;
@@ -167,13 +183,11 @@
 
   void OnResponseHead(ResponseHead&& head) override {
     if (observer_ == nullptr) return;
-    if (!options_.id_header.empty()) {
-      const std::string* id = head.headers.Find(options_.id_header);
-      if (id != nullptr && *id != options_.expected_id) {
-        skipping_ = true;
-        Report(UnexpectedAnswer::Kind::kSkipped, *id);
-        return;
-      }
+    if (!IsOwnAnswer(head)) {
+      skipping_ = true;
+      const std::string* value = head.headers.Find(options_.answer_match.header());
+      Report(UnexpectedAnswer::Kind::kSkipped, value == nullptr ? std::string() : *value);
+      return;
     }
     head_seen_ = true;
     idle_timeout_ = options_.idle_timeout;
@@ -199,6 +213,23 @@
   bool usable() const { return stream_ != nullptr; }
 
  private:
+  static size_t ValueHash(const AnswerMatch& match) {
+    return std::hash<std::string>()(match.value());
+  }
+
+  void RememberValue(const AnswerMatch& match) {
+    if (!match.by_header()) return;
+    values_.push_back(ValueHash(match));
+    if (values_.size() > kRememberedValues) values_.pop_front();
+  }
+
+  bool IsOwnAnswer(const ResponseHead& head) const {
+    if (!options_.answer_match.by_header()) return true;
+    const std::string* value = head.headers.Find(options_.answer_match.header());
+    if (value == nullptr) return requests_ == 1;
+    return *value == options_.answer_match.value();
+  }
+
   void Complete() {
     ResponseObserver* observer = std::exchange(observer_, nullptr);
     // A server may answer before it has read the whole request: the rest must not be followed by
@@ -221,7 +252,8 @@
 
   void Report(UnexpectedAnswer::Kind kind, const std::string& found_id) const {
     pool_->OnUnexpectedAnswer({kind, endpoint_, pool_->loop_.Now() - made_at_, requests_,
-                               options_.purpose, purpose_before_, options_.expected_id, found_id});
+                               options_.purpose, purpose_before_, options_.answer_match.value(),
+                               found_id});
   }
 
   // Leaves the pool's idle connections and closes.
@@ -245,8 +277,9 @@
   Parser parser_;
   event::Timer timer_;  // Of the connect, then of idleness.
   ResponseObserver* observer_ = nullptr;
-  CallOptions options_;
-  std::string_view purpose_before_;
+  CallOptions options_;              // Of the latest request.
+  std::string_view purpose_before_;  // Of the one before it.
+  std::deque<size_t> values_;        // Hashes of what the latest answers were known by.
   Duration idle_timeout_{0};
   uint64_t requests_ = 0;
   bool connected_ = false;
@@ -271,8 +304,10 @@
 ConnectionPool::ConnectionPool(event::EventLoop& loop) : loop_(loop) {}
 
 ConnectionPool::~ConnectionPool() {
-  for (auto& [endpoint, connections] : idle_) {
-    for (const auto& connection : connections) connection->Close();
+  for (auto& [endpoint, lanes] : idle_) {
+    for (auto& [lane, connections] : lanes) {
+      for (const auto& connection : connections) connection->Close();
+    }
   }
   // While what they note of themselves here still exists.
   idle_.clear();
@@ -282,27 +317,42 @@
                                                  std::string_view request,
                                                  const CallOptions& options,
                                                  ResponseObserver* observer) {
-  std::shared_ptr<ClientConnection> connection;
-  if (auto found = idle_.find(endpoint); found != idle_.end()) {
-    // The latest one used: the others grow old and are closed.
-    if (!found->second.empty()) {
-      connection = std::move(found->second.back());
-      found->second.pop_back();
-    }
-    if (found->second.empty()) idle_.erase(found);
-  }
+  std::shared_ptr<ClientConnection> connection = TakeIdle(endpoint, options);
   if (connection == nullptr) {
     ++opened_;
-    connection = std::make_shared<ClientConnection>(this, endpoint);
+    connection = std::make_shared<ClientConnection>(this, endpoint, options);
   }
   connection->Begin(request, options, observer);
   return std::make_unique<ClientCall>(std::move(connection));
 }
 
+std::shared_ptr<ClientConnection> ConnectionPool::TakeIdle(const event::Endpoint& endpoint,
+                                                           const CallOptions& options) {
+  const AnswerMatch& match = options.answer_match;
+  if (!match.lane().has_value() || options.head_request) return nullptr;
+  const auto of_endpoint = idle_.find(endpoint);
+  if (of_endpoint == idle_.end()) return nullptr;
+  const auto of_lane = of_endpoint->second.find(*match.lane());
+  if (of_lane == of_endpoint->second.end()) return nullptr;
+  IdleConnections& connections = of_lane->second;
+  // The latest one used: the others grow old and are closed.
+  const auto found =
+      std::find_if(connections.rbegin(), connections.rend(),
+                   [&](const auto& connection) { return connection->MayCarry(match); });
+  if (found == connections.rend()) return nullptr;
+  std::shared_ptr<ClientConnection> taken = std::move(*found);
+  connections.erase(std::next(found).base());
+  if (connections.empty()) of_endpoint->second.erase(of_lane);
+  if (of_endpoint->second.empty()) idle_.erase(of_endpoint);
+  return taken;
+}
+
 void ConnectionPool::CloseIdle(const event::Endpoint& endpoint) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) return;
-  for (const auto& connection : found->second) connection->Close();
+  for (auto& [lane, connections] : found->second) {
+    for (const auto& connection : connections) connection->Close();
+  }
   idle_.erase(found);
 }
 
@@ -333,20 +383,23 @@
 }
 
 void ConnectionPool::OnIdle(const std::shared_ptr<ClientConnection>& connection) {
-  auto& connections = idle_[connection->endpoint()];
+  IdleConnections& connections = idle_[connection->endpoint()][*connection->lane()];
   connection->StartIdleTimer();
   connections.push_back(connection);
-  if (connections.size() > kMaxIdlePerEndpoint) {
+  if (connections.size() > kMaxIdlePerLane) {
     connections.front()->Close();
     connections.pop_front();
   }
 }
 
 void ConnectionPool::Forget(const ClientConnection* connection) {
-  const auto found = idle_.find(connection->endpoint());
-  if (found == idle_.end()) return;
-  std::erase_if(found->second, [&](const auto& other) { return other.get() == connection; });
-  if (found->second.empty()) idle_.erase(found);
+  const auto of_endpoint = idle_.find(connection->endpoint());
+  if (of_endpoint == idle_.end() || !connection->lane().has_value()) return;
+  const auto of_lane = of_endpoint->second.find(*connection->lane());
+  if (of_lane == of_endpoint->second.end()) return;
+  std::erase_if(of_lane->second, [&](const auto& other) { return other.get() == connection; });
+  if (of_lane->second.empty()) of_endpoint->second.erase(of_lane);
+  if (of_endpoint->second.empty()) idle_.erase(of_endpoint);
 }
 
 void ConnectionPool::OnIdleLost(const ClientConnection* connection) {
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -10,8 +10,10 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "source/event/tcp_stream.h"
+#include "source/http/answer_match.h"
 #include "source/http/message.h"
 
 namespace runshelf::http {
@@ -42,8 +44,12 @@
 };
 
 struct CallOptions {
-  // What the call is for, in logs; a literal.
-  std::string_view purpose = "call";
+  // `call_purpose`: for logs; a literal.
+  CallOptions(AnswerMatch match, std::string_view call_purpose)
+      : answer_match(std::move(match)), purpose(call_purpose) {}
+
+  AnswerMatch answer_match;
+  std::string_view purpose;
   Duration connect_timeout = std::chrono::milliseconds(400);
   // A connection without a request for this long is closed; a shorter Keep-Alive of the server
   // wins.
@@ -53,10 +59,6 @@
   // So an answer that is large for the links on its way arrives, and one that stands still is given
   // up.
   bool wait_while_answer_arrives = false;
-  // When set, an answer that carries this header with another value belongs to an earlier request
-  // and is skipped.
-  std::string id_header;
-  std::string expected_id;
 };
 
 class ClientConnection;
@@ -64,7 +66,7 @@
 // Bytes of a server that belong to no request under way on their connection.
 struct UnexpectedAnswer {
   enum class Kind {
-    kSkipped,   // An answer that names another request, while one was under way.
+    kSkipped,   // Not the answer to the request under way, by what identifies that.
     kTrailing,  // Followed a whole answer at once.
     kIdle,      // Came while no request was under way.
   };
@@ -101,8 +103,8 @@
   uint64_t request_number_;  // Among those of the connection.
 };
 
-// Keeps idle connections for each endpoint and opens new ones when none is left. Must outlive its
-// calls.
+// Keeps idle connections for each endpoint and lane (see AnswerMatch), and opens new ones when none
+// is left. Must outlive its calls.
 class ConnectionPool {
  public:
   explicit ConnectionPool(event::EventLoop& loop);
@@ -136,6 +138,11 @@
 
  private:
   friend class ClientConnection;
+  using IdleConnections = std::deque<std::shared_ptr<ClientConnection>>;
+
+  // An idle connection that the request may use, which is idle no more; nullptr: there is none.
+  std::shared_ptr<ClientConnection> TakeIdle(const event::Endpoint& endpoint,
+                                             const CallOptions& options);
   void OnIdle(const std::shared_ptr<ClientConnection>& connection);
   void Forget(const ClientConnection* connection);
   void OnClosed(const ClientConnection* connection);
@@ -143,8 +150,8 @@
   void OnUnexpectedAnswer(const UnexpectedAnswer& answer);
 
   event::EventLoop& loop_;
-  std::map<event::Endpoint, std::deque<std::shared_ptr<ClientConnection>>> idle_;
-  std::map<event::Endpoint, std::set<const ClientConnection*>> made_;  // And not closed here.
+  std::map<event::Endpoint, std::map<std::string, IdleConnections>> idle_;  // By lane.
+  std::map<event::Endpoint, std::set<const ClientConnection*>> made_;       // And not closed here.
   std::map<event::Endpoint, Instant> lost_at_;
   uint64_t opened_ = 0;
   std::function<void(const event::Endpoint&)> on_idle_lost_;
--- a/source/sidecar/feed_transport.cc
+++ b/source/sidecar/feed_transport.cc
@@ -55,15 +55,16 @@
   if (receiver.reads_for_zone) peer_protocol::MarkForZone(&head.headers);
   peer_protocol::MarkPassOnTo(receiver.pass_on_to, &head.headers);
   peer_protocol::MarkFailedReaders(receiver.failed, &head.headers);
-  calls_.Start(receiver.endpoint, http::SerializeRequest(head, changes), http::CallOptions{},
-               timeout, AnswerTo(std::move(callback)));
+  calls_.Start(receiver.endpoint, http::SerializeRequest(head, changes),
+               http::CallOptions(http::AnswerMatch::InOrder(), "changes"), timeout,
+               AnswerTo(std::move(callback)));
 }
 
 void NetworkFeedTransport::AskForCopy(const event::Endpoint& source, const std::string& prefix,
                                       Duration timeout, Callback callback) {
   http::RequestHead head = MessageHead();
   peer_protocol::MarkSnapshotRequest(prefix, &head.headers);
-  http::CallOptions options;
+  http::CallOptions options(http::AnswerMatch::InOrder(), "copy");
   options.wait_while_answer_arrives = true;
   calls_.Start(source, http::SerializeRequest(head, ""), options, timeout,
                AnswerTo(std::move(callback)));
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -27,8 +27,7 @@
 void RemoteAttempt::Begin() {
   http::RequestHead head = request_.request->head;
   peer_protocol::AddAttemptHeaders(request_, loop_.Now(), &head.headers);
-  http::CallOptions options;
-  options.purpose = "forwarded_request";
+  http::CallOptions options(http::AnswerMatch::InOrder(), "forwarded_request");
   options.idle_timeout = kPeerIdleTimeout;
   options.head_request = head.method == "HEAD";
   const std::string bytes = http::SerializeRequest(head, request_.request->body);
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -184,8 +184,8 @@
   void ForgetSettledDisowned();
   bool MayBePresent(const std::string& worker_id) const;
   bool MayBeHeldDisowned(const sharding::Shard& shard) const;
-  void StartCall(http::CallSet* calls, const http::Request& request, Duration timeout,
-                 http::CallSet::Callback callback);
+  void StartCall(http::CallSet* calls, const http::Request& request, http::CallOptions options,
+                 Duration timeout, http::CallSet::Callback callback);
   const HeldShard* FindHolding(sharding::ShardKey key) const;
 
   event::EventLoop& loop_;
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -33,7 +33,8 @@
   ++grants_sent_;
   holding->call = ++order_count_;
   StartCall(
-      &grants_, wire_.EncodeGrant(grant), config_.call_timeout,
+      &grants_, wire_.EncodeGrant(grant), http::CallOptions(http::AnswerMatch::InOrder(), "grant"),
+      config_.call_timeout,
       [this, key, now, hold, call = holding->call](const std::optional<http::Response>& response) {
         OnGrantAnswer(key, call, now, hold, response);
       });
@@ -84,7 +85,8 @@
   // at most the token that the next owner gets.
   release.token = shards_.map().last_token() + 1;
   holding->call = ++order_count_;
-  StartCall(&releases_, wire_.EncodeRelease(release), config_.release_timeout,
+  StartCall(&releases_, wire_.EncodeRelease(release),
+            http::CallOptions(http::AnswerMatch::InOrder(), "release"), config_.release_timeout,
             [this, key, call = holding->call](const std::optional<http::Response>& response) {
               OnReleaseAnswer(key, call, response);
             });
@@ -104,12 +106,11 @@
   Reconcile();
 }
 
-void ShardHolder::StartCall(http::CallSet* calls, const http::Request& request, Duration timeout,
+void ShardHolder::StartCall(http::CallSet* calls, const http::Request& request,
+                            http::CallOptions options, Duration timeout,
                             http::CallSet::Callback callback) {
   http::RequestHead head = request.head;
   head.headers.Set("Host", config_.worker.ToString());
-  http::CallOptions options;
-  options.purpose = calls == &grants_ ? "grant" : "release";
   options.connect_timeout = config_.call_timeout;
   calls->Start(config_.worker, http::SerializeRequest(head, request.body), options, timeout,
                std::move(callback));
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -441,8 +441,9 @@
     head.method = "POST";
     head.target = "/worker-end";
     peer_protocol::MarkWorkerEnd(/*write=*/index < writers, &head.headers);
-    told_ends_.Start(others[index], http::SerializeRequest(head, worker_end), http::CallOptions{},
-                     kTellTimeout, [](const std::optional<http::Response>&) {});
+    told_ends_.Start(others[index], http::SerializeRequest(head, worker_end),
+                     http::CallOptions(http::AnswerMatch::InOrder(), "worker_end"), kTellTimeout,
+                     [](const std::optional<http::Response>&) {});
   }
 }
 
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -99,11 +99,9 @@
     head.headers.Set(names.expected_worker,
                      std::string(gate_->wire_.StatedIdentity(gate_->worker_id_)));
     head.headers.Set(names.caller_service, request_.caller_service);
-    http::CallOptions options;
-    options.purpose = "request";
+    http::CallOptions options(
+        http::AnswerMatch::EchoedHeader(names.request_id, request_.request_id), "request");
     options.head_request = head.method == "HEAD";
-    options.id_header = names.request_id;
-    options.expected_id = request_.request_id;
     call_ = gate_->pool_.Send(gate_->worker_, http::SerializeRequest(head, request_.request->body),
                               options, this);
   }
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -425,8 +425,9 @@
   if (probe_ != nullptr || health_path_.empty()) return;
   http::Request request = wire_.EncodeHealthCheck(health_path_);
   request.head.headers.Set("Host", settings_.worker.ToString());
-  http::CallOptions options;
-  options.purpose = "health_check";
+  // Who answers is told by the process at the other end of the connection, whichever health check
+  // it answers.
+  http::CallOptions options(http::AnswerMatch::Lane("health-check"), "health_check");
   // Longer than the whole probe: only a refused connection counts as "not sent".
   options.connect_timeout = 2 * kProbeTimeout;
   probe_sent_at_ = loop_.Now();
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -67,8 +67,7 @@
   ++call_count_;
   http::RequestHead head = request.head;
   if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
-  http::CallOptions options;
-  options.purpose = "store_call";
+  http::CallOptions options(http::AnswerMatch::InOrder(), "store_call");
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -35,12 +35,11 @@
 constexpr std::string_view kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 CallOptions WithId(const std::string& id) {
-  CallOptions options;
-  options.id_header = "Request-Id";
-  options.expected_id = id;
-  return options;
+  return CallOptions(AnswerMatch::EchoedHeader("Request-Id", id), "test");
 }
 
+CallOptions InOrder() { return CallOptions(AnswerMatch::InOrder(), "test"); }
+
 std::string Answer(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -60,12 +59,12 @@
 
 TEST(Client, AnAnswerWithALengthIsCompleteAndItsConnectionIsUsedAgain) {
   RawServer server([](int connection) {
-    while (!RawServer::ReadHead(connection).empty())
-      RawServer::Send(connection, Answer("1", "abc"));
+    for (int round = 0; !RawServer::ReadHead(connection).empty(); ++round)
+      RawServer::Send(connection, Answer(std::to_string(round), "abc"));
   });
   for (int round = 0; round < 3; ++round) {
     Collector collector;
-    Expect(server.endpoint(), WithId("1"), &collector);
+    Expect(server.endpoint(), WithId(std::to_string(round)), &collector);
     CHECK(collector.complete);
     STRCMP_EQUAL("abc", collector.body.c_str());
   }
@@ -81,7 +80,7 @@
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
   });
   Collector collector;
-  Expect(server.endpoint(), {}, &collector);
+  Expect(server.endpoint(), InOrder(), &collector);
   CHECK(collector.complete);
   STRCMP_EQUAL("abc", collector.body.c_str());
 }
@@ -92,7 +91,7 @@
     RawServer::Send(connection, "HTTP/1.1 200 OK\r\n\r\nabc");
   });
   Collector collector;
-  Expect(server.endpoint(), {}, &collector);
+  Expect(server.endpoint(), InOrder(), &collector);
   CHECK(collector.complete);
   STRCMP_EQUAL("abc", collector.body.c_str());
 }
@@ -106,7 +105,7 @@
   });
   for (int round = 0; round < 20; ++round) {
     Collector collector;
-    Expect(server.endpoint(), {}, &collector);
+    Expect(server.endpoint(), InOrder(), &collector);
     CHECK_FALSE(collector.complete);
     CHECK(collector.failure.has_value());
   }
@@ -121,7 +120,7 @@
       RawServer::Send(connection, text);
     });
     Collector collector;
-    Expect(server.endpoint(), {}, &collector);
+    Expect(server.endpoint(), InOrder(), &collector);
     CHECK_FALSE_TEXT(collector.complete, text);
     CHECK_TEXT(collector.failure.has_value(), text);
   }
@@ -133,14 +132,14 @@
     RawServer::Send(connection, "garbage\r\n\r\n");
   });
   Collector collector;
-  Expect(server.endpoint(), {}, &collector);
+  Expect(server.endpoint(), InOrder(), &collector);
   CHECK(collector.failure == ClientFailure::kIncomplete);
 }
 
 TEST(Client, AConnectionThatClosesBeforeTheAnswerLeavesADoubt) {
   RawServer server([](int connection) { RawServer::ReadHead(connection); });
   Collector collector;
-  Expect(server.endpoint(), {}, &collector);
+  Expect(server.endpoint(), InOrder(), &collector);
   CHECK(collector.failure == ClientFailure::kBroken);
 }
 
@@ -151,7 +150,7 @@
     nobody = server.endpoint();
   }
   Collector collector;
-  Expect(nobody, {}, &collector);
+  Expect(nobody, InOrder(), &collector);
   CHECK(collector.failure == ClientFailure::kRefused);
 }
 
@@ -177,6 +176,120 @@
   CHECK(RunUntil(loop, [&] { return server.connections() == 2; }));
 }
 
+// Guards against an answer of nobody, such as the second one to a health check, that a request
+// gets.
+TEST(Client, AnAnswerWithoutTheHeaderIsSkippedOnceOthersWentBefore) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "first"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nnobody" + Answer("2", "second"));
+  });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  Collector second;
+  Expect(server.endpoint(), WithId("2"), &second);
+  CHECK(second.complete);
+  STRCMP_EQUAL("second", second.body.c_str());
+  CHECK_EQUAL(1, server.connections());
+}
+
+TEST(Client, TheFirstAnswerOfAConnectionMayLackTheHeader) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  });
+  Collector collector;
+  Expect(server.endpoint(), WithId("1"), &collector);
+  CHECK(collector.complete);
+  CHECK_EQUAL(503, collector.head.status);
+}
+
+// Guards against a refusal that comes twice and is taken for the answer to the same request, sent
+// again, which runs.
+TEST(Client, ARequestThatIsSentAgainTakesAnotherConnection) {
+  std::atomic<int> requests{0};
+  RawServer server([&](int connection) {
+    RawServer::ReadHead(connection);
+    if (++requests == 2) {
+      RawServer::Send(connection, Answer("1", "ran"));
+      return;
+    }
+    RawServer::Send(connection, Answer("1", "refused"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "refused") + Answer("1", "ran"));
+  });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  STRCMP_EQUAL("refused", first.body.c_str());
+  Collector second;
+  const auto call = pool.Send(server.endpoint(), kRequest, WithId("1"), &second);
+  pool.CloseIdle(server.endpoint());
+  CHECK(RunUntil(loop, [&] { return second.over(); }));
+  STRCMP_EQUAL("ran", second.body.c_str());
+  CHECK_EQUAL(2, server.connections());
+}
+
+TEST(Client, RequestsOfOtherLanesTakeOtherConnections) {
+  std::atomic<int> served{0};
+  RawServer server([&](int connection) {
+    while (!RawServer::ReadHead(connection).empty()) {
+      ++served;
+      RawServer::Send(connection, Answer("1", "abc"));
+      if (served == 1 || served == 3) return;
+    }
+  });
+  const auto in_lane = [](const char* lane) {
+    return CallOptions(AnswerMatch::Lane(lane), "test");
+  };
+  // The server takes one connection after the other.
+  for (const char* lane : {"a", "b", "b"}) {
+    Collector collector;
+    Expect(server.endpoint(), in_lane(lane), &collector);
+    CHECK(collector.complete);
+  }
+  CHECK_EQUAL(2, server.connections());
+}
+
+TEST(Client, AnOwnConnectionCarriesNoOtherRequest) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "abc"));
+    RawServer::ReadHead(connection);
+  });
+  for (int round = 0; round < 3; ++round) {
+    Collector collector;
+    Expect(server.endpoint(), CallOptions(AnswerMatch::OwnConnection(), "test"), &collector);
+    CHECK(collector.complete);
+    CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+  }
+  CHECK_EQUAL(3, server.connections());
+}
+
+// Guards against an answer that lay unread while the process stood still, and is taken for that to
+// the next request.
+TEST(Client, AConnectionWithUnreadBytesCarriesNoRequest) {
+  std::atomic<bool> sent{false};
+  RawServer server([&](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "abc"));
+    if (sent) return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    RawServer::Send(connection, Answer("1", "abc"));
+    sent = true;
+  });
+  Collector first;
+  Expect(server.endpoint(), InOrder(), &first);
+  CHECK(first.complete);
+  // Without a turn of the loop.
+  while (!sent) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  Collector second;
+  Expect(server.endpoint(), InOrder(), &second);
+  CHECK(second.complete);
+  CHECK_EQUAL(2, server.connections());
+}
+
 // An operator must be able to tell what came in place of an answer, and on which connection.
 TEST(Client, UnexpectedAnswersAreReported) {
   RawServer server([](int connection) {
@@ -249,7 +362,7 @@
     closed = recv(connection, &byte, 1, 0) <= 0;
   });
   Collector collector;
-  auto call = pool.Send(server.endpoint(), kRequest, {}, &collector);
+  auto call = pool.Send(server.endpoint(), kRequest, InOrder(), &collector);
   event::RunFor(loop, std::chrono::milliseconds(20));
   call.reset();
   CHECK(RunUntil(loop, [&] { return closed.load(); }));
@@ -265,7 +378,7 @@
   });
   for (int round = 0; round < 2; ++round) {
     Collector collector;
-    Expect(server.endpoint(), {}, &collector);
+    Expect(server.endpoint(), InOrder(), &collector);
     CHECK(collector.complete);
   }
   CHECK_EQUAL(2, server.connections());
@@ -279,7 +392,7 @@
   });
   bool over = false;
   bool answered = true;
-  SimpleCall call(loop, pool, server.endpoint(), kRequest, {}, std::chrono::milliseconds(30),
+  SimpleCall call(loop, pool, server.endpoint(), kRequest, InOrder(), std::chrono::milliseconds(30),
                   [&](const std::optional<Response>& response, ClientFailure) {
                     over = true;
                     answered = response.has_value();
@@ -301,7 +414,7 @@
       }
     });
     ConnectionPool own_pool(loop);
-    CallOptions options;
+    CallOptions options = InOrder();
     options.wait_while_answer_arrives = waits;
     std::optional<std::string> body;
     bool over = false;
@@ -327,7 +440,7 @@
       RawServer::Send(connection, "x");
     }
   });
-  CallOptions options;
+  CallOptions options = InOrder();
   options.wait_while_answer_arrives = true;
   bool over = false;
   bool answered = true;
@@ -346,7 +459,7 @@
 TEST(Client, AConnectionThatIsResetIsNotARefusedOne) {
   RawServer server([](int connection) { RawServer::Reset(connection); });
   Collector collector;
-  const auto call = pool.Send(server.endpoint(), kRequest, {}, &collector);
+  const auto call = pool.Send(server.endpoint(), kRequest, InOrder(), &collector);
   // The server resets it before the loop looks at it.
   while (server.connections() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
--- a/tests/platform_adapter/crashing_workers.cc
+++ b/tests/platform_adapter/crashing_workers.cc
@@ -39,12 +39,7 @@
       Later(run_time_, [this, node] { End(node); });
       return;
     }
-    Later(run_time_, [worker, exchange] {
-      http::Headers headers;
-      headers.Add("Attempt-Id", *exchange->request().head.headers.Find("Attempt-Id"));
-      headers.Add("Server-Stamp", "stamp");
-      exchange->Respond(200, headers, "");
-    });
+    Later(run_time_, [worker, exchange] { AnswerRun(exchange, 200); });
   });
 }
 
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -47,6 +47,20 @@
 
 }  // namespace
 
+http::Headers RunHeaders(const http::ExchangePtr& exchange, const std::string& stamp) {
+  http::Headers headers;
+  if (const std::string* id = exchange->request().head.headers.Find("Attempt-Id")) {
+    headers.Add("Attempt-Id", *id);
+  }
+  headers.Add("Server-Stamp", stamp);
+  return headers;
+}
+
+void AnswerRun(const http::ExchangePtr& exchange, int status, const std::string& body,
+               const std::string& stamp) {
+  exchange->Respond(status, RunHeaders(exchange, stamp), body);
+}
+
 FakeWorker::FakeWorker(event::EventLoop& loop, std::string id, std::string service)
     : loop_(loop),
       id_(std::move(id)),
@@ -90,7 +104,8 @@
   head.headers.Add("Host", node_.ToString());
   const std::string body = born_ == 0 ? std::string() : json{{"born", born_}}.dump();
   heartbeat_ = std::make_unique<http::SimpleCall>(
-      loop_, pool_, node_, http::SerializeRequest(head, body), http::CallOptions{}, kAnswerWindow,
+      loop_, pool_, node_, http::SerializeRequest(head, body),
+      http::CallOptions(http::AnswerMatch::InOrder(), "heartbeat"), kAnswerWindow,
       [this](const std::optional<http::Response>& response, http::ClientFailure) {
         const bool acknowledged = response.has_value() && response->status == 200;
         if (acknowledged && !leaving_acknowledged_at_) leaving_acknowledged_at_ = loop_.Now();
@@ -133,7 +148,8 @@
     return;
   }
   heartbeat_ = std::make_unique<http::SimpleCall>(
-      loop_, pool_, node_, http::SerializeRequest(head, body), http::CallOptions{},
+      loop_, pool_, node_, http::SerializeRequest(head, body),
+      http::CallOptions(http::AnswerMatch::InOrder(), "heartbeat"),
       std::max(Duration(1000), made + kAnswerWindow - loop_.Now()),
       [this, leaving = draining_, made, released = released_.size(), fault, body](
           const std::optional<http::Response>& response, http::ClientFailure) {
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -16,6 +16,12 @@
 
 namespace runshelf::platform_adapter {
 
+// Headers of the answer to a request that ran: its id, and a stamp.
+http::Headers RunHeaders(const http::ExchangePtr& exchange, const std::string& stamp = "stamp");
+// Answers a request that ran.
+void AnswerRun(const http::ExchangePtr& exchange, int status, const std::string& body = "",
+               const std::string& stamp = "stamp");
+
 class FakeWorker {
  public:
   FakeWorker(event::EventLoop& loop, std::string id, std::string service);
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -142,7 +142,7 @@
   auto pending = std::make_unique<PendingRequest>();
   pending->call = std::make_unique<http::SimpleCall>(
       loop, pool_, *nodes[node].settings.outbound, http::SerializeRequest(head, body),
-      http::CallOptions{}, limit,
+      http::CallOptions(http::AnswerMatch::InOrder(), "client"), limit,
       [pending = pending.get()](std::optional<http::Response> response, http::ClientFailure) {
         pending->over = true;
         if (!response.has_value()) return;
@@ -170,7 +170,8 @@
   std::optional<int> status;
   bool over = false;
   http::SimpleCall call(loop, pool_, *nodes[node].settings.readiness,
-                        "GET /runshelf/readiness HTTP/1.1\r\n\r\n", {}, std::chrono::seconds(1),
+                        "GET /runshelf/readiness HTTP/1.1\r\n\r\n",
+                        {http::AnswerMatch::InOrder(), "readiness"}, std::chrono::seconds(1),
                         [&](const std::optional<http::Response>& response, http::ClientFailure) {
                           over = true;
                           if (response.has_value()) status = response->status;
@@ -191,7 +192,8 @@
 std::string Fleet::Metrics(size_t node) {
   std::string text;
   http::SimpleCall call(loop, pool_, *nodes[node].settings.metrics,
-                        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", {}, std::chrono::seconds(1),
+                        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
+                        {http::AnswerMatch::InOrder(), "metrics"}, std::chrono::seconds(1),
                         [&](const std::optional<http::Response>& response, http::ClientFailure) {
                           if (response.has_value()) text = response->body;
                         });
@@ -219,7 +221,8 @@
   head.target = target;
   head.headers.Add("Host", "h");
   http::SimpleCall call(loop, pool_, *nodes[node].settings.control_plane,
-                        http::SerializeRequest(head, body), {}, std::chrono::seconds(2),
+                        http::SerializeRequest(head, body),
+                        {http::AnswerMatch::OwnConnection(), "notice"}, std::chrono::seconds(2),
                         [&](const std::optional<http::Response>& response, http::ClientFailure) {
                           over = true;
                           if (!response.has_value()) return;
@@ -236,7 +239,8 @@
   head.method = "POST";
   head.target = target;
   http::SimpleCall call(loop, pool_, nodes[node].worker->endpoint(),
-                        http::SerializeRequest(head, body), {}, std::chrono::seconds(1),
+                        http::SerializeRequest(head, body),
+                        {http::AnswerMatch::OwnConnection(), "notice"}, std::chrono::seconds(1),
                         [&](const std::optional<http::Response>& response, http::ClientFailure) {
                           status = response.has_value() ? response->status : -1;
                         });
--- a/tests/platform_adapter/second_answers_test.cc
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -85,10 +85,7 @@
   fleet.nodes[0].worker->set_behaviour([&fleet](const http::ExchangePtr& exchange) {
     auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
     *timer = std::make_unique<event::Timer>(fleet.loop, [exchange, timer] {
-      http::Headers headers;
-      headers.Add("Attempt-Id", *exchange->request().head.headers.Find("Attempt-Id"));
-      headers.Add("Server-Stamp", "stamp-of-w0");
-      exchange->Respond(200, headers, "w0:" + exchange->request().body);
+      AnswerRun(exchange, 200, "w0:" + exchange->request().body);
       const auto last = std::move(*timer);
     });
     (*timer)->Start(std::chrono::milliseconds(300));
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -103,7 +103,7 @@
   fleet.Start();
   for (size_t node : {0U, 1U}) {
     fleet.nodes[node].worker->set_behaviour(
-        [](const http::ExchangePtr& exchange) { exchange->Respond(500, {}, "what failed"); });
+        [](const http::ExchangePtr& exchange) { AnswerRun(exchange, 500, "what failed"); });
   }
   for (size_t count = 0; count < kRequests; ++count) {
     const auto answer = fleet.Request(2, "GET", "/read/1", "");
@@ -139,7 +139,7 @@
   pending->push_back(fleet.Begin(node, "GET", "/read/measured", ""));
   CHECK(RunUntil(fleet.loop, [&] { return held->size() == 1; }));
   RunFor(fleet.loop, std::chrono::milliseconds(600));
-  held->front()->Respond(200, {}, "");
+  AnswerRun(held->front(), 200);
   CHECK(RunUntil(fleet.loop, [&] { return pending->front()->over; }));
   held->clear();
   for (size_t slot = 0; slot < kSlots; ++slot) {
@@ -194,7 +194,7 @@
   call_headers.Add("Attempt-Id", "parent.call");
   const auto call = fleet.Begin(1, "GET", "/read/call", "", call_headers);
   RunFor(fleet.loop, std::chrono::milliseconds(30));
-  held.front()->Respond(200, {}, "");
+  AnswerRun(held.front(), 200);
   CHECK(RunUntil(fleet.loop, [&] { return held.size() == 5; }));
   STRCMP_EQUAL("/read/call", held.back()->request().head.target.c_str());
   // An id that only looks like one of a call gets no such rank.
@@ -202,7 +202,7 @@
   forged_headers.Add("Attempt-Id", "nobody.call");
   const auto forged = fleet.Begin(1, "GET", "/read/forged", "", forged_headers);
   RunFor(fleet.loop, std::chrono::milliseconds(30));
-  held[1]->Respond(200, {}, "");
+  AnswerRun(held[1], 200);
   CHECK(RunUntil(fleet.loop, [&] { return held.size() == 6; }));
   STRCMP_EQUAL("/send/new", held.back()->request().head.target.c_str());
 }
@@ -281,9 +281,7 @@
   const std::string large(200000, 'x');
   for (const auto length : {std::optional<uint64_t>(300000), std::optional<uint64_t>()}) {
     fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
-      http::Headers headers;
-      headers.Add("Server-Stamp", "s");
-      exchange->Start(200, headers, length);
+      exchange->Start(200, RunHeaders(exchange), length);
       exchange->WriteBody(large);
       exchange->Abort();
     });
@@ -297,7 +295,7 @@
   fleet.Start();
   const std::string large(700000, 'x');
   fleet.nodes[0].worker->set_behaviour([&](const http::ExchangePtr& exchange) {
-    exchange->Start(200, {}, std::nullopt);
+    exchange->Start(200, RunHeaders(exchange), std::nullopt);
     exchange->WriteBody(large);
     exchange->Finish();
   });
@@ -371,7 +369,7 @@
   CHECK(late->answer->headers.Has("Retry-After"));
   CHECK_EQUAL(1, held.size());
   CHECK_FALSE(stopped);
-  held.front()->Respond(200, {}, "done");
+  AnswerRun(held.front(), 200, "done");
   CHECK(RunUntil(fleet.loop, [&] { return early->over; }));
   CHECK_EQUAL(200, early->answer->status);
   CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
--- a/tests/platform_adapter/steady_traffic.cc
+++ b/tests/platform_adapter/steady_traffic.cc
@@ -67,9 +67,7 @@
 }
 
 void CallingWorker::End(Run* run, int status) {
-  http::Headers headers;
-  headers.Add("Attempt-Id", run->id);
-  run->exchange->Respond(status, headers, "");
+  AnswerRun(run->exchange, status);
   run->over = true;
 }
 
--- a/tests/platform_adapter/stopping_node_test.cc
+++ b/tests/platform_adapter/stopping_node_test.cc
@@ -161,7 +161,7 @@
         "runshelf_forwarded_requests_under_way 1"}) {
     CHECK_TEXT(metrics.find(line) != std::string::npos, line);
   }
-  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  for (const auto& exchange : held) AnswerRun(exchange, 200);
   RunFor(fleet.loop, std::chrono::milliseconds(800));
   const auto cut = BeginNamed(fleet, 0, "cut");
   CHECK(RunUntil(fleet.loop, [&] { return stopped; }));
@@ -197,8 +197,8 @@
   STRCMP_EQUAL("run.call", RequestId(held[1]->request()).c_str());
   CHECK(Logged(fleet.Log(),
                {"event=request_refused", "request=run.late", "reason=stopping", "nested=true"}));
-  held[1]->Respond(200, {}, "");
-  held[0]->Respond(200, {}, "");
+  AnswerRun(held[1], 200);
+  AnswerRun(held[0], 200);
   CHECK(RunUntil(fleet.loop, [&] { return call->over && run->over; }));
   CHECK_EQUAL(200, call->answer->status);
   CHECK_EQUAL(200, run->answer->status);
@@ -238,7 +238,7 @@
     if (RequestId(exchange->request()) == "running") {
       held.push_back(exchange);
     } else {
-      exchange->Respond(200, {}, "");
+      AnswerRun(exchange, 200);
     }
   });
   bool stopped = false;
@@ -276,7 +276,7 @@
   // The nodes measure how long a run takes.
   fill();
   RunFor(fleet.loop, std::chrono::milliseconds(600));
-  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  for (const auto& exchange : held) AnswerRun(exchange, 200);
   RunFor(fleet.loop, std::chrono::milliseconds(100));
   SilenceStore(fleet);
   fleet.nodes[0].sidecar->Stop([] {});
--- a/tests/platform_adapter/table_test.cc
+++ b/tests/platform_adapter/table_test.cc
@@ -143,7 +143,7 @@
   RunFor(fleet.loop, std::chrono::milliseconds(30));
   pending.push_back(fleet.Begin(1, "GET", "/read/by-cell", ""));
   RunFor(fleet.loop, std::chrono::milliseconds(30));
-  held.front()->Respond(200, {}, "");
+  AnswerRun(held.front(), 200);
   CHECK(RunUntil(fleet.loop, [&] { return held.size() == 5; }));
   STRCMP_EQUAL("/read/by-cell", held.back()->request().head.target.c_str());
 }
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -108,14 +108,14 @@
   }
   CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
   outcomes[2].caller_gone = true;
-  held[0]->Respond(200, {}, "");
+  AnswerRun(held[0], 200);
   // The slot goes to the one after it.
   CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
   CHECK(outcomes[2].failure.has_value());
   CHECK(outcomes[2].failure->reason == FailureReason::kCallerGone);
   CHECK(outcomes[2].failure->verdict == Verdict::kNotRun);
-  held[1]->Respond(200, {}, "");
-  held[2]->Respond(200, {}, "");
+  AnswerRun(held[1], 200);
+  AnswerRun(held[2], 200);
   CHECK(RunUntil(loop, [&] { return outcomes[3].complete; }));
   CHECK_EQUAL(3, held.size());
 }
@@ -131,7 +131,7 @@
   event::RunFor(loop, std::chrono::milliseconds(30));
   CHECK_EQUAL(2, held.size());
   CHECK_EQUAL(1, gate->load().queued);
-  held[0]->Respond(200, {}, "");
+  AnswerRun(held[0], 200);
   CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
   CHECK(outcomes[0].complete);
 }
@@ -145,7 +145,7 @@
     attempts.back()->Begin();
   }
   CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
-  held[0]->Respond(200, {}, "");
+  AnswerRun(held[0], 200);
   CHECK(RunUntil(loop, [&] { return held.size() == 3; }));
   STRCMP_EQUAL("/9", held[2]->request().head.target.c_str());
 }
@@ -154,7 +154,7 @@
 TEST(WorkerGate, RequestsThatAreRefusedCountAsLoadOfTheirKey) {
   worker.set_behaviour([this](const http::ExchangePtr& exchange) {
     held.push_back(exchange);
-    if (held.size() <= 4) exchange->Respond(200, {}, "");
+    if (held.size() <= 4) AnswerRun(exchange, 200);
   });
   Outcome outcomes[40];
   std::vector<std::unique_ptr<Attempt>> attempts;
@@ -189,7 +189,7 @@
   }
   CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
   authority.owned = false;
-  held[0]->Respond(200, {}, "");
+  AnswerRun(held[0], 200);
   CHECK(RunUntil(loop, [&] { return outcomes[2].failure.has_value(); }));
   CHECK(outcomes[2].failure->reason == FailureReason::kNotOwner);
   CHECK_EQUAL(2, held.size());
@@ -223,7 +223,7 @@
     CHECK(outcomes[index].failure->verdict == Verdict::kNotRun);
   }
   // What runs goes on.
-  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  for (const auto& exchange : held) AnswerRun(exchange, 200);
   CHECK(RunUntil(loop, [&] { return outcomes[0].complete && outcomes[1].complete; }));
   CHECK_EQUAL(2, held.size());
 }
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -30,8 +30,8 @@
   bool Ask(Duration limit) {
     bool over = false;
     bool answered = false;
-    http::SimpleCall call(loop, pool, proxy->endpoint(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
-                          limit,
+    http::SimpleCall call(loop, pool, proxy->endpoint(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                          {http::AnswerMatch::InOrder(), "test"}, limit,
                           [&](const std::optional<http::Response>& response, http::ClientFailure) {
                             over = true;
                             answered = response.has_value();
--- a/tests/soak/responsiveness.cc
+++ b/tests/soak/responsiveness.cc
@@ -33,7 +33,8 @@
   probe.paused = nodes_[node]->process->paused();
   probe.call = std::make_unique<http::SimpleCall>(
       loop_, pool_, nodes_[node]->readiness,
-      "GET /runshelf/readiness HTTP/1.1\r\nHost: h.example\r\n\r\n", http::CallOptions{}, kTimeout,
+      "GET /runshelf/readiness HTTP/1.1\r\nHost: h.example\r\n\r\n",
+      http::CallOptions(http::AnswerMatch::InOrder(), "readiness"), kTimeout,
       [this, node](const std::optional<http::Response>& response, http::ClientFailure) {
         Probe& asked = probes_[node];
         const auto finished = std::move(asked.call);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -302,12 +302,12 @@
 
 void SoakFleet::SendLater(const event::Endpoint& node, std::string request) {
   std::erase_if(held_back_, [](const auto& timer) { return !timer->active(); });
-  held_back_.push_back(
-      std::make_unique<event::Timer>(loop_, [this, node, request = std::move(request)] {
-        late_calls_.push_back(std::make_unique<http::SimpleCall>(
-            loop_, pool_, node, request, http::CallOptions{}, kLateCallTimeout,
-            [](const std::optional<http::Response>&, http::ClientFailure) {}));
-      }));
+  held_back_.push_back(std::make_unique<event::Timer>(loop_, [this, node,
+                                                              request = std::move(request)] {
+    late_calls_.push_back(std::make_unique<http::SimpleCall>(
+        loop_, pool_, node, request, http::CallOptions(http::AnswerMatch::InOrder(), "late call"),
+        kLateCallTimeout, [](const std::optional<http::Response>&, http::ClientFailure) {}));
+  }));
   held_back_.back()->Start(random_.Between(kShortestLateness, kLongestLateness));
 }
 
--- a/tests/soak/stand_ins_test.cc
+++ b/tests/soak/stand_ins_test.cc
@@ -31,8 +31,8 @@
     head.method = "POST";
     head.target = target;
     head.headers.Add("Host", "h");
-    http::SimpleCall call(loop, pool, to, http::SerializeRequest(head, body.dump()), {},
-                          milliseconds(100),
+    http::SimpleCall call(loop, pool, to, http::SerializeRequest(head, body.dump()),
+                          {http::AnswerMatch::InOrder(), "test"}, milliseconds(100),
                           [&](const std::optional<http::Response>& response, http::ClientFailure) {
                             over = true;
                             if (response.has_value()) status = response->status;
