Grants and releases: the answer to one is taken for no other

Callers saw keys served by their next owner while the former one was still at work on them (OWNER), when a worker answered a grant twice and the second answer took the place of that to a release. Cause: orders shared connections and name nothing in their answers.

Change: connections for grants are shared by the grants of one shard under one token only; a release has a connection of its own. One that fails at once, as at a worker that is at its limit of connections, is sent again after 100 ms, not in a loop.

--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -40,9 +40,9 @@
   // Without a heartbeat for so long, a worker counts as cut off from this node.
   Duration heartbeat_silence = std::chrono::milliseconds(2500);
   Duration renewal_interval = std::chrono::seconds(1);
-  // A grant that got no answer is sent again after this long: the same worker may just be slow, and
-  // where nothing listens each one fails at once.
-  Duration grant_retry = std::chrono::milliseconds(100);
+  // A grant or a release that got no answer is sent again after this long: the same worker may just
+  // be slow, and where nothing listens, or new connections are reset, each one fails at once.
+  Duration order_retry = std::chrono::milliseconds(100);
   // A worker whose grants are due and must not be repeated for so long, since another incarnation
   // may be there, gets its keys under new tokens, which any incarnation may take: a change of the
   // map. With the renewal interval it is less than a grant lasts, and more than a heartbeat takes
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -1,5 +1,7 @@
 // The part of ShardHolder that gives keys to the worker, and takes them back, by calls to it.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +13,11 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
+// The answer to a grant of a shard under a token serves every renewal of it, and no other grant.
+std::string GrantLane(const KeyGrant& grant) {
+  return fmt::format("grant {}-{}-{}", grant.first, grant.last, grant.token);
+}
+
 }  // namespace
 
 void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
@@ -33,8 +40,8 @@
   ++grants_sent_;
   holding->call = ++order_count_;
   StartCall(
-      &grants_, wire_.EncodeGrant(grant), http::CallOptions(http::AnswerMatch::InOrder(), "grant"),
-      config_.call_timeout,
+      &grants_, wire_.EncodeGrant(grant),
+      http::CallOptions(http::AnswerMatch::Lane(GrantLane(grant)), "grant"), config_.call_timeout,
       [this, key, now, hold, call = holding->call](const std::optional<http::Response>& response) {
         OnGrantAnswer(key, call, now, hold, response);
       });
@@ -60,7 +67,7 @@
   } else {
     // Soon again: the worker may not have it.
     holding.sent_at = Instant{};
-    holding.retry_at = loop_.Now() + config_.grant_retry;
+    holding.retry_at = loop_.Now() + config_.order_retry;
     SuspectEnd("grant-unanswered");
   }
   Reconcile();
@@ -69,7 +76,7 @@
 void ShardHolder::ReleaseMoving() {
   for (auto& [key, holding] : holdings_) {
     if (!MustMove(holding.shard) || holding.released || holding.call != 0) continue;
-    if (holding.worker_id != worker_id_) continue;
+    if (holding.worker_id != worker_id_ || loop_.Now() < holding.retry_at) continue;
     if (releases_.size() >= config_.releases_at_once) return;
     SendRelease(key, &holding);
   }
@@ -86,7 +93,8 @@
   release.token = shards_.map().last_token() + 1;
   holding->call = ++order_count_;
   StartCall(&releases_, wire_.EncodeRelease(release),
-            http::CallOptions(http::AnswerMatch::InOrder(), "release"), config_.release_timeout,
+            http::CallOptions(http::AnswerMatch::OwnConnection(), "release"),
+            config_.release_timeout,
             [this, key, call = holding->call](const std::optional<http::Response>& response) {
               OnReleaseAnswer(key, call, response);
             });
@@ -102,6 +110,9 @@
     holding.released = true;
     const std::string* handover = response->headers.Find(wire_.headers().handover);
     if (handover != nullptr) holding.handover = *handover;
+  } else {
+    // A worker at its limit of connections resets the one that a release needs.
+    holding.retry_at = loop_.Now() + config_.order_retry;
   }
   Reconcile();
 }
--- a/tests/platform_adapter/second_answers_test.cc
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -106,11 +106,12 @@
   relay.set_policy(Repeat(Exchange::kGrant, Exchange::kRelease));
   PutRelayBefore(fleet, 0, relay);
   fleet.Start();
-  // Runs on all of its keys go on, so no release is answered: its grants have to run out.
+  // Runs on all of its keys go on for longer than its grants last, and no release is answered before.
+  bool busy = true;
   std::vector<FakeWorker::Grant> of_busy_worker;
   size_t taken = 0;
   size_t taken_early = 0;
-  fleet.nodes[0].worker->set_busy_keys([](uint32_t, uint32_t) { return true; });
+  fleet.nodes[0].worker->set_busy_keys([&](uint32_t, uint32_t) { return busy; });
   fleet.nodes[0].worker->set_on_granted(
       [&](const FakeWorker::Grant& grant, bool) { of_busy_worker.push_back(grant); });
   RunFor(fleet.loop, std::chrono::milliseconds(1500));
@@ -122,7 +123,9 @@
     }
   });
   fleet.nodes[0].worker->set_draining(true);
-  RunFor(fleet.loop, std::chrono::seconds(7));
+  RunFor(fleet.loop, std::chrono::milliseconds(4500));
+  busy = false;
+  RunFor(fleet.loop, std::chrono::milliseconds(2500));
   CHECK(relay.Sent(Exchange::kRelease) > 0);
   CHECK(taken > 0);
   CHECK_EQUAL(0, taken_early);
