Gate: a success without the worker's stamp is a failure in doubt

Callers saw such a success. Whatever path brought it, the worker does not vouch for it, so it is of no use to the caller, and the request may have run. It is not passed on any more: reason unstamped, 502 or another attempt, counted and logged.

--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 14> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 15> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
@@ -20,6 +20,7 @@
     {FailureReason::kCallerGone, "caller-gone"},
     {FailureReason::kBroken, "broken"},
     {FailureReason::kIncomplete, "incomplete"},
+    {FailureReason::kUnstamped, "unstamped"},
     {FailureReason::kQuarantined, "quarantined"},
 }};
 
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -47,6 +47,7 @@
   kCallerGone,     // The caller left before the request was sent.
   kBroken,         // The connection was lost after the request was sent.
   kIncomplete,     // The answer broke off, or was no answer.
+  kUnstamped,      // A success for which the worker does not vouch.
   kQuarantined,    // Workers ended under requests like this one.
 };
 
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -338,6 +338,7 @@
     case FailureReason::kExpired:
     case FailureReason::kBroken:
     case FailureReason::kIncomplete:
+    case FailureReason::kUnstamped:
       Refuse(failure.reason, failure.retry_after);
       return;
   }
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -124,7 +124,10 @@
       overloaded_ = head.status == kServiceUnavailable;
       return;
     }
-    if (IsSuccess(head.status) && !head.headers.Has(names.worker_stamp)) NoteUnstampedSuccess();
+    if (IsSuccess(head.status) && !head.headers.Has(names.worker_stamp)) {
+      FailUnstamped();
+      return;
+    }
     answering_ = true;
     status_ = head.status;
     head.headers.RemoveConnectionHeaders();
@@ -170,10 +173,14 @@
         sent_at_, call_ == nullptr ? Instant::max() : call_->connection_made_at());
   }
 
-  void NoteUnstampedSuccess() {
-    if (gate_->evidence_ == nullptr) return;
-    gate_->evidence_->OnUnstampedSuccess(request_.request_id,
-                                         call_ != nullptr && call_->on_reused_connection());
+  // Whatever it is, the worker does not vouch for it; and the request was sent.
+  void FailUnstamped() {
+    if (gate_->evidence_ != nullptr) {
+      gate_->evidence_->OnUnstampedSuccess(request_.request_id, call_->on_reused_connection());
+    }
+    call_.reset();
+    GiveBackSlot(admission::Completion::kFailed);
+    Fail({Verdict::kMayHaveRun, FailureReason::kUnstamped, true, Duration(0)});
   }
 
   void NoteMisdirected(const http::ResponseHead& head) {
--- a/tests/platform_adapter/second_answers_test.cc
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -106,7 +106,8 @@
   relay.set_policy(Repeat(Exchange::kGrant, Exchange::kRelease));
   PutRelayBefore(fleet, 0, relay);
   fleet.Start();
-  // Runs on all of its keys go on for longer than its grants last, and no release is answered before.
+  // Runs on all of its keys go on for longer than its grants last, and no release is answered
+  // before.
   bool busy = true;
   std::vector<FakeWorker::Grant> of_busy_worker;
   size_t taken = 0;
