runshelfd: each call states how its answer is known

Callers of runshelfd could get an answer that was not to their request when a server answered twice: the calls to a server took whatever came next on a kept connection. A second answer to the request before went to the caller as a success; a refusal that came twice made a request that ran count as not run, so that it could be sent again; the second answer to a health check, or to an earlier grant, counted as the acceptance of a grant that the server had refused.

Cause: HttpConnectionPool tied an answer to its request by its place on the connection alone. Only the calls between daemons checked the id, and they too could take a refusal that came twice when a request was sent again.

Now every call states what its answer is known by (AnswerMatch), without a default. Requests to servers: by Runshelf-Request-Id. An answer with another id, or without one on a connection that had carried others, is lost in doubt. A connection whose answer named no id is not used again, so a server that leaves the id out is served right, over a connection for each request. An id that is sent again takes another connection. Grants and cancellations have connections of their own; health checks keep theirs, which carry nothing else. Calls between daemons require the id.

The etcd client, the machine list and runshelfctl have a connection for each call. POST /control stays in the order of the connection: its receiver is a runshelfd, which answers once, and the answer only counts.

--- a/include/runshelf/transport/http_connection_pool.h
+++ b/include/runshelf/transport/http_connection_pool.h
@@ -2,14 +2,15 @@
 #pragma once
 
 #include <cstddef>
-#include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "runshelf/common/clock.h"
+#include "runshelf/transport/answer_match.h"
 #include "runshelf/transport/http_message.h"
 #include "runshelf/transport/peer_watch.h"
 
@@ -31,7 +32,7 @@
 };
 
 struct HttpConnectionPoolOptions {
-  size_t max_idle_per_address = 64;
+  size_t max_idle_per_address = 64;  // Of each lane.
   // Must be shorter than the keep-alive timeout of the servers called.
   Duration max_idle_age = std::chrono::seconds(8);
   Duration connect_timeout = std::chrono::milliseconds(500);
@@ -40,9 +41,6 @@
 
 class HttpConnection;
 
-// Whether a response answers the request that was sent.
-using ResponseCheck = std::function<bool(const HttpResponse& response)>;
-
 // Safe for use by several threads at once.
 class HttpConnectionPool {
  public:
@@ -55,9 +53,9 @@
 
   // Sends `request` to `address` ("ip:port") and waits for the whole response until `deadline`, or
   // until `caller` reports its peer gone. A connection whose response was given up is closed.
-  // A complete response that `accept` refuses belongs to another request: kConnectionLost.
-  HttpResult Call(const std::string& address, const HttpRequest& request, Instant deadline,
-                  PeerWatch caller = PeerWatch(), const ResponseCheck& accept = nullptr);
+  // A complete response that belongs to another request, by `match`: kConnectionLost.
+  HttpResult Call(const std::string& address, const HttpRequest& request, const AnswerMatch& match,
+                  Instant deadline, PeerWatch caller = PeerWatch());
 
  private:
   struct IdleConnection {
@@ -65,17 +63,21 @@
     Instant since;
   };
 
+  using AddressAndLane = std::pair<std::string, std::string>;
+
   HttpResult ExchangeOn(std::unique_ptr<HttpConnection> connection, const std::string& address,
-                        const HttpRequest& request, Instant deadline, PeerWatch caller,
-                        const ResponseCheck& accept);
-  std::unique_ptr<HttpConnection> TakeIdle(const std::string& address, Instant now);
-  void Return(const std::string& address, std::unique_ptr<HttpConnection> connection, Instant now);
+                        const HttpRequest& request, const AnswerMatch& match, Instant deadline,
+                        PeerWatch caller);
+  std::unique_ptr<HttpConnection> TakeIdle(const std::string& address, const AnswerMatch& match,
+                                           Instant now);
+  void Return(const std::string& address, const AnswerMatch& match,
+              std::unique_ptr<HttpConnection> connection, Instant now);
   void DropOldConnections(Instant now);
 
   const Clock& clock_;
   const HttpConnectionPoolOptions options_;
   std::mutex mutex_;
-  std::unordered_map<std::string, std::vector<IdleConnection>> idle_;
+  std::map<AddressAndLane, std::vector<IdleConnection>> idle_;
   Instant next_sweep_{};
 };
 
--- a/source/daemon/request_forwarder.cc
+++ b/source/daemon/request_forwarder.cc
@@ -225,11 +225,9 @@
 AttemptResult RequestForwarder::Attempt(Exchange& exchange, const routing::ForwardStep& step) {
   const HttpRequest forwarded = ForwardedRequest(exchange.request, exchange.original,
                                                  exchange.request_id, step, clock_.Now());
-  const auto is_own_answer = [&](const HttpResponse& response) {
-    return response.headers.Find(kRequestIdHeader) == exchange.request_id;
-  };
-  HttpResult result = pool_.Call(step.target.forward_address, forwarded, step.attempt_deadline,
-                                 exchange.caller, is_own_answer);
+  const auto match = transport::AnswerMatch::EchoedHeader(kRequestIdHeader, exchange.request_id);
+  HttpResult result = pool_.Call(step.target.forward_address, forwarded, match,
+                                 step.attempt_deadline, exchange.caller);
   AttemptResult attempt;
   attempt.outcome = OutcomeOf(result);
   metrics_.OnAttempt(OutcomeName(attempt.outcome));
--- a/source/daemon/server_client.cc
+++ b/source/daemon/server_client.cc
@@ -9,6 +9,7 @@
 namespace runshelf::daemon {
 namespace {
 
+using transport::AnswerMatch;
 using transport::HttpOutcome;
 using transport::HttpRequest;
 using transport::HttpResponse;
@@ -51,6 +52,12 @@
   return request;
 }
 
+// Answers to control calls do not say what they answer. A GET changes nothing, so the answer to an
+// earlier one serves as well.
+AnswerMatch ControlMatch(const HttpRequest& request) {
+  return request.method == "GET" ? AnswerMatch::Lane(request.target) : AnswerMatch::OwnConnection();
+}
+
 ServerOutcome OutcomeOfResponse(const HttpResponse& response) {
   const std::optional<std::string> refusal = response.headers.Find(kRefusedHeader);
   if (!refusal.has_value()) {
@@ -98,7 +105,8 @@
 ServerResult ServerClient::Call(const HttpRequest& request, const ServerRequestContext& context,
                                 transport::PeerWatch caller) {
   const HttpRequest sent = ServerRequest(request, context, clock_.Now());
-  HttpResult result = pool_.Call(address_, sent, context.deadline, caller);
+  const auto match = AnswerMatch::OptionallyEchoedHeader(kRequestIdHeader, context.request_id);
+  HttpResult result = pool_.Call(address_, sent, match, context.deadline, caller);
   const ServerOutcome outcome = OutcomeOf(result);
   if (outcome == ServerOutcome::kTimedOut || outcome == ServerOutcome::kCallerGone) {
     Cancel(context.request_id);
@@ -115,7 +123,7 @@
   if (!body.empty()) {
     request.headers.Set("Content-Type", "application/json");
   }
-  return control_pool_.Call(address_, request, deadline);
+  return control_pool_.Call(address_, request, ControlMatch(request), deadline);
 }
 
 void ServerClient::Cancel(const std::string& request_id) {
--- a/source/transport/control_transport.cc
+++ b/source/transport/control_transport.cc
@@ -220,7 +220,8 @@
     request.method = "POST";
     request.target = "/control";
     request.body = queued.message;
-    const HttpResult result = pool_.Call(queued.address, request, clock_.Now() + kPostTimeout);
+    const HttpResult result =
+        pool_.Call(queued.address, request, AnswerMatch::InOrder(), clock_.Now() + kPostTimeout);
     if (result.outcome == HttpOutcome::kAnswered) {
       ++posts_sent_;
       bytes_sent_ += queued.message.size();
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -10,6 +10,8 @@
 #include <absl/strings/string_view.h>
 #include <poll.h>
 
+#include <algorithm>
+#include <functional>
 #include <istream>
 #include <ostream>
 #include <utility>
@@ -50,6 +52,11 @@
 
 namespace {
 
+// An answer that comes a second time is not later than this many requests on its connection.
+constexpr size_t kRememberedValues = 64;
+
+size_t ValueHash(const AnswerMatch& match) { return std::hash<std::string>()(match.value()); }
+
 bool HasNoBody(const HttpRequest& request, int status) {
   return request.method == "HEAD" || status == 204 || status == 304;
 }
@@ -98,9 +105,25 @@
   return ::poll(&polled, 1, 0) == 0 && !session_->HasBufferedBytes();
 }
 
+void HttpConnection::RememberValue(const AnswerMatch& match) {
+  if (!match.by_header()) {
+    return;
+  }
+  values_.push_back(ValueHash(match));
+  if (values_.size() > kRememberedValues) {
+    values_.pop_front();
+  }
+}
+
+bool HttpConnection::HasCarried(const AnswerMatch& match) const {
+  return match.by_header() &&
+         std::find(values_.begin(), values_.end(), ValueHash(match)) != values_.end();
+}
+
 HttpResult HttpConnection::Exchange(const HttpRequest& request, Instant deadline, PeerWatch caller,
                                     size_t max_response_bytes) {
   reusable_ = false;
+  reused_ = true;
   session_->guard().BeginExchange(deadline, caller);
   try {
     Send(request);
--- a/source/transport/http_connection.h
+++ b/source/transport/http_connection.h
@@ -4,10 +4,12 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
 
 #include "runshelf/common/clock.h"
+#include "runshelf/transport/answer_match.h"
 #include "runshelf/transport/http_connection_pool.h"
 #include "runshelf/transport/http_message.h"
 #include "runshelf/transport/peer_watch.h"
@@ -36,6 +38,13 @@
                       size_t max_response_bytes);
 
   bool reusable() const { return reusable_; }
+  // Whether a request was sent on it.
+  bool reused() const { return reused_; }
+
+  // Notes what the answer to the request that is about to be sent is known by.
+  void RememberValue(const AnswerMatch& match);
+  // Whether a request whose answer is known by the same went out on it lately.
+  bool HasCarried(const AnswerMatch& match) const;
 
  private:
   HttpConnection(std::string address, std::unique_ptr<SingleUseSession> session);
@@ -46,7 +55,9 @@
 
   const std::string address_;
   std::unique_ptr<SingleUseSession> session_;
+  std::deque<size_t> values_;  // Hashes of what the latest answers were known by.
   bool reusable_ = false;
+  bool reused_ = false;
 };
 
 }  // namespace runshelf::transport
--- a/source/transport/http_connection_pool.cc
+++ b/source/transport/http_connection_pool.cc
@@ -1,6 +1,7 @@
 #include "runshelf/transport/http_connection_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include "source/transport/http_connection.h"
@@ -13,11 +14,10 @@
 HttpConnectionPool::~HttpConnectionPool() = default;
 
 HttpResult HttpConnectionPool::Call(const std::string& address, const HttpRequest& request,
-                                    Instant deadline, PeerWatch caller,
-                                    const ResponseCheck& accept) {
-  std::unique_ptr<HttpConnection> idle = TakeIdle(address, clock_.Now());
+                                    const AnswerMatch& match, Instant deadline, PeerWatch caller) {
+  std::unique_ptr<HttpConnection> idle = TakeIdle(address, match, clock_.Now());
   if (idle != nullptr) {
-    HttpResult result = ExchangeOn(std::move(idle), address, request, deadline, caller, accept);
+    HttpResult result = ExchangeOn(std::move(idle), address, request, match, deadline, caller);
     // An idle connection that the peer closed in this instant took no byte: a new one may be used.
     if (result.outcome != HttpOutcome::kConnectFailed) {
       return result;
@@ -32,52 +32,67 @@
     const bool refused = absl::IsFailedPrecondition(connected.status());
     return {HttpOutcome::kConnectFailed, {}, refused, std::string(connected.status().message())};
   }
-  return ExchangeOn(std::move(*connected), address, request, deadline, caller, accept);
+  return ExchangeOn(std::move(*connected), address, request, match, deadline, caller);
 }
 
 HttpResult HttpConnectionPool::ExchangeOn(std::unique_ptr<HttpConnection> connection,
                                           const std::string& address, const HttpRequest& request,
-                                          Instant deadline, PeerWatch caller,
-                                          const ResponseCheck& accept) {
+                                          const AnswerMatch& match, Instant deadline,
+                                          PeerWatch caller) {
+  const bool reused = connection->reused();
+  connection->RememberValue(match);
   HttpResult result = connection->Exchange(request, deadline, caller, options_.max_response_bytes);
   if (result.outcome != HttpOutcome::kAnswered) {
     return result;
   }
-  if (accept != nullptr && !accept(result.response)) {
+  if (!match.IsOwnAnswer(result.response, reused)) {
     return {HttpOutcome::kConnectionLost, {}, false, "the response belongs to another request"};
   }
-  Return(address, std::move(connection), clock_.Now());
+  if (match.AllowsReuseAfter(result.response)) {
+    Return(address, match, std::move(connection), clock_.Now());
+  }
   return result;
 }
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::TakeIdle(const std::string& address,
+                                                             const AnswerMatch& match,
                                                              Instant now) {
+  if (!match.lane().has_value()) {
+    return nullptr;
+  }
   const std::lock_guard lock(mutex_);
-  const auto found = idle_.find(address);
+  const auto found = idle_.find({address, *match.lane()});
   if (found == idle_.end()) {
     return nullptr;
   }
   std::vector<IdleConnection>& connections = found->second;
-  while (!connections.empty()) {
-    IdleConnection candidate = std::move(connections.back());
-    connections.pop_back();
+  std::unique_ptr<HttpConnection> taken;
+  for (size_t i = connections.size(); i > 0 && taken == nullptr; --i) {
+    IdleConnection& candidate = connections[i - 1];
     const bool young = now - candidate.since < options_.max_idle_age;
-    if (young && candidate.connection->IsIdle()) {
-      return std::move(candidate.connection);
+    const bool usable = young && candidate.connection->IsIdle();
+    if (usable && candidate.connection->HasCarried(match)) {
+      continue;
     }
+    if (usable) {
+      taken = std::move(candidate.connection);
+    }
+    connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i - 1));
+  }
+  if (connections.empty()) {
+    idle_.erase(found);
   }
-  idle_.erase(found);
-  return nullptr;
+  return taken;
 }
 
-void HttpConnectionPool::Return(const std::string& address,
+void HttpConnectionPool::Return(const std::string& address, const AnswerMatch& match,
                                 std::unique_ptr<HttpConnection> connection, Instant now) {
   if (!connection->reusable()) {
     return;
   }
   const std::lock_guard lock(mutex_);
   DropOldConnections(now);
-  std::vector<IdleConnection>& connections = idle_[address];
+  std::vector<IdleConnection>& connections = idle_[{address, *match.lane()}];
   if (connections.size() < options_.max_idle_per_address) {
     connections.push_back({std::move(connection), now});
   }
@@ -88,7 +103,7 @@
     return;
   }
   next_sweep_ = now + options_.max_idle_age / 2;
-  for (auto& [address, connections] : idle_) {
+  for (auto& [address_and_lane, connections] : idle_) {
     std::erase_if(connections, [&](const IdleConnection& idle) {
       return now - idle.since >= options_.max_idle_age;
     });
--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -432,6 +433,29 @@
   CHECK_EQUAL(1, egress.requests());
 }
 
+// A caller got the second answer to the request before its own.
+TEST(BrokenServer, SecondAnswerIsNotDeliveredToTheNextCaller) {
+  std::mutex mutex;
+  std::string latest;
+  transport::ScriptedPeer server([&](auto& socket, const std::string& request, int, int number) {
+    const std::lock_guard lock(mutex);
+    if (number > 1) {
+      transport::SendAll(socket, latest);
+    }
+    const std::string name = "Runshelf-Request-Id: ";
+    const size_t start = request.find(name);
+    const std::string id = request.substr(start, request.find("\r\n", start) - start);
+    latest = "HTTP/1.1 200 OK\r\n" + id + "\r\nContent-Length: 1\r\n\r\n" + request.back();
+    transport::SendAll(socket, latest);
+    return true;
+  });
+  TestFleet fleet(server.address());
+  STRCMP_EQUAL("1", fleet.Call(Request("POST", "/feedread/x", "1")).response.body.c_str());
+  CheckError(fleet.Call(Request("POST", "/feedread/x", "2")), 502, "connection_lost",
+             "may-have-run");
+  STRCMP_EQUAL("3", fleet.Call(Request("POST", "/feedread/x", "3")).response.body.c_str());
+}
+
 TEST(BrokenServer, EgressThatIsGoneIsNotRun) {
   FakeServer server(clock);
   TestFleet fleet(server.address());
--- a/tests/daemon/test_fleet.cc
+++ b/tests/daemon/test_fleet.cc
@@ -66,7 +66,8 @@
 }
 
 transport::HttpResult TestFleet::Call(const transport::HttpRequest& request) {
-  return caller_pool.Call(ingress_address(), request, clock.Now() + kAmple);
+  return caller_pool.Call(ingress_address(), request, transport::AnswerMatch::InOrder(),
+                          clock.Now() + kAmple);
 }
 
 void TestFleet::PublishRoutes(const std::string& forward_address) {
--- a/tests/transport/http_connection_pool_test.cc
+++ b/tests/transport/http_connection_pool_test.cc
@@ -35,7 +35,11 @@
   HttpConnectionPool pool{clock, HttpConnectionPoolOptions{}};
 
   HttpResult Call(const ScriptedPeer& peer, const HttpRequest& request, Duration wait = kAmple) {
-    return pool.Call(peer.address(), request, clock.Now() + wait);
+    return pool.Call(peer.address(), request, AnswerMatch::InOrder(), clock.Now() + wait);
+  }
+
+  HttpResult CallMatched(const ScriptedPeer& peer, const AnswerMatch& match) {
+    return pool.Call(peer.address(), Post("x"), match, clock.Now() + kAmple);
   }
 
   // Calls a peer that answers with `bytes` and then closes.
@@ -127,11 +131,13 @@
     ScriptedPeer peer([](auto&, const auto&, int, int) { return false; });
     address = peer.address();
   }
-  const HttpResult refused = pool.Call(address, Post("x"), clock.Now() + kAmple);
+  const HttpResult refused =
+      pool.Call(address, Post("x"), AnswerMatch::InOrder(), clock.Now() + kAmple);
   CHECK(refused.outcome == HttpOutcome::kConnectFailed);
   CHECK(refused.refused);
-  CHECK(pool.Call("localhost:80", Post("x"), clock.Now() + kAmple).outcome ==
-        HttpOutcome::kConnectFailed);
+  CHECK(
+      pool.Call("localhost:80", Post("x"), AnswerMatch::InOrder(), clock.Now() + kAmple).outcome ==
+      HttpOutcome::kConnectFailed);
 }
 
 TEST(HttpConnectionPool, CutAnswersAreNeverDelivered) {
@@ -201,6 +207,79 @@
   }
 }
 
+// Guards against the beginning of a second answer, made whole by the next one.
+TEST(HttpConnectionPool, AConnectionWithUnreadBytesCarriesNoRequest) {
+  std::atomic<bool> sent{false};
+  ScriptedPeer peer([&](auto& socket, const std::string&, int connection, int) {
+    SendAll(socket, Answer("ok"));
+    if (connection == 1) {
+      std::this_thread::sleep_for(kShort);
+      SendAll(socket, "HTTP/1.1 200 OK\r\nContent-Le");
+      sent = true;
+    }
+    return true;
+  });
+  CHECK(Call(peer, Post("first")).outcome == HttpOutcome::kAnswered);
+  while (!sent) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  const HttpResult second = Call(peer, Post("second"));
+  CHECK(second.outcome == HttpOutcome::kAnswered);
+  STRCMP_EQUAL("ok", second.response.body.c_str());
+  CHECK_EQUAL(2, peer.connections());
+}
+
+TEST(HttpConnectionPool, RequestsOfOtherLanesTakeOtherConnections) {
+  ScriptedPeer peer([](auto& socket, const auto&, int, int) {
+    SendAll(socket, Answer("ok"));
+    return true;
+  });
+  for (int round = 0; round < 2; ++round) {
+    CHECK(CallMatched(peer, AnswerMatch::Lane("a")).outcome == HttpOutcome::kAnswered);
+    CHECK(CallMatched(peer, AnswerMatch::Lane("b")).outcome == HttpOutcome::kAnswered);
+    CHECK(CallMatched(peer, AnswerMatch::InOrder()).outcome == HttpOutcome::kAnswered);
+  }
+  CHECK_EQUAL(3, peer.connections());
+}
+
+TEST(HttpConnectionPool, AnOwnConnectionCarriesNoOtherRequest) {
+  ScriptedPeer peer([](auto& socket, const auto&, int, int) {
+    SendAll(socket, Answer("ok"));
+    return true;
+  });
+  for (int round = 0; round < 3; ++round) {
+    CHECK(CallMatched(peer, AnswerMatch::OwnConnection()).outcome == HttpOutcome::kAnswered);
+  }
+  CHECK_EQUAL(3, peer.connections());
+}
+
+TEST(HttpConnectionPool, AnAnswerWithoutARequiredHeaderBelongsToAnotherRequest) {
+  ScriptedPeer peer([](auto& socket, const auto&, int, int) {
+    SendAll(socket, Answer("ok"));
+    return true;
+  });
+  const auto required = AnswerMatch::EchoedHeader("Id", "1");
+  const auto optional = AnswerMatch::OptionallyEchoedHeader("Id", "1");
+  CHECK(CallMatched(peer, required).outcome == HttpOutcome::kConnectionLost);
+  CHECK(CallMatched(peer, optional).outcome == HttpOutcome::kAnswered);
+}
+
+// Guards against a refusal that comes twice and is taken for the answer to the same request, sent
+// again.
+TEST(HttpConnectionPool, AValueThatIsSentAgainTakesAnotherConnection) {
+  ScriptedPeer peer([](auto& socket, const auto&, int, int request_number) {
+    const std::string id = request_number == 1 ? "1" : "2";
+    SendAll(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n");
+    return true;
+  });
+  for (const char* id : {"1", "1", "2"}) {
+    const HttpResult result = CallMatched(peer, AnswerMatch::EchoedHeader("Id", id));
+    CHECK(result.outcome == HttpOutcome::kAnswered);
+  }
+  CHECK_EQUAL(2, peer.connections());
+  CHECK_EQUAL(3, peer.requests());
+}
+
 TEST(HttpConnectionPool, OversizedAnswerIsRefused) {
   HttpConnectionPoolOptions options;
   options.max_response_bytes = 10;
@@ -209,7 +288,8 @@
     SendAll(socket, Answer("more than ten bytes"));
     return true;
   });
-  const HttpResult result = small.Call(peer.address(), Post("x"), clock.Now() + kAmple);
+  const HttpResult result =
+      small.Call(peer.address(), Post("x"), AnswerMatch::InOrder(), clock.Now() + kAmple);
   CHECK(result.outcome == HttpOutcome::kConnectionLost);
 }
 
@@ -224,7 +304,8 @@
   });
   const PeerWatch watch(accepted.impl()->sockfd());
   CHECK_FALSE(watch.Closed());
-  const HttpResult result = pool.Call(peer.address(), Post("x"), clock.Now() + kAmple, watch);
+  const HttpResult result =
+      pool.Call(peer.address(), Post("x"), AnswerMatch::InOrder(), clock.Now() + kAmple, watch);
   CHECK(result.outcome == HttpOutcome::kCancelled);
   CHECK(watch.Closed());
 }
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -87,7 +87,7 @@
     request.method = method;
     request.target = target;
     request.body = body;
-    return pool.Call(server->address(), request, clock.Now() + kAmple);
+    return pool.Call(server->address(), request, AnswerMatch::InOrder(), clock.Now() + kAmple);
   }
 
   // Sends raw bytes on a new connection and returns everything received until the server closes.
@@ -222,7 +222,8 @@
       HttpRequest request;
       request.method = "GET";
       request.target = "/slow";
-      const HttpResult result = own.Call(server->address(), request, clock.Now() + kAmple);
+      const HttpResult result =
+          own.Call(server->address(), request, AnswerMatch::InOrder(), clock.Now() + kAmple);
       answered += result.outcome == HttpOutcome::kAnswered ? 1 : 0;
     });
   }
