HTTP client: an answer is never made of two

Callers of the sidecar could get a success made of two answers. The body of an interim answer (1xx), which none may have, was taken for the beginning of the next answer's body. An answer that broke off in its status line or in a header, with the own answer after it, was taken for one: its status, and the other one's id and body.

Cause: http_parser reads a body where an interim answer has a length or chunks, and the pieces went to the caller, since an interim head is not matched. And it keeps no record of a status line inside a reason or a header.

Now an interim answer has no body: what follows it is the next answer, or malformed. An answer whose reason or header holds a status line is malformed (ContainsStatusLine), which leaves the caller in doubt; so is an honest answer with a whole status line in a header.

--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <utility>
 
+#include "runshelf/common/status_line.h"
+
 namespace runshelf::http {
 
 bool EqualsIgnoreCase(std::string_view left, std::string_view right) {
@@ -112,9 +114,14 @@
 }
 
 struct Parser::Implementation {
+  // Returned to http_parser at the end of a head.
+  static constexpr int kWithoutBody = 1;
+  static constexpr int kStopParsing = -1;
+
   http_parser parser{};
   Parser* owner = nullptr;
   std::string target;
+  std::string reason;
   Headers headers;
   std::string field;
   std::string value;
@@ -143,6 +150,7 @@
   static int OnBegin(http_parser* parser) {
     Implementation& self = Of(parser);
     self.target.clear();
+    self.reason.clear();
     self.headers = Headers();
     self.field.clear();
     self.value.clear();
@@ -159,6 +167,12 @@
     return self.CountHeadBytes(size) ? 0 : -1;
   }
 
+  static int OnStatus(http_parser* parser, const char* data, size_t size) {
+    Implementation& self = Of(parser);
+    self.reason.append(data, size);
+    return self.CountHeadBytes(size) ? 0 : -1;
+  }
+
   static int OnField(http_parser* parser, const char* data, size_t size) {
     Implementation& self = Of(parser);
     if (self.owner->head_complete_) return 0;  // Trailers are dropped.
@@ -175,6 +189,13 @@
     return self.CountHeadBytes(size) ? 0 : -1;
   }
 
+  // An answer that broke off in its head, with another one after it.
+  bool GoesOnAsAnotherAnswer() const {
+    const auto contains = [](const Header& header) { return ContainsStatusLine(header.value); };
+    return ContainsStatusLine(reason) ||
+           std::any_of(headers.all().begin(), headers.all().end(), contains);
+  }
+
   static int OnHeadersComplete(http_parser* parser) {
     Implementation& self = Of(parser);
     self.FinishHeader();
@@ -187,8 +208,9 @@
       self.owner->observer_->OnRequestHead(std::move(head));
       return 0;
     }
-    // An interim answer is no answer yet; its completion is swallowed.
-    if (parser->status_code / 100 == 1) return 0;
+    if (self.GoesOnAsAnotherAnswer()) return kStopParsing;
+    // An interim answer is no answer yet, and has no body; its completion is swallowed.
+    if (parser->status_code / 100 == 1) return kWithoutBody;
     ResponseHead head;
     head.status = static_cast<int>(parser->status_code);
     head.headers = std::move(self.headers);
@@ -199,7 +221,7 @@
     const bool no_body = self.owner->response_to_head_ || head.status == 204 || head.status == 304;
     if (no_body) head.content_length = 0;
     self.owner->observer_->OnResponseHead(std::move(head));
-    return no_body ? 1 : 0;
+    return no_body ? kWithoutBody : 0;
   }
 
   static int OnBody(http_parser* parser, const char* data, size_t size) {
@@ -222,6 +244,7 @@
       http_parser_settings made{};
       made.on_message_begin = &OnBegin;
       made.on_url = &OnUrl;
+      made.on_status = &OnStatus;
       made.on_header_field = &OnField;
       made.on_header_value = &OnValue;
       made.on_headers_complete = &OnHeadersComplete;
--- a/tests/http/message_test.cc
+++ b/tests/http/message_test.cc
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 using namespace runshelf::http;
 
 TEST_GROUP(Message){};
@@ -65,3 +68,51 @@
   CHECK_EQUAL(1, observer.statuses.size());
   CHECK_EQUAL(200, observer.statuses[0]);
 }
+
+namespace {
+
+// Notes what a parser of answers finds.
+struct AnswerNotes : ParserObserver {
+  void OnResponseHead(ResponseHead&& head) override { statuses.push_back(head.status); }
+  void OnBody(std::string_view data) override { body.append(data); }
+  void OnMessageComplete(bool) override { ++complete; }
+  std::vector<int> statuses;
+  std::string body;
+  int complete = 0;
+};
+
+}  // namespace
+
+// Guards against an interim answer whose body is taken for the beginning of the answer's.
+TEST(Message, AnInterimAnswerHasNoBody) {
+  for (const char* framing : {"Content-Length: 3\r\n\r\nabc",
+                              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+    AnswerNotes notes;
+    Parser parser(ParserKind::kResponse, &notes);
+    const std::string text = std::string("HTTP/1.1 103 Early Hints\r\n") + framing +
+                             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    CHECK_TEXT(parser.Feed(text).status == ParseStatus::kMalformed, framing);
+    STRCMP_EQUAL("", notes.body.c_str());
+    CHECK_EQUAL(0, notes.complete);
+  }
+}
+
+// Guards against an answer that breaks off in its head, with the next one taken for the rest of it.
+TEST(Message, AnAnswerThatGoesOnAsAnotherIsMalformed) {
+  const std::string next = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string cut : {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nName: val",
+                                "HTTP/1.1 200 OK\r\nName: ", "HTTP/1.1 200 OK\r\nNa",
+                                "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200"}) {
+    AnswerNotes notes;
+    Parser parser(ParserKind::kResponse, &notes);
+    CHECK_TEXT(parser.Feed(cut + next).status == ParseStatus::kMalformed, cut.c_str());
+    CHECK_EQUAL(0, notes.statuses.size());
+  }
+}
+
+TEST(Message, AHeaderMayNameAVersionOfTheProtocol) {
+  AnswerNotes notes;
+  Parser parser(ParserKind::kResponse, &notes);
+  parser.Feed("HTTP/1.1 200 HTTP/1.1\r\nVia: HTTP/1.1 relay\r\nContent-Length: 0\r\n\r\n");
+  CHECK_EQUAL(1, notes.complete);
+}
