runshelfd: an interim or broken-off answer is not the answer

An interim answer of a server other than 100 (such as 103) with a length was delivered to the caller as the final one. An answer that broke off in its head, with another after it, was delivered with the status of the first and the body of the second.

Cause: POCO reads on after status 100 alone, and passes over lines that are no header.

Now an interim answer is no answer: the request is lost in doubt. The socket keeps the head as it came, and a status line in it past the first one makes the answer no answer.

--- a/source/transport/guarded_socket.cc
+++ b/source/transport/guarded_socket.cc
@@ -25,6 +25,8 @@
   return static_cast<int>(std::clamp<int64_t>(left, 0, kLongestPollMilliseconds));
 }
 
+constexpr std::string_view kEndOfHead = "\r\n\r\n";
+
 // A stopped listener stays readable: its owner's loop must not spin.
 constexpr int64_t kPauseOfStoppedListener = 50;  // Milliseconds.
 
@@ -95,6 +97,8 @@
   watch_ = watch;
   failure_ = SocketFailure::kNone;
   bytes_sent_ = 0;
+  received_head_.clear();
+  head_recorded_ = false;
   received_tail_.clear();
 }
 
@@ -116,6 +120,7 @@
     failure_ = SocketFailure::kEndOfStream;
   }
   if ((flags & MSG_PEEK) == 0) {
+    RecordHead(static_cast<const char*>(buffer), static_cast<size_t>(received));
     RecordTail(static_cast<const char*>(buffer), static_cast<size_t>(received));
   }
   return static_cast<int>(received);
@@ -178,6 +183,21 @@
   }
 }
 
+void GuardedSocketImpl::RecordHead(const char* data, size_t length) {
+  // Accepted connections have no exchanges.
+  if (head_recorded_ || !deadline_.has_value()) {
+    return;
+  }
+  const size_t overlap = std::min(received_head_.size(), kEndOfHead.size() - 1);
+  const size_t searched_from = received_head_.size() - overlap;
+  received_head_.append(data, std::min(length, kHeadBytes - received_head_.size()));
+  const size_t end = received_head_.find(kEndOfHead, searched_from);
+  if (end != std::string::npos) {
+    received_head_.resize(end);
+  }
+  head_recorded_ = end != std::string::npos || received_head_.size() == kHeadBytes;
+}
+
 void GuardedSocketImpl::RecordTail(const char* data, size_t length) {
   const size_t kept = std::min(length, kTailBytes);
   received_tail_.append(data + length - kept, kept);
--- a/source/transport/guarded_socket.h
+++ b/source/transport/guarded_socket.h
@@ -50,10 +50,15 @@
   // The last bytes received, at most kTailBytes.
   std::string_view received_tail() const { return received_tail_; }
 
+  // The first bytes received in the exchange, up to the empty line that ends a head; at most
+  // kHeadBytes.
+  std::string_view received_head() const { return received_head_; }
+
   int receiveBytes(void* buffer, int length, int flags) override;
   int sendBytes(const void* buffer, int length, int flags) override;
 
   static constexpr size_t kTailBytes = 8;
+  static constexpr size_t kHeadBytes = size_t{64} << 10;
 
  protected:
   ~GuardedSocketImpl() override;
@@ -61,6 +66,7 @@
  private:
   void WaitFor(short events, std::optional<Instant> deadline);
   std::optional<Instant> ReadDeadline();
+  void RecordHead(const char* data, size_t length);
   void RecordTail(const char* data, size_t length);
   [[noreturn]] void Fail(SocketFailure failure);
 
@@ -72,6 +78,8 @@
   PeerWatch watch_;
   SocketFailure failure_ = SocketFailure::kNone;
   uint64_t bytes_sent_ = 0;
+  std::string received_head_;
+  bool head_recorded_ = false;
   std::string received_tail_;
 };
 
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -16,6 +16,7 @@
 #include <ostream>
 #include <utility>
 
+#include "runshelf/common/status_line.h"
 #include "runshelf/transport/ip_address.h"
 #include "source/transport/body_reader.h"
 #include "source/transport/closing_notice.h"
@@ -57,6 +58,13 @@
 
 size_t ValueHash(const AnswerMatch& match) { return std::hash<std::string>()(match.value()); }
 
+constexpr int kInterimClass = 1;
+
+// Of several answers that POCO takes for one: it passes over lines that are no header.
+bool HasAnotherStatusLine(std::string_view head) {
+  return !head.empty() && ContainsStatusLine(head.substr(1));
+}
+
 bool HasNoBody(const HttpRequest& request, int status) {
   return request.method == "HEAD" || status == 204 || status == 304;
 }
@@ -157,8 +165,14 @@
   if (session_->guard().failure() != SocketFailure::kNone) {
     return Failed("response header cut short");
   }
+  if (HasAnotherStatusLine(session_->guard().received_head())) {
+    return Failed("response header goes on as another response");
+  }
   HttpResult result;
   result.response = HeadOf(received);
+  if (result.response.status / 100 == kInterimClass) {
+    return Failed("interim response without a final one");
+  }
   const bool chunked = received.getChunkedTransferEncoding();
   if (HasNoBody(request, result.response.status)) {
     if (received.hasContentLength()) {
--- a/tests/transport/http_connection_pool_test.cc
+++ b/tests/transport/http_connection_pool_test.cc
@@ -280,6 +280,28 @@
   CHECK_EQUAL(3, peer.requests());
 }
 
+// Guards against an answer that breaks off in its head, with the next one taken for the rest of it.
+TEST(HttpConnectionPool, AnAnswerThatGoesOnAsAnotherIsNoAnswer) {
+  for (const std::string cut : {"HTTP/1.1 201 Crea", "HTTP/1.1 201 Created\r\nName: val",
+                                "HTTP/1.1 201 Created\r\nName: ", "HTTP/1.1 201 Created\r\nNa",
+                                "HTTP/1.1 201 Created\r\n", "HTTP/1.1 201"}) {
+    CHECK_TEXT(OutcomeOf(cut + Answer("ok")) == HttpOutcome::kConnectionLost, cut.c_str());
+  }
+}
+
+// Guards against an interim answer that is taken for the final one.
+TEST(HttpConnectionPool, AnInterimAnswerIsNotTheAnswer) {
+  for (const char* interim :
+       {"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc"}) {
+    CHECK_TEXT(OutcomeOf(interim) == HttpOutcome::kConnectionLost, interim);
+    CHECK_TEXT(OutcomeOf(interim + Answer("ok")) == HttpOutcome::kConnectionLost, interim);
+  }
+  CHECK(OutcomeOf("HTTP/1.1 100 Continue\r\n\r\n" + Answer("ok")) == HttpOutcome::kAnswered);
+}
+
 TEST(HttpConnectionPool, OversizedAnswerIsRefused) {
   HttpConnectionPoolOptions options;
   options.max_response_bytes = 10;
