--- a/tests/daemon/request_path_test.cc
+++ b/tests/daemon/request_path_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -434,8 +435,10 @@
 
 // A caller got the second answer to the request before its own.
 TEST(BrokenServer, SecondAnswerIsNotDeliveredToTheNextCaller) {
+  std::mutex mutex;
   std::string latest;
   transport::ScriptedPeer server([&](auto& socket, const std::string& request, int, int number) {
+    const std::lock_guard lock(mutex);
     if (number > 1) {
       transport::SendAll(socket, latest);
     }
--- a/tests/daemon/server_client_test.cc
+++ b/tests/daemon/server_client_test.cc
@@ -3,7 +3,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <functional>
+#include <mutex>
 #include <string>
 
 #include "tests/transport/scripted_peer.h"
@@ -59,8 +61,10 @@
   // of the latest answer what the server says before the next.
   void CheckOwnAnswersOnly(const std::function<std::string(const std::string& latest)>& again,
                            bool with_ids) {
+    std::mutex mutex;
     std::string latest;
     ScriptedPeer server([&](auto& socket, const std::string& request, int, int request_number) {
+      const std::lock_guard lock(mutex);
       if (request_number > 1) {
         SendAll(socket, again(latest));
       }
@@ -100,7 +104,7 @@
 // Guards against a refusal that comes twice and is taken for the answer to the same request, sent
 // again, which runs.
 TEST(ServerThatAnswersTwice, ARequestThatIsSentAgainDoesNotGetTheRefusalOfItsFirstSending) {
-  int requests = 0;
+  std::atomic<int> requests{0};
   const std::string refusal =
       Answer("503 Service Unavailable", IdHeader("1") + "Runshelf-Refused: overloaded\r\n", "");
   ScriptedPeer server([&](auto& socket, const std::string&, int, int request_number) {
@@ -122,7 +126,7 @@
 // earlier grant, while the server still acts on the earlier one.
 TEST(ServerThatAnswersTwice, AGrantDoesNotGetTheSecondAnswerToAnotherCall) {
   for (const char* before : {"GET /health", "PUT /grants", "DELETE /requests/1"}) {
-    int requests = 0;
+    std::atomic<int> requests{0};
     ScriptedPeer server([&](auto& socket, const std::string&, int, int request_number) {
       if (request_number > 1) {
         SendAll(socket, Answer("200 OK", "", "{}"));
