--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -63,13 +63,10 @@
   request.head.headers.RemoveConnectionHeaders();
   if (const std::string* id = request.head.headers.Find(names.request_id)) request_id_ = *id;
   Duration allowed = route_.timeout.value_or(kDefaultTimeout);
-  bool short_of_time = false;
   if (const std::string* text = request.head.headers.Find(names.deadline)) {
     const auto milliseconds = http::ParseNumber(*text);
     if (milliseconds.has_value()) {
-      const Duration patience = std::chrono::milliseconds(*milliseconds);
-      short_of_time = ingress_->IsShortOfTime(route_.name, patience);
-      allowed = std::min(allowed, patience);
+      allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
     }
   }
   if (const std::string* text = request.head.headers.Find(names.shard_key)) {
@@ -79,7 +76,7 @@
     }
   }
   times_ = TimesOf({exchange_->received(), allowed,
-                    route_.target_latency.value_or(kDefaultTargetLatency), nested_, short_of_time});
+                    route_.target_latency.value_or(kDefaultTargetLatency), nested_});
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -129,7 +126,7 @@
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
     if (peer == nullptr || shard->owner.worker.empty()) {
-      WaitForOwner(FailureReason::kNoWorker);
+      WaitForOwner();
       return;
     }
     StartAttempt(shard->owner.node, shard->owner.worker);
@@ -303,7 +300,7 @@
     case FailureReason::kDraining:
     case FailureReason::kStopping:
       if (OwnerServes()) {
-        WaitForOwner(failure.reason);
+        WaitForOwner();
       } else {
         TryNext();
       }
@@ -345,19 +342,16 @@
 }
 
 // A key that is changing hands, or whose owner is lost, is tried again shortly.
-void RequestFlow::WaitForOwner(FailureReason reason) {
-  // Only keys that change hands are certain to be served again soon.
-  const Instant wait_until =
-      reason == FailureReason::kNotOwner ? times_.await_move_by : times_.refuse_by;
+void RequestFlow::WaitForOwner() {
   const Duration poll = std::min(kOwnerPollMin * (1 + owner_waits_), kOwnerPollMax);
-  if (context_.loop.Now() + kOwnerPollMin >= wait_until) {
+  if (context_.loop.Now() + kOwnerPollMin >= times_.refuse_by) {
     // Keys change hands within about a heartbeat: half of one is left on average.
     Refuse(FailureReason::kNotOwner, context_.settings.heartbeat_interval / 2);
     return;
   }
   waiting_for_owner_ = true;
   ++owner_waits_;
-  wait_timer_.Start(std::min(poll, wait_until - context_.loop.Now()));
+  wait_timer_.Start(std::min(poll, times_.refuse_by - context_.loop.Now()));
 }
 
 void RequestFlow::RetryOwner() {
