--- a/source/http/answer_match.h
+++ b/source/http/answer_match.h
@@ -22,8 +22,20 @@
     match.value_ = std::move(value);
     return match;
   }
+  // The answer carries this header, and no answer to any other request of the lane does. The
+  // connection carries no request after it.
+  static AnswerMatch MarkedAnswer(std::string name, std::string_view lane) {
+    AnswerMatch match = Lane(lane);
+    match.header_ = std::move(name);
+    match.last_on_connection_ = true;
+    return match;
+  }
   // Nothing in the answer tells. Its connection carries no other request.
-  static AnswerMatch OwnConnection() { return AnswerMatch(std::nullopt); }
+  static AnswerMatch OwnConnection() {
+    AnswerMatch match(std::nullopt);
+    match.last_on_connection_ = true;
+    return match;
+  }
   // Nothing in the answer tells, and the answer to any request of this lane serves each of them as
   // well: their connections carry no others.
   static AnswerMatch Lane(std::string_view lane) {
@@ -34,7 +46,11 @@
 
   // Connections are shared within a lane only; nullopt: by nobody.
   const std::optional<std::string>& lane() const { return lane_; }
+  // The answer is known by a header, and by the value of it unless that is empty.
   bool by_header() const { return !header_.empty(); }
+  bool by_value() const { return by_header() && !value_.empty(); }
+  // The connection is closed after the answer.
+  bool last_on_connection() const { return last_on_connection_; }
   const std::string& header() const { return header_; }
   const std::string& value() const { return value_; }
 
@@ -47,6 +63,7 @@
   std::optional<std::string> lane_;
   std::string header_;  // Empty: the answer is not known by a header.
   std::string value_;
+  bool last_on_connection_ = false;
 };
 
 }  // namespace runshelf::http
--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -15,8 +15,15 @@
 // server counts from when it sent its answer, and may close early.
 constexpr double kKeepAliveShare = 0.7;
 constexpr size_t kMaxIdlePerLane = 32;
-// An answer that comes a second time is not later than this many requests on its connection.
+// Of what the latest answers on a connection were known by.
 constexpr size_t kRememberedValues = 64;
+// After an answer that names no request, the own one is waited for so long.
+constexpr Duration kUnnamedAnswerGrace = std::chrono::milliseconds(250);
+
+// Of an answer that came a second time nobody could tell whether it has a body.
+bool NeedsOwnConnection(const CallOptions& options) {
+  return options.head_request && options.answer_match.by_header();
+}
 
 // The "timeout" of a Keep-Alive header, in whole seconds.
 std::optional<Duration> KeepAliveTimeout(const Headers& headers) {
@@ -71,8 +78,8 @@
   // Whether this idle connection may carry a request that is matched so. Not when something lies
   // unread on it, or it has ended: the event loop is about to tell.
   bool MayCarry(const AnswerMatch& match) const {
-    const bool repeated = match.by_header() && std::find(values_.begin(), values_.end(),
-                                                         ValueHash(match)) != values_.end();
+    const bool repeated = match.by_value() && std::find(values_.begin(), values_.end(),
+                                                        ValueHash(match)) != values_.end();
     return !repeated && stream_ != nullptr && stream_->Quiet();
   }
 
@@ -80,8 +87,7 @@
     observer_ = observer;
     purpose_before_ = requests_ == 0 ? std::string_view() : options_.purpose;
     options_ = options;
-    // Of an answer that came a second time nobody could tell whether it has a body.
-    reusable_ = options.answer_match.lane().has_value() && !options.head_request;
+    reusable_ = !options.answer_match.last_on_connection() && !NeedsOwnConnection(options);
     RememberValue(options.answer_match);
     skipping_ = false;
     head_seen_ = false;
@@ -187,8 +193,11 @@
       skipping_ = true;
       const std::string* value = head.headers.Find(options_.answer_match.header());
       Report(UnexpectedAnswer::Kind::kSkipped, value == nullptr ? std::string() : *value);
+      // It may be the own one of a server that left the header out.
+      if (value == nullptr && options_.answer_match.by_value()) timer_.Start(kUnnamedAnswerGrace);
       return;
     }
+    timer_.Stop();
     head_seen_ = true;
     idle_timeout_ = options_.idle_timeout;
     if (const auto stated = KeepAliveTimeout(head.headers)) {
@@ -218,16 +227,17 @@
   }
 
   void RememberValue(const AnswerMatch& match) {
-    if (!match.by_header()) return;
+    if (!match.by_value()) return;
     values_.push_back(ValueHash(match));
     if (values_.size() > kRememberedValues) values_.pop_front();
   }
 
   bool IsOwnAnswer(const ResponseHead& head) const {
-    if (!options_.answer_match.by_header()) return true;
-    const std::string* value = head.headers.Find(options_.answer_match.header());
+    const AnswerMatch& match = options_.answer_match;
+    if (!match.by_header()) return true;
+    const std::string* value = head.headers.Find(match.header());
     if (value == nullptr) return requests_ == 1;
-    return *value == options_.answer_match.value();
+    return !match.by_value() || *value == match.value();
   }
 
   void Complete() {
@@ -265,7 +275,7 @@
   void OnTimeout() {
     const auto self = shared_from_this();
     if (observer_ != nullptr) {
-      Fail(ClientFailure::kNotSent);
+      Fail(connected_ ? ClientFailure::kIncomplete : ClientFailure::kNotSent);
     } else {
       Discard();
     }
@@ -275,7 +285,7 @@
   event::Endpoint endpoint_;
   std::unique_ptr<event::TcpStream> stream_;
   Parser parser_;
-  event::Timer timer_;  // Of the connect, then of idleness.
+  event::Timer timer_;  // Of the connect, of the wait for the own answer, then of idleness.
   ResponseObserver* observer_ = nullptr;
   CallOptions options_;              // Of the latest request.
   std::string_view purpose_before_;  // Of the one before it.
@@ -329,7 +339,7 @@
 std::shared_ptr<ClientConnection> ConnectionPool::TakeIdle(const event::Endpoint& endpoint,
                                                            const CallOptions& options) {
   const AnswerMatch& match = options.answer_match;
-  if (!match.lane().has_value() || options.head_request) return nullptr;
+  if (!match.lane().has_value() || NeedsOwnConnection(options)) return nullptr;
   const auto of_endpoint = idle_.find(endpoint);
   if (of_endpoint == idle_.end()) return nullptr;
   const auto of_lane = of_endpoint->second.find(*match.lane());
--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -30,8 +30,9 @@
   TokenUse token_use = TokenUse::kNone;
   bool releasing = false;
   bool released = false;
-  bool superseded = false;  // The worker has seen a higher token on these keys.
-  bool abandoned = false;   // Released because its grant ran out, by a worker that cannot renew it.
+  bool refusal_in_doubt = false;  // The latest answer refused this shard, or another one.
+  bool superseded = false;        // The worker has seen a higher token on these keys.
+  bool abandoned = false;  // Released because its grant ran out, by a worker that cannot renew it.
   // Of a shard that was carried over: the worker held it before, and has held it since.
   bool held_since_former_era = false;
   std::string handover;  // Of the release.
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -104,6 +104,8 @@
   void SetSharded(bool sharded);
   // How the worker learns which keys it holds.
   void SetGrantDelivery(routes::GrantDelivery delivery);
+  // Connections that the worker takes from all callers; zero: not known.
+  void SetMaxConnections(uint32_t max_connections);
   // Identity of the worker; empty when it was looked for and none is there. `gone`: the former one
   // is certainly not running any more.
   void SetWorker(const std::string& worker_id, bool gone);
@@ -155,8 +157,11 @@
   void InheritHold(const sharding::Shard& shard, Instant now, HeldShard* holding) const;
   void LogGrants(const std::vector<sharding::Shard>& shards);
   void SendGrant(const HeldShardKey& key, HeldShard* holding);
+  // The lane of connections for grants of this shard.
+  std::string GrantLane(const HeldShardKey& key) const;
+  // `own_answer`: the answer cannot be that to the grant of another shard.
   void OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
-                     const std::optional<http::Response>& response);
+                     bool own_answer, const std::optional<http::Response>& response);
   void ReleaseMoving();
   void SendRelease(const HeldShardKey& key, HeldShard* holding);
   void OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
@@ -210,6 +215,7 @@
   Instant turned_at_{};           // The latest look at what is to be done.
   Instant heard_at_{};            // The latest heartbeat of the worker that reported keys.
   ConflictBackoff backoff_;       // Of changes of the map.
+  size_t grant_lanes_ = 4;        // Shards whose grants have connections of their own.
   uint64_t order_count_ = 0;      // Grants and releases sent; numbers them.
   uint64_t grants_sent_ = 0;
   std::vector<sharding::Shard> granted_anew_;  // Not logged yet.
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -13,13 +13,29 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
-// The answer to a grant of a shard under a token serves every renewal of it, and no other grant.
-std::string GrantLane(const KeyGrant& grant) {
-  return fmt::format("grant {}-{}-{}", grant.first, grant.last, grant.token);
-}
+// Connections for grants of several shards.
+constexpr std::string_view kSharedGrantLane = "grant";
+// One shard of this many of a worker's connections has connections of its own for its grants.
+constexpr uint32_t kConnectionsPerGrantLane = 16;
+constexpr size_t kMaxGrantLanes = 16;
 
 }  // namespace
 
+void ShardHolder::SetMaxConnections(uint32_t max_connections) {
+  if (max_connections == 0) return;
+  grant_lanes_ = std::clamp<size_t>(max_connections / kConnectionsPerGrantLane, 1, kMaxGrantLanes);
+}
+
+// The answer to a grant of a shard under a token serves every renewal of it, and no other grant. A
+// worker takes few connections: the shards beyond the first ones share some.
+std::string ShardHolder::GrantLane(const HeldShardKey& key) const {
+  const auto position =
+      static_cast<size_t>(std::distance(holdings_.begin(), holdings_.lower_bound(key)));
+  if (position >= grant_lanes_) return std::string(kSharedGrantLane);
+  const auto& [first, last, token] = key;
+  return fmt::format("grant {}-{}-{}", first, last, token);
+}
+
 void ShardHolder::SendGrant(const HeldShardKey& key, HeldShard* holding) {
   const Instant now = loop_.Now();
   const Duration authority = context_.AuthorityUntil() - now;
@@ -39,23 +55,32 @@
       std::max(holding->held_until, now + hold + hold / kClockRateDivisor + config_.call_timeout);
   ++grants_sent_;
   holding->call = ++order_count_;
-  StartCall(
-      &grants_, wire_.EncodeGrant(grant),
-      http::CallOptions(http::AnswerMatch::Lane(GrantLane(grant)), "grant"), config_.call_timeout,
-      [this, key, now, hold, call = holding->call](const std::optional<http::Response>& response) {
-        OnGrantAnswer(key, call, now, hold, response);
-      });
+  const std::string lane = GrantLane(key);
+  const bool own_answer = holding->refusal_in_doubt || lane != kSharedGrantLane;
+  const http::AnswerMatch match = holding->refusal_in_doubt ? http::AnswerMatch::OwnConnection()
+                                                            : http::AnswerMatch::Lane(lane);
+  StartCall(&grants_, wire_.EncodeGrant(grant), http::CallOptions(match, "grant"),
+            config_.call_timeout,
+            [this, key, now, hold, call = holding->call,
+             own_answer](const std::optional<http::Response>& response) {
+              OnGrantAnswer(key, call, now, hold, own_answer, response);
+            });
 }
 
 void ShardHolder::OnGrantAnswer(const HeldShardKey& key, uint64_t call, Instant sent, Duration hold,
-                                const std::optional<http::Response>& response) {
+                                bool own_answer, const std::optional<http::Response>& response) {
   const auto found = holdings_.find(key);
   if (found == holdings_.end() || found->second.call != call) return;
   HeldShard& holding = found->second;
   holding.call = 0;
+  const bool refused = response.has_value() && response->status == kConflict;
+  if (response.has_value()) holding.refusal_in_doubt = refused && !own_answer;
   if (response.has_value() && response->status == kOk) {
     holding.usable_until = std::max(holding.usable_until, sent + hold - hold / kClockRateDivisor);
-  } else if (response.has_value() && response->status == kConflict) {
+  } else if (holding.refusal_in_doubt) {
+    // Perhaps the answer to the grant of another shard: it is asked again on its own connection.
+    holding.sent_at = Instant{};
+  } else if (refused) {
     log_.Write(LogLevel::kWarning, "grant_refused",
                {{"first", holding.shard.first},
                 {"last", holding.shard.last},
@@ -92,12 +117,14 @@
   // at most the token that the next owner gets.
   release.token = shards_.map().last_token() + 1;
   holding->call = ++order_count_;
-  StartCall(&releases_, wire_.EncodeRelease(release),
-            http::CallOptions(http::AnswerMatch::OwnConnection(), "release"),
-            config_.release_timeout,
-            [this, key, call = holding->call](const std::optional<http::Response>& response) {
-              OnReleaseAnswer(key, call, response);
-            });
+  StartCall(
+      &releases_, wire_.EncodeRelease(release),
+      http::CallOptions(http::AnswerMatch::MarkedAnswer(wire_.headers().handover, GrantLane(key)),
+                        "release"),
+      config_.release_timeout,
+      [this, key, call = holding->call](const std::optional<http::Response>& response) {
+        OnReleaseAnswer(key, call, response);
+      });
 }
 
 void ShardHolder::OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
@@ -110,8 +137,10 @@
     holding.released = true;
     const std::string* handover = response->headers.Find(wire_.headers().handover);
     if (handover != nullptr) holding.handover = *handover;
+  } else if (loop_.Now() > holding.held_until && EarlierGrantsRanOut(loop_.Now())) {
+    // A worker that cannot be reached holds the keys no more.
+    holding.released = true;
   } else {
-    // A worker at its limit of connections resets the one that a release needs.
     holding.retry_at = loop_.Now() + config_.order_retry;
   }
   Reconcile();
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -302,6 +302,7 @@
                                ? settings_.grant_delivery
                                : service->grant_delivery.value_or(settings_.grant_delivery));
   holder_.SetSharded(sharded);
+  if (service != nullptr) holder_.SetMaxConnections(service->max_connections);
   coordinator_.SetActive(sharded && !stop_schedule_.begun());
 }
 
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -99,8 +99,7 @@
     head.headers.Set(names.expected_worker,
                      std::string(gate_->wire_.StatedIdentity(gate_->worker_id_)));
     head.headers.Set(names.caller_service, request_.caller_service);
-    http::CallOptions options(
-        http::AnswerMatch::EchoedHeader(names.request_id, request_.request_id), "request");
+    http::CallOptions options(Match(), "request");
     options.head_request = head.method == "HEAD";
     call_ = gate_->pool_.Send(gate_->worker_, http::SerializeRequest(head, request_.request->body),
                               options, this);
@@ -179,6 +178,8 @@
       gate_->evidence_->OnUnstampedSuccess(request_.request_id, call_->on_reused_connection());
     }
     call_.reset();
+    // The worker may be at work on the request.
+    gate_->NoteInterrupted(request_, sent_at_, /*by_caller=*/true);
     GiveBackSlot(admission::Completion::kFailed);
     Fail({Verdict::kMayHaveRun, FailureReason::kUnstamped, true, Duration(0)});
   }
@@ -199,6 +200,12 @@
     }
   }
 
+  http::AnswerMatch Match() const {
+    // A worker refuses a request without an id, and has none to repeat.
+    if (request_.request_id.empty()) return http::AnswerMatch::OwnConnection();
+    return http::AnswerMatch::EchoedHeader(gate_->wire_.headers().request_id, request_.request_id);
+  }
+
   Duration Elapsed() const { return sent_ ? gate_->loop_.Now() - sent_at_ : Duration(0); }
 
   void Unregister() {
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -252,6 +252,60 @@
   CHECK_EQUAL(2, server.connections());
 }
 
+// Guards against a second answer of which nobody could tell whether it has a body.
+TEST(Client, ARequestWithTheMethodHeadHasItsOwnConnection) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 3\r\n\r\n");
+    RawServer::ReadHead(connection);
+  });
+  for (const char* id : {"1", "1"}) {
+    CallOptions options = WithId(id);
+    options.head_request = true;
+    Collector collector;
+    Expect(server.endpoint(), options, &collector);
+    CHECK(collector.complete);
+    CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+  }
+}
+
+// Guards against a request that waits behind an answer without the header until its deadline.
+TEST(Client, AnAnswerWithoutTheHeaderIsNotWaitedOut) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "first"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    RawServer::ReadHead(connection);
+  });
+  Collector first;
+  Expect(server.endpoint(), WithId("1"), &first);
+  Collector second;
+  const Instant begun = loop.Now();
+  Expect(server.endpoint(), WithId("2"), &second);
+  CHECK(second.failure == ClientFailure::kIncomplete);
+  CHECK(loop.Now() - begun < std::chrono::milliseconds(500));
+}
+
+// Guards against an answer to an earlier request of the lane that is taken for one that is marked.
+TEST(Client, OnlyAMarkedAnswerIsTakenOnAConnectionThatIsShared) {
+  RawServer server([](int connection) {
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "grant"));
+    RawServer::ReadHead(connection);
+    RawServer::Send(connection, Answer("1", "grant") +
+                                    "HTTP/1.1 200 OK\r\nMark: x\r\nContent-Length: 4\r\n\r\nmine");
+    RawServer::ReadHead(connection);
+  });
+  Collector first;
+  Expect(server.endpoint(), CallOptions(AnswerMatch::Lane("a"), "test"), &first);
+  Collector second;
+  Expect(server.endpoint(), CallOptions(AnswerMatch::MarkedAnswer("Mark", "a"), "test"), &second);
+  STRCMP_EQUAL("mine", second.body.c_str());
+  CHECK_EQUAL(1, server.connections());
+  CHECK_FALSE(pool.HasOpenConnection(server.endpoint()));
+}
+
 TEST(Client, AnOwnConnectionCarriesNoOtherRequest) {
   RawServer server([](int connection) {
     RawServer::ReadHead(connection);
--- a/tests/platform_adapter/repeating_relay.cc
+++ b/tests/platform_adapter/repeating_relay.cc
@@ -6,8 +6,6 @@
 namespace runshelf::platform_adapter {
 namespace {
 
-constexpr Duration kBetweenPieces = std::chrono::milliseconds(3);
-
 RepeatingRelay::Exchange ExchangeOf(std::string_view request) {
   const size_t target = request.find(' ') + 1;
   const auto is = [&](std::string_view path) {
@@ -62,16 +60,10 @@
     if (!std::exchange(begun_, true) || !relay_->policy_) return;
     if (const auto repetition = relay_->policy_(former, exchange)) {
       ++relay_->repeated_;
-      Repeat(*repetition, former_answer + repetition->followed_by);
+      Say(repetition->after, former_answer);
     }
   }
 
-  void Repeat(const Repetition& repetition, const std::string& bytes) {
-    if (repetition.first_piece == 0) return Say(repetition.after, bytes);
-    Say(repetition.after, bytes.substr(0, repetition.first_piece));
-    Say(repetition.after + kBetweenPieces, bytes.substr(repetition.first_piece));
-  }
-
   void Say(Duration after, const std::string& bytes) {
     if (after <= Duration(0)) return node_.stream->Write(bytes);
     timers_.push_back(std::make_unique<event::Timer>(relay_->loop_, [this, bytes] {
@@ -97,7 +89,7 @@
     : loop_(loop),
       worker_(std::move(worker)),
       listener_(loop, [this](std::unique_ptr<event::TcpStream> stream) {
-        ++connections_made_;
+        if (pairs_.size() >= connection_limit_) return;
         pairs_.push_back(std::make_unique<Pair>(this, std::move(stream)));
       }) {
   listener_.Listen({"127.0.0.1", 0});
--- a/tests/platform_adapter/repeating_relay.h
+++ b/tests/platform_adapter/repeating_relay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -21,9 +22,6 @@
   // How an answer is said again.
   struct Repetition {
     Duration after{0};  // The request whose place it takes; that one reaches the worker at once.
-    size_t first_piece =
-        0;  // Bytes that come some milliseconds before the others; zero: all at once.
-    std::string followed_by;  // Bytes right behind it.
   };
   // Whether the answer to `former` is said again where the one to `next` is expected; nullopt: not.
   using Policy = std::function<std::optional<Repetition>(Exchange former, Exchange next)>;
@@ -36,10 +34,11 @@
 
   event::Endpoint endpoint() const;
   void set_policy(Policy policy) { policy_ = std::move(policy); }
+  // Connections beyond so many at once are closed.
+  void set_connection_limit(size_t limit) { connection_limit_ = limit; }
   // How many of them the node has sent.
   size_t Sent(Exchange exchange) const { return sent_[static_cast<size_t>(exchange)]; }
   size_t repeated() const { return repeated_; }
-  size_t connections_made() const { return connections_made_; }
 
  private:
   class Pair;
@@ -51,7 +50,7 @@
   Policy policy_;
   size_t sent_[4] = {};
   size_t repeated_ = 0;
-  size_t connections_made_ = 0;
+  size_t connection_limit_ = SIZE_MAX;
 };
 
 }  // namespace runshelf::platform_adapter
--- a/tests/platform_adapter/second_answers_test.cc
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -35,16 +35,14 @@
 }  // namespace
 
 TEST_GROUP(SecondAnswers) {
-  // Answers of the fleet's only worker that were not its own whole answers to the callers'
-  // requests.
+  // Callers that did not get the whole answer of the fleet's only worker to their request.
   int strange_answers = 0;
 
   void Ask(Fleet & fleet, const std::string& body) {
     const auto answer = fleet.Request(0, "GET", "/read/1", body);
     CHECK(answer.has_value());
-    if (answer->status != 200) return;
-    const bool stamped = answer->headers.Has("Server-Stamp");
-    if (!stamped || answer->body != "w0:" + body) ++strange_answers;
+    const bool own = answer->headers.Has("Server-Stamp") && answer->body == "w0:" + body;
+    if (answer->status != 200 || !own) ++strange_answers;
   }
 
   // A worker that is silent is asked for its health. Waits until it has been once more.
@@ -68,6 +66,9 @@
     Ask(fleet, std::to_string(round));
   }
   CHECK_EQUAL(0, strange_answers);
+  // They share no connection, so there is nothing to repeat.
+  CHECK_EQUAL(0, relay.repeated());
+  CHECK(fleet.Log().find("event=health_check_answer_names_request") == std::string::npos);
 }
 
 // Guards against a health check that takes the second answer to a request, and so leaves its own
@@ -96,6 +97,9 @@
     RunFor(fleet.loop, std::chrono::milliseconds(20));
   }
   CHECK_EQUAL(0, strange_answers);
+  // They share no connection, so there is nothing to repeat.
+  CHECK_EQUAL(0, relay.repeated());
+  CHECK(fleet.Log().find("event=health_check_answer_names_request") == std::string::npos);
 }
 
 // Guards against keys that are given on while their holder is still at work on them, since the
@@ -168,3 +172,62 @@
   CHECK(answer.has_value());
   CHECK_EQUAL(502, answer->status);
 }
+
+// Guards against an answer to each caller but no way to the worker: many shards must not take up
+// the connections that a worker has for requests.
+TEST(SecondAnswers, GrantsOfManyShardsLeaveConnectionsToRequests) {
+  Fleet fleet({"keyed", "keyed", "plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  relay.set_connection_limit(12);
+  PutRelayBefore(fleet, 0, relay);
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1000));
+  for (int round = 0; round < 20; ++round) {
+    for (uint32_t key = 100; key < 65536; key += 8192) {
+      if (fleet.HolderOf(key) != 0) continue;
+      const auto answer = fleet.Keyed(2, key);
+      CHECK(answer.has_value());
+      CHECK_EQUAL(200, answer->status);
+    }
+    RunFor(fleet.loop, std::chrono::milliseconds(50));
+  }
+}
+
+// Guards against keys that stay with nobody, since their release needs a connection that the worker
+// does not take any more.
+TEST(SecondAnswers, AWorkerThatTakesNoNewConnectionsHandsItsKeysOver) {
+  Fleet fleet({"keyed", "keyed", "plain"});
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1500));
+  size_t released = 0;
+  fleet.nodes[0].worker->set_on_released([&](uint32_t, uint32_t) { ++released; });
+  fleet.nodes[0].worker->StopListening();
+  fleet.nodes[0].worker->set_draining(true);
+  const auto moved = [&fleet] {
+    for (uint32_t key = 0; key < 65536; key += 512) {
+      if (fleet.nodes[1].worker->Holds(key) == nullptr) return false;
+    }
+    return true;
+  };
+  // Grants last 3 s, and a release is waited for 2 s.
+  CHECK(RunUntil(fleet.loop, moved, std::chrono::seconds(6)));
+  CHECK(released > 0);
+}
+
+// Guards against a refusal that names no request, and that the request waits behind until its
+// deadline.
+TEST(SecondAnswers, ARefusalWithoutTheIdIsNotWaitedOut) {
+  Fleet fleet({"plain"});
+  fleet.Start();
+  CHECK_EQUAL(200, fleet.Request(0, "POST", "/send/1", "x")->status);
+  fleet.nodes[0].worker->set_behaviour([](const http::ExchangePtr& exchange) {
+    http::Headers headers;
+    headers.Add("Not-Executed", "1");
+    exchange->Respond(503, headers, "");
+  });
+  const Instant begun = fleet.loop.Now();
+  const auto answer = fleet.Request(0, "POST", "/send/1", "x");
+  CHECK(answer.has_value());
+  CHECK(answer->status == 502 || answer->status == 503);
+  CHECK(fleet.loop.Now() - begun < std::chrono::milliseconds(500));
+}
