Stand-in worker: releases are answered in turn when the next ones wait behind them

Cause, from the address: the stand-in answered a release that was gone. An answer may bring the next order on its connection at once, and that one changed the list of open releases while it was gone through. Nodes send an order behind one that is unanswered only when they took another answer for its own, so this was never seen before.

The releases that are over are taken out of the list before the first is answered. A release counts as given before its answer is on the way, since the answer may bring the next grant.

--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -1,6 +1,7 @@
 #include "tests/platform_adapter/fake_worker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -196,14 +197,7 @@
     released_.push_back(grant);
     return true;
   });
-  std::erase_if(open_releases_, [this](const OpenRelease& release) {
-    if (Busy(release.first, release.last)) return false;
-    http::Headers headers;
-    headers.Add("Handover", "from-" + id_);
-    release.exchange->Respond(200, headers, "");
-    if (on_released_) on_released_(release.first, release.last);
-    return true;
-  });
+  AnswerReleases();
   // At most a tenth of a second later the node is told.
   if (released_.size() > told) {
     heartbeat_timer_.Start(std::min<Duration>(interval_, std::chrono::milliseconds(50)));
@@ -211,6 +205,22 @@
   if (!ending_.empty() || !open_releases_.empty()) let_go_timer_.Start(kLetGoPoll);
 }
 
+// An answer may bring the next order on its connection at once, which looks at the releases too.
+void FakeWorker::AnswerReleases() {
+  const auto over = std::stable_partition(
+      open_releases_.begin(), open_releases_.end(),
+      [this](const OpenRelease& release) { return Busy(release.first, release.last); });
+  const std::vector<OpenRelease> answered(std::make_move_iterator(over),
+                                          std::make_move_iterator(open_releases_.end()));
+  open_releases_.erase(over, open_releases_.end());
+  for (const OpenRelease& release : answered) {
+    http::Headers headers;
+    headers.Add("Handover", "from-" + id_);
+    if (on_released_) on_released_(release.first, release.last);
+    release.exchange->Respond(200, headers, "");
+  }
+}
+
 // False: a higher fence was seen on one of the keys.
 bool FakeWorker::TakeRow(const Grant& grant) {
   for (const Grant& seen : fences_seen_) {
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -122,6 +122,7 @@
   bool Busy(uint32_t first, uint32_t last) const { return busy_ && busy_(first, last); }
   // Looks at what waits for running requests to end.
   void FinishLetGo();
+  void AnswerReleases();
   void DoLater(Duration delay, std::function<void()> action);
   void HandleRequest(const http::ExchangePtr& exchange);
   void SendHeartbeat();
--- a/tests/soak/stand_ins_test.cc
+++ b/tests/soak/stand_ins_test.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <vector>
 
 #include "source/http/client.h"
 #include "tests/event/loop_runner.h"
@@ -112,3 +113,46 @@
   busy = false;
   CHECK_EQUAL(200, Order("release", 0, 49, 2));
 }
+
+// Answered one after the other, each may bring the next order of its connection at once. The
+// stand-in once answered a release that was gone by then, and ended.
+TEST(StandIns, ReleasesThatWaitForWorkAreAnsweredInTurnOnEachConnection) {
+  constexpr uint32_t kReleases = 20;
+  struct Sender : public event::StreamObserver {
+    void OnData(std::string_view data) override { received.append(data); }
+    void OnConnected() override { stream->StartReading(); }
+    void OnEnd(event::StreamEnd) override {}
+
+    std::unique_ptr<event::TcpStream> stream;
+    std::string received;
+  };
+  bool busy = true;
+  uint32_t released = 0;
+  worker.Listen();
+  worker.set_busy_keys([&](uint32_t, uint32_t) { return busy; });
+  worker.set_on_released([&](uint32_t, uint32_t) { ++released; });
+  std::vector<Sender> senders(2);
+  for (Sender& sender : senders) {
+    sender.stream = event::TcpStream::Connect(loop, worker.endpoint(), &sender);
+    for (uint32_t key = 0; key < kReleases; ++key) {
+      http::RequestHead head;
+      head.method = "POST";
+      head.target = "/runshelf/release";
+      head.headers.Add("Host", "h");
+      const json body = {{"from_revision", key}, {"target_version", key}, {"fence", 5}};
+      sender.stream->Write(http::SerializeRequest(head, body.dump()));
+    }
+  }
+  RunFor(loop, milliseconds(50));
+  CHECK_EQUAL(0, released);
+  busy = false;
+  CHECK(RunUntil(loop, [&] { return released == 2 * kReleases; }));
+  RunFor(loop, milliseconds(20));
+  for (Sender& sender : senders) {
+    uint32_t answers = 0;
+    for (size_t at = 0; (at = sender.received.find("HTTP/1.1 200", at)) != std::string::npos; ++at)
+      ++answers;
+    CHECK_EQUAL(kReleases, answers);
+    sender.stream.reset();
+  }
+}
