Soak: workers that answer twice (--second-answers)

The soak never had workers that say an answer again in the place of the next one, so it could not see callers get a success that is not their worker's, nor keys move on the answer to another order.

The judges are those that were there; a success without a stamp has tests of its own.

--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -238,6 +238,9 @@
       return fleet_.SetOrdersUnanswered(fault.node, true);
     case FaultKind::kHeartbeatsDelayed:
       return fleet_.SetHeartbeatsDelayed(fault.node, true);
+    case FaultKind::kWorkerAnswersTwice:
+      witness_.BeginFault(fault.node, /*planned=*/false);
+      return fleet_.SetAnswersTwice(fault.node, true);
     case FaultKind::kConfigurationChange:
       return WriteConfiguration();
   }
@@ -291,6 +294,10 @@
     case FaultKind::kWorkerStopsListening:
       witness_.EndFault(fault.node, /*planned=*/false);
       return ApplyWorkerListener(fault.node);
+    case FaultKind::kWorkerAnswersTwice:
+      witness_.EndFault(fault.node, /*planned=*/false);
+      if (Latest(fault.kind, fault.node) == nullptr) fleet_.SetAnswersTwice(fault.node, false);
+      return;
     case FaultKind::kTerminateProcess:
     case FaultKind::kReloadSettings:
     case FaultKind::kStoreConnections:
--- a/tests/soak/fault_kind.cc
+++ b/tests/soak/fault_kind.cc
@@ -35,6 +35,7 @@
     "worker-resets-new",
     "worker-stops-listening",
     "store-restored",
+    "worker-answers-twice",
 };
 
 }  // namespace
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -41,13 +41,14 @@
   kWorkerRestarts,        // Ends without a word, and starts again under its identity.
   kWorkerResetsNew,       // At its limit of connections: new ones are reset, it serves on.
   kWorkerStopsListening,  // New connections are refused; it serves those that are open.
-  // Drawn only when a run asks for it.
-  kStoreRestored,  // Away, and then back from an older copy of its data.
+  // Drawn only when a run asks for them.
+  kStoreRestored,       // Away, and then back from an older copy of its data.
+  kWorkerAnswersTwice,  // The second time late, in the place of the next answer or of none.
 };
 
 // Those that may come by themselves: the first ones.
 constexpr size_t kSingleFaultKinds = 24;
-constexpr size_t kFaultKinds = 28;
+constexpr size_t kFaultKinds = 29;
 
 std::string_view FaultName(FaultKind kind);
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -47,6 +47,10 @@
     for (at = input_.first; input_.store_restores && at < input_.last; at += Time(3000, 9000)) {
       StoreRestored(at);
     }
+    random_ = SeededRandom(~input_.seed + 3);
+    for (at = input_.first; input_.second_answers && at < input_.last; at += Time(1500, 5000)) {
+      SecondAnswers(at);
+    }
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -269,6 +273,19 @@
     Add(fault);
   }
 
+  // Some of them while keys move away from the worker, or its node or itself starts again.
+  void SecondAnswers(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(Half()), Coin() ? "keyed" : "")) {
+      Add(FaultKind::kWorkerAnswersTwice, at, Time(1500, 6000), node);
+      constexpr std::array<FaultKind, 5> kBeside{
+          FaultKind::kWorkerLeaves, FaultKind::kWorkerLeaves, FaultKind::kTerminateProcess,
+          FaultKind::kKillProcess, FaultKind::kWorkerRestarts};
+      const size_t beside = random_.Below(kBeside.size() + 1);
+      if (beside < kBeside.size()) Add(kBeside[beside], at + Time(300, 1500), Time(5, 500), node);
+      at += Time(0, 600);
+    }
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -33,6 +33,7 @@
   Duration first{0};                  // No fault begins before this,
   Duration last{0};                   // or ends after it, but for workers that leave.
   bool store_restores = false;        // The store comes back from older copies of its data.
+  bool second_answers = false;        // Workers answer twice.
 };
 
 // In the order of their beginnings. Faults come in series, which overlap.
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -10,10 +10,11 @@
 using namespace runshelf::soak;
 
 TEST_GROUP(FaultPlan){
-    static std::vector<PlannedFault> Plan(uint64_t seed,
-                                          bool store_restores = false){FaultPlanInput input;
+    static std::vector<PlannedFault> Plan(uint64_t seed, bool store_restores = false,
+                                          bool second_answers = false){FaultPlanInput input;
 input.seed = seed;
 input.store_restores = store_restores;
+input.second_answers = second_answers;
 input.services = {"plain", "plain", "other", "keyed", "keyed", "keyed"};
 input.first = std::chrono::seconds(8);
 input.last = std::chrono::seconds(60);
@@ -35,7 +36,7 @@
 TEST(FaultPlan, FaultsStayWithinTheirTimeAndNodes) {
   for (uint64_t seed = 1; seed <= 200; ++seed) {
     Duration latest{0};
-    for (const PlannedFault& fault : Plan(seed, seed % 2 == 0)) {
+    for (const PlannedFault& fault : Plan(seed, seed % 2 == 0, seed % 3 == 0)) {
       CHECK(fault.at >= std::chrono::seconds(8));
       CHECK(fault.at + fault.time <= std::chrono::seconds(60));
       CHECK(fault.at >= latest);
@@ -64,13 +65,31 @@
   }
 }
 
+// The plans of seeds that are kept stay as they were.
+TEST(FaultPlan, WorkersAnswerTwiceOnlyWhereARunAsksForIt) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const bool restores = seed % 2 == 0;
+    std::vector<std::string> without;
+    for (const PlannedFault& fault : Plan(seed, restores)) {
+      CHECK(fault.kind != FaultKind::kWorkerAnswersTwice);
+      without.push_back(Describe(fault));
+    }
+    std::vector<std::string> with;
+    for (const PlannedFault& fault : Plan(seed, restores, true)) with.push_back(Describe(fault));
+    for (const std::string& fault : without) {
+      CHECK(std::find(with.begin(), with.end(), fault) != with.end());
+    }
+    CHECK(with.size() > without.size());
+  }
+}
+
 TEST(FaultPlan, EveryKindComesAndTheyOverlap) {
   std::map<FaultKind, int> kinds;
   size_t overlapping = 0;
   size_t all = 0;
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     Duration end{0};
-    for (const PlannedFault& fault : Plan(seed, true)) {
+    for (const PlannedFault& fault : Plan(seed, true, true)) {
       ++kinds[fault.kind];
       ++all;
       if (fault.at < end) ++overlapping;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace runshelf::soak {
 namespace {
@@ -22,8 +23,8 @@
   Pair(FaultProxy* proxy, uint16_t port, std::unique_ptr<event::TcpStream> caller)
       : proxy_(proxy),
         port_(port),
-        to_target_(this, /*forward=*/true),
-        to_caller_(this, /*forward=*/false),
+        to_target_(this, /*is_forward=*/true),
+        to_caller_(this, /*is_forward=*/false),
         end_timer_(proxy->loop_, [this] { proxy_->Remove(this); }) {
     to_caller_.stream = std::move(caller);
     to_target_.stream = event::TcpStream::Connect(proxy->loop_, proxy->target_, &to_target_);
@@ -42,6 +43,10 @@
   // Something was kept back that should have passed, by a fault that may end.
   bool held_back() const { return held_back_ && !silenced_; }
   void Silence() { silenced_ = true; }
+  void ForgetRepetitions() {
+    repetition_.reset();
+    repetitions_.clear();
+  }
 
  private:
   // What was read at one end and is to be written at the other.
@@ -106,11 +111,52 @@
       return;
     }
     if (held_back_) return;
+    if (to.forward) {
+      OnRequestBytes();
+    } else {
+      OnAnswerBytes(data);
+    }
     const Fault& fault = proxy_->FaultOf(this);
     const Duration delay = fault.mode == Mode::kDelay ? fault.delay : Duration(0);
     to.Enqueue(proxy_->loop_.Now() + delay, data);
   }
 
+  void OnRequestBytes() {
+    if (answer_->empty()) return;
+    const auto answer = std::exchange(answer_, std::make_shared<std::string>());
+    const auto repetition = std::exchange(repetition_, std::nullopt);
+    if (repetition.has_value() && repetition->from_next_request) RepeatLater(*repetition, answer);
+  }
+
+  void OnAnswerBytes(std::string_view data) {
+    if (!proxy_->next_repetition_) return;
+    if (answer_->empty()) {
+      repetition_ = proxy_->next_repetition_();
+      const bool from_now = repetition_.has_value() && !repetition_->from_next_request;
+      if (from_now) RepeatLater(*repetition_, answer_);
+    }
+    answer_->append(data);
+  }
+
+  // The rest of `answer` may be added meanwhile.
+  void RepeatLater(const Repetition& repetition, const std::shared_ptr<std::string>& answer) {
+    if (repetition.after <= Duration(0)) return Repeat(repetition, *answer);
+    std::erase_if(repetitions_, [](const auto& timer) { return !timer->active(); });
+    repetitions_.push_back(std::make_unique<event::Timer>(
+        proxy_->loop_, [this, repetition, answer] { Repeat(repetition, *answer); }));
+    repetitions_.back()->Start(repetition.after);
+  }
+
+  void Repeat(const Repetition& repetition, const std::string& answer) {
+    if (held_back_ || Blocked(/*forward=*/false)) return;
+    ++proxy_->repeated_;
+    const std::string bytes = answer + repetition.followed_by;
+    const size_t first_piece = std::min(repetition.first_piece, bytes.size());
+    const Instant now = proxy_->loop_.Now();
+    if (first_piece > 0) to_caller_.Enqueue(now, bytes.substr(0, first_piece));
+    to_caller_.Enqueue(now + repetition.between_pieces, bytes.substr(first_piece));
+  }
+
   void OnEndOfEither() {
     // While nothing passes, the end of a connection does not either.
     if (Blocked(true) || Blocked(false)) {
@@ -132,6 +178,9 @@
   End to_target_;
   End to_caller_;
   event::Timer end_timer_;
+  std::shared_ptr<std::string> answer_ = std::make_shared<std::string>();  // The latest one.
+  std::optional<Repetition> repetition_;                                   // Of that answer.
+  std::vector<std::unique_ptr<event::Timer>> repetitions_;                 // Under way.
   bool held_back_ = false;
   bool silenced_ = false;
 };
@@ -199,6 +248,12 @@
   for (const auto& pair : pairs_) pair->Silence();
 }
 
+void FaultProxy::set_repetitions(NextRepetition next) {
+  next_repetition_ = std::move(next);
+  if (next_repetition_) return;
+  for (const auto& pair : pairs_) pair->ForgetRepetitions();
+}
+
 void FaultProxy::Remove(const Pair* pair) {
   std::erase_if(pairs_, [&](const auto& other) { return other.get() == pair; });
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -58,6 +58,23 @@
   void SetModeFrom(int source, Mode mode, Duration delay = Duration(0));
   // The connections that are open now say nothing more, not even that they end; new ones pass.
   void SilenceOpenConnections();
+  // How an answer of the target is said a second time. A connection carries one exchange at a time,
+  // so what the target says between two requests is one answer.
+  struct Repetition {
+    bool from_next_request =
+        false;  // Its time counts from the next request on the connection, else
+                // from the answer, whether a request comes meanwhile or not.
+    Duration after{0};
+    size_t first_piece = 0;      // Bytes that come before the others; zero: all at once.
+    Duration between_pieces{0};  // What the target says meanwhile comes after them.
+    std::string followed_by;     // Bytes right behind it.
+  };
+  // Asked at the beginning of each answer; nullopt: it is said once. When empty, none is said
+  // again.
+  using NextRepetition = std::function<std::optional<Repetition>()>;
+  void set_repetitions(NextRepetition next);
+  // Answers that were said a second time.
+  size_t repeated() const { return repeated_; }
   Mode mode() const { return fault_.mode; }
   Mode ModeOf(int source) const { return FaultFrom(source).mode; }
   size_t connections() const { return pairs_.size(); }
@@ -83,6 +100,8 @@
   Identification identification_;
   Fault fault_;
   std::map<int, Fault> faults_from_;  // By source.
+  NextRepetition next_repetition_;
+  size_t repeated_ = 0;
 };
 
 }  // namespace runshelf::soak
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <utility>
+
 #include "source/http/client.h"
 #include "source/http/server.h"
 #include "tests/event/loop_runner.h"
@@ -102,3 +104,118 @@
   proxy->SetMode(FaultProxy::Mode::kPass);
   CHECK_EQUAL(2, proxy->connections());
 }
+
+// A caller that reads whatever comes on one connection.
+TEST_GROUP(FaultProxyRepetitions) {
+  using Repetition = FaultProxy::Repetition;
+  struct Caller : public event::StreamObserver {
+    void OnConnected() override { stream->StartReading(); }
+    void OnData(std::string_view data) override { received.append(data); }
+    void OnEnd(event::StreamEnd) override {}
+
+    std::unique_ptr<event::TcpStream> stream;
+    std::string received;
+  };
+  // Each answer is its request, in brackets, as often as it came.
+  struct Target : public event::StreamObserver {
+    void OnData(std::string_view data) override { stream->Write("[" + std::string(data) + "]"); }
+    void OnEnd(event::StreamEnd) override {}
+
+    std::unique_ptr<event::TcpStream> stream;
+  };
+
+  event::EventLoop loop;
+  Target target;
+  event::TcpListener listener{loop, [this](std::unique_ptr<event::TcpStream> stream) {
+                                target.stream = std::move(stream);
+                                target.stream->set_observer(&target);
+                                target.stream->StartReading();
+                              }};
+  std::unique_ptr<FaultProxy> proxy;
+  Caller caller;
+
+  void setup() override {
+    listener.Listen({"127.0.0.1", 0});
+    proxy = std::make_unique<FaultProxy>(loop, event::Endpoint{"127.0.0.1", listener.bound_port()});
+    CHECK_EQUAL(0, proxy->Listen("127.0.0.1"));
+    caller.stream = event::TcpStream::Connect(loop, proxy->endpoint(), &caller);
+    RunUntil(loop, [&] { return target.stream != nullptr; });
+  }
+  void teardown() override {
+    caller.stream.reset();
+    target.stream.reset();
+  }
+
+  static Repetition After(Duration after) {
+    Repetition repetition;
+    repetition.after = after;
+    return repetition;
+  }
+  static Repetition WithNextRequest(Duration after) {
+    Repetition repetition = After(after);
+    repetition.from_next_request = true;
+    return repetition;
+  }
+  void RepeatFirstAnswer(const Repetition& repetition) {
+    proxy->set_repetitions([repetition, first = true]() mutable -> std::optional<Repetition> {
+      if (!std::exchange(first, false)) return std::nullopt;
+      return repetition;
+    });
+  }
+  void Ask(const std::string& request) {
+    const size_t length = caller.received.size();
+    caller.stream->Write(request);
+    RunUntil(loop, [&] { return caller.received.size() > length; });
+  }
+  void ExpectReceived(const std::string& expected) {
+    RunUntil(loop, [&] { return caller.received.size() >= expected.size(); });
+    STRCMP_EQUAL(expected.c_str(), caller.received.c_str());
+  }
+};
+
+TEST(FaultProxyRepetitions, AnAnswerTakesThePlaceOfTheNext) {
+  RepeatFirstAnswer(WithNextRequest(Duration(0)));
+  Ask("a");
+  Ask("b");
+  ExpectReceived("[a][a][b]");
+  CHECK_EQUAL(1, proxy->repeated());
+}
+
+TEST(FaultProxyRepetitions, AnAnswerComesAgainOnTheIdleConnection) {
+  RepeatFirstAnswer(After(std::chrono::milliseconds(5)));
+  Ask("a");
+  ExpectReceived("[a][a]");
+  Ask("b");
+  ExpectReceived("[a][a][b]");
+}
+
+TEST(FaultProxyRepetitions, ALateOneComesBehindWhatWasAskedForMeanwhile) {
+  RepeatFirstAnswer(WithNextRequest(std::chrono::milliseconds(30)));
+  Ask("a");
+  Ask("b");
+  ExpectReceived("[a][b][a]");
+}
+
+TEST(FaultProxyRepetitions, NothingComesBetweenThePieces) {
+  Repetition repetition = WithNextRequest(Duration(0));
+  repetition.first_piece = 2;
+  repetition.between_pieces = std::chrono::milliseconds(20);
+  repetition.followed_by = "?";
+  RepeatFirstAnswer(repetition);
+  Ask("a");
+  Ask("b");
+  CHECK_EQUAL(std::string("[a][a"), caller.received);
+  ExpectReceived("[a][a]?[b]");
+}
+
+TEST(FaultProxyRepetitions, NoneComesAfterTheirEnd) {
+  RepeatFirstAnswer(After(std::chrono::milliseconds(20)));
+  Ask("a");
+  proxy->set_repetitions(nullptr);
+  event::Timer pause(loop, [] {});
+  pause.Start(std::chrono::milliseconds(40));
+  RunUntil(loop, [&] { return !pause.active(); });
+  Ask("b");
+  ExpectReceived("[a][b]");
+  CHECK_EQUAL(0, proxy->repeated());
+}
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -48,6 +48,8 @@
                            command);
     TCLAP::SwitchArg restores("r", "store-restores",
                               "the store comes back from older copies of its data", command);
+    TCLAP::SwitchArg twice("a", "second-answers", "workers answer twice, the second time late",
+                           command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodesOf(seed.getValue());
@@ -55,6 +57,7 @@
     if (options.nodes < kMinNodes || options.nodes > kMaxNodes) return kExitBadArguments;
     options.fatal_requests = fatal.getValue();
     options.store_restores = restores.getValue();
+    options.second_answers = twice.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
@@ -76,10 +79,11 @@
   const bool recovered = result.served_at_end >= kServedAtEnd;
   fmt::print(
       "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
-      "cut_at_other_nodes={} stalls={} slowest_answer_ms={} fatal_ends={} verdict={}\n",
+      "cut_at_other_nodes={} stalls={} slowest_answer_ms={} fatal_ends={} second_answers={} "
+      "verdict={}\n",
       options.seed, options.nodes, result.counts.sent, result.counts.served, result.faults.size(),
       result.violations.size(), result.served_at_end, result.counts.cut_at_other_nodes,
       result.stalls, runshelf::ToMilliseconds(result.slowest_answer), result.fatal_ends,
-      result.violations.empty() && recovered ? "kept" : "broken");
+      result.second_answers, result.violations.empty() && recovered ? "kept" : "broken");
   return result.violations.empty() && recovered ? 0 : kExitBroken;
 }
--- a/tests/soak/promise_judge_test.cc
+++ b/tests/soak/promise_judge_test.cc
@@ -65,6 +65,24 @@
   ExpectOnly("mixed");
 }
 
+// Callers once got the answer to a health check of their worker.
+TEST(PromiseJudge, ASuccessWithoutAStampIsSeen) {
+  Run("read", "w1");
+  judge.OnAnswer({"read", 200, "", ""});
+  ExpectOnly("mixed");
+}
+
+TEST(PromiseJudge, ASuccessWithoutAStampIsSeenWhateverItSays) {
+  Run("read", "w1");
+  judge.OnAnswer({"read", 200, ExpectedAnswerBody("w1", "read", ""), ""});
+  ExpectOnly("mixed");
+}
+
+TEST(PromiseJudge, ASuccessBeforeAnyWorkerRanTheRequestIsSeen) {
+  judge.OnAnswer({"read", 200, "", ""});
+  ExpectOnly("mixed");
+}
+
 TEST(PromiseJudge, ARequestThatNobodySentIsSeen) {
   Run("ghost", "w1");
   ExpectOnly("unasked");
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -43,6 +43,7 @@
   input.first = kStartTime;
   input.last = options.duration - kCalmEnd;
   input.store_restores = options.store_restores;
+  input.second_answers = options.second_answers;
   return input;
 }
 
@@ -103,6 +104,7 @@
     result_.unserved_at_end.push_back(fmt::format("{} {}: {}", kind.first, kind.second, count));
   }
   result_.fatal_ends = witness_.fatal_ends();
+  result_.second_answers = fleet_.second_answers();
   result_.slowest_answer = responsiveness_.longest();
   return result_;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,7 @@
   Duration duration = std::chrono::seconds(60);  // Includes the calm time at the end.
   size_t nodes = 12;
   bool store_restores = false;  // The store comes back from older copies of its data.
+  bool second_answers = false;  // Workers answer twice.
   bool fatal_requests = false;  // Some requests end the workers that begin them, until the end.
 };
 
@@ -35,7 +36,8 @@
   std::vector<std::string> unserved_at_end;
   // Of this process, and the longest time that a node took to answer: how busy the machine was.
   int stalls = 0;
-  int fatal_ends = 0;  // Of workers, by requests that end them.
+  int fatal_ends = 0;         // Of workers, by requests that end them.
+  size_t second_answers = 0;  // Of workers.
   Duration slowest_answer{0};
 };
 
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -60,6 +60,7 @@
       connection_source_(loop, [this] { return Processes(); }),
       pool_(loop),
       runner_(loop, witness, options_.seed + 2),
+      second_answers_(options_.seed + 4),
       orders_unanswered_(options_.services.size()),
       heartbeats_delayed_(options_.services.size()) {
   store_.set_value_filter([this](const std::string& key, const std::string& value) {
@@ -300,6 +301,18 @@
   return fault;
 }
 
+void SoakFleet::SetAnswersTwice(size_t node, bool value) {
+  FaultProxy& proxy = *nodes_[node]->worker_proxy;
+  if (!value) return proxy.set_repetitions(nullptr);
+  proxy.set_repetitions([this] { return second_answers_.Next(); });
+}
+
+size_t SoakFleet::second_answers() const {
+  size_t count = 0;
+  for (const auto& node : nodes_) count += node->worker_proxy->repeated();
+  return count;
+}
+
 void SoakFleet::SendLater(const event::Endpoint& node, std::string request) {
   std::erase_if(held_back_, [](const auto& timer) { return !timer->active(); });
   held_back_.push_back(std::make_unique<event::Timer>(loop_, [this, node,
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -13,6 +13,7 @@
 #include "tests/platform_adapter/fake_store.h"
 #include "tests/soak/connection_source.h"
 #include "tests/soak/request_runner.h"
+#include "tests/soak/second_answers.h"
 #include "tests/soak/soak_node.h"
 #include "tests/soak/witness.h"
 
@@ -49,6 +50,10 @@
   // While set, the node's worker leaves orders unanswered, or its heartbeats come late.
   void SetOrdersUnanswered(size_t node, bool value) { orders_unanswered_[node] = value; }
   void SetHeartbeatsDelayed(size_t node, bool value) { heartbeats_delayed_[node] = value; }
+  // While set, the node's worker says most of its answers a second time.
+  void SetAnswersTwice(size_t node, bool value);
+  // Answers that workers said a second time.
+  size_t second_answers() const;
   // Writes the settings file anew, each time with another bound.
   void ChangeSettings(const SoakNode& node);
   // The way of one node to another, both of connections and datagrams.
@@ -84,6 +89,7 @@
   http::ConnectionPool pool_;
   std::vector<std::unique_ptr<SoakNode>> nodes_;
   RequestRunner runner_;
+  SecondAnswers second_answers_;
   std::vector<bool> orders_unanswered_;
   std::vector<bool> heartbeats_delayed_;
   // Heartbeats that were held back, and their calls.
