--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -63,10 +63,13 @@
   request.head.headers.RemoveConnectionHeaders();
   if (const std::string* id = request.head.headers.Find(names.request_id)) request_id_ = *id;
   Duration allowed = route_.timeout.value_or(kDefaultTimeout);
+  bool short_of_time = false;
   if (const std::string* text = request.head.headers.Find(names.deadline)) {
     const auto milliseconds = http::ParseNumber(*text);
     if (milliseconds.has_value()) {
-      allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
+      const Duration patience = std::chrono::milliseconds(*milliseconds);
+      short_of_time = ingress_->IsShortOfTime(route_.name, patience);
+      allowed = std::min(allowed, patience);
     }
   }
   if (const std::string* text = request.head.headers.Find(names.shard_key)) {
@@ -76,7 +79,7 @@
     }
   }
   times_ = TimesOf({exchange_->received(), allowed,
-                    route_.target_latency.value_or(kDefaultTargetLatency), nested_});
+                    route_.target_latency.value_or(kDefaultTargetLatency), nested_, short_of_time});
   request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
@@ -126,7 +129,7 @@
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
     if (peer == nullptr || shard->owner.worker.empty()) {
-      WaitForOwner();
+      WaitForOwner(FailureReason::kNoWorker);
       return;
     }
     StartAttempt(shard->owner.node, shard->owner.worker);
@@ -300,7 +303,7 @@
     case FailureReason::kDraining:
     case FailureReason::kStopping:
       if (OwnerServes()) {
-        WaitForOwner();
+        WaitForOwner(failure.reason);
       } else {
         TryNext();
       }
@@ -342,16 +345,19 @@
 }
 
 // A key that is changing hands, or whose owner is lost, is tried again shortly.
-void RequestFlow::WaitForOwner() {
+void RequestFlow::WaitForOwner(FailureReason reason) {
+  // Only keys that change hands are certain to be served again soon.
+  const Instant wait_until =
+      reason == FailureReason::kNotOwner ? times_.await_move_by : times_.refuse_by;
   const Duration poll = std::min(kOwnerPollMin * (1 + owner_waits_), kOwnerPollMax);
-  if (context_.loop.Now() + kOwnerPollMin >= times_.refuse_by) {
+  if (context_.loop.Now() + kOwnerPollMin >= wait_until) {
     // Keys change hands within about a heartbeat: half of one is left on average.
     Refuse(FailureReason::kNotOwner, context_.settings.heartbeat_interval / 2);
     return;
   }
   waiting_for_owner_ = true;
   ++owner_waits_;
-  wait_timer_.Start(std::min(poll, times_.refuse_by - context_.loop.Now()));
+  wait_timer_.Start(std::min(poll, wait_until - context_.loop.Now()));
 }
 
 void RequestFlow::RetryOwner() {
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -55,7 +55,7 @@
   void NoteBroken(const AttemptFailure& failure, const std::string& node);
   uint32_t MaxQueueRefusals() const;
   void EndAttempt();
-  void WaitForOwner();
+  void WaitForOwner(FailureReason reason);
   bool MayRunAgain(const AttemptFailure& failure);
   bool WorkerFailureWorthRetry() const;
   void OnNotRun(const AttemptFailure& failure);
--- a/source/sidecar/request_times.h
+++ b/source/sidecar/request_times.h
@@ -11,12 +11,14 @@
   Duration allowed{0};         // The sooner of the caller's and the route's time.
   Duration target_latency{0};  // An answer within it is worth most.
   bool nested = false;         // A call that the worker beside the node makes during a run.
+  bool short_of_time = false;  // The caller has much less time than others: it cannot come back.
 };
 
 struct RequestTimes {
   Instant deadline{};
-  Instant answer_by{};  // A later answer is worth little.
-  Instant refuse_by{};  // Waits without being offered to a worker end then.
+  Instant answer_by{};      // A later answer is worth little.
+  Instant refuse_by{};      // Waits without being offered to a worker end then.
+  Instant await_move_by{};  // The same while keys are known to be changing hands.
 };
 
 RequestTimes TimesOf(const RequestPatience& patience);
--- a/tests/sidecar/request_times_test.cc
+++ b/tests/sidecar/request_times_test.cc
@@ -17,6 +17,16 @@
   CHECK_EQUAL(2000, After(times.deadline));
   CHECK_EQUAL(400, After(times.answer_by));
   CHECK_EQUAL(100, After(times.refuse_by));
+  CHECK_EQUAL(100, After(times.await_move_by));
+}
+
+TEST(RequestTimes, OneThatIsShortOfTimeWaitsLongerForKeysThatMove) {
+  patience.allowed = std::chrono::milliseconds(300);
+  patience.short_of_time = true;
+  const RequestTimes times = TimesOf(patience);
+  CHECK_EQUAL(300, After(times.answer_by));
+  CHECK_EQUAL(100, After(times.refuse_by));
+  CHECK_EQUAL(120, After(times.await_move_by));
 }
 
 TEST(RequestTimes, ANestedCallHasUntilItsDeadline) {
