--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -146,6 +146,10 @@
   return !grant_out && EarlierGrantsRanOut(now);
 }
 
+bool ShardHolder::GrantsRanOut(const HeldShard& holding, Instant now) const {
+  return now > holding.held_until && !MayBeHeldDisowned(holding.shard) && EarlierGrantsRanOut(now);
+}
+
 // Grants that an earlier life of this process gave have run out.
 bool ShardHolder::EarlierGrantsRanOut(Instant now) const {
   const Duration hold = ByHeartbeat() ? config_.heartbeat_hold : config_.hold;
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -182,6 +182,8 @@
   bool DividedByKey() const { return sharded_.value_or(false); }
   bool ByHeartbeat() const;
   bool EarlierGrantsRanOut(Instant now) const;
+  // No grant of these keys that this process or an earlier life of it sent can be in force.
+  bool GrantsRanOut(const HeldShard& holding, Instant now) const;
   void AbandonLapsed();
   bool OfFormerWorker(const sharding::Shard& shard) const;
   // Of grants that the worker may have when the map has its shards no more.
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -137,7 +137,7 @@
     holding.released = true;
     const std::string* handover = response->headers.Find(wire_.headers().handover);
     if (handover != nullptr) holding.handover = *handover;
-  } else if (loop_.Now() > holding.held_until && EarlierGrantsRanOut(loop_.Now())) {
+  } else if (GrantsRanOut(holding, loop_.Now())) {
     // A worker that cannot be reached holds the keys no more.
     holding.released = true;
   } else {
