Tests that fail: what was acknowledged and not seen is lost when the store goes back

What callers saw: once the store had come back from an older copy of its data, a request that ends its workers was run more than three times later than 3 s after the third end.

Cause: at a restore nodes compare what their watch had brought before with what the store has after it. What a node had written and the store had acknowledged, but no watch had brought yet, is in neither. The same holds for what was written again after one restore and not seen before the next one.

--- a/tests/platform_adapter/store_restore_test.cc
+++ b/tests/platform_adapter/store_restore_test.cc
@@ -331,3 +331,27 @@
   STRCMP_EQUAL(R"({"weight":3,"limit":7})", fleet.store.Find(cell)->c_str());
   STRCMP_EQUAL(fleet.nodes[0].worker->life().c_str(), fleet.store.Find(drain)->c_str());
 }
+
+// What a node had written again, and not seen again when the store went back once more, was not
+// written a third time.
+TEST(StoreRestore, ItemsThatWereWrittenAgainAreSoAfterTheNextRestore) {
+  Fleet fleet({"plain"});
+  fleet.Start();
+  const std::string cell = "runshelf/table/plain/newsroom";
+  const auto copy = fleet.store.TakeCopy();
+  fleet.store.Put(cell, R"({"weight":3,"limit":7})");
+  RunFor(fleet.loop, std::chrono::milliseconds(300));
+  fleet.store.set_watches_silent(true);
+  fleet.store.Restore(*copy);
+  CHECK(fleet.store.Find(cell) == nullptr);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return fleet.store.Find(cell) != nullptr; }, std::chrono::seconds(3)));
+  // The answer has been read.
+  RunFor(fleet.loop, std::chrono::milliseconds(60));
+  fleet.store.Restore(*copy);
+  fleet.store.set_watches_silent(false);
+  CHECK(fleet.store.Find(cell) == nullptr);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return fleet.store.Find(cell) != nullptr; }, std::chrono::seconds(3)));
+  STRCMP_EQUAL(R"({"weight":3,"limit":7})", fleet.store.Find(cell)->c_str());
+}
