Quarantine: what the store acknowledged is owed until it has been seen, also after a restore

What callers saw: a request that ends its workers was run more than three times later than 3 s after the third end, once the store had come back from an older copy of its data.

Cause: an end counted as told as soon as the store had acknowledged it, but only what a watch had brought was compared with the restored store. The same for changes of a quarantine, and for items that were written again and lost by the next restore.

Why this works: the writer keeps an end until a watch has brought it in the present era; it writes it again at once when the era changes, and tells the other nodes directly when it has not seen it for a second. LostItemWriter also compares changes of quarantines that were acknowledged and not seen, and keeps lost items over further restores, whoever wrote them again. Leases of a former era that are answered late are not used.

Evidence: the five tests that failed pass: RestoredQuarantine 4 of 4 and StoreRestore 13 of 13, in one run each on this code. Also CrashingRequests (15), Sidecar (27), PrefixWatcher (6), StateSpread (3), StoreAccess (6) and sidecar_test (113). The rest of the suite and the sanitizers were not run.

--- a/source/sidecar/lost_items.cc
+++ b/source/sidecar/lost_items.cc
@@ -19,23 +19,63 @@
                                LogWriter& log)
     : store_(store), random_(random), log_(log), timer_(loop, [this] { WriteAll(); }) {}
 
-void LostItemWriter::OnEraBegan(const store::EraChange& change) {
-  for (const auto& [key, item] : change.former) {
-    const auto found = change.present.find(key);
-    const bool missing = found == change.present.end();
-    const bool older = !missing && found->second.value != item.value &&
-                       store::CounterOf(found->second.revision) < store::CounterOf(item.revision);
-    if (!missing && !older) continue;
-    LostItem lost;
-    lost.item = item;
-    if (!missing) lost.present = found->second.revision;
-    lost.lost_by = change.revision;
-    lost_[key] = std::move(lost);
+void LostItemWriter::OnWritten(const store::Item& item) {
+  if (store::EraOf(item.revision) >= store::EraOf(era_began_)) {
+    store::Item& unseen = unseen_[item.key];
+    if (item.revision > unseen.revision) unseen = item;
+    return;
   }
+  // The answer came after the next era had begun.
+  AddLost(item, 0);
+  WriteThese({item.key});
+  if (!timer_.active()) timer_.Start(kWriteRetry);
+}
+
+void LostItemWriter::OnEraBegan(const store::EraChange& change) {
+  era_began_ = change.revision;
+  Items known = change.former;
+  // What the watch has brought of a lost item was the loss itself.
+  for (const auto& [key, lost] : std::exchange(lost_, {})) known[key] = lost.item;
+  const std::vector<std::string> own = TakeUnseen(&known);
+  for (const auto& [key, item] : known) AddIfLost(item, change.present);
+  WriteThese(own);
   if (!lost_.empty()) timer_.Start(random_.Between(kWriteMin, kWriteMax));
 }
 
+std::vector<std::string> LostItemWriter::TakeUnseen(Items* known) {
+  std::vector<std::string> keys;
+  std::erase_if(unseen_, [&](const auto& entry) {
+    const auto& [key, item] = entry;
+    if (store::EraOf(item.revision) >= store::EraOf(era_began_)) return false;
+    store::Item& latest = (*known)[key];
+    if (item.revision > latest.revision) {
+      latest = item;
+      keys.push_back(key);
+    }
+    return true;
+  });
+  return keys;
+}
+
+void LostItemWriter::AddIfLost(const store::Item& item, const Items& present) {
+  const auto found = present.find(item.key);
+  if (found == present.end()) return AddLost(item, 0);
+  const bool older = found->second.value != item.value &&
+                     store::CounterOf(found->second.revision) < store::CounterOf(item.revision);
+  if (older) AddLost(item, found->second.revision);
+}
+
+void LostItemWriter::AddLost(const store::Item& item, store::Revision present) {
+  LostItem lost;
+  lost.item = item;
+  lost.present = present;
+  lost.lost_by = era_began_;
+  lost_[item.key] = std::move(lost);
+}
+
 bool LostItemWriter::OnItem(const store::Item& item) {
+  const auto unseen = unseen_.find(item.key);
+  if (unseen != unseen_.end() && item.revision >= unseen->second.revision) unseen_.erase(unseen);
   const auto found = lost_.find(item.key);
   if (found == lost_.end()) return true;
   if (item.revision <= found->second.lost_by) return false;
@@ -47,18 +87,26 @@
   if (lost_.empty()) return;
   timer_.Start(kWriteRetry);
   std::vector<std::string> keys;
+  for (const auto& [key, lost] : lost_) keys.push_back(key);
+  WriteThese(keys);
+}
+
+void LostItemWriter::WriteThese(const std::vector<std::string>& keys) {
+  std::vector<std::string> to_write;
   bool leased = false;
-  for (auto& [key, lost] : lost_) {
-    if (std::exchange(lost.writing, true)) continue;
-    keys.push_back(key);
-    leased = leased || lost.item.lease != 0;
+  for (const std::string& key : keys) {
+    const auto found = lost_.find(key);
+    if (found == lost_.end() || std::exchange(found->second.writing, true)) continue;
+    to_write.push_back(key);
+    leased = leased || found->second.item.lease != 0;
   }
   if (!leased) {
-    for (const std::string& key : keys) Write(key, 0);
+    for (const std::string& key : to_write) Write(key, 0);
     return;
   }
-  store_.GrantLease(kLeaseTime, [this, keys](const absl::StatusOr<store::Lease>& lease) {
-    for (const std::string& key : keys) Write(key, lease.ok() ? lease->id : 0);
+  store_.GrantLease(kLeaseTime, [this, to_write](const absl::StatusOr<store::Lease>& lease) {
+    const bool present = lease.ok() && lease->era == store_.era();
+    for (const std::string& key : to_write) Write(key, present ? lease->id : 0);
   });
 }
 
@@ -74,23 +122,33 @@
   store::Transaction transaction;
   transaction.conditions.push_back({key, lost.present});
   transaction.puts.push_back({key, lost.item.value, needs_lease ? lease : 0});
-  store_.Commit(transaction, [this, key](const absl::StatusOr<store::CommitResult>& result) {
-    OnWritten(key, result);
+  store_.Commit(transaction, [this, key, lost_by = lost.lost_by](
+                                 const absl::StatusOr<store::CommitResult>& result) {
+    OnAnswer(key, lost_by, result);
   });
 }
 
-void LostItemWriter::OnWritten(const std::string& key,
-                               const absl::StatusOr<store::CommitResult>& result) {
+// What was committed is kept here until a watch brings it: the store may go back before.
+void LostItemWriter::OnAnswer(const std::string& key, store::Revision lost_by,
+                              const absl::StatusOr<store::CommitResult>& result) {
   const bool committed = result.ok() && result->outcome == store::CommitOutcome::kCommitted;
   const bool conflict = result.ok() && result->outcome == store::CommitOutcome::kConflict;
   log_.Write(LogLevel::kWarning, "lost_item_written",
              {{"key", key}, {"committed", committed}, {"known", result.ok()}});
   const auto found = lost_.find(key);
-  if (committed || found == lost_.end()) return;
+  if (found == lost_.end() || found->second.lost_by != lost_by) return;
+  if (committed) return;
+  if (conflict) return OnConflict(&found->second, *result);
   found->second.writing = false;
-  // Somebody else wrote it, and the watch brings that; or removed what was there.
-  if (conflict && result->found.empty()) found->second.present = 0;
-  if (conflict && !result->found.empty()) lost_.erase(found);
+}
+
+void LostItemWriter::OnConflict(LostItem* lost, const store::CommitResult& result) {
+  const store::Revision present = result.found.empty() ? 0 : result.found.front().revision;
+  // Somebody else wrote it, and the watch brings that.
+  if (present > lost->lost_by) return;
+  // Somebody removed what was there, or what is there is the loss itself.
+  lost->present = present;
+  lost->writing = false;
 }
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -22,6 +22,9 @@
 // A write takes some 10 to 40 ms, an unanswered one up to 1.8 s: for that long only this node would
 // know of the end.
 constexpr Duration kToldAfter = std::chrono::milliseconds(250);
+// A change of the state has come back to its writer by then, as a rule. Where it has not, the
+// others may not have heard of it either.
+constexpr Duration kSeenAfter = std::chrono::seconds(1);
 // Nodes that were told of an end write it at different times: the first one's item spares the
 // others theirs.
 constexpr Duration kToldWriteMin = std::chrono::milliseconds(250);
@@ -79,7 +82,7 @@
   if (item.key.starts_with(kWorkerEndPrefix)) {
     const auto end = WorkerEnd::Parse(item.value);
     if (!end.has_value() || EndKey(end->worker_id, end->node) != item.key) return false;
-    TakeEndItem(item.key, *end);
+    TakeEndItem(item, *end);
     return true;
   }
   const auto request = RequestFingerprint::Parse(NameAfter(item.key, kQuarantinePrefix));
@@ -116,13 +119,29 @@
   if (record_.KnownGood(request)) Release(request);
 }
 
-void RequestQuarantine::TakeEndItem(const std::string& key, const WorkerEnd& end) {
+bool RequestQuarantine::IsWhole(const WorkerEnd& end) const {
+  return record_.RequestsOf(end.worker_id).size() == end.requests.size();
+}
+
+void RequestQuarantine::TakeEndItem(const store::Item& item, const WorkerEnd& end) {
   TakeEnd(end);
-  end_items_[key] = end.worker_id;
-  const auto pending = pending_ends_.find(end.worker_id);
-  if (pending == pending_ends_.end() || pending->second.writing) return;
-  // Another node has written it.
-  if (record_.RequestsOf(end.worker_id).size() == end.requests.size()) pending_ends_.erase(pending);
+  end_items_[item.key] = end.worker_id;
+  const auto found = pending_ends_.find(end.worker_id);
+  if (found == pending_ends_.end()) return;
+  PendingEnd& pending = found->second;
+  const bool own = item.key == EndKey(end.worker_id, pending.witness);
+  if (pending.writing) {
+    // The answer to the write tells whether this is what it wrote.
+    if (own) pending.seen = item.revision;
+    return;
+  }
+  // This node has written it, or another one.
+  if (IsWhole(end)) {
+    pending_ends_.erase(found);
+  } else if (own && item.revision >= pending.written) {
+    // More of its requests have been told of since.
+    pending.written = 0;
+  }
 }
 
 void RequestQuarantine::OnRemoved(const std::string& key) {
@@ -146,6 +165,8 @@
 void RequestQuarantine::OnStoreRestored() {
   lease_ = 0;
   for (auto& [request, seen] : seen_) seen.lease = 0;
+  for (auto& [worker_id, pending] : pending_ends_) pending.written = 0;
+  WritePending();
 }
 
 void RequestQuarantine::OnWorkerEnded(const std::string& worker_id,
@@ -196,13 +217,18 @@
   const Instant now = loop_.Now();
   for (auto entry = pending_ends_.begin(); entry != pending_ends_.end();) {
     PendingEnd& pending = entry->second;
+    const bool written = pending.written != 0;
     if (now - pending.since > kWriteGivenUp) {
-      log_.Write(LogLevel::kError, "worker_end_not_told", {{"worker", entry->first}});
+      if (!written) {
+        log_.Write(LogLevel::kError, "worker_end_not_told", {{"worker", entry->first}});
+      }
       entry = pending_ends_.erase(entry);
       continue;
     }
-    if (pending.writing && now - pending.since >= kToldAfter) TellOthers(entry->first, &pending);
-    if (!pending.writing && now >= pending.not_before) {
+    const Duration told_after = written ? kSeenAfter : kToldAfter;
+    const bool waits = pending.writing || written;
+    if (waits && now - pending.since >= told_after) TellOthers(entry->first, &pending);
+    if (!waits && now >= pending.not_before) {
       pending.writing = true;
       WriteEnd(entry->first, pending.witness);
     }
@@ -218,19 +244,28 @@
     const std::string key = EndKey(worker_id, witness);
     store::Transaction transaction;
     transaction.puts.push_back({key, end.Serialize(), lease});
-    store_.Commit(transaction, [this, key, end](absl::StatusOr<store::CommitResult> result) {
+    store_.Commit(transaction, [this, end](absl::StatusOr<store::CommitResult> result) {
       if (!result.ok() || result->outcome != store::CommitOutcome::kCommitted) {
         if (result.ok()) lease_ = 0;
         return OnEndNotWritten(end.worker_id);
       }
-      const auto pending = pending_ends_.find(end.worker_id);
-      // When more of its requests have been told of meanwhile, it is written again.
-      if (pending != pending_ends_.end()) pending->second.writing = false;
-      TakeEndItem(key, end);
+      OnEndWritten(end, result->revision);
     });
   });
 }
 
+void RequestQuarantine::OnEndWritten(const WorkerEnd& end, store::Revision revision) {
+  const auto found = pending_ends_.find(end.worker_id);
+  if (found == pending_ends_.end()) return;
+  PendingEnd& pending = found->second;
+  pending.writing = false;
+  // It is written again when the store has gone back meanwhile, or more of its requests have been
+  // told of.
+  if (store::EraOf(revision) < store_.era() || !IsWhole(end)) return;
+  pending.written = revision;
+  if (pending.seen >= revision) pending_ends_.erase(found);
+}
+
 void RequestQuarantine::OnEndNotWritten(const std::string& worker_id) {
   const auto pending = pending_ends_.find(worker_id);
   if (pending == pending_ends_.end()) return;
@@ -266,11 +301,12 @@
   const Instant asked = loop_.Now();
   store_.GrantLease(kItemLifetime, [this, asked, callback = std::move(callback)](
                                        absl::StatusOr<store::Lease> lease) {
-    if (lease.ok()) {
+    const bool present = lease.ok() && lease->era == store_.era();
+    if (present) {
       lease_ = lease->id;
       lease_taken_at_ = asked;
     }
-    callback(lease.ok() ? lease->id : 0);
+    callback(present ? lease->id : 0);
   });
 }
 
@@ -358,7 +394,7 @@
   // A lease of its own: it is kept while the request is still sent.
   store_.GrantLease(kItemLifetime, [this, request, change, callback = std::move(callback)](
                                        absl::StatusOr<store::Lease> lease) {
-    if (!lease.ok()) return callback(false);
+    if (!lease.ok() || lease->era != store_.era()) return callback(false);
     const std::string key = QuarantineKey(request);
     store::Transaction transaction;
     transaction.conditions.push_back({key, change.expected});
@@ -370,7 +406,9 @@
         for (const store::Item& found : result->found) OnItem(found);
         return callback(false);
       }
-      OnItem({key, change.item.Serialize(), result->revision, lease});
+      const store::Item item{key, change.item.Serialize(), result->revision, lease};
+      if (on_written_) on_written_(item);
+      OnItem(item);
       callback(true);
     });
   });
--- a/source/sidecar/request_quarantine.h
+++ b/source/sidecar/request_quarantine.h
@@ -36,7 +36,8 @@
   // False when the item cannot be read; what was known before holds.
   bool OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
-  // The store came back from an older copy of its data: the leases of before may be another's.
+  // The store came back from an older copy of its data: the leases of before may be another's, and
+  // ends that were written may be gone.
   void OnStoreRestored();
 
   // Tells all other nodes of a worker's end while the store does not take it: this process may be
@@ -47,6 +48,11 @@
   // the store by this node as well.
   bool OnToldEnd(const std::string& message, bool write);
 
+  // Told of each change of a quarantine that this node has made: the store has acknowledged it, and
+  // no watch has brought it yet.
+  using WriteObserver = std::function<void(const store::Item& item)>;
+  void set_on_written(WriteObserver observer) { on_written_ = std::move(observer); }
+
   // The worker beside this node ended.
   void OnWorkerEnded(const std::string& worker_id, const std::vector<InterruptedRequest>& at_work);
   // A try at the worker beside another node broke off, and the request may have run.
@@ -87,12 +93,16 @@
   uint64_t trials() const { return trials_; }
 
  private:
+  // Kept until the item has been seen as of the present era of the store, which alone tells that
+  // others see it too.
   struct PendingEnd {
     Instant since;
     std::string witness;   // The node that saw the end.
     Instant not_before{};  // It is not written earlier.
     bool writing = false;
-    bool told = false;  // To the other nodes, in place of the store.
+    store::Revision written = 0;  // Acknowledged with this revision; zero: to be written.
+    store::Revision seen = 0;     // The latest that came of its item while it was written.
+    bool told = false;            // To the other nodes, in place of the store.
   };
 
   // Writes what is not in the store yet.
@@ -100,14 +110,18 @@
   void WriteEnds();
   void WriteReleases();
   void WriteEnd(const std::string& worker_id, const std::string& witness);
+  void OnEndWritten(const WorkerEnd& end, store::Revision revision);
   void OnEndNotWritten(const std::string& worker_id);
   void TellOthers(const std::string& worker_id, PendingEnd* pending);
   void AddPendingEnd(const std::string& worker_id, const PendingEnd& pending);
+  // All requests of the end that are known here are in `end`.
+  bool IsWhole(const WorkerEnd& end) const;
   // The store's item of an end.
-  void TakeEndItem(const std::string& key, const WorkerEnd& end);
+  void TakeEndItem(const store::Item& item, const WorkerEnd& end);
   // Counts the ends that broken attempts tell of, once the node beside the worker had its time.
   void CountWitnessedEnds();
-  // Calls back with a lease that lasts for minutes, or with zero when there is none to be had.
+  // Calls back with a lease of the present era that lasts for minutes, or with zero when there is
+  // none to be had.
   void WithLease(std::function<void(store::LeaseId)> callback);
   // Calls back with whether the change was made.
   void Commit(const RequestFingerprint& request, const CrashRecord::Change& change,
@@ -123,6 +137,7 @@
   LogWriter& log_;
   std::string node_;
   EndTeller tell_others_;
+  WriteObserver on_written_;
   CrashRecord record_;
   std::map<std::string, PendingEnd> pending_ends_;  // By worker.
   std::map<std::string, std::string> end_items_;    // Worker, by key of the item in the store.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -101,6 +101,7 @@
   gate_.set_evidence(&monitor_);
   gate_.set_quarantine(&quarantine_);
   quarantine_.set_end_teller([this](const std::string& message) { TellOthers(message); });
+  quarantine_.set_on_written([this](const store::Item& item) { OnQuarantineWritten(item); });
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
   for (http::ConnectionPool* pool : {&pool_, &order_pool_}) {
     pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
@@ -381,6 +382,12 @@
   lost_items_.OnEraBegan({former, change.present, change.revision});
 }
 
+void Sidecar::OnQuarantineWritten(const store::Item& item) {
+  const bool same_era = store::EraOf(item.revision) == store::EraOf(state_watcher_.revision());
+  if (same_era && state_watcher_.CompleteTo(item.revision)) return;
+  lost_items_.OnWritten(item);
+}
+
 std::optional<double> Sidecar::RateOf(const std::string& caller_class) {
   const table::CellValue* cell = table_.Find(settings_.worker_service, caller_class);
   if (cell == nullptr || !cell->limit.has_value()) return std::nullopt;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -90,6 +90,8 @@
   void OnStateRemoved(const std::string& key);
   // The store has gone back to an older copy of the state.
   void OnStateEraBegan(const store::EraChange& change);
+  // A watch may have brought it before the answer to the write came.
+  void OnQuarantineWritten(const store::Item& item);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
   void OnWorkerEnded(const std::string& worker_id);
