Feed: the first two nodes notice a watch that is never answered

Cause: a watch that is asked for while the store is silent for a moment is lost with its connection, and looks like one without changes until its wait of 25 s is over. The leader and the node that stands by ask at nearly the same time, after the same change, so that the one that stands by does not help. Change: on these two nodes the first watch after changes (or after a read) waits 0.5 s and is missed 0.3 s later, the second one waits 4 s. One that is missed is asked for again from the same revision; the range is read only when the next one is missed too. Why it works: a watch is lost when it is sent in a silence, most of them while there are changes or faults. What is left: an answer that is lost during a long wait, while all other calls of that node are answered.

After each burst of changes: two watches more at each of the two nodes.

--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -81,6 +81,7 @@
 
 void PrefixWatcher::FinishRead() {
   retry_delay_ = Duration(0);
+  confirmed_ = 0;
   reading_range_ = false;
   ChangeSet changes;
   changes.from = change_revision_;
@@ -145,6 +146,19 @@
   }
 }
 
+void PrefixWatcher::SetConfirming(bool confirming) {
+  if (confirming == confirming_) return;
+  confirming_ = confirming;
+  if (confirming) WatchAgain();
+}
+
+void PrefixWatcher::WatchAgain() {
+  confirmed_ = 0;
+  if (following_ || !watching_ || waits_shortly_) return;
+  watching_ = false;
+  WatchNext();
+}
+
 void PrefixWatcher::ContinueWatching() {
   if (!following_ && !watching_) WatchNext();
 }
@@ -166,6 +180,13 @@
   change_revision_ = changes.to;
 }
 
+std::optional<WatchTimes> PrefixWatcher::ConfirmingTimes() const {
+  if (!confirming_ || confirmed_ >= config_.confirming_waits.size()) return std::nullopt;
+  const bool short_grace = confirmed_ == 0 && !watch_lost_;
+  return WatchTimes{config_.confirming_waits[confirmed_],
+                    short_grace ? config_.confirming_grace : store_.call_timeout()};
+}
+
 void PrefixWatcher::CatchUp(Revision revision) {
   if (revision <= revision_ || !synchronized_ || (reading_range_ && !WaitsToReadAgain())) return;
   missing_up_to_ = std::max(missing_up_to_, revision);
@@ -200,25 +221,27 @@
   }
   const uint64_t generation = ++generation_;
   watching_ = true;
-  store_.Watch(config_.prefix, revision_, [this, generation](absl::StatusOr<WatchPage> page) {
+  const auto on_page = [this, generation](absl::StatusOr<WatchPage> page) {
     OnWatch(generation, std::move(page));
-  });
+  };
+  const auto times = ConfirmingTimes();
+  waits_shortly_ = times.has_value() && confirmed_ == 0;
+  if (times.has_value()) {
+    store_.Watch(config_.prefix, revision_, *times, on_page);
+  } else {
+    store_.Watch(config_.prefix, revision_, on_page);
+  }
 }
 
 void PrefixWatcher::OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page) {
   if (generation != generation_) return;
   watching_ = false;
   if (!page.ok()) {
-    // After a cut the history may be incomplete for this process: a whole read settles it.
-    if (absl::IsOutOfRange(page.status())) {
-      ++lost_histories_;
-      Refresh();
-    } else {
-      RetryLater(/*read_again=*/true);
-    }
+    OnWatchFailed(page.status());
     return;
   }
   retry_delay_ = Duration(0);
+  watch_lost_ = false;
   // The watch was asked for in one era and answered in the next.
   if (EraOf(page->revision) > EraOf(revision_)) {
     Refresh();
@@ -234,13 +257,33 @@
   if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
   if (stopped_ || following_ || generation != generation_) return;
   if (changes.events.empty()) {
+    ++confirmed_;
     WatchNext();
     return;
   }
+  confirmed_ = 0;
   read_next_ = false;
   timer_.Start(WaitAfterChanges());
 }
 
+void PrefixWatcher::OnWatchFailed(const absl::Status& status) {
+  // A store that is slow for a moment answers the next one, and no range need be read.
+  const bool first_lost = ConfirmingTimes().has_value() && absl::IsUnknown(status) && !watch_lost_;
+  watch_lost_ = first_lost;
+  if (first_lost) {
+    confirmed_ = 0;
+    WatchNext();
+    return;
+  }
+  // After a cut the history may be incomplete for this process: a whole read settles it.
+  if (absl::IsOutOfRange(status)) {
+    ++lost_histories_;
+    Refresh();
+  } else {
+    RetryLater(/*read_again=*/true);
+  }
+}
+
 Duration PrefixWatcher::WaitAfterChanges() {
   const Instant now = loop_.Now();
   paced_until_ = std::max(paced_until_, now) + config_.pace.interval;
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,11 @@
   // that is away is priced too.
   Duration retry_min = std::chrono::milliseconds(100);
   Duration retry_max = std::chrono::seconds(3);
+  // Of watches that are confirmed, see SetConfirming: how long those after changes wait, one after
+  // the other.
+  std::vector<Duration> confirming_waits{std::chrono::milliseconds(500), std::chrono::seconds(4)};
+  // How much later the answer to the first of them is missed.
+  Duration confirming_grace = std::chrono::milliseconds(300);
 };
 
 // Changes of a prefix, as one process passes them on to others.
@@ -72,6 +78,13 @@
   void RetryNow();
   // Applies from the next batch of changes on.
   void set_pace(const WatchPace& pace) { config_.pace = pace; }
+  // While confirming, the first watches after changes are short. The answer to a watch that waits
+  // long is missed when the wait is over, although the request or its connection may have been lost
+  // at once; most are lost while there are changes, or the faults that cause them.
+  void SetConfirming(bool confirming);
+  // Asks for changes again, since the watch that waits may never be answered; not when that is
+  // noticed soon.
+  void WatchAgain();
   // While following, no watch is held at the store: changes come by Apply.
   void SetFollowing(bool following);
   bool following() const { return following_; }
@@ -111,6 +124,9 @@
   std::vector<WatchEvent> ApplySnapshot(const std::map<std::string, Item>& items,
                                         Revision revision);
   void WatchNext();
+  // How long the next watch waits; nullopt: as long as any.
+  std::optional<WatchTimes> ConfirmingTimes() const;
+  void OnWatchFailed(const absl::Status& status);
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
   void ContinueWatching();
   void OnAsked(bool answered);
@@ -140,6 +156,10 @@
   bool reading_range_ = false;
   bool watching_ = false;  // A watch waits at the store.
   bool following_ = false;
+  bool confirming_ = false;
+  size_t confirmed_ = 0;        // Watches that were answered without changes since the latest ones.
+  bool waits_shortly_ = false;  // The watch that waits is the first one after changes.
+  bool watch_lost_ = false;     // The latest watch, a confirming one, was not answered.
   bool read_next_ = true;
   bool stopped_ = true;
   AskOther ask_other_;
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -1,5 +1,6 @@
 #include "source/store/store_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace runshelf::store {
@@ -218,16 +219,22 @@
        });
 }
 
-// A watch goes one way only: when it is cut the range is read again, which finds a way of its own.
 void StoreClient::Watch(const std::string& prefix, Revision after,
                         std::function<void(absl::StatusOr<WatchPage>)> callback) {
+  Watch(prefix, after, {config_.watch_wait, config_.call_timeout}, std::move(callback));
+}
+
+// A watch goes one way only: when it is cut the range is read again, which finds a way of its own.
+void StoreClient::Watch(const std::string& prefix, Revision after, const WatchTimes& times,
+                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
   const auto peer = avoid_direct ? relay_->ChoosePeer() : std::nullopt;
-  const Duration wait = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
+  const Duration longest = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
+  const Duration wait = std::min(times.wait, longest);
   http::Request request = codec_.EncodeWatch(prefix, CounterOf(after), wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
   ++counts_.watches;
-  Start(peer.value_or(config_.endpoint), request, wait + config_.call_timeout,
+  Start(peer.value_or(config_.endpoint), request, wait + times.grace,
         [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
           callback(response.has_value()
                        ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -23,6 +23,13 @@
   virtual void MarkForRelay(http::Request* request) = 0;
 };
 
+// How long the store may keep a watch waiting for changes, and how much later its answer is given
+// up.
+struct WatchTimes {
+  Duration wait;
+  Duration grace;
+};
+
 struct StoreClientConfig {
   event::Endpoint endpoint;
   Duration call_timeout = std::chrono::milliseconds(900);
@@ -70,6 +77,9 @@
              std::function<void(absl::StatusOr<RangePage>)> callback);
   void Watch(const std::string& prefix, Revision after,
              std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // The same with a wait of its own, where that is shorter.
+  void Watch(const std::string& prefix, Revision after, const WatchTimes& times,
+             std::function<void(absl::StatusOr<WatchPage>)> callback);
   void Commit(const Transaction& transaction,
               std::function<void(absl::StatusOr<CommitResult>)> callback);
   void GrantLease(Duration time_to_live, std::function<void(absl::StatusOr<Lease>)> callback);
@@ -82,6 +92,7 @@
   void PassOn(const http::Request& request, Duration timeout,
               std::function<void(std::optional<http::Response>)> callback);
 
+  Duration call_timeout() const { return config_.call_timeout; }
   bool reachable() const { return reachable_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
--- /dev/null
+++ b/tests/platform_adapter/silent_store_connections_test.cc
@@ -0,0 +1,115 @@
+// Connections to the store that fall silent: how soon the node that leads the feed notices, and
+// what it asks of the store for that.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "tests/platform_adapter/fleet.h"
+#include "tests/soak/fault_proxy.h"
+
+using namespace runshelf;
+using namespace runshelf::platform_adapter;
+using event::RunFor;
+using event::RunUntil;
+
+namespace {
+
+constexpr Duration kNoticedWithin = std::chrono::seconds(1);
+// Fleets promise their operators two seconds or more.
+constexpr Duration kInForceWithin = std::chrono::seconds(2);
+// The leader and the one that stands by.
+constexpr int kWatchingNodes = 2;
+
+bool WatchesConfiguration(const http::Request& request) {
+  return request.head.target.starts_with("/runshelf/kv-watch?path_prefix=op/");
+}
+
+}  // namespace
+
+TEST_GROUP(SilentStoreConnections) {
+  std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<soak::FaultProxy> proxy;
+  int version = 1;
+
+  void StartFleet(const std::vector<std::string>& services) {
+    fleet = std::make_unique<Fleet>(services);
+    proxy = std::make_unique<soak::FaultProxy>(fleet->loop, fleet->store.endpoint());
+    proxy->Listen("127.0.0.1");
+    for (Fleet::Node& node : fleet->nodes) node.settings.store = proxy->endpoint();
+    fleet->Start();
+    RunFor(fleet->loop, std::chrono::milliseconds(1500));
+  }
+  void WriteConfiguration() {
+    fleet->store.Put("op/config", TestConfiguration(++version, "plain"));
+  }
+  bool HasLatest(const Fleet::Node& node) const {
+    return node.sidecar->configuration_version() == version;
+  }
+  bool LeaderHasLatest() const {
+    return std::any_of(fleet->nodes.begin(), fleet->nodes.end(), [this](const Fleet::Node& node) {
+      return node.sidecar->leads_feed() && HasLatest(node);
+    });
+  }
+  bool AllHaveLatest() const {
+    return std::all_of(fleet->nodes.begin(), fleet->nodes.end(),
+                       [this](const Fleet::Node& node) { return HasLatest(node); });
+  }
+  // The leader's and the other's next watch of the configuration reach the store in a silence.
+  void LoseNextWatches() {
+    int lost = 0;
+    fleet->store.set_fault_filter([&](const http::Request& request) {
+      const bool watch = WatchesConfiguration(request);
+      if (watch) ++lost;
+      return watch;
+    });
+    fleet->store.set_fault(FakeStore::Fault::kSilent);
+    WriteConfiguration();
+    CHECK(RunUntil(
+        fleet->loop, [&] { return lost == kWatchingNodes; }, std::chrono::milliseconds(700)));
+    fleet->store.set_fault(FakeStore::Fault::kNone);
+    fleet->store.set_fault_filter(nullptr);
+    CHECK(RunUntil(fleet->loop, [this] { return AllHaveLatest(); }));
+  }
+  void teardown() override {
+    proxy.reset();  // It is on the fleet's loop.
+    fleet.reset();
+  }
+};
+
+// Guards against a fleet that hears of no change for up to 25 s, since the watches of the leader
+// and of the one that stands by were asked for while the store was silent for a moment.
+TEST(SilentStoreConnections, AWatchThatIsNeverAnsweredIsNoticedWithinASecond) {
+  StartFleet({"plain", "other", "other"});
+  for (int round = 0; round < 3; ++round) {
+    LoseNextWatches();
+    WriteConfiguration();
+    CHECK(RunUntil(
+        fleet->loop, [this] { return LeaderHasLatest(); }, kNoticedWithin));
+    CHECK(RunUntil(
+        fleet->loop, [this] { return AllHaveLatest(); }, kInForceWithin - kNoticedWithin));
+    RunFor(fleet->loop, std::chrono::milliseconds(1500));
+  }
+}
+
+// Guards against a quiet fleet that asks the store much more often, only to know that it answers.
+TEST(SilentStoreConnections, AQuietFleetAsksTheStoreLittle) {
+  constexpr uint64_t kSeconds = 6;
+  constexpr uint64_t kRenewalsOfANode = kSeconds / 2 + 1;
+  constexpr uint64_t kMostAddedPerSecond = 2;  // Of the whole fleet.
+  StartFleet({"plain", "other", "other", "other", "other", "other"});
+  RunFor(fleet->loop, std::chrono::seconds(4));
+  const auto calls = [this] {
+    const FakeStore& store = fleet->store;
+    return store.calls("/runshelf/kv-watch") + store.calls("/runshelf/kv-range") +
+           store.calls("/runshelf/kv-txn") + store.calls("/runshelf/kv-keep");
+  };
+  const uint64_t before = calls();
+  const uint64_t watches = fleet->store.calls("/runshelf/kv-watch");
+  RunFor(fleet->loop, std::chrono::seconds(kSeconds));
+  CHECK(calls() - before <=
+        fleet->nodes.size() * kRenewalsOfANode + kSeconds * kMostAddedPerSecond);
+  // Renewals have a tenth of the price.
+  CHECK(fleet->store.calls("/runshelf/kv-watch") - watches <= kWatchingNodes);
+}
