Feed: the leader notices within a second that its connections to the store fell silent

Cause: all open connections to the store had fallen silent. The leader learned of it from a renewal, which is due every 2 s and given up after 0.9 s; its watches look like ones without changes meanwhile. Change: the leader renews its lease every 0.6 s, and takes the connections for silent when one has no answer after 0.3 s (StoreProbe): it closes the idle ones, renews again and asks for changes again on new ones, once in 2 s at most. It goes on leading when the later renewal is answered: a call that got no answer means a lost way only when no later one was answered. A watch that is asked for again is cancelled: its failure some seconds later closed the idle connections, and the probe after that went out on a new one and found nothing. Why it works: a renewal goes out on an open connection, and is the cheapest call of the store.

--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -26,6 +26,7 @@
 #include "source/sidecar/state_feed.h"
 #include "source/sidecar/stop_schedule.h"
 #include "source/sidecar/stop_sequence.h"
+#include "source/sidecar/store_probe.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/sidecar/worker_monitor.h"
@@ -101,6 +102,8 @@
   void AnnounceStop();
   bool LeavesKeys() const;
   void EndLease();
+  // Connections to the store that are open do not bring answers any more.
+  void OnStoreSilent();
   void OnStoreRestored(store::StoreEra former, store::StoreEra present);
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
@@ -136,6 +139,7 @@
   store::PrefixWatcher state_watcher_;
   StateFeed feed_;
   NodeMetrics metrics_;
+  StoreProbe store_probe_;
   event::LoopMonitor loop_monitor_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -156,6 +156,8 @@
   confirmed_ = 0;
   if (following_ || !watching_ || waits_shortly_) return;
   watching_ = false;
+  // Its failure later on would say nothing of the connections of that time.
+  store_.CancelWatch(watch_);
   WatchNext();
 }
 
@@ -227,9 +229,9 @@
   const auto times = ConfirmingTimes();
   waits_shortly_ = times.has_value() && confirmed_ == 0;
   if (times.has_value()) {
-    store_.Watch(config_.prefix, revision_, *times, on_page);
+    watch_ = store_.Watch(config_.prefix, revision_, *times, on_page);
   } else {
-    store_.Watch(config_.prefix, revision_, on_page);
+    watch_ = store_.Watch(config_.prefix, revision_, on_page);
   }
 }
 
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -155,6 +155,7 @@
   bool synchronized_ = false;
   bool reading_range_ = false;
   bool watching_ = false;  // A watch waits at the store.
+  StoreClient::WatchId watch_ = 0;
   bool following_ = false;
   bool confirming_ = false;
   size_t confirmed_ = 0;        // Watches that were answered without changes since the latest ones.
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -50,6 +50,7 @@
   uint64_t* count = nullptr;
   http::Request request;
   ResponseCallback callback;
+  Instant sent_directly_at{};
   bool tried_direct = false;
   bool tried_relay = false;
   bool may_be_done = false;  // Some way gave no answer.
@@ -62,9 +63,9 @@
 
 StoreClient::~StoreClient() = default;
 
-void StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
-                        Duration timeout,
-                        std::function<void(std::optional<http::Response>)> callback) {
+uint64_t StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
+                            Duration timeout,
+                            std::function<void(std::optional<http::Response>)> callback) {
   ++call_count_;
   http::RequestHead head = request.head;
   if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
@@ -72,7 +73,7 @@
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
-  active_.Start(
+  return active_.Start(
       endpoint, http::SerializeRequest(head, request.body), options, timeout,
       [this, endpoint, callback = std::move(callback)](std::optional<http::Response> response) {
         if (response.has_value()) {
@@ -131,6 +132,7 @@
 void StoreClient::Send(const std::shared_ptr<PendingCall>& call, Way way) {
   if (way == Way::kDirect) {
     call->tried_direct = true;
+    call->sent_directly_at = loop_.Now();
     ++*call->count;
     Start(config_.endpoint, call->request, config_.call_timeout,
           [this, call](std::optional<http::Response> response) {
@@ -164,8 +166,9 @@
   if (way == Way::kDirect) {
     if (answered) {
       avoid_direct_until_ = Instant{};
+      answered_call_sent_at_ = std::max(answered_call_sent_at_, call->sent_directly_at);
     } else {
-      OnDirectFailed();
+      OnDirectFailed(*call);
     }
   }
   if (answered) {
@@ -192,10 +195,16 @@
   }
 }
 
-void StoreClient::OnDirectFailed() {
-  const bool first = avoid_direct_until_ == Instant{};
-  avoid_direct_until_ = loop_.Now() + config_.avoid_direct;
-  if (first && on_direct_lost_) on_direct_lost_();
+void StoreClient::OnDirectFailed(const PendingCall& call) {
+  const bool works = avoid_direct_until_ == Instant{};
+  // Only its connection had fallen silent when the store has answered a call made later.
+  const bool only_connection =
+      !call.refusal.has_value() && answered_call_sent_at_ > call.sent_directly_at;
+  if (!only_connection) avoid_direct_until_ = loop_.Now() + config_.avoid_direct;
+  const bool told_lately = loop_.Now() - direct_lost_at_ < config_.avoid_direct;
+  if (!works || (only_connection && told_lately)) return;
+  direct_lost_at_ = loop_.Now();
+  if (on_direct_lost_) on_direct_lost_();
 }
 
 void StoreClient::Finish(const std::shared_ptr<PendingCall>& call,
@@ -219,14 +228,15 @@
        });
 }
 
-void StoreClient::Watch(const std::string& prefix, Revision after,
-                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
-  Watch(prefix, after, {config_.watch_wait, config_.call_timeout}, std::move(callback));
+StoreClient::WatchId StoreClient::Watch(const std::string& prefix, Revision after,
+                                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
+  return Watch(prefix, after, {config_.watch_wait, config_.call_timeout}, std::move(callback));
 }
 
 // A watch goes one way only: when it is cut the range is read again, which finds a way of its own.
-void StoreClient::Watch(const std::string& prefix, Revision after, const WatchTimes& times,
-                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
+StoreClient::WatchId StoreClient::Watch(const std::string& prefix, Revision after,
+                                        const WatchTimes& times,
+                                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
   const auto peer = avoid_direct ? relay_->ChoosePeer() : std::nullopt;
   const Duration longest = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
@@ -234,12 +244,13 @@
   http::Request request = codec_.EncodeWatch(prefix, CounterOf(after), wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
   ++counts_.watches;
-  Start(peer.value_or(config_.endpoint), request, wait + times.grace,
-        [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
-          callback(response.has_value()
-                       ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
-                       : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
-        });
+  return Start(
+      peer.value_or(config_.endpoint), request, wait + times.grace,
+      [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
+        callback(response.has_value()
+                     ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
+                     : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
+      });
 }
 
 void StoreClient::Commit(const Transaction& transaction,
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -75,11 +75,15 @@
 
   void Range(const std::string& prefix, const std::string& after_key,
              std::function<void(absl::StatusOr<RangePage>)> callback);
-  void Watch(const std::string& prefix, Revision after,
-             std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // Tells watches under way apart.
+  using WatchId = uint64_t;
+  WatchId Watch(const std::string& prefix, Revision after,
+                std::function<void(absl::StatusOr<WatchPage>)> callback);
   // The same with a wait of its own, where that is shorter.
-  void Watch(const std::string& prefix, Revision after, const WatchTimes& times,
-             std::function<void(absl::StatusOr<WatchPage>)> callback);
+  WatchId Watch(const std::string& prefix, Revision after, const WatchTimes& times,
+                std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // Its callback is not made, and its connection is closed; not from that callback.
+  void CancelWatch(WatchId watch) { active_.Cancel(watch); }
   void Commit(const Transaction& transaction,
               std::function<void(absl::StatusOr<CommitResult>)> callback);
   void GrantLease(Duration time_to_live, std::function<void(absl::StatusOr<Lease>)> callback);
@@ -93,6 +97,8 @@
               std::function<void(std::optional<http::Response>)> callback);
 
   Duration call_timeout() const { return config_.call_timeout; }
+  // Connections that are open may have fallen silent: later calls are made on new ones.
+  void CloseIdleConnections() { pool_.CloseIdle(config_.endpoint); }
   bool reachable() const { return reachable_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
@@ -112,13 +118,13 @@
 
   // `count`: the kind of the call in `counts_`.
   void Call(uint64_t* count, http::Request request, ResponseCallback callback);
-  void OnDirectFailed();
+  void OnDirectFailed(const PendingCall& call);
   void Send(const std::shared_ptr<PendingCall>& call, Way way);
   void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
                   std::optional<http::Response> response);
   void Finish(const std::shared_ptr<PendingCall>& call, absl::StatusOr<http::Response> result);
-  void Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
-             std::function<void(std::optional<http::Response>)> callback);
+  uint64_t Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
+                 std::function<void(std::optional<http::Response>)> callback);
   void SetReachable(bool reachable);
   void NoteEra(const http::Response& response);
   // In which the store gave the answer, as far as is known.
@@ -141,6 +147,8 @@
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
   Instant avoid_direct_until_{};
+  Instant direct_lost_at_{};         // When that was told last.
+  Instant answered_call_sent_at_{};  // Of the calls that the store answered directly, the latest.
   bool reachable_ = true;
 };
 
