Grants: a refusal in doubt is asked again without a loop

A worker that resets new connections got a grant in a loop: its refusal came on a shared connection, the one on which it was to be asked again failed at once, and the doubt stayed.

--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -74,7 +74,7 @@
   HeldShard& holding = found->second;
   holding.call = 0;
   const bool refused = response.has_value() && response->status == kConflict;
-  if (response.has_value()) holding.refusal_in_doubt = refused && !own_answer;
+  holding.refusal_in_doubt = refused && !own_answer;
   if (response.has_value() && response->status == kOk) {
     holding.usable_until = std::max(holding.usable_until, sent + hold - hold / kClockRateDivisor);
   } else if (holding.refusal_in_doubt) {
--- a/tests/platform_adapter/repeating_relay.cc
+++ b/tests/platform_adapter/repeating_relay.cc
@@ -89,7 +89,10 @@
     : loop_(loop),
       worker_(std::move(worker)),
       listener_(loop, [this](std::unique_ptr<event::TcpStream> stream) {
-        if (pairs_.size() >= connection_limit_) return;
+        if (pairs_.size() >= connection_limit_) {
+          ++turned_away_;
+          return;
+        }
         pairs_.push_back(std::make_unique<Pair>(this, std::move(stream)));
       }) {
   listener_.Listen({"127.0.0.1", 0});
--- a/tests/platform_adapter/repeating_relay.h
+++ b/tests/platform_adapter/repeating_relay.h
@@ -39,6 +39,8 @@
   // How many of them the node has sent.
   size_t Sent(Exchange exchange) const { return sent_[static_cast<size_t>(exchange)]; }
   size_t repeated() const { return repeated_; }
+  // Connections that were closed since there were too many.
+  size_t turned_away() const { return turned_away_; }
 
  private:
   class Pair;
@@ -50,6 +52,7 @@
   Policy policy_;
   size_t sent_[4] = {};
   size_t repeated_ = 0;
+  size_t turned_away_ = 0;
   size_t connection_limit_ = SIZE_MAX;
 };
 
--- a/tests/platform_adapter/second_answers_test.cc
+++ b/tests/platform_adapter/second_answers_test.cc
@@ -214,6 +214,23 @@
   CHECK(released > 0);
 }
 
+// Guards against a grant that is sent in a loop, since its refusal is in doubt and the connection
+// on which it is asked again is reset at once.
+TEST(SecondAnswers, ARefusalInDoubtIsNotAskedAgainInALoop) {
+  Fleet fleet({"keyed", "plain"});
+  RepeatingRelay relay(fleet.loop, fleet.nodes[0].worker->endpoint());
+  PutRelayBefore(fleet, 0, relay);
+  fleet.Start();
+  RunFor(fleet.loop, std::chrono::milliseconds(1200));
+  relay.set_connection_limit(0);
+  // Of a shard whose grants share connections with others.
+  fleet.LateOrder(0, "/runshelf/release",
+                  R"({"from_revision":60000,"target_version":60000,"fence":900})");
+  RunFor(fleet.loop, std::chrono::milliseconds(2000));
+  CHECK(relay.turned_away() > 0);
+  CHECK(relay.turned_away() < 200);
+}
+
 // Guards against a refusal that names no request, and that the request waits behind until its
 // deadline.
 TEST(SecondAnswers, ARefusalWithoutTheIdIsNotWaitedOut) {
