Feed: a watch that is never answered is noticed within a second

Cause: a watch that is asked for while the store is silent for a moment is lost with its connection, and looks like one without changes until its wait of 25 s is over. The leader and the node that stands by ask at nearly the same time, after the same change. Change: the first watches after changes, or after a read, wait 0.5 s and 4 s and are missed 0.3 s and 0.9 s later (WatchSchedule, free of input and output, with tests). One that is missed is asked for again from the same revision; the range is read only when the next one is missed too. So on all nodes that watch: leader, stand-by, one that has just become leader, one that hears no leader. A watch that is asked for again is cancelled, so that its failure later on says nothing of the connections of that time. Each missed watch has a log line.

--- a/source/http/call_set.h
+++ b/source/http/call_set.h
@@ -25,6 +25,8 @@
   // Returns a number that no other call of this set has. The callback comes later, never from here.
   uint64_t Start(const event::Endpoint& endpoint, std::string_view request,
                  const CallOptions& options, Duration timeout, Callback callback);
+  // Its callback is not made, and its connection is closed. Not from that callback.
+  void Cancel(uint64_t call) { calls_.erase(call); }
   size_t size() const { return calls_.size(); }
 
  private:
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -64,6 +64,10 @@
           {[this](const store::Item& item) { OnConfigurationItem(item); }, nullptr, nullptr,
            [this](const store::ChangeSet& changes) {
              feed_.OnChanges(configuration_watcher_, changes);
+           },
+           nullptr,
+           [this](const store::UnansweredWatch& watch) {
+             OnWatchUnanswered(configuration_watcher_, watch);
            }}),
       state_watcher_(
           loop, store_, WatchConfig(std::string(kStatePrefix)),
@@ -71,7 +75,10 @@
            [this](const std::string& key) { OnStateRemoved(key); },
            [this] { OnStateSynchronized(); },
            [this](const store::ChangeSet& changes) { feed_.OnChanges(state_watcher_, changes); },
-           [this](const store::EraChange& change) { OnStateEraBegan(change); }}),
+           [this](const store::EraChange& change) { OnStateEraBegan(change); },
+           [this](const store::UnansweredWatch& watch) {
+             OnWatchUnanswered(state_watcher_, watch);
+           }}),
       feed_(loop,
             std::make_unique<NetworkFeedTransport>(loop, pool_, settings_.ip_address,
                                                    BeaconPort(settings_)),
@@ -206,6 +213,16 @@
   }
 }
 
+void Sidecar::OnWatchUnanswered(const store::PrefixWatcher& watcher,
+                                const store::UnansweredWatch& watch) {
+  log_.Write(LogLevel::kInfo, "store_watch_unanswered",
+             {{"prefix", watcher.prefix()},
+              {"after", store::RevisionText(watch.after)},
+              {"waited_ms", ToMilliseconds(watch.waited)},
+              {"asked_again", watch.asked_again},
+              {"leading", feed_.leading()}});
+}
+
 void Sidecar::ReadState() {
   state_read_timer_.Stop();
   if (state_watcher_.started()) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -104,6 +104,7 @@
   bool LeavesKeys() const;
   void EndLease();
   void OnStoreRestored(store::StoreEra former, store::StoreEra present);
+  void OnWatchUnanswered(const store::PrefixWatcher& watcher, const store::UnansweredWatch& watch);
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
   void OnTick();
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -90,7 +90,10 @@
   watching_ = watching;
   // While it follows, the items change without this node's seeing what others had before.
   if (!watching) large_items_.clear();
-  for (store::PrefixWatcher* watcher : watchers_) watcher->SetFollowing(!watching);
+  for (store::PrefixWatcher* watcher : watchers_) {
+    watcher->SetConfirming(watching);
+    watcher->SetFollowing(!watching);
+  }
 }
 
 void StateFeed::SendBeacons() {
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -81,6 +81,7 @@
 
 void PrefixWatcher::FinishRead() {
   retry_delay_ = Duration(0);
+  schedule_.Restart();
   reading_range_ = false;
   ChangeSet changes;
   changes.from = change_revision_;
@@ -145,6 +146,21 @@
   }
 }
 
+void PrefixWatcher::SetConfirming(bool confirming) {
+  if (confirming == schedule_.confirming()) return;
+  schedule_.SetConfirming(confirming);
+  if (confirming) WatchAgain();
+}
+
+void PrefixWatcher::WatchAgain() {
+  schedule_.Restart();
+  if (following_ || !watching_ || waits_shortly_) return;
+  watching_ = false;
+  // Its failure later on would say nothing of the connections of that time.
+  store_.CancelWatch(watch_);
+  WatchNext();
+}
+
 void PrefixWatcher::ContinueWatching() {
   if (!following_ && !watching_) WatchNext();
 }
@@ -200,25 +216,28 @@
   }
   const uint64_t generation = ++generation_;
   watching_ = true;
-  store_.Watch(config_.prefix, revision_, [this, generation](absl::StatusOr<WatchPage> page) {
+  const auto on_page = [this, generation](absl::StatusOr<WatchPage> page) {
     OnWatch(generation, std::move(page));
-  });
+  };
+  watch_sent_at_ = loop_.Now();
+  const auto times = schedule_.NextTimes();
+  waits_shortly_ = schedule_.NextIsShort();
+  if (times.has_value()) {
+    watch_ = store_.Watch(config_.prefix, revision_, *times, on_page);
+  } else {
+    watch_ = store_.Watch(config_.prefix, revision_, on_page);
+  }
 }
 
 void PrefixWatcher::OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page) {
   if (generation != generation_) return;
   watching_ = false;
   if (!page.ok()) {
-    // After a cut the history may be incomplete for this process: a whole read settles it.
-    if (absl::IsOutOfRange(page.status())) {
-      ++lost_histories_;
-      Refresh();
-    } else {
-      RetryLater(/*read_again=*/true);
-    }
+    OnWatchFailed(page.status());
     return;
   }
   retry_delay_ = Duration(0);
+  schedule_.OnAnswered();
   // The watch was asked for in one era and answered in the next.
   if (EraOf(page->revision) > EraOf(revision_)) {
     Refresh();
@@ -234,13 +253,33 @@
   if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
   if (stopped_ || following_ || generation != generation_) return;
   if (changes.events.empty()) {
+    schedule_.OnNoChanges();
     WatchNext();
     return;
   }
+  schedule_.Restart();
   read_next_ = false;
   timer_.Start(WaitAfterChanges());
 }
 
+void PrefixWatcher::OnWatchFailed(const absl::Status& status) {
+  if (absl::IsOutOfRange(status)) {
+    ++lost_histories_;
+    Refresh();
+    return;
+  }
+  const bool ask_again = absl::IsUnknown(status) && schedule_.OnUnanswered();
+  if (absl::IsUnknown(status) && observer_.on_watch_unanswered) {
+    observer_.on_watch_unanswered({revision_, loop_.Now() - watch_sent_at_, ask_again});
+  }
+  if (ask_again) {
+    WatchNext();
+  } else {
+    // After a cut the history may be incomplete for this process: a whole read settles it.
+    RetryLater(/*read_again=*/true);
+  }
+}
+
 Duration PrefixWatcher::WaitAfterChanges() {
   const Instant now = loop_.Now();
   paced_until_ = std::max(paced_until_, now) + config_.pace.interval;
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -9,6 +9,7 @@
 
 #include "source/event/event_loop.h"
 #include "source/store/store_client.h"
+#include "source/store/watch_schedule.h"
 
 namespace runshelf::store {
 
@@ -46,6 +47,13 @@
   Revision revision = 0;  // At which `present` was read.
 };
 
+// A watch that the store did not answer within the time that it was given.
+struct UnansweredWatch {
+  Revision after = 0;
+  Duration waited{0};
+  bool asked_again = false;  // From the same revision; otherwise the range is read.
+};
+
 // Reads the range once, then watches from its revision on, or follows what another process passes
 // on; reads the range again whenever something may be missing, as when the store comes back from an
 // older copy of its data. The copy never goes back to an older revision of an item.
@@ -59,6 +67,8 @@
     std::function<void(const ChangeSet&)> on_changes;
     // Called before the first changes of a new era are applied.
     std::function<void(const EraChange&)> on_era_began = nullptr;
+    // A watch got no answer.
+    std::function<void(const UnansweredWatch&)> on_watch_unanswered = nullptr;
   };
 
   PrefixWatcher(event::EventLoop& loop, StoreClient& store, PrefixWatcherConfig config,
@@ -72,6 +82,12 @@
   void RetryNow();
   // Applies from the next batch of changes on.
   void set_pace(const WatchPace& pace) { config_.pace = pace; }
+  // While confirming, a lost watch is noticed soon, at the price of some more calls after changes;
+  // see WatchSchedule.
+  void SetConfirming(bool confirming);
+  // Asks for changes again, since the watch that waits may never be answered; not when that is
+  // noticed soon.
+  void WatchAgain();
   // While following, no watch is held at the store: changes come by Apply.
   void SetFollowing(bool following);
   bool following() const { return following_; }
@@ -111,6 +127,7 @@
   std::vector<WatchEvent> ApplySnapshot(const std::map<std::string, Item>& items,
                                         Revision revision);
   void WatchNext();
+  void OnWatchFailed(const absl::Status& status);
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
   void ContinueWatching();
   void OnAsked(bool answered);
@@ -139,7 +156,11 @@
   bool synchronized_ = false;
   bool reading_range_ = false;
   bool watching_ = false;  // A watch waits at the store.
+  StoreClient::WatchId watch_ = 0;
+  Instant watch_sent_at_{};
   bool following_ = false;
+  WatchSchedule schedule_;
+  bool waits_shortly_ = false;  // The loss of the watch that waits is noticed soon.
   bool read_next_ = true;
   bool stopped_ = true;
   AskOther ask_other_;
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -1,5 +1,6 @@
 #include "source/store/store_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace runshelf::store {
@@ -61,9 +62,9 @@
 
 StoreClient::~StoreClient() = default;
 
-void StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
-                        Duration timeout,
-                        std::function<void(std::optional<http::Response>)> callback) {
+uint64_t StoreClient::Start(const event::Endpoint& endpoint, const http::Request& request,
+                            Duration timeout,
+                            std::function<void(std::optional<http::Response>)> callback) {
   ++call_count_;
   http::RequestHead head = request.head;
   if (!head.headers.Has("host")) head.headers.Set("Host", endpoint.ToString());
@@ -71,7 +72,7 @@
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
-  active_.Start(
+  return active_.Start(
       endpoint, http::SerializeRequest(head, request.body), options, timeout,
       [this, endpoint, callback = std::move(callback)](std::optional<http::Response> response) {
         if (response.has_value()) {
@@ -218,21 +219,29 @@
        });
 }
 
+StoreClient::WatchId StoreClient::Watch(const std::string& prefix, Revision after,
+                                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
+  return Watch(prefix, after, {config_.watch_wait, config_.call_timeout}, std::move(callback));
+}
+
 // A watch goes one way only: when it is cut the range is read again, which finds a way of its own.
-void StoreClient::Watch(const std::string& prefix, Revision after,
-                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
+StoreClient::WatchId StoreClient::Watch(const std::string& prefix, Revision after,
+                                        const WatchTimes& times,
+                                        std::function<void(absl::StatusOr<WatchPage>)> callback) {
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
   const auto peer = avoid_direct ? relay_->ChoosePeer() : std::nullopt;
-  const Duration wait = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
+  const Duration longest = peer.has_value() ? config_.relayed_watch_wait : config_.watch_wait;
+  const Duration wait = std::min(times.wait, longest);
   http::Request request = codec_.EncodeWatch(prefix, CounterOf(after), wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
   ++counts_.watches;
-  Start(peer.value_or(config_.endpoint), request, wait + config_.call_timeout,
-        [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
-          callback(response.has_value()
-                       ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
-                       : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
-        });
+  return Start(
+      peer.value_or(config_.endpoint), request, wait + times.grace,
+      [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
+        callback(response.has_value()
+                     ? InEra(EraOfAnswer(*response), codec_.DecodeWatch(*response))
+                     : absl::StatusOr<WatchPage>(absl::UnknownError("the watch was cut")));
+      });
 }
 
 void StoreClient::Commit(const Transaction& transaction,
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -10,6 +10,7 @@
 #include "source/event/event_loop.h"
 #include "source/http/call_set.h"
 #include "source/store/store_operations.h"
+#include "source/store/watch_schedule.h"
 
 namespace runshelf::store {
 
@@ -68,8 +69,15 @@
 
   void Range(const std::string& prefix, const std::string& after_key,
              std::function<void(absl::StatusOr<RangePage>)> callback);
-  void Watch(const std::string& prefix, Revision after,
-             std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // Tells watches under way apart.
+  using WatchId = uint64_t;
+  WatchId Watch(const std::string& prefix, Revision after,
+                std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // The same with a wait of its own, where that is shorter.
+  WatchId Watch(const std::string& prefix, Revision after, const WatchTimes& times,
+                std::function<void(absl::StatusOr<WatchPage>)> callback);
+  // Its callback is not made, and its connection is closed; not from that callback.
+  void CancelWatch(WatchId watch) { active_.Cancel(watch); }
   void Commit(const Transaction& transaction,
               std::function<void(absl::StatusOr<CommitResult>)> callback);
   void GrantLease(Duration time_to_live, std::function<void(absl::StatusOr<Lease>)> callback);
@@ -106,8 +114,8 @@
   void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
                   std::optional<http::Response> response);
   void Finish(const std::shared_ptr<PendingCall>& call, absl::StatusOr<http::Response> result);
-  void Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
-             std::function<void(std::optional<http::Response>)> callback);
+  uint64_t Start(const event::Endpoint& endpoint, const http::Request& request, Duration timeout,
+                 std::function<void(std::optional<http::Response>)> callback);
   void SetReachable(bool reachable);
   void NoteEra(const http::Response& response);
   // In which the store gave the answer, as far as is known.
