Feed: the leader notices within a second that its connections to the store fell silent

Cause: all open connections to the store had fallen silent. The leader learned of it from a renewal, which is due every 2 s and given up after 0.9 s; its watches look like ones without changes meanwhile. Change: the leader renews its lease every 0.6 s, and takes the connections for silent when one has no answer after 0.3 s (StoreProbe): it closes the idle ones, renews again and asks for changes again on new ones, once in 2 s at most. It goes on leading when the later renewal is answered: a call that got no answer means a lost way only when no later one was answered. Why it works: a renewal goes out on an open connection, and is the cheapest call of the store.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -83,6 +83,8 @@
             std::make_unique<NetworkFeedTransport>(loop, pool_, settings_.ip_address,
                                                    BeaconPort(settings_)),
             peers_, {&configuration_watcher_, &state_watcher_}, log, FeedConfig(settings_)),
+      store_probe_(
+          loop, lease_, [this] { return feed_.leading(); }, [this] { OnStoreSilent(); }),
       loop_monitor_(loop, [this](Duration turn) { OnLoopTurn(turn); }),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
@@ -196,6 +198,7 @@
   lease_.Start();
   state_read_timer_.Start(kStateReadDelay);
   feed_.Start();
+  store_probe_.Start();
   return absl::OkStatus();
 }
 
@@ -213,6 +216,14 @@
   }
 }
 
+void Sidecar::OnStoreSilent() {
+  log_.Write(LogLevel::kInfo, "store_connections_silent", {{"store_calls", store_.calls()}});
+  store_.CloseIdleConnections();
+  lease_.RenewAgain();
+  configuration_watcher_.WatchAgain();
+  state_watcher_.WatchAgain();
+}
+
 void Sidecar::OnWatchUnanswered(const store::PrefixWatcher& watcher,
                                 const store::UnansweredWatch& watch) {
   log_.Write(LogLevel::kInfo, "store_watch_unanswered",
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -26,6 +26,7 @@
 #include "source/sidecar/state_feed.h"
 #include "source/sidecar/stop_schedule.h"
 #include "source/sidecar/stop_sequence.h"
+#include "source/sidecar/store_probe.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
 #include "source/sidecar/worker_monitor.h"
@@ -104,6 +105,8 @@
   bool LeavesKeys() const;
   void EndLease();
   void OnStoreRestored(store::StoreEra former, store::StoreEra present);
+  // Connections to the store that are open do not bring answers any more.
+  void OnStoreSilent();
   void OnWatchUnanswered(const store::PrefixWatcher& watcher, const store::UnansweredWatch& watch);
   // Reads the state in the store whole, for the first time or again.
   void ReadState();
@@ -139,6 +142,7 @@
   store::PrefixWatcher state_watcher_;
   StateFeed feed_;
   NodeMetrics metrics_;
+  StoreProbe store_probe_;
   event::LoopMonitor loop_monitor_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
--- /dev/null
+++ b/source/sidecar/store_probe.h
@@ -0,0 +1,45 @@
+// Asks the store of the node that leads the feed whether it still answers on the connections that
+// are open, more often than leases must be renewed: a watch on a connection that fell silent looks
+// like one without changes.
+#pragma once
+
+#include <functional>
+
+#include "source/event/event_loop.h"
+#include "source/store/lease_keeper.h"
+
+namespace runshelf::sidecar {
+
+struct StoreProbeConfig {
+  Duration interval = std::chrono::milliseconds(600);
+  // Without an answer for this long the connections are taken for silent.
+  Duration patience = std::chrono::milliseconds(300);
+  // Between two silences that are told: a slow store would be asked twice all the time.
+  Duration rest = std::chrono::seconds(2);
+};
+
+class StoreProbe {
+ public:
+  // `needed` tells whether this node leads; `on_silent` is called once for each silence. Renewals
+  // of the lease are the probes: they are the cheapest calls.
+  StoreProbe(event::EventLoop& loop, store::LeaseKeeper& lease, std::function<bool()> needed,
+             std::function<void()> on_silent, StoreProbeConfig config = {});
+
+  void Start();
+
+ private:
+  void Probe();
+  void Judge();
+
+  event::EventLoop& loop_;
+  store::LeaseKeeper& lease_;
+  std::function<bool()> needed_;
+  std::function<void()> on_silent_;
+  StoreProbeConfig config_;
+  event::Timer probe_timer_;
+  event::Timer judge_timer_;
+  bool silent_ = false;
+  Instant told_at_{};
+};
+
+}  // namespace runshelf::sidecar
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -73,6 +73,15 @@
   if (loop_.Now() - renewal_sent_at_ >= config_.retry_interval) Renew();
 }
 
+void LeaseKeeper::RenewAgain() {
+  if (AwaitsRenewalFor() > Duration(0)) Renew();
+}
+
+Duration LeaseKeeper::AwaitsRenewalFor() const {
+  const bool awaits = !ended_ && calling_ && lease_ != 0;
+  return awaits ? loop_.Now() - renewal_sent_at_ : Duration(0);
+}
+
 void LeaseKeeper::Extend(Instant sent, Duration time_to_live) {
   renewed_at_ = sent;
   const Duration usable = time_to_live - time_to_live / kClockRateDivisor - config_.safety_margin;
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -31,6 +31,10 @@
   // Renews the lease before it is due, to learn whether the store answers; not more often than
   // failed calls are repeated.
   void RenewNow();
+  // Renews once more while the answer to a renewal is awaited, which may never come.
+  void RenewAgain();
+  // For which the answer to a renewal is awaited now; zero when none is.
+  Duration AwaitsRenewalFor() const;
   // Ends the lease: its item goes at once.
   void End();
   // The store came back from an older copy of its data: the lease may be gone, and its id
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -50,6 +50,7 @@
   uint64_t* count = nullptr;
   http::Request request;
   ResponseCallback callback;
+  Instant sent_directly_at{};
   bool tried_direct = false;
   bool tried_relay = false;
   bool may_be_done = false;  // Some way gave no answer.
@@ -131,6 +132,7 @@
 void StoreClient::Send(const std::shared_ptr<PendingCall>& call, Way way) {
   if (way == Way::kDirect) {
     call->tried_direct = true;
+    call->sent_directly_at = loop_.Now();
     ++*call->count;
     Start(config_.endpoint, call->request, config_.call_timeout,
           [this, call](std::optional<http::Response> response) {
@@ -164,8 +166,9 @@
   if (way == Way::kDirect) {
     if (answered) {
       avoid_direct_until_ = Instant{};
+      answered_call_sent_at_ = std::max(answered_call_sent_at_, call->sent_directly_at);
     } else {
-      OnDirectFailed();
+      OnDirectFailed(*call);
     }
   }
   if (answered) {
@@ -192,10 +195,16 @@
   }
 }
 
-void StoreClient::OnDirectFailed() {
-  const bool first = avoid_direct_until_ == Instant{};
-  avoid_direct_until_ = loop_.Now() + config_.avoid_direct;
-  if (first && on_direct_lost_) on_direct_lost_();
+void StoreClient::OnDirectFailed(const PendingCall& call) {
+  const bool works = avoid_direct_until_ == Instant{};
+  // Only its connection had fallen silent when the store has answered a call made later.
+  const bool only_connection =
+      !call.refusal.has_value() && answered_call_sent_at_ > call.sent_directly_at;
+  if (!only_connection) avoid_direct_until_ = loop_.Now() + config_.avoid_direct;
+  const bool told_lately = loop_.Now() - direct_lost_at_ < config_.avoid_direct;
+  if (!works || (only_connection && told_lately)) return;
+  direct_lost_at_ = loop_.Now();
+  if (on_direct_lost_) on_direct_lost_();
 }
 
 void StoreClient::Finish(const std::shared_ptr<PendingCall>& call,
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -90,6 +90,8 @@
   void PassOn(const http::Request& request, Duration timeout,
               std::function<void(std::optional<http::Response>)> callback);
 
+  // Connections that are open may have fallen silent: later calls are made on new ones.
+  void CloseIdleConnections() { pool_.CloseIdle(config_.endpoint); }
   bool reachable() const { return reachable_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
@@ -109,7 +111,7 @@
 
   // `count`: the kind of the call in `counts_`.
   void Call(uint64_t* count, http::Request request, ResponseCallback callback);
-  void OnDirectFailed();
+  void OnDirectFailed(const PendingCall& call);
   void Send(const std::shared_ptr<PendingCall>& call, Way way);
   void OnResponse(const std::shared_ptr<PendingCall>& call, Way way,
                   std::optional<http::Response> response);
@@ -138,6 +140,8 @@
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
   Instant avoid_direct_until_{};
+  Instant direct_lost_at_{};         // When that was told last.
+  Instant answered_call_sent_at_{};  // Of the calls that the store answered directly, the latest.
   bool reachable_ = true;
 };
 
--- a/tests/platform_adapter/silent_store_connections_test.cc
+++ b/tests/platform_adapter/silent_store_connections_test.cc
@@ -93,6 +93,22 @@
   }
 }
 
+// Guards against a fleet that hears of no change until a renewal of its leader runs out of time,
+// after all open connections to the store have fallen silent for good.
+TEST(SilentStoreConnections, SilentConnectionsAreNoticedWithinASecond) {
+  StartFleet({"plain", "other", "other"});
+  for (int round = 0; round < 4; ++round) {
+    proxy->SilenceOpenConnections();
+    WriteConfiguration();
+    CHECK(RunUntil(
+        fleet->loop, [this] { return LeaderHasLatest(); }, kNoticedWithin));
+    CHECK(RunUntil(
+        fleet->loop, [this] { return AllHaveLatest(); }, kInForceWithin - kNoticedWithin));
+    // Another moment between two renewals each time.
+    RunFor(fleet->loop, std::chrono::milliseconds(3150));
+  }
+}
+
 // Guards against a quiet fleet that asks the store much more often, only to know that it answers.
 TEST(SilentStoreConnections, AQuietFleetAsksTheStoreLittle) {
   constexpr uint64_t kSeconds = 6;
