Quarantine: a fleet that may have forgotten ends of workers is stricter

Cause: all processes were killed beside a restore of the store from an older copy. Ends and trials are in the store, which had lost them, and in the memory of nodes, which were gone; to the fleet each request was new, with two free runs and four trials. Change: the loss is noticed. Each era of the store has a record (MemoryRecord): nodes that live on write "kept" once all that they knew is there again (LostItemWriter writes it last), processes that start in an era without a record write "lost", and act on it from their start. While it may be lost, one end puts a request in quarantine, and it has three runs in all (CrashRecord). The leader of the state feed writes lost items 20 ms after it knows of them, the others after up to 1.5 s as before. Why it works: with up to three forgotten ends and no late run among them, three runs are what users allow after the proof.

NodesThatLiveOnTellThatNothingIsForgotten and CrashRecord.WhereEndsMayBeForgotten... guard the policy.

--- a/source/sidecar/crash_record.cc
+++ b/source/sidecar/crash_record.cc
@@ -10,6 +10,10 @@
 // requests of a worker in quarantine, some 8 to 20, each time that one ends for a reason of its
 // own.
 constexpr size_t kEndsForQuarantine = 2;
+// Of a request that may have ended workers before, which nobody remembers.
+constexpr size_t kEndsForQuarantineWhenForgotten = 1;
+// Runs of such a request, its first one and trials: those that users allow after the proof.
+constexpr uint32_t kMaxRunsWhenForgotten = 3;
 // Users take three ends for proof, and allow three more runs after that, over the whole day. The
 // first trial is the third run. A request that is there by chance under five ends is served.
 constexpr uint32_t kMaxTrials = 4;
@@ -40,9 +44,16 @@
                   all - std::min(all, excused_elsewhere));
 }
 
-bool CrashRecord::Quarantined(const Suspect& suspect, size_t excused_elsewhere) {
+void CrashRecord::SetMayHaveForgotten(bool may_have_forgotten) {
+  if (may_have_forgotten == may_have_forgotten_) return;
+  may_have_forgotten_ = may_have_forgotten;
+  for (const auto& [request, suspect] : suspects_) NoteChanged(request);
+}
+
+bool CrashRecord::Quarantined(const Suspect& suspect, size_t excused_elsewhere) const {
   if (suspect.item.has_value() && !suspect.item->released) return true;
-  const size_t enough = suspect.was_quarantined ? 1 : kEndsForQuarantine;
+  const size_t usual = may_have_forgotten_ ? kEndsForQuarantineWhenForgotten : kEndsForQuarantine;
+  const size_t enough = suspect.was_quarantined ? 1 : usual;
   return Ends(suspect, excused_elsewhere) >= enough;
 }
 
@@ -65,9 +76,13 @@
 // the proof. Where the first end was proof by itself, the second one may come after it as well.
 // They do not take more, since a common loss of power ends many workers under a request that is
 // innocent.
-uint32_t CrashRecord::TrialsLeft(const Suspect& suspect) {
+uint32_t CrashRecord::TrialsLeft(const Suspect& suspect) const {
   const bool has_item = suspect.item.has_value() && !suspect.item->released;
   const uint32_t begun = has_item ? suspect.item->trials : 0;
+  if (may_have_forgotten_) {
+    const auto runs = std::max(static_cast<uint32_t>(RunsCut(suspect)), begun + 1);
+    return runs >= kMaxRunsWhenForgotten ? 0 : kMaxRunsWhenForgotten - runs;
+  }
   const bool proven_before = RunsCut(suspect) > kEndsForQuarantine + begun;
   const uint32_t used = begun + (proven_before ? 1 : 0) + (OneEndIsProof(suspect) ? 1 : 0);
   return used >= kMaxTrials ? 0 : kMaxTrials - used;
@@ -92,8 +107,7 @@
 // and again, and a flood of bystanders does not push it out.
 void CrashRecord::MakeRoom() {
   const auto dispensable = [this](const auto& entry) {
-    const Suspect& suspect = suspects_.at(entry.second);
-    return !Quarantined(suspect);
+    return !Quarantined(suspects_.at(entry.second));
   };
   auto victim = std::find_if(by_age_.begin(), by_age_.end(), dispensable);
   if (victim == by_age_.end()) victim = by_age_.begin();
--- a/source/sidecar/crash_record.h
+++ b/source/sidecar/crash_record.h
@@ -30,9 +30,15 @@
   kQuarantined,  // In quarantine; refused at once.
 };
 
+// A fleet that may have forgotten ends, see MemoryRecord, is stricter: a request that it takes for
+// new may have ended two workers already, and run in a few trials. The first end puts it in
+// quarantine, and it has three runs in all from then on, as many as users allow after the proof.
+//
 // Deterministic; not thread-safe. Bounded, however many workers end.
 class CrashRecord {
  public:
+  // Ends that the fleet knew of may be forgotten, and with them trials.
+  void SetMayHaveForgotten(bool may_have_forgotten);
   // The end of a worker; told again, it adds what is new. Returns the requests that this end brings
   // into quarantine.
   std::vector<RequestFingerprint> OnWorkerEnd(const std::string& worker_id,
@@ -94,13 +100,13 @@
   };
 
   static size_t Ends(const Suspect& suspect, size_t excused_elsewhere = 0);
-  static bool Quarantined(const Suspect& suspect, size_t excused_elsewhere = 0);
+  bool Quarantined(const Suspect& suspect, size_t excused_elsewhere = 0) const;
   // Runs that were cut by ends that speak against it.
   static size_t RunsCut(const Suspect& suspect);
   // So many were cut by one of these ends that it alone is proof for the users.
   static bool OneEndIsProof(const Suspect& suspect);
   // Trials that may still begin.
-  static uint32_t TrialsLeft(const Suspect& suspect);
+  uint32_t TrialsLeft(const Suspect& suspect) const;
   const Suspect* Find(const RequestFingerprint& request) const;
   Suspect& Remember(const RequestFingerprint& request);
   void MakeRoom();
@@ -115,6 +121,7 @@
   std::map<std::string, std::vector<RequestFingerprint>> ends_;  // By worker.
   std::map<uint64_t, RequestFingerprint> by_age_;                // By number.
   uint64_t next_number_ = 0;
+  bool may_have_forgotten_ = false;
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/lost_items.cc
+++ b/source/sidecar/lost_items.cc
@@ -31,15 +31,34 @@
   if (!timer_.active()) timer_.Start(kWriteRetry);
 }
 
-void LostItemWriter::OnEraBegan(const store::EraChange& change) {
+void LostItemWriter::OnEraBegan(const store::EraChange& change, const store::Item& completion,
+                                bool writes_first) {
   era_began_ = change.revision;
+  writes_first_ = writes_first;
   Items known = change.former;
   // What the watch has brought of a lost item was the loss itself.
-  for (const auto& [key, lost] : std::exchange(lost_, {})) known[key] = lost.item;
+  for (const auto& [key, lost] : std::exchange(lost_, {})) {
+    if (key != completion_key_) known[key] = lost.item;
+  }
+  completion_key_ = completion.key;
+  completion_.reset();
+  if (!change.present.contains(completion.key)) completion_ = completion;
   const std::vector<std::string> own = TakeUnseen(&known);
   for (const auto& [key, item] : known) AddIfLost(item, change.present);
+  AddCompletionIfDue();
   WriteThese(own);
-  if (!lost_.empty()) timer_.Start(random_.Between(kWriteMin, kWriteMax));
+  if (!lost_.empty()) timer_.Start(WriteDelay());
+}
+
+Duration LostItemWriter::WriteDelay() {
+  return writes_first_ ? kWriteMin : random_.Between(kWriteMin, kWriteMax);
+}
+
+void LostItemWriter::AddCompletionIfDue() {
+  if (!lost_.empty() || !completion_.has_value()) return;
+  AddLost(*completion_, 0);
+  completion_.reset();
+  timer_.Start(WriteDelay());
 }
 
 std::vector<std::string> LostItemWriter::TakeUnseen(Items* known) {
@@ -80,6 +99,7 @@
   if (found == lost_.end()) return true;
   if (item.revision <= found->second.lost_by) return false;
   lost_.erase(found);
+  AddCompletionIfDue();
   return true;
 }
 
--- a/source/sidecar/lost_items.h
+++ b/source/sidecar/lost_items.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,8 +24,9 @@
   // else may know of it.
   void OnWritten(const store::Item& item);
   // What is missing or older at the beginning of an era is written again: what only this process
-  // knows at once, everything else by whichever node comes first.
-  void OnEraBegan(const store::EraChange& change);
+  // knows at once, everything else by whichever node comes first. `completion` is written when
+  // nothing else is lost any more. `writes_first`: this node does not wait for others.
+  void OnEraBegan(const store::EraChange& change, const store::Item& completion, bool writes_first);
   // An item was written, or is gone. Both return false when this is the loss itself, so that what
   // was known before holds on.
   bool OnItem(const store::Item& item);
@@ -46,6 +48,9 @@
   // Remembers the item when `present` lacks it, or has it older.
   void AddIfLost(const store::Item& item, const Items& present);
   void AddLost(const store::Item& item, store::Revision present);
+  // Nothing but the completion is to be written, and it has not been.
+  void AddCompletionIfDue();
+  Duration WriteDelay();
   void WriteAll();
   // Those of them that are lost, and are not being written.
   void WriteThese(const std::vector<std::string>& keys);
@@ -60,9 +65,12 @@
   Random& random_;
   LogWriter& log_;
   event::Timer timer_;
-  std::map<std::string, LostItem> lost_;  // By key, until the item is seen again.
-  Items unseen_;                          // Acknowledged, and not brought by a watch yet.
-  store::Revision era_began_ = 0;         // Of the first read in the present era; zero: the first.
+  std::map<std::string, LostItem> lost_;   // By key, until the item is seen again.
+  std::optional<store::Item> completion_;  // Until it is among the lost items.
+  std::string completion_key_;
+  bool writes_first_ = false;
+  Items unseen_;                   // Acknowledged, and not brought by a watch yet.
+  store::Revision era_began_ = 0;  // Of the first read in the present era; zero: the first.
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/request_quarantine.h
+++ b/source/sidecar/request_quarantine.h
@@ -40,6 +40,11 @@
   // ends that were written may be gone.
   void OnStoreRestored();
 
+  // Ends that the fleet knew of may be forgotten.
+  void SetMayHaveForgotten(bool may_have_forgotten) {
+    record_.SetMayHaveForgotten(may_have_forgotten);
+  }
+
   // Tells all other nodes of a worker's end while the store does not take it: this process may be
   // gone before the store is back.
   using EndTeller = std::function<void(const std::string& message)>;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -59,6 +59,8 @@
       coordinator_(loop, peers_, shard_store_, log, CoordinatorConfig(settings_)),
       lease_(loop, store_, LeaseConfig(settings_)),
       lost_items_(loop, store_, random, log),
+      memory_(
+          {loop, store_, random, log, settings_.first_start, [this] { return feed_.leading(); }}),
       configuration_watcher_(
           loop, store_, WatchConfig(wire.ConfigurationKey()),
           {[this](const store::Item& item) { OnConfigurationItem(item); }, nullptr, nullptr,
@@ -109,6 +111,7 @@
   gate_.set_key_authority(&holder_);
   gate_.set_evidence(&monitor_);
   gate_.set_quarantine(&quarantine_);
+  memory_.set_on_changed([this] { OnMemoryChanged(); });
   quarantine_.set_end_teller([this](const std::string& message) { TellOthers(message); });
   quarantine_.set_on_written([this](const store::Item& item) { OnQuarantineWritten(item); });
   gate_.set_rate_source([this](const std::string& caller_class) { return RateOf(caller_class); });
@@ -367,6 +370,10 @@
     if (!quarantine_.OnItem(item)) RefuseItem(item, "no record of a worker's end or a quarantine");
     return;
   }
+  if (MemoryRecord::IsItemKey(item.key)) {
+    if (!memory_.OnItem(item)) RefuseItem(item, "no record of the fleet's memory");
+    return;
+  }
   if (TableOverrides::IsCellKey(item.key)) {
     const bool understood = table_.OnItem(item);
     log_.Write(understood ? LogLevel::kInfo : LogLevel::kError, "table_cell",
@@ -395,6 +402,7 @@
   if (!node.empty()) peers_.OnRemoved(loop_.Now(), node);
   shard_store_.OnRemoved(key);
   if (RequestQuarantine::IsItemKey(key)) quarantine_.OnRemoved(key);
+  if (MemoryRecord::IsItemKey(key)) memory_.OnRemoved(key);
   if (TableOverrides::IsCellKey(key)) {
     table_.OnRemoved(key);
     log_.Write(LogLevel::kInfo, "table_cell", {{"key", key}, {"in_force", false}});
@@ -406,9 +414,18 @@
   std::map<std::string, store::Item> former = change.former;
   std::erase_if(former, [](const auto& entry) {
     return !NameAfter(entry.first, kNodePrefix).empty() ||
-           !NameAfter(entry.first, kShardPrefix).empty();
+           !NameAfter(entry.first, kShardPrefix).empty() || MemoryRecord::IsItemKey(entry.first);
   });
-  lost_items_.OnEraBegan({former, change.present, change.revision});
+  lost_items_.OnEraBegan({former, change.present, change.revision}, memory_.ItemOfPresentEra(),
+                         feed_.leading());
+}
+
+void Sidecar::OnMemoryChanged() {
+  const bool may_have_forgotten = memory_.MayHaveForgotten();
+  if (std::exchange(may_have_forgotten_, may_have_forgotten) == may_have_forgotten) return;
+  log_.Write(LogLevel::kWarning, "worker_ends_maybe_forgotten",
+             {{"forgotten", may_have_forgotten}, {"era", store_.era()}});
+  quarantine_.SetMayHaveForgotten(may_have_forgotten);
 }
 
 void Sidecar::OnQuarantineWritten(const store::Item& item) {
@@ -427,6 +444,7 @@
 
 void Sidecar::OnStateSynchronized() {
   monitor_.OnSynchronized();
+  memory_.OnSynchronized();
   if (lease_to_confirm_ == 0 || lease_to_confirm_ == confirmed_lease_) return;
   confirmed_lease_ = lease_to_confirm_;
   holder_.OnMapChanged();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -15,6 +15,7 @@
 #include "source/sidecar/ingress.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/lost_items.h"
+#include "source/sidecar/memory_record.h"
 #include "source/sidecar/node_metrics.h"
 #include "source/sidecar/peer_directory.h"
 #include "source/sidecar/request_quarantine.h"
@@ -91,6 +92,8 @@
   void OnStateRemoved(const std::string& key);
   // The store has gone back to an older copy of the state.
   void OnStateEraBegan(const store::EraChange& change);
+  // The fleet may have forgotten ends of workers, or may not have any more.
+  void OnMemoryChanged();
   // A watch may have brought it before the answer to the write came.
   void OnQuarantineWritten(const store::Item& item);
   void OnStateSynchronized();
@@ -138,6 +141,7 @@
   ShardCoordinator coordinator_;
   store::LeaseKeeper lease_;
   LostItemWriter lost_items_;
+  MemoryRecord memory_;
   store::PrefixWatcher configuration_watcher_;
   store::PrefixWatcher state_watcher_;
   StateFeed feed_;
@@ -158,6 +162,7 @@
   // Lease under which the state was read again: only then does the node act on what it owns.
   store::LeaseId confirmed_lease_ = 0;
   store::LeaseId lease_to_confirm_ = 0;
+  bool may_have_forgotten_ = false;
   Instant rolled_at_{};
   Instant load_rolled_at_{};  // Of the load of the worker's keys.
   Instant traffic_logged_at_{};
--- a/tests/platform_adapter/restored_quarantine_test.cc
+++ b/tests/platform_adapter/restored_quarantine_test.cc
@@ -30,6 +30,9 @@
 constexpr Duration kTimeToTell = milliseconds(300);
 // The nodes that remember an end write it again sooner than this.
 constexpr Duration kTimeToWrite = seconds(1);
+constexpr Duration kAway = milliseconds(300);
+// Nodes that start wait this long for others that remember, and then write that none does.
+constexpr Duration kTimeToMissOthers = seconds(8);
 const char* const kFatal = "/send/fatal";
 const std::vector<std::string> kFleet{"other", "other", "other", "plain",
                                       "plain", "plain", "plain"};
@@ -81,6 +84,30 @@
   CHECK_COMPARE(workers.Begun(kFatal).size(), <=, kAllowedInAll);
 }
 
+// A worker ends under the request that node `taker` takes.
+void EndWorker(Fleet& fleet, CrashingWorkers& workers, size_t taker) {
+  RunFor(fleet.loop, kTimeToTell);
+  const size_t ends = workers.ends();
+  fleet.Request(taker, "POST", kFatal, "order 666");
+  CHECK(RunUntil(fleet.loop, [&] { return workers.ends() > ends; }));
+  WaitForWorkers(fleet, workers);
+}
+
+// All nodes are killed while the store is away, which comes back from the copy.
+void LoseAllNodes(Fleet& fleet, const FakeStore::Copy& copy) {
+  fleet.store.set_fault(FakeStore::Fault::kReset);
+  RunFor(fleet.loop, kAway);
+  for (size_t node = 0; node < fleet.nodes.size(); ++node) fleet.Kill(node);
+  fleet.store.Restore(copy);
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  for (size_t node = 0; node < fleet.nodes.size(); ++node) fleet.Restart(node);
+}
+
+std::string MemoryRecord(const Fleet& fleet, int era) {
+  const std::string* value = fleet.store.Find("runshelf/memory/" + std::to_string(era));
+  return value == nullptr ? "" : *value;
+}
+
 }  // namespace
 
 TEST_GROUP(RestoredQuarantine){};
@@ -151,3 +178,63 @@
   }
   CheckThatItReachesFewWorkers(fleet, workers);
 }
+
+// All nodes were lost beside a restore, and with them all that was known of a request that had
+// ended two workers: it ended six more, four of them later than users allow.
+TEST(RestoredQuarantine, ARequestThatNobodyRemembersReachesNoMoreWorkersThanUsersAllow) {
+  Fleet fleet(kFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  const auto copy = fleet.store.TakeCopy();
+  for (size_t end = 0; end < 2; ++end) EndWorker(fleet, workers, end);
+  LoseAllNodes(fleet, *copy);
+  WaitForWorkers(fleet, workers);
+  CheckThatItReachesFewWorkers(fleet, workers);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return MemoryRecord(fleet, 1) == "lost"; }, kTimeToMissOthers));
+}
+
+// The same, where the forgotten ends were proof already.
+TEST(RestoredQuarantine, AProvenRequestThatNobodyRemembersReachesNoMoreWorkersThanUsersAllow) {
+  Fleet fleet(kFleet);
+  fleet.Start();
+  CrashingWorkers workers(fleet);
+  const auto copy = fleet.store.TakeCopy();
+  for (size_t end = 0; end < 3; ++end) EndWorker(fleet, workers, end);
+  LoseAllNodes(fleet, *copy);
+  WaitForWorkers(fleet, workers);
+  CheckThatItReachesFewWorkers(fleet, workers);
+}
+
+// A fleet that was strict although nobody had forgotten anything refused requests for one end that
+// had another reason.
+TEST(RestoredQuarantine, NodesThatLiveOnTellThatNothingIsForgotten) {
+  Fleet fleet(kFleet);
+  fleet.Start();
+  CHECK(RunUntil(fleet.loop, [&] { return MemoryRecord(fleet, 0) == "kept"; }));
+  const auto copy = fleet.store.TakeCopy();
+  fleet.store.set_fault(FakeStore::Fault::kReset);
+  RunFor(fleet.loop, kAway);
+  fleet.store.Restore(*copy);
+  fleet.store.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return MemoryRecord(fleet, 1) == "kept"; }, seconds(4)));
+  fleet.Kill(0);
+  fleet.Restart(0);
+  RunFor(fleet.loop, kTimeToMissOthers);
+  STRCMP_EQUAL("kept", MemoryRecord(fleet, 1).c_str());
+}
+
+// The store went back once more, to a copy from before the loss, which says that nothing is
+// forgotten: the nodes believed it.
+TEST(RestoredQuarantine, ALossIsRememberedWhenTheStoreGoesBackAgain) {
+  Fleet fleet(kFleet);
+  fleet.Start();
+  CHECK(RunUntil(fleet.loop, [&] { return MemoryRecord(fleet, 0) == "kept"; }));
+  const auto copy = fleet.store.TakeCopy();
+  LoseAllNodes(fleet, *copy);
+  RunFor(fleet.loop, seconds(1));
+  fleet.store.Restore(*copy);
+  CHECK(RunUntil(
+      fleet.loop, [&] { return MemoryRecord(fleet, 2) == "lost"; }, kTimeToMissOthers));
+}
--- a/tests/sidecar/crash_record_test.cc
+++ b/tests/sidecar/crash_record_test.cc
@@ -276,3 +276,43 @@
   End(3, {guilty});
   CHECK(At(kStart) == Clearance::kTrial);
 }
+
+// Guards against a request that ended workers before, which nobody remembers: with the usual number
+// of runs it has more after the proof than users allow.
+TEST(CrashRecord, WhereEndsMayBeForgottenARequestHasThreeRuns) {
+  record.SetMayHaveForgotten(true);
+  size_t runs = 1;
+  End(runs, {guilty});
+  Instant now = kStart;
+  for (; At(now) == Clearance::kTrial; now += seconds(2)) {
+    Take(now, record.BeginTrial(guilty));
+    End(++runs, {guilty});
+    CHECK(At(now) == Clearance::kQuarantined);
+  }
+  CHECK_EQUAL(3U, runs);
+  CHECK_FALSE(record.UntilTrial(now, guilty).has_value());
+}
+
+// Guards against runs beside each other that are not counted where ends may be forgotten.
+TEST(CrashRecord, WhereEndsMayBeForgottenEachRunThatAnEndCutsCounts) {
+  record.SetMayHaveForgotten(true);
+  End(1, {guilty, guilty, guilty});
+  CHECK(At(kStart) == Clearance::kQuarantined);
+}
+
+// Guards against innocent requests that stay refused after the fleet was strict.
+TEST(CrashRecord, AGoodRunClearsARequestWhereEndsMayBeForgotten) {
+  record.SetMayHaveForgotten(true);
+  End(1, {guilty});
+  CHECK(At(kStart) == Clearance::kTrial);
+  record.OnGoodRun(guilty);
+  CHECK(At(kStart) == Clearance::kFree);
+}
+
+TEST(CrashRecord, OnceNothingIsForgottenTheUsualEndsAndTrialsHold) {
+  record.SetMayHaveForgotten(true);
+  End(1, {guilty});
+  record.SetMayHaveForgotten(false);
+  CHECK(At(kStart) == Clearance::kFree);
+  CHECK_EQUAL(0U, record.quarantined());
+}
