--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -22,11 +22,12 @@
 struct HeldShard {
   sharding::Shard shard;
   std::string worker_id;
-  Instant usable_until{};  // The worker certainly holds the keys until then.
-  Instant held_until{};    // The worker may hold the keys until then.
-  Instant sent_at{};       // Of the latest grant call.
-  Instant retry_at{};      // After a call without an answer: none before.
-  uint64_t call = 0;       // Number of the call under way; zero: none.
+  Instant usable_until{};     // The worker certainly holds the keys until then.
+  Instant held_until{};       // The worker may hold the keys until then.
+  Instant sent_at{};          // Of the latest grant call.
+  Instant release_sent_at{};  // Of the first release call.
+  Instant retry_at{};         // After a call without an answer: none before.
+  uint64_t call = 0;          // Number of the call under way; zero: none.
   TokenUse token_use = TokenUse::kNone;
   bool releasing = false;
   bool released = false;
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -164,6 +164,8 @@
   void SendRelease(const HeldShardKey& key, HeldShard* holding);
   void OnReleaseAnswer(const HeldShardKey& key, uint64_t call,
                        const std::optional<http::Response>& response);
+  // One that takes long, or has no answer: its keys are served by nobody meanwhile.
+  void LogSlowRelease(const HeldShard& holding, const std::optional<http::Response>& response);
   void CommitChanges();
   bool ReassignToOwnWorker(sharding::ShardMap* map);
   bool RenewTokens(sharding::ShardMap* map);
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -13,6 +13,9 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
+// Requests of a moment run less long, as a rule; a release waits for those on its keys.
+constexpr Duration kSlowRelease = std::chrono::seconds(1);
+
 // Connections for grants of several shards.
 constexpr std::string_view kSharedGrantLane = "grant";
 // One shard of this many of a worker's connections has connections of its own for its grants.
@@ -110,6 +113,7 @@
 void ShardHolder::SendRelease(const HeldShardKey& key, HeldShard* holding) {
   holding->releasing = true;
   holding->usable_until = Instant{};
+  if (holding->release_sent_at == Instant{}) holding->release_sent_at = loop_.Now();
   KeyRelease release;
   release.first = holding->shard.first;
   release.last = holding->shard.last;
@@ -133,6 +137,7 @@
   if (found == holdings_.end() || found->second.call != call) return;
   HeldShard& holding = found->second;
   holding.call = 0;
+  LogSlowRelease(holding, response);
   if (response.has_value() && response->status == kOk) {
     holding.released = true;
     const std::string* handover = response->headers.Find(wire_.headers().handover);
@@ -146,6 +151,20 @@
   Reconcile();
 }
 
+void ShardHolder::LogSlowRelease(const HeldShard& holding,
+                                 const std::optional<http::Response>& response) {
+  const Duration waited = loop_.Now() - holding.release_sent_at;
+  const bool released = response.has_value() && response->status == kOk;
+  if (released && waited < kSlowRelease) return;
+  log_.Write(LogLevel::kInfo, "release_slow",
+             {{"first", holding.shard.first},
+              {"last", holding.shard.last},
+              {"token", holding.shard.token},
+              {"worker", holding.worker_id},
+              {"waited_ms", ToMilliseconds(waited)},
+              {"status", response.has_value() ? response->status : 0}});
+}
+
 void ShardHolder::StartCall(http::CallSet* calls, const http::Request& request,
                             http::CallOptions options, Duration timeout,
                             http::CallSet::Callback callback) {
