Feed: one lost watch does not hide another

Cause: all open connections to the store had fallen silent. The leader missed its watch of the state after 0.6 s, asked for it again and gave up the idle connections. The renewal that should have shown the silence went out on a new connection and was answered; the watch of the configuration, past its short wait, went on waiting. Change: a missed watch has the other prefix asked for again too, where the latest other call had its answer within 150 ms. While the store is slow a miss says nothing of other connections, and asking again would go on as long.

Evidence: SilentStoreConnections.AnotherWatchOnASilentConnectionIsNoticedWithinASecond (six rounds, at different moments between two renewals) failed in its first round in three of three plays before, and passes in three of three after.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -237,6 +237,12 @@
               {"waited_ms", ToMilliseconds(watch.waited)},
               {"asked_again", watch.asked_again},
               {"leading", feed_.leading()}});
+  // Where the store is not slow, the connection fell silent, and others may have with it. The idle
+  // ones are closed by now, so that no later call would find out.
+  if (!store_.answers_promptly()) return;
+  for (store::PrefixWatcher* other : {&configuration_watcher_, &state_watcher_}) {
+    if (other != &watcher) other->WatchAgain();
+  }
 }
 
 void Sidecar::ReadState() {
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -38,6 +38,8 @@
 constexpr int kServiceUnavailable = 503;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kIdleTimeout = std::chrono::seconds(8);
+// Well below the time after which the answer to a short watch is missed.
+constexpr Duration kPromptAnswer = std::chrono::milliseconds(150);
 
 // The service did nothing and may serve others, or this process on another way.
 bool IsRefusal(const http::Response& response) {
@@ -167,6 +169,7 @@
     if (answered) {
       avoid_direct_until_ = Instant{};
       answered_call_sent_at_ = std::max(answered_call_sent_at_, call->sent_directly_at);
+      answers_promptly_ = loop_.Now() - call->sent_directly_at <= kPromptAnswer;
     } else {
       OnDirectFailed(*call);
     }
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -93,6 +93,8 @@
   // Connections that are open may have fallen silent: later calls are made on new ones.
   void CloseIdleConnections() { pool_.CloseIdle(config_.endpoint); }
   bool reachable() const { return reachable_; }
+  // The latest call that was sent to the store directly and answered had its answer soon.
+  bool answers_promptly() const { return answers_promptly_; }
   // The store answered the latest call that was sent to it directly.
   bool direct_way_works() const { return avoid_direct_until_ == Instant{}; }
   // The latest that an answer told of; zero before.
@@ -143,6 +145,7 @@
   Instant direct_lost_at_{};         // When that was told last.
   Instant answered_call_sent_at_{};  // Of the calls that the store answered directly, the latest.
   bool reachable_ = true;
+  bool answers_promptly_ = true;
 };
 
 }  // namespace runshelf::store
--- a/tests/platform_adapter/silent_store_connections_test.cc
+++ b/tests/platform_adapter/silent_store_connections_test.cc
@@ -2,6 +2,7 @@
 // what it asks of the store for that.
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <memory>
@@ -109,6 +110,28 @@
   }
 }
 
+// Guards against one lost watch that hides another: its connection and the idle ones are given up,
+// renewals go out on new ones and find nothing, and the other watch waits on for seconds.
+TEST(SilentStoreConnections, AnotherWatchOnASilentConnectionIsNoticedWithinASecond) {
+  StartFleet({"plain", "other", "other"});
+  for (int round = 0; round < 6; ++round) {
+    WriteConfiguration();
+    // The watch of the configuration is past its first, short wait then, that of the state is not.
+    RunFor(fleet->loop, std::chrono::milliseconds(700));
+    CHECK(AllHaveLatest());
+    fleet->store.Put("runshelf/table/plain/class", fmt::format(R"({{"weight":{}}})", round + 1));
+    RunFor(fleet->loop, std::chrono::milliseconds(400));
+    proxy->SilenceOpenConnections();
+    WriteConfiguration();
+    CHECK(RunUntil(
+        fleet->loop, [this] { return LeaderHasLatest(); }, kNoticedWithin));
+    CHECK(RunUntil(
+        fleet->loop, [this] { return AllHaveLatest(); }, kInForceWithin - kNoticedWithin));
+    // Another moment between two renewals each time.
+    RunFor(fleet->loop, std::chrono::milliseconds(3000 + 100 * round));
+  }
+}
+
 // Guards against a quiet fleet that asks the store much more often, only to know that it answers.
 TEST(SilentStoreConnections, AQuietFleetAsksTheStoreLittle) {
   constexpr uint64_t kSeconds = 6;
