Quarantine: the record of what is remembered is written for the era that the state is of

Another node wrote the right one there; had none, processes that start would have taken the memory for lost, which is the strict side. The era is taken from the state's revision now. RestoredQuarantine passes (the two tests of the record, run again).

--- a/source/sidecar/memory_record.cc
+++ b/source/sidecar/memory_record.cc
@@ -19,6 +19,8 @@
 // As long as ends of workers and quarantines are kept.
 constexpr Duration kLossRemembered = std::chrono::minutes(10);
 
+std::string KeyOfEra(store::StoreEra era) { return KeyOf(kMemoryPrefix, std::to_string(era)); }
+
 }  // namespace
 
 MemoryRecord::MemoryRecord(MemoryRecordContext context)
@@ -27,17 +29,13 @@
       patience_(context_.random.Between(kPatienceMin, kPatienceMax)),
       may_have_forgotten_(!context_.first_start) {}
 
-std::string MemoryRecord::KeyOfPresentEra() const {
-  return KeyOf(kMemoryPrefix, std::to_string(context_.store.era()));
-}
-
 bool MemoryRecord::HasPresentRecord() const {
   return era_.has_value() && *era_ >= context_.store.era();
 }
 
-store::Item MemoryRecord::ItemOfPresentEra() const {
+store::Item MemoryRecord::ItemOfEra(store::StoreEra era) const {
   store::Item item;
-  item.key = KeyOfPresentEra();
+  item.key = KeyOfEra(era);
   const bool lost = MayHaveForgotten();
   item.value = std::string(lost ? kLostText : kKeptText);
   item.lease = lost ? 1 : 0;
@@ -58,7 +56,7 @@
 }
 
 void MemoryRecord::OnRemoved(const std::string& key) {
-  if (!HasPresentRecord() || key != KeyOfPresentEra()) return;
+  if (!HasPresentRecord() || key != KeyOfEra(context_.store.era())) return;
   may_have_forgotten_ = false;
   lapsed_ = true;
   NoteChanged();
@@ -94,7 +92,7 @@
 }
 
 void MemoryRecord::Write(Memory memory, store::LeaseId lease) {
-  const std::string key = KeyOfPresentEra();
+  const std::string key = KeyOfEra(context_.store.era());
   store::Transaction transaction;
   transaction.conditions.push_back({key, 0});
   const std::string value(memory == Memory::kLost ? kLostText : kKeptText);
--- a/source/sidecar/memory_record.h
+++ b/source/sidecar/memory_record.h
@@ -45,9 +45,9 @@
 
   static bool IsItemKey(std::string_view key) { return key.starts_with(kMemoryPrefix); }
 
-  // The record that a node which lives on writes of the present era, without a revision. One with a
-  // lease is to be written under a lease of some minutes.
-  store::Item ItemOfPresentEra() const;
+  // The record that a node which lives on writes of an era that has just begun, without a revision.
+  // One with a lease is to be written under a lease of some minutes.
+  store::Item ItemOfEra(store::StoreEra era) const;
   // False when the item cannot be read.
   bool OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
@@ -60,7 +60,6 @@
   void set_on_changed(std::function<void()> on_changed) { on_changed_ = std::move(on_changed); }
 
  private:
-  std::string KeyOfPresentEra() const;
   bool HasPresentRecord() const;
   void WriteIfMissing();
   void Write(Memory memory, store::LeaseId lease);
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -421,14 +421,16 @@
 
 // Each node writes its own item again, and one of them the shard map.
 void Sidecar::OnStateEraBegan(const store::EraChange& change) {
-  former_grants_.OnEraBegan(store::EraOf(change.revision));
+  // The store itself may not have told this process of that era yet.
+  const store::StoreEra era = store::EraOf(change.revision);
+  former_grants_.OnEraBegan(era);
   std::map<std::string, store::Item> former = change.former;
   std::erase_if(former, [](const auto& entry) {
     return !NameAfter(entry.first, kNodePrefix).empty() ||
            !NameAfter(entry.first, kShardPrefix).empty() || MemoryRecord::IsItemKey(entry.first) ||
            FormerGrants::IsItemKey(entry.first);
   });
-  lost_items_.OnEraBegan({former, change.present, change.revision}, memory_.ItemOfPresentEra(),
+  lost_items_.OnEraBegan({former, change.present, change.revision}, memory_.ItemOfEra(era),
                          feed_.leading());
 }
 
