Cold workers: a rate limit at the gate beside the worker

Callers saw: workers that had just come back were overrun, fell over and came back cold again, with all requests at them lost. Cause: cold_per_s and cold_start_s of services, cold_overage and cold_tolerance of the settings were not read; the gate admits by slots, and a cold worker has all of its slots. A worker that restarts under its identity was taken for the former one until its next heartbeat. Change: ColdStartLimiter, a token bucket of the fleet's bound (rate x overage, burst = tolerance less one request for jitter on the way), empty when the worker turns cold and when the gate starts. The state is unknown, and counts as cold, after the last connection to the worker ended and until a health answer or a heartbeat that was certainly sent later tells it (Cold-Start-Ms). What does not fit is refused as not run (warming-up) with the time to come back, or goes to another worker. A gate without a configuration sends nothing. Bounds that are wrong are refused by name and range.

--- a/source/routes/routing_configuration.h
+++ b/source/routes/routing_configuration.h
@@ -53,7 +53,9 @@
   bool sharded = false;          // Its keys are divided among its workers.
   // nullopt: as set in the node's settings.
   std::optional<GrantDelivery> grant_delivery;
-  Duration warm_up{0};  // How long requests for a key are slow after a move without handover.
+  Duration warm_up{0};     // How long requests for a key are slow after a move without handover.
+  Duration cold_start{0};  // How long a worker stays cold after its start.
+  double cold_rate = 0;    // Requests per second that a cold worker can bear; zero: no limit.
 };
 
 // Limits on client requests. Zero: the default of the process.
--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 15> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 16> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
@@ -14,6 +14,7 @@
     {FailureReason::kStopping, "stopping"},
     {FailureReason::kNotOwner, "not-owner"},
     {FailureReason::kFull, "full"},
+    {FailureReason::kWarmingUp, "warming-up"},
     {FailureReason::kLimited, "limited"},
     {FailureReason::kWorkerRefused, "worker-refused"},
     {FailureReason::kExpired, "expired"},
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -45,6 +45,7 @@
   kStopping,       // The node is stopping, possibly before the request would complete.
   kNotOwner,       // The worker does not hold the request's key.
   kFull,           // Refused by the admission queue in front of the worker.
+  kWarmingUp,      // The worker is cold and cannot take another request yet.
   kLimited,        // The caller class is over its rate limit in the operators' table.
   kWorkerRefused,  // The worker answered that it did not run the request.
   kExpired,        // The deadline passed; the verdict tells whether the request was sent.
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -311,6 +311,7 @@
         TryNext();
       }
       return;
+    case FailureReason::kWarmingUp:
     case FailureReason::kFull:
       if (!OnlyOwnerMayRun() && ++refusals_ < MaxQueueRefusals()) {
         TryNext();
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -18,7 +18,11 @@
   Duration drain_timeout = std::chrono::seconds(2);
   Duration grace_period = std::chrono::seconds(6);  // From SIGTERM to SIGKILL.
   Duration max_hold = std::chrono::seconds(10);     // Validity of a grant of keys.
-  double retry_budget_ratio = 0.2;                  // Retries per first attempt within the window.
+  // A cold worker is sent this multiple of the rate that it can bear, and so many requests more,
+  // within one second.
+  double cold_rate_factor = 1;
+  double cold_burst = 0;
+  double retry_budget_ratio = 0.2;  // Retries per first attempt within the window.
   Duration retry_budget_window = std::chrono::seconds(10);
   double retry_budget_extra = 10;  // Additional retries of all nodes together within the window.
 };
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -58,6 +58,7 @@
                KeyOf(kDrainPrefix, settings_.node_name), log,
                {[this](bool former_gone) { OnWorkerChanged(former_gone); },
                 [this] { holder_.OnWorkerConfirmed(); },
+                [this](Instant cold_until) { gate_.SetColdUntil(cold_until); },
                 [this](const std::string& worker_id) { OnWorkerEnded(worker_id); }, &holder_}),
       shard_store_(store_, settings_.worker_service),
       former_grants_(loop, store_, log, LeaseConfig(settings_).time_to_live),
@@ -115,6 +116,7 @@
                         EndLease();
                         outbound_.StopListening();
                       }}) {
+  gate_.SetConfigured(false);
   gate_.set_key_authority(&holder_);
   gate_.set_worker_observer(&monitor_);
   gate_.set_quarantine(&quarantine_);
@@ -126,7 +128,9 @@
       [this](const std::string& caller_class) { return LocalRateLimit(caller_class); });
   for (http::ConnectionPool* pool : {&pool_, &order_pool_}) {
     pool->set_on_idle_lost([this](const event::Endpoint& endpoint) {
-      if (endpoint == settings_.worker) holder_.OnWorkerConnectionLost();
+      if (endpoint != settings_.worker) return;
+      holder_.OnWorkerConnectionLost();
+      monitor_.OnIdleConnectionLost();
     });
     pool->set_on_unexpected_answer(
         [this](const http::UnexpectedAnswer& answer) { OnUnexpectedAnswer(answer); });
@@ -346,6 +350,8 @@
   const routes::Service* service = configuration_->FindService(settings_.worker_service);
   const bool sharded = service != nullptr && service->sharded;
   if (service != nullptr) monitor_.SetHealthPath(service->health_check_path);
+  ApplyColdStart(service);
+  gate_.SetConfigured(true);
   ingress_.SetConfiguration(configuration_);
   holder_.SetGrantDelivery(service == nullptr
                                ? settings_.grant_delivery
@@ -355,6 +361,12 @@
   coordinator_.SetActive(sharded && !stop_schedule_.begun());
 }
 
+void Sidecar::ApplyColdStart(const routes::Service* service) {
+  const double rate = service == nullptr ? 0 : service->cold_rate;
+  gate_.SetColdStartLimits({rate * settings_.bounds.cold_rate_factor, settings_.bounds.cold_burst});
+  monitor_.TrackColdState(rate > 0);
+}
+
 void Sidecar::ApplyLimits(const routes::ClientLimits& limits) {
   http::ServerLimits& server = outbound_.limits();
   if (limits.max_header_bytes > 0)
@@ -479,7 +491,6 @@
   const WorkerState state = monitor_.state();
   const std::string worker = monitor_.worker_id();
   gate_.SetWorker(worker, settings_.worker_service, monitor_.slots());
-  gate_.SetColdUntil(monitor_.cold_until());
   gate_.SetDraining(state == WorkerState::kDraining,
                     monitor_.draining_since() + settings_.bounds.drain_timeout - kDrainSendMargin);
   holder_.SetWorker(worker, former_gone);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -89,6 +89,8 @@
   void OnUnexpectedAnswer(const http::UnexpectedAnswer& answer);
   void HandleMetrics(const http::ExchangePtr& exchange);
   void OnConfigurationItem(const store::Item& item);
+  // `service`: the worker's; nullptr when the configuration lacks it.
+  void ApplyColdStart(const routes::Service* service);
   void ApplyLimits(const routes::ClientLimits& limits);
   void OnStateItem(const store::Item& item);
   void LogRefusedItem(const store::Item& item, const char* reason);
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -67,6 +67,10 @@
       Fail({Verdict::kNotRun, FailureReason::kLimited, false, wait});
       return;
     }
+    if (gate_->cold_start_.TimeToRoom(gate_->loop_.Now()) > Duration(0)) {
+      FailWarmingUp();
+      return;
+    }
     registered_ = true;
     gate_->attempts_[id_] = this;
     timer_.Start(request_.deadline - gate_->loop_.Now() + kDeadlineSlack);
@@ -92,6 +96,11 @@
       Fail({Verdict::kNotRun, *rejection, false, Duration(0)});
       return;
     }
+    if (gate_->cold_start_.TryAdmit(now) > Duration(0)) {
+      ReleaseSlot(admission::Completion::kFailed);
+      FailWarmingUp();
+      return;
+    }
     sent_ = true;
     sent_at_ = now;
     gate_->running_ids_.insert(request_.request_id);
@@ -227,6 +236,11 @@
     gate_->OnSlotFree(id_, completion, Elapsed());
   }
 
+  void FailWarmingUp() {
+    const Duration retry_after = gate_->cold_start_.RetryAfter(gate_->loop_.Now());
+    Fail({Verdict::kNotRun, FailureReason::kWarmingUp, false, retry_after});
+  }
+
   void Fail(const AttemptFailure& failure) { observer_->OnAttemptFailure(failure); }
 
   void OnDeadline() {
@@ -281,6 +295,7 @@
 
 std::optional<FailureReason> WorkerGate::RejectionReason(const AttemptRequest& request) const {
   if (closed_) return FailureReason::kStopping;
+  if (!configured_) return FailureReason::kNoWorker;
   if (worker_id_.empty()) return FailureReason::kNoWorker;
   if (request.service != service_) return FailureReason::kWrongWorker;
   if (!request.worker_id.empty() && request.worker_id != worker_id_) {
@@ -436,7 +451,7 @@
   load.running = static_cast<uint32_t>(queue_.running());
   load.queued = static_cast<uint32_t>(queue_.queued());
   load.slots = slots_;
-  load.cold = loop_.Now() < cold_until_;
+  load.cold = cold_start_.IsKnownCold(loop_.Now());
   return load;
 }
 
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -16,6 +16,7 @@
 #include "source/http/client.h"
 #include "source/sidecar/attempt.h"
 #include "source/sidecar/class_limiter.h"
+#include "source/sidecar/cold_start_limiter.h"
 #include "source/sidecar/interrupted_requests.h"
 #include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/wire_format.h"
@@ -83,8 +84,15 @@
   // Refuses all queued and later requests because the process is stopping. Requests that were sent
   // continue.
   void Close();
-  // Reports the worker as cold in `load()` until `cold_until`.
-  void SetColdUntil(Instant cold_until) { cold_until_ = cold_until; }
+  // The worker is cold until `cold_until`; Instant::max() while that is unknown. Until then its
+  // requests are limited by the limits for cold workers, and `load()` reports it as cold.
+  void SetColdUntil(Instant cold_until) { cold_start_.SetColdUntil(loop_.Now(), cold_until); }
+  void SetColdStartLimits(const ColdStartLimits& limits) {
+    cold_start_.SetLimits(loop_.Now(), limits);
+  }
+  // Without a configuration, the node knows neither the limits for cold workers nor whether its
+  // zone may be used: all requests are refused. A gate that is not told otherwise has one.
+  void SetConfigured(bool configured) { configured_ = configured; }
 
   // True if only the owner of the request's key may run it.
   bool RequiresKeyOwner(const AttemptRequest& request) const;
@@ -148,13 +156,14 @@
   RateSource rate_source_;
   RequestQuarantine* quarantine_ = nullptr;
   ClassLimiter limiter_;
+  ColdStartLimiter cold_start_;
   std::string worker_id_;
   std::string service_;
   uint32_t slots_ = 0;
   bool draining_ = false;
   bool closed_ = false;
+  bool configured_ = true;
   Instant drain_keys_until_{};
-  Instant cold_until_{};
   admission::AdmissionQueue queue_;
   event::Timer tick_;
   std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Queued or sent, by attempt id.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -83,6 +83,56 @@
   if (first && synchronized_ && worker_id_.empty()) Probe();
 }
 
+void WorkerMonitor::TrackColdState(bool tracked) {
+  if (tracked == cold_state_tracked_) return;
+  cold_state_tracked_ = tracked;
+  if (tracked) ForgetColdState();
+}
+
+void WorkerMonitor::ForgetColdState() {
+  if (!cold_state_tracked_) return;
+  cold_state_forgotten_at_ = loop_.Now();
+  SetColdUntil(Instant::max());
+  if (!worker_id_.empty() && !probe_timer_.active() && probe_ == nullptr) {
+    probe_timer_.Start(Duration(0));
+  }
+}
+
+void WorkerMonitor::SetColdUntil(Instant cold_until) {
+  const Instant now = loop_.Now();
+  if ((now < cold_until) != (now < cold_until_)) {
+    const bool known = cold_until != Instant::max();
+    log_.Write(LogLevel::kInfo, "worker_cold_state",
+               {{"worker", worker_id_},
+                {"known", known},
+                {"cold_ms", known && now < cold_until ? ToMilliseconds(cold_until - now) : 0}});
+  }
+  cold_until_ = cold_until;
+  if (observer_.on_cold_until) observer_.on_cold_until(cold_until);
+}
+
+// A heartbeat may arrive late, so that a worker which turned cold meanwhile is reported as warm.
+// One that was sent after the answer to its predecessor was sent after that time.
+void WorkerMonitor::OnHeartbeatColdState(const WorkerHeartbeat& heartbeat) {
+  const bool current = !cold_state_tracked_ || answered_at_ > cold_state_forgotten_at_;
+  if (!current && heartbeat.cold_remaining == Duration(0)) return;
+  SetColdUntil(loop_.Now() + heartbeat.cold_remaining);
+}
+
+void WorkerMonitor::OnProbeColdState(const http::Response& response) {
+  if (!cold_state_tracked_ || probe_sent_at_ < cold_state_forgotten_at_) return;
+  const std::string* text = response.headers.Find(wire_.headers().cold_remaining);
+  const auto milliseconds = text == nullptr ? std::optional<int64_t>(0) : http::ParseNumber(*text);
+  if (!milliseconds.has_value()) return;
+  SetColdUntil(loop_.Now() + std::chrono::milliseconds(*milliseconds));
+}
+
+// All connections to a process end with it. While one is open, the process runs.
+bool WorkerMonitor::NoConnectionOpen() const {
+  return !pool_.HasOpenConnection(settings_.worker) &&
+         !order_pool_.HasOpenConnection(settings_.worker);
+}
+
 void WorkerMonitor::HandleNotice(const http::ExchangePtr& exchange) {
   const auto notice = wire_.DecodeWorkerNotice(exchange->request());
   if (!notice.ok()) {
@@ -182,8 +232,8 @@
     // answered.
     ConfirmIncarnation(answered_at_);
     sequence_ = heartbeat.sequence;
+    OnHeartbeatColdState(heartbeat);
     answered_at_ = Instant{};
-    cold_until_ = loop_.Now() + heartbeat.cold_remaining;
     if (heartbeat.slots != slots_) {
       slots_ = heartbeat.slots;
       observer_.on_changed(false);
@@ -266,6 +316,7 @@
   confirmed_at_ = alive_at;
   proof_invalidated_at_ = alive_at == Instant{} ? loop_.Now() : Instant{};
   if (slots_ == 0) slots_ = 1;
+  ForgetColdState();
   observer_.on_changed(replaced);
 }
 
@@ -408,9 +459,14 @@
 }
 
 void WorkerMonitor::OnWorkerUnreachable() {
+  if (cold_state_tracked_ && NoConnectionOpen()) ForgetColdState();
   if (!probe_timer_.active() && probe_ == nullptr) probe_timer_.Start(Duration(0));
 }
 
+void WorkerMonitor::OnIdleConnectionLost() {
+  if (cold_state_tracked_ && NoConnectionOpen()) ForgetColdState();
+}
+
 void WorkerMonitor::OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) {
   ++unstamped_successes_;
   log_.Write(LogLevel::kWarning, "success_without_stamp",
@@ -473,8 +529,7 @@
 // The operating system closes all connections of a process immediately when it ends. If this
 // process never had a connection to the worker, the absence of open ones shows nothing.
 bool WorkerMonitor::ConnectionsEnded() const {
-  if (pool_.HasOpenConnection(settings_.worker)) return false;
-  if (order_pool_.HasOpenConnection(settings_.worker)) return false;
+  if (!NoConnectionOpen()) return false;
   const Instant lost_at =
       std::max(pool_.LostAt(settings_.worker), order_pool_.LostAt(settings_.worker));
   return lost_at != Instant{} && lost_at >= heard_at_;
@@ -493,8 +548,10 @@
   } else if (named) {
     AdoptWorker(*id, probe_sent_at_, Source::kAddress);
   }
+  if (named) OnProbeColdState(response);
   // A worker at its capacity limit refuses probes without stating its identity.
-  if (!worker_id_.empty() && !Confirmed()) probe_timer_.Start(kProbeInterval);
+  const bool asks_again = !Confirmed() || (cold_state_tracked_ && ColdStateUnknown());
+  if (!worker_id_.empty() && asks_again) probe_timer_.Start(kProbeInterval);
 }
 
 void WorkerMonitor::CheckSilence() {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -31,6 +31,8 @@
     // `former_gone`: the former worker has certainly ended.
     std::function<void(bool former_gone)> on_changed;
     std::function<void()> on_confirmed;  // The worker at the address has been verified again.
+    // Until when the worker is cold; Instant::max() while that is unknown.
+    std::function<void(Instant cold_until)> on_cold_until;
     // A worker has certainly ended; may be called more than once for the same worker.
     std::function<void(const std::string& worker_id)> on_ended;
     KeyLessor* lessor = nullptr;  // Must outlive the monitor.
@@ -50,6 +52,11 @@
   void OnSynchronized();
   // The store was restored from an older copy of its data, which may lack the drain record.
   void OnStoreRestored();
+  // While it is tracked how long the worker is cold, it is asked whenever that may have changed:
+  // after it may have been restarted, and after ForgetColdState().
+  void TrackColdState(bool tracked);
+  // The worker may have turned cold unnoticed.
+  void ForgetColdState();
   // Sets the path of health checks; none are sent before it is known.
   void SetHealthPath(const std::string& path);
 
@@ -60,7 +67,6 @@
   const std::string& worker_id() const { return worker_id_; }
   uint32_t slots() const { return slots_; }
   WorkerState state() const;
-  Instant cold_until() const { return cold_until_; }
   // Since when the worker is known to be leaving; Instant{} when an earlier run of this process
   // learnt of it.
   Instant draining_since() const { return draining_since_; }
@@ -83,6 +89,8 @@
 
   void OnWorkerAnswered(Instant sent, Instant connection_made) override;
   void OnWorkerUnreachable() override;
+  // The worker closed an idle connection, or the connection broke.
+  void OnIdleConnectionLost();
   void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) override;
   void OnOtherWorker(const std::string& stated_identity) override;
   uint64_t unstamped_successes() const { return unstamped_successes_; }
@@ -122,6 +130,11 @@
   // known.
   void AdoptWorker(const std::string& worker_id, Instant alive_at, Source source);
   void NoteAnswer();
+  void SetColdUntil(Instant cold_until);
+  void OnHeartbeatColdState(const WorkerHeartbeat& heartbeat);
+  void OnProbeColdState(const http::Response& response);
+  bool ColdStateUnknown() const { return cold_until_ == Instant::max(); }
+  bool NoConnectionOpen() const;
   void Confirm(Instant alive_at);
   void ConfirmIncarnation(Instant alive_at);
   void MarkDraining();
@@ -168,9 +181,11 @@
   Instant answered_at_{};  // When the heartbeat with that sequence was answered.
   bool draining_ = false;
   Instant draining_since_{};
-  Instant cold_until_{};
-  Instant heard_at_{};                // Time of the latest heartbeat or response.
-  Source source_ = Source::kAddress;  // Where worker_id_ was learnt.
+  bool cold_state_tracked_ = false;
+  Instant cold_until_{};               // Instant::max(): not known.
+  Instant cold_state_forgotten_at_{};  // Since when it was not known.
+  Instant heard_at_{};                 // Time of the latest heartbeat or response.
+  Source source_ = Source::kAddress;   // Where worker_id_ was learnt.
   Instant adopted_at_{};
   Instant confirmed_at_{};           // Latest time at which its identity was stated at its address.
   Instant incarnation_proven_at_{};  // Latest time at which this incarnation was certainly there.
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -113,6 +113,10 @@
       });
 }
 
+Duration FakeWorker::ColdRemaining() const {
+  return std::max(Duration(0), cold_until_ - loop_.Now());
+}
+
 std::string FakeWorker::HeartbeatBody() {
   json body{{"service", service_},
             {"address", endpoint().ToString()},
@@ -120,7 +124,7 @@
             {"version", "v1"},
             {"slots", slots_},
             {"state", draining_ ? "draining" : "ready"},
-            {"cold_remaining_ms", 0},
+            {"cold_remaining_ms", heartbeats_report_warm_ ? 0 : ToMilliseconds(ColdRemaining())},
             {"call_sequence", ++sequence_}};
   if (born_ != 0) body["born"] = born_;
   if (!keys_in_heartbeats_) return body.dump();
@@ -253,6 +257,9 @@
     return DoLater(health_delay_ ? health_delay_() : Duration(0), [this, exchange] {
       http::Headers headers;
       headers.Add("Instance-Id", id_);
+      if (ColdRemaining() > Duration(0)) {
+        headers.Add("Cold-Start-Ms", std::to_string(ToMilliseconds(ColdRemaining())));
+      }
       exchange->Respond(draining_ ? 503 : 200, headers, "");
     });
   }
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -43,6 +43,10 @@
 
   // Sends heartbeats to the given node until the worker is destroyed.
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
+  // The worker is cold for this long from now, as heartbeats and health checks report.
+  void TurnCold(Duration remaining) { cold_until_ = loop_.Now() + remaining; }
+  // Heartbeats report the worker as warm whatever it is.
+  void set_heartbeats_report_warm(bool value) { heartbeats_report_warm_ = value; }
   void set_draining(bool draining) { draining_ = draining; }
   // When draining, the worker deregisters at once and stops its heartbeats, but still serves
   // requests.
@@ -181,7 +185,10 @@
   std::function<HeartbeatFault()> next_heartbeat_fault_;
   event::Timer late_heartbeat_;
   std::function<void()> send_late_;
+  Duration ColdRemaining() const;
   int slots_ = 4;
+  Instant cold_until_{};
+  bool heartbeats_report_warm_ = false;
   bool draining_ = false;
   bool leaves_without_draining_ = false;
   bool sharded_ = false;
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -115,7 +115,8 @@
   for (Node& node : nodes) node.worker->set_born(born);
 }
 
-void Fleet::ReplaceWorker(size_t node, const std::string& id, int64_t born, Duration down) {
+void Fleet::ReplaceWorker(size_t node, const std::string& id, int64_t born, Duration down,
+                          Duration cold) {
   const uint16_t port = nodes[node].worker->endpoint().port;
   nodes[node].worker.reset();
   event::RunFor(loop, down);
@@ -124,6 +125,7 @@
   nodes[node].worker->set_keys_in_heartbeats(nodes[node].settings.grant_delivery ==
                                              routes::GrantDelivery::kHeartbeats);
   nodes[node].worker->set_born(born);
+  if (cold > Duration(0)) nodes[node].worker->TurnCold(cold);
   nodes[node].worker->Listen(port);
   nodes[node].worker->StartHeartbeats(*nodes[node].settings.control_plane, kHeartbeatInterval);
 }
--- a/tests/platform_adapter/fleet.h
+++ b/tests/platform_adapter/fleet.h
@@ -50,9 +50,9 @@
   // Restarts a sidecar with the same worker.
   void Restart(size_t node);
   // Destroys a node's worker and starts a new one at the same address after `down`. For `born` see
-  // FakeWorker::set_born.
+  // FakeWorker::set_born. The new worker is cold for `cold` from its start.
   void ReplaceWorker(size_t node, const std::string& id, int64_t born = 0,
-                     Duration down = std::chrono::milliseconds(5));
+                     Duration down = std::chrono::milliseconds(5), Duration cold = Duration(0));
 
   struct Answer {
     int status = 0;
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -36,8 +36,9 @@
     R"(["a","h.example","/a/","non_idempotent",1200,400,1,"s1",2,null],)"
     R"(["b","h.example","/b/","idempotent",null,300,2,null,3,)"
     R"([{"service":"s1","weight":90},{"service":"s2","weight":10}]]]},)"
-    R"("services":{"columns":["name","health_check_path","max_connections","sharded","warmup_s"],)"
-    R"("rows":[["s1","/health",110,true,3.0],["s2","/health",110,null,null]]},)"
+    R"("services":{"columns":["name","health_check_path","max_connections","sharded","cold_start_s",)"
+    R"("cold_per_s","warmup_s"],)"
+    R"("rows":[["s1","/health",110,true,2.5,13.5,3.0],["s2","/health",110]]},)"
     R"("limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,)"
     R"("idle_timeout_ms":15000}})";
 
@@ -48,7 +49,7 @@
 internal_port_range = [7620,7635]
 heartbeat_interval_ms = 1300
 first_start = true
-bounds = ["drain_timeout_ms=2500","retry_budget_ratio=0.3","closed=false","other=text"]
+bounds = ["drain_timeout_ms=2500","retry_budget_ratio=0.3","cold_overage=1.5","cold_tolerance=8","closed=false","other=text"]
 application_address = "10.1.0.8:8301"
 service = "s1"
 unknown_field = 7
@@ -99,6 +100,9 @@
   CHECK_EQUAL(10, route->services[1].weight);
   CHECK(configuration->FindService("s1")->sharded);
   CHECK_FALSE(configuration->FindService("s2")->sharded);
+  CHECK(configuration->FindService("s1")->cold_start == std::chrono::milliseconds(2500));
+  DOUBLES_EQUAL(13.5, configuration->FindService("s1")->cold_rate, 1e-9);
+  DOUBLES_EQUAL(0, configuration->FindService("s2")->cold_rate, 1e-9);
   CHECK_EQUAL(1000, configuration->limits().max_body_bytes);
 }
 
@@ -114,6 +118,9 @@
       {"\"rows\":[[\"s1\"", "\"row\":[[\"s1\""},
       {"[\"s2\",\"/health\"", "[null,\"/health\""},
       {"\"routes\"", "\"rutes\""},
+      {"2.5,13.5", "2.5,-1"},
+      {"2.5,13.5", "2.5,\"13.5\""},
+      {"2.5,13.5", "\"2.5\",13.5"},
       {"}}", "}"},
   };
   for (const auto& [from, to] : changes) {
@@ -194,7 +201,7 @@
 TEST(Translation, AServiceSaysHowItsKeysAreGranted) {
   const auto with = [](const std::string& word) {
     std::string text = Replaced(kConfiguration, R"("warmup_s"],)", R"("warmup_s","grants"],)");
-    text = Replaced(text, "110,true,3.0]", "110,true,3.0," + word + "]");
+    text = Replaced(text, "13.5,3.0]", "13.5,3.0," + word + "]");
     return DecodeConfiguration(text);
   };
   CHECK(with("\"heartbeat\"")->FindService("s1")->grant_delivery ==
@@ -416,6 +423,8 @@
   CHECK(settings->bounds.drain_timeout == std::chrono::milliseconds(2500));
   CHECK(settings->bounds.max_hold == std::chrono::seconds(10));
   DOUBLES_EQUAL(0.3, settings->bounds.retry_budget_ratio, 1e-9);
+  DOUBLES_EQUAL(1.5, settings->bounds.cold_rate_factor, 1e-9);
+  DOUBLES_EQUAL(8, settings->bounds.cold_burst, 1e-9);
   CHECK(settings->store_min_time_to_live == std::chrono::seconds(2));
   DOUBLES_EQUAL(1e6, settings->link_bytes_per_second, 1);
 }
@@ -431,6 +440,9 @@
       {"link_mbps = 8.0", "link_mbps = -8.0", "limits.link_mbps"},
       {"link_mbps = 8.0", "link_mbps = \"8\"", "limits.link_mbps"},
       {"\"closed=false\"", "7", "bounds"},
+      {"cold_overage=1.5", "cold_overage=-1.5", "bounds.cold_overage"},
+      {"cold_tolerance=8", "cold_tolerance=many", "bounds.cold_tolerance"},
+      {"drain_timeout_ms=2500", "drain_timeout_ms=nan", "bounds.drain_timeout_ms"},
       {"unknown_field = 7", "unknown_field =", "line 11"},
   };
   for (const auto& [from, to, name] : changes) {
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -230,3 +230,71 @@
   CHECK(RunUntil(loop, [&] { return outcomes[0].complete && outcomes[1].complete; }));
   CHECK_EQUAL(2, held.size());
 }
+
+// Guards against a worker that is overrun when it has just come back: slots alone do not bound how
+// many requests reach it.
+TEST(WorkerGate, AColdWorkerIsSentNoMoreThanItsLimitAndTheRestIsRefusedAtOnce) {
+  gate->SetWorker("w", "shop", 50);
+  gate->SetColdStartLimits({20, 8});
+  gate->SetColdUntil(loop.Now() + std::chrono::seconds(3));
+  std::vector<std::unique_ptr<Outcome>> outcomes;
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  const auto offer = [&](size_t count) {
+    for (size_t index = 0; index < count; ++index) {
+      outcomes.push_back(std::make_unique<Outcome>());
+      attempts.push_back(gate->Submit(Request(), outcomes.back().get()));
+      attempts.back()->Begin();
+    }
+  };
+  offer(10);
+  for (const auto& outcome : outcomes) {
+    CHECK(outcome->failure.has_value());
+    CHECK(outcome->failure->verdict == Verdict::kNotRun);
+    CHECK(outcome->failure->reason == FailureReason::kWarmingUp);
+    CHECK_FALSE(outcome->failure->reached_worker);
+    CHECK(outcome->failure->retry_after > Duration(0));
+  }
+  const Instant later = loop.Now() + std::chrono::milliseconds(600);
+  RunUntil(loop, [&] { return loop.Now() >= later; });
+  offer(30);
+  CHECK(RunUntil(loop, [&] { return !held.empty(); }));
+  CHECK(held.size() <= 8);
+  CHECK(gate->load().cold);
+}
+
+// Requests that wait for a slot while their worker turns cold are given back when there is no room
+// for them.
+TEST(WorkerGate, QueuedRequestsOfAWorkerThatTurnsColdAreNotSentAtOnce) {
+  gate->SetColdStartLimits({20, 8});
+  Outcome outcomes[5];
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  for (Outcome& outcome : outcomes) {
+    attempts.push_back(gate->Submit(Request(), &outcome));
+    attempts.back()->Begin();
+  }
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  gate->SetColdUntil(Instant::max());
+  AnswerRun(held[0], 200);
+  CHECK(RunUntil(loop, [&] { return outcomes[4].failure.has_value(); }));
+  for (size_t index = 2; index < 5; ++index) {
+    CHECK(outcomes[index].failure->verdict == Verdict::kNotRun);
+    CHECK(outcomes[index].failure->reason == FailureReason::kWarmingUp);
+  }
+  UNSIGNED_LONGS_EQUAL(2, held.size());
+  // An unknown state is not reported as cold to other nodes, which would avoid the worker for long.
+  CHECK_FALSE(gate->load().cold);
+}
+
+// A node that has just started knows neither the limits of a cold worker nor whether its zone may
+// be used.
+TEST(WorkerGate, WithoutAConfigurationNothingIsSent) {
+  gate->SetConfigured(false);
+  Outcome refused;
+  AttemptRequest without_key = Request();
+  without_key.key.reset();
+  const auto attempt = gate->Submit(without_key, &refused);
+  attempt->Begin();
+  CHECK(refused.failure.has_value());
+  CHECK(refused.failure->verdict == Verdict::kNotRun);
+  CHECK(refused.failure->reason == FailureReason::kNoWorker);
+}
