State feed: a node whose watches get no response does not take over

Cause, traced: the store fell silent for a third of the nodes, the leader of the feed and the standby among them. The standby took over 0.8 s after the last beacon although its own watches had got no response for 0.5 s; its beacons told all others that they missed nothing, and they watched the store for themselves only when it gave up too, 1 s later. Change: PrefixWatcher tells whether the latest watch got no response and nothing was answered since; such a node does not begin to lead. The next candidate or the followers' own watches take its place. A present leader is judged by its probe as before. Evidence: PrefixWatcher.AnUnansweredWatchIsKnownUntilTheStoreAnswers shows what a node knows.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -156,7 +156,7 @@
     metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
   });
   ingress_.set_configuration_is_behind([this] { return feed_.IsBehind(wire_.ConfigurationKey()); });
-  feed_.set_store_answers([this] { return store_.direct_path_works(); });
+  feed_.set_store_answers([this] { return StoreAnswers(); });
   peers_.set_on_stop_notice([this](const std::string& node) {
     log_.Write(LogLevel::kInfo, "peer_stopping",
                {{"node", node}, {"store_reachable", store_.reachable()}});
@@ -258,6 +258,14 @@
   }
 }
 
+// A node whose watches get no response must not take over the feed: it would notice the next
+// changes as late as the former leader. The leader also probes the store, see StoreProbe.
+bool Sidecar::StoreAnswers() const {
+  if (!store_.direct_path_works()) return false;
+  return feed_.leading() ||
+         (!configuration_watcher_.store_is_silent() && !state_watcher_.store_is_silent());
+}
+
 void Sidecar::ReadState() {
   state_read_timer_.Stop();
   if (state_watcher_.started()) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -118,6 +118,7 @@
   // The store no longer responds on the open connections.
   void OnStoreUnresponsive();
   void OnWatchUnanswered(const store::PrefixWatcher& watcher, const store::UnansweredWatch& watch);
+  bool StoreAnswers() const;
   // Reads the whole state from the store, for the first time or again.
   void ReadState();
   void OnTick();
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -122,6 +122,7 @@
   revision_ = std::max(revision_, revision);
   if (!synchronized_ || !events.empty()) change_revision_ = revision_;
   synchronized_ = true;
+  store_is_silent_ = false;
   return events;
 }
 
@@ -238,6 +239,7 @@
     return;
   }
   retry_delay_ = Duration(0);
+  store_is_silent_ = false;
   schedule_.OnAnswered();
   // The watch was sent in one era and answered in a later one.
   if (EraOf(page->revision) > EraOf(revision_)) {
@@ -270,6 +272,7 @@
     return;
   }
   const bool ask_again = absl::IsUnknown(status) && schedule_.OnUnanswered();
+  if (absl::IsUnknown(status)) store_is_silent_ = true;
   if (absl::IsUnknown(status) && observer_.on_watch_unanswered) {
     observer_.on_watch_unanswered({revision_, loop_.Now() - watch_sent_at_, ask_again});
   }
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -115,6 +115,8 @@
   Revision revision() const { return revision_; }
   // Revision of the latest known change that the copy includes.
   Revision change_revision() const { return change_revision_; }
+  // The latest watch got no response, and none to a watch or a read of the range came since.
+  bool store_is_silent() const { return store_is_silent_; }
   bool started() const { return !stopped_; }
   // True once the whole range has been read.
   bool synchronized() const { return synchronized_; }
@@ -165,6 +167,7 @@
   Instant watch_sent_at_{};
   bool following_ = false;
   WatchSchedule schedule_;
+  bool store_is_silent_ = false;
   bool short_watch_ = false;  // The pending watch is a short one; see WatchSchedule.
   bool read_next_ = true;
   bool stopped_ = true;
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -236,6 +236,20 @@
   CHECK_FALSE(seen.contains("other"));
 }
 
+// Guards against a node that takes over the distribution of the state although the store does not
+// answer it. The store is silent until a watch or a read is answered.
+TEST(PrefixWatcher, AnUnansweredWatchIsKnownUntilTheStoreAnswers) {
+  watcher.Start();
+  CHECK(RunUntil(loop, [&] { return watcher.synchronized(); }));
+  watcher.SetConfirming(true);
+  CHECK_FALSE(watcher.store_is_silent());
+  fake.set_fault(FakeStore::Fault::kSilent);
+  fake.Put("p/0", "value");  // Answers the pending watch; the next one gets no response.
+  CHECK(RunUntil(loop, [&] { return watcher.store_is_silent(); }));
+  fake.set_fault(FakeStore::Fault::kNone);
+  CHECK(RunUntil(loop, [&] { return !watcher.store_is_silent(); }));
+}
+
 // A watch that receives nothing and is then closed must cause a new read immediately. Guards
 // against handing the watch to a peer with its long wait, which delayed a configuration by seconds.
 TEST(PrefixWatcher, AClosedWatchCausesAReadAtOnce) {
