Target choice: evacuated zones and the regions that a route allows

Callers saw: workers of an evacuated zone got requests as before, and were overrun when it was returned; routes that allow some regions only were served anywhere. Cause: op/evacuate/ZONE and allowed_regions were not read. Change, evacuation: a third watched prefix, distributed by the state feed; EvacuatedZones holds an item that a restored store lacks for 5 s. The gate refuses queued and new requests (evacuated, not run); keyed ones are served until they are handed over, 1.25 s at most (a quarter of evacuation_ms). Other nodes choose no worker there, keys are released to owners outside, the planner puts none in. On return the state of the worker counts as unknown, so that its gate asks before it sends more than a cold one bears. A service whose workers are all in such zones is refused at once with 2 s to come back. A follower whose leader does not announce a prefix watches it itself (mixed versions). Change, regions: PeerDirectory takes one query (service, excluded, allowed regions, answer size) for first tries, retries and stopping nodes; the owner of a key outside the regions is refused; zones of unknown region are in none. Metrics show evacuated zones and a cold worker.

--- a/source/routes/routing_configuration.h
+++ b/source/routes/routing_configuration.h
@@ -38,6 +38,8 @@
   int priority = 0;                        // Zero is the highest priority.
   uint32_t max_attempts = 1;               // Workers that one request may be sent to.
   std::vector<WeightedService> services;   // At least one.
+  // Regions whose workers may run the requests; empty: all.
+  std::vector<std::string> allowed_regions;
 };
 
 // How the workers of a sharded service learn which keys they own.
--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,11 +6,12 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 16> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 17> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
     {FailureReason::kDraining, "draining"},
+    {FailureReason::kEvacuated, "evacuated"},
     {FailureReason::kStopping, "stopping"},
     {FailureReason::kNotOwner, "not-owner"},
     {FailureReason::kFull, "full"},
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -42,6 +42,7 @@
   kNoWorker,       // The node knows of no healthy worker that may run the request.
   kWrongWorker,    // The worker is not the expected one, or runs another service.
   kDraining,       // The worker is draining.
+  kEvacuated,      // The worker's zone is evacuated.
   kStopping,       // The node is stopping, possibly before the request would complete.
   kNotOwner,       // The worker does not hold the request's key.
   kFull,           // Refused by the admission queue in front of the worker.
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -125,6 +125,12 @@
         gauges.store_reachable ? 1 : 0);
   gauge("runshelf_store_era", "Increases each time the store is restored from a backup.",
         static_cast<double>(gauges.store_era));
+  gauge("runshelf_worker_cold", "Whether the worker is warming up after its start.",
+        gauges.load.cold ? 1 : 0);
+  gauge("runshelf_evacuated_zones", "Zones whose workers get no requests.",
+        static_cast<double>(gauges.evacuated_zones));
+  gauge("runshelf_zone_evacuated", "Whether the zone of this node is evacuated.",
+        gauges.zone_evacuated ? 1 : 0);
   gauge("runshelf_ready", "Whether the node accepts new clients.", gauges.ready ? 1 : 0);
   gauge("runshelf_stopping", "Whether the node is shutting down.", gauges.stopping ? 1 : 0);
   gauge("runshelf_live_nodes", "Live nodes of the fleet known to this node.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -36,6 +36,8 @@
   bool store_reachable = false;
   store::StoreEra store_era = 0;
   bool ready = false;
+  size_t evacuated_zones = 0;   // In the whole fleet.
+  bool zone_evacuated = false;  // The node's own zone.
   size_t live_nodes = 0;
   bool stopping = false;
   RequestCounts requests_under_way;
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -11,6 +11,8 @@
 // Heartbeat intervals without a heartbeat after which a worker counts as disconnected. More than
 // one, because single heartbeats may be late.
 constexpr double kMissedHeartbeats = 2.5;
+// An evacuation may be learnt late, and the last request takes time to arrive.
+constexpr int kEvacuationKeyDivisor = 4;
 constexpr double kBytesPerMegabit = 125000;
 
 }  // namespace
@@ -68,6 +70,10 @@
   return config;
 }
 
+Duration EvacuationKeyTime(const FleetBounds& bounds) {
+  return bounds.evacuation_timeout / kEvacuationKeyDivisor;
+}
+
 uint32_t LinkMegabits(const Settings& settings) {
   return static_cast<uint32_t>(settings.link_bytes_per_second / kBytesPerMegabit);
 }
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -33,9 +33,11 @@
 
 }  // namespace
 
-PeerDirectory::PeerDirectory(std::string own_node, std::string own_zone)
+PeerDirectory::PeerDirectory(std::string own_node, std::string own_zone,
+                             std::map<std::string, std::string> regions)
     : own_node_(std::move(own_node)),
       own_zone_(std::move(own_zone)),
+      regions_(std::move(regions)),
       balancer_(BalancerConfig()),
       failures_(DetectorConfig()) {}
 
@@ -108,6 +110,22 @@
   balancer_.OnAttemptEnd(InstanceOf(node));
 }
 
+void PeerDirectory::SetEvacuated(const std::string& zone, bool evacuated) {
+  if (evacuated) {
+    evacuated_zones_.insert(zone);
+  } else {
+    evacuated_zones_.erase(zone);
+  }
+  targets_built_ = false;
+}
+
+bool PeerDirectory::IsServiceEvacuated(Instant now, const std::string& service) {
+  if (evacuated_zones_.empty()) return false;
+  BuildTargets(now);
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.evacuated;
+}
+
 void PeerDirectory::Sweep(Instant now) {
   bool changed = false;
   for (auto& [node, peer] : peers_) {
@@ -141,63 +159,79 @@
     routing::RouteTarget target;
     target.instance = InstanceOf(node);
     target.zone = peer.record.zone;
-    target.leaving = !peer.record.accepting() || peer.stop.has_value();
-    services_[peer.record.service].targets.push_back(std::move(target));
+    const bool evacuated = IsEvacuated(peer.record.zone);
+    target.leaving = !peer.record.accepting() || peer.stop.has_value() || evacuated;
+    ServiceTargets& service = services_[peer.record.service];
+    service.evacuated = service.evacuated && evacuated;
+    service.targets.push_back(std::move(target));
   }
   std::sort(instances.begin(), instances.end());
   balancer_.SetTargets(now, instances);
   failures_.KeepOnly(instances);
 }
 
-std::optional<std::string> PeerDirectory::Choose(Instant now, const std::string& service,
-                                                 const std::vector<std::string>& excluded,
-                                                 Random& random, routing::AnswerSize answer_size) {
+void PeerDirectory::Exclude(const TargetQuery& query,
+                            const std::vector<routing::RouteTarget>& targets,
+                            std::vector<bool>* skipped) const {
+  for (size_t index = 0; index < targets.size(); ++index) {
+    const routing::RouteTarget& target = targets[index];
+    const bool excluded = std::find(query.excluded.begin(), query.excluded.end(),
+                                    target.instance.node) != query.excluded.end();
+    if (excluded || !IsZoneInRegions(target.zone, query.allowed_regions)) (*skipped)[index] = true;
+  }
+}
+
+bool PeerDirectory::IsZoneInRegions(const std::string& zone,
+                                    const std::vector<std::string>& allowed_regions) const {
+  if (allowed_regions.empty()) return true;
+  const auto region = regions_.find(zone);
+  return region != regions_.end() && std::find(allowed_regions.begin(), allowed_regions.end(),
+                                               region->second) != allowed_regions.end();
+}
+
+bool PeerDirectory::IsInRegions(const std::string& node,
+                                const std::vector<std::string>& allowed_regions) const {
+  const Peer* peer = Find(node);
+  return peer != nullptr && IsZoneInRegions(peer->record.zone, allowed_regions);
+}
+
+std::optional<std::string> PeerDirectory::Choose(Instant now, const TargetQuery& query,
+                                                 Random& random) {
   BuildTargets(now);
-  const auto found = services_.find(service);
+  const auto found = services_.find(query.service);
   if (found == services_.end()) return std::nullopt;
   const auto& targets = found->second.targets;
   std::vector<bool> skipped = failures_.Ejected(now, targets);
-  const auto exclude = [&](std::vector<bool>* flags) {
-    for (size_t index = 0; index < targets.size(); ++index) {
-      if (std::find(excluded.begin(), excluded.end(), targets[index].instance.node) !=
-          excluded.end()) {
-        (*flags)[index] = true;
-      }
-    }
-  };
-  exclude(&skipped);
-  auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, answer_size);
+  Exclude(query, targets, &skipped);
+  auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, query.answer_size);
   if (!choice.has_value()) {
     // Fall back to nodes that failed recently.
     std::vector<bool> only_excluded(targets.size(), false);
-    exclude(&only_excluded);
-    choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random, answer_size);
+    Exclude(query, targets, &only_excluded);
+    choice = balancer_.Choose(now, targets, only_excluded, own_zone_, random, query.answer_size);
   }
-  if (!choice.has_value()) return ChooseStopping(now, service, excluded, random, answer_size);
+  if (!choice.has_value()) return ChooseStopping(now, query, random);
   return targets[*choice].instance.node;
 }
 
-std::optional<std::string> PeerDirectory::ChooseStopping(Instant now, const std::string& service,
-                                                         const std::vector<std::string>& excluded,
-                                                         Random& random,
-                                                         routing::AnswerSize answer_size) {
+std::optional<std::string> PeerDirectory::ChooseStopping(Instant now, const TargetQuery& query,
+                                                         Random& random) {
   BuildTargets(now);
-  const auto found = services_.find(service);
+  const auto found = services_.find(query.service);
   if (found == services_.end()) return std::nullopt;
   std::vector<routing::RouteTarget> targets = found->second.targets;
   std::vector<bool> skipped(targets.size(), true);
   for (size_t index = 0; index < targets.size(); ++index) {
-    const std::string& node = targets[index].instance.node;
-    const Peer& peer = peers_.at(node);
+    const Peer& peer = peers_.at(targets[index].instance.node);
     const bool takes_requests = peer.record.worker_state == WorkerState::kReady &&
-                                peer.stop.has_value() && now < peer.stop->takes_requests_until;
-    if (!takes_requests || std::find(excluded.begin(), excluded.end(), node) != excluded.end()) {
-      continue;
-    }
+                                peer.stop.has_value() && now < peer.stop->takes_requests_until &&
+                                !IsEvacuated(peer.record.zone);
+    if (!takes_requests) continue;
     targets[index].leaving = false;
     skipped[index] = false;
   }
-  const auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, answer_size);
+  Exclude(query, targets, &skipped);
+  const auto choice = balancer_.Choose(now, targets, skipped, own_zone_, random, query.answer_size);
   if (!choice.has_value()) return std::nullopt;
   return targets[*choice].instance.node;
 }
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,11 +38,21 @@
   bool stopping() const { return record.stopping || stop.has_value(); }
 };
 
+// Which node may get a request.
+struct TargetQuery {
+  std::string service;
+  std::vector<std::string> excluded;         // Nodes that are not to be chosen.
+  std::vector<std::string> allowed_regions;  // Empty: all.
+  routing::AnswerSize answer_size = routing::AnswerSize::kUsual;
+};
+
 // Keeps the known nodes and chooses among them by load and failures. Deterministic; not
 // thread-safe.
 class PeerDirectory {
  public:
-  PeerDirectory(std::string own_node, std::string own_zone);
+  // `regions`: the region of each zone.
+  PeerDirectory(std::string own_node, std::string own_zone,
+                std::map<std::string, std::string> regions = {});
 
   // A node's item in the store was written or removed.
   void OnRecord(const NodeRecord& record);
@@ -63,21 +74,27 @@
   void set_on_stop_notice(std::function<void(const std::string& node)> callback) {
     on_stop_notice_ = std::move(callback);
   }
+  // Operators have evacuated the zone, or returned it to use. Workers of an evacuated zone are not
+  // chosen.
+  void SetEvacuated(const std::string& zone, bool evacuated);
+  const std::set<std::string>& evacuated_zones() const { return evacuated_zones_; }
+  bool IsEvacuated(const std::string& zone) const { return evacuated_zones_.contains(zone); }
+  // Whether the service has workers, and all of them are in evacuated zones.
+  bool IsServiceEvacuated(Instant now, const std::string& service);
   // Removes nodes that have neither an item nor recent answers. Call about every second.
   void Sweep(Instant now);
 
   const Peer* Find(const std::string& node) const;
   const std::map<std::string, Peer>& peers() const { return peers_; }
 
-  // Chooses a node whose worker accepts requests for `service`, by load, except those in
-  // `excluded`. A stopping node is chosen only when there is no other and it still takes requests.
-  std::optional<std::string> Choose(Instant now, const std::string& service,
-                                    const std::vector<std::string>& excluded, Random& random,
-                                    routing::AnswerSize answer_size = routing::AnswerSize::kUsual);
+  // Chooses a node whose worker accepts requests of the query, by load. A stopping node is chosen
+  // only when there is no other and it still takes requests.
+  std::optional<std::string> Choose(Instant now, const TargetQuery& query, Random& random);
   // The same among the stopping nodes that still take requests.
-  std::optional<std::string> ChooseStopping(
-      Instant now, const std::string& service, const std::vector<std::string>& excluded,
-      Random& random, routing::AnswerSize answer_size = routing::AnswerSize::kUsual);
+  std::optional<std::string> ChooseStopping(Instant now, const TargetQuery& query, Random& random);
+  // Whether requests that only `allowed_regions` may run can be sent to the node. Empty: all
+  // regions may. A node whose region is not known is in none of them.
+  bool IsInRegions(const std::string& node, const std::vector<std::string>& allowed_regions) const;
   // Another node to relay store calls through, preferably one that answered recently.
   std::optional<event::Endpoint> ChooseRelay(Instant now, Random& random) const;
   // Whether the node has had no item in the store for at least `wait`.
@@ -89,17 +106,25 @@
  private:
   struct ServiceTargets {
     std::vector<routing::RouteTarget> targets;
+    bool evacuated = true;  // All of them are in evacuated zones.
   };
 
   // Rebuilds the targets if nodes have changed. Each build visits all nodes, and many change at
   // once when many start, so it is deferred to the next choice.
   void BuildTargets(Instant now);
+  // Sets the flags of the targets that the query excludes.
+  void Exclude(const TargetQuery& query, const std::vector<routing::RouteTarget>& targets,
+               std::vector<bool>* skipped) const;
+  bool IsZoneInRegions(const std::string& zone,
+                       const std::vector<std::string>& allowed_regions) const;
   InstanceId InstanceOf(const std::string& node) const;
 
   std::string own_node_;
   std::string own_zone_;
+  std::map<std::string, std::string> regions_;  // By zone.
   std::map<std::string, Peer> peers_;
   std::map<std::string, Instant> removed_;  // When a node's item was removed, until it reappears.
+  std::set<std::string> evacuated_zones_;
   std::map<std::string, ServiceTargets> services_;
   bool targets_built_ = false;
   std::function<void(const std::string& node)> on_stop_notice_;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -22,6 +22,8 @@
 constexpr Duration kOwnerPollMax = std::chrono::milliseconds(100);
 // Retry-after of requests that a stopping node refuses: clients soon use another node.
 constexpr Duration kStopRetryAfter = std::chrono::milliseconds(300);
+// Retry-after of requests to a service of which all workers are in evacuated zones.
+constexpr Duration kEvacuationRetryAfter = std::chrono::seconds(2);
 // A request is refused after this many nodes have refused it because their queues are full.
 constexpr uint32_t kMaxQueueRefusals = 2;
 // Higher for nested calls, since refusing one also fails the run that made it.
@@ -127,6 +129,10 @@
     RefuseQuarantined();
     return;
   }
+  if (context_.peers.IsServiceEvacuated(now, service_)) {
+    Refuse(FailureReason::kEvacuated, kEvacuationRetryAfter);
+    return;
+  }
   if (OnlyOwnerMayRun()) {
     const sharding::Shard* shard = context_.shards.Find(service_, *key_);
     const Peer* peer = shard == nullptr ? nullptr : context_.peers.Find(shard->owner.node);
@@ -134,11 +140,14 @@
       WaitForOwner(FailureReason::kNoWorker);
       return;
     }
+    if (!context_.peers.IsInRegions(shard->owner.node, route_.allowed_regions)) {
+      Refuse(FailureReason::kNoWorker, Duration(0));
+      return;
+    }
     StartAttempt(shard->owner.node, shard->owner.worker);
     return;
   }
-  const auto node =
-      context_.peers.Choose(now, service_, tried_nodes_, context_.random, ExpectedAnswerSize());
+  const auto node = context_.peers.Choose(now, Query(), context_.random);
   if (!node.has_value()) {
     Refuse(FailureReason::kNoWorker, Duration(0));
     return;
@@ -150,8 +159,7 @@
 // which normal routing avoids but which may have room in its queue. Returns false if there is none.
 bool RequestFlow::TryStoppingNode() {
   if (context_.stop.closed() || context_.loop.Now() >= times_.deadline) return false;
-  const auto node = context_.peers.ChooseStopping(context_.loop.Now(), service_, tried_nodes_,
-                                                  context_.random, ExpectedAnswerSize());
+  const auto node = context_.peers.ChooseStopping(context_.loop.Now(), Query(), context_.random);
   if (!node.has_value()) return false;
   StartAttempt(*node, WorkerOnNode(*node));
   return true;
@@ -162,6 +170,10 @@
                                                        : routing::AnswerSize::kUsual;
 }
 
+TargetQuery RequestFlow::Query() const {
+  return {service_, tried_nodes_, route_.allowed_regions, ExpectedAnswerSize()};
+}
+
 std::string RequestFlow::WorkerOnNode(const std::string& node) const {
   const Peer* peer = context_.peers.Find(node);
   return peer == nullptr ? std::string() : peer->record.worker_id;
@@ -304,6 +316,7 @@
     case FailureReason::kUnreachable:
     case FailureReason::kNoWorker:
     case FailureReason::kDraining:
+    case FailureReason::kEvacuated:
     case FailureReason::kStopping:
       if (OnlyOwnerMayRun()) {
         WaitForOwner(failure.reason);
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -44,6 +44,7 @@
   void TryNext();
   bool TryStoppingNode();
   routing::AnswerSize ExpectedAnswerSize() const;
+  TargetQuery Query() const;
   std::string WorkerOnNode(const std::string& node) const;
   void StartAttempt(const std::string& node, const std::string& worker_id);
   void Send(const std::string& node, const std::string& worker_id);
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,8 @@
 struct FleetBounds {
   // From the acknowledgement that a worker is leaving.
   Duration drain_timeout = std::chrono::seconds(2);
+  // From the acknowledgement that a zone is evacuated until no request reaches its workers.
+  Duration evacuation_timeout = std::chrono::seconds(5);
   Duration grace_period = std::chrono::seconds(6);  // From SIGTERM to SIGKILL.
   Duration max_hold = std::chrono::seconds(10);     // Validity of a grant of keys.
   // A cold worker is sent this multiple of the rate that it can bear, and so many requests more,
@@ -32,6 +35,7 @@
   std::string node_name;
   std::string zone;
   std::string ip_address;
+  std::map<std::string, std::string> regions;    // Region of each zone of the fleet.
   std::optional<event::Endpoint> outbound;       // Requests of local clients and the worker.
   std::optional<event::Endpoint> inbound;        // Requests of other nodes.
   std::optional<event::Endpoint> readiness;      // Readiness checks of the platform.
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -69,7 +69,8 @@
     sharding::PlannerWorker worker;
     worker.id = {node, peer.record.worker_id};
     worker.slots = peer.record.slots;
-    worker.accepting = peer.listed && peer.record.accepts_keys();
+    worker.accepting =
+        peer.listed && peer.record.accepts_keys() && !peers_.IsEvacuated(peer.record.zone);
     input.workers.push_back(std::move(worker));
   }
   for (const sharding::Shard& shard : shards_.map().shards()) {
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -50,7 +50,7 @@
       pool_(loop),
       order_pool_(loop),
       store_(loop, pool_, codec, StoreConfig(settings_)),
-      peers_(settings_.node_name, settings_.zone),
+      peers_(settings_.node_name, settings_.zone, settings_.regions),
       worker_end_calls_(loop, pool_),
       quarantine_(loop, store_, wire, random, log, settings_.node_name),
       gate_(loop, pool_, wire, settings_.worker),
@@ -89,10 +89,23 @@
            [this](const store::UnansweredWatch& watch) {
              OnWatchUnanswered(state_watcher_, watch);
            }}),
+      evacuation_watcher_(
+          loop, store_, WatchConfig(wire.EvacuationPrefix()),
+          {[this](const store::Item& item) { OnEvacuationItem(item.key, /*present=*/true); },
+           [this](const std::string& key) { OnEvacuationItem(key, /*present=*/false); },
+           [this] { OnEvacuationsSynchronized(); },
+           [this](const store::ChangeSet& changes) {
+             feed_.OnChanges(evacuation_watcher_, changes);
+           },
+           [this](const store::EraChange&) { evacuations_.OnStoreRestored(loop_.Now()); },
+           [this](const store::UnansweredWatch& watch) {
+             OnWatchUnanswered(evacuation_watcher_, watch);
+           }}),
+      watchers_{&configuration_watcher_, &state_watcher_, &evacuation_watcher_},
       feed_(loop,
             std::make_unique<NetworkFeedTransport>(loop, pool_, settings_.ip_address,
                                                    BeaconPort(settings_)),
-            peers_, {&configuration_watcher_, &state_watcher_}, log, FeedConfig(settings_)),
+            peers_, watchers_, log, FeedConfig(settings_)),
       store_probe_(
           loop, lease_, [this] { return feed_.leading(); }, [this] { OnStoreUnresponsive(); }),
       loop_monitor_(loop, [this](Duration turn) { OnLoopTurn(turn); }),
@@ -137,7 +150,7 @@
   }
   store_.set_relay(this);
   store_.set_on_direct_lost([this] {
-    for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
+    for (store::PrefixWatcher* watcher : watchers_) {
       // A following watcher has no watch at the store that could be lost.
       if (!watcher->following()) watcher->Refresh();
     }
@@ -146,8 +159,7 @@
     log_.Write(LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
                {{"store_calls", store_.calls()}});
     if (!reachable) return;
-    configuration_watcher_.RetryNow();
-    state_watcher_.RetryNow();
+    for (store::PrefixWatcher* watcher : watchers_) watcher->RetryNow();
   });
   store_.set_on_restored([this](store::StoreEra former, store::StoreEra present) {
     OnStoreRestored(former, present);
@@ -210,6 +222,7 @@
   load_reported_at_ = last_tick_at_;
   tick_.Start(kTickInterval);
   configuration_watcher_.Start();
+  evacuation_watcher_.Start();
   Announce();
   lease_.Start();
   state_read_timer_.Start(kStateReadDelay);
@@ -228,7 +241,7 @@
   confirmed_lease_ = 0;
   monitor_.OnStoreRestored();
   quarantine_.OnStoreRestored();
-  for (store::PrefixWatcher* watcher : {&configuration_watcher_, &state_watcher_}) {
+  for (store::PrefixWatcher* watcher : watchers_) {
     if (!watcher->following()) watcher->Refresh();
   }
 }
@@ -237,8 +250,7 @@
   log_.Write(LogLevel::kInfo, "store_connections_silent", {{"store_calls", store_.calls()}});
   store_.CloseIdleConnections();
   lease_.ResendRenewal();
-  configuration_watcher_.RestartWatch();
-  state_watcher_.RestartWatch();
+  for (store::PrefixWatcher* watcher : watchers_) watcher->RestartWatch();
 }
 
 void Sidecar::OnWatchUnanswered(const store::PrefixWatcher& watcher,
@@ -253,7 +265,7 @@
   // connections are closed by now, so no later call would detect a dead connection of the other
   // watch.
   if (!store_.answers_promptly()) return;
-  for (store::PrefixWatcher* other : {&configuration_watcher_, &state_watcher_}) {
+  for (store::PrefixWatcher* other : watchers_) {
     if (other != &watcher) other->RestartWatch();
   }
 }
@@ -263,7 +275,8 @@
 bool Sidecar::StoreAnswers() const {
   if (!store_.direct_path_works()) return false;
   return feed_.leading() ||
-         (!configuration_watcher_.store_is_silent() && !state_watcher_.store_is_silent());
+         std::none_of(watchers_.begin(), watchers_.end(),
+                      [](const auto* watcher) { return watcher->store_is_silent(); });
 }
 
 void Sidecar::ReadState() {
@@ -319,6 +332,8 @@
   gauges.shard_map_revision = shard_store_.revision();
   gauges.store_reachable = store_.reachable();
   gauges.store_era = store_.era();
+  gauges.evacuated_zones = peers_.evacuated_zones().size();
+  gauges.zone_evacuated = peers_.IsEvacuated(settings_.zone);
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
@@ -359,7 +374,7 @@
   const bool sharded = service != nullptr && service->sharded;
   if (service != nullptr) monitor_.SetHealthPath(service->health_check_path);
   ApplyColdStart(service);
-  gate_.SetConfigured(true);
+  UpdateConfigured();
   ingress_.SetConfiguration(configuration_);
   holder_.SetGrantDelivery(service == nullptr
                                ? settings_.grant_delivery
@@ -384,6 +399,52 @@
   if (limits.idle_timeout > Duration(0)) server.idle_timeout = limits.idle_timeout;
 }
 
+void Sidecar::OnEvacuationItem(const std::string& key, bool present) {
+  const std::string zone = NameAfter(key, wire_.EvacuationPrefix());
+  if (zone.empty()) return;
+  if (present) {
+    evacuations_.OnWritten(zone);
+  } else {
+    evacuations_.OnRemoved(loop_.Now(), zone);
+  }
+  UpdateEvacuations();
+}
+
+void Sidecar::OnEvacuationsSynchronized() { UpdateConfigured(); }
+
+// Requests are sent to the worker only once it is known that its zone is not evacuated.
+void Sidecar::UpdateConfigured() {
+  gate_.SetConfigured(configuration_ != nullptr && evacuation_watcher_.synchronized());
+}
+
+// Puts changes of the evacuated zones into force.
+void Sidecar::UpdateEvacuations() {
+  const std::set<std::string> zones = evacuations_.ZonesAt(loop_.Now());
+  const std::set<std::string> former = peers_.evacuated_zones();
+  if (zones == former) return;
+  for (const std::string& zone : zones) {
+    if (!former.contains(zone)) OnZoneEvacuated(zone, true);
+  }
+  for (const std::string& zone : former) {
+    if (!zones.contains(zone)) OnZoneEvacuated(zone, false);
+  }
+  ingress_.OnShardsChanged();
+}
+
+void Sidecar::OnZoneEvacuated(const std::string& zone, bool evacuated) {
+  log_.Write(LogLevel::kWarning, evacuated ? "zone_evacuated" : "zone_returned",
+             {{"zone", zone},
+              {"own_zone", zone == settings_.zone},
+              {"revision", store::RevisionText(evacuation_watcher_.revision())}});
+  peers_.SetEvacuated(zone, evacuated);
+  if (zone != settings_.zone) return;
+  // Evacuated workers may turn cold, and get no requests from which that would be noticed.
+  if (!evacuated) monitor_.ForgetColdState();
+  gate_.SetEvacuated(evacuated, loop_.Now() + EvacuationKeyTime(settings_.bounds));
+  holder_.SetLeaving(ShouldReleaseKeys());
+  Announce();
+}
+
 void Sidecar::OnStateItem(const store::Item& item) {
   if (!lost_items_.OnItem(item)) return;
   if (!NameAfter(item.key, kNodePrefix).empty()) {
@@ -555,7 +616,7 @@
   record.worker_id = monitor_.worker_id();
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
-  record.takes_keys = holder_.WorkerCanReceiveKeys() &&
+  record.takes_keys = holder_.WorkerCanReceiveKeys() && !peers_.IsEvacuated(settings_.zone) &&
                       (monitor_.IdentityIsComplete() || !holder_.OwnersHaveIncarnationIds());
   record.processor_percent = static_cast<uint32_t>(settings_.processor_cores * kPercent);
   record.link_megabits = LinkMegabits(settings_);
@@ -578,7 +639,8 @@
 // A stopping node keeps its keys until the store has responded after the stop began. Before that,
 // the keys could not be handed over, and if released, no node would serve them.
 bool Sidecar::ShouldReleaseKeys() const {
-  return monitor_.state() == WorkerState::kDraining || stop_schedule_.BegunBy(lease_.renewed_at());
+  return monitor_.state() == WorkerState::kDraining || peers_.IsEvacuated(settings_.zone) ||
+         stop_schedule_.BegunBy(lease_.renewed_at());
 }
 
 // Other nodes may take over the shards of a node as soon as its item is removed. While the worker
@@ -603,6 +665,7 @@
 sharding::WorkerId Sidecar::WorkerOf(const std::string& node) {
   const Peer* peer = peers_.Find(node);
   if (peer == nullptr || !peer->record.accepts_keys()) return {};
+  if (peers_.IsEvacuated(peer->record.zone)) return {};
   return {node, peer->record.worker_id};
 }
 
@@ -620,12 +683,12 @@
   last_tick_at_ = now;
   tick_.Start(kTickInterval);
   peers_.Sweep(now);
+  UpdateEvacuations();
   Announce();
   if (now - traffic_logged_at_ >= kTrafficLogInterval) LogTraffic();
   if (elapsed > kPauseThreshold) {
     log_.Write(LogLevel::kWarning, "paused", {{"elapsed_ms", ToMilliseconds(elapsed)}});
-    state_watcher_.Refresh();
-    configuration_watcher_.Refresh();
+    for (store::PrefixWatcher* watcher : watchers_) watcher->Refresh();
   }
 }
 
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -12,6 +12,7 @@
 #include "source/http/client.h"
 #include "source/http/server.h"
 #include "source/sidecar/crash_history_record.h"
+#include "source/sidecar/evacuated_zones.h"
 #include "source/sidecar/former_grants.h"
 #include "source/sidecar/inbound_handler.h"
 #include "source/sidecar/ingress.h"
@@ -92,6 +93,12 @@
   // `service`: the worker's; nullptr when the configuration lacks it.
   void ApplyColdStart(const routes::Service* service);
   void ApplyLimits(const routes::ClientLimits& limits);
+  // The item of an evacuated zone was written or removed.
+  void OnEvacuationItem(const std::string& key, bool present);
+  void OnEvacuationsSynchronized();
+  void UpdateConfigured();
+  void UpdateEvacuations();
+  void OnZoneEvacuated(const std::string& zone, bool evacuated);
   void OnStateItem(const store::Item& item);
   void LogRefusedItem(const store::Item& item, const char* reason);
   void OnStateRemoved(const std::string& key);
@@ -153,7 +160,10 @@
   CrashHistoryRecord memory_;
   store::PrefixWatcher configuration_watcher_;
   store::PrefixWatcher state_watcher_;
+  store::PrefixWatcher evacuation_watcher_;
+  std::vector<store::PrefixWatcher*> watchers_;  // All of the above.
   StateFeed feed_;
+  EvacuatedZones evacuations_;
   NodeMetrics metrics_;
   StoreProbe store_probe_;
   event::LoopMonitor loop_monitor_;
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -93,10 +93,15 @@
   if (!watching) large_items_.clear();
   for (store::PrefixWatcher* watcher : watchers_) {
     watcher->SetConfirming(watching);
-    watcher->SetFollowing(!watching);
+    watcher->SetFollowing(!watching && IsAnnounced(watcher->prefix()));
   }
 }
 
+// A leader of another version may not watch all prefixes that this node needs.
+bool StateFeed::IsAnnounced(const std::string& prefix) const {
+  return announced_.empty() || announced_.contains(prefix);
+}
+
 void StateFeed::SendBeacons() {
   StateBeacon beacon;
   beacon.node = config_.node;
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -141,6 +141,7 @@
   // receives whether it succeeded.
   void RequestSnapshot(store::PrefixWatcher* watcher, const std::function<void(bool)>& done);
   std::optional<CopySource> SnapshotSource() const;
+  bool IsAnnounced(const std::string& prefix) const;
   void SendBeacons();
   void PushToAll(const std::string& body);
   // Returns the nodes that the changes are being sent to.
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -145,6 +145,10 @@
   virtual http::Request EncodeRelease(const KeyRelease& release) const = 0;
   virtual http::Request EncodeHealthCheck(const std::string& path) const = 0;
 
+  // Prefix of the keys in the store that name the zones which operators have evacuated. The rest
+  // of a key is the zone; the value has no meaning.
+  virtual std::string EvacuationPrefix() const = 0;
+
   // Key of the operators' configuration in the store, and the decoder of its value.
   virtual std::string ConfigurationKey() const = 0;
   virtual absl::StatusOr<routes::RoutingConfiguration> DecodeConfiguration(
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -310,10 +310,12 @@
     // A draining worker serves its keys until they are handed over, at most until
     // drain_keys_until_.
     if (draining_ && loop_.Now() >= drain_keys_until_) return FailureReason::kDraining;
+    if (evacuated_ && loop_.Now() >= evacuation_keys_until_) return FailureReason::kEvacuated;
     if (!key_authority_->MaySend(loop_.Now(), *request.key)) return FailureReason::kNotOwner;
     return std::nullopt;
   }
   if (draining_) return FailureReason::kDraining;
+  if (evacuated_) return FailureReason::kEvacuated;
   return std::nullopt;
 }
 
@@ -426,6 +428,12 @@
   if (draining) RefuseWaiting();
 }
 
+void WorkerGate::SetEvacuated(bool evacuated, Instant keys_until) {
+  evacuated_ = evacuated;
+  evacuation_keys_until_ = keys_until;
+  if (evacuated) RefuseWaiting();
+}
+
 void WorkerGate::Close() {
   closed_ = true;
   RefuseWaiting();
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -81,6 +81,9 @@
   // requests for keys that the worker holds are still sent until `keys_until`, while the keys are
   // handed over.
   void SetDraining(bool draining, Instant keys_until);
+  // While the worker's zone is evacuated, new and queued requests are refused, as for a draining
+  // worker.
+  void SetEvacuated(bool evacuated, Instant keys_until);
   // Refuses all queued and later requests because the process is stopping. Requests that were sent
   // continue.
   void Close();
@@ -161,9 +164,11 @@
   std::string service_;
   uint32_t slots_ = 0;
   bool draining_ = false;
+  bool evacuated_ = false;
   bool closed_ = false;
   bool configured_ = true;
   Instant drain_keys_until_{};
+  Instant evacuation_keys_until_{};
   admission::AdmissionQueue queue_;
   event::Timer tick_;
   std::unordered_map<uint64_t, GateAttempt*> attempts_;  // Queued or sent, by attempt id.
