Admission: a margin for the spread of service times

Cause: the queue admits what the mean service time of the class lets answer by the target, so that about half of those admitted last are late. Ways: the mean alone (stands); the mean and one mean deviation, measured by class; the mean and two. Conclusion: one is kept.

--- a/include/runshelf/admission/admission_queue.h
+++ b/include/runshelf/admission/admission_queue.h
@@ -72,6 +72,10 @@
   double share_of_highest_weight = 0.9;
   Duration class_active_time = std::chrono::seconds(10);
   double service_time_smoothing = 0.1;  // Weight of a new measurement.
+  // A request is refused when it could be answered in time only if it took less than the mean
+  // service time of its class plus so many mean deviations. With zero, half of the requests that
+  // are admitted last are answered late, and under lasting overload these are most.
+  double service_time_deviations = 0;
   Duration retry_after_min = std::chrono::milliseconds(50);
   // Refusals of about this long count as requests that come back: those who are told to wait less
   // than it takes to serve them are refused again. With one key in demand twelve times beyond what
@@ -133,6 +137,7 @@
     bool offered = false;
     Instant last_offer{};
     double service_time_us = 0;  // Smoothed; zero until the first measurement.
+    double deviation_us = 0;     // Smoothed distance of measurements from service_time_us.
   };
 
   struct Outlook;  // What waiting requests of each class have to expect.
@@ -146,6 +151,7 @@
   uint32_t ClassCap(Instant now, const std::string& caller_class) const;
   Outlook MakeOutlook(Instant now) const;
   double ServiceTimeOf(const ClassState& state) const;
+  double MarginOf(const ClassState& state) const;
   double CompletionsPerMicrosecond() const;
   Duration WaitBehind(size_t requests) const;
   Refusal MakeRefusal(Instant now, uint64_t id, RefusalReason reason);
--- a/source/admission/admission_queue.cc
+++ b/source/admission/admission_queue.cc
@@ -13,7 +13,8 @@
     uint32_t cap = 1;
     bool at_cap = false;
     double service_time_us = 0;
-    size_t ahead = 0;  // Waiting requests of this class that were looked at, when at its cap.
+    double margin_us = 0;  // Beyond the mean service time; see service_time_deviations.
+    size_t ahead = 0;      // Waiting requests of this class that were looked at, when at its cap.
   };
 
   double WaitUs(const ClassOutlook& expected) const {
@@ -155,7 +156,8 @@
   while (position != waiting_.end()) {
     const auto next = std::next(position);
     Outlook::ClassOutlook& expected = outlook.classes.at(position->caller_class);
-    const double needed_us = outlook.WaitUs(expected) + expected.service_time_us;
+    const double needed_us =
+        outlook.WaitUs(expected) + expected.service_time_us + expected.margin_us;
     const Instant answered_at = now + Duration(static_cast<int64_t>(needed_us));
     if (position->deadline <= now || answered_at > position->deadline) {
       changes.refused.push_back(MakeRefusal(now, position->id, RefusalReason::kDeadline));
@@ -215,7 +217,8 @@
   for (const auto& [name, state] : classes_) {
     const uint32_t cap = ClassCap(now, name);
     const bool at_cap = cap < limit && state.running >= cap;
-    outlook.classes.emplace(name, Outlook::ClassOutlook{cap, at_cap, ServiceTimeOf(state), 0});
+    outlook.classes.emplace(
+        name, Outlook::ClassOutlook{cap, at_cap, ServiceTimeOf(state), MarginOf(state), 0});
   }
   return outlook;
 }
@@ -224,6 +227,10 @@
   return state.service_time_us > 0 ? state.service_time_us : service_time_us_;
 }
 
+double AdmissionQueue::MarginOf(const ClassState& state) const {
+  return state.deviation_us * config_.service_time_deviations;
+}
+
 // Zero when nothing runs or nothing was measured yet.
 double AdmissionQueue::CompletionsPerMicrosecond() const {
   double completions = 0;
@@ -260,6 +267,10 @@
 
 void AdmissionQueue::OnServed(ClassState& state, Duration service_time) {
   const auto measured = static_cast<double>(service_time.count());
+  if (state.service_time_us > 0) {
+    const double distance = std::abs(measured - state.service_time_us);
+    state.deviation_us += (distance - state.deviation_us) * config_.service_time_smoothing;
+  }
   for (double* smoothed : {&service_time_us_, &state.service_time_us}) {
     const double weight = *smoothed == 0 ? 1 : config_.service_time_smoothing;
     *smoothed += (measured - *smoothed) * weight;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -17,6 +17,10 @@
 // An attempt is abandoned this long after its deadline unless its owner cancels it before.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(100);
 
+// Answers after the target time are worth little to callers: most of the admitted requests are to
+// meet it.
+constexpr double kServiceTimeDeviations = 1;
+
 bool IsSuccess(int status) { return status >= kOk && status < kMultipleChoices; }
 
 admission::AdmissionConfig QueueConfig() {
@@ -25,6 +29,7 @@
   // a reserve would leave slots empty.
   config.share_below_higher_weight = 1.0;
   config.share_of_highest_weight = 1.0;
+  config.service_time_deviations = kServiceTimeDeviations;
   config.queue_max = 400;
   return config;
 }
