Gate: a worker that refuses with free slots keeps them

Workers that refuse a share of their requests for another reason were soon sent one request at a time, and refused the same share of them. The load that they state in the answer was not read. Change: the platform's wire format decodes that header (running, waiting, slots; a fourth number is passed over); a refusal with free slots and nothing waiting does not count as overload. Bounds that change by SIGHUP are applied to cold workers too. Ways: every refusal shrinks the limit (stands); none does (not built: a full worker must be sent less); only those of a worker that states no room. Evidence: WorkerGate.AWorkerThatRefusesWithFreeSlotsKeepsThem: 8 of 8 slots used after six such refusals, fewer after six with none free.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -298,6 +298,9 @@
       settings->outbound == settings_.outbound && settings->inbound == settings_.inbound &&
       settings->worker == settings_.worker && settings->store == settings_.store;
   settings_.bounds = settings->bounds;
+  if (configuration_ != nullptr) {
+    ApplyColdStart(configuration_->FindService(settings_.worker_service));
+  }
   log_.Write(same_addresses ? LogLevel::kInfo : LogLevel::kWarning, "reloaded",
              {{"bounds", "applied"},
               {"addresses", same_addresses ? "unchanged" : "changed; restart required"}});
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -28,7 +28,7 @@
   std::string shard_key;        // Shard key of a request to a sharded service.
   std::string worker_stamp;     // Response: proof of the worker that it executed the request.
   std::string not_executed;     // Response: the worker did not execute the request.
-  std::string worker_load;      // Response: running, waiting and slots, comma-separated.
+  std::string worker_load;      // Response: load of the worker; see DecodeWorkerLoad.
   std::string worker_id;        // Response to a health check: identity of the worker.
   std::string cold_remaining;   // Response to a health check: ms until the worker is warmed up.
   std::string handover;         // Response to a release: data for the next holder of the keys.
@@ -108,6 +108,15 @@
   sharding::FencingToken token = 0;
 };
 
+// Load that a worker states in its responses.
+struct WorkerLoad {
+  uint32_t running = 0;  // Requests in its slots.
+  uint32_t waiting = 0;  // Requests that it has queued.
+  uint32_t slots = 0;
+
+  bool HasRoom() const { return running < slots && waiting == 0; }
+};
+
 // Encodes and decodes the platform's messages.
 class WireFormat {
  public:
@@ -140,6 +149,9 @@
   virtual size_t MaxAcknowledgementBytes() const = 0;
   virtual size_t LeaseRowBytes(const LeasedKeys& keys) const = 0;
 
+  // Value of the header that states a worker's load; nullopt if it is malformed.
+  virtual std::optional<WorkerLoad> DecodeWorkerLoad(std::string_view text) const = 0;
+
   // Calls to the worker.
   virtual http::Request EncodeGrant(const KeyGrant& grant) const = 0;
   virtual http::Request EncodeRelease(const KeyRelease& release) const = 0;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -137,7 +137,7 @@
     ReportAnswer();
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
-      overloaded_ = head.status == kServiceUnavailable;
+      overloaded_ = head.status == kServiceUnavailable && !StatesRoom(head);
       return;
     }
     if (IsSuccess(head.status) && !head.headers.Has(names.worker_stamp)) {
@@ -183,6 +183,14 @@
   }
 
  private:
+  // A worker that refuses requests although it has free slots is not overloaded: sending it fewer
+  // requests would leave slots empty, and it would refuse the same share of them.
+  bool StatesRoom(const http::ResponseHead& head) const {
+    const std::string* text = head.headers.Find(gate_->wire_.headers().worker_load);
+    const auto load = text == nullptr ? std::nullopt : gate_->wire_.DecodeWorkerLoad(*text);
+    return load.has_value() && load->HasRoom();
+  }
+
   void ReportAnswer() {
     if (gate_->worker_observer_ == nullptr) return;
     gate_->worker_observer_->OnWorkerAnswered(
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -113,6 +113,22 @@
   CHECK_EQUAL(1000, configuration->limits().max_body_bytes);
 }
 
+TEST(Translation, AWorkersLoadIsReadWithAndWithoutTheFourthNumber) {
+  for (const char* text : {"3,1,18", "3,1,18,250"}) {
+    const auto load = wire.DecodeWorkerLoad(text);
+    CHECK(load.has_value());
+    CHECK_EQUAL(3, load->running);
+    CHECK_EQUAL(1, load->waiting);
+    CHECK_EQUAL(18, load->slots);
+    CHECK_FALSE(load->HasRoom());
+  }
+  CHECK(wire.DecodeWorkerLoad("3,0,18,100")->HasRoom());
+  CHECK_FALSE(wire.DecodeWorkerLoad("18,0,18,100")->HasRoom());
+  for (const char* text : {"", "3", "3,0", "a,0,18", "3,,18", "3,0,-1"}) {
+    CHECK_FALSE_TEXT(wire.DecodeWorkerLoad(text).has_value(), text);
+  }
+}
+
 TEST(Translation, ABrokenConfigurationIsRefusedWithAReason) {
   const std::pair<const char*, const char*> changes[] = {
       {"\"r7\"", "\"7\""},
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -298,3 +298,42 @@
   CHECK(refused.failure->verdict == Verdict::kNotRun);
   CHECK(refused.failure->reason == FailureReason::kNoWorker);
 }
+
+// Guards against an idle worker that refuses part of its requests for another reason: each refusal
+// took slots from it, until it was sent one request at a time.
+TEST(WorkerGate, AWorkerThatRefusesWithFreeSlotsKeepsThem) {
+  gate->SetWorker("w", "shop", 8);
+  const auto refuse = [&](const std::string& load) {
+    for (int round = 0; round < 6; ++round) {
+      Outcome outcome;
+      const auto attempt = gate->Submit(Request(), &outcome);
+      attempt->Begin();
+      CHECK(RunUntil(loop, [&] { return held.size() == 1; }));
+      http::Headers headers = RunHeaders(held[0]);
+      headers.Add("Not-Executed", "1");
+      headers.Add("Server-Load", load);
+      held[0]->Respond(503, headers, "");
+      held.clear();
+      CHECK(RunUntil(loop, [&] { return outcome.failure.has_value(); }));
+      CHECK(outcome.failure->reason == FailureReason::kWorkerRefused);
+      event::RunFor(loop, std::chrono::milliseconds(110));
+    }
+  };
+  const auto sent_at_once = [&] {
+    std::vector<std::unique_ptr<Outcome>> outcomes;
+    std::vector<std::unique_ptr<Attempt>> attempts;
+    for (int count = 0; count < 8; ++count) {
+      outcomes.push_back(std::make_unique<Outcome>());
+      attempts.push_back(gate->Submit(Request(), outcomes.back().get()));
+      attempts.back()->Begin();
+    }
+    event::RunFor(loop, std::chrono::milliseconds(50));
+    const size_t sent = held.size();
+    held.clear();
+    return sent;
+  };
+  refuse("1,0,8,100");
+  UNSIGNED_LONGS_EQUAL(8, sent_at_once());
+  refuse("8,3,8,100");
+  CHECK(sent_at_once() < 8);
+}
