State feed: a node leads only once the store has answered it

Change: a node that is due to lead asks the store (a renewal of its lease, the cheapest call) unless it was answered directly within 0.7 s, and leads once it is answered. Answers that a peer relays do not count. A leader is judged by its probe as before; a node that is not due is not asked, so that no call is added while a leader lives. Ways: the unanswered watch alone (before); that and a recent answer of the store. Evidence: StoreAccess.AnAnswerThroughAPeerDoesNotCountAsTheStoresOwn; Sidecar group, 39 tests, passed.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -15,6 +15,8 @@
 // require a second read. If there is no lease after this time (several calls to the store at 4 ms
 // each), the state is read without one.
 constexpr Duration kStateReadDelay = std::chrono::milliseconds(400);
+// A node begins to lead the feed only if the store answered it within this time.
+constexpr Duration kMaxAnswerAgeOfLeader = std::chrono::milliseconds(700);
 constexpr double kPercent = 100;
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 // Requests to a draining worker stop this long before the drain timeout, so that the last one still
@@ -270,13 +272,18 @@
   }
 }
 
-// A node whose watches get no response must not take over the feed: it would notice the next
-// changes as late as the former leader. The leader also probes the store, see StoreProbe.
-bool Sidecar::StoreAnswers() const {
+// A node that the store does not answer must not take over the feed: it would notice the next
+// changes as late as the former leader, while its beacons tell the others that they miss nothing.
+// It asks, and leads once it was answered. A leader is judged by StoreProbe.
+bool Sidecar::StoreAnswers() {
   if (!store_.direct_path_works()) return false;
-  return feed_.leading() ||
-         std::none_of(watchers_.begin(), watchers_.end(),
-                      [](const auto* watcher) { return watcher->store_is_silent(); });
+  if (feed_.leading()) return true;
+  const bool watch_unanswered =
+      std::any_of(watchers_.begin(), watchers_.end(),
+                  [](const store::PrefixWatcher* watcher) { return watcher->store_is_silent(); });
+  const bool answered = loop_.Now() - store_.answered_directly_at() < kMaxAnswerAgeOfLeader;
+  if (!answered) lease_.RenewNow();
+  return answered && !watch_unanswered;
 }
 
 void Sidecar::ReadState() {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -125,7 +125,7 @@
   // The store no longer responds on the open connections.
   void OnStoreUnresponsive();
   void OnWatchUnanswered(const store::PrefixWatcher& watcher, const store::UnansweredWatch& watch);
-  bool StoreAnswers() const;
+  bool StoreAnswers();
   // Reads the whole state from the store, for the first time or again.
   void ReadState();
   void OnTick();
--- a/source/sidecar/state_feed.cc
+++ b/source/sidecar/state_feed.cc
@@ -57,12 +57,12 @@
 bool StateFeed::ShouldLead() const {
   const Peer* own = peers_.Find(config_.node);
   const bool listed = own != nullptr && own->listed;
-  const bool store_answers = !store_answers_ || store_answers_();
-  if (!listed || !store_answers || (stopping_ && !leading_)) return false;
+  if (!listed || (stopping_ && !leading_)) return false;
   const size_t rank = Rank();
   const Duration takeover_timeout = config_.standby_timeout * static_cast<int64_t>(rank);
-  return rank == 0 ||
-         (rank < config_.max_leader_candidates && loop_.Now() - last_beacon_at_ > takeover_timeout);
+  const bool due = rank == 0 || (rank < config_.max_leader_candidates &&
+                                 loop_.Now() - last_beacon_at_ > takeover_timeout);
+  return due && (!store_answers_ || store_answers_());
 }
 
 void StateFeed::Tick() {
--- a/source/sidecar/state_feed.h
+++ b/source/sidecar/state_feed.h
@@ -92,7 +92,8 @@
             std::vector<store::PrefixWatcher*> watchers, LogWriter& log, StateFeedConfig config);
   ~StateFeed();
 
-  // Sets the check for whether the store answers this node; without one it is taken to.
+  // Sets the check for whether the store answers this node, called when this node is due to lead;
+  // without one it is taken to.
   void set_store_answers(std::function<bool()> store_answers) {
     store_answers_ = std::move(store_answers);
   }
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -168,6 +168,7 @@
   if (path == Path::kDirect) {
     if (answered) {
       avoid_direct_until_ = Instant{};
+      answered_directly_at_ = loop_.Now();
       answered_call_sent_at_ = std::max(answered_call_sent_at_, call->sent_directly_at);
       answers_promptly_ = loop_.Now() - call->sent_directly_at <= kPromptAnswer;
     } else {
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -105,6 +105,8 @@
   // The store answered promptly the latest direct call that it answered.
   bool answers_promptly() const { return answers_promptly_; }
   // The store answered the latest direct call.
+  // When the store last answered a call that was not relayed; Instant{}: never.
+  Instant answered_directly_at() const { return answered_directly_at_; }
   bool direct_path_works() const { return avoid_direct_until_ == Instant{}; }
   // Latest era reported by a response; zero before the first one.
   StoreEra era() const { return era_.value_or(0); }
@@ -152,6 +154,7 @@
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
   Instant avoid_direct_until_{};
+  Instant answered_directly_at_{};
   Instant direct_loss_reported_at_{};  // When `on_direct_lost_` was last called.
   Instant answered_call_sent_at_{};    // Sending time of the latest answered direct call.
   bool reachable_ = true;
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -148,6 +148,28 @@
       loop, [&] { return heard; }, std::chrono::milliseconds(500)));
 }
 
+// Guards against a node that leads the state feed because a peer relays its calls, while the store
+// itself does not answer it.
+TEST(StoreAccess, AnAnswerThroughAPeerDoesNotCountAsTheStoresOwn) {
+  TestRelay relay(loop, fake.endpoint());
+  client.set_relay(&relay);
+  fake.Put("k", "v");
+  const auto read = [&] {
+    bool answered = false;
+    client.Range("", "", [&](const absl::StatusOr<store::RangePage>&) { answered = true; });
+    CHECK(RunUntil(loop, [&] { return answered; }));
+  };
+  CHECK(client.answered_directly_at() == Instant{});
+  read();
+  const Instant first = client.answered_directly_at();
+  CHECK(first > Instant{});
+  fake.set_fault(FakeStore::Fault::kRefuse);
+  fake.set_fault_filter(IsDirect);
+  read();
+  CHECK(relay.forwarded > 0);
+  CHECK(client.answered_directly_at() == first);
+}
+
 TEST(StoreAccess, ACallGoesThroughAPeerWhileTheDirectPathFails) {
   TestRelay relay(loop, fake.endpoint());
   client.set_relay(&relay);
