--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -100,8 +100,8 @@
 
 void WorkerMonitor::SetColdUntil(Instant cold_until) {
   const Instant now = loop_.Now();
-  if ((now < cold_until) != (now < cold_until_)) {
-    const bool known = cold_until != Instant::max();
+  const bool known = cold_until != Instant::max();
+  if ((now < cold_until) != (now < cold_until_) || known == ColdStateUnknown()) {
     log_.Write(LogLevel::kInfo, "worker_cold_state",
                {{"worker", worker_id_},
                 {"known", known},
--- a/tests/platform_adapter/cold_workers_test.cc
+++ b/tests/platform_adapter/cold_workers_test.cc
@@ -86,7 +86,8 @@
   const size_t count = ArrivalsWithinASecondOf(restarted, std::chrono::milliseconds(1100));
   CHECK(count > 0);
   CHECK(count <= static_cast<size_t>(kColdRate + kColdBurst));
-  STRCMP_CONTAINS("worker_cold_state", fleet.Log().c_str());
+  STRCMP_CONTAINS("event=worker_cold_state worker=w0 known=false cold_ms=0", fleet.Log().c_str());
+  STRCMP_CONTAINS("event=worker_cold_state worker=w0 known=true cold_ms=", fleet.Log().c_str());
   CHECK(ServedSoon());
 }
 
