--- a/tests/platform_adapter/fake_store.cc
+++ b/tests/platform_adapter/fake_store.cc
@@ -116,6 +116,10 @@
   }
 }
 
+void FakeStore::LosePendingWatches() {
+  for (const auto& watch : std::exchange(watches_, {})) unanswered_.push_back(watch->exchange);
+}
+
 void FakeStore::LapseLeases() {
   std::vector<int64_t> ids;
   for (const auto& [id, lease] : leases_) ids.push_back(id);
--- a/tests/platform_adapter/fake_store.h
+++ b/tests/platform_adapter/fake_store.h
@@ -63,6 +63,8 @@
   void CompactAndCutWatches();
   // While true, watches stay open but deliver no changes.
   void set_watches_silent(bool silent) { watches_silent_ = silent; }
+  // Forgets the watches that are pending: they get no response, as if their connections were dead.
+  void LosePendingWatches();
   // Expires every lease immediately.
   void LapseLeases();
 
