Configuration: a node that stood still asks before it serves

What callers saw: a node that had been silent for seconds ran a request by a route that had been replaced more than 2.5 s before.

Cause: a process that stood still cannot tell that its configuration may be old. A pause counted only from 2.5 s on, was noticed by a timer that may come after the first requests, and the node served while it read.

Change: the time between iterations of the event loop tells a standstill of a quarter of config_apply_ms or more (0.5 s at least), also within the iteration in which the process runs again. The node then asks the store for changes since its revision (one watch that is answered at once, on a live connection), and requests wait for the answer, 250 ms at most, then they are refused as not run. Without an answer for a second it serves by what it has: nobody can change the configuration while the store is away.

Sight: stood_still, configuration_checked, runshelf_standstills_total.

--- a/source/sidecar/ingress.cc
+++ b/source/sidecar/ingress.cc
@@ -12,6 +12,8 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kRetryAfterSeconds = "0.3";
+// How long a request waits until the configuration is confirmed; the store answers in a fraction.
+constexpr Duration kMaxConfirmationWait = std::chrono::milliseconds(250);
 // Share of the fleet's retry budget that this node uses for all retries to a service.
 constexpr double kRetryShare = 0.6;
 // Share for retries of requests that may have run. A repeated run also repeats the calls that its
@@ -29,7 +31,8 @@
 
 }  // namespace
 
-Ingress::Ingress(const IngressContext& context) : context_(context) {}
+Ingress::Ingress(const IngressContext& context)
+    : context_(context), confirmation_timer_(context.loop, [this] { RefuseUnconfirmed(); }) {}
 
 // Moves the flows out of the map first: destroying a flow can end other flows, which then call
 // RemoveFlow(). See ~InboundHandler().
@@ -45,6 +48,10 @@
     RefuseUnconfigured(exchange, "no-configuration");
     return;
   }
+  if (configuration_is_current_ && !configuration_is_current_()) {
+    WaitForConfirmation(exchange);
+    return;
+  }
   const std::string* host = head.headers.Find("host");
   const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
   const routes::Route* route = host == nullptr ? nullptr : configuration_->Match(*host, path);
@@ -90,8 +97,28 @@
   context_.metrics.OnRequest(RequestOutcome::kRefused, Duration(0));
 }
 
+void Ingress::WaitForConfirmation(const http::ExchangePtr& exchange) {
+  if (unconfirmed_.empty()) confirmation_timer_.Start(kMaxConfirmationWait);
+  unconfirmed_.push_back(exchange);
+}
+
+void Ingress::OnConfigurationCurrent() {
+  confirmation_timer_.Stop();
+  for (const http::ExchangePtr& exchange : std::exchange(unconfirmed_, {})) {
+    if (!exchange->client_gone()) Handle(exchange);
+  }
+}
+
+void Ingress::RefuseUnconfirmed() {
+  confirmation_timer_.Stop();
+  for (const http::ExchangePtr& exchange : std::exchange(unconfirmed_, {})) {
+    if (!exchange->client_gone()) RefuseUnconfigured(exchange, "configuration-unconfirmed");
+  }
+}
+
 RequestCounts Ingress::UnderWay() const {
   RequestCounts counts;
+  counts.clients = unconfirmed_.size();
   for (const auto& [pointer, flow] : flows_) ++(flow->nested() ? counts.nested : counts.clients);
   return counts;
 }
--- a/source/sidecar/ingress.h
+++ b/source/sidecar/ingress.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "runshelf/common/random.h"
 #include "runshelf/routing/retry_budget.h"
@@ -62,12 +63,22 @@
   void set_configuration_is_behind(std::function<bool()> is_behind) {
     configuration_is_behind_ = std::move(is_behind);
   }
+  // `is_current` returns whether the configuration is known to be current. While it returns false,
+  // requests wait for OnConfigurationCurrent(), for a moment at most.
+  void set_configuration_is_current(std::function<bool()> is_current) {
+    configuration_is_current_ = std::move(is_current);
+  }
+  // Handles the requests that wait for the configuration to be confirmed.
+  void OnConfigurationCurrent();
   // Starts handling a request; responds with 404 if no route matches its host and path.
   void Handle(const http::ExchangePtr& exchange);
   // The shard map changed: requests that wait for the owner of their key repeat the lookup.
   void OnShardsChanged() { RetryWaiting(); }
-  // Refuses requests that wait for the owner of their key. Call after StopSchedule::Close().
-  void RefuseWaiting() { RetryWaiting(); }
+  // Refuses all requests that wait. Call after StopSchedule::Close().
+  void RefuseWaiting() {
+    RefuseUnconfirmed();
+    RetryWaiting();
+  }
 
   // Number of retries sent since the start of the process.
   uint64_t retries() const { return retries_; }
@@ -89,6 +100,8 @@
   void RefuseUnconfigured(const http::ExchangePtr& exchange, const char* reason);
   void AnswerUnknownRoute(const http::ExchangePtr& exchange, const std::string& host,
                           std::string_view path);
+  void WaitForConfirmation(const http::ExchangePtr& exchange);
+  void RefuseUnconfirmed();
   void RetryWaiting();
   // True if the local worker sent the request while it runs another one.
   bool IsNestedCall(const http::RequestHead& head) const;
@@ -114,6 +127,9 @@
   IngressContext context_;
   std::shared_ptr<const routes::RoutingConfiguration> configuration_;
   std::function<bool()> configuration_is_behind_;
+  std::function<bool()> configuration_is_current_;
+  std::vector<http::ExchangePtr> unconfirmed_;  // Wait for the configuration to be confirmed.
+  event::Timer confirmation_timer_;
   std::map<std::string, ServiceBudgets> budgets_;
   std::map<std::string, DeadlineEstimator> deadline_estimators_;  // By route.
   uint64_t retries_ = 0;
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -140,6 +140,9 @@
         static_cast<double>(gauges.quarantined_requests));
   counter("runshelf_quarantine_refusals_total", "Requests refused because they are in quarantine.",
           gauges.quarantine_refusals);
+  counter("runshelf_standstills_total",
+          "Times that the process did not run for so long that its configuration was checked.",
+          gauges.standstills);
   counter("runshelf_quarantine_trials_total",
           "Quarantined requests that were sent to a worker as a trial.", gauges.quarantine_trials);
   counter("runshelf_store_calls_total", "Calls to the store, including those forwarded for peers.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -48,6 +48,7 @@
   uint64_t retries = 0;
   size_t quarantined_requests = 0;  // Requests during whose execution workers ended.
   uint64_t quarantine_refusals = 0;
+  uint64_t standstills = 0;
   uint64_t quarantine_trials = 0;
   uint64_t log_lines_dropped = 0;
   std::map<std::string, Freshness> freshness;  // Freshness of the local state by key prefix.
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -19,6 +19,8 @@
   Duration drain_timeout = std::chrono::seconds(2);
   // From the acknowledgement that a zone is evacuated until no request reaches its workers.
   Duration evacuation_timeout = std::chrono::seconds(5);
+  // From the acknowledgement of a configuration until it is in force everywhere.
+  Duration configuration_timeout = std::chrono::seconds(2);
   Duration grace_period = std::chrono::seconds(6);  // From SIGTERM to SIGKILL.
   Duration max_hold = std::chrono::seconds(10);     // Validity of a grant of keys.
   // A cold worker is sent this multiple of the rate that it can bear, and so many requests more,
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -18,6 +18,11 @@
 // A node begins to lead the feed only if the store answered it within this time.
 constexpr Duration kMaxAnswerAgeOfLeader = std::chrono::milliseconds(700);
 constexpr double kPercent = 100;
+// A standstill of a quarter of the time that a change may take leaves room for the change to reach
+// this node before, and to be asked for afterwards.
+constexpr int kStandstillsPerConfigurationTimeout = 4;
+// Longer than the event loop waits for events: the timer of the state feed ends each wait sooner.
+constexpr Duration kMinStandstill = std::chrono::milliseconds(500);
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 // Requests to a draining worker stop this long before the drain timeout, so that the last one still
 // arrives in time.
@@ -38,6 +43,10 @@
 // store, once that is reachable again.
 constexpr Duration kWorkerEndCallTimeout = std::chrono::seconds(1);
 
+Duration MaxStandstill(Duration configuration_timeout) {
+  return std::max(kMinStandstill, configuration_timeout / kStandstillsPerConfigurationTimeout);
+}
+
 }  // namespace
 
 Sidecar::Sidecar(event::EventLoop& loop, Settings settings, const WireFormat& wire,
@@ -110,6 +119,8 @@
             peers_, watchers_, log, FeedConfig(settings_)),
       store_probe_(
           loop, lease_, [this] { return feed_.leading(); }, [this] { OnStoreUnresponsive(); }),
+      configuration_guard_(loop, configuration_watcher_, log,
+                           MaxStandstill(settings_.bounds.configuration_timeout)),
       loop_monitor_(loop, [this](Duration turn) { OnLoopTurn(turn); }),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
@@ -170,6 +181,8 @@
     metrics_.OnStateTransfer(transfer.succeeded, transfer.bytes, transfer.took);
   });
   ingress_.set_configuration_is_behind([this] { return feed_.IsBehind(wire_.ConfigurationKey()); });
+  ingress_.set_configuration_is_current([this] { return configuration_guard_.IsCurrent(); });
+  configuration_guard_.set_on_current([this] { ingress_.OnConfigurationCurrent(); });
   feed_.set_store_answers([this] { return StoreAnswers(); });
   peers_.set_on_stop_notice([this](const std::string& node) {
     log_.Write(LogLevel::kInfo, "peer_stopping",
@@ -305,6 +318,7 @@
       settings->outbound == settings_.outbound && settings->inbound == settings_.inbound &&
       settings->worker == settings_.worker && settings->store == settings_.store;
   settings_.bounds = settings->bounds;
+  configuration_guard_.set_max_standstill(MaxStandstill(settings_.bounds.configuration_timeout));
   if (configuration_ != nullptr) {
     ApplyColdStart(configuration_->FindService(settings_.worker_service));
   }
@@ -355,6 +369,7 @@
   gauges.retries = ingress_.retries();
   gauges.quarantined_requests = quarantine_.quarantined();
   gauges.quarantine_refusals = quarantine_.refusals();
+  gauges.standstills = configuration_guard_.standstills();
   gauges.quarantine_trials = quarantine_.trials();
   gauges.log_lines_dropped = log_.dropped();
   gauges.freshness = feed_.FreshnessOfState();
@@ -717,6 +732,7 @@
 }
 
 void Sidecar::OnLoopTurn(Duration turn) {
+  configuration_guard_.OnLoopIteration();
   metrics_.OnLoopTurn(turn);
   if (turn < kLongTurn) return;
   log_.Write(LogLevel::kWarning, "long_loop_turn", {{"turn_ms", ToMilliseconds(turn)}});
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -11,6 +11,7 @@
 #include "source/http/call_set.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
+#include "source/sidecar/configuration_guard.h"
 #include "source/sidecar/crash_history_record.h"
 #include "source/sidecar/evacuated_zones.h"
 #include "source/sidecar/former_grants.h"
@@ -166,6 +167,7 @@
   EvacuatedZones evacuations_;
   NodeMetrics metrics_;
   StoreProbe store_probe_;
+  ConfigurationGuard configuration_guard_;
   event::LoopMonitor loop_monitor_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -9,6 +9,9 @@
 
 // Consecutive peer responses without all missing changes after which the range is read.
 constexpr int kMaxIncompleteAnswers = 3;
+// A confirmation is answered at once, with or without changes.
+constexpr WatchTimes kConfirmationTimes{std::chrono::milliseconds(1),
+                                        std::chrono::milliseconds(300)};
 
 }  // namespace
 
@@ -246,16 +249,9 @@
     Refresh();
     return;
   }
-  ChangeSet changes;
-  changes.from = change_revision_;
-  changes.events = std::move(page->events);
-  for (const WatchEvent& event : changes.events) Apply(event);
-  revision_ = std::max(revision_, page->revision);
-  if (!changes.events.empty()) change_revision_ = revision_;
-  changes.to = change_revision_;
-  if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
+  const bool changed = ApplyPage(*page);
   if (stopped_ || following_ || generation != generation_) return;
-  if (changes.events.empty()) {
+  if (!changed) {
     schedule_.OnNoChanges();
     WatchNext();
     return;
@@ -265,6 +261,42 @@
   timer_.Start(WaitAfterChanges());
 }
 
+bool PrefixWatcher::ApplyPage(const WatchPage& page) {
+  ChangeSet changes;
+  changes.from = change_revision_;
+  changes.events = page.events;
+  for (const WatchEvent& event : changes.events) Apply(event);
+  revision_ = std::max(revision_, page.revision);
+  if (!changes.events.empty()) change_revision_ = revision_;
+  changes.to = change_revision_;
+  if (!changes.events.empty() && observer_.on_changes) observer_.on_changes(changes);
+  return !changes.events.empty();
+}
+
+void PrefixWatcher::Confirm(std::function<void(bool current)> callback) {
+  if (stopped_ || !synchronized_) return;
+  store_.Watch(config_.prefix, revision_, kConfirmationTimes,
+               [this, callback = std::move(callback)](const absl::StatusOr<WatchPage>& page) {
+                 OnConfirmation(page, callback);
+               });
+}
+
+void PrefixWatcher::OnConfirmation(const absl::StatusOr<WatchPage>& page,
+                                   const std::function<void(bool current)>& callback) {
+  if (stopped_) return;
+  const bool history_is_lost = absl::IsOutOfRange(page.status());
+  const bool era_began = page.ok() && EraOf(page->revision) > EraOf(revision_);
+  if ((history_is_lost || era_began) && !reading_range_) Refresh();
+  if (!page.ok() || era_began) {
+    callback(false);
+    return;
+  }
+  const bool changed = ApplyPage(*page);
+  // The pending watch did not deliver the changes, so its connection may be dead.
+  if (changed && watching_) RestartWatch();
+  callback(!changed);
+}
+
 void PrefixWatcher::OnWatchFailed(const absl::Status& status) {
   if (absl::IsOutOfRange(status)) {
     ++lost_histories_;
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -91,6 +91,9 @@
   // Replaces the pending watch with a new one, as it may never be answered. A pending short watch
   // is kept, because its loss is detected soon anyway.
   void RestartWatch();
+  // Asks the store for changes that the copy lacks and applies them. `callback`: whether there were
+  // none, so that the copy was current when it was asked; false also if the store did not answer.
+  void Confirm(std::function<void(bool current)> callback);
   // While following, no watch is pending at the store; changes arrive through ApplyChanges.
   void SetFollowing(bool following);
   bool following() const { return following_; }
@@ -137,6 +140,10 @@
   void OnWatchFailed(const absl::Status& status);
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
   void ContinueWatching();
+  void OnConfirmation(const absl::StatusOr<WatchPage>& page,
+                      const std::function<void(bool current)>& callback);
+  // Applies the changes and reports them to the observer; returns whether there were any.
+  bool ApplyPage(const WatchPage& page);
   void OnPeerFetched(bool answered);
   void Apply(const WatchEvent& event);
   void ApplyItem(const Item& item);
