Worker limit: a rate limiter follows the rate that a worker states

What callers saw: a worker that named a limit of 24.7 requests a second got 245 in 4 s where 153 are allowed, another 147 where 81 are; their need only grew.

Cause: nothing read the header. Class: a new statement of workers that is passed on and not acted on.

Change: the gate beside the worker, its only way in, reads the limit in each answer of the expected worker (refusals and health checks too) and admits at the stated rate, with a burst of half a second. When a limit begins, the requests of the last second count towards it, and what waits is refused at once or sent to another worker. A lower rate applies at once; a higher one, or none, only by an answer to a request that was sent after the present one was learnt. A rate near zero still lets one request in two seconds ask. The next worker at the address starts without a limit; a malformed value changes nothing. Senders weigh by the slots that the limit keeps busy, the planner of keys by the rate.

The limiter of cold workers and this one share TokenBucket and RefusalBacklog; WorkerRateLimiter applies both.

Evidence: platform_adapter_test WorkerLimit, four of seven failed before (225 requests in a second at a limit of 20), all pass; sidecar_test StatedRateLimiter.

Sight: worker_limit, runshelf_worker_limited, runshelf_worker_limit.

--- a/source/sidecar/attempt.cc
+++ b/source/sidecar/attempt.cc
@@ -6,7 +6,7 @@
 namespace runshelf::sidecar {
 namespace {
 
-constexpr std::array<std::pair<FailureReason, std::string_view>, 17> kReasonNames{{
+constexpr std::array<std::pair<FailureReason, std::string_view>, 18> kReasonNames{{
     {FailureReason::kUnreachable, "unreachable"},
     {FailureReason::kNoWorker, "no-worker"},
     {FailureReason::kWrongWorker, "wrong-worker"},
@@ -16,6 +16,7 @@
     {FailureReason::kNotOwner, "not-owner"},
     {FailureReason::kFull, "full"},
     {FailureReason::kWarmingUp, "warming-up"},
+    {FailureReason::kWorkerLimited, "worker-limited"},
     {FailureReason::kLimited, "limited"},
     {FailureReason::kWorkerRefused, "worker-refused"},
     {FailureReason::kExpired, "expired"},
--- a/source/sidecar/attempt.h
+++ b/source/sidecar/attempt.h
@@ -47,6 +47,7 @@
   kNotOwner,       // The worker does not hold the request's key.
   kFull,           // Refused by the admission queue in front of the worker.
   kWarmingUp,      // The worker is cold and cannot take another request yet.
+  kWorkerLimited,  // The worker is over the rate of requests that it states.
   kLimited,        // The caller class is over its rate limit in the operators' table.
   kWorkerRefused,  // The worker answered that it did not run the request.
   kExpired,        // The deadline passed; the verdict tells whether the request was sent.
--- a/source/sidecar/cold_start_limiter.h
+++ b/source/sidecar/cold_start_limiter.h
@@ -1,7 +1,7 @@
 // Bounds the rate of requests to a worker that is warming up after its start.
 #pragma once
 
-#include "runshelf/common/clock.h"
+#include "source/sidecar/token_bucket.h"
 
 namespace runshelf::sidecar {
 
@@ -36,15 +36,11 @@
 
  private:
   bool InForce(Instant now) const { return limits_.requests_per_second > 0 && IsCold(now); }
-  double Burst() const;
-  double TokensAt(Instant now) const;
 
   ColdStartLimits limits_;
   Instant cold_until_{};
-  double tokens_ = 0;
-  Instant filled_at_{};  // Time for which `tokens_` was computed.
-  double refused_lately_ = 0;
-  Instant refused_at_{};
+  TokenBucket bucket_;
+  RefusalBacklog backlog_;
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -125,6 +125,10 @@
         gauges.store_reachable ? 1 : 0);
   gauge("runshelf_store_era", "Increases each time the store is restored from a backup.",
         static_cast<double>(gauges.store_era));
+  gauge("runshelf_worker_limited", "Whether the worker states a limit of requests per second.",
+        gauges.worker_limit.has_value() ? 1 : 0);
+  gauge("runshelf_worker_limit", "Requests per second that the worker accepts; 0 if unlimited.",
+        gauges.worker_limit.value_or(0));
   gauge("runshelf_worker_cold", "Whether the worker is warming up after its start.",
         gauges.load.cold ? 1 : 0);
   gauge("runshelf_evacuated_zones", "Zones whose workers get no requests.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -30,8 +30,9 @@
 
 // Values sampled when the metrics are requested.
 struct NodeGauges {
-  routing::TargetLoad load;           // Load of the node's worker.
-  int64_t configuration_version = 0;  // Zero: no configuration is known.
+  routing::TargetLoad load;            // Load of the node's worker.
+  std::optional<double> worker_limit;  // Requests per second that the worker states.
+  int64_t configuration_version = 0;   // Zero: no configuration is known.
   store::Revision shard_map_revision = 0;
   bool store_reachable = false;
   store::StoreEra store_era = 0;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -325,6 +325,7 @@
       }
       return;
     case FailureReason::kWarmingUp:
+    case FailureReason::kWorkerLimited:
     case FailureReason::kFull:
       if (!OnlyOwnerMayRun() && ++refusals_ < MaxQueueRefusals()) {
         TryNext();
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -70,6 +70,9 @@
                {[this](bool former_gone) { OnWorkerChanged(former_gone); },
                 [this] { holder_.OnWorkerConfirmed(); },
                 [this](Instant cold_until) { gate_.SetColdUntil(cold_until); },
+                [this](Instant sent_at, const http::Headers& headers) {
+                  OnHealthAnswer(sent_at, headers);
+                },
                 [this](const std::string& worker_id) { OnWorkerEnded(worker_id); }, &holder_}),
       shard_store_(store_, settings_.worker_service),
       former_grants_(loop, store_, log, LeaseConfig(settings_).time_to_live),
@@ -199,8 +202,9 @@
     holder_.meter().EndPeriod(now - load_reported_at_);
     load_reported_at_ = now;
     holder_.meter().Fill(report);
-    report->service_seconds = std::chrono::duration<double>(gate_.ServiceTime()).count();
-    report->slots = gate_.load().slots;
+    report->slots = monitor_.slots();
+    const double capacity = gate_.Capacity();
+    report->service_seconds = capacity > 0 ? report->slots / capacity : 0;
   });
 }
 
@@ -352,6 +356,7 @@
 void Sidecar::HandleMetrics(const http::ExchangePtr& exchange) {
   NodeGauges gauges;
   gauges.load = gate_.load();
+  gauges.worker_limit = gate_.worker_limit();
   gauges.configuration_version = configuration_version();
   gauges.shard_map_revision = shard_store_.revision();
   gauges.store_reachable = store_.reachable();
@@ -610,6 +615,11 @@
   quarantine_.OnWorkerEnded(worker_id, at_work);
 }
 
+// Only responses to requests tell that a worker states no limit any more.
+void Sidecar::OnHealthAnswer(Instant sent_at, const http::Headers& headers) {
+  if (headers.Has(wire_.headers().worker_limit)) gate_.OnWorkerLimit(sent_at, headers);
+}
+
 void Sidecar::BroadcastWorkerEnd(const std::string& worker_end) {
   std::vector<event::Endpoint> others;
   for (const auto& [node, peer] : peers_.peers()) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -112,6 +112,7 @@
   void OnQuarantineWritten(const store::Item& item);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
+  void OnHealthAnswer(Instant sent_at, const http::Headers& headers);
   void OnWorkerEnded(const std::string& worker_id);
   // Sends the record of a worker's end to all other nodes directly, without the store.
   void BroadcastWorkerEnd(const std::string& worker_end);
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -29,6 +29,7 @@
   std::string worker_stamp;     // Response: proof of the worker that it executed the request.
   std::string not_executed;     // Response: the worker did not execute the request.
   std::string worker_load;      // Response: load of the worker; see DecodeWorkerLoad.
+  std::string worker_limit;     // Response: requests per second that the worker accepts from all.
   std::string worker_id;        // Response to a health check: identity of the worker.
   std::string cold_remaining;   // Response to a health check: ms until the worker is warmed up.
   std::string handover;         // Response to a release: data for the next holder of the keys.
@@ -152,6 +153,10 @@
   // Value of the header that states a worker's load; nullopt if it is malformed.
   virtual std::optional<WorkerLoad> DecodeWorkerLoad(std::string_view text) const = 0;
 
+  // Value of the header that states a worker's limit, in requests per second; nullopt if it is
+  // malformed.
+  virtual std::optional<double> DecodeWorkerLimit(std::string_view text) const = 0;
+
   // Calls to the worker.
   virtual http::Request EncodeGrant(const KeyGrant& grant) const = 0;
   virtual http::Request EncodeRelease(const KeyRelease& release) const = 0;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -1,6 +1,7 @@
 #include "source/sidecar/worker_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -72,8 +73,8 @@
       Fail({Verdict::kNotRun, FailureReason::kLimited, false, wait});
       return;
     }
-    if (gate_->cold_start_.TimeToRoom(gate_->loop_.Now()) > Duration(0)) {
-      FailWarmingUp();
+    if (const auto refusal = gate_->rate_limiter_.Check(gate_->loop_.Now())) {
+      Fail({Verdict::kNotRun, refusal->reason, false, refusal->retry_after});
       return;
     }
     registered_ = true;
@@ -101,9 +102,9 @@
       Fail({Verdict::kNotRun, *rejection, false, Duration(0)});
       return;
     }
-    if (gate_->cold_start_.TryAdmit(now) > Duration(0)) {
+    if (const auto refusal = gate_->rate_limiter_.TryAdmit(now)) {
       ReleaseSlot(admission::Completion::kFailed);
-      FailWarmingUp();
+      Fail({Verdict::kNotRun, refusal->reason, false, refusal->retry_after});
       return;
     }
     sent_ = true;
@@ -135,6 +136,7 @@
     // Each request names the expected worker, and any other worker answers 421; so this answer is
     // from the expected one.
     ReportAnswer();
+    gate_->OnWorkerLimit(sent_at_, head.headers);
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
       overloaded_ = head.status == kServiceUnavailable && !StatesRoom(head);
@@ -249,11 +251,6 @@
     gate_->OnSlotFree(id_, completion, Elapsed());
   }
 
-  void FailWarmingUp() {
-    const Duration retry_after = gate_->cold_start_.RetryAfter(gate_->loop_.Now());
-    Fail({Verdict::kNotRun, FailureReason::kWarmingUp, false, retry_after});
-  }
-
   void Fail(const AttemptFailure& failure) { observer_->OnAttemptFailure(failure); }
 
   void OnDeadline() {
@@ -423,6 +420,11 @@
 void WorkerGate::SetWorker(const std::string& worker_id, const std::string& service,
                            uint32_t slots) {
   const bool changed = worker_id != worker_id_;
+  const std::string_view identity = wire_.StatedIdentity(worker_id);
+  if (!identity.empty() && identity != latest_identity_) {
+    rate_limiter_.stated().Forget();
+    latest_identity_ = identity;
+  }
   worker_id_ = worker_id;
   service_ = service;
   if (slots != slots_ && slots > 0) {
@@ -462,17 +464,65 @@
     if (found == attempts_.end()) continue;
     const auto rejection = RejectionReason(found->second->request());
     if (!rejection.has_value()) continue;
-    queue_.Cancel(id);
-    found->second->Refuse(*rejection, Duration(0));
+    RefuseQueued(id, *rejection, Duration(0));
   }
 }
 
+// The bucket has no token when a limit begins: what waits would be refused after its wait.
+void WorkerGate::RefuseAboveLimit() {
+  std::vector<uint64_t> waiting;
+  for (const auto& [id, attempt] : attempts_) {
+    if (!attempt->sent()) waiting.push_back(id);
+  }
+  for (const uint64_t id : waiting) {
+    if (!attempts_.contains(id)) continue;
+    const auto refusal = rate_limiter_.Check(loop_.Now());
+    if (!refusal.has_value()) return;
+    RefuseQueued(id, refusal->reason, refusal->retry_after);
+  }
+}
+
+void WorkerGate::RefuseQueued(uint64_t id, FailureReason reason, Duration retry_after) {
+  queue_.Cancel(id);
+  attempts_.at(id)->Refuse(reason, retry_after);
+}
+
+void WorkerGate::OnWorkerLimit(Instant sent_at, const http::Headers& headers) {
+  const std::string* text = headers.Find(wire_.headers().worker_limit);
+  std::optional<double> rate;
+  if (text != nullptr) {
+    rate = wire_.DecodeWorkerLimit(*text);
+    // What a malformed value means is unknown: the limit stays as it is.
+    if (!rate.has_value()) return;
+  }
+  StatedRateLimiter& limiter = rate_limiter_.stated();
+  const bool limited = limiter.rate().has_value();
+  if (!limiter.OnResponse(loop_.Now(), sent_at, rate)) return;
+  if (worker_observer_ != nullptr) worker_observer_->OnWorkerLimitChanged(limiter.rate());
+  if (!limited) RefuseAboveLimit();
+}
+
+uint32_t WorkerGate::UsableSlots() const {
+  const std::optional<double> limit = worker_limit();
+  const double service_seconds = std::chrono::duration<double>(ServiceTime()).count();
+  if (!limit.has_value() || service_seconds <= 0) return slots_;
+  const double usable = std::ceil(*limit * service_seconds);
+  return usable < slots_ ? static_cast<uint32_t>(std::max(1.0, usable)) : slots_;
+}
+
+double WorkerGate::Capacity() const {
+  const double service_seconds = std::chrono::duration<double>(ServiceTime()).count();
+  if (service_seconds <= 0) return 0;
+  const double completed = slots_ / service_seconds;
+  return std::min(completed, worker_limit().value_or(completed));
+}
+
 routing::TargetLoad WorkerGate::load() const {
   routing::TargetLoad load;
   load.running = static_cast<uint32_t>(queue_.running());
   load.queued = static_cast<uint32_t>(queue_.queued());
-  load.slots = slots_;
-  load.cold = cold_start_.IsKnownCold(loop_.Now());
+  load.slots = UsableSlots();
+  load.cold = rate_limiter_.cold_start().IsKnownCold(loop_.Now());
   return load;
 }
 
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -16,10 +16,10 @@
 #include "source/http/client.h"
 #include "source/sidecar/attempt.h"
 #include "source/sidecar/class_limiter.h"
-#include "source/sidecar/cold_start_limiter.h"
 #include "source/sidecar/interrupted_requests.h"
 #include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/wire_format.h"
+#include "source/sidecar/worker_rate_limiter.h"
 
 namespace runshelf::sidecar {
 
@@ -47,6 +47,8 @@
   virtual void OnWorkerAnswered(Instant sent, Instant connection_made) = 0;
   // A connection to the worker could not be established, or was lost.
   virtual void OnWorkerUnreachable() = 0;
+  // The rate of requests that the worker accepts has changed; nullopt: no limit.
+  virtual void OnWorkerLimitChanged(std::optional<double> requests_per_second) = 0;
   // A 2xx answer lacks the header by which the worker confirms that it ran the request.
   virtual void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) = 0;
   // The worker at the address reports a different identity.
@@ -89,10 +91,17 @@
   void Close();
   // The worker is cold until `cold_until`; Instant::max() while that is unknown. Until then its
   // requests are limited by the limits for cold workers, and `load()` reports it as cold.
-  void SetColdUntil(Instant cold_until) { cold_start_.SetColdUntil(loop_.Now(), cold_until); }
+  void SetColdUntil(Instant cold_until) {
+    rate_limiter_.cold_start().SetColdUntil(loop_.Now(), cold_until);
+  }
   void SetColdStartLimits(const ColdStartLimits& limits) {
-    cold_start_.SetLimits(loop_.Now(), limits);
+    rate_limiter_.cold_start().SetLimits(loop_.Now(), limits);
   }
+  // The worker answered a call that was sent at `sent_at` with these headers. Its requests are
+  // limited to the rate that it states there, if any.
+  void OnWorkerLimit(Instant sent_at, const http::Headers& headers);
+  // The rate in force, in requests per second; nullopt: the worker states none.
+  std::optional<double> worker_limit() const { return rate_limiter_.stated().rate(); }
   // Without a configuration, the node knows neither the limits for cold workers nor whether its
   // zone may be used: all requests are refused. A gate that is not told otherwise has one.
   void SetConfigured(bool configured) { configured_ = configured; }
@@ -103,10 +112,14 @@
   // `observer` and the gate must outlive the attempt.
   std::unique_ptr<Attempt> Submit(const AttemptRequest& request, AttemptObserver* observer);
 
-  // Running and queued requests, slots and cold start, as other nodes use them for routing.
+  // Running and queued requests, slots and cold start, as other nodes use them for routing. While
+  // the worker states a limit, `slots` is the number that the limit keeps busy.
   routing::TargetLoad load() const;
   // Smoothed time for which a request holds a slot; zero until the first measurement.
   Duration ServiceTime() const { return queue_.ServiceTime(); }
+  // Requests per second that the worker completes with all slots busy, or accepts if that is less;
+  // zero until the first measurement.
+  double Capacity() const;
   const std::string& worker_id() const { return worker_id_; }
   // True while a sent request with this id has neither been answered nor given up. The worker may
   // still be running a request that was given up.
@@ -143,6 +156,11 @@
   std::optional<FailureReason> RejectionReason(const AttemptRequest& request) const;
   // Refuses the queued requests that may no longer be sent.
   void RefuseWaiting();
+  // Refuses the queued requests that exceed the worker's limit.
+  void RefuseAboveLimit();
+  void RefuseQueued(uint64_t id, FailureReason reason, Duration retry_after);
+  // Number of slots that the worker's limit keeps busy, at most all.
+  uint32_t UsableSlots() const;
   void EraseRunning(const std::string& request_id);
   // Records that the connection closed before the answer was complete. `by_caller`: closed on this
   // side, so that the worker may still be running the request.
@@ -159,8 +177,9 @@
   RateSource rate_source_;
   RequestQuarantine* quarantine_ = nullptr;
   ClassLimiter limiter_;
-  ColdStartLimiter cold_start_;
+  WorkerRateLimiter rate_limiter_;
   std::string worker_id_;
+  std::string latest_identity_;  // Of the latest known worker, without its incarnation.
   std::string service_;
   uint32_t slots_ = 0;
   bool draining_ = false;
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -1,5 +1,7 @@
 #include "source/sidecar/worker_monitor.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -467,6 +469,13 @@
   if (cold_state_tracked_ && NoConnectionOpen()) ForgetColdState();
 }
 
+void WorkerMonitor::OnWorkerLimitChanged(std::optional<double> requests_per_second) {
+  log_.Write(LogLevel::kWarning, "worker_limit",
+             {{"worker", worker_id_},
+              {"limited", requests_per_second.has_value()},
+              {"requests_per_s", fmt::format("{:.1f}", requests_per_second.value_or(0))}});
+}
+
 void WorkerMonitor::OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) {
   ++unstamped_successes_;
   log_.Write(LogLevel::kWarning, "success_without_stamp",
@@ -549,6 +558,9 @@
     AdoptWorker(*id, probe_sent_at_, Source::kAddress);
   }
   if (named) OnProbeColdState(response);
+  if (named && observer_.on_health_answer) {
+    observer_.on_health_answer(probe_sent_at_, response.headers);
+  }
   // A worker at its capacity limit refuses probes without stating its identity.
   const bool asks_again = !Confirmed() || (cold_state_tracked_ && ColdStateUnknown());
   if (!worker_id_.empty() && asks_again) probe_timer_.Start(kProbeInterval);
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -33,6 +33,8 @@
     std::function<void()> on_confirmed;  // The worker at the address has been verified again.
     // Until when the worker is cold; Instant::max() while that is unknown.
     std::function<void(Instant cold_until)> on_cold_until;
+    // The worker answered a health check that was sent at `sent_at`.
+    std::function<void(Instant sent_at, const http::Headers& headers)> on_health_answer;
     // A worker has certainly ended; may be called more than once for the same worker.
     std::function<void(const std::string& worker_id)> on_ended;
     KeyLessor* lessor = nullptr;  // Must outlive the monitor.
@@ -91,6 +93,7 @@
   void OnWorkerUnreachable() override;
   // The worker closed an idle connection, or the connection broke.
   void OnIdleConnectionLost();
+  void OnWorkerLimitChanged(std::optional<double> requests_per_second) override;
   void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) override;
   void OnOtherWorker(const std::string& stated_identity) override;
   uint64_t unstamped_successes() const { return unstamped_successes_; }
