Draining: a worker that states in its answers that it leaves is drained

A leave that only answers tell (its notice is lost, or the store cannot record it) was not acted on.

Change: the gate beside the worker takes the statement for a leave notice: requests without a key stop at once, keys are handed over and served for drain_timeout_ms less a margin at most, and the leave is written to the store until that succeeds. A machine also remembers of which workers it passed such an answer on: it chooses none of them again, also when the node beside one was restarted while the store could not record the leave.

Evidence: platform_adapter_test WorkerLeaving, five of six tests failed before (34 to 37 requests reached the worker; its keys stayed), all pass. Without the memory of the sender, one request still reached it after a restart of its node.

The margin for the last request's way moved from sidecar.cc to FleetBounds, as both sides need it.

--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -110,6 +110,20 @@
   balancer_.OnAttemptEnd(InstanceOf(node));
 }
 
+void PeerDirectory::OnWorkerLeaving(Instant now, const std::string& node,
+                                    const std::string& worker_id) {
+  if (LeavingSince(node, worker_id).has_value()) return;
+  leaving_workers_[node] = {worker_id, now};
+  targets_built_ = false;
+}
+
+std::optional<Instant> PeerDirectory::LeavingSince(const std::string& node,
+                                                   const std::string& worker_id) const {
+  const auto found = leaving_workers_.find(node);
+  if (found == leaving_workers_.end() || found->second.worker_id != worker_id) return std::nullopt;
+  return found->second.since;
+}
+
 void PeerDirectory::SetEvacuated(const std::string& zone, bool evacuated) {
   if (evacuated) {
     evacuated_zones_.insert(zone);
@@ -141,6 +155,8 @@
                                    now - peer.answered_at > kUnlistedNodeRetention;
                           }) > 0 ||
             changed;
+  std::erase_if(leaving_workers_,
+                [this](const auto& entry) { return !peers_.contains(entry.first); });
   if (changed) targets_built_ = false;
 }
 
@@ -160,7 +176,8 @@
     target.instance = InstanceOf(node);
     target.zone = peer.record.zone;
     const bool evacuated = IsEvacuated(peer.record.zone);
-    target.leaving = !peer.record.accepting() || peer.stop.has_value() || evacuated;
+    target.leaving =
+        !peer.record.accepting() || peer.stop.has_value() || evacuated || IsLeaving(peer);
     ServiceTargets& service = services_[peer.record.service];
     service.evacuated = service.evacuated && evacuated;
     service.targets.push_back(std::move(target));
@@ -225,7 +242,7 @@
     const Peer& peer = peers_.at(targets[index].instance.node);
     const bool takes_requests = peer.record.worker_state == WorkerState::kReady &&
                                 peer.stop.has_value() && now < peer.stop->takes_requests_until &&
-                                !IsEvacuated(peer.record.zone);
+                                !IsEvacuated(peer.record.zone) && !IsLeaving(peer);
     if (!takes_requests) continue;
     targets[index].leaving = false;
     skipped[index] = false;
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -74,6 +74,11 @@
   void set_on_stop_notice(std::function<void(const std::string& node)> callback) {
     on_stop_notice_ = std::move(callback);
   }
+  // The worker on the node stated in an answer that it is leaving. It is not chosen any more, even
+  // if a process that starts on the node does not know of it.
+  void OnWorkerLeaving(Instant now, const std::string& node, const std::string& worker_id);
+  // Since when this worker on the node is known to be leaving; nullopt: it is not.
+  std::optional<Instant> LeavingSince(const std::string& node, const std::string& worker_id) const;
   // Operators have evacuated the zone, or returned it to use. Workers of an evacuated zone are not
   // chosen.
   void SetEvacuated(const std::string& zone, bool evacuated);
@@ -109,6 +114,14 @@
     bool evacuated = true;  // All of them are in evacuated zones.
   };
 
+  struct LeavingWorker {
+    std::string worker_id;
+    Instant since{};
+  };
+
+  bool IsLeaving(const Peer& peer) const {
+    return LeavingSince(peer.record.node, peer.record.worker_id).has_value();
+  }
   // Rebuilds the targets if nodes have changed. Each build visits all nodes, and many change at
   // once when many start, so it is deferred to the next choice.
   void BuildTargets(Instant now);
@@ -124,6 +137,7 @@
   std::map<std::string, std::string> regions_;  // By zone.
   std::map<std::string, Peer> peers_;
   std::map<std::string, Instant> removed_;  // When a node's item was removed, until it reappears.
+  std::map<std::string, LeavingWorker> leaving_workers_;  // By node.
   std::set<std::string> evacuated_zones_;
   std::map<std::string, ServiceTargets> services_;
   bool targets_built_ = false;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -144,6 +144,10 @@
       Refuse(FailureReason::kNoWorker, Duration(0));
       return;
     }
+    if (OwnerHasLeft(shard->owner)) {
+      WaitForOwner(FailureReason::kDraining);
+      return;
+    }
     StartAttempt(shard->owner.node, shard->owner.worker);
     return;
   }
@@ -155,6 +159,13 @@
   StartAttempt(*node, WorkerOnNode(*node));
 }
 
+// Its node stops sending to it sooner, unless it was restarted and has forgotten that it leaves.
+bool RequestFlow::OwnerHasLeft(const sharding::WorkerId& owner) const {
+  const auto since = context_.peers.LeavingSince(owner.node, owner.worker);
+  return since.has_value() &&
+         context_.loop.Now() >= *since + context_.settings.bounds.DrainSendTime();
+}
+
 // Called when the queues of the nodes tried so far are full. Sends the request to a stopping node,
 // which normal routing avoids but which may have room in its queue. Returns false if there is none.
 bool RequestFlow::TryStoppingNode() {
@@ -228,7 +239,12 @@
   attempt_.reset();
 }
 
-void RequestFlow::OnAnswerHead(http::ResponseHead&& head) { relay_.OnHead(std::move(head)); }
+void RequestFlow::OnAnswerHead(http::ResponseHead&& head) {
+  if (head.headers.Has(context_.wire.headers().worker_leaving)) {
+    context_.peers.OnWorkerLeaving(context_.loop.Now(), last_node_, last_worker_);
+  }
+  relay_.OnHead(std::move(head));
+}
 
 // The worker ran the request and answered 500: another worker may succeed if the request may be
 // repeated.
--- a/source/sidecar/request_flow.h
+++ b/source/sidecar/request_flow.h
@@ -43,6 +43,8 @@
   bool OnlyOwnerMayRun() const;
   void TryNext();
   bool TryStoppingNode();
+  // Whether the owner is leaving, and for so long that requests must not reach it any more.
+  bool OwnerHasLeft(const sharding::WorkerId& owner) const;
   routing::AnswerSize ExpectedAnswerSize() const;
   TargetQuery Query() const;
   std::string WorkerOnNode(const std::string& node) const;
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -13,6 +13,9 @@
 
 namespace runshelf::sidecar {
 
+// Time for the last request to a worker that is leaving to arrive there.
+constexpr Duration kDrainArrivalMargin = std::chrono::milliseconds(150);
+
 // Limits that the operators of the fleet guarantee to their callers. All durations are maximums.
 struct FleetBounds {
   // From the acknowledgement that a worker is leaving.
@@ -30,6 +33,9 @@
   double retry_budget_ratio = 0.2;  // Retries per first attempt within the window.
   Duration retry_budget_window = std::chrono::seconds(10);
   double retry_budget_extra = 10;  // Additional retries of all nodes together within the window.
+
+  // How long requests may be sent to a worker that is leaving.
+  Duration DrainSendTime() const { return drain_timeout - kDrainArrivalMargin; }
 };
 
 // Settings of one sidecar process. Endpoints without a value are not listened on.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -24,9 +24,6 @@
 // Longer than the event loop waits for events: the timer of the state feed ends each wait sooner.
 constexpr Duration kMinStandstill = std::chrono::milliseconds(500);
 constexpr Duration kTickInterval = std::chrono::seconds(1);
-// Requests to a draining worker stop this long before the drain timeout, so that the last one still
-// arrives in time.
-constexpr Duration kDrainSendMargin = std::chrono::milliseconds(150);
 // Interval of the "traffic" log lines.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
 // Event loop iterations of at least this duration are logged, as health checks and beacons are
@@ -591,7 +588,7 @@
   const std::string worker = monitor_.worker_id();
   gate_.SetWorker(worker, settings_.worker_service, monitor_.slots());
   gate_.SetDraining(state == WorkerState::kDraining,
-                    monitor_.draining_since() + settings_.bounds.drain_timeout - kDrainSendMargin);
+                    monitor_.draining_since() + settings_.bounds.DrainSendTime());
   holder_.SetWorker(worker, former_gone);
   holder_.SetLeaving(ShouldReleaseKeys());
   Announce();
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -30,6 +30,7 @@
   std::string not_executed;     // Response: the worker did not execute the request.
   std::string worker_load;      // Response: load of the worker; see DecodeWorkerLoad.
   std::string worker_limit;     // Response: requests per second that the worker accepts from all.
+  std::string worker_leaving;   // Response: the worker is leaving.
   std::string worker_id;        // Response to a health check: identity of the worker.
   std::string cold_remaining;   // Response to a health check: ms until the worker is warmed up.
   std::string handover;         // Response to a release: data for the next holder of the keys.
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -137,6 +137,9 @@
     // from the expected one.
     ReportAnswer();
     gate_->OnWorkerLimit(sent_at_, head.headers);
+    if (head.headers.Has(names.worker_leaving) && gate_->worker_observer_ != nullptr) {
+      gate_->worker_observer_->OnWorkerLeaving();
+    }
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
       overloaded_ = head.status == kServiceUnavailable && !StatesRoom(head);
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -47,6 +47,8 @@
   virtual void OnWorkerAnswered(Instant sent, Instant connection_made) = 0;
   // A connection to the worker could not be established, or was lost.
   virtual void OnWorkerUnreachable() = 0;
+  // The worker stated in an answer that it is leaving.
+  virtual void OnWorkerLeaving() = 0;
   // The rate of requests that the worker accepts has changed; nullopt: no limit.
   virtual void OnWorkerLimitChanged(std::optional<double> requests_per_second) = 0;
   // A 2xx answer lacks the header by which the worker confirms that it ran the request.
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -469,6 +469,13 @@
   if (cold_state_tracked_ && NoConnectionOpen()) ForgetColdState();
 }
 
+// As after a leave notice, but no acknowledgement waits for the record in the store.
+void WorkerMonitor::OnWorkerLeaving() {
+  if (worker_id_.empty() || draining_) return;
+  MarkDraining();
+  WriteDrainAgain(worker_id_);
+}
+
 void WorkerMonitor::OnWorkerLimitChanged(std::optional<double> requests_per_second) {
   log_.Write(LogLevel::kWarning, "worker_limit",
              {{"worker", worker_id_},
@@ -558,6 +565,8 @@
     AdoptWorker(*id, probe_sent_at_, Source::kAddress);
   }
   if (named) OnProbeColdState(response);
+  const bool leaving = response.headers.Has(wire_.headers().worker_leaving);
+  if (leaving && named && *id == wire_.StatedIdentity(worker_id_)) OnWorkerLeaving();
   if (named && observer_.on_health_answer) {
     observer_.on_health_answer(probe_sent_at_, response.headers);
   }
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -93,6 +93,7 @@
   void OnWorkerUnreachable() override;
   // The worker closed an idle connection, or the connection broke.
   void OnIdleConnectionLost();
+  void OnWorkerLeaving() override;
   void OnWorkerLimitChanged(std::optional<double> requests_per_second) override;
   void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) override;
   void OnOtherWorker(const std::string& stated_identity) override;
