--- a/source/sidecar/part_configs.h
+++ b/source/sidecar/part_configs.h
@@ -33,9 +33,9 @@
 StateFeedConfig FeedConfig(const Settings& settings);
 // UDP port of the state feed's beacons; zero if the settings provide no port for them.
 uint16_t BeaconPort(const Settings& settings);
-// Bandwidth of the machine's link in Mbit/s; zero: unknown.
 // How long an evacuated worker still serves keys that have not been handed over yet.
 Duration EvacuationKeyTime(const FleetBounds& bounds);
+// Bandwidth of the machine's link in Mbit/s; zero: unknown.
 uint32_t LinkMegabits(const Settings& settings);
 
 }  // namespace runshelf::sidecar
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -104,9 +104,9 @@
   bool reachable() const { return reachable_; }
   // The store answered promptly the latest direct call that it answered.
   bool answers_promptly() const { return answers_promptly_; }
-  // The store answered the latest direct call.
   // When the store last answered a call that was not relayed; Instant{}: never.
   Instant answered_directly_at() const { return answered_directly_at_; }
+  // No direct call has failed since the latest one that was answered.
   bool direct_path_works() const { return avoid_direct_until_ == Instant{}; }
   // Latest era reported by a response; zero before the first one.
   StoreEra era() const { return era_.value_or(0); }
