Soak: workers that state limits, and that say in answers that they leave

LimitJudge counts what each worker gets within 4 s from the machines that passed on such an answer half a second before; restarts, freezes and cuts excuse a machine, faults on the way to the worker what they may have held up. In all runs workers that leave say so in their answers, and DrainJudge holds each machine to the answers that it passed on.

--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -48,6 +48,7 @@
   // Heartbeats report the worker as warm whatever it is.
   void set_heartbeats_report_warm(bool value) { heartbeats_report_warm_ = value; }
   void set_draining(bool draining) { draining_ = draining; }
+  bool draining() const { return draining_; }
   // When draining, the worker deregisters at once and stops its heartbeats, but still serves
   // requests.
   void set_leaves_without_draining(bool value) { leaves_without_draining_ = value; }
--- a/tests/soak/drain_judge_test.cc
+++ b/tests/soak/drain_judge_test.cc
@@ -29,3 +29,19 @@
   Begin("w1", 2500);
   CHECK_EQUAL(1, judge.violations().size());
 }
+
+// Guards against requests to a worker that stated in an answer that it leaves, which the machine of
+// the request had passed on.
+TEST(DrainJudge, AMachineIsBoundByTheAnswersThatItPassedOn) {
+  judge.OnLeavingPassedOn("w2", 1, acknowledged);
+  const auto begin = [this](size_t machine, int after_ms, Instant disturbed_at = {}) {
+    const Instant sent_at = acknowledged + std::chrono::milliseconds(after_ms);
+    judge.OnBeganAfterStatement({"w2", "a1", machine, sent_at, disturbed_at});
+  };
+  begin(1, 1900);
+  begin(2, 5000);
+  begin(1, 5000, acknowledged + std::chrono::milliseconds(1));
+  CHECK(judge.violations().empty());
+  begin(1, 2100);
+  CHECK_EQUAL(1, judge.violations().size());
+}
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -26,6 +26,9 @@
 constexpr Duration kPastLeases = milliseconds(9000);
 // Short enough for that lease to survive even if its last renewal was 2 s before the outage.
 constexpr Duration kWithinLeases = milliseconds(5500);
+// Limits that workers state, in requests per second; below what most of them get otherwise.
+constexpr uint64_t kLowestLimit = 1;
+constexpr uint64_t kLimitRange = 20;
 
 // Generates the faults; each series is one function.
 class Planner {
@@ -53,6 +56,10 @@
     for (at = input_.first; input_.second_answers && at < input_.last; at += Time(1500, 5000)) {
       SecondAnswers(at);
     }
+    random_ = SeededRandom(~input_.seed + 4);
+    for (at = input_.first; input_.stated_limits && at < input_.last; at += Time(1500, 5000)) {
+      StatedLimits(at);
+    }
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -296,6 +303,24 @@
     }
   }
 
+  // Workers state limits, some while they leave or restart or their nodes stop.
+  void StatedLimits(Duration at) {
+    for (const size_t node : SomeNodes(1 + random_.Below(Half()), Coin() ? "keyed" : "")) {
+      PlannedFault fault;
+      fault.kind = FaultKind::kWorkerStatesLimit;
+      fault.at = at;
+      fault.time = Time(2000, 9000);
+      fault.node = node;
+      fault.limit = static_cast<double>(kLowestLimit + random_.Below(kLimitRange));
+      Add(fault);
+      constexpr std::array<FaultKind, 3> kBeside{
+          FaultKind::kWorkerLeaves, FaultKind::kTerminateProcess, FaultKind::kWorkerRestarts};
+      const size_t beside = random_.Below(2 * kBeside.size());
+      if (beside < kBeside.size()) Add(kBeside[beside], at + Time(300, 4000), Time(5, 500), node);
+      at += Time(0, 600);
+    }
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
@@ -352,10 +377,11 @@
 }  // namespace
 
 std::string Describe(const PlannedFault& fault) {
-  return fmt::format("{:7.3f} s {} node={} peer={} mode={} leases_wait={} copy_age_ms={} for {} ms",
-                     std::chrono::duration<double>(fault.at).count(), FaultName(fault.kind),
-                     fault.node, fault.peer, static_cast<int>(fault.mode), fault.leases_wait,
-                     ToMilliseconds(fault.copy_age), ToMilliseconds(fault.time));
+  return fmt::format(
+      "{:7.3f} s {} node={} peer={} mode={} leases_wait={} copy_age_ms={} limit={} for {} ms",
+      std::chrono::duration<double>(fault.at).count(), FaultName(fault.kind), fault.node,
+      fault.peer, static_cast<int>(fault.mode), fault.leases_wait, ToMilliseconds(fault.copy_age),
+      fault.limit, ToMilliseconds(fault.time));
 }
 
 std::vector<PlannedFault> MakeFaultPlan(const FaultPlanInput& input) {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -22,6 +22,7 @@
   FaultProxy::Mode mode = FaultProxy::Mode::kPass;  // For network paths and kStoreTurnsAway.
   Duration delay{0};                                // For network paths in mode kDelay.
   bool leases_wait = false;  // For store faults: no lease expires during the fault.
+  double limit = 0;          // kWorkerStatesLimit: requests per second.
   Duration copy_age{0};      // kStoreRestored: age of the copy at the start of the fault.
 };
 
@@ -37,6 +38,7 @@
   Duration last{0};                   // Latest end of a fault.
   bool store_restores = false;        // Include kStoreRestored.
   bool second_answers = false;        // Include kWorkerAnswersTwice.
+  bool stated_limits = false;         // Include kWorkerStatesLimit.
 };
 
 // Returns the faults sorted by start time. They are generated in series, which overlap.
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -9,19 +9,43 @@
 using namespace runshelf;
 using namespace runshelf::soak;
 
-TEST_GROUP(FaultPlan){
-    static std::vector<PlannedFault> Plan(uint64_t seed, bool store_restores = false,
-                                          bool second_answers = false){FaultPlanInput input;
-input.seed = seed;
-input.store_restores = store_restores;
-input.second_answers = second_answers;
-input.services = {"plain", "plain", "other", "keyed", "keyed", "keyed"};
-input.first = std::chrono::seconds(8);
-input.last = std::chrono::seconds(60);
-return MakeFaultPlan(input);
+namespace {
+
+// Faults that only some runs include.
+struct OptionalFaults {
+  bool store_restores = false;
+  bool second_answers = false;
+  bool stated_limits = false;
+};
+
+std::vector<PlannedFault> Plan(uint64_t seed, const OptionalFaults& optional = {}) {
+  FaultPlanInput input;
+  input.seed = seed;
+  input.store_restores = optional.store_restores;
+  input.second_answers = optional.second_answers;
+  input.stated_limits = optional.stated_limits;
+  input.services = {"plain", "plain", "other", "keyed", "keyed", "keyed"};
+  input.first = std::chrono::seconds(8);
+  input.last = std::chrono::seconds(60);
+  return MakeFaultPlan(input);
 }
+
+// Checks that the second plan has all faults of the first one, and more; the first has none of
+// `kind`.
+void CheckAdds(FaultKind kind, const std::vector<PlannedFault>& without,
+               const std::vector<PlannedFault>& with) {
+  std::set<std::string> all;
+  for (const PlannedFault& fault : with) all.insert(Describe(fault));
+  for (const PlannedFault& fault : without) {
+    CHECK(fault.kind != kind);
+    CHECK(all.contains(Describe(fault)));
+  }
+  CHECK(with.size() > without.size());
 }
-;
+
+}  // namespace
+
+TEST_GROUP(FaultPlan){};
 
 TEST(FaultPlan, TheSameSeedGivesTheSamePlan) {
   const auto first = Plan(7);
@@ -36,7 +60,9 @@
 TEST(FaultPlan, FaultsStayWithinThePeriodAndFleet) {
   for (uint64_t seed = 1; seed <= 200; ++seed) {
     Duration latest{0};
-    for (const PlannedFault& fault : Plan(seed, seed % 2 == 0, seed % 3 == 0)) {
+    for (const PlannedFault& fault : Plan(seed, {.store_restores = seed % 2 == 0,
+                                                .second_answers = seed % 3 == 0,
+                                                .stated_limits = seed % 5 == 0})) {
       CHECK(fault.at >= std::chrono::seconds(8));
       CHECK(fault.at + fault.time <= std::chrono::seconds(60));
       CHECK(fault.at >= latest);
@@ -51,35 +77,23 @@
 // Faults that are enabled separately must not change the plans of regression seeds.
 TEST(FaultPlan, StoreRestoresAreOptionalAndKeepOtherFaults) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    std::vector<std::string> without;
-    for (const PlannedFault& fault : Plan(seed)) {
-      CHECK(fault.kind != FaultKind::kStoreRestored);
-      without.push_back(Describe(fault));
-    }
-    std::vector<std::string> with;
-    for (const PlannedFault& fault : Plan(seed, true)) with.push_back(Describe(fault));
-    for (const std::string& fault : without) {
-      CHECK(std::find(with.begin(), with.end(), fault) != with.end());
-    }
-    CHECK(with.size() > without.size());
+    CheckAdds(FaultKind::kStoreRestored, Plan(seed), Plan(seed, {.store_restores = true}));
   }
 }
 
-// Faults that are enabled separately must not change the plans of regression seeds.
 TEST(FaultPlan, SecondAnswersAreOptionalAndKeepOtherFaults) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     const bool restores = seed % 2 == 0;
-    std::vector<std::string> without;
-    for (const PlannedFault& fault : Plan(seed, restores)) {
-      CHECK(fault.kind != FaultKind::kWorkerAnswersTwice);
-      without.push_back(Describe(fault));
-    }
-    std::vector<std::string> with;
-    for (const PlannedFault& fault : Plan(seed, restores, true)) with.push_back(Describe(fault));
-    for (const std::string& fault : without) {
-      CHECK(std::find(with.begin(), with.end(), fault) != with.end());
-    }
-    CHECK(with.size() > without.size());
+    CheckAdds(FaultKind::kWorkerAnswersTwice, Plan(seed, {.store_restores = restores}),
+              Plan(seed, {.store_restores = restores, .second_answers = true}));
+  }
+}
+
+TEST(FaultPlan, StatedLimitsAreOptionalAndKeepOtherFaults) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const bool restores = seed % 2 == 0;
+    CheckAdds(FaultKind::kWorkerStatesLimit, Plan(seed, {.store_restores = restores}),
+              Plan(seed, {.store_restores = restores, .stated_limits = true}));
   }
 }
 
@@ -89,7 +103,8 @@
   size_t all = 0;
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     Duration end{0};
-    for (const PlannedFault& fault : Plan(seed, true, true)) {
+    for (const PlannedFault& fault :
+         Plan(seed, {.store_restores = true, .second_answers = true, .stated_limits = true})) {
       ++kinds[fault.kind];
       ++all;
       if (fault.at < end) ++overlapping;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -53,6 +53,8 @@
                               "the store comes back from older copies of its data", command);
     TCLAP::SwitchArg twice("a", "second-answers", "workers answer twice, the second time late",
                            command);
+    TCLAP::SwitchArg limits("l", "stated-limits", "workers state limits of their request rates",
+                            command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodeCount(seed.getValue());
@@ -61,6 +63,7 @@
     options.fatal_requests = fatal.getValue();
     options.store_restores = restores.getValue();
     options.second_answers = twice.getValue();
+    options.stated_limits = limits.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
--- a/tests/soak/request_runner.cc
+++ b/tests/soak/request_runner.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/request_runner.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -163,6 +165,10 @@
   http::Headers headers;
   headers.Add("Attempt-Id", run->id);
   headers.Add("Server-Stamp", run->worker);
+  if (run->node->stated_limit > 0) {
+    headers.Add("Server-Limit", fmt::format("{:.1f}", run->node->stated_limit));
+  }
+  if (run->node->worker->draining()) headers.Add("Server-Leaving", "1");
   const http::ExchangePtr exchange = run->exchange;
   const std::string body =
       status == kOk ? ExpectedAnswerBody(run->worker, run->id, exchange->request().body) : "";
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -47,6 +47,7 @@
   input.last = options.duration - kFaultFreeEnd;
   input.store_restores = options.store_restores;
   input.second_answers = options.second_answers;
+  input.stated_limits = options.stated_limits;
   return input;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,7 @@
   size_t nodes = 12;
   bool store_restores = false;  // Faults include restoring the store from an older snapshot.
   bool second_answers = false;  // Faults include workers that send a response twice.
+  bool stated_limits = false;   // Faults include workers that state limits of their rates.
   bool fatal_requests = false;  // Some requests terminate the worker that starts them.
 };
 
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -200,6 +200,7 @@
   node->worker_port = worker->endpoint().port;
   worker->StartHeartbeats(node->control_plane, heartbeat_interval_);
   node->worker = std::move(worker);
+  witness_.OnLimitChanged(node->worker->life(), node->stated_limit);
   node->worker_returns = false;
   ApplyListener(node);
 }
@@ -302,6 +303,13 @@
   return fault;
 }
 
+void SoakFleet::SetStatedLimit(size_t node, double requests_per_second) {
+  SoakNode& at = *nodes_[node];
+  at.stated_limit = requests_per_second;
+  if (at.worker == nullptr) return;
+  witness_.OnLimitChanged(at.worker->life(), requests_per_second);
+}
+
 void SoakFleet::SetAnswersTwice(size_t node, bool value) {
   FaultProxy& proxy = *nodes_[node]->worker_proxy;
   if (!value) return proxy.set_repetitions(nullptr);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -52,6 +52,8 @@
   // heartbeats are subject to faults such as delay, loss and duplication.
   void SetOrdersUnanswered(size_t node, bool value) { orders_unanswered_[node] = value; }
   void SetHeartbeatsDelayed(size_t node, bool value) { heartbeats_delayed_[node] = value; }
+  // Lets the node's worker state that it accepts so many requests per second; zero: states none.
+  void SetStatedLimit(size_t node, double requests_per_second);
   // While set, the node's worker sends most of its responses twice.
   void SetAnswersTwice(size_t node, bool value);
   // Number of responses that workers sent twice.
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -29,7 +29,8 @@
   std::string worker_id;        // Of the current or most recent worker.
   bool worker_returns = false;  // The next worker reuses the same id.
   bool refuses_connections = false;
-  Instant worker_down_until{};                           // Earliest time of the next restart.
+  double stated_limit = 0;      // Requests per second that the worker states; zero: none.
+  Instant worker_down_until{};  // Earliest time of the next restart.
   std::unique_ptr<platform_adapter::FakeWorker> worker;  // Null while the worker is down.
   size_t store_entrance = 0;
   std::unique_ptr<FaultProxy> store_proxy;
--- a/tests/soak/witness.cc
+++ b/tests/soak/witness.cc
@@ -53,6 +53,13 @@
     promises_.OnAnswer({id, response.status, response.body, stamp == nullptr ? "" : *stamp});
     if (response.status == kNotFound && stamp == nullptr) JudgeRoute(*open, std::nullopt);
   }
+  if (answered && stamp != nullptr) {
+    const size_t node = open->attempt.node;
+    if (response.headers.Has("Server-Limit")) limit_.OnPassedOn(*stamp, node, clock_.Now());
+    if (response.headers.Has("Server-Leaving")) {
+      drain_.OnLeavingPassedOn(*stamp, node, clock_.Now());
+    }
+  }
   Measure(*open, answered ? response.status : 0);
   if (end != CallerConnection::End::kNotSent) Judge(*open, end, stamp != nullptr);
 }
@@ -133,6 +140,7 @@
   // store.
   const bool knows_of_leaving = attempt.node == node || contact_.StoreUndisturbed(now);
   drain_.OnBegan(worker, execution.id, now, nodes_in_touch && knows_of_leaving);
+  JudgeStatements(attempt, node, worker);
   abandonment_.OnBegan(execution.id, now, nodes_in_touch);
   if (IsFatalRequest(execution.target)) {
     const bool in_touch = contact_.Undisturbed(attempt.node, now) && contact_.StoreUndisturbed(now);
@@ -140,6 +148,21 @@
   }
 }
 
+// A machine counts as disturbed also while a fault is active there. Requests that a fault on the
+// way to the worker may have held up are not judged; a planned stop of the worker's node excuses
+// nothing.
+void Witness::JudgeStatements(const Attempt& attempt, size_t worker_node,
+                              const std::string& worker) {
+  const Instant now = clock_.Now();
+  const size_t machine = attempt.node;
+  if (!unplanned_.Undisturbed(worker_node, now)) return;
+  const bool calm = contact_.Undisturbed(machine, now);
+  const Instant disturbed_at = calm ? contact_.latest(machine) : now;
+  limit_.OnBegan(worker, machine, now, disturbed_at);
+  drain_.OnBeganAfterStatement(
+      {worker, attempt.request.id, machine, attempt.sent_at, disturbed_at});
+}
+
 void Witness::JudgeRoute(const OpenAttempt& open, std::optional<std::string> service) {
   const Attempt& attempt = open.attempt;
   HandledRequest handled;
@@ -243,8 +266,8 @@
 
 std::vector<std::vector<std::string>> Witness::Findings() const {
   return {promises_.violations(),      ownership_->violations(), loss_.violations(),
-          configuration_.violations(), drain_.violations(),      abandonment_.violations(),
-          fatal_.violations()};
+          configuration_.violations(), drain_.violations(),      limit_.violations(),
+          abandonment_.violations(),   fatal_.violations()};
 }
 
 void Witness::Watch(Instant started) {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -18,6 +18,7 @@
 #include "tests/soak/contact_tracker.h"
 #include "tests/soak/drain_judge.h"
 #include "tests/soak/fatal_request_judge.h"
+#include "tests/soak/limit_judge.h"
 #include "tests/soak/loss_judge.h"
 #include "tests/soak/ownership_judge.h"
 #include "tests/soak/promise_judge.h"
@@ -74,6 +75,11 @@
     drain_.OnLeaveAcknowledged(worker, at);
   }
 
+  // The worker begins to state a limit, another one, or none (zero), in requests per second.
+  void OnLimitChanged(const std::string& worker, double rate) {
+    limit_.OnLimitChanged(worker, rate, clock_.Now());
+  }
+
   // A fatal request terminated its worker.
   void OnFatalEnd(const std::string& target) { fatal_.OnEnded(target, clock_.Now()); }
   int fatal_ends() const { return fatal_.ends(); }
@@ -147,6 +153,8 @@
   // True if the work at `node` was aborted because the node's process stopped, while a caller of
   // another node was still waiting.
   bool AbortedByStop(const OpenAttempt& open, size_t node) const;
+  // Judges the request by what its node passed on of the worker before.
+  void JudgeStatements(const Attempt& attempt, size_t worker_node, const std::string& worker);
   void Judge(const OpenAttempt& open, CallerConnection::End end, bool by_worker);
   void JudgeRoute(const OpenAttempt& open, std::optional<std::string> service);
   void Measure(const OpenAttempt& open, int status);
@@ -161,6 +169,7 @@
   LossJudge loss_{LossBounds{}};
   ConfigurationJudge configuration_{ConfigurationBounds{}};
   DrainJudge drain_;
+  LimitJudge limit_{kContactWindow};
   AbandonmentJudge abandonment_;
   FatalRequestJudge fatal_;
   std::map<std::string, OpenAttempt> attempts_;  // By id; never erased, since work may begin late.
