Prefix watcher: changes of a page are moved, not copied

The page of a watch may hold a configuration of some hundred kilobytes; the function that was split off took it by reference and copied its events.

--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -249,7 +249,7 @@
     Refresh();
     return;
   }
-  const bool changed = ApplyPage(*page);
+  const bool changed = ApplyPage(*std::move(page));
   if (stopped_ || following_ || generation != generation_) return;
   if (!changed) {
     schedule_.OnNoChanges();
@@ -261,10 +261,10 @@
   timer_.Start(WaitAfterChanges());
 }
 
-bool PrefixWatcher::ApplyPage(const WatchPage& page) {
+bool PrefixWatcher::ApplyPage(WatchPage page) {
   ChangeSet changes;
   changes.from = change_revision_;
-  changes.events = page.events;
+  changes.events = std::move(page.events);
   for (const WatchEvent& event : changes.events) Apply(event);
   revision_ = std::max(revision_, page.revision);
   if (!changes.events.empty()) change_revision_ = revision_;
@@ -276,12 +276,12 @@
 void PrefixWatcher::Confirm(std::function<void(bool current)> callback) {
   if (stopped_ || !synchronized_) return;
   store_.Watch(config_.prefix, revision_, kConfirmationTimes,
-               [this, callback = std::move(callback)](const absl::StatusOr<WatchPage>& page) {
-                 OnConfirmation(page, callback);
+               [this, callback = std::move(callback)](absl::StatusOr<WatchPage> page) {
+                 OnConfirmation(std::move(page), callback);
                });
 }
 
-void PrefixWatcher::OnConfirmation(const absl::StatusOr<WatchPage>& page,
+void PrefixWatcher::OnConfirmation(absl::StatusOr<WatchPage> page,
                                    const std::function<void(bool current)>& callback) {
   if (stopped_) return;
   const bool history_is_lost = absl::IsOutOfRange(page.status());
@@ -291,7 +291,7 @@
     callback(false);
     return;
   }
-  const bool changed = ApplyPage(*page);
+  const bool changed = ApplyPage(*std::move(page));
   // The pending watch did not deliver the changes, so its connection may be dead.
   if (changed && watching_) RestartWatch();
   callback(!changed);
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -140,10 +140,10 @@
   void OnWatchFailed(const absl::Status& status);
   void OnWatch(uint64_t generation, absl::StatusOr<WatchPage> page);
   void ContinueWatching();
-  void OnConfirmation(const absl::StatusOr<WatchPage>& page,
+  void OnConfirmation(absl::StatusOr<WatchPage> page,
                       const std::function<void(bool current)>& callback);
   // Applies the changes and reports them to the observer; returns whether there were any.
-  bool ApplyPage(const WatchPage& page);
+  bool ApplyPage(WatchPage page);
   void OnPeerFetched(bool answered);
   void Apply(const WatchEvent& event);
   void ApplyItem(const Item& item);
