Soak: operators evacuate zones, and workers start cold

EvacuationJudge holds nodes in touch to evacuation_ms, ColdStartJudge counts what a cold worker gets within a second.

--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -241,6 +241,8 @@
     case FaultKind::kWorkerAnswersTwice:
       witness_.BeginFault(fault.node, /*planned=*/false);
       return fleet_.SetAnswersTwice(fault.node, true);
+    case FaultKind::kZoneEvacuated:
+      return fleet_.SetZoneEvacuated(fault.node, true);
     case FaultKind::kWorkerStatesLimit:
       return fleet_.SetStatedLimit(fault.node, fault.limit);
     case FaultKind::kConfigurationChange:
@@ -300,6 +302,9 @@
       witness_.EndFault(fault.node, /*planned=*/false);
       if (Latest(fault.kind, fault.node) == nullptr) fleet_.SetAnswersTwice(fault.node, false);
       return;
+    case FaultKind::kZoneEvacuated:
+      if (Latest(fault.kind, fault.node) == nullptr) fleet_.SetZoneEvacuated(fault.node, false);
+      return;
     case FaultKind::kWorkerStatesLimit:
       if (Latest(fault.kind, fault.node) == nullptr) fleet_.SetStatedLimit(fault.node, 0);
       return;
--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -23,6 +23,8 @@
               std::vector<PlannedFault> plan, uint64_t seed);
   ~FaultDriver();
 
+  // Requests per second that cold workers bear; to be set before Start().
+  void set_cold_rate(double requests_per_second) { operators_.set_cold_rate(requests_per_second); }
   // Writes the operator's first configuration and schedules the faults relative to now.
   void Start();
   // Must be called frequently: stops drained workers, starts replacements that are due and copies
--- a/tests/soak/fault_kind.cc
+++ b/tests/soak/fault_kind.cc
@@ -36,6 +36,7 @@
     "worker-stops-listening",
     "store-restored",
     "worker-answers-twice",
+    "zone-evacuated",
     "worker-states-limit",
 };
 
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -46,12 +46,13 @@
   kStoreRestored,       // Unavailable, then restored from an older copy of its data.
   kWorkerAnswersTwice,  // Sends a response again, late, in place of the next one or on an idle
                         // connection.
+  kZoneEvacuated,       // Operators ask to send nothing to the workers of a zone.
   kWorkerStatesLimit,   // States in its responses how many requests per second it accepts.
 };
 
 // The first enumerators, which the plan may also use as single faults.
 constexpr size_t kSingleFaultKinds = 24;
-constexpr size_t kFaultKinds = 30;
+constexpr size_t kFaultKinds = 31;
 
 // The name of the fault in results and logs.
 std::string_view FaultName(FaultKind kind);
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -60,6 +60,11 @@
     for (at = input_.first; input_.stated_limits && at < input_.last; at += Time(1500, 5000)) {
       StatedLimits(at);
     }
+    random_ = SeededRandom(~input_.seed + 5);
+    for (at = input_.first; input_.evacuated_zones > 0 && at < input_.last;
+         at += Time(4000, 9000)) {
+      Evacuation(at);
+    }
     std::stable_sort(plan_.begin(), plan_.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return std::move(plan_);
@@ -321,6 +326,16 @@
     }
   }
 
+  // Operators evacuate a zone, most of the time for longer than that may take to be in force, with
+  // workers that end and nodes that stop beside it.
+  void Evacuation(Duration at) {
+    const size_t zone = random_.Below(input_.evacuated_zones);
+    Add(FaultKind::kZoneEvacuated, at, Time(1000, 11000), zone);
+    if (Coin()) WorkersReplaced(at + Time(-500, 3000));
+    if (random_.Below(4) == 0) RollingStops(at + Time(0, 3000));
+    if (random_.Below(4) == 0) AddStoreOutage(at + Time(-1000, 1000), Time(500, 3000));
+  }
+
   void PairsCut(Duration at) {
     const size_t count = 1 + random_.Below(input_.services.size());
     for (size_t index = 0; index < count; ++index) {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -17,7 +17,7 @@
   Duration at{0};  // From the start of the run.
   Duration time{0};
   FaultKind kind = FaultKind::kKillProcess;
-  size_t node = 0;
+  size_t node = 0;                                  // kZoneEvacuated: number of the zone.
   size_t peer = 0;                                  // kPairPath: the other end.
   FaultProxy::Mode mode = FaultProxy::Mode::kPass;  // For network paths and kStoreTurnsAway.
   Duration delay{0};                                // For network paths in mode kDelay.
@@ -39,6 +39,7 @@
   bool store_restores = false;        // Include kStoreRestored.
   bool second_answers = false;        // Include kWorkerAnswersTwice.
   bool stated_limits = false;         // Include kWorkerStatesLimit.
+  size_t evacuated_zones = 0;         // Number of zones to choose from for kZoneEvacuated.
 };
 
 // Returns the faults sorted by start time. They are generated in series, which overlap.
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -16,6 +16,7 @@
   bool store_restores = false;
   bool second_answers = false;
   bool stated_limits = false;
+  size_t evacuated_zones = 0;
 };
 
 std::vector<PlannedFault> Plan(uint64_t seed, const OptionalFaults& optional = {}) {
@@ -24,6 +25,7 @@
   input.store_restores = optional.store_restores;
   input.second_answers = optional.second_answers;
   input.stated_limits = optional.stated_limits;
+  input.evacuated_zones = optional.evacuated_zones;
   input.services = {"plain", "plain", "other", "keyed", "keyed", "keyed"};
   input.first = std::chrono::seconds(8);
   input.last = std::chrono::seconds(60);
@@ -97,14 +99,22 @@
   }
 }
 
+TEST(FaultPlan, EvacuationsAreOptionalAndKeepOtherFaults) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CheckAdds(FaultKind::kZoneEvacuated, Plan(seed), Plan(seed, {.evacuated_zones = 3}));
+  }
+}
+
 TEST(FaultPlan, EveryKindOccursAndFaultsOverlap) {
   std::map<FaultKind, int> kinds;
   size_t overlapping = 0;
   size_t all = 0;
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     Duration end{0};
-    for (const PlannedFault& fault :
-         Plan(seed, {.store_restores = true, .second_answers = true, .stated_limits = true})) {
+    for (const PlannedFault& fault : Plan(seed, {.store_restores = true,
+                                                .second_answers = true,
+                                                .stated_limits = true,
+                                                .evacuated_zones = 3})) {
       ++kinds[fault.kind];
       ++all;
       if (fault.at < end) ++overlapping;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -55,6 +55,9 @@
                            command);
     TCLAP::SwitchArg limits("l", "stated-limits", "workers state limits of their request rates",
                             command);
+    TCLAP::SwitchArg evacuations("e", "evacuations",
+                                 "operators evacuate zones, workers are cold after their start",
+                                 command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodeCount(seed.getValue());
@@ -64,6 +67,7 @@
     options.store_restores = restores.getValue();
     options.second_answers = twice.getValue();
     options.stated_limits = limits.getValue();
+    options.evacuations = evacuations.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
     options.seed = seed.getValue();
--- a/tests/soak/operator_configurations.cc
+++ b/tests/soak/operator_configurations.cc
@@ -17,11 +17,13 @@
   return route == "send" || route == "note" || route == "order";
 }
 
-json Services() {
-  return {
-      {"columns", {"name", "health_check_path", "sharded"}},
-      {"rows",
-       {{"plain", "/health", nullptr}, {"other", "/health", nullptr}, {"keyed", "/health", true}}}};
+json Services(double cold_rate) {
+  const json cold = cold_rate > 0 ? json(cold_rate) : json();
+  return {{"columns", {"name", "health_check_path", "sharded", "cold_per_s"}},
+          {"rows",
+           {{"plain", "/health", nullptr, cold},
+            {"other", "/health", nullptr, cold},
+            {"keyed", "/health", true, cold}}}};
 }
 
 }  // namespace
@@ -68,7 +70,7 @@
                      {"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
                       "priority", "service", "max_attempts", "weighted_services"}},
                     {"rows", rows}}},
-                  {"services", Services()},
+                  {"services", Services(cold_rate_)},
                   {"limits",
                    {{"max_header_bytes", 16384},
                     {"max_body_bytes", 1000000},
--- a/tests/soak/operator_configurations.h
+++ b/tests/soak/operator_configurations.h
@@ -27,6 +27,8 @@
  public:
   explicit OperatorConfigurations(uint64_t seed) : random_(seed) {}
 
+  // Requests per second that cold workers bear, in all later configurations; zero: not stated.
+  void set_cold_rate(double requests_per_second) { cold_rate_ = requests_per_second; }
   // Returns the next configuration. The first one has every route except "extra", all unsplit.
   WrittenConfiguration Next();
 
@@ -41,6 +43,7 @@
 
   SeededRandom random_;
   int version_ = 0;
+  double cold_rate_ = 0;
   std::map<std::string, Parts> routes_;
 };
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -25,6 +25,9 @@
 // Gives fatal requests a random sequence of their own, so that enabling them does not change the
 // other random choices of a seed.
 constexpr uint64_t kFatalSeedOffset = 3;
+// Zones of a run in which operators evacuate some of them, and how long its workers are cold.
+constexpr size_t kZones = 3;
+constexpr Duration kColdTime = std::chrono::milliseconds(2500);
 // Workers receive key grants either in heartbeat responses (even seeds) or in calls (odd seeds).
 constexpr uint64_t kGrantMethods = 2;
 
@@ -48,6 +51,7 @@
   input.store_restores = options.store_restores;
   input.second_answers = options.second_answers;
   input.stated_limits = options.stated_limits;
+  if (options.evacuations) input.evacuated_zones = kZones;
   return input;
 }
 
@@ -58,6 +62,10 @@
   fleet.directory = options.directory;
   fleet.seed = options.seed;
   fleet.services = services;
+  if (options.evacuations) {
+    fleet.zones = kZones;
+    fleet.cold_time = kColdTime;
+  }
   fleet.keys_in_heartbeats = options.seed % kGrantMethods == 0;
   return fleet;
 }
@@ -91,6 +99,7 @@
   started_ = loop_.Now();
   const Instant end = started_ + options_.duration;
   witness_.MeasureFrom(end - kMeasuredFrom, end - kMeasuredUntil);
+  if (options_.evacuations) driver_.set_cold_rate(kColdRate);
   driver_.Start();
   fleet_.Start();
   clients_.Start();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,8 @@
   bool store_restores = false;  // Faults include restoring the store from an older snapshot.
   bool second_answers = false;  // Faults include workers that send a response twice.
   bool stated_limits = false;   // Faults include workers that state limits of their rates.
+  // Operators evacuate zones, and workers are cold after their start.
+  bool evacuations = false;
   bool fatal_requests = false;  // Some requests terminate the worker that starts them.
 };
 
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -42,6 +42,10 @@
 // One in this many worker instances leaves without announcing that it drains.
 constexpr int kUndrainedExitEvery = 3;
 
+const std::string kEvacuationPrefix = "op/evacuate/";
+
+std::string ZoneName(size_t zone) { return "z" + std::to_string(zone); }
+
 // Derives the address from the process id, so that concurrent soak runs do not collide.
 std::string AddressOf(size_t host) {
   const auto process = static_cast<unsigned>(getpid());
@@ -85,6 +89,8 @@
   node->name = "n" + std::to_string(index);
   node->ip = AddressOf(kFirstHost + index);
   node->proxy_ip = AddressOf(kFirstProxyHost + index);
+  node->zone = ZoneName(index % options_.zones);
+  witness_.SetZone(index, node->zone);
   node->service = options_.services[index];
   node->sharded = node->service == "keyed";
   const auto endpoints = platform_adapter::FreeEndpoints(node->ip, 4);
@@ -118,16 +124,18 @@
 void SoakFleet::WriteSettings(const SoakNode& node, int retry_budget_extra) const {
   std::ofstream file(options_.directory + "/" + node.name + ".toml");
   file << fmt::format(
-      "node_name = \"{}\"\nfirst_start = {}\nip_address = \"{}\"\nzone = \"z\"\n"
+      "node_name = \"{}\"\nfirst_start = {}\nip_address = \"{}\"\nzone = \"{}\"\n"
       "internal_port_range = [{},{}]\nheartbeat_interval_ms = {}\n"
       "bounds = [\"drain_timeout_ms={}\",\"grace_period_s={}\",\"max_hold_ms=10000\","
-      "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra={}\"]\n"
+      "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra={}\","
+      "\"evacuation_ms={}\",\"cold_overage={}\",\"cold_tolerance={}\"]\n"
       "grants = \"{}\"\napplication_address = \"{}\"\nservice = \"{}\"\n"
       "[listen_addresses]\ninbound = \"{}\"\noutbound = \"{}\"\nreadiness = \"{}\"\n"
       "control_plane = \"{}\"\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
-      node.name, node.process == nullptr || node.process->life() == 0, node.ip, kPeerPort,
-      kPeerPort + 1, ToMilliseconds(heartbeat_interval_), ToMilliseconds(kDrainTimeout),
+      node.name, node.process == nullptr || node.process->life() == 0, node.ip, node.zone,
+      kPeerPort, kPeerPort + 1, ToMilliseconds(heartbeat_interval_), ToMilliseconds(kDrainTimeout),
       kGracePeriod / std::chrono::seconds(1), retry_budget_extra,
+      ToMilliseconds(kEvacuationTimeout), kColdOverage, kColdTolerance,
       options_.keys_in_heartbeats ? "heartbeat" : "invocation",
       node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
       node.outbound.ToString(), node.readiness.ToString(), node.control_plane.ToString(),
@@ -195,12 +203,16 @@
   auto worker = std::make_unique<FakeWorker>(loop_, node->worker_id, node->service);
   worker->set_born(NextWorkerStartTime());
   SetUpWorker(node, worker.get());
+  if (options_.cold_time > Duration(0)) worker->TurnCold(options_.cold_time);
   // Fails while connections of the previous worker are still being closed; the caller retries.
   if (worker->Listen(node->worker_port) != 0) return;
   node->worker_port = worker->endpoint().port;
   worker->StartHeartbeats(node->control_plane, heartbeat_interval_);
   node->worker = std::move(worker);
   witness_.OnLimitChanged(node->worker->life(), node->stated_limit);
+  if (options_.cold_time > Duration(0)) {
+    witness_.OnCold(node->worker->life(), loop_.Now() + options_.cold_time);
+  }
   node->worker_returns = false;
   ApplyListener(node);
 }
@@ -303,6 +315,17 @@
   return fault;
 }
 
+void SoakFleet::SetZoneEvacuated(size_t zone, bool evacuated) {
+  const std::string name = ZoneName(zone);
+  if (evacuated) {
+    store_.Put(kEvacuationPrefix + name, "{}");
+    witness_.OnEvacuated(name);
+  } else {
+    store_.Remove(kEvacuationPrefix + name);
+    witness_.OnReturned(name);
+  }
+}
+
 void SoakFleet::SetStatedLimit(size_t node, double requests_per_second) {
   SoakNode& at = *nodes_[node];
   at.stated_limit = requests_per_second;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -25,6 +25,8 @@
   uint64_t seed = 1;
   std::vector<std::string> services;  // Service of each node's worker; "keyed" is sharded.
   bool keys_in_heartbeats = false;    // Grants come in heartbeat responses instead of calls.
+  size_t zones = 1;                   // The nodes are distributed among them in turn.
+  Duration cold_time{0};              // How long workers are cold after their start.
 };
 
 class SoakFleet {
@@ -52,6 +54,8 @@
   // heartbeats are subject to faults such as delay, loss and duplication.
   void SetOrdersUnanswered(size_t node, bool value) { orders_unanswered_[node] = value; }
   void SetHeartbeatsDelayed(size_t node, bool value) { heartbeats_delayed_[node] = value; }
+  // Writes as the operator that a zone is evacuated, or returned to use.
+  void SetZoneEvacuated(size_t zone, bool evacuated);
   // Lets the node's worker state that it accepts so many requests per second; zero: states none.
   void SetStatedLimit(size_t node, double requests_per_second);
   // While set, the node's worker sends most of its responses twice.
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -18,7 +18,8 @@
   std::string name;
   std::string ip;        // Address of the sidecar.
   std::string proxy_ip;  // Address under which the other nodes reach it.
-  std::string service;   // Service that the worker runs.
+  std::string zone;
+  std::string service;  // Service that the worker runs.
   bool sharded = false;
   event::Endpoint outbound;
   event::Endpoint inbound;
--- a/tests/soak/witness.cc
+++ b/tests/soak/witness.cc
@@ -27,6 +27,7 @@
       unplanned_(nodes, kContactWindow),
       healed_(nodes),
       stop_asked_(nodes),
+      zones_(nodes),
       drain_(kDrainTimeout + kDrainSlack) {}
 
 Witness::OpenAttempt* Witness::Find(const std::string& id) {
@@ -141,6 +142,8 @@
   const bool knows_of_leaving = attempt.node == node || contact_.StoreUndisturbed(now);
   drain_.OnBegan(worker, execution.id, now, nodes_in_touch && knows_of_leaving);
   JudgeStatements(attempt, node, worker);
+  evacuation_.OnBegan(zones_[node], execution.id, now,
+                      nodes_in_touch && contact_.StoreUndisturbed(now));
   abandonment_.OnBegan(execution.id, now, nodes_in_touch);
   if (IsFatalRequest(execution.target)) {
     const bool in_touch = contact_.Undisturbed(attempt.node, now) && contact_.StoreUndisturbed(now);
@@ -159,6 +162,7 @@
   const bool calm = contact_.Undisturbed(machine, now);
   const Instant disturbed_at = calm ? contact_.latest(machine) : now;
   limit_.OnBegan(worker, machine, now, disturbed_at);
+  cold_.OnBegan(worker, attempt.sent_at, now);
   drain_.OnBeganAfterStatement(
       {worker, attempt.request.id, machine, attempt.sent_at, disturbed_at});
 }
@@ -267,7 +271,8 @@
 std::vector<std::vector<std::string>> Witness::Findings() const {
   return {promises_.violations(),      ownership_->violations(), loss_.violations(),
           configuration_.violations(), drain_.violations(),      limit_.violations(),
-          abandonment_.violations(),   fatal_.violations()};
+          evacuation_.violations(),    cold_.violations(),       abandonment_.violations(),
+          fatal_.violations()};
 }
 
 void Witness::Watch(Instant started) {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -14,9 +14,11 @@
 #include "tests/platform_adapter/fake_worker.h"
 #include "tests/soak/abandonment_judge.h"
 #include "tests/soak/caller_connection.h"
+#include "tests/soak/cold_start_judge.h"
 #include "tests/soak/configuration_judge.h"
 #include "tests/soak/contact_tracker.h"
 #include "tests/soak/drain_judge.h"
+#include "tests/soak/evacuation_judge.h"
 #include "tests/soak/fatal_request_judge.h"
 #include "tests/soak/limit_judge.h"
 #include "tests/soak/loss_judge.h"
@@ -30,6 +32,11 @@
 constexpr Duration kGracePeriod = std::chrono::seconds(6);
 constexpr Duration kContactWindow = std::chrono::milliseconds(3000);
 constexpr Duration kRecoverySlack = std::chrono::milliseconds(300);
+constexpr Duration kEvacuationTimeout = std::chrono::milliseconds(5000);
+// A cold worker gets at most its rate, times kColdOverage, and kColdTolerance requests a second.
+constexpr double kColdRate = 15;
+constexpr double kColdOverage = 1.5;
+constexpr double kColdTolerance = 8;
 
 // A request that a caller (a client, or a worker that makes a nested call) is about to send.
 struct Attempt {
@@ -75,6 +82,11 @@
     drain_.OnLeaveAcknowledged(worker, at);
   }
 
+  // Zones, and workers that warm up.
+  void SetZone(size_t node, std::string zone) { zones_[node] = std::move(zone); }
+  void OnEvacuated(const std::string& zone) { evacuation_.OnEvacuated(zone, clock_.Now()); }
+  void OnReturned(const std::string& zone) { evacuation_.OnReturned(zone); }
+  void OnCold(const std::string& worker, Instant until) { cold_.OnCold(worker, until); }
   // The worker begins to state a limit, another one, or none (zero), in requests per second.
   void OnLimitChanged(const std::string& worker, double rate) {
     limit_.OnLimitChanged(worker, rate, clock_.Now());
@@ -164,12 +176,15 @@
   ContactTracker unplanned_;
   std::vector<Instant> healed_;
   std::vector<Instant> stop_asked_;
+  std::vector<std::string> zones_;  // By node.
   PromiseJudge promises_;
   std::unique_ptr<OwnershipJudge> ownership_ = std::make_unique<OwnershipJudge>();
   LossJudge loss_{LossBounds{}};
   ConfigurationJudge configuration_{ConfigurationBounds{}};
   DrainJudge drain_;
   LimitJudge limit_{kContactWindow};
+  EvacuationJudge evacuation_{kEvacuationTimeout};
+  ColdStartJudge cold_{static_cast<size_t>(kColdRate * kColdOverage + kColdTolerance)};
   AbandonmentJudge abandonment_;
   FatalRequestJudge fatal_;
   std::map<std::string, OpenAttempt> attempts_;  // By id; never erased, since work may begin late.
