Test: a restarted node learns its worker's limit from a health check

A node that starts sends its worker one request at a time until the first heartbeat, and as many as it has slots from then on. Without the limit in the health check the test fails.

--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -260,6 +260,7 @@
       if (ColdRemaining() > Duration(0)) {
         headers.Add("Cold-Start-Ms", std::to_string(ToMilliseconds(ColdRemaining())));
       }
+      if (!health_limit_.empty()) headers.Add("Server-Limit", health_limit_);
       exchange->Respond(draining_ ? 503 : 200, headers, "");
     });
   }
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -45,6 +45,8 @@
   void StartHeartbeats(const event::Endpoint& node, Duration interval);
   // The worker is cold for this long from now, as heartbeats and health checks report.
   void TurnCold(Duration remaining) { cold_until_ = loop_.Now() + remaining; }
+  // Health checks state this limit of requests per second; empty: none.
+  void set_health_limit(std::string limit) { health_limit_ = std::move(limit); }
   // Heartbeats report the worker as warm whatever it is.
   void set_heartbeats_report_warm(bool value) { heartbeats_report_warm_ = value; }
   void set_draining(bool draining) { draining_ = draining; }
@@ -190,6 +192,7 @@
   int slots_ = 4;
   Instant cold_until_{};
   bool heartbeats_report_warm_ = false;
+  std::string health_limit_;
   bool draining_ = false;
   bool leaves_without_draining_ = false;
   bool sharded_ = false;
--- a/tests/platform_adapter/worker_limit_test.cc
+++ b/tests/platform_adapter/worker_limit_test.cc
@@ -154,6 +154,29 @@
   CHECK(arrivals.size() <= static_cast<size_t>(kToleratedRequests));
 }
 
+// Guards against a restarted node that sends as much as it can until the first answers arrive.
+TEST(WorkerLimit, ARestartedNodeLearnsTheLimitFromAHealthCheck) {
+  Start({"plain", "other"});
+  limit = fmt::format("{:.1f}", kLimit);
+  FakeWorker& worker = *fleet->nodes[0].worker;
+  worker.set_health_limit(*limit);
+  worker.set_heartbeats_cut(true);
+  std::vector<http::ExchangePtr> running;
+  worker.set_behaviour([&](const http::ExchangePtr& exchange) {
+    arrivals.push_back(fleet->loop.Now());
+    running.push_back(exchange);
+  });
+  fleet->Restart(0);
+  CHECK(RunUntil(fleet->loop, [&] { return fleet->nodes[0].sidecar->ready(); }));
+  RunFor(fleet->loop, std::chrono::milliseconds(300));
+  // Until the first heartbeat, one request at a time is sent.
+  worker.set_heartbeats_cut(false);
+  RunFor(fleet->loop, std::chrono::milliseconds(300));
+  SendFor(std::chrono::seconds(1));
+  CHECK(!arrivals.empty());
+  CHECK(arrivals.size() <= static_cast<size_t>(kLimit * kToleratedFactor + kToleratedRequests));
+}
+
 // Guards against a limit of a former worker that binds the next one at its address.
 TEST(WorkerLimit, TheNextWorkerAtTheAddressIsNotLimited) {
   Start({"plain", "other"});
