--- a/tests/platform_adapter/worker_limit_test.cc
+++ b/tests/platform_adapter/worker_limit_test.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "tests/common/most_within.h"
 #include "tests/event/loop_runner.h"
 #include "tests/platform_adapter/fleet.h"
 
@@ -25,16 +26,6 @@
 constexpr double kToleratedFactor = 1.5;
 constexpr double kToleratedRequests = 5;
 
-// Largest number of arrivals within one second.
-size_t MostWithinASecond(const std::vector<Instant>& arrivals) {
-  size_t most = 0;
-  for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-    const auto last = std::lower_bound(first, arrivals.end(), *first + kSecond);
-    most = std::max(most, static_cast<size_t>(last - first));
-  }
-  return most;
-}
-
 }  // namespace
 
 TEST_GROUP(WorkerLimit) {
@@ -82,7 +73,7 @@
   }
   void CheckWithinLimit() {
     const auto tolerated = static_cast<size_t>(kLimit * kToleratedFactor + kToleratedRequests);
-    const size_t most = MostWithinASecond(arrivals);
+    const size_t most = MostWithin(kSecond, arrivals);
     CHECK_TEXT(most <= tolerated, fmt::format("{} requests in a second", most).c_str());
     CHECK(most >= static_cast<size_t>(kLimit / 2));
   }
@@ -125,7 +116,7 @@
   arrivals.clear();
   const size_t first = requests.size();
   SendFor(std::chrono::seconds(2));
-  CHECK(MostWithinASecond(arrivals) <=
+  CHECK(MostWithin(kSecond, arrivals) <=
         static_cast<size_t>(kLimit * kToleratedFactor + kToleratedRequests));
   CHECK_EQUAL(requests.size() - first, Answered(200, first));
 }
--- a/tests/sidecar/cold_start_limiter_test.cc
+++ b/tests/sidecar/cold_start_limiter_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "runshelf/common/random.h"
+#include "tests/common/most_within.h"
 
 using namespace runshelf;
 using namespace runshelf::sidecar;
@@ -17,17 +18,6 @@
 // A request arrives at most this long after it was sent.
 constexpr Duration kMaxTransit = std::chrono::milliseconds(40);
 
-// Largest number of arrivals within one second, counted from each arrival.
-size_t MostWithinASecond(std::vector<Instant> arrivals) {
-  std::sort(arrivals.begin(), arrivals.end());
-  size_t most = 0;
-  for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-    const auto last = std::lower_bound(first, arrivals.end(), *first + kSecond);
-    most = std::max(most, static_cast<size_t>(last - first));
-  }
-  return most;
-}
-
 }  // namespace
 
 TEST_GROUP(ColdStartLimiter) {
@@ -120,7 +110,7 @@
         now += random.Between(Duration(0), kSecond / 2);
         gate.SetColdUntil(now, Instant::max());
         turned_cold = now;
-        most = std::max(most, MostWithinASecond(arrivals));
+        most = std::max(most, MostWithin(kSecond, arrivals));
         arrivals.clear();
       }
       const uint64_t offered = random.Below(10) == 0 ? 40 : random.Below(2);
@@ -130,7 +120,7 @@
       }
       now += random.Between(Duration(0), std::chrono::milliseconds(20));
     }
-    most = std::max(most, MostWithinASecond(arrivals));
+    most = std::max(most, MostWithin(kSecond, arrivals));
     CHECK(turned_cold <= now);
   }
   CHECK(most <= bound);
--- a/tests/sidecar/stated_rate_limiter_test.cc
+++ b/tests/sidecar/stated_rate_limiter_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "runshelf/common/random.h"
+#include "tests/common/most_within.h"
 
 using namespace runshelf;
 using namespace runshelf::sidecar;
@@ -17,15 +18,6 @@
 constexpr double kToleratedFactor = 1.5;
 constexpr double kToleratedRequests = 5;
 
-size_t MostWithinAPeriod(const std::vector<Instant>& sent) {
-  size_t most = 0;
-  for (auto first = sent.begin(); first != sent.end(); ++first) {
-    const auto last = std::lower_bound(first, sent.end(), *first + kPeriod);
-    most = std::max(most, static_cast<size_t>(last - first));
-  }
-  return most;
-}
-
 }  // namespace
 
 TEST_GROUP(StatedRateLimiter) {
@@ -59,7 +51,7 @@
     const double tolerated =
         rate * std::chrono::duration<double>(kPeriod).count() * kToleratedFactor +
         kToleratedRequests;
-    CHECK(static_cast<double>(MostWithinAPeriod(sent)) <= tolerated);
+    CHECK(static_cast<double>(MostWithin(kPeriod, sent)) <= tolerated);
     CHECK(static_cast<double>(sent.size()) >= rate * 10);
   }
 }
