Worker monitor: drain record and former workers in modules of their own

Change: DrainRecord and FormerWorkers. No behaviour changes. Conclusion: what remains in the monitor is one subject, whether the worker is alive and who it is.

--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -14,7 +14,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(700);
-constexpr Duration kDrainRetry = std::chrono::milliseconds(500);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(500);
 // Heartbeat intervals without a heartbeat or response after which a worker counts as silent.
 constexpr double kSilentIntervals = 2.5;
@@ -44,18 +43,16 @@
     : loop_(loop),
       pool_(pool),
       order_pool_(order_pool),
-      store_(store),
       wire_(wire),
       settings_(settings),
-      drain_key_(std::move(drain_key)),
       log_(log),
       observer_(std::move(observer)),
       probe_timer_(loop, [this] { Probe(); }),
       silence_timer_(loop, [this] { CheckSilence(); }),
       deferred_timer_(loop, [this] { ContinueDeferred(); }),
-      drain_timer_(loop, [this] {
-        if (draining_) WriteDrainAgain(worker_id_);
-      }) {}
+      drain_record_(loop, store, std::move(drain_key),
+                    {[this] { OnDrainRecordKnown(); },
+                     [this] { return draining_ ? worker_id_ : std::string(); }}) {}
 
 WorkerMonitor::~WorkerMonitor() = default;
 
@@ -65,9 +62,10 @@
 }
 
 void WorkerMonitor::OnDrainRecord(const std::string& worker_id, store::Revision revision) {
-  if (revision < drain_revision_) return;
-  recorded_drain_ = worker_id;
-  drain_revision_ = revision;
+  drain_record_.OnRecord(worker_id, revision);
+}
+
+void WorkerMonitor::OnDrainRecordKnown() {
   if (RecordedDraining()) MarkDraining();
 }
 
@@ -227,7 +225,7 @@
   }
   source_ = Source::kNotice;
   heard_at_ = loop_.Now();
-  for (auto& [worker_id, former] : former_workers_) former.heard_at = Instant{};
+  former_workers_.OnPresentWorkerHeard();
   if (heartbeat.sequence > sequence_) {
     Confirm(loop_.Now() - kHeartbeatLateness);
     // A worker sends one heartbeat at a time, so this one was sent after the previous one was
@@ -260,7 +258,7 @@
     return;
   }
   const std::string worker_id = Resolve(leave.worker_id);
-  if (former_workers_.contains(worker_id) || wire_.StartedBefore(worker_id, worker_id_)) {
+  if (former_workers_.Contains(worker_id) || wire_.StartedBefore(worker_id, worker_id_)) {
     Acknowledge(exchange, std::nullopt);
     return;
   }
@@ -273,24 +271,16 @@
   return same ? worker_id_ : worker_id;
 }
 
-// A message that a worker sent before it ended may arrive seconds late, after its successor was
-// heard. But if the worker taken for the former one is heard twice, a heartbeat interval apart, and
-// the supposed successor not at all in between, then it was the latter's message that came late.
 bool WorkerMonitor::IsOfFormerWorker(const WorkerHeartbeat& heartbeat) {
-  auto found = former_workers_.find(heartbeat.worker_id);
-  if (found == former_workers_.end()) {
-    if (!wire_.StartedBefore(heartbeat.worker_id, worker_id_)) return false;
-    found = former_workers_.try_emplace(heartbeat.worker_id).first;
+  if (!former_workers_.Contains(heartbeat.worker_id) &&
+      !wire_.StartedBefore(heartbeat.worker_id, worker_id_)) {
+    return false;
   }
-  FormerWorker& former = found->second;
-  const Instant now = loop_.Now();
-  if (former.heard_at == Instant{}) former = {now, heartbeat.sequence};
-  const bool alive =
-      heartbeat.sequence > former.sequence && now - former.heard_at >= settings_.heartbeat_interval;
-  if (!alive) return true;
+  const auto finding = former_workers_.OnHeartbeat(
+      loop_.Now(), heartbeat.worker_id, heartbeat.sequence, settings_.heartbeat_interval);
+  if (finding == FormerWorkers::Finding::kLate) return true;
   log_.Write(LogLevel::kWarning, "former_worker_returned",
              {{"worker", heartbeat.worker_id}, {"taken_for_present", worker_id_}});
-  former_workers_.erase(found);
   return false;
 }
 
@@ -299,13 +289,13 @@
   if (replaced && observer_.on_ended) observer_.on_ended(worker_id_);
   source_ = source;
   adopted_at_ = loop_.Now();
-  if (replaced) former_workers_[worker_id_] = {};
-  former_workers_.erase(worker_id);
+  if (replaced) former_workers_.Add(worker_id_);
+  former_workers_.Remove(worker_id);
   log_.Write(LogLevel::kInfo, "worker_found",
              {{"worker", worker_id},
               {"former", worker_id_},
               {"told_by_worker", source == Source::kNotice},
-              {"recorded_drain", recorded_drain_}});
+              {"recorded_drain", drain_record_.worker_id()}});
   worker_id_ = worker_id;
   initial_search_ = false;
   sequence_ = -1;
@@ -324,9 +314,10 @@
 
 // While the worker's incarnation is not known, it may be the one named by the drain record.
 bool WorkerMonitor::RecordedDraining() const {
-  if (worker_id_.empty() || recorded_drain_.empty()) return false;
-  return recorded_drain_ == worker_id_ ||
-         (source_ == Source::kAddress && wire_.StatedIdentity(recorded_drain_) == worker_id_);
+  const std::string& recorded = drain_record_.worker_id();
+  if (worker_id_.empty() || recorded.empty()) return false;
+  return recorded == worker_id_ ||
+         (source_ == Source::kAddress && wire_.StatedIdentity(recorded) == worker_id_);
 }
 
 bool WorkerMonitor::RunsNow() const {
@@ -391,11 +382,7 @@
 void WorkerMonitor::RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                                 std::function<void()> acknowledge) {
   MarkDraining();
-  if (recorded_drain_ == worker_id) {
-    acknowledge();
-    return;
-  }
-  WriteDrain(worker_id, [exchange, acknowledge = std::move(acknowledge)](bool recorded) {
+  drain_record_.Write(worker_id, [exchange, acknowledge = std::move(acknowledge)](bool recorded) {
     if (recorded) {
       acknowledge();
     } else {
@@ -404,46 +391,8 @@
   });
 }
 
-void WorkerMonitor::WriteDrain(const std::string& worker_id,
-                               std::function<void(bool recorded)> callback) {
-  if (recorded_drain_ == worker_id) {
-    callback(true);
-    return;
-  }
-  store::Transaction transaction;
-  transaction.conditions.push_back({drain_key_, drain_revision_});
-  transaction.puts.push_back({drain_key_, worker_id, 0});
-  store_.Commit(transaction, [this, worker_id, callback = std::move(callback)](
-                                 absl::StatusOr<store::CommitResult> result) {
-    if (!result.ok()) {
-      callback(false);
-      return;
-    }
-    if (result->outcome == store::CommitOutcome::kCommitted) {
-      OnDrainRecord(worker_id, result->revision);
-      callback(true);
-      return;
-    }
-    // Another write came first, perhaps an earlier attempt of this one whose response was lost.
-    drain_revision_ = 0;
-    recorded_drain_.clear();
-    for (const store::Item& item : result->found) OnDrainRecord(item.value, item.revision);
-    WriteDrain(worker_id, callback);
-  });
-}
-
 void WorkerMonitor::OnStoreRestored() {
-  if (draining_ && recorded_drain_ == worker_id_) WriteDrainAgain(worker_id_);
-}
-
-// Retries until the record is written, as the store may be unreachable again.
-void WorkerMonitor::WriteDrainAgain(const std::string& worker_id) {
-  if (worker_id != worker_id_) return;
-  recorded_drain_.clear();
-  WriteDrain(worker_id, [this, worker_id](bool recorded) {
-    if (recorded) return;
-    drain_timer_.Start(kDrainRetry);
-  });
+  if (draining_ && drain_record_.worker_id() == worker_id_) drain_record_.WriteUntilRecorded();
 }
 
 void WorkerMonitor::NoteAnswer() {
@@ -473,7 +422,7 @@
 void WorkerMonitor::OnWorkerLeaving() {
   if (worker_id_.empty() || draining_) return;
   MarkDraining();
-  WriteDrainAgain(worker_id_);
+  drain_record_.WriteUntilRecorded();
 }
 
 void WorkerMonitor::OnWorkerLimitChanged(std::optional<double> requests_per_second) {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +9,8 @@
 #include "source/event/event_loop.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
+#include "source/sidecar/drain_record.h"
+#include "source/sidecar/former_workers.h"
 #include "source/sidecar/key_lessor.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/node_record.h"
@@ -123,8 +124,7 @@
   void AnswerDeferred();
   void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                    std::function<void()> acknowledge);
-  void WriteDrain(const std::string& worker_id, std::function<void(bool recorded)> callback);
-  void WriteDrainAgain(const std::string& worker_id);
+  void OnDrainRecordKnown();
   // Where the identity of a worker was learnt.
   enum class Source {
     kNotice,   // From a heartbeat or leave notice of the worker.
@@ -154,10 +154,8 @@
   event::EventLoop& loop_;
   http::ConnectionPool& pool_;
   http::ConnectionPool& order_pool_;
-  store::StoreClient& store_;
   const WireFormat& wire_;
   const Settings& settings_;
-  std::string drain_key_;
   LogWriter& log_;
   Observer observer_;
   event::Timer probe_timer_;
@@ -169,17 +167,11 @@
   };
   std::optional<DeferredHeartbeat> deferred_;
   event::Timer deferred_timer_;
-  event::Timer drain_timer_;
+  DrainRecord drain_record_;
   std::unique_ptr<http::SimpleCall> probe_;
   std::string health_path_;
   std::string worker_id_;  // Empty while no worker is known to be alive.
-  // Incarnations that have been replaced, each with its first heartbeat since the current
-  // incarnation was last heard.
-  struct FormerWorker {
-    Instant heard_at{};
-    int64_t sequence = 0;
-  };
-  std::map<std::string, FormerWorker> former_workers_;
+  FormerWorkers former_workers_;
   uint32_t slots_ = 0;
   int64_t sequence_ = -1;
   Instant answered_at_{};  // When the heartbeat with that sequence was answered.
@@ -197,8 +189,6 @@
   Instant probe_sent_at_{};
   uint32_t failed_probes_ = 0;   // Consecutive.
   uint32_t refused_probes_ = 0;  // Consecutive: connection refused and no connection open.
-  std::string recorded_drain_;   // Worker id in the drain record in the store.
-  store::Revision drain_revision_ = 0;
   uint64_t unstamped_successes_ = 0;
   bool synchronized_ = false;
   // Whether this process has neither found a worker since its start nor established its absence.
