Store calls: counted by cause

Cause: an operator sees how many calls to the store a node makes, by operation only; which part of the node makes them, and how many of its writes conflict, is not told.

Change: each transaction names its purpose; reads and watches are counted by prefix. The counts are in the metrics (runshelf_store_calls_by_cause_total, runshelf_store_conflicts_total) and, beside the "traffic" line, in a line "store_calls".

Test: StoreAccess.CallsAndConflictsAreCountedByCause; without the part it does not compile.

--- a/source/sidecar/crash_history_record.cc
+++ b/source/sidecar/crash_history_record.cc
@@ -103,6 +103,7 @@
 void CrashHistoryRecord::Write(CrashHistory history, store::LeaseId lease) {
   const std::string key = KeyOfEra(context_.store.era());
   store::Transaction transaction;
+  transaction.purpose = "crash_history";
   transaction.conditions.push_back({key, 0});
   const std::string value(history == CrashHistory::kLost ? kLostText : kKeptText);
   transaction.puts.push_back({key, value, lease});
--- a/source/sidecar/drain_record.cc
+++ b/source/sidecar/drain_record.cc
@@ -29,6 +29,7 @@
     return;
   }
   store::Transaction transaction;
+  transaction.purpose = "drain_record";
   transaction.conditions.push_back({key_, revision_});
   transaction.puts.push_back({key_, worker_id, 0});
   store_.Commit(transaction, [this, worker_id, callback = std::move(callback)](
--- a/source/sidecar/former_grants.cc
+++ b/source/sidecar/former_grants.cc
@@ -57,6 +57,7 @@
 void FormerGrants::Write(const store::Lease& lease) {
   const std::string key = KeyOfPresentEra();
   store::Transaction transaction;
+  transaction.purpose = "former_grants";
   transaction.conditions.push_back({key, 0});
   transaction.puts.push_back({key, std::string(kValue), lease.id});
   store_.Commit(transaction, [this, lease](const absl::StatusOr<store::CommitResult>& result) {
--- a/source/sidecar/lost_items.cc
+++ b/source/sidecar/lost_items.cc
@@ -143,6 +143,7 @@
     return;
   }
   store::Transaction transaction;
+  transaction.purpose = "lost_item";
   transaction.conditions.push_back({key, lost.present});
   transaction.puts.push_back({key, lost.item.value, needs_lease ? lease : 0});
   store_.Commit(transaction, [this, key, loss_revision = lost.loss_revision](
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -192,6 +192,22 @@
                              .Name("runshelf_state_lost_histories_total")
                              .Help("Watches refused because the store no longer has the history.")
                              .Register(now);
+  auto& store_calls = prometheus::BuildCounter()
+                          .Name("runshelf_store_calls_by_cause_total")
+                          .Help("Calls to the store by operation and subject.")
+                          .Register(now);
+  auto& store_conflicts = prometheus::BuildCounter()
+                              .Name("runshelf_store_conflicts_total")
+                              .Help("Writes refused by the store since a condition failed.")
+                              .Register(now);
+  for (const auto& [cause, calls] : gauges.store_calls_by_cause) {
+    const std::string operation(cause.operation);
+    store_calls.Add({{"operation", operation}, {"subject", cause.subject}})
+        .Increment(static_cast<double>(calls.sent));
+    if (operation != "write") continue;
+    store_conflicts.Add({{"subject", cause.subject}})
+        .Increment(static_cast<double>(calls.conflicts));
+  }
   for (const auto& [prefix, freshness] : gauges.freshness) {
     behind.Add({{"prefix", prefix}})
         .Set(std::chrono::duration<double>(freshness.behind_for).count());
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -12,6 +12,7 @@
 #include "source/http/server.h"
 #include "source/sidecar/freshness_tracker.h"
 #include "source/sidecar/request_counts.h"
+#include "source/store/store_client.h"
 #include "source/store/store_operations.h"
 
 namespace prometheus {
@@ -44,6 +45,7 @@
   bool stopping = false;
   RequestCounts requests_under_way;
   uint64_t store_calls = 0;
+  std::map<store::StoreCallCause, store::StoreCallsOfCause> store_calls_by_cause;
   uint64_t connections_opened = 0;
   uint64_t grants_sent = 0;
   uint64_t unstamped_successes = 0;
--- a/source/sidecar/request_quarantine.cc
+++ b/source/sidecar/request_quarantine.cc
@@ -247,6 +247,7 @@
     const WorkerEnd end{worker_id, witness, record_.RequestsOf(worker_id)};
     const std::string key = EndKey(worker_id, witness);
     store::Transaction transaction;
+    transaction.purpose = "worker_end";
     transaction.puts.push_back({key, end.Serialize(), lease});
     store_.Commit(transaction, [this, end](absl::StatusOr<store::CommitResult> result) {
       if (!result.ok() || result->outcome != store::CommitOutcome::kCommitted) {
@@ -404,6 +405,7 @@
     if (!lease.ok() || lease->era != store_.era()) return callback(false);
     const std::string key = QuarantineKey(request);
     store::Transaction transaction;
+    transaction.purpose = "quarantine";
     transaction.conditions.push_back({key, change.expected});
     transaction.puts.push_back({key, change.item.Serialize(), lease->id});
     store_.Commit(transaction, [this, request, change, key, lease = lease->id,
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -150,7 +150,7 @@
     return;
   }
   if (repair_needed_since_ == Instant{}) repair_needed_since_ = now;
-  if (IsDue(repair_needed_since_, now)) Commit(plan);
+  if (IsDue(repair_needed_since_, now)) Commit(plan, "shard_map_repair");
 }
 
 bool ShardCoordinator::IsDue(Instant since, Instant now) const {
@@ -190,10 +190,10 @@
     log_.Write(LogLevel::kInfo, "balance_considered",
                {{"outcome", plan.reason}, {"revision", store::RevisionText(shards_.revision())}});
   }
-  if (plan.changed) Commit(plan);
+  if (plan.changed) Commit(plan, "shard_map_balance");
 }
 
-void ShardCoordinator::Commit(const sharding::Plan& plan) {
+void ShardCoordinator::Commit(const sharding::Plan& plan, std::string_view purpose) {
   std::vector<store::Condition> absent;
   for (const std::string& node : plan.nodes_assumed_absent) {
     absent.push_back({config_.node_key_prefix + node, 0});
@@ -201,16 +201,17 @@
   const std::string reason = plan.reason;
   const store::Revision before = shards_.revision();
   const size_t count = plan.map.shards().size();
-  shards_.Replace(plan.map, absent, [this, reason, before, count](ShardStore::Outcome outcome) {
-    log_.Write(LogLevel::kInfo, "shard_map_planned",
-               {{"reason", reason},
-                {"committed", outcome == ShardStore::Outcome::kCommitted},
-                {"revision_before", store::RevisionText(before)},
-                {"revision", store::RevisionText(shards_.revision())},
-                {"shards", count}});
-    OnOutcome(outcome);
-    if (on_committed_) on_committed_();
-  });
+  shards_.Replace(plan.map, purpose, absent,
+                  [this, reason, before, count](ShardStore::Outcome outcome) {
+                    log_.Write(LogLevel::kInfo, "shard_map_planned",
+                               {{"reason", reason},
+                                {"committed", outcome == ShardStore::Outcome::kCommitted},
+                                {"revision_before", store::RevisionText(before)},
+                                {"revision", store::RevisionText(shards_.revision())},
+                                {"shards", count}});
+                    OnOutcome(outcome);
+                    if (on_committed_) on_committed_();
+                  });
 }
 
 // The conflict response carried the current map, so that a plan based on it is likely to succeed if
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "source/event/event_loop.h"
@@ -76,7 +77,7 @@
   bool IsDue(Instant since, Instant now) const;
   void MeasureFormerGrants();
   void Balance();
-  void Commit(const sharding::Plan& plan);
+  void Commit(const sharding::Plan& plan, std::string_view purpose);
   void OnOutcome(ShardStore::Outcome outcome);
   // Zero-based position of this node, by name, among the service's nodes that accept work.
   size_t Rank() const;
--- a/source/sidecar/shard_holder_commits.cc
+++ b/source/sidecar/shard_holder_commits.cc
@@ -27,7 +27,7 @@
   const bool handed_over = HandOverReleased(&changed);
   if (!reassigned && !renewed && !handed_over) return;
   const size_t released = ReleasedCount();
-  shards_.Replace(changed, {context_.LatestRunCondition()},
+  shards_.Replace(changed, "shard_map_own_worker", {context_.LatestRunCondition()},
                   [this, reassigned, renewed, released](ShardStore::Outcome outcome) {
                     log_.Write(LogLevel::kInfo, "shards_changed",
                                {{"committed", outcome == ShardStore::Outcome::kCommitted},
--- a/source/sidecar/shard_store.cc
+++ b/source/sidecar/shard_store.cc
@@ -51,12 +51,13 @@
   return keys;
 }
 
-void ShardStore::Replace(const sharding::ShardMap& map,
+void ShardStore::Replace(const sharding::ShardMap& map, std::string_view purpose,
                          const std::vector<store::Condition>& conditions,
                          std::function<void(Outcome)> callback) {
   changing_ = ShardsChangedBy(map);
   const ShardMapKey key{service_, era()};
   store::Transaction transaction;
+  transaction.purpose = purpose;
   transaction.conditions = conditions;
   transaction.conditions.push_back({key.ToString(), version_.revision});
   Commit(transaction, key, map, std::move(callback));
@@ -67,6 +68,7 @@
 void ShardStore::CarryOver(const sharding::ShardMap& map, std::function<void(Outcome)> callback) {
   const ShardMapKey key{service_, store_.era()};
   store::Transaction transaction;
+  transaction.purpose = "shard_map_carry_over";
   transaction.conditions.push_back({key.ToString(), 0});
   transaction.removals.assign(former_keys_.begin(), former_keys_.end());
   Commit(transaction, key, map, std::move(callback));
--- a/source/sidecar/shard_store.h
+++ b/source/sidecar/shard_store.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "source/sharding/shard_map.h"
@@ -57,8 +58,9 @@
   };
 
   // Replaces the map if it still has `revision()` and `conditions` hold. Must not be called while
-  // busy() is true.
-  void Replace(const sharding::ShardMap& map, const std::vector<store::Condition>& conditions,
+  // busy() is true. `purpose`: for the metrics of calls to the store; must be a string literal.
+  void Replace(const sharding::ShardMap& map, std::string_view purpose,
+               const std::vector<store::Condition>& conditions,
                std::function<void(Outcome)> callback);
   // Stores `map` as that of the current era if there is none yet. Must not be called while busy()
   // is true.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -1,5 +1,7 @@
 #include "source/sidecar/sidecar.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -360,6 +362,7 @@
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
+  gauges.store_calls_by_cause = store_.calls_by_cause();
   gauges.connections_opened = pool_.opened() + order_pool_.opened();
   gauges.grants_sent = holder_.grants_sent();
   gauges.unstamped_successes = monitor_.unstamped_successes();
@@ -483,6 +486,21 @@
               {"store_leases", calls.leases},
               {"store_renewals", calls.renewals},
               {"store_passed_on", calls.forwarded_for_peers}});
+  LogStoreCalls();
+}
+
+// Logs totals by cause since the process started, unless only renewals were added.
+void Sidecar::LogStoreCalls() {
+  const uint64_t calls = store_.calls() - store_.call_counts().renewals;
+  if (calls == logged_store_calls_) return;
+  logged_store_calls_ = calls;
+  std::string causes;
+  for (const auto& [cause, counted] : store_.calls_by_cause()) {
+    if (!causes.empty()) causes += ' ';
+    causes +=
+        fmt::format("{}:{}={}/{}", cause.operation, cause.subject, counted.sent, counted.conflicts);
+  }
+  log_.Write(LogLevel::kInfo, "store_calls", {{"causes", causes}});
 }
 
 void Sidecar::OnLoopTurn(Duration turn) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -132,6 +132,7 @@
   void ReadState();
   void OnTick();
   void LogTraffic();
+  void LogStoreCalls();
   void OnLoopTurn(Duration turn);
 
   event::EventLoop& loop_;
@@ -189,6 +190,7 @@
   Instant last_tick_at_{};
   Instant load_reported_at_{};  // Last report of the load of the worker's keys.
   Instant traffic_logged_at_{};
+  uint64_t logged_store_calls_ = 0;  // Renewals excluded.
 };
 
 }  // namespace runshelf::sidecar
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -136,6 +136,7 @@
   const std::string value = value_;
   // The condition prevents a write whose response was lost from being applied after a later write.
   Transaction transaction;
+  transaction.purpose = "node_record";
   transaction.conditions.push_back({config_.key, item_revision_});
   transaction.puts.push_back({config_.key, value, lease});
   store_.Commit(transaction, [this, lease, value,
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -49,7 +49,7 @@
 }  // namespace
 
 struct StoreClient::PendingCall {
-  uint64_t* count = nullptr;
+  Counters counters;
   http::Request request;
   ResponseCallback callback;
   Instant sent_directly_at{};
@@ -122,9 +122,9 @@
   Start(config_.endpoint, request, timeout, std::move(callback));
 }
 
-void StoreClient::Call(uint64_t* count, http::Request request, ResponseCallback callback) {
+void StoreClient::Call(const Counters& counters, http::Request request, ResponseCallback callback) {
   auto call = std::make_shared<PendingCall>();
-  call->count = count;
+  call->counters = counters;
   call->request = std::move(request);
   call->callback = std::move(callback);
   const bool avoid_direct = relay_ != nullptr && loop_.Now() < avoid_direct_until_;
@@ -135,7 +135,7 @@
   if (path == Path::kDirect) {
     call->tried_direct = true;
     call->sent_directly_at = loop_.Now();
-    ++*call->count;
+    call->counters.OnSent();
     Start(config_.endpoint, call->request, config_.call_timeout,
           [this, call](std::optional<http::Response> response) {
             OnResponse(call, Path::kDirect, std::move(response));
@@ -156,7 +156,7 @@
   }
   http::Request marked = call->request;
   relay_->MarkForRelay(&marked);
-  ++*call->count;
+  call->counters.OnSent();
   Start(*peer, marked, config_.call_timeout, [this, call](std::optional<http::Response> response) {
     OnResponse(call, Path::kRelayed, std::move(response));
   });
@@ -225,7 +225,7 @@
 
 void StoreClient::Range(const std::string& prefix, const std::string& after_key,
                         std::function<void(absl::StatusOr<RangePage>)> callback) {
-  Call(&counts_.reads, codec_.EncodeRange(prefix, after_key),
+  Call({&counts_.reads, &calls_by_cause_[{"read", prefix}]}, codec_.EncodeRange(prefix, after_key),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeRange(*response))
                                 : absl::StatusOr<RangePage>(response.status()));
@@ -248,7 +248,7 @@
   const Duration wait = std::min(times.wait, longest);
   http::Request request = codec_.EncodeWatch(prefix, CounterOf(after), wait);
   if (peer.has_value()) relay_->MarkForRelay(&request);
-  ++counts_.watches;
+  Counters{&counts_.watches, &calls_by_cause_[{"watch", prefix}]}.OnSent();
   return Start(
       peer.value_or(config_.endpoint), request, wait + times.grace,
       [this, callback = std::move(callback)](const std::optional<http::Response>& response) {
@@ -260,16 +260,20 @@
 
 void StoreClient::Commit(const Transaction& transaction,
                          std::function<void(absl::StatusOr<CommitResult>)> callback) {
-  Call(&counts_.transactions, codec_.EncodeTransaction(WithCounters(transaction)),
-       [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-         callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeTransaction(*response))
-                                : absl::StatusOr<CommitResult>(response.status()));
+  StoreCallsOfCause* calls = &calls_by_cause_[{"write", std::string(transaction.purpose)}];
+  Call({&counts_.transactions, calls}, codec_.EncodeTransaction(WithCounters(transaction)),
+       [this, calls, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+         auto result = response.ok()
+                           ? InEra(EraOfAnswer(*response), codec_.DecodeTransaction(*response))
+                           : absl::StatusOr<CommitResult>(response.status());
+         if (result.ok() && result->outcome == CommitOutcome::kConflict) ++calls->conflicts;
+         callback(std::move(result));
        });
 }
 
 void StoreClient::GrantLease(Duration time_to_live,
                              std::function<void(absl::StatusOr<Lease>)> callback) {
-  Call(&counts_.leases, codec_.EncodeGrantLease(time_to_live),
+  Call({&counts_.leases, &calls_by_cause_[{"lease", ""}]}, codec_.EncodeGrantLease(time_to_live),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? InEra(EraOfAnswer(*response), codec_.DecodeGrantLease(*response))
                                 : absl::StatusOr<Lease>(response.status()));
@@ -277,14 +281,15 @@
 }
 
 void StoreClient::KeepLease(LeaseId lease, std::function<void(absl::Status)> callback) {
-  Call(&counts_.renewals, codec_.EncodeKeepLease(lease),
+  Call({&counts_.renewals, &calls_by_cause_[{"renewal", ""}]}, codec_.EncodeKeepLease(lease),
        [this, callback = std::move(callback)](absl::StatusOr<http::Response> response) {
          callback(response.ok() ? codec_.DecodeKeepLease(*response) : response.status());
        });
 }
 
 void StoreClient::EndLease(LeaseId lease) {
-  Call(&counts_.leases, codec_.EncodeEndLease(lease), [](const absl::StatusOr<http::Response>&) {});
+  Call({&counts_.leases, &calls_by_cause_[{"lease", ""}]}, codec_.EncodeEndLease(lease),
+       [](const absl::StatusOr<http::Response>&) {});
 }
 
 }  // namespace runshelf::store
--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -2,10 +2,13 @@
 // through a peer.
 #pragma once
 
+#include <compare>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "source/event/event_loop.h"
 #include "source/http/call_set.h"
@@ -45,6 +48,20 @@
   uint64_t forwarded_for_peers = 0;  // Calls of peers, forwarded to the store.
 };
 
+// What a call to the store is for.
+struct StoreCallCause {
+  std::string_view operation;  // "read", "watch", "write", "lease" or "renewal".
+  std::string subject;         // The prefix, or the purpose of the transaction; may be empty.
+
+  auto operator<=>(const StoreCallCause&) const = default;
+};
+
+// Number of calls with one cause, including those that were sent again on another path.
+struct StoreCallsOfCause {
+  uint64_t sent = 0;
+  uint64_t conflicts = 0;  // Writes whose conditions were not satisfied.
+};
+
 // Results carry the status codes of StoreCodec, and kUnknown if no response arrived: a write may
 // have been executed or may still be executed later. Except in ForwardForPeer, callbacks are never
 // invoked from within the call itself.
@@ -116,14 +133,27 @@
   bool restored() const { return restored_; }
   uint64_t calls() const { return call_count_; }
   const StoreCallCounts& call_counts() const { return counts_; }
+  const std::map<StoreCallCause, StoreCallsOfCause>& calls_by_cause() const {
+    return calls_by_cause_;
+  }
 
  private:
   using ResponseCallback = std::function<void(absl::StatusOr<http::Response>)>;
   enum class Path { kDirect, kRelayed };
   struct PendingCall;
 
-  // `count`: counter of the operation in `counts_`.
-  void Call(uint64_t* count, http::Request request, ResponseCallback callback);
+  // The counters to increase for each sending of a call.
+  struct Counters {
+    uint64_t* of_operation = nullptr;
+    StoreCallsOfCause* of_cause = nullptr;
+
+    void OnSent() const {
+      ++*of_operation;
+      ++of_cause->sent;
+    }
+  };
+
+  void Call(const Counters& counters, http::Request request, ResponseCallback callback);
   void OnDirectFailed(const PendingCall& call);
   void Send(const std::shared_ptr<PendingCall>& call, Path path);
   void OnResponse(const std::shared_ptr<PendingCall>& call, Path path,
@@ -153,6 +183,7 @@
   http::CallSet active_;
   uint64_t call_count_ = 0;
   StoreCallCounts counts_;
+  std::map<StoreCallCause, StoreCallsOfCause> calls_by_cause_;
   Instant avoid_direct_until_{};
   Instant answered_directly_at_{};
   Instant direct_loss_reported_at_{};  // When `on_direct_lost_` was last called.
--- a/source/store/store_operations.h
+++ b/source/store/store_operations.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "runshelf/common/clock.h"
@@ -80,6 +81,7 @@
 
 // Applied atomically if every condition is satisfied; otherwise has no effect.
 struct Transaction {
+  std::string_view purpose = "other";  // For the metrics; must be a string literal.
   std::vector<Condition> conditions;
   std::vector<Put> puts;
   std::vector<std::string> removals;
--- a/tests/platform_adapter/store_access_test.cc
+++ b/tests/platform_adapter/store_access_test.cc
@@ -102,6 +102,26 @@
   STRCMP_EQUAL("a", fake.Find("k")->c_str());
 }
 
+// Guards against calls whose cause an operator cannot tell.
+TEST(StoreAccess, CallsAndConflictsAreCountedByCause) {
+  store::Transaction transaction;
+  transaction.purpose = "test";
+  transaction.conditions.push_back({"k", 0});
+  transaction.puts.push_back({"k", "a", 0});
+  Commit(transaction);
+  Commit(transaction);
+  transaction.purpose = "another";
+  Commit(transaction);
+  const auto& causes = client.calls_by_cause();
+  CHECK_EQUAL(2, causes.at({"write", "test"}).sent);
+  CHECK_EQUAL(1, causes.at({"write", "test"}).conflicts);
+  CHECK_EQUAL(1, causes.at({"write", "another"}).conflicts);
+  bool over = false;
+  client.Range("k", "", [&](const absl::StatusOr<store::RangePage>&) { over = true; });
+  CHECK(RunUntil(loop, [&] { return over; }));
+  CHECK_EQUAL(1, causes.at({"read", "k"}).sent);
+}
+
 // After a restore the store assigns the counter of the condition's revision again, to another
 // change of the item.
 TEST(StoreAccess, AConditionFromAFormerEraHoldsForNoItem) {
