Start of a node: one read for the configuration and the evacuated zones

Change: watchers whose prefixes share a directory start with one read of it (StartWithSharedRead). Where it fails, or has more than one page, each watcher reads its range as before.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -7,6 +7,7 @@
 
 #include "source/sidecar/part_configs.h"
 #include "source/sidecar/peer_protocol.h"
+#include "source/store/shared_read.h"
 
 namespace runshelf::sidecar {
 namespace {
@@ -234,8 +235,7 @@
   last_tick_at_ = loop_.Now();
   load_reported_at_ = last_tick_at_;
   tick_.Start(kTickInterval);
-  configuration_watcher_.Start();
-  evacuation_watcher_.Start();
+  store::StartWithSharedRead(store_, {&configuration_watcher_, &evacuation_watcher_});
   Announce();
   lease_.Start();
   state_read_timer_.Start(kStateReadDelay);
--- a/source/store/prefix_watcher.cc
+++ b/source/store/prefix_watcher.cc
@@ -34,6 +34,16 @@
   Refresh();
 }
 
+void PrefixWatcher::StartWith(const RangePage& page) {
+  stopped_ = false;
+  ++generation_;
+  for (const Item& item : page.items) {
+    if (item.key.starts_with(config_.prefix)) reading_[item.key] = item;
+  }
+  read_revision_ = page.revision;
+  FinishRead();
+}
+
 void PrefixWatcher::Stop() {
   stopped_ = true;
   ++generation_;
--- a/source/store/prefix_watcher.h
+++ b/source/store/prefix_watcher.h
@@ -77,6 +77,8 @@
 
   // Reads the range and begins to watch.
   void Start();
+  // Begins to watch after `page`, which has all items of the prefix, and maybe items of others.
+  void StartWith(const RangePage& page);
   // Ends all activity; callbacks are not invoked any more.
   void Stop();
   // Reads the whole range again, for example after this process was suspended for a long time.
