Shard map: handovers of several nodes are written together

Cause: each node commits the handover of its released shards itself, by compare-and-swap on one item. Each change also ends a watch of the leader and of the standby.

Change: a node sends its handover to the node that balances the load, which gathers such reports for 20 ms, at least 100 ms after its last change, and writes them as one (HandoverBatch, HandoverWriter, HandoverSender). The change is what the node would write itself: on the map's revision, under the condition that the node's item is unchanged, for shards that the map still has with the same keys, owner and token. Without an answer within 0.4 s, or when refused, the node writes itself. A node whose own shards are the only ones that move, that leaves, or that must renew tokens, writes itself as before.

--- a/source/sidecar/held_shard.h
+++ b/source/sidecar/held_shard.h
@@ -39,6 +39,8 @@
   // it ever since.
   bool held_since_former_era = false;
   std::string handover;  // Handover value that the worker returned with the release.
+  // Until then another node is expected to write the handover to the map.
+  Instant reported_until{};
   // Used only when grants are delivered in heartbeats:
   bool leased = false;   // A lease that lists the shard was sent.
   uint32_t missing = 0;  // Consecutive heartbeats that did not report it although it was leased.
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -124,13 +124,15 @@
 };
 
 InboundHandler::InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                               StateFeed& feed, RequestQuarantine& quarantine, LogWriter& log,
-                               const StopSchedule& stop, double link_bytes_per_second)
+                               StateFeed& feed, RequestQuarantine& quarantine,
+                               HandoverWriter& handovers, LogWriter& log, const StopSchedule& stop,
+                               double link_bytes_per_second)
     : loop_(loop),
       gate_(gate),
       store_(store),
       feed_(feed),
       quarantine_(quarantine),
+      handovers_(handovers),
       log_(log),
       stop_(stop),
       pacer_(loop, link_bytes_per_second) {}
@@ -161,6 +163,10 @@
     exchange->Respond(understood ? kOk : kBadRequest, {}, "");
     return;
   }
+  if (peer_protocol::IsHandover(exchange->request().head.headers)) {
+    AddHandover(exchange);
+    return;
+  }
   if (const auto prefix = peer_protocol::ReadSnapshotRequest(exchange->request().head.headers)) {
     const auto snapshot = feed_.SnapshotFor(*prefix);
     exchange->Respond(snapshot.has_value() ? kOk : kServiceUnavailable, {}, snapshot.value_or(""));
@@ -181,6 +187,17 @@
   forward->OnAttemptFailure({Verdict::kNotRun, FailureReason::kStopping, false, Duration(0)});
 }
 
+void InboundHandler::AddHandover(const http::ExchangePtr& exchange) {
+  const auto report = HandoverReport::Parse(exchange->request().body);
+  if (!report.has_value()) {
+    exchange->Respond(kBadRequest, {}, "");
+    return;
+  }
+  handovers_.Add(*report, [exchange](bool written) {
+    exchange->Respond(written ? kOk : kServiceUnavailable, {}, "");
+  });
+}
+
 // A stopping node accepts only requests whose deadline passes before it exits. From the moment that
 // it refuses new requests of clients, it refuses these too, so that their senders choose another
 // node, except requests that only the local worker may run, since it still owns their key.
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -1,5 +1,6 @@
 // Handles messages from other nodes: requests for the local worker, calls to be forwarded to the
-// store, changes and snapshots of the stored state, and reports of exited workers.
+// store, changes and snapshots of the stored state, and reports of exited workers and of released
+// shards.
 #pragma once
 
 #include <memory>
@@ -7,6 +8,7 @@
 
 #include "source/http/server.h"
 #include "source/sidecar/answer_pacer.h"
+#include "source/sidecar/handover_writer.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/request_counts.h"
 #include "source/sidecar/request_quarantine.h"
@@ -22,8 +24,8 @@
  public:
   // `link_bytes_per_second` is the bandwidth of the machine's network link; zero means unlimited.
   InboundHandler(event::EventLoop& loop, WorkerGate& gate, store::StoreClient& store,
-                 StateFeed& feed, RequestQuarantine& quarantine, LogWriter& log,
-                 const StopSchedule& stop, double link_bytes_per_second);
+                 StateFeed& feed, RequestQuarantine& quarantine, HandoverWriter& handovers,
+                 LogWriter& log, const StopSchedule& stop, double link_bytes_per_second);
   ~InboundHandler();
 
   // Handles one message of another node; responds with 400 if it cannot be decoded.
@@ -38,6 +40,7 @@
  private:
   class Forward;
 
+  void AddHandover(const http::ExchangePtr& exchange);
   void ForwardToStore(const http::ExchangePtr& exchange);
   bool Accepts(const AttemptRequest& attempt) const;
   // Adds the headers that every answer carries: the load of the local worker, and the notice that
@@ -50,6 +53,7 @@
   store::StoreClient& store_;
   StateFeed& feed_;
   RequestQuarantine& quarantine_;
+  HandoverWriter& handovers_;
   LogWriter& log_;
   const StopSchedule& stop_;
   uint64_t refused_in_stop_ = 0;
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -43,6 +43,7 @@
 ShardHolderConfig HolderConfig(const Settings& settings) {
   ShardHolderConfig config;
   config.node = settings.node_name;
+  config.service = settings.worker_service;
   config.worker = settings.worker;
   config.hold = std::min(kGrantHold, settings.bounds.max_hold);
   config.heartbeat_hold = std::min(kLeaseTimeToLive, settings.bounds.max_hold);
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -32,6 +32,7 @@
 constexpr std::string_view kSnapshotOf = "Runshelf-Snapshot-Of";
 constexpr std::string_view kWorkerEnd = "Runshelf-Worker-End";
 constexpr std::string_view kWriteEnd = "Runshelf-Write-End";
+constexpr std::string_view kHandover = "Runshelf-Handover";
 constexpr std::string_view kForZone = "Runshelf-For-Zone";
 constexpr std::string_view kPassOnTo = "Runshelf-Pass-On-To";
 constexpr std::string_view kFailedReaders = "Runshelf-Failed-Readers";
@@ -222,6 +223,10 @@
 
 bool IsWorkerEndToWrite(const http::Headers& headers) { return headers.Has(kWriteEnd); }
 
+void MarkHandover(http::Headers* headers) { headers->Add(kHandover, "1"); }
+
+bool IsHandover(const http::Headers& headers) { return headers.Has(kHandover); }
+
 void MarkForZone(http::Headers* headers) { headers->Add(kForZone, "1"); }
 
 bool IsForZone(const http::Headers& headers) { return headers.Has(kForZone); }
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -54,6 +54,9 @@
 void MarkWorkerEnd(bool write, http::Headers* headers);
 bool IsWorkerEnd(const http::Headers& headers);
 bool IsWorkerEndToWrite(const http::Headers& headers);
+// Marks a HandoverReport, which the receiving node should write to the shard map.
+void MarkHandover(http::Headers* headers);
+bool IsHandover(const http::Headers& headers);
 // The receiving node should forward the changes to all other nodes of its zone.
 void MarkForZone(http::Headers* headers);
 bool IsForZone(const http::Headers& headers);
--- a/source/sidecar/shard_holder.cc
+++ b/source/sidecar/shard_holder.cc
@@ -124,9 +124,12 @@
 
 bool ShardHolder::HasChangeToCommit() const {
   const bool found = std::any_of(holdings_.begin(), holdings_.end(), [this](const auto& entry) {
-    return entry.second.released || MustRenewToken(entry.second);
+    return HasHandoverDue(entry.second) || MustRenewToken(entry.second);
   });
-  if (found) return true;
+  return found || OwnsShardsOfFormerWorker();
+}
+
+bool ShardHolder::OwnsShardsOfFormerWorker() const {
   const auto& shards = shards_.map().shards();
   return std::any_of(shards.begin(), shards.end(),
                      [this](const sharding::Shard& shard) { return OwnedByFormerWorker(shard); });
--- a/source/sidecar/shard_holder.h
+++ b/source/sidecar/shard_holder.h
@@ -19,6 +19,7 @@
 #include "source/sharding/shard_map.h"
 #include "source/sidecar/conflict_backoff.h"
 #include "source/sidecar/former_grants.h"
+#include "source/sidecar/handover_report.h"
 #include "source/sidecar/heartbeat_grants.h"
 #include "source/sidecar/held_shard.h"
 #include "source/sidecar/key_lessor.h"
@@ -34,6 +35,7 @@
 // Settings of a ShardHolder.
 struct ShardHolderConfig {
   std::string node;
+  std::string service;  // Of the worker.
   event::Endpoint worker;
   // Duration of a grant that is sent by a call; at most what the fleet allows.
   Duration hold = std::chrono::seconds(3);
@@ -91,6 +93,11 @@
   virtual std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) = 0;
   // The worker on the machine of `node` if it accepts keys; else a WorkerId with an empty worker.
   virtual sharding::WorkerId WorkerOf(const std::string& node) = 0;
+  // Asks the node that writes handovers for all to write this one. Returns false without calling
+  // `callback` if there is none; otherwise the callback receives whether the store holds it, maybe
+  // from within the call.
+  virtual bool ReportHandover(const HandoverReport& report,
+                              const std::function<void(bool written)>& callback) = 0;
 };
 
 // Not thread-safe. All references passed to the constructor must outlive the holder.
@@ -174,7 +181,18 @@
   bool RenewTokens(sharding::ShardMap* map);
   bool MustRenewToken(const HeldShard& holding) const;
   bool HandOverReleased(sharding::ShardMap* map);
-  size_t ReleasedCount() const;
+  // The shard was released, and no other node is expected to write its handover.
+  bool HasHandoverDue(const HeldShard& holding) const;
+  size_t HandoversDue() const;
+  // The worker that gets a released shard. `next`: index among `successors`.
+  sharding::WorkerId SuccessorOf(const sharding::Shard& shard,
+                                 const std::vector<sharding::WorkerId>& successors,
+                                 size_t* next) const;
+  // Lets another node write the handovers that are due, if several nodes hand over shards at the
+  // same time. Returns false if this node must write them.
+  bool ReportHandovers();
+  bool SeveralNodesHandOver() const;
+  void OnHandoversReported(const std::vector<HeldShardKey>& keys, bool written);
   // Delay before the next change, so that further changes can be committed with it or other nodes
   // can finish theirs.
   Duration CommitDelay();
@@ -189,6 +207,7 @@
   bool GrantsExpired(const HeldShard& holding, Instant now) const;
   void AbandonExpiredShards();
   bool OwnedByFormerWorker(const sharding::Shard& shard) const;
+  bool OwnsShardsOfFormerWorker() const;
   // Records the grants that may still be valid for shards that are no longer wanted here.
   void RecordOrphanedGrants(const HeldShards& wanted);
   void PruneOrphanedGrants();
@@ -222,6 +241,7 @@
   Instant last_reconcile_at_{};       // Time of the latest call of Reconcile().
   Instant heard_at_{};                // Time of the worker's latest heartbeat with reported keys.
   ConflictBackoff backoff_;           // For changes of the map.
+  Instant reports_refused_until_{};   // Until then this node writes its handovers itself.
   size_t grant_lanes_ = 4;            // Number of shards whose grants have dedicated connections.
   uint64_t order_count_ = 0;          // Grants and releases sent; the source of call numbers.
   uint64_t grants_sent_ = 0;
--- a/source/sidecar/shard_store.cc
+++ b/source/sidecar/shard_store.cc
@@ -63,6 +63,11 @@
   Commit(transaction, key, map, std::move(callback));
 }
 
+bool ShardStore::FailedInConflict(const store::Condition& condition) const {
+  const auto found = found_in_conflict_.find(condition.key);
+  return condition.revision != (found == found_in_conflict_.end() ? 0 : found->second);
+}
+
 // Owners do not change, and they keep what they hold under grants of the earlier era. Hence no
 // shard becomes uncertain while the outcome is unknown.
 void ShardStore::CarryOver(const sharding::ShardMap& map, std::function<void(Outcome)> callback) {
@@ -90,7 +95,11 @@
     }
     changing_.clear();
     if (result->outcome != store::CommitOutcome::kCommitted) {
-      for (const store::Item& item : result->found) OnItem(item);
+      found_in_conflict_.clear();
+      for (const store::Item& item : result->found) {
+        found_in_conflict_[item.key] = item.revision;
+        OnItem(item);
+      }
       callback(Outcome::kConflict);
       return;
     }
--- a/source/sidecar/shard_store.h
+++ b/source/sidecar/shard_store.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -62,6 +63,8 @@
   void Replace(const sharding::ShardMap& map, std::string_view purpose,
                const std::vector<store::Condition>& conditions,
                std::function<void(Outcome)> callback);
+  // Whether the condition did not hold when the latest change ended with kConflict.
+  bool FailedInConflict(const store::Condition& condition) const;
   // Stores `map` as that of the current era if there is none yet. Must not be called while busy()
   // is true.
   void CarryOver(const sharding::ShardMap& map, std::function<void(Outcome)> callback);
@@ -82,6 +85,8 @@
   sharding::ShardMap map_;
   ShardMapVersion version_;
   std::set<std::string> former_keys_;  // Keys of maps of earlier eras that are still in the store.
+  // Revisions of the items named by the conditions of the latest change that conflicted.
+  std::map<std::string, store::Revision> found_in_conflict_;
   bool busy_ = false;
   FirstKeys changing_;   // Shards that the change in progress reassigns.
   FirstKeys undecided_;  // Shards that changes without a response reassign.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -69,6 +69,9 @@
                 [this](const std::string& worker_id) { OnWorkerEnded(worker_id); }, &holder_}),
       shard_store_(store_, settings_.worker_service),
       former_grants_(loop, store_, log, LeaseConfig(settings_).time_to_live),
+      handover_writer_(loop, shard_store_, settings_.worker_service, log),
+      handover_sender_(loop, pool_, peers_, handover_writer_, settings_.node_name,
+                       settings_.worker_service),
       holder_(loop, order_pool_, wire, shard_store_, former_grants_, *this, random, log,
               HolderConfig(settings_)),
       coordinator_(loop, peers_, shard_store_, former_grants_, log, CoordinatorConfig(settings_)),
@@ -120,8 +123,8 @@
       loop_monitor_(loop, [this](Duration turn) { OnLoopTurn(turn); }),
       ingress_(IngressContext{loop, pool_, wire, settings_, peers_, shard_directory_, table_,
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
-      inbound_handler_(loop, gate_, store_, feed_, quarantine_, log, stop_schedule_,
-                       settings_.link_bytes_per_second),
+      inbound_handler_(loop, gate_, store_, feed_, quarantine_, handover_writer_, log,
+                       stop_schedule_, settings_.link_bytes_per_second),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
@@ -192,6 +195,7 @@
     ReadState();
   });
   coordinator_.set_on_committed([this] { holder_.OnMapChanged(); });
+  handover_writer_.set_on_committed([this] { holder_.OnMapChanged(); });
   coordinator_.set_report_source([this](sharding::LoadReport* report) {
     const Instant now = loop_.Now();
     holder_.meter().EndPeriod(now - load_reported_at_);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -15,6 +15,8 @@
 #include "source/sidecar/crash_history_record.h"
 #include "source/sidecar/evacuated_zones.h"
 #include "source/sidecar/former_grants.h"
+#include "source/sidecar/handover_sender.h"
+#include "source/sidecar/handover_writer.h"
 #include "source/sidecar/inbound_handler.h"
 #include "source/sidecar/ingress.h"
 #include "source/sidecar/log_writer.h"
@@ -81,6 +83,10 @@
   void InvalidateWorkerProof(const char* reason) override { monitor_.InvalidateProof(reason); }
   std::vector<sharding::WorkerId> ChooseSuccessors(size_t shard_count) override;
   sharding::WorkerId WorkerOf(const std::string& node) override;
+  bool ReportHandover(const HandoverReport& report,
+                      const std::function<void(bool written)>& callback) override {
+    return handover_sender_.Send(report, callback);
+  }
   // StoreRelay
   std::optional<event::Endpoint> ChoosePeer() override;
   void MarkForRelay(http::Request* request) override;
@@ -156,6 +162,8 @@
   WorkerMonitor monitor_;
   ShardStore shard_store_;
   FormerGrants former_grants_;
+  HandoverWriter handover_writer_;
+  HandoverSender handover_sender_;
   ShardHolder holder_;
   ShardCoordinator coordinator_;
   store::LeaseKeeper lease_;
