Gate: the load tells which share a worker refuses with slots free

Cause: a worker that refuses part of its requests while it states free slots counts as neither overloaded nor faulty, and nobody is told of it. Change: RefusalMeter keeps the smoothed share of such refusals beside the worker; the load reports carry it in Runshelf-Refused-Percent, which is absent when zero. Log event worker_refuses_share, metric runshelf_worker_refused_percent. Refusals of a worker that states a limit do not count. Conclusion: senders can act on it.

--- a/include/runshelf/routing/target_load.h
+++ b/include/runshelf/routing/target_load.h
@@ -14,6 +14,8 @@
   uint32_t queued = 0;   // Requests that wait at the instance.
   uint32_t slots = 0;    // Requests that the server runs at once; zero when unknown.
   bool cold = false;     // The server started lately and is slower than usual.
+  // Percentage of requests that the server refuses although it has free slots. Not in ToString().
+  uint32_t refused_percent = 0;
 
   bool operator==(const TargetLoad&) const = default;
 
--- a/source/routing/target_load.cc
+++ b/source/routing/target_load.cc
@@ -21,7 +21,7 @@
     text.remove_prefix(1);
   }
   if (text != "cold" && text != "warm") return std::nullopt;
-  return TargetLoad{numbers[0], numbers[1], numbers[2], text == "cold"};
+  return TargetLoad{numbers[0], numbers[1], numbers[2], text == "cold", 0};
 }
 
 }  // namespace runshelf::routing
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -129,6 +129,9 @@
         gauges.worker_limit.has_value() ? 1 : 0);
   gauge("runshelf_worker_limit", "Requests per second that the worker accepts; 0 if unlimited.",
         gauges.worker_limit.value_or(0));
+  gauge("runshelf_worker_refused_percent",
+        "Percentage of requests that the worker refuses although it has free slots.",
+        gauges.load.refused_percent);
   gauge("runshelf_worker_cold", "Whether the worker is warming up after its start.",
         gauges.load.cold ? 1 : 0);
   gauge("runshelf_evacuated_zones", "Zones whose workers get no requests.",
--- a/source/sidecar/peer_protocol.cc
+++ b/source/sidecar/peer_protocol.cc
@@ -21,6 +21,7 @@
 constexpr std::string_view kTrial = "Runshelf-Trial";
 constexpr std::string_view kExcusedEnds = "Runshelf-Excused-Ends";
 constexpr std::string_view kLoad = "Runshelf-Load";
+constexpr std::string_view kRefusedPercent = "Runshelf-Refused-Percent";
 constexpr std::string_view kVerdict = "Runshelf-Verdict";
 constexpr std::string_view kReason = "Runshelf-Reason";
 constexpr std::string_view kReachedWorker = "Runshelf-Reached-Worker";
@@ -39,6 +40,7 @@
 constexpr char kNameSeparator = ',';
 // No more ends than this are recorded.
 constexpr int64_t kMaxExcusedEnds = 5000;
+constexpr int64_t kMaxPercent = 100;
 constexpr int64_t kMaxMilliseconds = int64_t{3600} * 1000;
 
 int64_t MillisecondsLeft(Duration left) { return std::max<int64_t>(0, ToMilliseconds(left)); }
@@ -155,11 +157,20 @@
 
 void AddLoad(const routing::TargetLoad& load, http::Headers* headers) {
   headers->Add(kLoad, load.ToString());
+  if (load.refused_percent > 0) {
+    headers->Add(kRefusedPercent, std::to_string(load.refused_percent));
+  }
 }
 
 std::optional<routing::TargetLoad> ReadLoad(const http::Headers& headers) {
   const std::string* value = headers.Find(kLoad);
-  return value == nullptr ? std::nullopt : routing::TargetLoad::Parse(*value);
+  auto load = value == nullptr ? std::nullopt : routing::TargetLoad::Parse(*value);
+  if (!load.has_value()) return std::nullopt;
+  const auto refused = ReadNumber(headers, kRefusedPercent);
+  if (refused.has_value() && *refused <= kMaxPercent) {
+    load->refused_percent = static_cast<uint32_t>(*refused);
+  }
+  return load;
 }
 
 void AddStopNotice(const std::optional<StopNotice>& notice, http::Headers* headers) {
--- a/source/sidecar/peer_protocol.h
+++ b/source/sidecar/peer_protocol.h
@@ -28,7 +28,8 @@
 // `request` becomes the request of the attempt.
 std::optional<AttemptRequest> ReadAttempt(http::Request request, Instant now);
 
-// The load of the answering node's worker.
+// The load of the answering node's worker. Values that are zero have no header of their own, so
+// that nodes of earlier versions read the rest.
 void AddLoad(const routing::TargetLoad& load, http::Headers* headers);
 std::optional<routing::TargetLoad> ReadLoad(const http::Headers& headers);
 // Announces that the answering node is stopping; adds nothing when it is not.
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -142,13 +142,14 @@
     }
     if (head.headers.Has(names.not_executed)) {
       refusal_ = FailureReason::kWorkerRefused;
-      overloaded_ = head.status == kServiceUnavailable && !StatesRoom(head);
+      if (head.status == kServiceUnavailable) RecordRefusal(head);
       return;
     }
     if (IsSuccess(head.status) && !head.headers.Has(names.worker_stamp)) {
       FailUnstamped();
       return;
     }
+    gate_->RecordAnswer(/*refused_with_room=*/false);
     answering_ = true;
     status_ = head.status;
     head.headers.RemoveConnectionHeaders();
@@ -188,14 +189,21 @@
   }
 
  private:
-  // A worker that refuses requests although it has free slots is not overloaded: sending it fewer
-  // requests would leave slots empty, and it would refuse the same share of them.
+  // A worker that refuses requests although it has free slots is not overloaded: running fewer at
+  // once would leave slots empty, and it would refuse the same share of them. Senders are told.
   bool StatesRoom(const http::ResponseHead& head) const {
     const std::string* text = head.headers.Find(gate_->wire_.headers().worker_load);
     const auto load = text == nullptr ? std::nullopt : gate_->wire_.DecodeWorkerLoad(*text);
     return load.has_value() && load->HasRoom();
   }
 
+  void RecordRefusal(const http::ResponseHead& head) {
+    overloaded_ = !StatesRoom(head);
+    // A worker with a stated limit is sent no more than that, and refuses what exceeds it.
+    const bool limited = gate_->worker_limit().has_value();
+    if (!overloaded_ && !limited) gate_->RecordAnswer(/*refused_with_room=*/true);
+  }
+
   void ReportAnswer() {
     if (gate_->worker_observer_ == nullptr) return;
     gate_->worker_observer_->OnWorkerAnswered(
@@ -426,6 +434,7 @@
   const std::string_view identity = wire_.StatedIdentity(worker_id);
   if (!identity.empty() && identity != latest_identity_) {
     rate_limiter_.stated().Forget();
+    refusals_.Forget();
     latest_identity_ = identity;
   }
   worker_id_ = worker_id;
@@ -505,6 +514,11 @@
   if (!limited) RefuseAboveLimit();
 }
 
+void WorkerGate::RecordAnswer(bool refused_with_room) {
+  if (!refusals_.OnAnswer(refused_with_room) || worker_observer_ == nullptr) return;
+  worker_observer_->OnRefusedShareChanged(refusals_.percent());
+}
+
 uint32_t WorkerGate::UsableSlots() const {
   const std::optional<double> limit = worker_limit();
   const double service_seconds = std::chrono::duration<double>(ServiceTime()).count();
@@ -526,6 +540,7 @@
   load.queued = static_cast<uint32_t>(queue_.queued());
   load.slots = UsableSlots();
   load.cold = rate_limiter_.cold_start().IsKnownCold(loop_.Now());
+  load.refused_percent = refusals_.percent();
   return load;
 }
 
--- a/source/sidecar/worker_gate.h
+++ b/source/sidecar/worker_gate.h
@@ -17,6 +17,7 @@
 #include "source/sidecar/attempt.h"
 #include "source/sidecar/class_limiter.h"
 #include "source/sidecar/interrupted_requests.h"
+#include "source/sidecar/refusal_meter.h"
 #include "source/sidecar/request_quarantine.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_rate_limiter.h"
@@ -51,6 +52,9 @@
   virtual void OnWorkerLeaving() = 0;
   // The rate of requests that the worker accepts has changed; nullopt: no limit.
   virtual void OnWorkerLimitChanged(std::optional<double> requests_per_second) = 0;
+  // The worker began or ceased to refuse a share of its requests although it has free slots;
+  // `percent` is zero when it ceased.
+  virtual void OnRefusedShareChanged(uint32_t percent) = 0;
   // A 2xx answer lacks the header by which the worker confirms that it ran the request.
   virtual void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) = 0;
   // The worker at the address reports a different identity.
@@ -135,6 +139,8 @@
  private:
   class GateAttempt;
 
+  // The worker ran a request, or refused it with free slots.
+  void RecordAnswer(bool refused_with_room);
   // Puts the attempt into the admission queue; it may be sent or refused at once.
   void Offer(GateAttempt* attempt);
   RequestFingerprint FingerprintOfAttempt(const AttemptRequest& request) const;
@@ -180,6 +186,7 @@
   RequestQuarantine* quarantine_ = nullptr;
   ClassLimiter limiter_;
   WorkerRateLimiter rate_limiter_;
+  RefusalMeter refusals_;
   std::string worker_id_;
   std::string latest_identity_;  // Of the latest known worker, without its incarnation.
   std::string service_;
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -432,6 +432,11 @@
               {"requests_per_s", fmt::format("{:.1f}", requests_per_second.value_or(0))}});
 }
 
+void WorkerMonitor::OnRefusedShareChanged(uint32_t percent) {
+  log_.Write(LogLevel::kWarning, "worker_refuses_share",
+             {{"worker", worker_id_}, {"refuses", percent > 0}, {"percent", percent}});
+}
+
 void WorkerMonitor::OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) {
   ++unstamped_successes_;
   log_.Write(LogLevel::kWarning, "success_without_stamp",
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -96,6 +96,7 @@
   void OnIdleConnectionLost();
   void OnWorkerLeaving() override;
   void OnWorkerLimitChanged(std::optional<double> requests_per_second) override;
+  void OnRefusedShareChanged(uint32_t percent) override;
   void OnUnstampedSuccess(const std::string& request_id, bool on_reused_connection) override;
   void OnOtherWorker(const std::string& stated_identity) override;
   uint64_t unstamped_successes() const { return unstamped_successes_; }
--- a/tests/platform_adapter/worker_gate_test.cc
+++ b/tests/platform_adapter/worker_gate_test.cc
@@ -299,6 +299,30 @@
   CHECK(refused.failure->reason == FailureReason::kNoWorker);
 }
 
+// Guards against senders that are not told that a worker refuses requests with slots free, or that
+// take a full worker for such a one.
+TEST(WorkerGate, TheLoadTellsTheShareThatAWorkerRefusesWithFreeSlots) {
+  const auto refused_percent_after = [&](const std::string& load) {
+    worker.set_behaviour([load](const http::ExchangePtr& exchange) {
+      http::Headers headers = RunHeaders(exchange);
+      headers.Add("Not-Executed", "1");
+      headers.Add("Server-Load", load);
+      exchange->Respond(503, headers, "");
+    });
+    for (int round = 0; round < 10; ++round) {
+      Outcome outcome;
+      const auto attempt = gate->Submit(Request(), &outcome);
+      attempt->Begin();
+      CHECK(RunUntil(loop, [&] { return outcome.failure.has_value(); }));
+    }
+    return gate->load().refused_percent;
+  };
+  UNSIGNED_LONGS_EQUAL(0, refused_percent_after("2,3,2,100"));
+  CHECK(refused_percent_after("1,0,2,100") > 20);
+  gate->SetWorker("next", "shop", 2);
+  UNSIGNED_LONGS_EQUAL(0, gate->load().refused_percent);
+}
+
 // Guards against an idle worker that refuses part of its requests for another reason: each refusal
 // took slots from it, until it was sent one request at a time.
 TEST(WorkerGate, AWorkerThatRefusesWithFreeSlotsKeepsThem) {
--- a/tests/sidecar/peer_protocol_test.cc
+++ b/tests/sidecar/peer_protocol_test.cc
@@ -100,6 +100,21 @@
   CHECK_EQUAL(0, headers.all().size());
 }
 
+// Guards against nodes of earlier versions that cannot read a load, or later ones that misread it.
+TEST(PeerProtocol, ALoadIsUnchangedByItsHeadersAndHasNoneForWhatIsZero) {
+  routing::TargetLoad load{3, 14, 20, true};
+  http::Headers headers;
+  peer_protocol::AddLoad(load, &headers);
+  CHECK_EQUAL(1, headers.all().size());
+  CHECK(peer_protocol::ReadLoad(headers) == load);
+  load.refused_percent = 45;
+  http::Headers more;
+  peer_protocol::AddLoad(load, &more);
+  CHECK(peer_protocol::ReadLoad(more) == load);
+  more.Set("Runshelf-Refused-Percent", "101");
+  CHECK_EQUAL(0U, peer_protocol::ReadLoad(more)->refused_percent);
+}
+
 TEST(PeerProtocol, HeadersOfTheProtocolAreRemovedFromClientRequests) {
   http::Headers headers;
   headers.Add("runshelf-weight", "1");
