Balancer: other workers are preferred to those that refuse a share

Callers saw: nested calls to a service failed the runs that made them, as workers that refuse a share of their requests got as many as the others. Cause: the load balancer did not know of such refusals. Change: a target counts as having less room the more it refuses beyond the mean of all targets that have reported, at 25 in 100 as full; a report counts less with age and nothing after 10 s, so that requests find out whether it still holds. If all refuse a share, load stays spread. Tests: three by load pattern in load_balancer_test; without the part (no room missing) the first and third fail, without the mean the second does.

--- a/source/routing/load_balancer.cc
+++ b/source/routing/load_balancer.cc
@@ -15,12 +15,13 @@
     (targets[index].zone == own_zone ? local : remote).push_back(index);
   }
   if (local.empty() && remote.empty()) return std::nullopt;
-  if (local.empty()) return BetterOfTwo(now, targets, remote, random);
-  const size_t best_local = BetterOfTwo(now, targets, local, random);
+  const Candidates candidates{now, targets, MeanRefusedPercent(now, targets)};
+  if (local.empty()) return BetterOfTwo(candidates, remote, random);
+  const size_t best_local = BetterOfTwo(candidates, local, random);
   if (remote.empty()) return best_local;
-  const size_t best_remote = BetterOfTwo(now, targets, remote, random);
-  const double local_score = Score(now, targets[best_local].instance);
-  const double remote_score = Score(now, targets[best_remote].instance);
+  const size_t best_remote = BetterOfTwo(candidates, remote, random);
+  const double local_score = ScoreAmong(candidates, best_local);
+  const double remote_score = ScoreAmong(candidates, best_remote);
   const double margin = answer_size == AnswerSize::kLarge
                             ? config_.zone_load_margin_of_large_answers
                             : config_.zone_load_margin;
@@ -29,15 +30,52 @@
   return clearly_busier ? best_remote : best_local;
 }
 
-size_t LoadBalancer::BetterOfTwo(Instant now, const std::vector<RouteTarget>& targets,
-                                 const std::vector<size_t>& candidates, Random& random) const {
-  if (candidates.size() == 1) return candidates.front();
-  const size_t first = random.Below(candidates.size());
-  size_t second = random.Below(candidates.size() - 1);
+size_t LoadBalancer::BetterOfTwo(const Candidates& candidates, const std::vector<size_t>& indices,
+                                 Random& random) const {
+  if (indices.size() == 1) return indices.front();
+  const size_t first = random.Below(indices.size());
+  size_t second = random.Below(indices.size() - 1);
   if (second >= first) ++second;
-  const double first_score = Score(now, targets[candidates[first]].instance);
-  const double second_score = Score(now, targets[candidates[second]].instance);
-  return second_score < first_score ? candidates[second] : candidates[first];
+  const double first_score = ScoreAmong(candidates, indices[first]);
+  const double second_score = ScoreAmong(candidates, indices[second]);
+  return second_score < first_score ? indices[second] : indices[first];
+}
+
+double LoadBalancer::ScoreAmong(const Candidates& candidates, size_t index) const {
+  const InstanceId& target = candidates.targets[index].instance;
+  const double score = Score(candidates.now, target);
+  if (candidates.mean_refused_percent <= 0) return score;
+  const RefusedShare refused = RefusedShareOf(target);
+  const double excess = refused.percent - candidates.mean_refused_percent;
+  const double missing_room = std::clamp(excess / config_.refused_percent_of_full, 0.0, 1.0);
+  return score + missing_room * Freshness(candidates.now, refused) * config_.default_slots;
+}
+
+LoadBalancer::RefusedShare LoadBalancer::RefusedShareOf(const InstanceId& target) const {
+  const auto found = states_.find(target);
+  return found == states_.end() ? RefusedShare{} : found->second.refused;
+}
+
+double LoadBalancer::Freshness(Instant now, const RefusedShare& refused) const {
+  const auto age = static_cast<double>((now - refused.reported_at).count());
+  const auto lifetime = static_cast<double>(config_.refusal_lifetime.count());
+  return std::clamp(1 - age / lifetime, 0.0, 1.0);
+}
+
+// Of the targets that have reported, which may be few: others are not known to refuse less.
+double LoadBalancer::MeanRefusedPercent(Instant now,
+                                        const std::vector<RouteTarget>& targets) const {
+  if (now >= refusals_until_) return 0;
+  double sum = 0;
+  double count = 0;
+  for (const RouteTarget& target : targets) {
+    if (target.leaving) continue;
+    const RefusedShare refused = RefusedShareOf(target.instance);
+    const double freshness = Freshness(now, refused);
+    sum += refused.percent * freshness;
+    count += freshness;
+  }
+  return count > 0 ? sum / count : 0;
 }
 
 void LoadBalancer::OnAttemptStart(const InstanceId& target) { ++states_[target].outstanding; }
@@ -52,9 +90,15 @@
   state.load = load;
   state.outstanding_at_report = state.outstanding;
   state.reported_at = now;
+  OnRefusedShare(now, target, load.refused_percent);
   if (load.cold) slow_start_.OnReportedCold(now, target);
 }
 
+void LoadBalancer::OnRefusedShare(Instant now, const InstanceId& target, uint32_t percent) {
+  states_[target].refused = {percent, now};
+  if (percent > 0) refusals_until_ = now + config_.refusal_lifetime;
+}
+
 void LoadBalancer::SetTargets(Instant now, const std::vector<InstanceId>& sorted_targets) {
   slow_start_.SetTargets(now, sorted_targets);
   std::erase_if(states_, [&](const auto& entry) {
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -97,6 +97,10 @@
   balancer_.OnLoad(now, InstanceOf(node), load);
 }
 
+void PeerDirectory::OnRefusedShare(Instant now, const std::string& node, uint32_t percent) {
+  balancer_.OnRefusedShare(now, InstanceOf(node), percent);
+}
+
 void PeerDirectory::OnAttemptStart(const std::string& node) {
   balancer_.OnAttemptStart(InstanceOf(node));
 }
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -65,6 +65,8 @@
   // A node could not be reached, or lost a request.
   void OnFailure(Instant now, const std::string& node);
   void OnLoad(Instant now, const std::string& node, const routing::TargetLoad& load);
+  // The part of OnLoad() that also applies to this node, whose other load needs no reports.
+  void OnRefusedShare(Instant now, const std::string& node, uint32_t percent);
   void OnAttemptStart(const std::string& node);
   // Bytes were exchanged with a node.
   void OnTraffic(TrafficKind kind, const std::string& node, size_t bytes);
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -235,6 +235,10 @@
 void RequestFlow::EndAttempt() {
   if (current_node_.empty()) return;
   context_.peers.OnAttemptEnd(current_node_);
+  if (current_node_ == context_.settings.node_name) {
+    const uint32_t refused_percent = context_.gate.load().refused_percent;
+    context_.peers.OnRefusedShare(context_.loop.Now(), current_node_, refused_percent);
+  }
   current_node_.clear();
   relay_.set_attempt(nullptr);
   attempt_.reset();
--- a/tests/routing/load_balancer_test.cc
+++ b/tests/routing/load_balancer_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+using runshelf::Duration;
 using runshelf::InstanceId;
 using runshelf::Instant;
 using runshelf::SeededRandom;
@@ -44,6 +45,51 @@
   return largest;
 }
 
+// Senders that share 25 workers, of which `refusing` refuse 45% of what they get until `well_at`.
+// Every request is placed, reported on and ended at once, so that load plays no part.
+class SharedWorkers {
+ public:
+  SharedWorkers(size_t refusing, Instant well_at) : refusing_(refusing), well_at_(well_at) {}
+
+  // Moves all but the first workers out of the zone of the senders.
+  void KeepInZone(size_t first) {
+    for (size_t index = first; index < targets_.size(); ++index) targets_[index].zone = "b";
+  }
+
+  // The share of the requests of `duration` that the first `counted` workers get.
+  double ShareOfFirst(size_t counted, Duration duration) {
+    size_t requests = 0;
+    size_t at_counted = 0;
+    for (const Instant end = now_ + duration; now_ < end; now_ += kInterval) {
+      const size_t chosen = Place(senders_[++requests % senders_.size()]);
+      if (chosen < counted) ++at_counted;
+    }
+    return static_cast<double>(at_counted) / static_cast<double>(requests);
+  }
+
+ private:
+  static constexpr Duration kInterval = std::chrono::milliseconds(1);
+  static constexpr uint32_t kRefusedPercent = 45;
+
+  size_t Place(LoadBalancer& sender) {
+    const size_t chosen = *sender.Choose(now_, targets_, skipped_, "a", random_);
+    TargetLoad load{0, 0, 20, false};
+    load.refused_percent = chosen < refusing_ && now_ < well_at_ ? kRefusedPercent : 0;
+    sender.OnAttemptStart(targets_[chosen].instance);
+    sender.OnLoad(now_, targets_[chosen].instance, load);
+    sender.OnAttemptEnd(targets_[chosen].instance);
+    return chosen;
+  }
+
+  size_t refusing_;
+  Instant well_at_;
+  Instant now_ = kNow;
+  SeededRandom random_{11};
+  std::vector<RouteTarget> targets_ = Targets(std::vector<std::string>(25, "a"));
+  std::vector<bool> skipped_ = std::vector<bool>(25, false);
+  std::vector<LoadBalancer> senders_ = std::vector<LoadBalancer>(20, LoadBalancer({}));
+};
+
 }  // namespace
 
 TEST_GROUP(LoadBalancer){};
@@ -117,3 +163,38 @@
     CHECK_FALSE(TargetLoad::Parse(text).has_value());
   }
 }
+
+// Guards against workers that refuse a share of their requests and get as many as the others.
+TEST(LoadBalancer, AFifthOfTheWorkersThatRefusesNearlyHalfGetsATrickleUntilItIsWell) {
+  const Instant well_at = kNow + std::chrono::seconds(10);
+  SharedWorkers workers(5, well_at);
+  workers.ShareOfFirst(5, std::chrono::seconds(2));
+  const double avoided = workers.ShareOfFirst(5, std::chrono::seconds(8));
+  CHECK(avoided > 0.005);
+  CHECK(avoided < 0.06);
+  workers.ShareOfFirst(5, std::chrono::seconds(10));
+  DOUBLES_EQUAL(0.2, workers.ShareOfFirst(5, std::chrono::seconds(5)), 0.03);
+}
+
+// Guards against load that gathers at single workers, or leaves its zone, when all of the service
+// refuse a share.
+TEST(LoadBalancer, LoadStaysSpreadInItsZoneWhenAllWorkersRefuseAShare) {
+  SharedWorkers workers(25, Instant::max());
+  workers.KeepInZone(10);
+  workers.ShareOfFirst(5, std::chrono::seconds(1));
+  DOUBLES_EQUAL(0.5, workers.ShareOfFirst(5, std::chrono::seconds(15)), 0.03);
+}
+
+// Guards against senders that leave the room of such a worker unused while all others are full.
+TEST(LoadBalancer, AWorkerThatRefusesAShareIsUsedWhenTheOthersAreFull) {
+  const auto targets = Targets({"a", "a"});
+  LoadBalancer balancer(LoadBalancerConfig{});
+  SeededRandom random(1);
+  TargetLoad load{0, 0, 20, false};
+  load.refused_percent = 45;
+  balancer.OnLoad(kNow, targets[0].instance, load);
+  balancer.OnLoad(kNow, targets[1].instance, {10, 0, 20, false});
+  UNSIGNED_LONGS_EQUAL(1, *balancer.Choose(kNow, targets, {false, false}, "a", random));
+  balancer.OnLoad(kNow, targets[1].instance, {20, 9, 20, false});
+  UNSIGNED_LONGS_EQUAL(0, *balancer.Choose(kNow, targets, {false, false}, "a", random));
+}
