Start of a node: its test expects two reads

Cause: Sidecar.ANodeReadsTheStateOnceWhenItStarts expects one read each of the configuration, the evacuated zones and the state, which are two reads since the first two are read together.

Change: the test expects exactly two. A false alarm of clang-tidy on a defaulted comparison is marked as elsewhere.

--- a/source/store/store_client.h
+++ b/source/store/store_client.h
@@ -53,7 +53,7 @@
   std::string_view operation;  // "read", "watch", "write", "lease" or "renewal".
   std::string subject;         // The prefix, or the purpose of the transaction; may be empty.
 
-  auto operator<=>(const StoreCallCause&) const = default;
+  auto operator<=>(const StoreCallCause&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // Number of calls with one cause, including those that were sent again on another path.
--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -470,14 +470,14 @@
 // reads it again.
 TEST(Sidecar, ANodeReadsTheStateOnceWhenItStarts) {
   uint64_t least_reads = UINT64_MAX;
-  for (int attempt = 0; attempt < 3 && least_reads > 3; ++attempt) {
+  for (int attempt = 0; attempt < 3 && least_reads > 2; ++attempt) {
     Fleet fleet({"plain"});
     fleet.Start();
     RunFor(fleet.loop, std::chrono::milliseconds(600));
     least_reads = std::min(least_reads, fleet.store.calls("/runshelf/kv-range"));
   }
-  // One full read each of the configuration, the evacuated zones and the state.
-  CHECK_EQUAL(3, least_reads);
+  // One full read of the configuration together with the evacuated zones, and one of the state.
+  CHECK_EQUAL(2, least_reads);
 }
 
 // Guards against a gap in the feed: the standby notices a stop only after most of a second, and
