Sharding: a key in demand gets an owner of its own

Cause: a key that alone asks for more than its owner completes cannot be divided. The planner weighed it as load like any other: what lay beside it in the same range was too small a piece to move and stayed, and nothing decided which worker owns such a key. A jump of the load reached the planner smoothed over 1.5 s, so that the first plans moved too little.

Change: KeyDemand recognises such keys from the load reports, with hysteresis; PlanKeysInDemand moves the other keys of the owner away and keeps others off it, and moves the key itself, once a demand, where the gain in completions outweighs the handover. KeyLoadMeter starts its smoothing anew at a jump of the total rate and reports 500 ms later; the load is weighed 500 ms after the last time once an owner has become overloaded. The state is soft and lives on the planning node. Log event key_in_demand, gauge runshelf_keys_in_demand. BucketLoads, Usage and the search for pieces move to worker_usage.

--- a/source/sharding/key_load.cc
+++ b/source/sharding/key_load.cc
@@ -9,6 +9,8 @@
 
 // Time constant of the exponential smoothing of rates.
 constexpr double kSmoothingSeconds = 1.5;
+// A count that exceeds the expected one by so many standard deviations is a jump of the rate.
+constexpr double kJumpDeviations = 4;
 // Maximum number of buckets in one report. It keeps a report below 1.2 kB, so that it fits into one
 // packet; larger ones were lost. With 93 workers and 200 busy keys, one worker's shard can contain
 // up to 178 of them.
@@ -21,27 +23,41 @@
 
 }  // namespace
 
+bool KeyLoadMeter::HasJumped(Duration elapsed) const {
+  if (restarted_) return false;
+  const double expected = total_rate_ * std::chrono::duration<double>(elapsed).count();
+  return static_cast<double>(count_) > expected + kJumpDeviations * std::sqrt(expected + 1);
+}
+
+void KeyLoadMeter::Restart() {
+  counts_.fill(0);
+  count_ = 0;
+  restarted_ = true;
+}
+
 void KeyLoadMeter::EndPeriod(Duration elapsed) {
   const double seconds = std::chrono::duration<double>(elapsed).count();
   if (seconds <= 0) return;
-  const double weight = 1 - std::exp(-seconds / kSmoothingSeconds);
+  const double weight = restarted_ ? 1 : 1 - std::exp(-seconds / kSmoothingSeconds);
+  total_rate_ = 0;
   for (size_t bucket = 0; bucket < kBucketCount; ++bucket) {
     const double rate = counts_[bucket] / seconds;
     rates_[bucket] += static_cast<float>((rate - rates_[bucket]) * weight);
+    total_rate_ += rates_[bucket];
     counts_[bucket] = 0;
   }
+  count_ = 0;
+  restarted_ = false;
 }
 
 void KeyLoadMeter::Fill(LoadReport* report) const {
-  double total = 0;
   report->buckets.clear();
   for (size_t bucket = 0; bucket < kBucketCount; ++bucket) {
-    total += rates_[bucket];
     if (rates_[bucket] >= kReportedRateMin) {
       report->buckets.emplace_back(static_cast<uint32_t>(bucket), rates_[bucket]);
     }
   }
-  report->requests_per_second = total;
+  report->requests_per_second = total_rate_;
   std::sort(report->buckets.begin(), report->buckets.end(),
             [](const auto& left, const auto& right) { return left.second > right.second; });
   if (report->buckets.size() > kReportedBuckets) report->buckets.resize(kReportedBuckets);
--- a/source/sharding/key_load.h
+++ b/source/sharding/key_load.h
@@ -30,16 +30,31 @@
   // The busiest buckets, each with its requests per second.
   std::vector<std::pair<uint32_t, double>> buckets;
 
+  // Requests per second that the worker completes with all slots busy; zero: unknown.
+  double Capacity() const { return service_seconds > 0 ? slots / service_seconds : 0; }
+  // Whether the worker is offered more than it completes.
+  bool IsOverloaded() const { return Capacity() > 0 && requests_per_second > Capacity(); }
+
   // Encodes the report as CBOR; rates are rounded to tenths.
   std::string Serialize() const;
   // Returns false, and leaves `report` unchanged, when `bytes` is not a valid report.
   static bool Parse(const std::string& bytes, LoadReport* report);
 };
 
-// Measures request rates by bucket with exponential smoothing. Deterministic; not thread-safe.
+// Measures request rates by bucket with exponential smoothing, which starts anew when the total
+// rate jumps: otherwise the rates would lag behind by seconds. Deterministic; not thread-safe.
 class KeyLoadMeter {
  public:
-  void OnRequest(ShardKey key) { ++counts_[BucketOf(key)]; }
+  void OnRequest(ShardKey key) {
+    ++counts_[BucketOf(key)];
+    ++count_;
+  }
+  // Whether the requests of the current period, which has lasted `elapsed`, are more than the rates
+  // and chance explain. False from Restart() until the next EndPeriod().
+  bool HasJumped(Duration elapsed) const;
+  // Starts a new period and drops the current one, in which the rates jumped. The next EndPeriod()
+  // adopts the rates of its period without smoothing.
+  void Restart();
   // Ends the current counting period, which lasted `elapsed`, and updates the rates.
   void EndPeriod(Duration elapsed);
   // Sets the total rate and the busiest buckets of `report`.
@@ -48,6 +63,9 @@
  private:
   std::array<uint32_t, kBucketCount> counts_{};
   std::array<float, kBucketCount> rates_{};
+  uint64_t count_ = 0;     // Requests of the current period.
+  double total_rate_ = 0;  // Sum of `rates_`.
+  bool restarted_ = false;
 };
 
 }  // namespace runshelf::sharding
--- a/source/sharding/shard_planner.cc
+++ b/source/sharding/shard_planner.cc
@@ -1,11 +1,11 @@
 #include "source/sharding/shard_planner.h"
 
 #include <algorithm>
-#include <cmath>
-#include <optional>
-#include <set>
 #include <utility>
 
+#include "source/sharding/demand_planner.h"
+#include "source/sharding/worker_usage.h"
+
 namespace runshelf::sharding {
 namespace {
 
@@ -16,168 +16,6 @@
   return nullptr;
 }
 
-std::vector<const PlannerWorker*> Accepting(const PlannerInput& input,
-                                            const std::string& except_node = "") {
-  std::vector<const PlannerWorker*> accepting;
-  for (const PlannerWorker& worker : input.workers) {
-    if (!worker.accepting || worker.id.worker.empty() || worker.id.node == except_node) continue;
-    accepting.push_back(&worker);
-  }
-  std::sort(accepting.begin(), accepting.end(),
-            [](const auto* left, const auto* right) { return left->id.node < right->id.node; });
-  return accepting;
-}
-
-// Load of every bucket in requests per second, from the reports of all owners. Load that a report
-// does not attribute to a bucket is spread evenly over the keys of its node.
-class BucketLoads {
- public:
-  BucketLoads(const ShardMap& map, const PlannerInput& input)
-      : rates_(kBucketCount, 0), sums_(kBucketCount + 1, 0) {
-    std::map<std::string, double> rest;
-    std::map<std::string, double> keys;
-    for (const auto& [node, report] : input.loads) {
-      double listed = 0;
-      for (const auto& [bucket, rate] : report.buckets) {
-        rates_[bucket] += rate;
-        listed += rate;
-      }
-      rest[node] = std::max(0.0, report.requests_per_second - listed);
-    }
-    for (const Shard& shard : map.shards()) keys[shard.owner.node] += shard.size();
-    for (const Shard& shard : map.shards()) {
-      const double per_key = rest[shard.owner.node] / std::max(1.0, keys[shard.owner.node]);
-      for (ShardKey key = shard.first; key <= shard.last; key += kKeysPerBucket) {
-        rates_[BucketOf(key)] += per_key * kKeysPerBucket;
-      }
-    }
-    for (size_t bucket = 0; bucket < kBucketCount; ++bucket) {
-      sums_[bucket + 1] = sums_[bucket] + rates_[bucket];
-    }
-  }
-
-  double KeyRangeRate(ShardKey first, ShardKey last) const {
-    return sums_[BucketOf(last) + 1] - sums_[BucketOf(first)];
-  }
-
- private:
-  std::vector<double> rates_;
-  std::vector<double> sums_;  // Prefix sums: total rate of all buckets before the index.
-};
-
-// Load of one worker.
-struct Usage {
-  const PlannerWorker* worker = nullptr;
-  double rate = 0;             // Requests per second on its shards.
-  double service_seconds = 0;  // Mean service time of a request.
-
-  // Utilization per request per second.
-  double Slope() const { return service_seconds / std::max<uint32_t>(1, worker->slots); }
-  double Utilization() const { return rate * Slope(); }
-};
-
-bool ByUtilization(const Usage& left, const Usage& right) {
-  return left.Utilization() < right.Utilization();
-}
-
-// The node's smoothed service time, or the mean of all reported ones if it reports none.
-double ServiceSeconds(const PlannerInput& input, const std::string& node) {
-  constexpr double kUnknownServiceSeconds = 0.1;
-  const auto own = input.loads.find(node);
-  if (own != input.loads.end() && own->second.service_seconds > 0) {
-    return own->second.service_seconds;
-  }
-  double sum = 0;
-  size_t count = 0;
-  for (const auto& [name, report] : input.loads) {
-    if (report.service_seconds <= 0) continue;
-    sum += report.service_seconds;
-    ++count;
-  }
-  return count == 0 ? kUnknownServiceSeconds : sum / static_cast<double>(count);
-}
-
-std::vector<Usage> MakeUsages(const ShardMap& map, const PlannerInput& input,
-                              const std::vector<const PlannerWorker*>& workers,
-                              const BucketLoads& loads) {
-  std::map<std::string, double> rates;
-  for (const Shard& shard : map.shards()) {
-    rates[shard.owner.node] += loads.KeyRangeRate(shard.first, shard.last);
-  }
-  std::vector<Usage> usages;
-  usages.reserve(workers.size());
-  for (const PlannerWorker* worker : workers) {
-    usages.push_back({worker, rates[worker->id.node], ServiceSeconds(input, worker->id.node)});
-  }
-  return usages;
-}
-
-// Utilization of all workers together.
-double MeanUtilization(const std::vector<Usage>& usages) {
-  double used_slots = 0;
-  double slots = 0;
-  for (const Usage& usage : usages) {
-    used_slots += usage.rate * usage.service_seconds;
-    slots += std::max<uint32_t>(1, usage.worker->slots);
-  }
-  return slots == 0 ? 0 : used_slots / slots;
-}
-
-// Removes workers that are the source or the target of a move in progress.
-void ExcludeMovingWorkers(const ShardMap& map, std::vector<Usage>* usages) {
-  std::set<std::string> moving;
-  for (const Shard& shard : map.shards()) {
-    if (shard.move_to_node.empty()) continue;
-    moving.insert(shard.owner.node);
-    moving.insert(shard.move_to_node);
-  }
-  std::erase_if(*usages,
-                [&](const Usage& usage) { return moving.contains(usage.worker->id.node); });
-}
-
-// A candidate range for a move: whole buckets within a shard.
-struct Piece {
-  ShardKey first = 0;
-  ShardKey last = 0;
-  double rate = 0;
-};
-
-// The busiest key range of `node` whose load is at most `limit`, among whole shards and their
-// repeated halves down to one bucket.
-std::optional<Piece> BestPiece(const ShardMap& map, const BucketLoads& loads,
-                               const std::string& node, double limit) {
-  std::optional<Piece> best;
-  for (const Shard& shard : map.shards()) {
-    if (shard.owner.node != node || !shard.move_to_node.empty()) continue;
-    std::vector<Piece> candidates{{shard.first, shard.last, 0}};
-    while (!candidates.empty()) {
-      Piece piece = candidates.back();
-      candidates.pop_back();
-      piece.rate = loads.KeyRangeRate(piece.first, piece.last);
-      if (piece.rate <= 0 || (best.has_value() && piece.rate <= best->rate)) continue;
-      if (piece.rate <= limit) {
-        best = piece;
-        continue;
-      }
-      if (BucketOf(piece.first) == BucketOf(piece.last)) continue;
-      const ShardKey middle_key = piece.first + (piece.last - piece.first) / 2;
-      const ShardKey middle = (middle_key / kKeysPerBucket + 1) * kKeysPerBucket;
-      if (middle > piece.last || middle <= piece.first) continue;
-      candidates.push_back({piece.first, middle - 1, 0});
-      candidates.push_back({middle, piece.last, 0});
-    }
-  }
-  return best;
-}
-
-void MarkMove(ShardMap* map, const Piece& piece, const std::string& to_node) {
-  map->Split(piece.first);
-  if (piece.last < kMaxShardKey) map->Split(piece.last + 1);
-  for (Shard& shard : map->shards()) {
-    if (piece.first <= shard.first && shard.last <= piece.last) shard.move_to_node = to_node;
-  }
-}
-
 ShardMap InitialMap(const std::vector<const PlannerWorker*>& workers, const PlannerInput& input,
                     const PlannerConfig& config) {
   ShardMap map;
@@ -304,14 +142,17 @@
   }
   const BucketLoads loads(map, input);
   std::vector<Usage> usages = MakeUsages(map, input, accepting, loads);
-  const double receiver_limit =
-      std::max(config.receiver_utilization, MeanUtilization(usages) + config.utilization_gap / 2);
-  ExcludeMovingWorkers(map, &usages);
   plan.map = map;
   plan.reason = "even";
+  const size_t demand_moves = PlanKeysInDemand(loads, input, config, &plan.map, &usages);
+  size_t moves = demand_moves;
+  plan.changed = demand_moves > 0;
+  const double receiver_limit =
+      std::max(config.receiver_utilization, MeanUtilization(usages) + config.utilization_gap / 2);
+  const std::set<std::string> moving = MovingNodes(map);
+  std::erase_if(usages, [&](const Usage& usage) { return moving.contains(usage.worker->id.node); });
   const size_t most_moves =
       std::max(config.moves_per_round_min, accepting.size() / config.workers_per_move);
-  size_t moves = 0;
   while (moves < most_moves && usages.size() >= 2) {
     const auto most = std::max_element(usages.begin(), usages.end(), ByUtilization);
     const auto least = std::min_element(usages.begin(), usages.end(), ByUtilization);
@@ -335,7 +176,7 @@
     plan.changed = true;
     ++moves;
   }
-  if (plan.changed) plan.reason = "balance";
+  if (plan.changed) plan.reason = demand_moves > 0 ? "key-in-demand" : "balance";
   return plan;
 }
 
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "source/sharding/key_demand.h"
 #include "source/sharding/key_load.h"
 #include "source/sharding/shard_map.h"
 
@@ -27,10 +28,32 @@
   std::map<std::string, LoadReport> loads;  // Latest report by node.
   // Workers may know tokens up to this one; a new map starts above it.
   FencingToken token_base = 0;
+  Instant now{};
+  // Keys whose demand exceeds what an owner completes, the busiest first.
+  std::vector<KeyInDemand> keys_in_demand;
   // Whether grants from a map that was lost may still be valid when a new map is created.
   bool former_grants_may_be_valid = false;
 };
 
+// Settings for keys in demand.
+struct DemandPlannerConfig {
+  // Time for which a key that moves is not served: until the requests on it have ended and its next
+  // owner has been granted it.
+  Duration handover_time = std::chrono::seconds(1);
+  // A demand is expected to last as long as it has lasted, and at least this long.
+  Duration expected_demand_min = std::chrono::seconds(3);
+  // A key in demand moves when its next owner is expected to complete so many times as much of the
+  // demand as the present one.
+  double worthwhile_gain = 1.25;
+  // Maximum number of ranges that are moved away from beside one key in a round.
+  size_t moves_per_key = 8;
+  // Other keys of the owner stay beside a key in demand while their load is below this share of
+  // what the owner completes.
+  double share_beside = 0.05;
+  // Receivers of such ranges stay at or below this utilization.
+  double receiver_utilization = 1.0;
+};
+
 // Settings of the planner.
 struct PlannerConfig {
   // Total number of shards in a new map, and its bounds per worker. Many shards spread adjacent
@@ -52,6 +75,7 @@
   // workers if that is higher. Parts of a busy range thus go to as many workers as needed in one
   // round.
   double receiver_utilization = 0.6;
+  DemandPlannerConfig demand;
   // A map with more shards than both limits allow is not split further.
   size_t max_shards = 400;
   size_t max_shards_per_worker = 16;
@@ -72,8 +96,9 @@
 Plan PlanRepair(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
 // Marks shards for a move from busy workers to idle ones, splitting them where needed. Workers with
-// a move in progress are excluded. A worker whose load cannot be divided, for example because it is
-// caused by a single key, does not prevent moves from other workers.
+// a move in progress are excluded. Owners of keys in demand are left to these keys. A worker whose
+// load cannot be divided, for example because it is caused by a single key, does not prevent moves
+// from other workers.
 Plan PlanBalance(const ShardMap& map, const PlannerInput& input, const PlannerConfig& config);
 
 // Chooses a worker for each of `shard_count` shards of `leaving_node`, balanced by the load that
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -121,6 +121,9 @@
         static_cast<double>(gauges.configuration_version));
   gauge("runshelf_shard_map_revision", "Revision of the shard map of the worker's service.",
         static_cast<double>(gauges.shard_map_revision));
+  gauge("runshelf_keys_in_demand",
+        "Keys whose demand exceeds what an owner completes; zero on nodes that do not plan.",
+        static_cast<double>(gauges.keys_in_demand));
   gauge("runshelf_store_reachable", "Whether the store is reachable.",
         gauges.store_reachable ? 1 : 0);
   gauge("runshelf_store_era", "Increases each time the store is restored from a backup.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -36,6 +36,7 @@
   std::optional<double> worker_limit;  // Requests per second that the worker states.
   int64_t configuration_version = 0;   // Zero: no configuration is known.
   store::Revision shard_map_revision = 0;
+  size_t keys_in_demand = 0;  // Zero on nodes that do not plan the shard map.
   bool store_reachable = false;
   store::StoreEra store_era = 0;
   bool ready = false;
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -1,12 +1,15 @@
 #include "source/sidecar/shard_coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace runshelf::sidecar {
 namespace {
 
 constexpr Duration kReportInterval = std::chrono::seconds(1);
+// A report after a jump of the rate measures this long, so that chance does not decide.
+constexpr Duration kEarlyReportDelay = std::chrono::milliseconds(500);
 // Load reports older than this are ignored.
 constexpr Duration kReportLifetime = std::chrono::seconds(5);
 // Consecutive conflicts that are each followed by an immediate new plan; after that the planner
@@ -46,22 +49,36 @@
 
 void ShardCoordinator::Tick() {
   timer_.Start(config_.tick_interval);
+  ScheduleEarlyReport();
   SendReport();
   MeasureFormerGrants();
+  if (IsBalanceDue(loop_.Now())) {
+    load_weighed_at_ = loop_.Now();
+    owner_overloaded_ = false;
+    balance_pending_ = true;
+    ObserveDemand();
+  }
   if (shards_.busy()) return;
   Repair();
-  if (shards_.busy() || !shards_.IsOfCurrentEra()) return;
-  if (loop_.Now() - balanced_at_ < config_.balance_interval) return;
-  balanced_at_ = loop_.Now();
+  if (!balance_pending_ || shards_.busy() || !shards_.IsOfCurrentEra()) return;
+  balance_pending_ = false;
   Balance();
 }
 
+bool ShardCoordinator::IsBalanceDue(Instant now) const {
+  const Duration interval =
+      owner_overloaded_ ? config_.urgent_balance_interval : config_.balance_interval;
+  return now - load_weighed_at_ >= interval;
+}
+
 sharding::PlannerInput ShardCoordinator::MakeInput() const {
   const Instant now = loop_.Now();
   const Duration departure_wait = shards_.restored() && former_grants_.MayBeInForce(now)
                                       ? config_.departure_wait_restored
                                       : config_.departure_wait;
   sharding::PlannerInput input;
+  input.now = now;
+  input.keys_in_demand = key_demand_.Keys();
   input.token_base = shards_.TokenBase();
   input.former_grants_may_be_valid = shards_.restored() || !config_.first_start;
   for (const auto& [node, peer] : peers_.peers()) {
@@ -100,16 +117,20 @@
   return rank;
 }
 
+void ShardCoordinator::ScheduleEarlyReport() {
+  if (!jump_detector_ || !jump_detector_()) return;
+  report_due_at_ = loop_.Now() + kEarlyReportDelay;
+}
+
 void ShardCoordinator::SendReport() {
   const Instant now = loop_.Now();
-  if (!report_source_ || now - report_sent_at_ < kReportInterval) return;
-  report_sent_at_ = now;
+  if (!report_source_ || now < report_due_at_) return;
+  report_due_at_ = now + kReportInterval;
   sharding::LoadReport report;
   report.node = config_.node;
   report.service = config_.service;
   report_source_(&report);
-  loads_[config_.node] = report;
-  reported_at_[config_.node] = now;
+  StoreReport(report);
   if (!bound_) return;
   const std::string text = report.Serialize();
   size_t sent = 0;
@@ -127,8 +148,14 @@
   sharding::LoadReport report;
   if (!sharding::LoadReport::Parse(std::string(data), &report)) return;
   if (report.service != config_.service) return;
+  StoreReport(std::move(report));
+}
+
+void ShardCoordinator::StoreReport(sharding::LoadReport report) {
+  sharding::LoadReport& latest = loads_[report.node];
+  if (report.IsOverloaded() && !latest.IsOverloaded()) owner_overloaded_ = true;
   reported_at_[report.node] = loop_.Now();
-  loads_[report.node] = std::move(report);
+  latest = std::move(report);
 }
 
 void ShardCoordinator::Repair() {
@@ -182,6 +209,24 @@
   });
 }
 
+void ShardCoordinator::ObserveDemand() {
+  if (Rank() != 0) {
+    key_demand_.Clear();
+    return;
+  }
+  for (const auto& [begun, key] : key_demand_.Update(loop_.Now(), shards_.map(), MakeInput())) {
+    log_.Write(LogLevel::kInfo, "key_in_demand",
+               {{"service", config_.service},
+                {"key", key.key},
+                {"begun", begun},
+                {"owner", key.owner},
+                {"requests_per_second", std::lround(key.requests_per_second)},
+                {"owner_capacity", std::lround(key.capacity)},
+                {"owner_changes", key.owner_changes},
+                {"lasted_ms", ToMilliseconds(loop_.Now() - key.since)}});
+  }
+}
+
 void ShardCoordinator::Balance() {
   if (Rank() != 0) return;
   const sharding::Plan plan = PlanBalance(shards_.map(), MakeInput(), config_.planner);
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -12,6 +12,7 @@
 
 #include "source/event/event_loop.h"
 #include "source/event/udp_socket.h"
+#include "source/sharding/key_demand.h"
 #include "source/sharding/key_load.h"
 #include "source/sharding/shard_planner.h"
 #include "source/sidecar/former_grants.h"
@@ -43,6 +44,8 @@
   Duration rank_delay = std::chrono::milliseconds(500);
   Duration tick_interval = std::chrono::milliseconds(250);
   Duration balance_interval = std::chrono::seconds(1);
+  // The same once an owner has become overloaded.
+  Duration urgent_balance_interval = std::chrono::milliseconds(500);
   sharding::PlannerConfig planner;
 };
 
@@ -62,13 +65,22 @@
     report_source_ = std::move(source);
   }
 
+  // Sets the function that tells whether the rate of requests at this node's own worker has just
+  // jumped. A report follows soon after it, before its regular time.
+  void set_jump_detector(std::function<bool()> detector) { jump_detector_ = std::move(detector); }
+
+  // Number of keys in demand; zero on nodes that do not plan.
+  size_t keys_in_demand() const { return key_demand_.size(); }
+
   // The planner's input according to the currently known nodes, map and load reports.
   sharding::PlannerInput MakeInput() const;
 
  private:
   void Tick();
+  void ScheduleEarlyReport();
   void SendReport();
   void OnReport(std::string_view data);
+  void StoreReport(sharding::LoadReport report);
   void Repair();
   // Carries the map that is known here over into the current era of the store.
   void CarryOver();
@@ -76,6 +88,9 @@
   // lower rank have had their time.
   bool IsDue(Instant since, Instant now) const;
   void MeasureFormerGrants();
+  // Whether it is time to weigh the load: regularly, and soon after an owner has become overloaded.
+  bool IsBalanceDue(Instant now) const;
+  void ObserveDemand();
   void Balance();
   void Commit(const sharding::Plan& plan, std::string_view purpose);
   void OnOutcome(ShardStore::Outcome outcome);
@@ -92,12 +107,16 @@
   event::UdpSocket reports_;
   std::function<void()> on_committed_;
   std::function<void(sharding::LoadReport*)> report_source_;
+  std::function<bool()> jump_detector_;
   std::map<std::string, sharding::LoadReport> loads_;
   std::map<std::string, Instant> reported_at_;
   Instant active_since_{};
   Instant repair_needed_since_{};
-  Instant balanced_at_{};
-  Instant report_sent_at_{};
+  Instant load_weighed_at_{};
+  Instant report_due_at_{};
+  bool owner_overloaded_ = false;  // An owner has become overloaded since `load_weighed_at_`.
+  bool balance_pending_ = false;
+  sharding::KeyDemand key_demand_;
   std::string balance_reason_;  // Outcome of the latest balance check.
   int conflicts_ = 0;           // Consecutive plans that failed because another change came first.
   bool active_ = false;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -205,6 +205,13 @@
     const double capacity = gate_.Capacity();
     report->service_seconds = capacity > 0 ? report->slots / capacity : 0;
   });
+  coordinator_.set_jump_detector([this] {
+    const Instant now = loop_.Now();
+    if (!holder_.meter().HasJumped(now - load_reported_at_)) return false;
+    holder_.meter().Restart();
+    load_reported_at_ = now;
+    return true;
+  });
 }
 
 Sidecar::~Sidecar() = default;
@@ -357,6 +364,7 @@
   gauges.worker_limit = gate_.worker_limit();
   gauges.configuration_version = configuration_version();
   gauges.shard_map_revision = shard_store_.revision();
+  gauges.keys_in_demand = coordinator_.keys_in_demand();
   gauges.store_reachable = store_.reachable();
   gauges.store_era = store_.era();
   gauges.evacuated_zones = peers_.evacuated_zones().size();
