Sharding: service times smoothed over seconds, demand ends with the rate

A key stayed in demand for up to 7 s after its demand, and its owner stayed reserved.

Change: each node smooths the service time over 3 s; the smoothing of rates also starts anew at a fall. Ranges below one request per second stay beside a key in demand.

--- a/source/sharding/demand_planner.cc
+++ b/source/sharding/demand_planner.cc
@@ -84,43 +84,19 @@
   }
 
   void MoveOthersAway(const std::string& node) {
-    double beside = RateBeside(node);
-    const double staying = config_.share_beside * CapacityOf(node);
-    for (size_t count = 0; count < config_.moves_per_key && beside > staying; ++count) {
+    for (size_t count = 0; count < config_.moves_per_key; ++count) {
       Usage* receiver = LeastUsedReceiver();
       if (receiver == nullptr) return;
       const double room =
           (config_.receiver_utilization - receiver->Utilization()) * receiver->Capacity();
       const auto piece = BestPiece(*map_, loads_, node, room, kept_);
-      if (!piece.has_value()) return;
+      if (!piece.has_value() || piece->rate < config_.moved_rate_min) return;
       MarkMove(map_, *piece, receiver->worker->id.node);
       receiver->rate += piece->rate;
-      beside -= piece->rate;
       ++moves_;
     }
   }
 
-  // Load of the node's keys that are neither in demand nor about to move.
-  double RateBeside(const std::string& node) const {
-    double rate = 0;
-    for (const Shard& shard : map_->shards()) {
-      if (shard.owner.node != node || !shard.move_to_node.empty()) continue;
-      rate += loads_.KeyRangeRate(shard.first, shard.last);
-      for (auto key = kept_.lower_bound(shard.first); key != kept_.end() && *key <= shard.last;
-           ++key) {
-        rate -= loads_.KeyRangeRate(*key, *key);
-      }
-    }
-    return rate;
-  }
-
-  double CapacityOf(const std::string& node) const {
-    for (const Usage& usage : *usages_) {
-      if (usage.worker->id.node == node) return usage.Capacity();
-    }
-    return 0;
-  }
-
   Usage* LeastUsedReceiver() {
     Usage* least = nullptr;
     for (Usage& usage : *usages_) {
--- a/source/sharding/key_load.cc
+++ b/source/sharding/key_load.cc
@@ -9,7 +9,9 @@
 
 // Time constant of the exponential smoothing of rates.
 constexpr double kSmoothingSeconds = 1.5;
-// A count that exceeds the expected one by so many standard deviations is a jump of the rate.
+// Time constant of the smoothing of service times.
+constexpr double kServiceTimeSmoothingSeconds = 3;
+// A count that differs from the expected one by so many standard deviations is a jump of the rate.
 constexpr double kJumpDeviations = 4;
 // Maximum number of buckets in one report. It keeps a report below 1.2 kB, so that it fits into one
 // packet; larger ones were lost. With 93 workers and 200 busy keys, one worker's shard can contain
@@ -23,10 +25,19 @@
 
 }  // namespace
 
+void ServiceTimeMeter::Sample(Instant now, double service_seconds) {
+  if (service_seconds <= 0) return;
+  const double elapsed = std::chrono::duration<double>(now - sampled_at_).count();
+  const double weight = seconds_ == 0 ? 1 : 1 - std::exp(-elapsed / kServiceTimeSmoothingSeconds);
+  seconds_ += (service_seconds - seconds_) * weight;
+  sampled_at_ = now;
+}
+
 bool KeyLoadMeter::HasJumped(Duration elapsed) const {
   if (restarted_) return false;
   const double expected = total_rate_ * std::chrono::duration<double>(elapsed).count();
-  return static_cast<double>(count_) > expected + kJumpDeviations * std::sqrt(expected + 1);
+  const double deviation = std::abs(static_cast<double>(count_) - expected);
+  return deviation > kJumpDeviations * std::sqrt(expected + 1);
 }
 
 void KeyLoadMeter::Restart() {
--- a/source/sharding/key_load.h
+++ b/source/sharding/key_load.h
@@ -41,6 +41,20 @@
   static bool Parse(const std::string& bytes, LoadReport* report);
 };
 
+// Smooths a worker's service time over seconds: hosts are slow for moments, and keys that follow
+// each of these would not stay anywhere. Deterministic; not thread-safe.
+class ServiceTimeMeter {
+ public:
+  // `service_seconds`: the latest measurement; zero: there is none.
+  void Sample(Instant now, double service_seconds);
+  // The smoothed service time; zero: unknown.
+  double seconds() const { return seconds_; }
+
+ private:
+  double seconds_ = 0;
+  Instant sampled_at_{};
+};
+
 // Measures request rates by bucket with exponential smoothing, which starts anew when the total
 // rate jumps: otherwise the rates would lag behind by seconds. Deterministic; not thread-safe.
 class KeyLoadMeter {
@@ -49,8 +63,8 @@
     ++counts_[BucketOf(key)];
     ++count_;
   }
-  // Whether the requests of the current period, which has lasted `elapsed`, are more than the rates
-  // and chance explain. False from Restart() until the next EndPeriod().
+  // Whether the requests of the current period, which has lasted `elapsed`, are more or fewer than
+  // the rates and chance explain. False from Restart() until the next EndPeriod().
   bool HasJumped(Duration elapsed) const;
   // Starts a new period and drops the current one, in which the rates jumped. The next EndPeriod()
   // adopts the rates of its period without smoothing.
--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -47,9 +47,9 @@
   double worthwhile_gain = 1.25;
   // Maximum number of ranges that are moved away from beside one key in a round.
   size_t moves_per_key = 8;
-  // Other keys of the owner stay beside a key in demand while their load is below this share of
-  // what the owner completes.
-  double share_beside = 0.05;
+  // Ranges below this rate, in requests per second, stay beside a key in demand: a move is not
+  // worth a change of the map.
+  double moved_rate_min = 1;
   // Receivers of such ranges stay at or below this utilization.
   double receiver_utilization = 1.0;
 };
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -52,9 +52,8 @@
   ScheduleEarlyReport();
   SendReport();
   MeasureFormerGrants();
-  if (IsBalanceDue(loop_.Now())) {
+  if (loop_.Now() - load_weighed_at_ >= config_.balance_interval) {
     load_weighed_at_ = loop_.Now();
-    owner_overloaded_ = false;
     balance_pending_ = true;
     ObserveDemand();
   }
@@ -65,12 +64,6 @@
   Balance();
 }
 
-bool ShardCoordinator::IsBalanceDue(Instant now) const {
-  const Duration interval =
-      owner_overloaded_ ? config_.urgent_balance_interval : config_.balance_interval;
-  return now - load_weighed_at_ >= interval;
-}
-
 sharding::PlannerInput ShardCoordinator::MakeInput() const {
   const Instant now = loop_.Now();
   const Duration departure_wait = shards_.restored() && former_grants_.MayBeInForce(now)
@@ -118,7 +111,7 @@
 }
 
 void ShardCoordinator::ScheduleEarlyReport() {
-  if (!jump_detector_ || !jump_detector_()) return;
+  if (!load_sampler_ || !load_sampler_()) return;
   report_due_at_ = loop_.Now() + kEarlyReportDelay;
 }
 
@@ -130,7 +123,8 @@
   report.node = config_.node;
   report.service = config_.service;
   report_source_(&report);
-  StoreReport(report);
+  loads_[config_.node] = report;
+  reported_at_[config_.node] = now;
   if (!bound_) return;
   const std::string text = report.Serialize();
   size_t sent = 0;
@@ -148,14 +142,8 @@
   sharding::LoadReport report;
   if (!sharding::LoadReport::Parse(std::string(data), &report)) return;
   if (report.service != config_.service) return;
-  StoreReport(std::move(report));
-}
-
-void ShardCoordinator::StoreReport(sharding::LoadReport report) {
-  sharding::LoadReport& latest = loads_[report.node];
-  if (report.IsOverloaded() && !latest.IsOverloaded()) owner_overloaded_ = true;
   reported_at_[report.node] = loop_.Now();
-  latest = std::move(report);
+  loads_[report.node] = std::move(report);
 }
 
 void ShardCoordinator::Repair() {
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -44,8 +44,6 @@
   Duration rank_delay = std::chrono::milliseconds(500);
   Duration tick_interval = std::chrono::milliseconds(250);
   Duration balance_interval = std::chrono::seconds(1);
-  // The same once an owner has become overloaded.
-  Duration urgent_balance_interval = std::chrono::milliseconds(500);
   sharding::PlannerConfig planner;
 };
 
@@ -65,9 +63,9 @@
     report_source_ = std::move(source);
   }
 
-  // Sets the function that tells whether the rate of requests at this node's own worker has just
-  // jumped. A report follows soon after it, before its regular time.
-  void set_jump_detector(std::function<bool()> detector) { jump_detector_ = std::move(detector); }
+  // Sets the function that samples the load of this node's own worker at each tick and tells
+  // whether its rate of requests has just jumped. A report follows soon after that.
+  void set_load_sampler(std::function<bool()> sampler) { load_sampler_ = std::move(sampler); }
 
   // Number of keys in demand; zero on nodes that do not plan.
   size_t keys_in_demand() const { return key_demand_.size(); }
@@ -80,7 +78,6 @@
   void ScheduleEarlyReport();
   void SendReport();
   void OnReport(std::string_view data);
-  void StoreReport(sharding::LoadReport report);
   void Repair();
   // Carries the map that is known here over into the current era of the store.
   void CarryOver();
@@ -88,8 +85,6 @@
   // lower rank have had their time.
   bool IsDue(Instant since, Instant now) const;
   void MeasureFormerGrants();
-  // Whether it is time to weigh the load: regularly, and soon after an owner has become overloaded.
-  bool IsBalanceDue(Instant now) const;
   void ObserveDemand();
   void Balance();
   void Commit(const sharding::Plan& plan, std::string_view purpose);
@@ -107,14 +102,13 @@
   event::UdpSocket reports_;
   std::function<void()> on_committed_;
   std::function<void(sharding::LoadReport*)> report_source_;
-  std::function<bool()> jump_detector_;
+  std::function<bool()> load_sampler_;
   std::map<std::string, sharding::LoadReport> loads_;
   std::map<std::string, Instant> reported_at_;
   Instant active_since_{};
   Instant repair_needed_since_{};
   Instant load_weighed_at_{};
   Instant report_due_at_{};
-  bool owner_overloaded_ = false;  // An owner has become overloaded since `load_weighed_at_`.
   bool balance_pending_ = false;
   sharding::KeyDemand key_demand_;
   std::string balance_reason_;  // Outcome of the latest balance check.
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -202,11 +202,12 @@
     load_reported_at_ = now;
     holder_.meter().Fill(report);
     report->slots = monitor_.slots();
-    const double capacity = gate_.Capacity();
-    report->service_seconds = capacity > 0 ? report->slots / capacity : 0;
+    report->service_seconds = service_times_.seconds();
   });
-  coordinator_.set_jump_detector([this] {
+  coordinator_.set_load_sampler([this] {
     const Instant now = loop_.Now();
+    const double capacity = gate_.Capacity();
+    service_times_.Sample(now, capacity > 0 ? monitor_.slots() / capacity : 0);
     if (!holder_.meter().HasJumped(now - load_reported_at_)) return false;
     holder_.meter().Restart();
     load_reported_at_ = now;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -197,6 +197,7 @@
   bool may_have_forgotten_ = false;
   Instant last_tick_at_{};
   Instant load_reported_at_{};  // Last report of the load of the worker's keys.
+  sharding::ServiceTimeMeter service_times_;
   Instant traffic_logged_at_{};
   uint64_t logged_store_calls_ = 0;  // Renewals excluded.
 };
