Pipelined requests: the callback of a sent answer is named for what it tells

Change: set_on_sent and SendAnswersInTurn in place of set_on_handed_on and HandOnAnswers. No behaviour changes.

--- a/source/http/server.h
+++ b/source/http/server.h
@@ -60,7 +60,7 @@
   Duration held_for() const { return held_for_; }
   // Called when the complete answer, which waited, has had its turn. Not called if the connection
   // ends before.
-  void set_on_handed_on(std::function<void()> callback) { on_handed_on_ = std::move(callback); }
+  void set_on_sent(std::function<void()> callback) { on_sent_ = std::move(callback); }
 
   // Bytes of the answer that are buffered because the client has not read them yet. Includes the
   // bytes that the connection holds while the answer waits for its turn.
@@ -91,7 +91,7 @@
   bool head_request_;  // The method is HEAD: the answer has no body.
   std::function<void()> on_client_gone_;
   std::function<void()> on_drained_;
-  std::function<void()> on_handed_on_;
+  std::function<void()> on_sent_;
   Instant completed_at_{};
   Duration held_for_{0};
   bool started_ = false;
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -27,7 +27,7 @@
 
 void ServerConnection::Detach() {
   server_ = nullptr;
-  for (const ExchangePtr& exchange : exchanges_) exchange->on_handed_on_ = nullptr;
+  for (const ExchangePtr& exchange : exchanges_) exchange->on_sent_ = nullptr;
   exchanges_.clear();
   answers_.Clear();
   stream_.reset();
@@ -181,11 +181,11 @@
   if (!IsOpen()) return;
   const auto self = shared_from_this();
   if (!answers_.HasTurn(exchange->number_)) exchange->completed_at_ = server_->loop_.Now();
-  HandOnAnswers();
+  SendAnswersInTurn();
   Advance();
 }
 
-void ServerConnection::HandOnAnswers() {
+void ServerConnection::SendAnswersInTurn() {
   while (IsOpen() && !exchanges_.empty() && exchanges_.front()->finished_) {
     const ExchangePtr done = exchanges_.front();
     if (done->aborted_) {
@@ -205,7 +205,7 @@
     } else if (!exchanges_.empty()) {
       BeginTurn(held);
     }
-    if (const auto on_handed_on = std::exchange(done->on_handed_on_, nullptr)) on_handed_on();
+    if (const auto on_sent = std::exchange(done->on_sent_, nullptr)) on_sent();
   }
   if (IsOpen() && exchanges_.empty() && !reader_.in_request()) {
     timer_.Start(server_->limits_.idle_timeout);
@@ -255,7 +255,7 @@
 }
 
 void ServerConnection::Withdraw(std::vector<ExchangePtr> exchanges) {
-  for (const ExchangePtr& exchange : exchanges) exchange->on_handed_on_ = nullptr;
+  for (const ExchangePtr& exchange : exchanges) exchange->on_sent_ = nullptr;
   std::erase_if(exchanges, [](const ExchangePtr& exchange) { return exchange->finished_; });
   for (const ExchangePtr& exchange : exchanges) {
     exchange->finished_ = true;
--- a/source/http/server_connection.h
+++ b/source/http/server_connection.h
@@ -61,7 +61,7 @@
   void Refuse(int status);
 
   // Sends the answers whose turn it is.
-  void HandOnAnswers();
+  void SendAnswersInTurn();
   void BeginTurn(std::string_view held);
   // Closes the connection at an answer that was aborted.
   void BreakOff();
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -274,7 +274,7 @@
     return;
   }
   if (exchange_->waits_for_turn()) {
-    exchange_->set_on_handed_on([self] { self->RecordServed(); });
+    exchange_->set_on_sent([self] { self->RecordServed(); });
   } else {
     RecordServed();
   }
--- a/tests/http/pipelining_test.cc
+++ b/tests/http/pipelining_test.cc
@@ -83,10 +83,10 @@
   bool ended = false;
   STRCMP_EQUAL("", client.Receive(&ended).c_str());
   CHECK_EQUAL(3, server.open_exchanges());
-  bool handed_on = false;
-  exchanges[2]->set_on_handed_on([&] { handed_on = true; });
+  bool sent = false;
+  exchanges[2]->set_on_sent([&] { sent = true; });
   Answer200(0, "a");
-  CHECK(handed_on);
+  CHECK(sent);
   STRCMP_EQUAL((Answer("a") + Answer("b") + Answer("c")).c_str(),
                ReadUntil(&client, "\r\n\r\nc").c_str());
   CHECK_EQUAL(0, server.open_exchanges());
