Metrics and log: what large answers wait for, and what of a cut answer was where

Cause: of an answer that is cut, neither logs nor metrics told whether it waited for the link of the worker's node, was paused, or lay unsent at the entry node. Change: gauges of the pacer's queue (answers, bytes, longest wait) and of unsent bytes; forwarded_request_cut also when the caller leaves in the middle of a large answer, with received, waiting and unsent bytes, pause and backlog; answer_cut beside request_cut when part of the answer was sent. Conclusion: the three hypotheses of the incident leave different lines now.

--- a/source/http/server.cc
+++ b/source/http/server.cc
@@ -127,6 +127,17 @@
   return listener_->Listen(endpoint);
 }
 
+UnsentAnswers Server::unsent_answers() const {
+  UnsentAnswers unsent;
+  for (const auto& connection : connections_) {
+    const size_t bytes = connection->unsent_bytes();
+    if (bytes == 0) continue;
+    ++unsent.connections;
+    unsent.bytes += bytes;
+  }
+  return unsent;
+}
+
 uint16_t Server::bound_port() const { return listener_ == nullptr ? 0 : listener_->bound_port(); }
 
 void Server::StopListening() { listener_.reset(); }
--- a/source/http/server.h
+++ b/source/http/server.h
@@ -112,6 +112,16 @@
   Duration held_time{0};      // Sum of these waits.
 };
 
+// Answers, or ends of answers, that lie in the buffers of the process.
+struct UnsentAnswers {
+  size_t connections = 0;
+  uint64_t bytes = 0;
+
+  UnsentAnswers operator+(const UnsentAnswers& other) const {
+    return {connections + other.connections, bytes + other.bytes};
+  }
+};
+
 // Accepts connections on one address and passes each complete request to the handler.
 class Server {
  public:
@@ -142,6 +152,8 @@
   // Number of requests passed to the handler and not completely answered.
   size_t open_exchanges() const { return open_exchanges_; }
   size_t connections() const { return connections_.size(); }
+  // What answers have written and the operating system has not taken yet, on all connections.
+  UnsentAnswers unsent_answers() const;
 
  private:
   friend class ServerConnection;
--- a/source/http/server_connection.h
+++ b/source/http/server_connection.h
@@ -21,6 +21,9 @@
   // Drops the reference to the server, which is being destroyed.
   void Detach();
 
+  // Bytes written that the operating system has not taken yet.
+  size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
+
   void OnData(std::string_view data) override;
   void OnEnd(event::StreamEnd end) override;
   void OnDrained() override;
--- a/source/sidecar/answer_pacer.cc
+++ b/source/sidecar/answer_pacer.cc
@@ -24,13 +24,15 @@
       timer_(loop, [this] { WriteAllowed(); }) {}
 
 void AnswerPacer::Enqueue(PacedAnswer* answer) {
-  if (std::find(waiting_.begin(), waiting_.end(), answer) == waiting_.end()) {
-    waiting_.push_back(answer);
-  }
+  const bool queued = std::any_of(waiting_.begin(), waiting_.end(),
+                                  [&](const Waiting& waiting) { return waiting.answer == answer; });
+  if (!queued) waiting_.push_back({answer, loop_.Now()});
   WriteAllowed();
 }
 
-void AnswerPacer::Remove(PacedAnswer* answer) { std::erase(waiting_, answer); }
+void AnswerPacer::Remove(PacedAnswer* answer) {
+  std::erase_if(waiting_, [&](const Waiting& waiting) { return waiting.answer == answer; });
+}
 
 void AnswerPacer::OnAnswerSize(uint64_t bytes) {
   const auto size = static_cast<double>(bytes);
@@ -40,11 +42,22 @@
 Duration AnswerPacer::ExpectedDelay() const {
   if (bytes_per_second_ <= 0) return Duration(0);
   double bytes = answer_bytes_ * static_cast<double>(expected_answers_ + 1);
-  for (const PacedAnswer* answer : waiting_) bytes += static_cast<double>(answer->waiting_bytes());
+  bytes += static_cast<double>(backlog().bytes);
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(bytes / bytes_per_second_));
 }
 
+PacerBacklog AnswerPacer::backlog() const {
+  const Instant now = loop_.Now();
+  PacerBacklog backlog;
+  for (const Waiting& waiting : waiting_) {
+    ++backlog.answers;
+    backlog.bytes += waiting.answer->waiting_bytes();
+    backlog.longest_wait = std::max(backlog.longest_wait, now - waiting.since);
+  }
+  return backlog;
+}
+
 void AnswerPacer::Refill() {
   const Instant now = loop_.Now();
   const double seconds = std::chrono::duration<double>(now - refilled_at_).count();
@@ -58,16 +71,15 @@
          answer.due_time();
 }
 
-std::deque<PacedAnswer*>::iterator AnswerPacer::MostUrgent() {
+AnswerPacer::Queue::iterator AnswerPacer::MostUrgent() {
   if (bytes_per_second_ <= 0) return waiting_.begin();
   const Instant now = loop_.Now();
-  const auto urgency = [&](const PacedAnswer* answer) {
-    return std::pair(IsLate(*answer, now), answer->due_time());
+  const auto urgency = [&](const Waiting& waiting) {
+    return std::pair(IsLate(*waiting.answer, now), waiting.answer->due_time());
   };
-  return std::min_element(waiting_.begin(), waiting_.end(),
-                          [&](const PacedAnswer* left, const PacedAnswer* right) {
-                            return urgency(left) < urgency(right);
-                          });
+  return std::min_element(
+      waiting_.begin(), waiting_.end(),
+      [&](const Waiting& left, const Waiting& right) { return urgency(left) < urgency(right); });
 }
 
 void AnswerPacer::WriteAllowed() {
@@ -76,7 +88,8 @@
   Refill();
   while (!waiting_.empty() && (allowed_bytes_ > 0 || bytes_per_second_ <= 0)) {
     const auto next = MostUrgent();
-    PacedAnswer* answer = *next;
+    PacedAnswer* answer = next->answer;
+    next->since = loop_.Now();
     const size_t waiting = answer->waiting_bytes();
     const size_t limit =
         bytes_per_second_ <= 0 ? waiting : std::min(waiting, static_cast<size_t>(kMinBurstBytes));
@@ -84,7 +97,7 @@
     // before the call, which may destroy it.
     if (limit >= waiting) waiting_.erase(next);
     const size_t written = answer->WritePaced(limit);
-    if (written == 0) std::erase(waiting_, answer);
+    if (written == 0) Remove(answer);
     allowed_bytes_ -= static_cast<double>(written);
   }
   writing_ = false;
--- a/source/sidecar/answer_pacer.h
+++ b/source/sidecar/answer_pacer.h
@@ -30,6 +30,14 @@
   virtual Instant due_time() const = 0;
 };
 
+// The answers that wait to be written.
+struct PacerBacklog {
+  size_t answers = 0;
+  uint64_t bytes = 0;  // Received from workers and not written.
+  // Longest time for which one of them has waited since it was queued or last written.
+  Duration longest_wait{0};
+};
+
 // Token bucket for the large answers of one machine. Belongs to the thread of its event loop.
 class AnswerPacer {
  public:
@@ -53,14 +61,21 @@
   // Estimated time until one more large answer would be written completely, from the waiting bytes
   // and the expected answers.
   Duration ExpectedDelay() const;
+  PacerBacklog backlog() const;
 
  private:
+  struct Waiting {
+    PacedAnswer* answer;
+    Instant since;  // When it was queued or last written.
+  };
+  using Queue = std::deque<Waiting>;
+
   // Adds the tokens for the time since the last refill, up to the burst size.
   void Refill();
   // Writes while tokens are left, and sets the timer if answers still wait.
   void WriteAllowed();
   // Returns the waiting answer to be written next.
-  std::deque<PacedAnswer*>::iterator MostUrgent();
+  Queue::iterator MostUrgent();
   // True if the answer would miss its due time even if it had the link to itself.
   bool IsLate(const PacedAnswer& answer, Instant now) const;
 
@@ -69,7 +84,7 @@
   double burst_bytes_;
   double allowed_bytes_;  // Tokens; negative after an overdraft.
   Instant refilled_at_;
-  std::deque<PacedAnswer*> waiting_;  // In order of Enqueue.
+  Queue waiting_;  // In order of Enqueue.
   event::Timer timer_;
   int64_t expected_answers_ = 0;
   double answer_bytes_ = 0;  // Smoothed size of a large answer; zero until the first one.
--- a/source/sidecar/answer_relay.cc
+++ b/source/sidecar/answer_relay.cc
@@ -54,6 +54,10 @@
   }
 }
 
+AnswerProgress AnswerRelay::progress() const {
+  return {streaming_, paused_, size_, waiting_bytes(), exchange_->unsent_bytes()};
+}
+
 uint64_t AnswerRelay::bytes_to_write() const {
   const uint64_t passed_on = size_ - waiting_bytes();
   const uint64_t whole = std::max(size_, head_.content_length.value_or(size_));
--- a/source/sidecar/answer_relay.h
+++ b/source/sidecar/answer_relay.h
@@ -13,6 +13,15 @@
 
 namespace runshelf::sidecar {
 
+// How far an answer has got.
+struct AnswerProgress {
+  bool streaming = false;
+  bool paused = false;          // Nothing more is read from the worker for now.
+  uint64_t received_bytes = 0;  // Of the body, from the worker or its node.
+  uint64_t waiting_bytes = 0;   // Of these, not written to the connection.
+  uint64_t unsent_bytes = 0;    // Written to the connection and not read by its other end.
+};
+
 // Relays one answer, with backpressure on the attempt while the reader is slow.
 class AnswerRelay : private PacedAnswer {
  public:
@@ -40,6 +49,7 @@
   void Reset();
   // True once part of the answer has been passed on, after which no other answer can replace it.
   bool streaming() const { return streaming_; }
+  AnswerProgress progress() const;
   const http::ResponseHead& head() const { return head_; }
   http::ResponseHead& head() { return head_; }
 
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -36,7 +36,7 @@
   void Begin() {
     const auto self = shared_from_this();
     relay_.set_attempt(attempt_.get());
-    exchange_->set_on_client_gone([this] { End(); });
+    exchange_->set_on_client_gone([this] { OnClientGone(); });
     if (large_answer_) {
       const Duration delay = handler_->pacer_.ExpectedDelay();
       if (handler_->loop_.Now() + delay * kDelayMarginPercent / 100 > answer_by_) {
@@ -88,16 +88,32 @@
     End();
   }
 
-  void LogUnfinished() const {
+  void LogUnfinished() const { LogCut("stopping"); }
+
+ private:
+  // Logs an answer that ends incomplete.
+  void LogCut(std::string_view reason) const {
+    const AnswerProgress progress = relay_.progress();
+    const PacerBacklog backlog = handler_->pacer_.backlog();
     handler_->log_.Write(LogLevel::kInfo, "forwarded_request_cut",
                          {{"request", request_id_},
-                          {"reason", "stopping"},
-                          {"answering", relay_.streaming()},
+                          {"reason", std::string(reason)},
+                          {"answering", progress.streaming},
                           {"running", handler_->gate_.IsRunning(request_id_)},
+                          {"received_bytes", progress.received_bytes},
+                          {"waiting_bytes", progress.waiting_bytes},
+                          {"unsent_bytes", progress.unsent_bytes},
+                          {"paused", progress.paused},
+                          {"backlog_answers", backlog.answers},
+                          {"backlog_bytes", backlog.bytes},
                           {"worker", handler_->gate_.worker_id()}});
   }
 
- private:
+  void OnClientGone() {
+    if (relay_.streaming()) LogCut("caller-gone");
+    End();
+  }
+
   void StopExpecting() {
     if (!answer_expected_) return;
     answer_expected_ = false;
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -36,6 +36,8 @@
   uint64_t refused_in_stop() const { return refused_in_stop_; }
   // Logs each request in progress. Call when the process exits without answering them.
   void LogUnfinished() const;
+  // Large answers that wait for their share of the link.
+  PacerBacklog pacer_backlog() const { return pacer_.backlog(); }
 
  private:
   class Forward;
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -116,6 +116,16 @@
   gauge("runshelf_forwarded_requests_under_way",
         "Requests forwarded here by other nodes, without a final response.",
         static_cast<double>(gauges.requests_under_way.forwarded));
+  gauge("runshelf_unsent_answer_bytes",
+        "Bytes of answers to clients and other nodes that these have not read yet.",
+        static_cast<double>(gauges.unsent_answers.bytes));
+  gauge("runshelf_paced_answers", "Large answers to other nodes that wait for the link.",
+        static_cast<double>(gauges.paced_answers.answers));
+  gauge("runshelf_paced_answer_bytes", "Bytes of large answers that wait for the link.",
+        static_cast<double>(gauges.paced_answers.bytes));
+  gauge("runshelf_paced_answer_longest_wait_seconds",
+        "Longest time for which a waiting large answer has not been written.",
+        std::chrono::duration<double>(gauges.paced_answers.longest_wait).count());
   gauge("runshelf_configuration_version",
         "Version of the configuration in force; zero: none is known.",
         static_cast<double>(gauges.configuration_version));
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -10,6 +10,7 @@
 #include "runshelf/routing/target_load.h"
 #include "source/http/client.h"
 #include "source/http/server.h"
+#include "source/sidecar/answer_pacer.h"
 #include "source/sidecar/freshness_tracker.h"
 #include "source/sidecar/request_counts.h"
 #include "source/store/store_client.h"
@@ -45,6 +46,8 @@
   size_t live_nodes = 0;
   bool stopping = false;
   RequestCounts requests_under_way;
+  PacerBacklog paced_answers;
+  http::UnsentAnswers unsent_answers;  // To clients and to other nodes.
   uint64_t store_calls = 0;
   std::map<store::StoreCallCause, store::StoreCallsOfCause> store_calls_by_cause;
   uint64_t connections_opened = 0;
--- a/source/sidecar/request_flow_outcome.cc
+++ b/source/sidecar/request_flow_outcome.cc
@@ -83,6 +83,15 @@
 void RequestFlow::LogUnfinished() {
   const bool sent = !current_node_.empty() || may_have_run_;
   LogOutcome("request_cut", 0, "stopping", sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
+  const AnswerProgress progress = relay_.progress();
+  if (!progress.streaming) return;
+  context_.log.Write(LogLevel::kInfo, "answer_cut",
+                     {{"request", request_id_},
+                      {"received_bytes", progress.received_bytes},
+                      {"waiting_bytes", progress.waiting_bytes},
+                      {"unsent_bytes", progress.unsent_bytes},
+                      {"paused", progress.paused},
+                      {"node", last_node_}});
 }
 
 Duration RequestFlow::Age() const { return context_.loop.Now() - exchange_->received(); }
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -372,6 +372,8 @@
   gauges.zone_evacuated = peers_.IsEvacuated(settings_.zone);
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
+  gauges.paced_answers = inbound_handler_.pacer_backlog();
+  gauges.unsent_answers = outbound_.unsent_answers() + inbound_.unsent_answers();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
--- a/tests/sidecar/answer_pacer_test.cc
+++ b/tests/sidecar/answer_pacer_test.cc
@@ -117,6 +117,23 @@
   CHECK_EQUAL(100, ToMilliseconds(pacer.ExpectedDelay()));
 }
 
+TEST(AnswerPacer, BacklogTellsWhatWaitsAndForHowLong) {
+  Answer first(400000);
+  Answer second(40000);
+  pacer.Enqueue(&first);
+  pacer.Enqueue(&second);
+  RunFor(loop, std::chrono::milliseconds(100));
+  const PacerBacklog backlog = pacer.backlog();
+  CHECK_EQUAL(2, backlog.answers);
+  CHECK_EQUAL(first.waiting + second.waiting, backlog.bytes);
+  // Only the second has not been written since.
+  CHECK(backlog.longest_wait >= std::chrono::milliseconds(90));
+  pacer.Remove(&second);
+  CHECK(pacer.backlog().longest_wait < std::chrono::milliseconds(90));
+  pacer.Remove(&first);
+  CHECK_EQUAL(0, pacer.backlog().answers);
+}
+
 TEST(AnswerPacer, WithUnlimitedBandwidthEverythingIsWrittenAtOnce) {
   AnswerPacer unbounded(loop, 0);
   Answer answer(10000000);
