Answer pacer: a late answer is due again well before its caller gives up

What callers saw: a download that a stopping node had accepted ended in the middle of its answer (LOST); other callers of late downloads waited for seconds, some until their own deadline. Cause: the pacer wrote answers that can still meet their target before all that cannot. While newer answers kept the link full, a late one got nothing, also when it had begun; a stopping entry node does not live as long as the deadline of the request. Change: a late answer is due halfway between its target and its deadline, and answers are written in the order in which they are due. Until then it yields to those in time as before. Why it works: admission bounds what waits to less than a target's worth of the link, so an answer that is the first to be due gets the link long before its deadline.

--- a/source/sidecar/answer_pacer.cc
+++ b/source/sidecar/answer_pacer.cc
@@ -71,15 +71,21 @@
          answer.due_time();
 }
 
+// Half of the time that a late answer has left is for the answers due before it, which have been
+// admitted to be complete within their own targets, and for its own bytes.
+Instant AnswerPacer::DueTimeNow(const PacedAnswer& answer, Instant now) const {
+  const Instant due_time = answer.due_time();
+  if (!IsLate(answer, now)) return due_time;
+  return due_time + (answer.deadline() - due_time) / 2;
+}
+
 AnswerPacer::Queue::iterator AnswerPacer::MostUrgent() {
   if (bytes_per_second_ <= 0) return waiting_.begin();
   const Instant now = loop_.Now();
-  const auto urgency = [&](const Waiting& waiting) {
-    return std::pair(IsLate(*waiting.answer, now), waiting.answer->due_time());
-  };
-  return std::min_element(
-      waiting_.begin(), waiting_.end(),
-      [&](const Waiting& left, const Waiting& right) { return urgency(left) < urgency(right); });
+  return std::min_element(waiting_.begin(), waiting_.end(),
+                          [&](const Waiting& left, const Waiting& right) {
+                            return DueTimeNow(*left.answer, now) < DueTimeNow(*right.answer, now);
+                          });
 }
 
 void AnswerPacer::WriteAllowed() {
--- a/source/sidecar/answer_pacer.h
+++ b/source/sidecar/answer_pacer.h
@@ -3,8 +3,9 @@
 //
 // A large answer that is written as fast as the worker produces it fills the queue of a slow link,
 // and every small answer then waits for the whole queue. The pacer writes large answers one after
-// the other, at somewhat less than the bandwidth of the link. Answers that can still be complete by
-// their due time go first, and among these or the rest the one that is due first.
+// the other, at somewhat less than the bandwidth of the link, in the order in which they are due.
+// An answer that can no longer be complete by its due time yields to others for a while, but is due
+// again well before its caller gives up; otherwise newer answers could keep it waiting until then.
 #pragma once
 
 #include <cstdint>
@@ -28,6 +29,8 @@
   virtual uint64_t bytes_to_write() const = 0;
   // When the caller wants the complete answer; a later one is worth less.
   virtual Instant due_time() const = 0;
+  // When the caller gives up; not before `due_time()`.
+  virtual Instant deadline() const = 0;
 };
 
 // The answers that wait to be written.
@@ -76,6 +79,8 @@
   void WriteAllowed();
   // Returns the waiting answer to be written next.
   Queue::iterator MostUrgent();
+  // When the answer is to be complete, given what is left of it.
+  Instant DueTimeNow(const PacedAnswer& answer, Instant now) const;
   // True if the answer would miss its due time even if it had the link to itself.
   bool IsLate(const PacedAnswer& answer, Instant now) const;
 
--- a/source/sidecar/answer_relay.h
+++ b/source/sidecar/answer_relay.h
@@ -28,9 +28,9 @@
   // Streams large answers without pacing.
   explicit AnswerRelay(http::ExchangePtr exchange) : exchange_(std::move(exchange)) {}
   // Streams large answers at the rate that `pacer` allows; `pacer` must outlive the relay. The
-  // caller wants the complete answer by `due_time`.
-  AnswerRelay(http::ExchangePtr exchange, AnswerPacer* pacer, Instant due_time)
-      : exchange_(std::move(exchange)), pacer_(pacer), due_time_(due_time) {}
+  // caller wants the complete answer by `due_time` and gives up at `deadline`.
+  AnswerRelay(http::ExchangePtr exchange, AnswerPacer* pacer, Instant due_time, Instant deadline)
+      : exchange_(std::move(exchange)), pacer_(pacer), due_time_(due_time), deadline_(deadline) {}
   ~AnswerRelay() override;
   AnswerRelay(const AnswerRelay&) = delete;
   AnswerRelay& operator=(const AnswerRelay&) = delete;
@@ -59,6 +59,7 @@
   size_t waiting_bytes() const override { return body_.size() - written_; }
   uint64_t bytes_to_write() const override;
   Instant due_time() const override { return due_time_; }
+  Instant deadline() const override { return deadline_; }
 
   void StartStreaming();
   void WriteOrEnqueue();
@@ -69,6 +70,7 @@
   http::ExchangePtr exchange_;
   AnswerPacer* pacer_ = nullptr;
   Instant due_time_{};
+  Instant deadline_{};
   Attempt* attempt_ = nullptr;
   http::ResponseHead head_;
   std::string body_;    // Buffered or waiting to be written.
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -27,7 +27,7 @@
   Forward(InboundHandler* handler, http::ExchangePtr exchange, const AttemptRequest& request)
       : handler_(handler),
         exchange_(std::move(exchange)),
-        relay_(exchange_, &handler->pacer_, request.answer_by),
+        relay_(exchange_, &handler->pacer_, request.answer_by, request.deadline),
         request_id_(request.request_id),
         answer_by_(request.answer_by),
         large_answer_(request.large_answer),
--- a/tests/sidecar/answer_pacer_test.cc
+++ b/tests/sidecar/answer_pacer_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <list>
 #include <string>
 
 #include "tests/event/loop_runner.h"
@@ -28,9 +29,11 @@
   size_t waiting_bytes() const override { return waiting; }
   uint64_t bytes_to_write() const override { return waiting; }
   Instant due_time() const override { return due; }
+  Instant deadline() const override { return give_up; }
 
   size_t waiting;
   Instant due = Instant::max();
+  Instant give_up = Instant::max();
   bool reader_slow = false;
 };
 
@@ -90,6 +93,44 @@
   CHECK(RunUntil(loop, [&] { return late.waiting == 0; }));
 }
 
+// Guards against a late answer that is never completed because newer answers, each of which can
+// still meet its due time, keep the link full until the late one's deadline.
+TEST(AnswerPacer, ALateAnswerIsCompletedBeforeItsDeadlineWhileTheLinkIsFull) {
+  constexpr size_t kLateBytes = 200000;
+  constexpr Duration kTarget = std::chrono::milliseconds(200);
+  constexpr Duration kDeadline = std::chrono::milliseconds(1800);
+  const Instant start = loop.Now();
+  Answer late(kLateBytes);
+  late.due = start + kTarget;
+  late.give_up = start + kDeadline;
+  std::list<Answer> others;
+  size_t complete_others = 0;
+  const auto add_other = [&] {
+    others.emplace_back(40000);
+    others.back().due = loop.Now() + kTarget;
+    others.back().give_up = loop.Now() + kDeadline;
+    pacer.Enqueue(&others.back());
+  };
+  // Two answers wait at any time; a complete one is replaced by a new one.
+  add_other();
+  add_other();
+  pacer.Enqueue(&late);
+  CHECK(RunUntil(
+      loop,
+      [&] {
+        const auto complete = std::count_if(others.begin(), others.end(),
+                                            [](const Answer& other) { return other.waiting == 0; });
+        for (; complete_others < static_cast<size_t>(complete); ++complete_others) add_other();
+        return late.waiting == 0;
+      },
+      kDeadline));
+  // Until it was urgent it yielded to those in time.
+  CHECK(loop.Now() - start > kTarget * 2);
+  CHECK(complete_others > 8);
+  pacer.Remove(&late);
+  for (Answer& other : others) pacer.Remove(&other);
+}
+
 TEST(AnswerPacer, ASlowReaderDoesNotDelayOtherAnswers) {
   Answer slow(40000);
   slow.reader_slow = true;
