Stopping node: the worker's node is told by when a request must be complete

What callers saw: of the downloads that a stopping node accepts, those taken last could be cut at its end: the worker's node scheduled run and answer by the deadline of the request, which was later. Cause: an attempt carried the deadline of its request, whatever the end of the node that sent it. Change: the attempts that a stopping node sends to other nodes carry its own end, less the margin for an answer, where that is before the deadline. Attempts at its own worker keep theirs. Why it works: gate and pacer of the worker's node order by that time, and refuse what cannot be done by then while the client can still go elsewhere. Conclusion: attempts that were sent before the stop still carry the deadline of their request.

--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -224,6 +224,9 @@
   if (node == context_.settings.node_name) {
     attempt_ = context_.gate.Submit(attempt, this);
   } else {
+    // The other node does not know when this one ends.
+    attempt.deadline = std::min(attempt.deadline, context_.stop.CompleteBy());
+    attempt.answer_by = std::min(attempt.answer_by, attempt.deadline);
     const Peer* peer = context_.peers.Find(node);
     attempt_ = std::make_unique<RemoteAttempt>(context_.loop, context_.pool, context_.peers, node,
                                                peer->record.inbound, std::move(attempt), this);
--- a/source/sidecar/stop_schedule.cc
+++ b/source/sidecar/stop_schedule.cc
@@ -38,9 +38,14 @@
   return !closed_ && Elapsed(now) < kAcceptRequestsFor;
 }
 
+Instant StopSchedule::CompleteBy() const {
+  if (!begun()) return Instant::max();
+  return *begun_at_ + bounds_.grace_period - kEndReserve - kAnswerMargin;
+}
+
 bool StopSchedule::EndsInTime(Instant deadline) const {
   if (!begun()) return true;
-  return !closed_ && deadline <= *begun_at_ + bounds_.grace_period - kEndReserve - kAnswerMargin;
+  return !closed_ && deadline <= CompleteBy();
 }
 
 bool StopSchedule::OutOfTime(Instant now) const {
--- a/source/sidecar/stop_schedule.h
+++ b/source/sidecar/stop_schedule.h
@@ -32,6 +32,8 @@
   std::optional<StopNotice> Notice(Instant now) const;
   // Whether new requests are accepted.
   bool TakesNewRequests(Instant now) const;
+  // By when requests must complete; Instant::max() while no stop was requested.
+  Instant CompleteBy() const;
   // Whether a request that times out at `deadline` completes before the process ends.
   bool EndsInTime(Instant deadline) const;
   // Whether the process must end without waiting any longer.
--- a/tests/platform_adapter/stopping_downloads_test.cc
+++ b/tests/platform_adapter/stopping_downloads_test.cc
@@ -158,6 +158,20 @@
   CHECK(others.completed() > 10);
 }
 
+// Guards against an answer that is in no hurry at the worker's node, since the deadline of its
+// request is later than the end of the node that the client is connected to.
+TEST(StoppingDownloads, AnswerToRequestAcceptedLastIsCompletedBeforeTheStoppingNodeEnds) {
+  Stop(kStoppingNode);
+  RunFor(fleet->loop, std::chrono::milliseconds(2150));
+  const auto download = BeginDownload(*fleet, kStoppingNode, 500000, /*run_milliseconds=*/900);
+  RunFor(fleet->loop, std::chrono::milliseconds(100));
+  const SteadyDownloads others(*fleet, kBusyNode);
+  WaitUntilEnded(kStoppingNode);
+  RunFor(fleet->loop, std::chrono::milliseconds(100));
+  ExpectComplete(*download, 500000);
+  CHECK(others.completed() > 10);
+}
+
 TEST_GROUP(StoppingSlowReaders){};
 
 // Guards against an answer that a stopping node has taken from the worker and that its client has
--- a/tests/sidecar/stop_schedule_test.cc
+++ b/tests/sidecar/stop_schedule_test.cc
@@ -19,6 +19,7 @@
   CHECK_FALSE(schedule.begun());
   CHECK(schedule.TakesNewRequests(begun));
   CHECK(schedule.EndsInTime(After(3600000)));
+  CHECK(schedule.CompleteBy() == Instant::max());
   CHECK_FALSE(schedule.OutOfTime(begun));
   CHECK_FALSE(schedule.Notice(begun).has_value());
 }
@@ -39,6 +40,9 @@
 // time.
 TEST(StopSchedule, RequestThatEndsInTimeCompletesBeforeProcessEnds) {
   schedule.Begin(begun);
+  CHECK(schedule.CompleteBy() > After(5000));
+  CHECK(schedule.CompleteBy() < After(5300));
+  CHECK(schedule.EndsInTime(schedule.CompleteBy()));
   CHECK(schedule.EndsInTime(After(5000)));
   CHECK_FALSE(schedule.EndsInTime(After(5300)));
   CHECK_FALSE(schedule.OutOfTime(After(5200)));
