Stop: waits until clients have read their answers

What callers saw: a client or link that takes its answer slowly got part of it and a closed connection at any time from 2.3 s after the stop was asked for, without a line in the log. Cause: a request counted as over once its answer had been written to the connection, though up to 256 KiB of it may still lie in the buffers of the process. Change: bytes of answers that the operating system has not taken count as under way, to clients and to other nodes; stop_waiting and stopped tell them. Why it works: the stop ends when they are sent, or out of time as for a running request. Conclusion: a client that reads nothing makes a stop last until its grace period is over, less the reserve.

--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -135,7 +135,7 @@
       tick_(loop, [this] { OnTick(); }),
       state_read_timer_(loop, [this] { ReadState(); }),
       stop_sequence_(StopContext{loop, stop_schedule_, ingress_, inbound_handler_, gate_, holder_,
-                                 store_, log},
+                                 store_, log, [this] { return UnsentAnswers(); }},
                      {[this] { AnnounceStop(); },
                       [this] {
                         EndLease();
@@ -373,7 +373,7 @@
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
   gauges.paced_answers = inbound_handler_.pacer_backlog();
-  gauges.unsent_answers = outbound_.unsent_answers() + inbound_.unsent_answers();
+  gauges.unsent_answers = UnsentAnswers();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
@@ -395,6 +395,10 @@
   exchange->Respond(kOk, headers, metrics_.Serialize(gauges));
 }
 
+http::UnsentAnswers Sidecar::UnsentAnswers() const {
+  return outbound_.unsent_answers() + inbound_.unsent_answers();
+}
+
 std::optional<double> Sidecar::LocalRateLimit(const std::string& caller_class) {
   const table::CellValue* cell = table_.Find(settings_.worker_service, caller_class);
   if (cell == nullptr || !cell->limit.has_value()) return std::nullopt;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -122,6 +122,8 @@
   void OnWorkerEnded(const std::string& worker_id);
   // Sends the record of a worker's end to all other nodes directly, without the store.
   void BroadcastWorkerEnd(const std::string& worker_end);
+  // What clients and other nodes have not read yet of their answers.
+  http::UnsentAnswers UnsentAnswers() const;
   // This node's share of the rate limit that the operators' table sets for the caller class;
   // nullopt: no limit.
   std::optional<double> LocalRateLimit(const std::string& caller_class);
--- a/source/sidecar/stop_sequence.cc
+++ b/source/sidecar/stop_sequence.cc
@@ -36,11 +36,15 @@
   return context_.ingress.UnderWay() + context_.inbound_handler.UnderWay();
 }
 
+bool StopSequence::Idle() const {
+  return UnderWay().total() == 0 && context_.unsent_answers().bytes == 0 &&
+         context_.holder.OwnsNoShards();
+}
+
 void StopSequence::Continue() {
   const Instant now = context_.loop.Now();
   observer_.on_progress();
-  const bool idle = UnderWay().total() == 0 && context_.holder.OwnsNoShards();
-  const bool done = idle && !context_.schedule.TakesNewRequests(now);
+  const bool done = Idle() && !context_.schedule.TakesNewRequests(now);
   if (done || context_.schedule.OutOfTime(now)) {
     End();
     return;
@@ -59,6 +63,7 @@
                       {"clients", running.clients},
                       {"nested", running.nested},
                       {"forwarded", running.forwarded},
+                      {"unsent_bytes", context_.unsent_answers().bytes},
                       {"holds_keys", !context_.holder.OwnsNoShards()},
                       {"store_reachable", context_.store.reachable()}});
 }
@@ -71,6 +76,7 @@
   context_.ingress.RefuseWaiting();
   observer_.on_ending();
   const RequestCounts cut = UnderWay();
+  const http::UnsentAnswers unsent = context_.unsent_answers();
   context_.ingress.LogUnfinished();
   context_.inbound_handler.LogUnfinished();
   context_.log.Write(LogLevel::kInfo, "stopped",
@@ -79,6 +85,8 @@
                       {"clients_cut", cut.clients},
                       {"nested_cut", cut.nested},
                       {"forwarded_cut", cut.forwarded},
+                      {"unsent_answers", unsent.connections},
+                      {"unsent_bytes", unsent.bytes},
                       {"refused", context_.ingress.refused_in_stop()},
                       {"forwarded_refused", context_.inbound_handler.refused_in_stop()},
                       {"holds_keys", !context_.holder.OwnsNoShards()}});
--- a/source/sidecar/stop_sequence.h
+++ b/source/sidecar/stop_sequence.h
@@ -1,6 +1,6 @@
-// Performs the planned stop of a node: waits for running requests and for the handover of its keys,
-// refuses requests that are still queued at the end, and logs what it waited for and what it cut
-// off.
+// Performs the planned stop of a node: waits for running requests, until their answers have been
+// read, and for the handover of its keys, refuses requests that are still queued at the end, and
+// logs what it waited for and what it cut off.
 #pragma once
 
 #include <functional>
@@ -27,6 +27,8 @@
   const ShardHolder& holder;
   const store::StoreClient& store;
   LogWriter& log;
+  // What clients and other nodes have not read yet of their answers.
+  std::function<http::UnsentAnswers()> unsent_answers;
 };
 
 // Not thread-safe: must be used on the thread of its event loop.
@@ -48,6 +50,8 @@
   void Continue();
   void End();
   RequestCounts UnderWay() const;
+  // Whether nothing is left that the stop waits for.
+  bool Idle() const;
   void LogWaiting(Instant now);
 
   StopContext context_;
