Large answers: due within what a node lives after a stop request

What callers saw: a download with a deadline far in the future, whose entry node was asked to stop after it had sent the request on, could wait for the link longer than that node lives. Cause: a late answer is due halfway to the deadline of its request, and the worker's node does not know of a stop that begins later. Change: the pacer takes the earlier of the deadline and the time within which requests complete after a stop request, from the arrival of the request. Why it works: an entry node that is asked to stop at any later moment lives at least that long; the same holds for the worker's own node. Conclusion: no answer waits for the link longer than a stop lasts, whatever its route allows.

--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -1,5 +1,6 @@
 #include "source/sidecar/inbound_handler.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "source/sidecar/answer_relay.h"
@@ -27,7 +28,8 @@
   Forward(InboundHandler* handler, http::ExchangePtr exchange, const AttemptRequest& request)
       : handler_(handler),
         exchange_(std::move(exchange)),
-        relay_(exchange_, &handler->pacer_, request.answer_by, request.deadline),
+        relay_(exchange_, &handler->pacer_, request.answer_by,
+               std::max(request.answer_by, handler->AnswerDeadline(request))),
         request_id_(request.request_id),
         answer_by_(request.answer_by),
         large_answer_(request.large_answer),
@@ -222,6 +224,12 @@
   return stop_.TakesNewRequests(loop_.Now()) || gate_.RequiresKeyOwner(attempt);
 }
 
+// The node of the caller, or this one, may be asked to stop right after it has sent or accepted the
+// request.
+Instant InboundHandler::AnswerDeadline(const AttemptRequest& attempt) const {
+  return std::min(attempt.deadline, loop_.Now() + stop_.CompletionTime());
+}
+
 void InboundHandler::AddNodeState(http::Headers* headers) const {
   peer_protocol::AddLoad(gate_.load(), headers);
   peer_protocol::AddStopNotice(stop_.Notice(loop_.Now()), headers);
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -45,6 +45,8 @@
   void AddHandover(const http::ExchangePtr& exchange);
   void ForwardToStore(const http::ExchangePtr& exchange);
   bool Accepts(const AttemptRequest& attempt) const;
+  // By when the complete answer can still be of use.
+  Instant AnswerDeadline(const AttemptRequest& attempt) const;
   // Adds the headers that every answer carries: the load of the local worker, and the notice that
   // this node is stopping.
   void AddNodeState(http::Headers* headers) const;
--- a/source/sidecar/stop_schedule.cc
+++ b/source/sidecar/stop_schedule.cc
@@ -38,9 +38,13 @@
   return !closed_ && Elapsed(now) < kAcceptRequestsFor;
 }
 
+Duration StopSchedule::CompletionTime() const {
+  return bounds_.grace_period - kEndReserve - kAnswerMargin;
+}
+
 Instant StopSchedule::CompleteBy() const {
   if (!begun()) return Instant::max();
-  return *begun_at_ + bounds_.grace_period - kEndReserve - kAnswerMargin;
+  return *begun_at_ + CompletionTime();
 }
 
 bool StopSchedule::EndsInTime(Instant deadline) const {
--- a/source/sidecar/stop_schedule.h
+++ b/source/sidecar/stop_schedule.h
@@ -32,6 +32,9 @@
   std::optional<StopNotice> Notice(Instant now) const;
   // Whether new requests are accepted.
   bool TakesNewRequests(Instant now) const;
+  // Time from a stop request within which requests must complete. Any node may be asked to stop at
+  // any time, so no answer is certain to find its reader after a longer time.
+  Duration CompletionTime() const;
   // By when requests must complete; Instant::max() while no stop was requested.
   Instant CompleteBy() const;
   // Whether a request that times out at `deadline` completes before the process ends.
--- a/tests/platform_adapter/fixtures.cc
+++ b/tests/platform_adapter/fixtures.cc
@@ -26,7 +26,7 @@
       R"("target_latency_ms","priority","service","max_attempts"],"rows":[)"
       R"(["read","h.example","/read/","idempotent",1500,1000,2,"{}",2],)"
       R"(["send","h.example","/send/","non_idempotent",1500,1000,1,"{}",2],)"
-      R"(["pull","h.example","/pull/","download",6000,1000,2,"{}",2],)"
+      R"(["pull","h.example","/pull/","download",20000,1000,2,"{}",2],)"
       R"(["keyed","h.example","/keyed/","idempotent",1500,1000,2,"keyed",2]]}},)"
       R"("services":{{"columns":["name","health_check_path","sharded"],)"
       R"("rows":[["plain","/health",null],["other","/health",null],["keyed","/health",true]]}},)"
--- a/tests/platform_adapter/stopping_downloads_test.cc
+++ b/tests/platform_adapter/stopping_downloads_test.cc
@@ -24,7 +24,7 @@
 constexpr size_t kStoppingNode = 1;
 constexpr size_t kBusyNode = 2;
 constexpr double kLinkBytesPerSecond = 1.25e6;
-constexpr int kDeadlineMs = 6000;
+constexpr Duration kDeadline = std::chrono::seconds(6);
 constexpr int kSlots = 30;
 
 // Answers requests for "/pull/BYTES/MILLISECONDS" with that many bytes after that time.
@@ -54,11 +54,12 @@
 };
 
 std::unique_ptr<Fleet::PendingRequest> BeginDownload(Fleet& fleet, size_t node, size_t bytes,
-                                                     int run_milliseconds) {
+                                                     int run_milliseconds,
+                                                     Duration deadline = kDeadline) {
   http::Headers headers;
-  headers.Add("Deadline-Ms", std::to_string(kDeadlineMs));
+  headers.Add("Deadline-Ms", std::to_string(ToMilliseconds(deadline)));
   return fleet.Begin(node, "GET", DownloadWorker::Target(bytes, run_milliseconds), "", headers,
-                     std::chrono::milliseconds(kDeadlineMs + 500));
+                     deadline + std::chrono::milliseconds(500));
 }
 
 // Clients of one node that ask for more than the link of the worker's node carries. What cannot be
@@ -172,6 +173,20 @@
   CHECK(others.completed() > 10);
 }
 
+// Guards against an answer that waits for the link longer than its client's node lives, because the
+// node was asked to stop only after it had sent the request with a deadline far in the future.
+TEST(StoppingDownloads, AnswerWithDistantDeadlineIsCompletedWhenTheStopBeginsLater) {
+  const auto download = BeginDownload(*fleet, kStoppingNode, 200000, /*run_milliseconds=*/900,
+                                      std::chrono::seconds(20));
+  RunFor(fleet->loop, std::chrono::milliseconds(100));
+  Stop(kStoppingNode);
+  const SteadyDownloads others(*fleet, kBusyNode);
+  WaitUntilEnded(kStoppingNode);
+  RunFor(fleet->loop, std::chrono::milliseconds(100));
+  ExpectComplete(*download, 200000);
+  CHECK(others.completed() > 10);
+}
+
 TEST_GROUP(StoppingSlowReaders){};
 
 // Guards against an answer that a stopping node has taken from the worker and that its client has
