Soak: clients that download more than the links of the workers carry

Cause: no play of the soak had large answers or narrow links, so the loss of large answers at the end of a stop could not show.

--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -25,6 +25,8 @@
 
   // Requests per second that cold workers bear; to be set before Start().
   void set_cold_rate(double requests_per_second) { operators_.set_cold_rate(requests_per_second); }
+  // The configurations have a route for downloads; to be set before Start().
+  void set_downloads(bool downloads) { operators_.set_downloads(downloads); }
   // Writes the operator's first configuration and schedules the faults relative to now.
   void Start();
   // Must be called frequently: stops drained workers, starts replacements that are due and copies
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -58,6 +58,8 @@
     TCLAP::SwitchArg evacuations("e", "evacuations",
                                  "operators evacuate zones, workers are cold after their start",
                                  command);
+    TCLAP::SwitchArg downloads(
+        "w", "downloads", "clients download more than the links of the workers carry", command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodeCount(seed.getValue());
@@ -67,6 +69,7 @@
     options.store_restores = restores.getValue();
     options.second_answers = twice.getValue();
     options.stated_limits = limits.getValue();
+    options.downloads = downloads.getValue();
     options.evacuations = evacuations.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
@@ -90,10 +93,11 @@
   fmt::print(
       "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
       "cut_at_other_nodes={} stalls={} slowest_answer_ms={} fatal_ends={} second_answers={} "
-      "verdict={}\n",
+      "downloads={} verdict={}\n",
       options.seed, options.nodes, result.counts.sent, result.counts.served, result.faults.size(),
       result.violations.size(), result.served_at_end, result.counts.cut_at_other_nodes,
       result.stalls, runshelf::ToMilliseconds(result.slowest_answer), result.fatal_ends,
-      result.second_answers, result.violations.empty() && recovered ? "kept" : "broken");
+      result.second_answers, result.downloads,
+      result.violations.empty() && recovered ? "kept" : "broken");
   return result.violations.empty() && recovered ? 0 : kExitBroken;
 }
--- a/tests/soak/operator_configurations.cc
+++ b/tests/soak/operator_configurations.cc
@@ -11,12 +11,18 @@
 constexpr uint64_t kLargestStep = 9;
 constexpr int kTargetLatencyMs = 1000;
 constexpr int kMaxAttempts = 2;
+constexpr const char* kDownloadRoute = "pull";
 const char* const kMovedRoutes[] = {"read", "send", "inner", "extra"};
 
 bool MayRunOnce(const std::string& route) {
   return route == "send" || route == "note" || route == "order";
 }
 
+const char* KindOf(const std::string& route) {
+  if (route == kDownloadRoute) return "download";
+  return MayRunOnce(route) ? "non_idempotent" : "idempotent";
+}
+
 json Services(double cold_rate) {
   const json cold = cold_rate > 0 ? json(cold_rate) : json();
   return {{"columns", {"name", "health_check_path", "sharded", "cold_per_s"}},
@@ -49,6 +55,7 @@
     const bool removed = route == "extra" && routes_.erase(route) != 0 && random_.Below(2) == 0;
     if (!removed) routes_[route] = DrawParts();
   }
+  if (downloads_) routes_[kDownloadRoute] = {{"plain"}};
   version_ += 1 + static_cast<int>(random_.Below(kLargestStep));
   WrittenConfiguration written;
   json rows = json::array();
@@ -59,10 +66,11 @@
       written.allowed[route].insert(part.service);
     }
     const bool single = parts.size() == 1;
-    rows.push_back(
-        {route, "h.example", "/" + route + "/", MayRunOnce(route) ? "non_idempotent" : "idempotent",
-         ToMilliseconds(kRouteTimeout), kTargetLatencyMs, 1 + random_.Below(4),
-         single ? json(parts[0].service) : json(), kMaxAttempts, single ? json() : split});
+    const Duration timeout = route == kDownloadRoute ? kDownloadTimeout : kRouteTimeout;
+    rows.push_back({route, "h.example", "/" + route + "/", KindOf(route), ToMilliseconds(timeout),
+                    kTargetLatencyMs, 1 + random_.Below(4),
+                    single ? json(parts[0].service) : json(), kMaxAttempts,
+                    single ? json() : split});
   }
   const json body{{"version", "r" + std::to_string(version_)},
                   {"routes",
--- a/tests/soak/operator_configurations.h
+++ b/tests/soak/operator_configurations.h
@@ -13,6 +13,7 @@
 
 // The request time-out of every route.
 constexpr Duration kRouteTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kDownloadTimeout = std::chrono::milliseconds(6000);
 
 // A configuration and the services that it allows. Routes are named by their first path segment:
 // "send", "note" and "order" are non-idempotent; "order" and "keyed" use shard keys; "inner" and
@@ -29,6 +30,8 @@
 
   // Requests per second that cold workers bear, in all later configurations; zero: not stated.
   void set_cold_rate(double requests_per_second) { cold_rate_ = requests_per_second; }
+  // All later configurations have the route "pull", for downloads.
+  void set_downloads(bool downloads) { downloads_ = downloads; }
   // Returns the next configuration. The first one has every route except "extra", all unsplit.
   WrittenConfiguration Next();
 
@@ -44,6 +47,7 @@
   SeededRandom random_;
   int version_ = 0;
   double cold_rate_ = 0;
+  bool downloads_ = false;
   std::map<std::string, Parts> routes_;
 };
 
--- a/tests/soak/promise_judge.cc
+++ b/tests/soak/promise_judge.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "tests/soak/download_target.h"
+
 namespace runshelf::soak {
 namespace {
 
@@ -73,7 +75,8 @@
   if (answer.status < kFirstSuccess || answer.status >= kAfterSuccess) return;
   const auto ran = std::find(request.workers.begin(), request.workers.end(), answer.worker_stamp);
   const bool whole =
-      answer.body == ExpectedAnswerBody(answer.worker_stamp, answer.id, request.sent.body);
+      answer.body == ExpectedAnswerBody(answer.worker_stamp, answer.id, request.sent.body) +
+                         DownloadPadding(request.sent.target);
   if (ran == request.workers.end() || !whole) {
     AddViolation("mixed", answer.id + " got an answer that no worker gave to it");
   }
--- a/tests/soak/request_runner.cc
+++ b/tests/soak/request_runner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "source/event/event_loop.h"
+#include "tests/soak/download_target.h"
 
 namespace runshelf::soak {
 namespace {
@@ -171,7 +172,9 @@
   if (run->node->worker->draining()) headers.Add("Server-Leaving", "1");
   const http::ExchangePtr exchange = run->exchange;
   const std::string body =
-      status == kOk ? ExpectedAnswerBody(run->worker, run->id, exchange->request().body) : "";
+      status == kOk ? ExpectedAnswerBody(run->worker, run->id, exchange->request().body) +
+                          DownloadPadding(exchange->request().head.target)
+                    : "";
   End(run, WorkEnd::kAnswered, status);
   exchange->Respond(status, headers, body);
 }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -25,6 +25,8 @@
 // Gives fatal requests a random sequence of their own, so that enabling them does not change the
 // other random choices of a seed.
 constexpr uint64_t kFatalSeedOffset = 3;
+// Likewise for downloads.
+constexpr uint64_t kDownloadSeedOffset = 5;
 // Zones of a run in which operators evacuate some of them, and how long its workers are cold.
 constexpr size_t kZones = 3;
 constexpr Duration kColdTime = std::chrono::milliseconds(2500);
@@ -66,6 +68,7 @@
     fleet.zones = kZones;
     fleet.cold_time = kColdTime;
   }
+  if (options.downloads) fleet.link_megabits = kLinkMegabits;
   fleet.keys_in_heartbeats = options.seed % kGrantMethods == 0;
   return fleet;
 }
@@ -81,6 +84,7 @@
       driver_(loop_, fleet_, witness_, plan_, options_.seed),
       clients_(loop_, witness_, fleet_.nodes(), options_.seed),
       fatal_requests_(loop_, witness_, fleet_.nodes(), options_.seed + kFatalSeedOffset),
+      downloads_(loop_, witness_, fleet_.nodes(), options_.seed + kDownloadSeedOffset),
       responsiveness_(loop_, fleet_.nodes()),
       watch_timer_(loop_, [this] { Watch(); }),
       end_timer_(loop_, [this] { loop_.Stop(); }),
@@ -100,10 +104,12 @@
   const Instant end = started_ + options_.duration;
   witness_.MeasureFrom(end - kMeasuredFrom, end - kMeasuredUntil);
   if (options_.evacuations) driver_.set_cold_rate(kColdRate);
+  driver_.set_downloads(options_.downloads);
   driver_.Start();
   fleet_.Start();
   clients_.Start();
   if (options_.fatal_requests) fatal_requests_.Start();
+  if (options_.downloads) downloads_.Start();
   watched_at_ = loop_.Now();
   watch_timer_.Start(kWatchInterval, /*repeating=*/true);
   end_timer_.Start(options_.duration);
@@ -118,6 +124,7 @@
     result_.unserved_at_end.push_back(fmt::format("{} {}: {}", kind.first, kind.second, count));
   }
   result_.fatal_ends = witness_.fatal_ends();
+  result_.downloads = downloads_.served();
   result_.second_answers = fleet_.second_answers();
   result_.slowest_answer = responsiveness_.longest();
   return result_;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -8,6 +8,7 @@
 
 #include "source/event/event_loop.h"
 #include "tests/soak/clients.h"
+#include "tests/soak/downloads.h"
 #include "tests/soak/fatal_requests.h"
 #include "tests/soak/fault_driver.h"
 #include "tests/soak/responsiveness.h"
@@ -27,6 +28,7 @@
   bool stated_limits = false;   // Faults include workers that state limits of their rates.
   // Operators evacuate zones, and workers are cold after their start.
   bool evacuations = false;
+  bool downloads = false;       // Clients download more than the workers' links carry.
   bool fatal_requests = false;  // Some requests terminate the worker that starts them.
 };
 
@@ -41,6 +43,7 @@
   int stalls = 0;
   int fatal_ends = 0;          // Workers terminated by fatal requests.
   size_t second_answers = 0;   // Responses that workers sent twice.
+  uint64_t downloads = 0;      // Downloads that workers answered.
   Duration slowest_answer{0};  // Slowest readiness response of any node.
 };
 
@@ -66,6 +69,7 @@
   FaultDriver driver_;
   Clients clients_;
   FatalRequests fatal_requests_;
+  Downloads downloads_;
   Responsiveness responsiveness_;
   event::Timer watch_timer_;
   event::Timer end_timer_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -140,6 +140,9 @@
       node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
       node.outbound.ToString(), node.readiness.ToString(), node.control_plane.ToString(),
       node.store_proxy->endpoint().ToString());
+  if (options_.link_megabits > 0) {
+    file << fmt::format("[limits]\nlink_mbps = {}\n", options_.link_megabits);
+  }
 }
 
 void SoakFleet::ChangeSettings(const SoakNode& node) {
--- a/tests/soak/witness.cc
+++ b/tests/soak/witness.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "tests/soak/download_target.h"
 #include "tests/soak/operator_configurations.h"
 
 namespace runshelf::soak {
@@ -65,11 +66,12 @@
   if (end != CallerConnection::End::kNotSent) Judge(*open, end, stamp != nullptr);
 }
 
-// Skips the route "extra", which some configurations lack, and fatal requests, which are expected
-// to fail.
+// Skips the route "extra", which some configurations lack, fatal requests, which are expected to
+// fail, and downloads, of which the links carry only a part.
 void Witness::Measure(const OpenAttempt& open, int status) {
   if (open.attempt.nested || open.attempt.route == "extra") return;
-  if (IsFatalRequest(open.attempt.request.target)) return;
+  const std::string& target = open.attempt.request.target;
+  if (IsFatalRequest(target) || IsDownload(target)) return;
   if (status == kOk) ++counts_.served;
   const Instant sent_at = open.attempt.sent_at;
   if (sent_at < measured_from_ || sent_at >= measured_until_) return;
@@ -87,7 +89,8 @@
   finished.node = open.attempt.node;
   finished.sent_at = open.attempt.sent_at;
   finished.ended_at = clock_.Now();
-  finished.time_up = std::min(open.attempt.deadline, open.attempt.sent_at + kRouteTimeout);
+  finished.time_up =
+      std::min(open.attempt.deadline, open.attempt.sent_at + open.attempt.route_timeout);
   finished.disturbed = Disturbed(open);
   finished.kept_connection = open.attempt.kept_connection;
   finished.by_worker = by_worker;
@@ -205,7 +208,7 @@
   const Attempt& attempt = open.attempt;
   if (open.ended || node == attempt.node || stop_asked_[node] == Instant{}) return false;
   const Instant now = clock_.Now();
-  const Instant time_up = std::min(attempt.deadline, attempt.sent_at + kRouteTimeout);
+  const Instant time_up = std::min(attempt.deadline, attempt.sent_at + attempt.route_timeout);
   return now - stop_asked_[node] <= kGracePeriod + kExitSlack && now + kDeadlineMargin < time_up &&
          unplanned_.Undisturbed(node, now);
 }
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -22,6 +22,7 @@
 #include "tests/soak/fatal_request_judge.h"
 #include "tests/soak/limit_judge.h"
 #include "tests/soak/loss_judge.h"
+#include "tests/soak/operator_configurations.h"
 #include "tests/soak/ownership_judge.h"
 #include "tests/soak/promise_judge.h"
 
@@ -47,6 +48,7 @@
   bool keyed = false;
   bool nested = false;
   bool kept_connection = false;
+  Duration route_timeout = kRouteTimeout;
   Instant sent_at{};
   Instant deadline{};
 };
