Large answers: admission counts what is not received yet, and bounds targets by a stop

The bound on how long a large answer waits rests on admission, which let in more than the link carries in three cases. Change: ExpectedDelay counts bytes_to_write(), and a size of 64 KiB until one is known; target time and admission of a large answer are bounded by what a stop leaves. Conclusion: an answer without a length that is larger than the buffers is still undercounted.

--- a/source/sidecar/answer_pacer.cc
+++ b/source/sidecar/answer_pacer.cc
@@ -12,6 +12,8 @@
 constexpr double kBurstSeconds = 0.006;
 constexpr double kMinBurstBytes = 8192;
 constexpr double kSizeSmoothing = 0.1;
+// Size assumed of large answers until the first one is known.
+constexpr double kAssumedAnswerBytes = 65536;
 
 }  // namespace
 
@@ -36,13 +38,17 @@
 
 void AnswerPacer::OnAnswerSize(uint64_t bytes) {
   const auto size = static_cast<double>(bytes);
-  answer_bytes_ += (size - answer_bytes_) * (answer_bytes_ == 0 ? 1 : kSizeSmoothing);
+  const double smoothed = answer_bytes_.value_or(size);
+  answer_bytes_ = smoothed + (size - smoothed) * kSizeSmoothing;
 }
 
 Duration AnswerPacer::ExpectedDelay() const {
   if (bytes_per_second_ <= 0) return Duration(0);
-  double bytes = answer_bytes_ * static_cast<double>(expected_answers_ + 1);
-  bytes += static_cast<double>(backlog().bytes);
+  const double answer_bytes = answer_bytes_.value_or(kAssumedAnswerBytes);
+  double bytes = answer_bytes * static_cast<double>(expected_answers_ + 1);
+  for (const Waiting& waiting : waiting_) {
+    bytes += static_cast<double>(waiting.answer->bytes_to_write());
+  }
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(bytes / bytes_per_second_));
 }
--- a/source/sidecar/answer_pacer.h
+++ b/source/sidecar/answer_pacer.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "source/event/event_loop.h"
 
@@ -61,8 +62,8 @@
   void OnAnswerNoLongerExpected() { --expected_answers_; }
   // Records the size in bytes of a complete large answer.
   void OnAnswerSize(uint64_t bytes);
-  // Estimated time until one more large answer would be written completely, from the waiting bytes
-  // and the expected answers.
+  // Estimated time until one more large answer would be written completely, from what is left to
+  // write of the waiting answers and from the expected ones.
   Duration ExpectedDelay() const;
   PacerBacklog backlog() const;
 
@@ -92,8 +93,8 @@
   Queue waiting_;  // In order of Enqueue.
   event::Timer timer_;
   int64_t expected_answers_ = 0;
-  double answer_bytes_ = 0;  // Smoothed size of a large answer; zero until the first one.
-  bool writing_ = false;     // WriteAllowed() is running; an answer may call Enqueue from it.
+  std::optional<double> answer_bytes_;  // Smoothed size of a large answer.
+  bool writing_ = false;  // WriteAllowed() is running; an answer may call Enqueue from it.
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/inbound_handler.cc
+++ b/source/sidecar/inbound_handler.cc
@@ -28,10 +28,10 @@
   Forward(InboundHandler* handler, http::ExchangePtr exchange, const AttemptRequest& request)
       : handler_(handler),
         exchange_(std::move(exchange)),
-        relay_(exchange_, &handler->pacer_, request.answer_by,
-               std::max(request.answer_by, handler->AnswerDeadline(request))),
+        relay_(exchange_, &handler->pacer_, handler->AnswerBy(request),
+               handler->AnswerDeadline(request)),
         request_id_(request.request_id),
-        answer_by_(request.answer_by),
+        answer_by_(handler->AnswerBy(request)),
         large_answer_(request.large_answer),
         attempt_(handler->gate_.Submit(request, this)) {}
 
@@ -230,6 +230,10 @@
   return std::min(attempt.deadline, loop_.Now() + stop_.CompletionTime());
 }
 
+Instant InboundHandler::AnswerBy(const AttemptRequest& attempt) const {
+  return std::min(attempt.answer_by, AnswerDeadline(attempt));
+}
+
 void InboundHandler::AddNodeState(http::Headers* headers) const {
   peer_protocol::AddLoad(gate_.load(), headers);
   peer_protocol::AddStopNotice(stop_.Notice(loop_.Now()), headers);
--- a/source/sidecar/inbound_handler.h
+++ b/source/sidecar/inbound_handler.h
@@ -45,7 +45,8 @@
   void AddHandover(const http::ExchangePtr& exchange);
   void ForwardToStore(const http::ExchangePtr& exchange);
   bool Accepts(const AttemptRequest& attempt) const;
-  // By when the complete answer can still be of use.
+  // By when the complete answer is wanted, and by when it can still be of use.
+  Instant AnswerBy(const AttemptRequest& attempt) const;
   Instant AnswerDeadline(const AttemptRequest& attempt) const;
   // Adds the headers that every answer carries: the load of the local worker, and the notice that
   // this node is stopping.
--- a/tests/platform_adapter/stopping_downloads_test.cc
+++ b/tests/platform_adapter/stopping_downloads_test.cc
@@ -187,6 +187,33 @@
   CHECK(others.completed() > 10);
 }
 
+// Guards against accepting a download, on a route with a target of many seconds, that the link
+// cannot carry before the client's node ends if it is asked to stop.
+TEST(StoppingDownloads, DownloadThatWouldOutlastAStopIsRefused) {
+  constexpr size_t kEarlierDownloads = 20;
+  constexpr size_t kBytes = 500000;
+  std::string configuration = TestConfiguration(2, "plain");
+  const std::string target_latency = "\"download\",20000,1000,";
+  const size_t found = configuration.find(target_latency);
+  CHECK(found != std::string::npos);
+  configuration.replace(found, target_latency.size(), "\"download\",20000,10000,");
+  fleet->store.Put("op/config", configuration);
+  RunFor(fleet->loop, std::chrono::milliseconds(300));
+  constexpr Duration kDistantDeadline = std::chrono::seconds(20);
+  std::vector<std::unique_ptr<Fleet::PendingRequest>> earlier;
+  for (size_t count = 0; count < kEarlierDownloads; ++count) {
+    earlier.push_back(BeginDownload(*fleet, kBusyNode, kBytes, 100, kDistantDeadline));
+  }
+  RunFor(fleet->loop, std::chrono::milliseconds(500));
+  const auto download = BeginDownload(*fleet, kStoppingNode, kBytes, 100, kDistantDeadline);
+  RunFor(fleet->loop, std::chrono::milliseconds(50));
+  Stop(kStoppingNode);
+  WaitUntilEnded(kStoppingNode);
+  CHECK(download->over);
+  CHECK(download->answer.has_value());
+  CHECK_EQUAL(503, download->answer->status);
+}
+
 TEST_GROUP(StoppingSlowReaders){};
 
 // Guards against an answer that a stopping node has taken from the worker and that its client has
