Tests: NestedCallsTakePrecedenceOverNewRequests measures a short execution time

Cause: FillWorker held the measured request for 600 ms. Admission then expects each further request to take 1.5 times as long, against a target latency of 1000 ms, so that a little more delay on a busy machine makes it refuse /send/new, whose order the test checks.

Change: the hold is a parameter of FillWorker, 20 ms in this test and 600 ms, as before, in the other. The checks of the order are unchanged.

Conclusion: an assumption of time in the set-up; the order is not affected by it.

--- a/tests/platform_adapter/sidecar_test.cc
+++ b/tests/platform_adapter/sidecar_test.cc
@@ -133,15 +133,17 @@
   CHECK(answer->headers.Has("Retry-After"));
 }
 
-// Occupies all slots of the worker of `node` after the node has measured one execution time.
-static void FillWorker(Fleet& fleet, size_t node, std::vector<http::ExchangePtr>* held,
+// Occupies all slots of the worker of `node` after the node has measured one execution time, which
+// is `measured`.
+static void FillWorker(Fleet& fleet, size_t node, Duration measured,
+                       std::vector<http::ExchangePtr>* held,
                        std::vector<std::unique_ptr<Fleet::PendingRequest>>* pending) {
   constexpr size_t kSlots = 4;
   fleet.nodes[node].worker->set_behaviour(
       [held](const http::ExchangePtr& exchange) { held->push_back(exchange); });
   pending->push_back(fleet.Begin(node, "GET", "/read/measured", ""));
   CHECK(RunUntil(fleet.loop, [&] { return held->size() == 1; }));
-  RunFor(fleet.loop, std::chrono::milliseconds(600));
+  RunFor(fleet.loop, measured);
   AnswerRun(held->front(), 200);
   CHECK(RunUntil(fleet.loop, [&] { return pending->front()->over; }));
   held->clear();
@@ -157,7 +159,7 @@
   fleet.Kill(1);
   std::vector<http::ExchangePtr> held;
   std::vector<std::unique_ptr<Fleet::PendingRequest>> pending;
-  FillWorker(fleet, 0, &held, &pending);
+  FillWorker(fleet, 0, std::chrono::milliseconds(600), &held, &pending);
   fleet.Restart(1);
   CHECK(RunUntil(fleet.loop, [&] { return fleet.nodes[1].sidecar->ready(); }));
   RunFor(fleet.loop, std::chrono::milliseconds(300));
@@ -182,7 +184,8 @@
   fleet.Start();
   std::vector<http::ExchangePtr> held;
   std::vector<std::unique_ptr<Fleet::PendingRequest>> pending;
-  FillWorker(fleet, 0, &held, &pending);
+  // Short against the target latency: admission must refuse none of the requests.
+  FillWorker(fleet, 0, std::chrono::milliseconds(20), &held, &pending);
   std::vector<http::ExchangePtr> parents;
   fleet.nodes[1].worker->set_behaviour(
       [&](const http::ExchangePtr& exchange) { parents.push_back(exchange); });
