--- a/review/standins.py
+++ b/review/standins.py
@@ -95,6 +95,20 @@
     return answer(status, [("Content-Type", "application/json"), *headers], json.dumps(value).encode())
 
 
+def uncovered(first, last, ranges):
+    """The parts of first..last that no range covers."""
+    parts = []
+    for f, l in sorted(ranges):
+        if l < first or f > last:
+            continue
+        if f > first:
+            parts.append((first, f - 1))
+        first = max(first, l + 1)
+    if first <= last:
+        parts.append((first, last))
+    return parts
+
+
 class HttpServer:
     """Serves one request at a time on each connection; handle() returns the bytes of the answer."""
 
@@ -103,6 +117,7 @@
         self.port = None
         self.server = None
         self.connections = set()
+        self.writers = set()
 
     async def listen(self, port=0):
         self.server = await asyncio.start_server(self._serve, self.ip, port, limit=1 << 24)
@@ -121,10 +136,13 @@
             self.server.close()
         for task in list(self.connections):
             task.cancel()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self.connections.add(task)
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -137,6 +155,7 @@
             pass
         finally:
             self.connections.discard(task)
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -299,46 +318,103 @@
         self.held = []  # [first, last, fence, until]
         self.fences = {}  # (first, last) -> highest fence seen
         self.running = 0
+        self.running_keys = []
         self.runs = []  # (time, Attempt-Id, key)
         self.on_request = None
+        self.sharded = False  # Runs a request only while it holds the key.
+        self.by_heartbeat = False  # Keys come with the answers to heartbeats, not by calls.
+        self.released = []  # [first, last, handover], not yet told to the system.
+        self.health_delay = 0.0
+        self.alive = True
 
     async def beat(self, interval):
-        while True:
+        while self.alive:
             await self.notify("heartbeat")
             await asyncio.sleep(interval)
 
     def heartbeat(self):
         self.sequence += 1
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+        body = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
                 "call_sequence": self.sequence, "born": self.born}
+        if self.by_heartbeat:
+            self.expire_holds()
+            body["holds"] = [h[:3] for h in self.held]
+            body["released"] = [list(r) for r in self.released]
+        return body
+
+    def notice(self, call="heartbeat", body=None):
+        """The bytes of a heartbeat or of another call to the system."""
+        return encode(f"POST /runshelf/rpc?call=instances.{call}&of={self.id} HTTP/1.1",
+                      [("Host", self.control_plane), ("Content-Type", "application/json")],
+                      json.dumps(body or self.heartbeat()).encode())
 
     async def notify(self, call):
-        body = json.dumps(self.heartbeat()).encode()
+        sent = time.monotonic()
+        body = self.heartbeat()
         try:
-            reply = await asyncio.wait_for(send_once(
-                self.control_plane, encode(f"POST /runshelf/rpc?call=instances.{call}&of={self.id} HTTP/1.1",
-                                           [("Host", self.control_plane), ("Content-Type", "application/json")],
-                                           body)), 1)
-            return reply.status
+            reply = await asyncio.wait_for(send_once(self.control_plane, self.notice(call, body)), 1)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return None
+        if reply.status == 200 and self.by_heartbeat and self.alive:
+            self.released = [r for r in self.released if r not in body["released"]]
+            answer_body = json.loads(reply.body or b"{}")
+            if "holds" in answer_body and self.take_lease(answer_body, sent):
+                await asyncio.sleep(0.05)
+                await self.notify(call)
+        return reply.status
+
+    def expire_holds(self):
+        self.held = [h for h in self.held if h[3] > time.monotonic()]
+
+    def take_lease(self, lease, sent):
+        """The rows are all that the worker is to hold, counted from the sending. Returns whether it let go."""
+        self.expire_holds()
+        until = sent + lease["hold_ms"] / 1000
+        held, kept = [], []
+        for first, last, fence, _ in lease["holds"]:
+            if any(f <= last and first <= l and seen > fence for (f, l), seen in self.fences.items()):
+                continue
+            self.fences[(first, last)] = max(fence, self.fences.get((first, last), 0))
+            held.append([first, last, fence, until])
+            kept.append((first, last))
+        let_go = []
+        for first, last, _, _ in self.held:
+            for f, l in uncovered(first, last, kept):
+                let_go.append([f, l, f"{f:04x}{l:04x}{self.sequence:x}"])
+        self.held = held
+        self.released += let_go
+        return bool(let_go)
 
     def holds(self, key):
-        return any(f <= key <= l and time.monotonic() < u for f, l, _, u in self.held)
+        return self.alive and any(f <= key <= l and time.monotonic() < u for f, l, _, u in self.held)
+
+    def crash(self):
+        """The process ends: nothing listens any more, and all connections are closed."""
+        self.alive = False
+        self.held = []
+        self.close()
+        self.record.write(f"worker {self.id} ends")
+
+    def let_go(self, first, last):
+        kept = []
+        for f, l, fence, until in self.held:
+            kept += [[a, b, fence, until] for a, b in uncovered(f, l, [(first, last)])]
+        self.held = kept
 
     def grant(self, body):
         first, last, fence = body["from_revision"], body["target_version"], body["fence"]
         if any(f <= last and first <= l and seen > fence for (f, l), seen in self.fences.items()):
             return answer(409)
         self.fences[(first, last)] = max(fence, self.fences.get((first, last), 0))
-        self.held = [h for h in self.held if (h[0], h[1]) != (first, last)]
+        self.let_go(first, last)
         self.held.append([first, last, fence, time.monotonic() + body["hold_ms"] / 1000])
         return answer(200)
 
     async def handle(self, request, reader, writer):
         method, target, _ = request.first.split(" ", 2)
         if target == "/health":
+            await asyncio.sleep(self.health_delay)
             return answer(200 if self.state == "ready" else 503,
                           [("Instance-Id", self.id), ("Server-Load", f"{self.running},0,{self.slots}")])
         if target == "/runshelf/grant":
@@ -346,7 +422,9 @@
         if target == "/runshelf/release":
             body = json.loads(request.body)
             first, last = body["from_revision"], body["target_version"]
-            self.held = [h for h in self.held if h[1] < first or h[0] > last]
+            self.let_go(first, last)
+            while any(first <= int(k) <= last for k in self.running_keys):
+                await asyncio.sleep(0.01)
             self.fences[(first, last)] = max(body["fence"], self.fences.get((first, last), 0))
             return answer(200, [("Handover", f"{first:04x}{last:04x}{body['fence']:x}")])
         attempt = request.get("Attempt-Id")
@@ -357,17 +435,23 @@
         if attempt is None:
             return answer(400, [("Not-Executed", "1")])
         key = request.get("Shard-Key")
+        if self.sharded and not (key is not None and self.holds(int(key))):
+            return answer(421, [("Instance-Id", self.id), ("Not-Executed", "1"), *echo])
         if self.on_request is not None:
             reply = await self.on_request(self, request, writer)
             if reply is not None:
                 return reply
         self.running += 1
+        if key is not None:
+            self.running_keys.append(key)
         self.runs.append((time.monotonic(), attempt, key))
         self.record.write(f"worker {self.id} begins {attempt} {target} key={key}")
         try:
             await asyncio.sleep(self.work)
         finally:
             self.running -= 1
+            if key is not None:
+                self.running_keys.remove(key)
         self.record.write(f"worker {self.id} answers {attempt}")
         return answer(200, [("Server-Stamp", "3e1b.07.5a2"), *echo], f"ran {attempt}".encode())
 
@@ -530,10 +614,26 @@
         self.tasks.append(asyncio.ensure_future(coroutine))
         return self.tasks[-1]
 
+    def new_worker(self, ip, service, zone, work):
+        return Worker(ip, self.record, service, zone, f"i-{random.getrandbits(32):08x}", work)
+
+    async def replace(self, number):
+        """A new worker, with a new id, at the address of the one that ended."""
+        former = self.workers[number]
+        worker = self.new_worker(former.ip, former.service, former.zone, former.work)
+        worker.sharded, worker.by_heartbeat = former.sharded, former.by_heartbeat
+        worker.control_plane = former.control_plane
+        await worker.listen(former.port)
+        self.workers[number] = worker
+        self.record.write(f"worker {worker.id} starts at the address of {former.id}")
+        self.run(worker.beat(self.heartbeat_ms / 1000))
+        return worker
+
     async def add(self, service, zone="a", work=0.1, **options):
         number = len(self.sidecars)
         ip = f"{self.net}.{10 + number}"
-        worker = Worker(ip, self.record, service, zone, f"i-{random.getrandbits(32):08x}", work)
+        worker = self.new_worker(ip, service, zone, work)
+        worker.by_heartbeat = options.get("grants") == "heartbeat"
         await worker.listen()
         sidecar = Sidecar(self.folder, self.record, f"n{number}", ip, zone, service, worker.address,
                           self.store.address, self.peer_port, self.heartbeat_ms, **options)
