--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,4 +1,4 @@
-"""A heartbeat that was held back arrives after its sender has crashed and a new worker has registered."""
+"""A worker ends silently, and its address goes to a worker of another service."""
 
 import os
 import sys
@@ -6,108 +6,54 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins import *  # noqa: E402,F403
 
-GRANTS = os.environ.get("GRANTS", "heartbeat")  # Or "invocation".
-HEALTH_DELAY_S = float(os.environ.get("HEALTH_DELAY_S", "0"))  # How long a health check waits for a slot.
-KEYS = range(0, 65536, 128)
-BOUND_S = 0.5
+REUSE_AFTER_S = 2.2  # More than reuse_after_s.
 
 
-class Holders:
-    """Sees who holds which keys, a hundred times a second."""
-
-    def __init__(self, fleet, record):
-        self.fleet, self.record = fleet, record
-        self.since = {}  # key -> when two workers were first seen to hold it
-        self.longest = {}  # key -> seconds
-        self.who = {}
-
-    async def watch(self):
-        while True:
-            now = self.record.now()
-            for key in KEYS:
-                holders = [worker.id for worker in self.fleet.workers if worker.holds(key)]
-                if len(holders) < 2:
-                    self.since.pop(key, None)
-                    continue
-                if key not in self.since:
-                    self.since[key] = now
-                    self.record.write(f"key {key} is held by {' and '.join(holders)}")
-                self.longest[key] = max(self.longest.get(key, 0), now - self.since[key])
-            await asyncio.sleep(0.01)
-
-    def counts(self):
-        return {worker.id: sum(1 for key in KEYS if worker.holds(key)) for worker in self.fleet.workers}
-
-    async def until_all_held(self, number, timeout):
-        """Waits until every key is held and the worker at `number` holds some."""
-        until = time.monotonic() + timeout
-        while time.monotonic() < until:
-            counts = list(self.counts().values())
-            if sum(counts) >= len(KEYS) and counts[number] > 0:
-                return True
-            await asyncio.sleep(0.05)
-        return False
-
-
-async def call_now_and_then(sidecar, record, number):
+async def call_now_and_then(sidecar, record, prefix, sent, number):
     client, draw = Client(sidecar.outbound, record), random.Random(number)
     while True:
-        await client.send("/a/1", "h.example", method="POST", body=b"order", key=draw.choice(KEYS), deadline_ms=2500)
+        attempt = f"{draw.getrandbits(64):016x}"
+        sent[attempt] = prefix
+        await client.send(f"{prefix}{number}", "h.example", attempt=attempt, method="POST", body=b"order",
+                          deadline_ms=1500)
         await asyncio.sleep(0.1)
 
 
 async def scenario(fleet, record, trouble):
     await fleet.begin()
-    for zone in ("a", "b", "a"):
-        _, worker = await fleet.add("keyed", zone, work=0.1, grants=GRANTS)
-        worker.sharded = True
-    fleet.store.put("op/config", configuration(
-        5, [{"name": "keyed", "host": "h.example", "path_prefix": "/a/", "service": "keyed",
-             "kind": "non_idempotent", "max_attempts": 1, "timeout_ms": 3000, "target_latency_ms": 800,
-             "priority": 1}],
-        [{"name": "keyed", "health_check_path": "/health", "max_connections": 110, "sharded": True}]))
+    for service, zone in (("orders", "a"), ("orders", "b"), ("billing", "a"), ("billing", "b")):
+        await fleet.add(service, zone, work=0.1)
+    routes = [{"name": name, "host": "h.example", "path_prefix": f"/{name}/", "service": name,
+               "kind": "non_idempotent", "max_attempts": 1, "timeout_ms": 2000, "target_latency_ms": 800,
+               "priority": 1} for name in ("orders", "billing")]
+    services = [{"name": name, "health_check_path": "/health", "max_connections": 110, "sharded": False}
+                for name in ("orders", "billing")]
+    fleet.store.put("op/config", configuration(5, routes, services))
     assert await fleet.start(), "the sidecars did not become ready"
-    holders = Holders(fleet, record)
-    fleet.run(holders.watch())
-    assert await holders.until_all_held(0, 20), "the keys were not given to the workers"
-    for number, sidecar in enumerate(fleet.sidecars):
-        for _ in range(2):
-            fleet.run(call_now_and_then(sidecar, record, number))
     await asyncio.sleep(4)
-
-    # The first worker says that it leaves, and crashes. With trouble, its heartbeat is held back.
-    former = fleet.workers[0]
-    former.state = "draining"
-    heartbeat = former.notice()
-    sent = record.now()
-    record.write(f"worker {former.id} sends a heartbeat, draining")
-    if not trouble:
-        reply = await send_once(former.control_plane, heartbeat)
-        record.write(f"the heartbeat of {former.id} gets {reply.status}")
-    await asyncio.sleep(0.2)
-    former.crash()
-    await asyncio.sleep(1.5)
-    present = await fleet.replace(0)
-    await asyncio.sleep(1)
-    # The second worker is to be replaced, too: it drains, and the present worker gets keys.
-    fleet.workers[1].state = "draining"
-    record.write(f"worker {fleet.workers[1].id} drains")
-    assert await holders.until_all_held(0, 6), "the new worker got no keys"
-    record.write(f"keys held: {holders.counts()}")
-    present.health_delay = HEALTH_DELAY_S
+    sent, callers = {}, []
+    for number, sidecar in enumerate(fleet.sidecars):
+        for index, prefix in enumerate(("/orders/", "/orders/", "/orders/", "/billing/")):
+            callers.append(fleet.run(call_now_and_then(sidecar, record, prefix, sent, 10 * number + index)))
+    await asyncio.sleep(3)
+    ended = fleet.workers[0]
     if trouble:
-        beats = present.sequence  # It arrives between two heartbeats of the present worker.
-        while present.sequence == beats:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.1)
-        reply = await send_once(present.control_plane, heartbeat)
-        record.write(f"the heartbeat of {former.id} arrives {record.now() - sent:.1f} s late and gets {reply.status}")
-    await asyncio.sleep(5)
-    record.write(f"keys held: {holders.counts()}")
-    broken = [seconds for seconds in holders.longest.values() if seconds > BOUND_S]
-    record.write(f"{len(broken)} of {len(KEYS)} keys were held by two workers for more than {BOUND_S} s, "
-                 f"the longest for {max(holders.longest.values(), default=0):.2f} s")
-    return 1 if broken else 0
+        ended.fall_silent()
+        await asyncio.sleep(REUSE_AFTER_S)
+        ended.close()
+        if os.environ.get("SETTINGS", "1") != "0":
+            fleet.sidecars[0].change_service("billing")
+        await fleet.replace(0, "billing")
+    await asyncio.sleep(8)
+    for caller in callers:
+        caller.cancel()
+    await asyncio.sleep(0.2)
+    wrong = [(worker.service, attempt) for worker in [ended, *fleet.workers] for _, attempt, _ in worker.runs
+             if sent.get(attempt) != f"/{worker.service}/"]
+    for service, attempt in sorted(set(wrong)):
+        record.write(f"the service {service} ran {attempt}, sent to {sent.get(attempt)}")
+    record.write(f"{len(set(wrong))} of {len(sent)} requests ran in a service that no configuration allows for them")
+    return 1 if wrong else 0
 
 
 play(os.path.dirname(os.path.abspath(__file__)), scenario)
--- a/review/standins.py
+++ b/review/standins.py
@@ -326,6 +326,7 @@
         self.released = []  # [first, last, handover], not yet told to the system.
         self.health_delay = 0.0
         self.alive = True
+        self.dark = False  # The worker has ended and says nothing; its connections hang.
 
     async def beat(self, interval):
         while self.alive:
@@ -389,6 +390,13 @@
     def holds(self, key):
         return self.alive and any(f <= key <= l and time.monotonic() < u for f, l, _, u in self.held)
 
+    def fall_silent(self):
+        """The process ends without a word: nobody learns that its connections are gone."""
+        self.alive = False
+        self.dark = True
+        self.held = []
+        self.record.write(f"worker {self.id} of {self.service} ends, silently")
+
     def crash(self):
         """The process ends: nothing listens any more, and all connections are closed."""
         self.alive = False
@@ -412,6 +420,8 @@
         return answer(200)
 
     async def handle(self, request, reader, writer):
+        if self.dark:
+            await asyncio.sleep(3600)
         method, target, _ = request.first.split(" ", 2)
         if target == "/health":
             await asyncio.sleep(self.health_delay)
@@ -445,9 +455,11 @@
         if key is not None:
             self.running_keys.append(key)
         self.runs.append((time.monotonic(), attempt, key))
-        self.record.write(f"worker {self.id} begins {attempt} {target} key={key}")
+        self.record.write(f"worker {self.id} of {self.service} begins {attempt} {target} key={key}")
         try:
             await asyncio.sleep(self.work)
+            if self.dark:
+                await asyncio.sleep(3600)
         finally:
             self.running -= 1
             if key is not None:
@@ -544,10 +556,23 @@
             f'[platform]\naddress = "{store}"\nform = "kv"\nwrites_per_s = 400\nreads_per_s = 2000\n'
             "history_retention_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n")
 
-    async def start(self):
+    def write_settings(self):
         path = os.path.join(self.folder, self.name + ".toml")
-        with open(path, "w") as file:
+        with open(path + ".new", "w") as file:
             file.write(self.settings.replace("FIRST", "true" if self.lives == 0 else "false"))
+        os.replace(path + ".new", path)
+        return path
+
+    def change_service(self, service):
+        """The settings name another service from now on; the process is told by SIGHUP."""
+        lines = [f'service = "{service}"' if line.startswith("service = ") else line
+                 for line in self.settings.split("\n")]
+        self.settings = "\n".join(lines)
+        self.write_settings()
+        self.signal(signal.SIGHUP)
+
+    async def start(self):
+        path = self.write_settings()
         self.lives += 1
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -617,15 +642,15 @@
     def new_worker(self, ip, service, zone, work):
         return Worker(ip, self.record, service, zone, f"i-{random.getrandbits(32):08x}", work)
 
-    async def replace(self, number):
+    async def replace(self, number, service=None):
         """A new worker, with a new id, at the address of the one that ended."""
         former = self.workers[number]
-        worker = self.new_worker(former.ip, former.service, former.zone, former.work)
+        worker = self.new_worker(former.ip, service or former.service, former.zone, former.work)
         worker.sharded, worker.by_heartbeat = former.sharded, former.by_heartbeat
         worker.control_plane = former.control_plane
         await worker.listen(former.port)
         self.workers[number] = worker
-        self.record.write(f"worker {worker.id} starts at the address of {former.id}")
+        self.record.write(f"worker {worker.id} of {worker.service} starts at the address of {former.id}")
         self.run(worker.beat(self.heartbeat_ms / 1000))
         return worker
 
