--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -21,12 +21,12 @@
 
 async def scenario(fleet, record, trouble):
     await fleet.begin()
-    for service, zone in (("orders", "a"), ("orders", "b"), ("billing", "a"), ("billing", "b")):
+    for service, zone in [(service, zone) for service in ("orders", "billing") for zone in ZONES]:
         await fleet.add(service, zone, work=0.1)
     routes = [{"name": name, "host": "h.example", "path_prefix": f"/{name}/", "service": name,
                "kind": "non_idempotent", "max_attempts": 1, "timeout_ms": 2000, "target_latency_ms": 800,
                "priority": 1} for name in ("orders", "billing")]
-    services = [{"name": name, "health_check_path": "/health", "max_connections": 110, "sharded": False}
+    services = [{"name": name, "health_check_path": "/health", "max_connections": MAX_CONNECTIONS, "sharded": False}
                 for name in ("orders", "billing")]
     fleet.store.put("op/config", configuration(5, routes, services))
     assert await fleet.start(), "the sidecars did not become ready"
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -46,13 +46,13 @@
 
 async def scenario(fleet, record, trouble):
     await fleet.begin()
-    for zone in ("a", "b", "a"):
+    for zone in (ZONES[0], ZONES[1], ZONES[0]):
         await fleet.add("orders", zone, work=0.5)
     fleet.store.put("op/config", configuration(
         5, [{"name": "orders", "host": "h.example", "path_prefix": "/a/", "service": "orders",
              "kind": "non_idempotent", "max_attempts": 1, "timeout_ms": 3000, "target_latency_ms": 1500,
              "priority": 1}],
-        [{"name": "orders", "health_check_path": "/health", "max_connections": 110, "sharded": False}]))
+        [{"name": "orders", "health_check_path": "/health", "max_connections": MAX_CONNECTIONS, "sharded": False}]))
     assert await fleet.start(), "the sidecars did not become ready"
     await asyncio.sleep(4)  # Longer than contact_window_ms.
     closed, ends = {}, {}
--- a/review/standins.py
+++ b/review/standins.py
@@ -19,11 +19,18 @@
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 # The command of deploy/system.toml. Each machine has an address of its own, so the port may be the same.
 PROGRAM = os.path.join(REPOSITORY, "target", "bin", "runshelf")
+# Settings of the deployment hanbit-quote, which all cases take; fewer machines.
+ZONES = ("guro-a", "mapo-b")
+REGION = "kr-seoul"
+HEARTBEAT_MS = 870
+GRANTS = "heartbeat"
+SLOTS = 12
+MAX_CONNECTIONS = 130
 BOUNDS = [
     "seed_lag_s=3", "reuse_after_s=2", "contact_window_ms=3000", "ack_timeout_ms=4000", "catch_up_s=4",
     "drain_timeout_ms=2000", "grace_period_s=6", "loss_slack_ms=200", "config_apply_ms=2000",
     "rollback_slack_ms=250", "max_extension_ms=5000", "retry_budget_ratio=0.2", "budget_window_s=10",
-    "retry_budget_extra=58", "recovery_s=15", "max_hold_ms=10000", "thaw_slack_ms=300",
+    "retry_budget_extra=64", "recovery_s=15", "max_hold_ms=10000", "thaw_slack_ms=300",
 ]
 
 
@@ -311,7 +318,7 @@
         self.id = worker_id
         self.born = int(time.time() * 1000)
         self.work = work
-        self.slots = 18
+        self.slots = SLOTS
         self.state = "ready"
         self.sequence = 0
         self.control_plane = None
@@ -535,8 +542,8 @@
 class Sidecar:
     """The project's program, started as the deploy file says, with a settings file of its own."""
 
-    def __init__(self, folder, record, name, ip, zone, service, worker, store, peer_port, heartbeat_ms=1300,
-                 grants="invocation", zones=("a", "b")):
+    def __init__(self, folder, record, name, ip, zone, service, worker, store, peer_port,
+                 heartbeat_ms=HEARTBEAT_MS, grants=GRANTS):
         self.folder, self.record, self.name, self.ip = folder, record, name, ip
         ports = free_ports(ip, 4)
         self.outbound, self.inbound, self.readiness, self.control_plane = (f"{ip}:{p}" for p in ports)
@@ -544,11 +551,11 @@
         self.lives = 0
         self.settings = (
             f'node_name = "{name}"\nrole = "sidecar"\nmachine_class = "sidecar"\n'
-            f'serves = ["sidecar","control_plane"]\nip_address = "{ip}"\nzone = "{zone}"\nregion = "r"\n'
+            f'serves = ["sidecar","control_plane"]\nip_address = "{ip}"\nzone = "{zone}"\nregion = "{REGION}"\n'
             f"internal_port_range = [{peer_port},{peer_port + 15}]\nfirst_start = FIRST\n"
             f"heartbeat_interval_ms = {heartbeat_ms}\nbounds = {json.dumps(BOUNDS)}\n"
             f'grants = "{grants}"\napplication_address = "{worker}"\nservice = "{service}"\n'
-            "[zones]\n" + "".join(f'{z} = "r"\n' for z in zones) +
+            "[zones]\n" + "".join(f'{name} = "{REGION}"\n' for name in ZONES) +
             f'[listen_addresses]\ninbound = "{self.inbound}"\noutbound = "{self.outbound}"\n'
             f'readiness = "{self.readiness}"\ncontrol_plane = "{self.control_plane}"\n'
             "[limits]\ncpu_share = 0.2\ncpu_cores = 1\nmemory_mb = 260\nfile_descriptors = 4100\n"
@@ -624,7 +631,7 @@
 class Fleet:
     """A small deployment: a store, and on each machine a sidecar with a worker."""
 
-    def __init__(self, folder, record, heartbeat_ms=1300):
+    def __init__(self, folder, record, heartbeat_ms=HEARTBEAT_MS):
         self.folder, self.record, self.heartbeat_ms = folder, record, heartbeat_ms
         self.peer_port = random.randrange(20000, 30000)
         self.net = f"127.{random.randrange(2, 250)}.{random.randrange(1, 250)}"
@@ -654,11 +661,11 @@
         self.run(worker.beat(self.heartbeat_ms / 1000))
         return worker
 
-    async def add(self, service, zone="a", work=0.1, **options):
+    async def add(self, service, zone=ZONES[0], work=0.1, **options):
         number = len(self.sidecars)
         ip = f"{self.net}.{10 + number}"
         worker = self.new_worker(ip, service, zone, work)
-        worker.by_heartbeat = options.get("grants") == "heartbeat"
+        worker.by_heartbeat = options.get("grants", GRANTS) == "heartbeat"
         await worker.listen()
         sidecar = Sidecar(self.folder, self.record, f"n{number}", ip, zone, service, worker.address,
                           self.store.address, self.peer_port, self.heartbeat_ms, **options)
