Unreadable worker ids: refused where they are decoded

Cause: ids and handovers that arrive in a path or header were used as text without a check; NodeRecord::Serialize, ShardMap and others write them as JSON, and dump() throws type_error.316 at bytes that are not UTF-8, in a callback of the event loop.

Node records of other writers are held to the same. SerializeJson, which cannot throw, serializes all that nodes write.

Why it works: no unchecked name gets past the decoder, on any of the ways in; the serializer covers what a later way in might miss.

--- a/source/sharding/shard_map.cc
+++ b/source/sharding/shard_map.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "runshelf/common/json_writer.h"
+
 namespace runshelf::sharding {
 namespace {
 
@@ -114,7 +116,7 @@
                     shard.move_to_node});
     if (shard.carried_over) rows.back().push_back(true);
   }
-  return json{{"last_token", last_token_}, {"owners", owners}, {"shards", rows}}.dump();
+  return SerializeJson({{"last_token", last_token_}, {"owners", owners}, {"shards", rows}});
 }
 
 absl::StatusOr<ShardMap> ShardMap::Parse(const std::string& text) {
--- a/source/sidecar/feed_messages.cc
+++ b/source/sidecar/feed_messages.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "runshelf/common/json_writer.h"
 #include "source/sidecar/text_patch.h"
 
 namespace runshelf::sidecar {
@@ -84,7 +85,7 @@
 }
 
 std::string StateBeacon::Serialize() const {
-  return json{{"node", node}, {"revisions", revisions}}.dump();
+  return SerializeJson({{"node", node}, {"revisions", revisions}});
 }
 
 std::optional<StateBeacon> StateBeacon::Parse(std::string_view text) {
--- a/source/sidecar/handover_report.cc
+++ b/source/sidecar/handover_report.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "runshelf/common/json_writer.h"
+
 namespace runshelf::sidecar {
 namespace {
 
@@ -37,7 +39,7 @@
                        {"run_revision", latest_run.revision},
                        {"highest_token_seen", highest_token_seen},
                        {"shards", std::move(rows)}};
-  return report.dump(-1, ' ', false, json::error_handler_t::replace);
+  return SerializeJson(report);
 }
 
 std::optional<HandoverReport> HandoverReport::Parse(const std::string& text) {
--- a/source/sidecar/node_record.cc
+++ b/source/sidecar/node_record.cc
@@ -4,10 +4,15 @@
 #include <utility>
 
 #include "runshelf/common/json_reader.h"
+#include "runshelf/common/json_writer.h"
+#include "runshelf/common/text.h"
 
 namespace runshelf::sidecar {
 namespace {
 
+// Other writers may have written the record, and requests to the worker name it in a header.
+constexpr size_t kMaxWorkerIdBytes = 256;
+
 std::string_view StateName(WorkerState state) {
   switch (state) {
     case WorkerState::kReady:
@@ -31,7 +36,7 @@
 }  // namespace
 
 std::string NodeRecord::Serialize() const {
-  return nlohmann::json{{"node", node},
+  return SerializeJson({{"node", node},
                         {"incarnation", incarnation},
                         {"inbound", inbound.ToString()},
                         {"zone", zone},
@@ -42,8 +47,7 @@
                         {"processor", processor_percent},
                         {"link", link_megabits},
                         {"stopping", stopping},
-                        {"takes_keys", takes_keys}}
-      .dump();
+                        {"takes_keys", takes_keys}});
 }
 
 std::optional<NodeRecord> NodeRecord::Parse(const std::string& text) {
@@ -68,6 +72,10 @@
       .Read("takes_keys", record.takes_keys);
   const auto parsed_state = ParseState(state);
   if (!reader.ok() || !parsed_state.has_value()) return std::nullopt;
+  if (!IsPlainText(record.node) || !IsPlainText(record.service)) return std::nullopt;
+  if (!IsPlainText(record.worker_id) || record.worker_id.size() > kMaxWorkerIdBytes) {
+    return std::nullopt;
+  }
   if (!event::Endpoint::Parse(inbound, &record.inbound)) return std::nullopt;
   record.worker_state = *parsed_state;
   return record;
--- a/source/sidecar/shard_holder_orders.cc
+++ b/source/sidecar/shard_holder_orders.cc
@@ -142,8 +142,7 @@
   LogSlowRelease(holding, response);
   if (response.has_value() && response->status == kOk) {
     holding.released = true;
-    const std::string* handover = response->headers.Find(wire_.headers().handover);
-    if (handover != nullptr) holding.handover = *handover;
+    holding.handover = wire_.DecodeHandover(response->headers);
   } else if (GrantsExpired(holding, loop_.Now())) {
     // The worker cannot be reached, and all its grants have expired.
     holding.released = true;
--- a/source/sidecar/wire_format.h
+++ b/source/sidecar/wire_format.h
@@ -31,7 +31,6 @@
   std::string worker_load;      // Response: load of the worker; see DecodeWorkerLoad.
   std::string worker_limit;     // Response: requests per second that the worker accepts from all.
   std::string worker_leaving;   // Response: the worker is leaving.
-  std::string worker_id;        // Response to a health check: identity of the worker.
   std::string cold_remaining;   // Response to a health check: ms until the worker is warmed up.
   std::string handover;         // Response to a release: data for the next holder of the keys.
   std::string retry_after;      // Refusal: seconds, possibly fractional.
@@ -126,6 +125,13 @@
 
   virtual const HeaderNames& headers() const = 0;
 
+  // The identity that a worker states in the headers of a response, see StatedIdentity. kNotFound:
+  // it states none; kInvalidArgument: what it states is no identity.
+  virtual absl::StatusOr<std::string> DecodeStatedIdentity(const http::Headers& headers) const = 0;
+  // The handover in the headers of the response to a release; empty if there is none or it is
+  // malformed.
+  virtual std::string DecodeHandover(const http::Headers& headers) const = 0;
+
   // Identity that a worker states in its responses and that requests name. A restarted worker may
   // state the same identity; in that case `worker_id`, which identifies one incarnation, is longer.
   virtual std::string_view StatedIdentity(std::string_view worker_id) const = 0;
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -225,13 +225,18 @@
   }
 
   void HandleMisdirected(const http::ResponseHead& head) {
-    const std::string* other = head.headers.Find(gate_->wire_.headers().worker_id);
-    if (other != nullptr && *other != gate_->wire_.StatedIdentity(gate_->worker_id_)) {
+    const auto stated = gate_->wire_.DecodeStatedIdentity(head.headers);
+    if (absl::IsInvalidArgument(stated.status())) {
       refusal_ = FailureReason::kWrongWorker;
-      if (gate_->worker_observer_ != nullptr) gate_->worker_observer_->OnOtherWorker(*other);
+      if (gate_->worker_observer_ != nullptr) gate_->worker_observer_->OnWorkerUnreachable();
       return;
     }
-    if (other != nullptr) ReportAnswer();
+    if (stated.ok() && *stated != gate_->wire_.StatedIdentity(gate_->worker_id_)) {
+      refusal_ = FailureReason::kWrongWorker;
+      if (gate_->worker_observer_ != nullptr) gate_->worker_observer_->OnOtherWorker(*stated);
+      return;
+    }
+    if (stated.ok()) ReportAnswer();
     if (request_.key.has_value() && gate_->key_authority_ != nullptr) {
       refusal_ = FailureReason::kNotOwner;
       gate_->key_authority_->OnKeyRefused(*request_.key);
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -479,7 +479,11 @@
   // at its connection limit resets new connections instead of refusing them, and one that closed
   // its listening socket may still process requests or hold keys, which must not be granted to
   // others before its grants have expired.
-  const bool refused = failure == http::ClientFailure::kRefused && ConnectionsEnded();
+  OnProbeFailed(failure == http::ClientFailure::kRefused && ConnectionsEnded());
+}
+
+// `refused`: nothing listens at the worker's address, and its connections have ended.
+void WorkerMonitor::OnProbeFailed(bool refused) {
   refused_probes_ = refused ? refused_probes_ + 1 : 0;
   ++failed_probes_;
   if (refused && !worker_id_.empty() && observer_.on_ended) observer_.on_ended(worker_id_);
@@ -506,21 +510,27 @@
 }
 
 void WorkerMonitor::OnProbeAnswer(const http::Response& response, Instant connection_made) {
+  const auto stated = wire_.DecodeStatedIdentity(response.headers);
+  if (absl::IsInvalidArgument(stated.status())) {
+    log_.Write(LogLevel::kWarning, "health_answer_refused",
+               {{"worker", worker_id_}, {"reason", std::string(stated.status().message())}});
+    OnProbeFailed(/*refused=*/false);
+    return;
+  }
   NoteAnswer();
   if (const std::string* request_id = response.headers.Find(wire_.headers().request_id)) {
     log_.Write(LogLevel::kWarning, "health_check_answer_names_request",
                {{"request", *request_id}, {"worker", worker_id_}});
   }
-  const std::string* id = response.headers.Find(wire_.headers().worker_id);
-  const bool named = id != nullptr && !id->empty();
-  if (named && !worker_id_.empty() && *id == wire_.StatedIdentity(worker_id_)) {
+  const bool named = stated.ok();
+  if (named && !worker_id_.empty() && *stated == wire_.StatedIdentity(worker_id_)) {
     OnWorkerAnswered(probe_sent_at_, connection_made);
   } else if (named) {
-    AdoptWorker(*id, probe_sent_at_, Source::kAddress);
+    AdoptWorker(*stated, probe_sent_at_, Source::kAddress);
   }
   if (named) OnProbeColdState(response);
   const bool leaving = response.headers.Has(wire_.headers().worker_leaving);
-  if (leaving && named && *id == wire_.StatedIdentity(worker_id_)) OnWorkerLeaving();
+  if (leaving && named && *stated == wire_.StatedIdentity(worker_id_)) OnWorkerLeaving();
   if (named && observer_.on_health_answer) {
     observer_.on_health_answer(probe_sent_at_, response.headers);
   }
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -147,6 +147,7 @@
   void Probe();
   void OnProbe(const std::optional<http::Response>& response, http::ClientFailure failure,
                Instant connection_made);
+  void OnProbeFailed(bool refused);
   void OnProbeAnswer(const http::Response& response, Instant connection_made);
   // Whether the worker's side has closed all connections and the worker was not heard since.
   bool ConnectionsEnded() const;
--- a/tests/platform_adapter/fake_worker.cc
+++ b/tests/platform_adapter/fake_worker.cc
@@ -65,6 +65,8 @@
 FakeWorker::FakeWorker(event::EventLoop& loop, std::string id, std::string service)
     : loop_(loop),
       id_(std::move(id)),
+      stated_id_(id_),
+      handover_("from-" + id_),
       service_(std::move(service)),
       server_(loop, [this](const http::ExchangePtr& exchange) { Handle(exchange); }),
       pool_(loop),
@@ -220,7 +222,7 @@
   open_releases_.erase(over, open_releases_.end());
   for (const OpenRelease& release : answered) {
     http::Headers headers;
-    headers.Add("Handover", "from-" + id_);
+    headers.Add("Handover", handover_);
     if (on_released_) on_released_(release.first, release.last);
     release.exchange->Respond(200, headers, "");
   }
@@ -256,7 +258,7 @@
   if (target == "/health") {
     return DoLater(health_delay_ ? health_delay_() : Duration(0), [this, exchange] {
       http::Headers headers;
-      headers.Add("Instance-Id", id_);
+      headers.Add("Instance-Id", stated_id_);
       if (ColdRemaining() > Duration(0)) {
         headers.Add("Cold-Start-Ms", std::to_string(ToMilliseconds(ColdRemaining())));
       }
@@ -346,8 +348,8 @@
   http::Headers headers;
   if (const std::string* id = received.Find("Attempt-Id")) headers.Add("Attempt-Id", *id);
   const std::string* expected = received.Find("Expect-Instance");
-  if (expected != nullptr && *expected != id_) {
-    headers.Add("Instance-Id", id_);
+  if (expected != nullptr && *expected != stated_id_) {
+    headers.Add("Instance-Id", stated_id_);
     return exchange->Respond(421, headers, "");
   }
   if (const std::string* key = received.Find("Shard-Key"); sharded_ && key != nullptr) {
--- a/tests/platform_adapter/fake_worker.h
+++ b/tests/platform_adapter/fake_worker.h
@@ -60,6 +60,10 @@
   void set_keys_in_heartbeats(bool keys_in_heartbeats) { keys_in_heartbeats_ = keys_in_heartbeats; }
   // No heartbeats are sent; the worker still serves requests.
   void set_heartbeats_cut(bool cut) { heartbeats_cut_ = cut; }
+  // Health checks and refusals of requests for other workers state this identity.
+  void set_stated_id(std::string id) { stated_id_ = std::move(id); }
+  // Handover in the responses to releases.
+  void set_handover(std::string handover) { handover_ = std::move(handover); }
   // Health checks get no response; all other requests are served.
   void set_health_silent(bool silent) { health_silent_ = silent; }
   // Fault injected into the delivery of a heartbeat.
@@ -148,6 +152,8 @@
 
   event::EventLoop& loop_;
   std::string id_;
+  std::string stated_id_;
+  std::string handover_;
   int64_t born_ = 0;
   std::string service_;
   http::Server server_;
