Reused addresses: an identity shows no service by itself

Callers: a worker ended silently, its address went to a worker of another service after reuse_after_s, and the node sent it the requests of the former service, in its own name.

Cause: after a 421, or a health check, the node adopted whichever id the process at the address stated. Neither answer names a service. A leave notice, which names none either, replaced the present worker too.

Change: an identity learnt from an answer is adopted only if a heartbeat of the service or this node's former record names it, or if it answers before the address can have been given away. Else the former worker counts as ended and a heartbeat is waited for. A heartbeat of another service from this address makes the node ask who is there. A leave of an unknown worker is recorded and leaves the present one alone.

Why it works: a request names a worker only after a message of the service, or time, has shown that it is one of the service.

--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -25,7 +25,10 @@
   // From the acknowledgement of a configuration until it is in force everywhere.
   Duration configuration_timeout = std::chrono::seconds(2);
   Duration grace_period = std::chrono::seconds(6);  // From SIGTERM to SIGKILL.
-  Duration max_hold = std::chrono::seconds(10);     // Validity of a grant of keys.
+  // After the end of a worker its address stays unused, or with its service, for this long.
+  // Unlike the others a minimum; zero: not known.
+  Duration reuse_after{0};
+  Duration max_hold = std::chrono::seconds(10);  // Validity of a grant of keys.
   // A cold worker is sent this multiple of the rate that it can bear, and so many requests more,
   // within one second.
   double cold_rate_factor = 1;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -194,6 +194,7 @@
     log_.Write(LogLevel::kInfo, "lease_taken", {{"lease", lease_.lease()}});
     ReadState();
   });
+  lease_.set_on_former_item([this](const store::Item& item) { OnFormerRecord(item); });
   coordinator_.set_on_committed([this] { holder_.OnMapChanged(); });
   handover_writer_.set_on_committed([this] { holder_.OnMapChanged(); });
   coordinator_.set_report_source([this](sharding::LoadReport* report) {
@@ -328,6 +329,7 @@
       settings->outbound == settings_.outbound && settings->inbound == settings_.inbound &&
       settings->worker == settings_.worker && settings->store == settings_.store;
   settings_.bounds = settings->bounds;
+  monitor_.OnSettingsChanged();
   configuration_guard_.set_max_standstill(MaxStandstill(settings_.bounds.configuration_timeout));
   if (configuration_ != nullptr) {
     ApplyColdStart(configuration_->FindService(settings_.worker_service));
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -118,6 +118,8 @@
   void OnQuarantineWritten(const store::Item& item);
   void OnStateSynchronized();
   void OnWorkerChanged(bool former_gone);
+  // An earlier process of this node wrote this record; its lease has not ended.
+  void OnFormerRecord(const store::Item& item);
   void OnHealthAnswer(Instant sent_at, const http::Headers& headers);
   void OnWorkerEnded(const std::string& worker_id);
   // Sends the record of a worker's end to all other nodes directly, without the store.
--- a/source/sidecar/sidecar_worker.cc
+++ b/source/sidecar/sidecar_worker.cc
@@ -31,6 +31,13 @@
   Announce();
 }
 
+void Sidecar::OnFormerRecord(const store::Item& item) {
+  const auto record = NodeRecord::Parse(item.value);
+  if (!record.has_value() || record->node != settings_.node_name) return;
+  if (record->service != settings_.worker_service || record->worker_id.empty()) return;
+  monitor_.OnRecordedWorker(record->worker_id);
+}
+
 // These log lines are sufficient to find a request that crashes workers: it is being executed
 // whenever one ends.
 void Sidecar::OnWorkerEnded(const std::string& worker_id) {
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -52,7 +52,8 @@
       deferred_timer_(loop, [this] { ContinueDeferred(); }),
       drain_record_(loop, store, std::move(drain_key),
                     {[this] { OnDrainRecordKnown(); },
-                     [this] { return draining_ ? worker_id_ : std::string(); }}) {}
+                     [this] { return draining_ ? worker_id_ : std::string(); }}),
+      members_(settings.bounds.reuse_after) {}
 
 WorkerMonitor::~WorkerMonitor() = default;
 
@@ -65,6 +66,12 @@
   drain_record_.OnRecord(worker_id, revision);
 }
 
+void WorkerMonitor::OnRecordedWorker(const std::string& worker_id) {
+  members_.Add(std::string(wire_.StatedIdentity(worker_id)));
+}
+
+void WorkerMonitor::OnSettingsChanged() { members_.set_reuse_after(settings_.bounds.reuse_after); }
+
 void WorkerMonitor::OnDrainRecordKnown() {
   if (RecordedDraining()) MarkDraining();
 }
@@ -216,7 +223,13 @@
     exchange->Respond(kBadRequest, {}, "");
     return;
   }
-  if (heartbeat.service != settings_.worker_service || IsOfFormerWorker(heartbeat)) {
+  if (heartbeat.service != settings_.worker_service) {
+    OnHeartbeatOfOtherService(heartbeat);
+    Acknowledge(exchange, std::nullopt);
+    return;
+  }
+  members_.Add(std::string(wire_.StatedIdentity(heartbeat.worker_id)));
+  if (IsOfFormerWorker(heartbeat)) {
     Acknowledge(exchange, std::nullopt);
     return;
   }
@@ -231,6 +244,7 @@
     // A worker sends one heartbeat at a time, so this one was sent after the previous one was
     // answered.
     ConfirmIncarnation(answered_at_);
+    members_.OnRunning(answered_at_);
     sequence_ = heartbeat.sequence;
     OnHeartbeatColdState(heartbeat);
     answered_at_ = Instant{};
@@ -252,6 +266,18 @@
   }
 }
 
+// The heartbeat may be late, and this address may have come back to the service since: only the
+// process at the address shows who is there.
+void WorkerMonitor::OnHeartbeatOfOtherService(const WorkerHeartbeat& heartbeat) {
+  if (heartbeat.address != settings_.worker.ToString()) return;
+  log_.Write(LogLevel::kWarning, "worker_of_other_service",
+             {{"worker", heartbeat.worker_id},
+              {"service", heartbeat.service},
+              {"own_service", settings_.worker_service},
+              {"taken_for_present", worker_id_}});
+  InvalidateProof("heartbeat of another service from the address");
+}
+
 void WorkerMonitor::OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave) {
   if (!synchronized_) {
     exchange->Respond(kServiceUnavailable, {}, "");
@@ -262,10 +288,28 @@
     Acknowledge(exchange, std::nullopt);
     return;
   }
+  if (worker_id != worker_id_ &&
+      !members_.Include(std::string(wire_.StatedIdentity(worker_id)), loop_.Now())) {
+    OnLeaveOfUnknownWorker(exchange, worker_id);
+    return;
+  }
   if (worker_id != worker_id_) AdoptWorker(worker_id, Instant{}, Source::kNotice);
   RecordDrain(exchange, worker_id, [this, exchange] { Acknowledge(exchange, std::nullopt); });
 }
 
+// The notice names no service, and it may be late: it says nothing of the present worker. It is
+// recorded for the case that its sender is found to be a worker of this service.
+void WorkerMonitor::OnLeaveOfUnknownWorker(const http::ExchangePtr& exchange,
+                                           const std::string& worker_id) {
+  log_.Write(LogLevel::kInfo, "unknown_worker_leaves",
+             {{"worker", worker_id}, {"present", worker_id_}});
+  if (draining_) {
+    Acknowledge(exchange, std::nullopt);  // The record names the present worker.
+    return;
+  }
+  WriteDrainRecord(exchange, worker_id, [this, exchange] { Acknowledge(exchange, std::nullopt); });
+}
+
 std::string WorkerMonitor::Resolve(const std::string& worker_id) const {
   const bool same = HasIncarnationId() && worker_id == wire_.StatedIdentity(worker_id_);
   return same ? worker_id_ : worker_id;
@@ -329,9 +373,7 @@
 }
 
 bool WorkerMonitor::IdentityIsComplete() const {
-  const auto patience =
-      std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
-  return source_ == Source::kNotice || loop_.Now() - adopted_at_ > patience;
+  return source_ == Source::kNotice || loop_.Now() - adopted_at_ > MaxSilence();
 }
 
 void WorkerMonitor::InvalidateProof(const char* reason) {
@@ -382,6 +424,12 @@
 void WorkerMonitor::RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                                 std::function<void()> acknowledge) {
   MarkDraining();
+  WriteDrainRecord(exchange, worker_id, std::move(acknowledge));
+}
+
+void WorkerMonitor::WriteDrainRecord(const http::ExchangePtr& exchange,
+                                     const std::string& worker_id,
+                                     std::function<void()> acknowledge) {
   drain_record_.Write(worker_id, [exchange, acknowledge = std::move(acknowledge)](bool recorded) {
     if (recorded) {
       acknowledge();
@@ -403,6 +451,7 @@
 
 void WorkerMonitor::OnWorkerAnswered(Instant sent, Instant connection_made) {
   NoteAnswer();
+  members_.OnRunning(sent);
   Confirm(sent);
   // The process at the other end is the one that was there when the connection was made. If this
   // incarnation was proven at or after that time, it was also there when this request was sent.
@@ -446,8 +495,29 @@
 }
 
 void WorkerMonitor::OnOtherWorker(const std::string& stated_identity) {
-  if (stated_identity == wire_.StatedIdentity(worker_id_)) return;
-  AdoptWorker(stated_identity, Instant{}, Source::kAddress);
+  OnOtherIdentity(stated_identity, Instant{});
+}
+
+void WorkerMonitor::OnOtherIdentity(const std::string& stated_identity, Instant alive_at) {
+  if (!worker_id_.empty() && stated_identity == wire_.StatedIdentity(worker_id_)) return;
+  if (members_.Include(stated_identity, loop_.Now())) {
+    AdoptWorker(stated_identity, alive_at, Source::kAddress);
+  } else {
+    MarkReplaced(stated_identity);
+  }
+}
+
+void WorkerMonitor::MarkReplaced(const std::string& stated_identity) {
+  log_.Write(LogLevel::kWarning, "worker_of_unknown_service",
+             {{"stated", stated_identity}, {"former", worker_id_}});
+  if (worker_id_.empty()) return;
+  if (observer_.on_ended) observer_.on_ended(worker_id_);
+  former_workers_.Add(worker_id_);
+  worker_id_.clear();
+  initial_search_ = false;
+  draining_ = false;
+  probe_timer_.Stop();
+  observer_.on_changed(/*former_gone=*/true);
 }
 
 void WorkerMonitor::Probe() {
@@ -488,12 +558,9 @@
   ++failed_probes_;
   if (refused && !worker_id_.empty() && observer_.on_ended) observer_.on_ended(worker_id_);
   if (worker_id_.empty() && !initial_search_) return;
-  const Duration silence = loop_.Now() - heard_at_;
-  const bool silent = silence > std::chrono::duration_cast<Duration>(settings_.heartbeat_interval *
-                                                                     kSilentIntervals);
   if (refused_probes_ >= kMinRefusedProbes) {
     MarkDead("nothing listens");
-  } else if (silent && failed_probes_ >= kMinSilentProbes) {
+  } else if (IsSilent() && failed_probes_ >= kMinSilentProbes) {
     MarkDead("silent");
   } else {
     probe_timer_.Start(kProbeInterval);
@@ -517,33 +584,45 @@
     OnProbeFailed(/*refused=*/false);
     return;
   }
-  NoteAnswer();
   if (const std::string* request_id = response.headers.Find(wire_.headers().request_id)) {
     log_.Write(LogLevel::kWarning, "health_check_answer_names_request",
                {{"request", *request_id}, {"worker", worker_id_}});
   }
-  const bool named = stated.ok();
-  if (named && !worker_id_.empty() && *stated == wire_.StatedIdentity(worker_id_)) {
-    OnWorkerAnswered(probe_sent_at_, connection_made);
-  } else if (named) {
-    AdoptWorker(*stated, probe_sent_at_, Source::kAddress);
-  }
-  if (named) OnProbeColdState(response);
-  const bool leaving = response.headers.Has(wire_.headers().worker_leaving);
-  if (leaving && named && *stated == wire_.StatedIdentity(worker_id_)) OnWorkerLeaving();
-  if (named && observer_.on_health_answer) {
-    observer_.on_health_answer(probe_sent_at_, response.headers);
+  if (stated.ok()) {
+    OnIdentifiedAnswer(*stated, response, connection_made);
+  } else {
+    NoteAnswer();
   }
   // A worker at its capacity limit refuses probes without stating its identity.
   const bool asks_again = !Confirmed() || (cold_state_tracked_ && ColdStateUnknown());
   if (!worker_id_.empty() && asks_again) probe_timer_.Start(kProbeInterval);
 }
 
+void WorkerMonitor::OnIdentifiedAnswer(const std::string& identity, const http::Response& response,
+                                       Instant connection_made) {
+  if (!worker_id_.empty() && identity == wire_.StatedIdentity(worker_id_)) {
+    OnWorkerAnswered(probe_sent_at_, connection_made);
+  } else {
+    OnOtherIdentity(identity, probe_sent_at_);
+    if (worker_id_.empty()) {
+      if (initial_search_ && IsSilent()) MarkDead("no worker of this service answers");
+      return;
+    }
+  }
+  OnProbeColdState(response);
+  if (response.headers.Has(wire_.headers().worker_leaving)) OnWorkerLeaving();
+  if (observer_.on_health_answer) observer_.on_health_answer(probe_sent_at_, response.headers);
+}
+
+Duration WorkerMonitor::MaxSilence() const {
+  return std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
+}
+
+bool WorkerMonitor::IsSilent() const { return loop_.Now() - heard_at_ > MaxSilence(); }
+
 void WorkerMonitor::CheckSilence() {
   if (worker_id_.empty() && !initial_search_) return;
-  const Duration limit =
-      std::chrono::duration_cast<Duration>(settings_.heartbeat_interval * kSilentIntervals);
-  if (loop_.Now() - heard_at_ <= limit) return;
+  if (!IsSilent()) return;
   if (initial_search_ && health_path_.empty()) {
     MarkDead("silent");
   } else {
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -14,6 +14,7 @@
 #include "source/sidecar/key_lessor.h"
 #include "source/sidecar/log_writer.h"
 #include "source/sidecar/node_record.h"
+#include "source/sidecar/service_members.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/wire_format.h"
 #include "source/sidecar/worker_gate.h"
@@ -60,6 +61,10 @@
   void TrackColdState(bool tracked);
   // The worker may have turned cold unnoticed.
   void ForgetColdState();
+  // A record of this node, of before its start, names this worker as one of its service.
+  void OnRecordedWorker(const std::string& worker_id);
+  // The settings were read again.
+  void OnSettingsChanged();
   // Sets the path of health checks; none are sent before it is known.
   void SetHealthPath(const std::string& path);
 
@@ -103,7 +108,9 @@
 
  private:
   void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
+  void OnHeartbeatOfOtherService(const WorkerHeartbeat& heartbeat);
   void OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave);
+  void OnLeaveOfUnknownWorker(const http::ExchangePtr& exchange, const std::string& worker_id);
   void Acknowledge(const http::ExchangePtr& exchange, const std::optional<KeyLease>& lease);
   void AcknowledgeHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
   bool IsNewest(const WorkerHeartbeat& heartbeat) const;
@@ -125,6 +132,8 @@
   void AnswerDeferred();
   void RecordDrain(const http::ExchangePtr& exchange, const std::string& worker_id,
                    std::function<void()> acknowledge);
+  void WriteDrainRecord(const http::ExchangePtr& exchange, const std::string& worker_id,
+                        std::function<void()> acknowledge);
   void OnDrainRecordKnown();
   // Where the identity of a worker was learnt.
   enum class Source {
@@ -134,6 +143,10 @@
   // `alive_at`: a time at which the worker was certainly at its address; Instant{} if none is
   // known.
   void AdoptWorker(const std::string& worker_id, Instant alive_at, Source source);
+  // The process at the worker's address states the identity of another worker.
+  void OnOtherIdentity(const std::string& stated_identity, Instant alive_at);
+  // Another process is at the worker's address, and it is not known to be of this node's service.
+  void MarkReplaced(const std::string& stated_identity);
   void NoteAnswer();
   void SetColdUntil(Instant cold_until);
   void OnHeartbeatColdState(const WorkerHeartbeat& heartbeat);
@@ -149,8 +162,13 @@
                Instant connection_made);
   void OnProbeFailed(bool refused);
   void OnProbeAnswer(const http::Response& response, Instant connection_made);
+  // A health check was answered by a process that states this identity.
+  void OnIdentifiedAnswer(const std::string& identity, const http::Response& response,
+                          Instant connection_made);
   // Whether the worker's side has closed all connections and the worker was not heard since.
   bool ConnectionsEnded() const;
+  Duration MaxSilence() const;
+  bool IsSilent() const;
   void CheckSilence();
 
   event::EventLoop& loop_;
@@ -174,6 +192,7 @@
   std::string health_path_;
   std::string worker_id_;  // Empty while no worker is known to be alive.
   FormerWorkers former_workers_;
+  ServiceMembers members_;
   uint32_t slots_ = 0;
   int64_t sequence_ = -1;
   Instant answered_at_{};  // When the heartbeat with that sequence was answered.
--- a/source/store/lease_keeper.cc
+++ b/source/store/lease_keeper.cc
@@ -154,6 +154,8 @@
     }
     if (result->outcome == CommitOutcome::kConflict) {
       item_revision_ = result->found.empty() ? 0 : result->found.front().revision;
+      const bool former = !result->found.empty() && written_lease_ == 0;
+      if (former && on_former_item_) on_former_item_(result->found.front());
       WriteItem();
       return;
     }
--- a/source/store/lease_keeper.h
+++ b/source/store/lease_keeper.h
@@ -48,6 +48,10 @@
   // Called when a new lease was acquired and its item is written. State that depended on an earlier
   // lease must be read again before it is relied on.
   void set_on_new_lease(std::function<void()> callback) { on_new_lease_ = std::move(callback); }
+  // Called with the item of an earlier process when it is found in place of this one's.
+  void set_on_former_item(std::function<void(const Item&)> callback) {
+    on_former_item_ = std::move(callback);
+  }
 
   // The lease is valid at least until this time, counted from the sending of the last successful
   // renewal. Instant{} if there is no lease.
@@ -80,6 +84,7 @@
   event::Timer timer_;
   event::Timer write_timer_;
   std::function<void()> on_new_lease_;
+  std::function<void(const Item&)> on_former_item_;
   LeaseId lease_ = 0;
   // Counts leases, as the store may reuse ids. Responses to calls of earlier leases are ignored.
   uint64_t generation_ = 0;
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -50,7 +50,7 @@
 internal_port_range = [7620,7635]
 heartbeat_interval_ms = 1300
 first_start = true
-bounds = ["drain_timeout_ms=2500","retry_budget_ratio=0.3","cold_overage=1.5","cold_tolerance=8","closed=false","other=text"]
+bounds = ["drain_timeout_ms=2500","reuse_after_s=1.5","retry_budget_ratio=0.3","cold_overage=1.5","cold_tolerance=8","closed=false","other=text"]
 application_address = "10.1.0.8:8301"
 service = "s1"
 unknown_field = 7
@@ -448,6 +448,7 @@
   STRCMP_EQUAL("west", settings->regions.at("z2").c_str());
   CHECK_EQUAL(7620, settings->peer_port_first);
   CHECK(settings->bounds.drain_timeout == std::chrono::milliseconds(2500));
+  CHECK(settings->bounds.reuse_after == std::chrono::milliseconds(1500));
   CHECK(settings->bounds.max_hold == std::chrono::seconds(10));
   DOUBLES_EQUAL(0.3, settings->bounds.retry_budget_ratio, 1e-9);
   DOUBLES_EQUAL(1.5, settings->bounds.cold_rate_factor, 1e-9);
