Reload: settings that name another service are put into force

Operators: a settings file that names another service after its worker was replaced (SIGHUP) was passed over without a word: calls from that machine went on under the former service's name, and its worker got no requests until the process was restarted.

Cause: Sidecar::Reload applied the bounds only.

Change: the service of callers, heartbeats and the node's record is that of the settings in force; the worker of the former one is dropped. What manages keys belongs to the service of the start: if the new one has keys, the log (service_changed) and runshelf_service_needs_restart say that a restart is required, and no keys are given to the node.

Evidence: both tests named Reload* fail without the call of ChangeService and pass with it. Not shown by a run: a change away from a service with keys while its former worker lives on.

--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -152,6 +152,9 @@
   gauge("runshelf_zone_evacuated", "Whether the zone of this node is evacuated.",
         gauges.zone_evacuated ? 1 : 0);
   gauge("runshelf_ready", "Whether the node accepts new clients.", gauges.ready ? 1 : 0);
+  gauge("runshelf_service_needs_restart",
+        "Whether the settings name another service, whose keys this process cannot manage.",
+        gauges.service_needs_restart ? 1 : 0);
   gauge("runshelf_stopping", "Whether the node is shutting down.", gauges.stopping ? 1 : 0);
   gauge("runshelf_live_nodes", "Live nodes of the fleet known to this node.",
         static_cast<double>(gauges.live_nodes));
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -43,6 +43,8 @@
   bool ready = false;
   size_t evacuated_zones = 0;   // In the whole fleet.
   bool zone_evacuated = false;  // The node's own zone.
+  // The settings name a service with keys since this process started.
+  bool service_needs_restart = false;
   size_t live_nodes = 0;
   bool stopping = false;
   RequestCounts requests_under_way;
--- a/source/sidecar/service_members.cc
+++ b/source/sidecar/service_members.cc
@@ -23,4 +23,9 @@
   return running_at_ != Instant{} && received < running_at_ + reuse_after_;
 }
 
+void ServiceMembers::Clear() {
+  identities_.clear();
+  running_at_ = Instant{};
+}
+
 }  // namespace runshelf::sidecar
--- a/source/sidecar/service_members.h
+++ b/source/sidecar/service_members.h
@@ -29,6 +29,8 @@
   // Whether a worker that stated `identity` at the address belongs to the service. `received`: when
   // its response arrived.
   bool Include(const std::string& identity, Instant received) const;
+  // The node serves another service from now on.
+  void Clear();
 
  private:
   Duration reuse_after_;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -50,6 +50,7 @@
       random_(random),
       log_(log),
       stop_schedule_(settings_.bounds),
+      keyed_service_(settings_.worker_service),
       incarnation_(random.Next() >> 1U),
       pool_(loop),
       order_pool_(loop),
@@ -330,6 +331,7 @@
       settings->worker == settings_.worker && settings->store == settings_.store;
   settings_.bounds = settings->bounds;
   monitor_.OnSettingsChanged();
+  if (settings->worker_service != settings_.worker_service) ChangeService(settings->worker_service);
   configuration_guard_.set_max_standstill(MaxStandstill(settings_.bounds.configuration_timeout));
   if (configuration_ != nullptr) {
     ApplyColdStart(configuration_->FindService(settings_.worker_service));
@@ -339,6 +341,24 @@
               {"addresses", same_addresses ? "unchanged" : "changed; restart required"}});
 }
 
+// The parts that manage the keys of a service belong to the one that this process was started with.
+void Sidecar::ChangeService(const std::string& service) {
+  const std::string former = std::exchange(settings_.worker_service, service);
+  monitor_.OnServiceChanged();
+  if (configuration_ != nullptr) ApplyService();
+  log_.Write(LogLevel::kWarning, "service_changed",
+             {{"former", former},
+              {"service", service},
+              {"keys", ServiceNeedsRestart() ? "restart required" : "not affected"}});
+  Announce();
+}
+
+bool Sidecar::ServiceNeedsRestart() const {
+  if (settings_.worker_service == keyed_service_ || configuration_ == nullptr) return false;
+  const routes::Service* service = configuration_->FindService(settings_.worker_service);
+  return service != nullptr && service->sharded;
+}
+
 bool Sidecar::ready() const {
   return !stop_schedule_.begun() && configuration_ != nullptr && state_watcher_.synchronized();
 }
@@ -371,6 +391,7 @@
   gauges.store_reachable = store_.reachable();
   gauges.store_era = store_.era();
   gauges.evacuated_zones = peers_.evacuated_zones().size();
+  gauges.service_needs_restart = ServiceNeedsRestart();
   gauges.zone_evacuated = peers_.IsEvacuated(settings_.zone);
   gauges.ready = ready();
   gauges.live_nodes = peers_.live_nodes();
@@ -419,7 +440,8 @@
   record.worker_id = monitor_.worker_id();
   record.slots = monitor_.slots();
   record.worker_state = monitor_.state();
-  record.takes_keys = holder_.WorkerCanReceiveKeys() && !peers_.IsEvacuated(settings_.zone) &&
+  record.takes_keys = holder_.WorkerCanReceiveKeys() && !ServiceNeedsRestart() &&
+                      !peers_.IsEvacuated(settings_.zone) &&
                       (monitor_.IdentityIsComplete() || !holder_.OwnersHaveIncarnationIds());
   record.processor_percent = static_cast<uint32_t>(settings_.processor_cores * kPercent);
   record.link_megabits = LinkMegabits(settings_);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -117,6 +117,10 @@
   // write.
   void OnQuarantineWritten(const store::Item& item);
   void OnStateSynchronized();
+  void ChangeService(const std::string& service);
+  void ApplyService();
+  // Whether the worker's service has keys that this process cannot manage.
+  bool ServiceNeedsRestart() const;
   void OnWorkerChanged(bool former_gone);
   // An earlier process of this node wrote this record; its lease has not ended.
   void OnFormerRecord(const store::Item& item);
@@ -151,6 +155,8 @@
   Random& random_;
   LogWriter& log_;
   StopSchedule stop_schedule_;
+  // Service of the parts that manage keys: that of the settings when this process started.
+  std::string keyed_service_;
   uint64_t incarnation_;
   http::ConnectionPool pool_;
   // Connections for grants and releases. A call without a response closes its connection; the
--- a/source/sidecar/sidecar_state.cc
+++ b/source/sidecar/sidecar_state.cc
@@ -24,12 +24,17 @@
               {"revision", store::RevisionText(item.revision)},
               {"routes", configuration_->routes().size()}});
   ApplyLimits(configuration_->limits());
+  UpdateConfigured();
+  ingress_.SetConfiguration(configuration_);
+  ApplyService();
+}
+
+// Puts what the configuration says of the worker's service into force.
+void Sidecar::ApplyService() {
   const routes::Service* service = configuration_->FindService(settings_.worker_service);
-  const bool sharded = service != nullptr && service->sharded;
+  const bool sharded = service != nullptr && service->sharded && !ServiceNeedsRestart();
   if (service != nullptr) monitor_.SetHealthPath(service->health_check_path);
   ApplyColdStart(service);
-  UpdateConfigured();
-  ingress_.SetConfiguration(configuration_);
   holder_.SetGrantDelivery(service == nullptr
                                ? settings_.grant_delivery
                                : service->grant_delivery.value_or(settings_.grant_delivery));
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -72,6 +72,16 @@
 
 void WorkerMonitor::OnSettingsChanged() { members_.set_reuse_after(settings_.bounds.reuse_after); }
 
+void WorkerMonitor::OnServiceChanged() {
+  members_.Clear();
+  initial_search_ = true;
+  heard_at_ = loop_.Now();
+  if (!worker_id_.empty()) former_workers_.Add(worker_id_);
+  worker_id_.clear();
+  draining_ = false;
+  observer_.on_changed(/*former_gone=*/false);
+}
+
 void WorkerMonitor::OnDrainRecordKnown() {
   if (RecordedDraining()) MarkDraining();
 }
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -65,6 +65,8 @@
   void OnRecordedWorker(const std::string& worker_id);
   // The settings were read again.
   void OnSettingsChanged();
+  // The settings name another service: the worker of the former one is not used any more.
+  void OnServiceChanged();
   // Sets the path of health checks; none are sent before it is known.
   void SetHealthPath(const std::string& path);
 
--- a/tests/platform_adapter/reused_address_test.cc
+++ b/tests/platform_adapter/reused_address_test.cc
@@ -198,3 +198,44 @@
   CHECK_TEXT(fleet->EveryKeyHeld(), fleet->Log().c_str());
   CHECK_EQUAL_TEXT(held, fleet->nodes[0].worker->grants().size(), fleet->Log().c_str());
 }
+
+// Guards against a worker that gets nothing, and calls in the name of the former service, when the
+// settings file names another service and the process goes on.
+TEST(ReusedAddress, ReloadedSettingsPutTheOtherServiceIntoForce) {
+  std::vector<http::ExchangePtr> unanswered;
+  const auto fleet = FleetThatReusesAddresses({"plain", "plain", "other"});
+  FallSilent(*fleet, 0, &unanswered);
+  SendFor(*fleet, kReuseAfter + milliseconds(100));
+  unanswered.clear();
+  sidecar::Settings settings = fleet->nodes[0].settings;
+  settings.worker_service = "other";
+  fleet->nodes[0].sidecar->Reload(settings);
+  GiveAddressTo(*fleet, 0, "foreign", "other");
+  SendFor(*fleet, milliseconds(1000));
+  CHECK_EQUAL_TEXT(0, fleet->nodes[0].worker->executed().size(), fleet->Log().c_str());
+  const std::vector<http::Request>& elsewhere = fleet->nodes[1].worker->executed();
+  CHECK(std::any_of(elsewhere.begin(), elsewhere.end(), [](const http::Request& request) {
+    return *request.head.headers.Find("Caller-Service") == "other";
+  }));
+  fleet->store.Put("op/config", TestConfiguration(2, "other"));
+  SendFor(*fleet, milliseconds(1000));
+  CHECK_TEXT(!fleet->nodes[0].worker->executed().empty(), fleet->Log().c_str());
+}
+
+// Guards against a change to a service with keys that is passed over without a word.
+TEST(ReusedAddress, ReloadToServiceWithKeysIsToldInLogAndMetrics) {
+  Fleet fleet({"plain", "keyed", "keyed"});
+  fleet.nodes[0].settings.metrics = FreeEndpoints("127.0.0.1", 1)[0];
+  fleet.Start();
+  CHECK(fleet.Metrics(0).find("runshelf_service_needs_restart 0") != std::string::npos);
+  sidecar::Settings settings = fleet.nodes[0].settings;
+  settings.worker_service = "keyed";
+  fleet.nodes[0].sidecar->Reload(settings);
+  GiveAddressTo(fleet, 0, "foreign", "keyed");
+  RunFor(fleet.loop, std::chrono::seconds(3));
+  CHECK(fleet.EveryKeyHeld());
+  CHECK(fleet.Metrics(0).find("runshelf_service_needs_restart 1") != std::string::npos);
+  CHECK(fleet.Log().find("event=service_changed") != std::string::npos);
+  CHECK_EQUAL(0, fleet.nodes[0].worker->grants().size());
+  CHECK_EQUAL(200, fleet.Keyed(0, 0)->status);
+}
--- a/tests/sidecar/service_members_test.cc
+++ b/tests/sidecar/service_members_test.cc
@@ -43,3 +43,10 @@
   CHECK(members.Include("w999", kStart));
   CHECK_FALSE(members.Include("w0", kStart));
 }
+
+TEST(ServiceMembers, NothingIsKnownOfAnotherService) {
+  members.Add("w1");
+  members.OnRunning(kStart);
+  members.Clear();
+  CHECK_FALSE(members.Include("w1", kStart));
+}
