Endless answers: bodies, interim answers and blank lines are bounded

Callers: a worker, a node or the store that sends bytes without end filled the memory of the node that listened (a machine has 260 MB), and a refusal with such a body was told to its caller at the deadline, as 504 instead of "not run".

Cause: SimpleCall collected bodies without a bound until its timeout; the bound of a head began anew with each interim (1xx) answer and did not count blank lines before a status line; the gate and a forwarded attempt waited for the whole body of a refusal.

Why it works: what is kept is bounded by size and no longer by how much arrives within a timeout.

--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -426,6 +426,7 @@
                        const event::Endpoint& endpoint, std::string_view request,
                        const CallOptions& options, Duration timeout, Callback callback)
     : wait_while_answer_arrives_(options.wait_while_answer_arrives),
+      max_body_bytes_(options.max_body_bytes),
       timeout_(timeout),
       loop_(loop),
       give_up_at_(loop.Now() + timeout * kMaxAnswerTimeouts),
@@ -438,10 +439,18 @@
 void SimpleCall::OnResponseHead(ResponseHead&& head) {
   response_.status = head.status;
   response_.headers = std::move(head.headers);
+  if (head.content_length.value_or(0) > max_body_bytes_) {
+    Finish(std::nullopt, ClientFailure::kIncomplete);
+    return;
+  }
   OnAnswerArrives();
 }
 
 void SimpleCall::OnResponseBody(std::string_view data) {
+  if (response_.body.size() + data.size() > max_body_bytes_) {
+    Finish(std::nullopt, ClientFailure::kIncomplete);
+    return;
+  }
   response_.body.append(data);
   OnAnswerArrives();
 }
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -58,6 +58,11 @@
   // For a SimpleCall: its timeout limits the time until the answer's head and then between its
   // parts, so that a large answer can arrive over a slow link, while a stalled one is abandoned.
   bool wait_while_answer_arrives = false;
+  // For a SimpleCall: an answer with a larger body is a failure.
+  size_t max_body_bytes = kDefaultMaxBodyBytes;
+
+  // More than any answer that only states a fact.
+  static constexpr size_t kDefaultMaxBodyBytes = size_t{64} * 1024;
 };
 
 class ClientConnection;
@@ -180,6 +185,7 @@
   void OnAnswerArrives();
 
   bool wait_while_answer_arrives_;
+  size_t max_body_bytes_;
   Duration timeout_;
   event::EventLoop& loop_;
   Instant give_up_at_;
--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -117,6 +117,8 @@
   // Returned to http_parser at the end of a head.
   static constexpr int kWithoutBody = 1;
   static constexpr int kStopParsing = -1;
+  // Size of a head with neither reason phrase nor headers: "HTTP/1.1 100 \r\n\r\n".
+  static constexpr size_t kMinHeadBytes = 17;
 
   http_parser parser{};
   Parser* owner = nullptr;
@@ -155,7 +157,7 @@
     self.field.clear();
     self.value.clear();
     self.reading_value = false;
-    self.owner->head_bytes_ = 0;
+    if (!std::exchange(self.owner->after_interim_, false)) self.owner->head_bytes_ = 0;
     self.owner->in_message_ = true;
     self.owner->head_complete_ = false;
     return 0;
@@ -210,7 +212,12 @@
     }
     if (self.ContainsSecondResponse()) return kStopParsing;
     // An interim (1xx) response has no body, and its completion is not reported.
-    if (parser->status_code / 100 == 1) return kWithoutBody;
+    if (parser->status_code / 100 == 1) {
+      self.owner->after_interim_ = true;
+      self.owner->head_bytes_ += kMinHeadBytes;
+      self.too_large = self.owner->head_bytes_ > self.owner->max_head_bytes_;
+      return self.too_large ? kStopParsing : kWithoutBody;
+    }
     ResponseHead head;
     head.status = static_cast<int>(parser->status_code);
     head.headers = std::move(self.headers);
@@ -273,10 +280,12 @@
       http_parser_execute(&parser, &Implementation::Settings(), data.data(), data.size());
   switch (HTTP_PARSER_ERRNO(&parser)) {
     case HPE_OK:
+      if (!CountUnclaimed(consumed)) return {ParseStatus::kHeadTooLarge, consumed};
       // Upgrades are not supported: the bytes after such a head are not HTTP.
       if (parser.upgrade != 0) return {ParseStatus::kMalformed, consumed};
       return {ParseStatus::kOk, consumed};
     case HPE_PAUSED:
+      unclaimed_bytes_ = 0;
       if (parser.upgrade != 0) return {ParseStatus::kMalformed, consumed};
       return {ParseStatus::kPaused, consumed};
     default:
@@ -285,6 +294,12 @@
   }
 }
 
+// Counts the bytes that belong to no message. Returns false if there are too many.
+bool Parser::CountUnclaimed(size_t consumed) {
+  unclaimed_bytes_ = in_message_ ? 0 : unclaimed_bytes_ + consumed;
+  return unclaimed_bytes_ <= max_head_bytes_;
+}
+
 bool Parser::Finish() {
   if (!in_message_) return true;
   http_parser& parser = implementation_->parser;
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -109,6 +109,7 @@
   Parser(const Parser&) = delete;
   Parser& operator=(const Parser&) = delete;
 
+  // The limit includes the interim answers, or blank lines, before a message.
   void set_max_head_bytes(size_t bytes) { max_head_bytes_ = bytes; }
   // Whether the next response answers a HEAD request and so has no body.
   void set_response_to_head(bool value) { response_to_head_ = value; }
@@ -123,11 +124,15 @@
  private:
   struct Implementation;
   friend struct Implementation;
+  bool CountUnclaimed(size_t consumed);
+
   std::unique_ptr<Implementation> implementation_;
   ParserObserver* observer_;
   ParserKind kind_;
   size_t max_head_bytes_ = size_t{64} * 1024;
-  size_t head_bytes_ = 0;
+  size_t head_bytes_ = 0;       // Of the head in progress, and of the interim answers before it.
+  size_t unclaimed_bytes_ = 0;  // Received since the last message, before the next one began.
+  bool after_interim_ = false;  // The last message was an interim (1xx) answer.
   bool response_to_head_ = false;
   bool in_message_ = false;
   bool head_complete_ = false;
--- a/source/sidecar/feed_transport.cc
+++ b/source/sidecar/feed_transport.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int kOk = 200;
+// A snapshot holds all items under a prefix.
+constexpr size_t kMaxSnapshotBytes = size_t{32} * 1024 * 1024;
 constexpr const char* kTarget = "/state";
 
 http::RequestHead MessageHead() {
@@ -66,6 +68,7 @@
   peer_protocol::MarkSnapshotRequest(prefix, &head.headers);
   http::CallOptions options(http::AnswerMatch::InOrder(), "copy");
   options.wait_while_answer_arrives = true;
+  options.max_body_bytes = kMaxSnapshotBytes;
   calls_.Start(source, http::SerializeRequest(head, ""), options, timeout,
                AnswerTo(std::move(callback)));
 }
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -7,6 +7,8 @@
 namespace runshelf::sidecar {
 namespace {
 
+// Nodes send failures without a body.
+constexpr size_t kMaxFailureBodyBytes = size_t{64} * 1024;
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(15);
 
 }  // namespace
@@ -59,7 +61,14 @@
   const TrafficKind kind =
       request_.large_answer ? TrafficKind::kLargeAnswers : TrafficKind::kAnswers;
   peers_.OnTraffic(kind, node_, data.size());
-  if (answering_) observer_->OnAnswerBody(data);
+  if (answering_) {
+    observer_->OnAnswerBody(data);
+    return;
+  }
+  failure_body_bytes_ += data.size();
+  if (failure_body_bytes_ <= kMaxFailureBodyBytes) return;
+  call_.reset();
+  observer_->OnAttemptFailure(*failure_);
 }
 
 void RemoteAttempt::OnResponseComplete() {
--- a/source/sidecar/remote_attempt.h
+++ b/source/sidecar/remote_attempt.h
@@ -41,7 +41,8 @@
   AttemptObserver* observer_;
   std::unique_ptr<http::ClientCall> call_;
   std::optional<AttemptFailure> failure_;  // Failure that the peer reported in the answer's head.
-  bool answering_ = false;                 // The answer's head was passed to the observer.
+  size_t failure_body_bytes_ = 0;
+  bool answering_ = false;  // The answer's head was passed to the observer.
 };
 
 }  // namespace runshelf::sidecar
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -22,6 +22,9 @@
 // meet it.
 constexpr double kServiceTimeDeviations = 1;
 
+// The body of a refusal is not passed on. A longer one is not waited for.
+constexpr size_t kMaxRefusalBodyBytes = size_t{64} * 1024;
+
 bool IsSuccess(int status) { return status >= kOk && status < kMultipleChoices; }
 
 admission::AdmissionConfig QueueConfig() {
@@ -157,13 +160,17 @@
   }
 
   void OnResponseBody(std::string_view data) override {
-    if (answering_) observer_->OnAnswerBody(data);
+    if (answering_) {
+      observer_->OnAnswerBody(data);
+      return;
+    }
+    refusal_body_bytes_ += data.size();
+    if (refusal_.has_value() && refusal_body_bytes_ > kMaxRefusalBodyBytes) FailRefused();
   }
 
   void OnResponseComplete() override {
     if (refusal_.has_value()) {
-      ReleaseSlot(overloaded_ ? admission::Completion::kShed : admission::Completion::kFailed);
-      Fail({Verdict::kNotRun, *refusal_, true, Duration(0)});
+      FailRefused();
       return;
     }
     gate_->RecordCompletedRun(request_, status_);
@@ -204,6 +211,14 @@
     if (!overloaded_ && !limited) gate_->RecordAnswer(/*refused_with_room=*/true);
   }
 
+  // The worker stated that it did not run the request. Closes the connection unless the answer is
+  // complete.
+  void FailRefused() {
+    call_.reset();
+    ReleaseSlot(overloaded_ ? admission::Completion::kShed : admission::Completion::kFailed);
+    Fail({Verdict::kNotRun, *refusal_, true, Duration(0)});
+  }
+
   void ReportAnswer() {
     if (gate_->worker_observer_ == nullptr) return;
     gate_->worker_observer_->OnWorkerAnswered(
@@ -271,12 +286,12 @@
 
   void OnDeadline() {
     call_.reset();
-    const bool sent = sent_;
+    const bool may_have_run = sent_ && !refusal_.has_value();
     if (registered_) {
       Unregister();
-      gate_->Withdraw(id_, sent, Elapsed());
+      gate_->Withdraw(id_, sent_, Elapsed());
     }
-    Fail({sent ? Verdict::kMayHaveRun : Verdict::kNotRun, FailureReason::kExpired, sent,
+    Fail({may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun, FailureReason::kExpired, sent_,
           Duration(0)});
   }
 
@@ -287,6 +302,7 @@
   event::Timer timer_;
   std::unique_ptr<http::ClientCall> call_;
   std::optional<FailureReason> refusal_;
+  size_t refusal_body_bytes_ = 0;
   bool overloaded_ = false;
   bool answering_ = false;
   int status_ = 0;  // HTTP status of the answer.
--- a/source/store/store_client.cc
+++ b/source/store/store_client.cc
@@ -36,6 +36,8 @@
 
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+// Several times the largest page of items, and of the largest item, in base64.
+constexpr size_t kMaxAnswerBytes = size_t{16} * 1024 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kIdleTimeout = std::chrono::seconds(8);
 // Well below the timeout of a short watch.
@@ -75,6 +77,7 @@
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.wait_while_answer_arrives = true;
+  options.max_body_bytes = kMaxAnswerBytes;
   return active_.Start(
       endpoint, http::SerializeRequest(head, request.body), options, timeout,
       [this, endpoint, callback = std::move(callback)](std::optional<http::Response> response) {
--- a/tests/platform_adapter/fleet.cc
+++ b/tests/platform_adapter/fleet.cc
@@ -10,6 +10,7 @@
 namespace runshelf::platform_adapter {
 namespace {
 
+constexpr size_t kMaxClientBodyBytes = size_t{16} * 1024 * 1024;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
 
 // Returns a separate loopback address for each node, so that all nodes can use the same UDP ports.
@@ -143,10 +144,12 @@
     head.headers.Add("Attempt-Id", "a" + std::to_string(next_request_++));
   }
   if (!head.headers.Has("Deadline-Ms")) head.headers.Add("Deadline-Ms", "2000");
+  http::CallOptions options(http::AnswerMatch::InOrder(), "client");
+  options.max_body_bytes = kMaxClientBodyBytes;
   auto pending = std::make_unique<PendingRequest>();
   pending->call = std::make_unique<http::SimpleCall>(
-      loop, pool_, *nodes[node].settings.outbound, http::SerializeRequest(head, body),
-      http::CallOptions(http::AnswerMatch::InOrder(), "client"), limit,
+      loop, pool_, *nodes[node].settings.outbound, http::SerializeRequest(head, body), options,
+      limit,
       [pending = pending.get()](std::optional<http::Response> response, http::ClientFailure) {
         pending->over = true;
         if (!response.has_value()) return;
@@ -195,9 +198,11 @@
 
 std::string Fleet::Metrics(size_t node) {
   std::string text;
+  http::CallOptions options(http::AnswerMatch::InOrder(), "metrics");
+  options.max_body_bytes = kMaxClientBodyBytes;
   http::SimpleCall call(loop, pool_, *nodes[node].settings.metrics,
-                        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
-                        {http::AnswerMatch::InOrder(), "metrics"}, std::chrono::seconds(1),
+                        "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", options,
+                        std::chrono::seconds(1),
                         [&](const std::optional<http::Response>& response, http::ClientFailure) {
                           if (response.has_value()) text = response->body;
                         });
