Late heartbeats: only the process at the address shows who is present

Callers: a heartbeat of an ended worker that arrived after another one had registered at its address made the node give the keys of the living worker to others: two holders of a key for 1.3 s and more.

Cause: a heartbeat of another id replaced the present worker at once, unless this process had replaced its sender directly.

Change: such a heartbeat makes the node ask the process at the address; an answer to what was sent after the heartbeat's arrival decides. If nobody answers, a second heartbeat an interval later does, if the present worker was not heard in between. A leave notice of another worker replaces nobody.

The soak sends notices of other writers (unreadable, unknown, of another service) to nodes whose heartbeats it delays.

Test changed: HeartbeatKeys.TheAnswerToTheFirstHeartbeat... sent a new id's heartbeat while the process at the address went on stating the former id, which is a late heartbeat. The stand-in states the new id now; every check stays.

--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -199,6 +199,8 @@
   const DeferredHeartbeat deferred = *std::exchange(deferred_, std::nullopt);
   if (deferred.processed) {
     AcknowledgeHeartbeat(deferred.exchange, deferred.heartbeat);
+  } else if (deferred.of_other_worker) {
+    AcknowledgeOtherWorker(deferred);
   } else {
     deferred.exchange->Respond(kServiceUnavailable, {}, "");
   }
@@ -206,6 +208,10 @@
 
 void WorkerMonitor::ContinueDeferred() {
   if (!deferred_.has_value()) return;
+  if (deferred_->of_other_worker) {
+    ContinueHeartbeatOfOtherWorker();
+    return;
+  }
   const bool over = loop_.Now() - deferred_->exchange->received() >= kMaxDeferral;
   const bool known = deferred_->processed ? !observer_.lessor->LeaseIsPending() : synchronized_;
   if (!over && !known && (!deferred_->processed || IsNewest(deferred_->heartbeat))) {
@@ -239,6 +245,10 @@
     return;
   }
   members_.Add(std::string(wire_.StatedIdentity(heartbeat.worker_id)));
+  if (IsOfOtherWorker(heartbeat.worker_id)) {
+    OnHeartbeatOfOtherWorker(exchange, heartbeat);
+    return;
+  }
   if (IsOfFormerWorker(heartbeat)) {
     Acknowledge(exchange, std::nullopt);
     return;
@@ -276,6 +286,60 @@
   }
 }
 
+bool WorkerMonitor::IsOfOtherWorker(const std::string& worker_id) const {
+  return !worker_id_.empty() && wire_.StatedIdentity(worker_id) != wire_.StatedIdentity(worker_id_);
+}
+
+// The heartbeat may be a late one of a worker that has ended, whether or not this process has known
+// it. The process at the address shows who is there. If it does not answer, its sender is present
+// once it was heard again a heartbeat interval later and the present worker not at all in between.
+void WorkerMonitor::OnHeartbeatOfOtherWorker(const http::ExchangePtr& exchange,
+                                             const WorkerHeartbeat& heartbeat) {
+  const auto finding = former_workers_.OnHeartbeat(
+      loop_.Now(), heartbeat.worker_id, heartbeat.sequence, settings_.heartbeat_interval);
+  InvalidateProof("heartbeat of another worker");
+  Defer(exchange, heartbeat, /*processed=*/false);
+  deferred_->of_other_worker = true;
+  deferred_->shows_running = finding == FormerWorkers::Finding::kReturned;
+}
+
+// It is not known whether the sender is present.
+void WorkerMonitor::AcknowledgeOtherWorker(const DeferredHeartbeat& deferred) {
+  if (deferred.heartbeat.draining) {
+    OnLeaveOfOtherWorker(deferred.exchange, deferred.heartbeat.worker_id);
+  } else {
+    Acknowledge(deferred.exchange, std::nullopt);
+  }
+}
+
+void WorkerMonitor::ContinueHeartbeatOfOtherWorker() {
+  const std::string worker_id = deferred_->heartbeat.worker_id;
+  const Instant received = deferred_->exchange->received();
+  const bool other = IsOfOtherWorker(worker_id);
+  const bool late = other && confirmed_at_ >= received;
+  if (other && !late && loop_.Now() - received < kMaxDeferral) {
+    deferred_timer_.Start(kDeferralPoll);
+    return;
+  }
+  const DeferredHeartbeat deferred = *std::exchange(deferred_, std::nullopt);
+  if (other && !late && !deferred.shows_running) {
+    AcknowledgeOtherWorker(deferred);
+    return;
+  }
+  if (late) {
+    log_.Write(LogLevel::kInfo, "heartbeat_of_former_worker",
+               {{"worker", worker_id}, {"present", worker_id_}});
+    Acknowledge(deferred.exchange, std::nullopt);
+    return;
+  }
+  if (other) {
+    log_.Write(LogLevel::kWarning, "former_worker_returned",
+               {{"worker", worker_id}, {"taken_for_present", worker_id_}});
+    AdoptWorker(worker_id, Instant{}, Source::kNotice);
+  }
+  OnHeartbeat(deferred.exchange, deferred.heartbeat);
+}
+
 // The heartbeat may be late, and this address may have come back to the service since: only the
 // process at the address shows who is there.
 void WorkerMonitor::OnHeartbeatOfOtherService(const WorkerHeartbeat& heartbeat) {
@@ -298,20 +362,20 @@
     Acknowledge(exchange, std::nullopt);
     return;
   }
-  if (worker_id != worker_id_ &&
-      !members_.Include(std::string(wire_.StatedIdentity(worker_id)), loop_.Now())) {
-    OnLeaveOfUnknownWorker(exchange, worker_id);
+  const bool known = members_.Include(std::string(wire_.StatedIdentity(worker_id)), loop_.Now());
+  if (IsOfOtherWorker(worker_id) || (worker_id != worker_id_ && !known)) {
+    OnLeaveOfOtherWorker(exchange, worker_id);
     return;
   }
   if (worker_id != worker_id_) AdoptWorker(worker_id, Instant{}, Source::kNotice);
   RecordDrain(exchange, worker_id, [this, exchange] { Acknowledge(exchange, std::nullopt); });
 }
 
-// The notice names no service, and it may be late: it says nothing of the present worker. It is
-// recorded for the case that its sender is found to be a worker of this service.
-void WorkerMonitor::OnLeaveOfUnknownWorker(const http::ExchangePtr& exchange,
-                                           const std::string& worker_id) {
-  log_.Write(LogLevel::kInfo, "unknown_worker_leaves",
+// The notice may be late: it says nothing of the present worker. It is recorded for the case that
+// its sender is found at the address.
+void WorkerMonitor::OnLeaveOfOtherWorker(const http::ExchangePtr& exchange,
+                                         const std::string& worker_id) {
+  log_.Write(LogLevel::kInfo, "other_worker_leaves",
              {{"worker", worker_id}, {"present", worker_id_}});
   if (draining_) {
     Acknowledge(exchange, std::nullopt);  // The record names the present worker.
--- a/source/sidecar/worker_monitor.h
+++ b/source/sidecar/worker_monitor.h
@@ -109,10 +109,26 @@
   uint64_t unstamped_successes() const { return unstamped_successes_; }
 
  private:
+  struct DeferredHeartbeat {
+    http::ExchangePtr exchange;
+    WorkerHeartbeat heartbeat;
+    bool processed = false;  // Its content has been applied; only the response is outstanding.
+    // It comes from another worker than the present one, and the address is asked who is there.
+    bool of_other_worker = false;
+    // Together with an earlier one it shows that its sender is running.
+    bool shows_running = false;
+  };
+
   void OnHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
+  // Whether the message comes from another worker than the one that is taken for present.
+  bool IsOfOtherWorker(const std::string& worker_id) const;
+  void OnHeartbeatOfOtherWorker(const http::ExchangePtr& exchange,
+                                const WorkerHeartbeat& heartbeat);
+  void ContinueHeartbeatOfOtherWorker();
+  void AcknowledgeOtherWorker(const DeferredHeartbeat& deferred);
   void OnHeartbeatOfOtherService(const WorkerHeartbeat& heartbeat);
   void OnLeave(const http::ExchangePtr& exchange, const WorkerLeave& leave);
-  void OnLeaveOfUnknownWorker(const http::ExchangePtr& exchange, const std::string& worker_id);
+  void OnLeaveOfOtherWorker(const http::ExchangePtr& exchange, const std::string& worker_id);
   void Acknowledge(const http::ExchangePtr& exchange, const std::optional<KeyLease>& lease);
   void AcknowledgeHeartbeat(const http::ExchangePtr& exchange, const WorkerHeartbeat& heartbeat);
   bool IsNewest(const WorkerHeartbeat& heartbeat) const;
@@ -182,11 +198,6 @@
   Observer observer_;
   event::Timer probe_timer_;
   event::Timer silence_timer_;
-  struct DeferredHeartbeat {
-    http::ExchangePtr exchange;
-    WorkerHeartbeat heartbeat;
-    bool processed = false;  // Its content has been applied; only the response is outstanding.
-  };
   std::optional<DeferredHeartbeat> deferred_;
   event::Timer deferred_timer_;
   DrainRecord drain_record_;
--- a/tests/platform_adapter/former_workers_test.cc
+++ b/tests/platform_adapter/former_workers_test.cc
@@ -41,29 +41,13 @@
   return most;
 }
 
-// A start time of zero is not reported.
-void CheckLateHeartbeatAfterNodeRestart(int64_t former_born, int64_t present_born) {
-  Fleet fleet({"keyed", "keyed", "other"});
-  fleet.SetBorn(former_born);
-  fleet.Start();
-  FakeWorker& former = *fleet.nodes[0].worker;
-  // Requests are running on all keys: they are not handed over before the process ends.
-  former.set_busy_keys([](uint32_t, uint32_t) { return true; });
-  former.set_draining(true);
-  CHECK(RunUntil(fleet.loop, [&] { return former.leaving_acknowledged_at().has_value(); }));
-  fleet.Kill(0);
-  fleet.ReplaceWorker(0, "w0-next", present_born);
-  fleet.Restart(0);
-  const bool held_again = RunUntil(
-      fleet.loop, [&] { return fleet.EveryKeyHeld() && !KeysOf(fleet, 0).empty(); }, kRecovery);
-  CHECK_TEXT(held_again, fleet.Log().c_str());
-  RunFor(fleet.loop, milliseconds(1500));
-  CHECK(fleet.EveryKeyHeld());
+// A late heartbeat of the worker w0 arrives at its node, whose present worker holds keys and takes
+// `health_delay` to answer a health check. A start time of zero is not reported.
+void CheckLateHeartbeatTakesNoKeys(Fleet& fleet, int64_t former_born, Duration health_delay) {
   const std::vector<uint32_t> held = KeysOf(fleet, 0);
   CHECK_FALSE(held.empty());
 
-  // A health check that is answered at once shows the present worker before its keys are taken.
-  fleet.nodes[0].worker->set_health_delay([] { return kHealthDelay; });
+  fleet.nodes[0].worker->set_health_delay([health_delay] { return health_delay; });
   const std::string born = former_born == 0 ? "" : fmt::format(R"(,"born":{})", former_born);
   const auto answer = fleet.Heartbeat(
       0, "w0",
@@ -89,6 +73,28 @@
   CHECK_EQUAL_TEXT(0, lost, seen.c_str());
 }
 
+// A start time of zero is not reported.
+void CheckLateHeartbeatAfterNodeRestart(int64_t former_born, int64_t present_born) {
+  Fleet fleet({"keyed", "keyed", "other"});
+  fleet.SetBorn(former_born);
+  fleet.Start();
+  FakeWorker& former = *fleet.nodes[0].worker;
+  // Requests are running on all keys: they are not handed over before the process ends.
+  former.set_busy_keys([](uint32_t, uint32_t) { return true; });
+  former.set_draining(true);
+  CHECK(RunUntil(fleet.loop, [&] { return former.leaving_acknowledged_at().has_value(); }));
+  fleet.Kill(0);
+  fleet.ReplaceWorker(0, "w0-next", present_born);
+  fleet.Restart(0);
+  const bool held_again = RunUntil(
+      fleet.loop, [&] { return fleet.EveryKeyHeld() && !KeysOf(fleet, 0).empty(); }, kRecovery);
+  CHECK_TEXT(held_again, fleet.Log().c_str());
+  RunFor(fleet.loop, milliseconds(1500));
+  CHECK(fleet.EveryKeyHeld());
+  // A health check that is answered at once shows the present worker before its keys are taken.
+  CheckLateHeartbeatTakesNoKeys(fleet, former_born, kHealthDelay);
+}
+
 }  // namespace
 
 TEST_GROUP(FormerWorkers){};
@@ -102,3 +108,52 @@
 TEST(FormerWorkers, LateHeartbeatWithoutStartTimeAfterNodeRestartTakesNoKeys) {
   CheckLateHeartbeatAfterNodeRestart(0, 0);
 }
+
+// Guards against the same without a restart of the node: the ended worker was found dead before its
+// successor registered.
+TEST(FormerWorkers, LateHeartbeatOfWorkerFoundDeadTakesNoKeys) {
+  for (const auto delivery : {routes::GrantDelivery::kCalls, routes::GrantDelivery::kHeartbeats}) {
+    for (const Duration health_delay : {Duration(0), kHealthDelay}) {
+      Fleet fleet({"keyed", "keyed", "other"}, delivery);
+      fleet.SetBorn(kFirstStartMs);
+      fleet.Start();
+      fleet.ReplaceWorker(0, "w0-next", kSecondStartMs, milliseconds(1500));
+      CHECK(RunUntil(
+          fleet.loop, [&] { return fleet.nodes[0].worker->heartbeat_status() == 200; }, kRecovery));
+      // The present worker gets keys when the other one drains.
+      fleet.nodes[1].worker->set_draining(true);
+      const bool moved = RunUntil(
+          fleet.loop, [&] { return KeysOf(fleet, 0).size() == 128 && fleet.EveryKeyHeld(); },
+          kRecovery);
+      CHECK_TEXT(moved, fleet.Log().c_str());
+      fleet.ReplaceWorker(1, "w1-next", kSecondStartMs);
+      RunFor(fleet.loop, milliseconds(1500));
+      CheckLateHeartbeatTakesNoKeys(fleet, kFirstStartMs, health_delay);
+    }
+  }
+}
+
+// Guards against a worker that is left out because it takes the place of one that seems present:
+// its health check is answered at once, late, or not at all.
+TEST(FormerWorkers, SuccessorThatRegistersByHeartbeatsIsUsed) {
+  for (const auto health : {0, 1, 2}) {
+    Fleet fleet({"plain", "other"});
+    fleet.Start();
+    const uint16_t port = fleet.nodes[0].worker->endpoint().port;
+    fleet.nodes[0].worker.reset();
+    fleet.nodes[0].worker = std::make_unique<FakeWorker>(fleet.loop, "next", "plain");
+    fleet.nodes[0].worker->Listen(port);
+    if (health == 1) fleet.nodes[0].worker->set_health_delay([] { return kHealthDelay; });
+    if (health == 2) fleet.nodes[0].worker->set_health_silent(true);
+    fleet.nodes[0].worker->StartHeartbeats(*fleet.nodes[0].settings.control_plane,
+                                           milliseconds(100));
+    const bool used = RunUntil(
+        fleet.loop,
+        [&] {
+          const auto answer = fleet.Request(1, "GET", "/read/1", "");
+          return answer.has_value() && answer->status == 200;
+        },
+        std::chrono::seconds(4));
+    CHECK_TEXT(used, fleet.Log().c_str());
+  }
+}
--- a/tests/platform_adapter/heartbeat_keys_test.cc
+++ b/tests/platform_adapter/heartbeat_keys_test.cc
@@ -103,8 +103,11 @@
   fleet.Start();
   fleet.nodes[0].worker->set_heartbeats_cut(true);
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const std::string id = "new-" + std::to_string(attempt);
+    // The process at the address is the new incarnation: otherwise the heartbeat is a late one.
+    fleet.nodes[0].worker->set_stated_id(id);
     const Instant start = fleet.loop.Now();
-    const auto answer = fleet.Heartbeat(0, "new-" + std::to_string(attempt), HeartbeatBody(1, ""));
+    const auto answer = fleet.Heartbeat(0, id, HeartbeatBody(1, ""));
     if (fleet.loop.Now() - start >= kAnswerTimeout) continue;
     CHECK(answer.has_value());
     CHECK_EQUAL(200, answer->status);
--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -237,6 +237,7 @@
     case FaultKind::kOrdersUnanswered:
       return fleet_.SetOrdersUnanswered(fault.node, true);
     case FaultKind::kHeartbeatsDelayed:
+      fleet_.SendNoticesOfOtherWriters(node);
       return fleet_.SetHeartbeatsDelayed(fault.node, true);
     case FaultKind::kWorkerAnswersTwice:
       witness_.BeginFault(fault.node, /*planned=*/false);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -126,7 +126,8 @@
   file << fmt::format(
       "node_name = \"{}\"\nfirst_start = {}\nip_address = \"{}\"\nzone = \"{}\"\n"
       "internal_port_range = [{},{}]\nheartbeat_interval_ms = {}\n"
-      "bounds = [\"drain_timeout_ms={}\",\"grace_period_s={}\",\"max_hold_ms=10000\","
+      "bounds = "
+      "[\"drain_timeout_ms={}\",\"reuse_after_s=2\",\"grace_period_s={}\",\"max_hold_ms=10000\","
       "\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"retry_budget_extra={}\","
       "\"evacuation_ms={}\",\"cold_overage={}\",\"cold_tolerance={}\"]\n"
       "grants = \"{}\"\napplication_address = \"{}\"\nservice = \"{}\"\n"
@@ -348,14 +349,37 @@
   return count;
 }
 
+void SoakFleet::CallNode(const event::Endpoint& node, const std::string& request) {
+  late_calls_.push_back(std::make_unique<http::SimpleCall>(
+      loop_, pool_, node, request, http::CallOptions(http::AnswerMatch::InOrder(), "late call"),
+      kLateCallTimeout, [](const std::optional<http::Response>&, http::ClientFailure) {}));
+}
+
+void SoakFleet::SendNoticesOfOtherWriters(const SoakNode& node) {
+  const auto notice = [&](const std::string& call, const std::string& id,
+                          const std::string& service) {
+    http::RequestHead head;
+    head.method = "POST";
+    head.target = "/runshelf/rpc?call=instances." + call + "&of=" + id;
+    head.headers.Add("Host", node.control_plane.ToString());
+    CallNode(node.control_plane,
+             http::SerializeRequest(
+                 head, fmt::format(R"({{"service":"{}","address":"{}","zone":"z","version":"v1",)"
+                                   R"("slots":4,"state":"draining","cold_remaining_ms":0,)"
+                                   R"("call_sequence":9000}})",
+                                   service, node.worker_proxy->endpoint().ToString())));
+  };
+  notice("heartbeat", "i-\xff\xfe\x80", node.service);
+  notice("deregister", "i-\xff\xfe\x80", node.service);
+  notice("heartbeat", "unknown", node.service);
+  notice("deregister", "unknown", node.service);
+  notice("heartbeat", "foreign", "another-service");
+}
+
 void SoakFleet::SendDelayed(const event::Endpoint& node, std::string request) {
   std::erase_if(held_back_, [](const auto& timer) { return !timer->active(); });
-  held_back_.push_back(std::make_unique<event::Timer>(loop_, [this, node,
-                                                              request = std::move(request)] {
-    late_calls_.push_back(std::make_unique<http::SimpleCall>(
-        loop_, pool_, node, request, http::CallOptions(http::AnswerMatch::InOrder(), "late call"),
-        kLateCallTimeout, [](const std::optional<http::Response>&, http::ClientFailure) {}));
-  }));
+  held_back_.push_back(std::make_unique<event::Timer>(
+      loop_, [this, node, request = std::move(request)] { CallNode(node, request); }));
   held_back_.back()->Start(random_.Between(kShortestLateness, kLongestLateness));
 }
 
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -55,6 +55,9 @@
   // heartbeats are subject to faults such as delay, loss and duplication.
   void SetOrdersUnanswered(size_t node, bool value) { orders_unanswered_[node] = value; }
   void SetHeartbeatsDelayed(size_t node, bool value) { heartbeats_delayed_[node] = value; }
+  // Reports to the node as other writers may: a worker whose id is not text, one that is unknown,
+  // and one of another service at the worker's address.
+  void SendNoticesOfOtherWriters(const SoakNode& node);
   // Writes as the operator that a zone is evacuated, or returned to use.
   void SetZoneEvacuated(size_t zone, bool evacuated);
   // Lets the node's worker state that it accepts so many requests per second; zero: states none.
@@ -77,6 +80,7 @@
   void SetUpWorker(SoakNode* node, FakeWorker* worker);
   FakeWorker::HeartbeatFault NextHeartbeatFault(size_t node);
   FakeWorker::OrderFault NextOrderFault(size_t node);
+  void CallNode(const event::Endpoint& node, const std::string& request);
   void SendDelayed(const event::Endpoint& node, std::string request);
   std::string ReplaceAddressByProxy(const std::string& key, const std::string& value) const;
   std::vector<pid_t> Processes() const;
