--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -33,9 +33,7 @@
   if (start == std::string::npos) return std::nullopt;
   std::string_view digits = std::string_view(*value).substr(start + 8);
   digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-  const auto seconds = ParseNumber(digits);
-  if (!seconds.has_value()) return std::nullopt;
-  return std::chrono::seconds(*seconds);
+  return ParseTime(digits, std::chrono::seconds(1));
 }
 
 }  // namespace
--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -22,6 +22,13 @@
   return number;
 }
 
+std::optional<Duration> ParseTime(std::string_view text, Duration unit) {
+  constexpr Duration kLongest = std::chrono::hours(24);
+  const std::optional<int64_t> count = ParseNumber(text);
+  if (!count.has_value()) return std::nullopt;
+  return *count > kLongest / unit ? kLongest : *count * unit;
+}
+
 void Headers::Add(std::string_view name, std::string_view value) {
   headers_.push_back({std::string(name), std::string(value)});
 }
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "runshelf/common/clock.h"
+
 namespace runshelf::http {
 
 struct Header {
@@ -43,6 +45,10 @@
 // Parses a non-negative integer; nullopt when `text` has another form.
 std::optional<int64_t> ParseNumber(std::string_view text);
 
+// Parses a non-negative number of time units, each `unit` long. Times beyond a day count as a day,
+// so that sums of times stay in range. nullopt when `text` has another form.
+std::optional<Duration> ParseTime(std::string_view text, Duration unit);
+
 struct RequestHead {
   std::string method;
   std::string target;
--- a/source/sidecar/request_flow.cc
+++ b/source/sidecar/request_flow.cc
@@ -69,11 +69,10 @@
   Duration allowed = route_.timeout.value_or(kDefaultTimeout);
   bool short_deadline = false;
   if (const std::string* text = request.head.headers.Find(names.deadline)) {
-    const auto milliseconds = http::ParseNumber(*text);
-    if (milliseconds.has_value()) {
-      const Duration caller_timeout = std::chrono::milliseconds(*milliseconds);
-      short_deadline = ingress_->IsShortDeadline(route_.name, caller_timeout);
-      allowed = std::min(allowed, caller_timeout);
+    const auto caller_timeout = http::ParseTime(*text, std::chrono::milliseconds(1));
+    if (caller_timeout.has_value()) {
+      short_deadline = ingress_->IsShortDeadline(route_.name, *caller_timeout);
+      allowed = std::min(allowed, *caller_timeout);
     }
   }
   if (const std::string* text = request.head.headers.Find(names.shard_key)) {
--- a/source/sidecar/worker_monitor.cc
+++ b/source/sidecar/worker_monitor.cc
@@ -139,9 +139,9 @@
 void WorkerMonitor::OnProbeColdState(const http::Response& response) {
   if (!cold_state_tracked_ || probe_sent_at_ < cold_state_forgotten_at_) return;
   const std::string* text = response.headers.Find(wire_.headers().cold_remaining);
-  const auto milliseconds = text == nullptr ? std::optional<int64_t>(0) : http::ParseNumber(*text);
-  if (!milliseconds.has_value()) return;
-  SetColdUntil(loop_.Now() + std::chrono::milliseconds(*milliseconds));
+  const auto remaining = text == nullptr ? std::optional(Duration(0))
+                                         : http::ParseTime(*text, std::chrono::milliseconds(1));
+  if (remaining.has_value()) SetColdUntil(loop_.Now() + *remaining);
 }
 
 // All connections to a process end with it. While one is open, the process runs.
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -438,6 +438,24 @@
   CHECK_EQUAL(2, server.connections());
 }
 
+// Guards against arithmetic on a time that a server states, beyond the range of a duration.
+TEST(Client, AKeepAliveTimeOfAnySizeKeepsTheConnection) {
+  for (const char* seconds : {"9223372036854775807", "9223372036855", "99999999999999999999"}) {
+    const std::string answer = std::string("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=") + seconds +
+                               "\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([answer](int connection) {
+      while (!RawServer::ReadHead(connection).empty()) RawServer::Send(connection, answer);
+    });
+    for (int round = 0; round < 2; ++round) {
+      Collector collector;
+      Expect(server.endpoint(), InOrder(), &collector);
+      CHECK(collector.complete);
+    }
+    CHECK_EQUAL_TEXT(1, server.connections(), seconds);
+    pool.CloseIdle(server.endpoint());
+  }
+}
+
 TEST(Client, ASimpleCallEndsAfterItsTimeout) {
   RawServer server([](int connection) {
     RawServer::ReadHead(connection);
--- a/tests/platform_adapter/unreadable_names_test.cc
+++ b/tests/platform_adapter/unreadable_names_test.cc
@@ -120,3 +120,18 @@
         std::chrono::seconds(5)));
   }
 }
+
+// Guards against a caller that is refused because the time that it gives is beyond the range of a
+// duration.
+TEST(UnreadableNames, RequestWithAVeryLongDeadlineIsServed) {
+  Fleet fleet({"plain", "other"});
+  fleet.Start();
+  for (const char* deadline :
+       {"9223372036854775807", "9223372036854776", "9300000000000000", "86400000"}) {
+    http::Headers headers;
+    headers.Add("Deadline-Ms", deadline);
+    const auto answer = fleet.Request(0, "POST", "/send/1", "body", headers);
+    CHECK_TEXT(answer.has_value(), deadline);
+    CHECK_EQUAL_TEXT(200, answer->status, deadline);
+  }
+}
