--- a/source/sidecar/former_workers.h
+++ b/source/sidecar/former_workers.h
@@ -1,7 +1,9 @@
-// The workers of this machine that another one has replaced, to recognize their late messages.
+// Workers of this machine other than the present one that were heard or replaced, to recognize
+// their late messages.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -21,7 +23,7 @@
     kReturned,  // The worker is the present one, and is no former one any more.
   };
 
-  void Add(const std::string& worker_id) { workers_[worker_id] = {}; }
+  void Add(const std::string& worker_id) { Insert(worker_id) = {}; }
   void Remove(const std::string& worker_id) { workers_.erase(worker_id); }
   bool Contains(const std::string& worker_id) const { return workers_.contains(worker_id); }
   // The present worker was heard.
@@ -37,7 +39,10 @@
     Instant heard_at{};  // Instant{}: there was none.
     int64_t sequence = 0;
   };
+  FirstHeartbeat& Insert(const std::string& worker_id);
+
   std::map<std::string, FirstHeartbeat> workers_;
+  std::deque<std::string> inserted_;  // Ids in the order in which they were inserted.
 };
 
 }  // namespace runshelf::sidecar
--- a/tests/sidecar/former_workers_test.cc
+++ b/tests/sidecar/former_workers_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 using namespace runshelf;
 using namespace runshelf::sidecar;
 
@@ -44,3 +46,13 @@
   now += kInterval;
   CHECK_FALSE(Returned(8));
 }
+
+// Guards against memory that grows with every message of another writer.
+TEST(FormerWorkers, OnlyTheLatestWorkersAreKept) {
+  for (int number = 0; number < 1000; ++number) {
+    const std::string id = "w" + std::to_string(number);
+    workers.OnHeartbeat(now, id, 1, kInterval);
+  }
+  CHECK(workers.Contains("w999"));
+  CHECK_FALSE(workers.Contains("w0"));
+}
