Review: case 5, a process that ends while a request waits for its trial

A request that is in quarantine waits for the store to count its trial. When the machine it was to go to has been forgotten meanwhile, the process uses a record that is no longer there, and ends with SIGSEGV. The case loses machines of services whose requests end their workers; processes of other machines end.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -196,6 +196,7 @@
         self.next_lease = 7000
         self.changed = asyncio.Event()
         self.refused_size = 0
+        self.watching = {}  # Number of watches that wait, by the machine that sent them.
         self.down = False
         self.server = Server(address, self.handle)
 
@@ -241,7 +242,7 @@
         return {"private_key": key, "value": base64.b64encode(value).decode(), "revision": revision, "made": made,
                 "lease": lease}
 
-    async def handle(self, message, _):
+    async def handle(self, message, connection):
         method, target, _ = message.first.split(" ")
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
@@ -260,7 +261,12 @@
             return json_answer(200, {"items": [self.describe(k) for k in page], "more": len(keys) > len(page),
                                      "at": self.revision})
         if path == "/runshelf/kv-watch":
-            return await self.watch(query)
+            caller = connection[1].get_extra_info("peername")[0]
+            self.watching[caller] = self.watching.get(caller, 0) + 1
+            try:
+                return await self.watch(query)
+            finally:
+                self.watching[caller] -= 1
         if path == "/runshelf/kv-txn":
             return self.transact(json.loads(message.body))
         if path == "/runshelf/kv-lease":
@@ -317,6 +323,84 @@
         return json_answer(200, {"revision": self.revision})
 
 
+class StoreLink:
+    """The way of one machine to the store. While it is cut, nothing passes and new connections hang."""
+
+    def __init__(self, address, store_address, source_ip):
+        self.address = address
+        self.store_address = store_address
+        self.source_ip = source_ip  # By which the store knows the machine.
+        self.open = asyncio.Event()
+        self.open.set()
+        self.pairs = set()
+        self.fillers = []
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(address)
+        self.listener.listen(8)
+        self.task = asyncio.ensure_future(self.accept())
+
+    async def accept(self):
+        while True:
+            await self.open.wait()
+            try:
+                client, _ = self.listener.accept()
+            except BlockingIOError:
+                await asyncio.sleep(0.002)
+                continue
+            client.setblocking(False)
+            asyncio.ensure_future(self.join(client))
+
+    async def join(self, client):
+        try:
+            reader, writer = await asyncio.open_connection(sock=client)
+            to_store = await asyncio.open_connection(*self.store_address, local_addr=(self.source_ip, 0))
+        except OSError:
+            client.close()
+            return
+        pair = (writer, to_store[1])
+        self.pairs.add(pair)
+        await asyncio.gather(self.copy(reader, to_store[1]), self.copy(to_store[0], writer))
+        self.pairs.discard(pair)
+
+    async def copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            await self.open.wait()
+            writer.close()
+
+    async def cut(self):
+        """Bytes under way are held up. The queue of new connections is filled, so that further ones hang."""
+        self.open.clear()
+        await asyncio.sleep(0.01)
+        for _ in range(24):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    def heal(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
+        self.open.set()
+
+    def stop(self):
+        self.task.cancel()
+        self.heal()
+        self.listener.close()
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.close()
+
+
 # --- Workers ------------------------------------------------------------------------------------------------------
 
 
@@ -348,6 +432,7 @@
         self.beat_task = None
         self.alive = False
         self.ran = []
+        self.callers = {}  # What the requests that it ran named as Caller-Service.
         self.on_request = None
 
     async def start(self):
@@ -430,7 +515,8 @@
         self.running += 1
         try:
             self.ran.append(attempt)
-            self.record.write(f"worker {self.id} begins {attempt} {method} {target}")
+            self.callers[attempt] = message.get("caller-service")
+            self.record.write(f"worker {self.id} begins {attempt} {method} {target} for {self.callers[attempt]}")
             if self.on_request is not None:
                 return await self.on_request(self, message, connection)
             await asyncio.sleep(self.work_s)
@@ -457,9 +543,9 @@
         self.first_start = first_start
         self.inbound, self.worker_address = (ip, 8300), (ip, 8301)
         self.readiness, self.outbound, self.control_plane = (ip, 8302), (ip, 8304), (ip, 8306)
+        self.link = None  # Its way to the store; None: direct.
         self.process = None
         self.worker = None
-        self.last_exit = None
 
     def settings(self):
         text = lambda address: "%s:%d" % address
@@ -492,7 +578,7 @@
 file_descriptors = 4100
 link_mbps = 1000.0
 [platform]
-address = "{text(self.fleet.store_address)}"
+address = "{text(self.link.address if self.link else self.fleet.store_address)}"
 form = "kv"
 writes_per_s = 1200
 reads_per_s = 6000
@@ -501,10 +587,14 @@
 ttl_min_ms = 1000
 '''
 
-    def start_process(self):
+    def write_settings(self):
         path = os.path.join(self.fleet.folder, self.name + ".toml")
         with open(path, "w") as file:
             file.write(self.settings())
+        return path
+
+    def start_process(self):
+        path = self.write_settings()
         log = open(os.path.join(self.fleet.folder, self.name + ".log"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                        "LANG": os.environ.get("LANG", "C"), "RUNSHELF_NODE_FILE": path}
@@ -522,6 +612,9 @@
             self.fleet.on_worker(self.worker)
         await self.worker.start()
 
+    def add_link(self):
+        self.link = StoreLink((self.ip, 8400), self.fleet.store_address, self.ip)
+
     def kill(self):
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
@@ -595,6 +688,8 @@
             worker.stop()
         self.store.server.stop()
         for machine in self.machines:
+            if machine.link is not None:
+                machine.link.stop()
             if machine.process is not None and machine.process.poll() is None:
                 machine.kill()
 
@@ -616,12 +711,15 @@
         record.say("target/bin/runshelf is not built")
         return 2
     fleet = Fleet(record, **options)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
+    held = None
     try:
         async with asyncio.timeout(115):
             held = await main(fleet, record, trouble)
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record.say(f"could not run: {type(error).__name__}: {error}")
-        held = None
     finally:
         fleet.end()
     if os.environ.get("KEEP"):
