--- a/review/rig3.py
+++ b/review/rig3.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,7 +15,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "bin", "runshelf")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SETTINGS = "RUNSHELF_" + "NODE_FILE"
+SETTINGS = "RUNSHELF_NODE_FILE"
 START = time.monotonic()
 
 
@@ -366,23 +365,22 @@
 
 
 def region_of(zone):
-    return "ktm" if zone.startswith("ktm") else "port-louis"
+    return {"ktm": "ktm", "hall": "port-louis", "perth": "perth"}[zone.split("-")[0]]
 
 
 class Node:
     """A sidecar process, started with the command of the deploy file."""
 
-    def __init__(self, rig, index, service, zone, bounds=None, memory_mb=260, extra=""):
+    def __init__(self, rig, index, service, zone, memory_mb=260, link_mbps=1000):
         self.rig, self.zone, self.service = rig, zone, service
         self.name = f"sidecar-{zone}-{index}"
         self.ip = rig.ip(index)
         self.worker_address = f"{self.ip}:{rig.ports['worker']}"
         self.control_plane = f"{self.ip}:{rig.ports['control']}"
-        self.memory_mb = memory_mb
+        self.memory_mb, self.link_mbps = memory_mb, link_mbps
         self.settings = os.path.join(rig.folder, f"{self.name}.toml")
         self.first = True
         self.process = None
-        self.extra = extra
 
     def write_settings(self):
         p, ip = self.rig.ports, self.ip
@@ -405,7 +403,6 @@
 grants = "invocation"
 application_address = "{self.worker_address}"
 service = "{self.service}"
-{self.extra}
 [zones]
 {self.rig.zone_table()}
 [listen_addresses]
@@ -418,7 +415,7 @@
 cpu_cores = 1
 memory_mb = {self.memory_mb}
 file_descriptors = 4100
-link_mbps = 1000.0
+link_mbps = {self.link_mbps:.1f}
 disk_mb = 0
 [fault_tolerance]
 machines = 1
@@ -513,8 +510,8 @@
         return ports
 
     def add(self, service, zone, **worker):
-        memory = worker.pop("memory_mb", 260)
-        node = Node(self, len(self.nodes) + 1, service, zone, memory_mb=memory)
+        limits = {name: worker.pop(name) for name in ("memory_mb", "link_mbps") if name in worker}
+        node = Node(self, len(self.nodes) + 1, service, zone, **limits)
         self.nodes.append(node)
         self.workers.append(Worker(f"worker-{len(self.nodes)}", service, node.ip,
                                    self.ports["worker"], node.control_plane, zone, self.record,
