--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 import ast, sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or later is needed, as in Debian 12")
-for path in ["rig2.py", *(f"{number}/case.py" for number in range(4, 9))]:
+for path in ["rig2.py", "rig3.py", *(f"{number}/case.py" for number in range(4, 9))]:
     with open(path) as file:
         ast.parse(file.read(), path)
 EOF
