One body is kept once: it is sent without a copy, and returned when freed

Callers saw a process of a small machine end under a single body of legal size: one body of 64 MiB took 205 MB at each of two nodes, a machine has 160.

Cause: SerializeRequest() copied the body behind the head for each attempt, TcpStream kept another copy in `pending` and `writing`, and `writing` kept its capacity as long as the connection lived. Freed memory stayed with the process: glibc raises the size from which blocks are mapped one by one to that of the blocks that were freed.

Change: TcpStream::WriteShared() refers to bytes that an owner keeps valid; attempts pass bodies above 64 KiB on by it, in one write with what waits before them. Smaller ones are copied as before.

The wait for calm of the overload tests counts the accepted connections in place of all descriptors: the former left up to 16 clients of the crowd that the process had not seen leave. Crowds and bounds are as they were.

--- a/source/event/tcp_stream.cc
+++ b/source/event/tcp_stream.cc
@@ -65,13 +65,24 @@
 }
 
 struct TcpStream::Handle {
+  // Bytes to be written: copied, or kept valid by their owner.
+  struct Block {
+    std::string copied;
+    std::string_view shared;
+    std::shared_ptr<const void> owner;
+
+    std::string_view bytes() const { return owner == nullptr ? copied : shared; }
+  };
+
   uv_tcp_t tcp{};
   uv_connect_t connect{};
   uv_shutdown_t shutdown{};
   uv_write_t write{};
   StreamObserver* observer = nullptr;
-  std::string writing;  // Passed to uv_write.
-  std::string pending;  // To be written after `writing`.
+  std::vector<Block> writing;  // Passed to uv_write.
+  std::vector<Block> pending;  // To be written after `writing`.
+  size_t writing_bytes = 0;
+  size_t pending_bytes = 0;
   bool connected = false;
   bool write_active = false;
   bool shutdown_requested = false;
@@ -103,18 +114,36 @@
 
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
 
+  void AppendCopy(std::string_view bytes) {
+    if (pending.empty() || pending.back().owner != nullptr) pending.emplace_back();
+    pending.back().copied.append(bytes);
+    pending_bytes += bytes.size();
+  }
+
+  void AppendShared(std::string_view bytes, std::shared_ptr<const void> owner) {
+    pending.push_back({std::string(), bytes, std::move(owner)});
+    pending_bytes += bytes.size();
+  }
+
   void WritePending() {
     if (write_active || !connected || closed) return;
     if (pending.empty()) {
       MaybeShutdown();
       return;
     }
-    writing.swap(pending);
-    pending.clear();
-    uv_buf_t buffer = uv_buf_init(writing.data(), static_cast<unsigned>(writing.size()));
+    writing = std::exchange(pending, {});
+    writing_bytes = std::exchange(pending_bytes, 0);
+    std::vector<uv_buf_t> buffers;
+    buffers.reserve(writing.size());
+    for (const Block& block : writing) {
+      const std::string_view bytes = block.bytes();
+      buffers.push_back(
+          uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size())));
+    }
     write.data = this;
     write_active = true;
-    const int result = uv_write(&write, Stream(), &buffer, 1, &OnWritten);
+    const int result = uv_write(&write, Stream(), buffers.data(),
+                                static_cast<unsigned>(buffers.size()), &OnWritten);
     if (result != 0) {
       write_active = false;
       End(StreamEnd::kReset);
@@ -150,7 +179,8 @@
   static void OnWritten(uv_write_t* request, int status) {
     auto* handle = static_cast<Handle*>(request->data);
     handle->write_active = false;
-    handle->writing.clear();
+    handle->writing = {};
+    handle->writing_bytes = 0;
     if (handle->closed) return;
     if (status != 0) {
       handle->End(StreamEnd::kReset);
@@ -210,23 +240,33 @@
 
 void TcpStream::StopReading() { uv_read_stop(handle_->Stream()); }
 
+std::string_view TcpStream::TryWrite(std::string_view bytes) {
+  if (!handle_->connected || handle_->write_active || !handle_->pending.empty()) return bytes;
+  uv_buf_t buffer =
+      uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+  const int written = uv_try_write(handle_->Stream(), &buffer, 1);
+  if (written > 0) bytes.remove_prefix(static_cast<size_t>(written));
+  return bytes;
+}
+
 void TcpStream::Write(std::string_view bytes) {
   if (handle_->ended || bytes.empty()) return;
-  if (handle_->connected && !handle_->write_active && handle_->pending.empty()) {
-    uv_buf_t buffer =
-        uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
-    const int written = uv_try_write(handle_->Stream(), &buffer, 1);
-    if (written > 0) bytes.remove_prefix(static_cast<size_t>(written));
-    if (bytes.empty()) return;
-  }
-  handle_->pending.append(bytes);
+  bytes = TryWrite(bytes);
+  if (bytes.empty()) return;
+  handle_->AppendCopy(bytes);
   handle_->WritePending();
 }
 
-size_t TcpStream::unsent_bytes() const {
-  return handle_->pending.size() + (handle_->write_active ? handle_->writing.size() : 0);
+void TcpStream::WriteShared(std::string_view bytes, std::shared_ptr<const void> owner) {
+  if (handle_->ended || bytes.empty()) return;
+  bytes = TryWrite(bytes);
+  if (bytes.empty()) return;
+  handle_->AppendShared(bytes, std::move(owner));
+  handle_->WritePending();
 }
 
+size_t TcpStream::unsent_bytes() const { return handle_->pending_bytes + handle_->writing_bytes; }
+
 bool TcpStream::PeerDisconnected() const {
   if (handle_->ended) return true;
   const ssize_t bytes = handle_->Peek();
--- a/source/event/tcp_stream.h
+++ b/source/event/tcp_stream.h
@@ -61,6 +61,9 @@
   void StopReading();
   // Sends as much as the operating system accepts now, and buffers the rest without limit.
   void Write(std::string_view bytes);
+  // The same without a copy of the rest: `owner` keeps `bytes` valid until they are sent or the
+  // stream is closed.
+  void WriteShared(std::string_view bytes, std::shared_ptr<const void> owner);
   // Bytes passed to Write that have not been handed to the operating system yet.
   size_t unsent_bytes() const;
   // Whether the peer closed or reset the connection, even if the event loop has not processed that
@@ -76,6 +79,8 @@
   friend class TcpListener;
   struct Handle;
   explicit TcpStream(Handle* handle) : handle_(handle) {}
+  // Returns the bytes that the operating system did not accept; all while earlier ones wait.
+  std::string_view TryWrite(std::string_view bytes);
   Handle* handle_;
 };
 
--- a/source/http/client.cc
+++ b/source/http/client.cc
@@ -82,7 +82,9 @@
     return !repeated && stream_ != nullptr && stream_->IsIdleAndOpen();
   }
 
-  void Begin(std::string_view request, const CallOptions& options, ResponseObserver* observer) {
+  // `body_of`: request whose body follows `request`; may be null.
+  void Begin(std::string_view request, const std::shared_ptr<const Request>& body_of,
+             const CallOptions& options, ResponseObserver* observer) {
     observer_ = observer;
     purpose_before_ = requests_ == 0 ? std::string_view() : options_.purpose;
     options_ = options;
@@ -99,6 +101,7 @@
       timer_.Stop();
     }
     stream_->Write(request);
+    if (body_of != nullptr) stream_->WriteShared(body_of->body, body_of);
   }
 
   // The call that sent request number `request` was destroyed; closes the connection when that
@@ -327,15 +330,28 @@
                                                  std::string_view request,
                                                  const CallOptions& options,
                                                  ResponseObserver* observer) {
-  std::shared_ptr<ClientConnection> connection = TakeIdle(endpoint, options);
-  if (connection == nullptr) {
-    ++opened_;
-    connection = std::make_shared<ClientConnection>(this, endpoint, options);
-  }
-  connection->Begin(request, options, observer);
+  std::shared_ptr<ClientConnection> connection = TakeConnection(endpoint, options);
+  connection->Begin(request, nullptr, options, observer);
   return std::make_unique<ClientCall>(std::move(connection));
 }
 
+std::unique_ptr<ClientCall> ConnectionPool::Send(const event::Endpoint& endpoint,
+                                                 const SerializedRequest& request,
+                                                 const CallOptions& options,
+                                                 ResponseObserver* observer) {
+  std::shared_ptr<ClientConnection> connection = TakeConnection(endpoint, options);
+  connection->Begin(request.bytes, request.body_of, options, observer);
+  return std::make_unique<ClientCall>(std::move(connection));
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::TakeConnection(const event::Endpoint& endpoint,
+                                                                 const CallOptions& options) {
+  std::shared_ptr<ClientConnection> connection = TakeIdle(endpoint, options);
+  if (connection != nullptr) return connection;
+  ++opened_;
+  return std::make_shared<ClientConnection>(this, endpoint, options);
+}
+
 std::shared_ptr<ClientConnection> ConnectionPool::TakeIdle(const event::Endpoint& endpoint,
                                                            const CallOptions& options) {
   const AnswerMatch& match = options.answer_match;
--- a/source/http/client.h
+++ b/source/http/client.h
@@ -120,6 +120,10 @@
   // before.
   std::unique_ptr<ClientCall> Send(const event::Endpoint& endpoint, std::string_view request,
                                    const CallOptions& options, ResponseObserver* observer);
+  // The same without a copy of a large body.
+  std::unique_ptr<ClientCall> Send(const event::Endpoint& endpoint,
+                                   const SerializedRequest& request, const CallOptions& options,
+                                   ResponseObserver* observer);
   // Closes the idle connections to an endpoint.
   void CloseIdle(const event::Endpoint& endpoint);
   // Whether a connection to the endpoint, in use or idle, is open as far as the operating system
@@ -145,6 +149,9 @@
   friend class ClientConnection;
   using IdleConnections = std::deque<std::shared_ptr<ClientConnection>>;
 
+  // An idle connection, removed from the pool, or a new one.
+  std::shared_ptr<ClientConnection> TakeConnection(const event::Endpoint& endpoint,
+                                                   const CallOptions& options);
   // Removes an idle connection that the request may use from the pool; nullptr: there is none.
   std::shared_ptr<ClientConnection> TakeIdle(const event::Endpoint& endpoint,
                                              const CallOptions& options);
--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -90,26 +90,41 @@
 
 namespace {
 
+// Larger bodies are not copied behind the head, at the price of another write.
+constexpr size_t kMaxCopiedBodyBytes = size_t{64} * 1024;
+constexpr size_t kUsualHeadBytes = 512;
+
 void AppendHeaders(const Headers& headers, std::string* out) {
   for (const Header& header : headers.all()) {
     out->append(header.name).append(": ").append(header.value).append("\r\n");
   }
 }
 
-}  // namespace
-
-std::string SerializeRequest(const RequestHead& head, std::string_view body) {
+std::string SerializeRequestHead(const RequestHead& head, size_t body_bytes, size_t capacity) {
   std::string out;
-  out.reserve(512 + body.size());
+  out.reserve(capacity);
   out.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
   AppendHeaders(head.headers, &out);
-  if (!body.empty() || (head.method != "GET" && head.method != "HEAD")) {
-    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+  if (body_bytes > 0 || (head.method != "GET" && head.method != "HEAD")) {
+    out.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
   }
-  out.append("\r\n").append(body);
+  out.append("\r\n");
   return out;
 }
 
+}  // namespace
+
+std::string SerializeRequest(const RequestHead& head, std::string_view body) {
+  return SerializeRequestHead(head, body.size(), kUsualHeadBytes + body.size()).append(body);
+}
+
+SerializedRequest SerializeSharedRequest(const RequestHead& head,
+                                         const std::shared_ptr<const Request>& request) {
+  const std::string& body = request->body;
+  if (body.size() <= kMaxCopiedBodyBytes) return {SerializeRequest(head, body), nullptr};
+  return {SerializeRequestHead(head, body.size(), kUsualHeadBytes), request};
+}
+
 std::string SerializeResponseHead(int status, const Headers& headers) {
   std::string out;
   out.reserve(384);
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -78,6 +78,18 @@
 // Serializes a request with Content-Length, which is omitted for GET and HEAD without a body.
 std::string SerializeRequest(const RequestHead& head, std::string_view body);
 
+// A request to be sent, whose body is not copied if it is large.
+struct SerializedRequest {
+  std::string bytes;                       // The head, and the body unless it is in `body_of`.
+  std::shared_ptr<const Request> body_of;  // Its body follows `bytes`; null: nothing follows.
+
+  size_t size() const { return bytes.size() + (body_of == nullptr ? 0 : body_of->body.size()); }
+};
+
+// Serializes the body of `request` behind `head`, as SerializeRequest() does.
+SerializedRequest SerializeSharedRequest(const RequestHead& head,
+                                         const std::shared_ptr<const Request>& request);
+
 // Serializes the head of a response. The caller must have set the framing headers.
 std::string SerializeResponseHead(int status, const Headers& headers);
 
--- a/source/sidecar/remote_attempt.cc
+++ b/source/sidecar/remote_attempt.cc
@@ -32,9 +32,9 @@
   http::CallOptions options(http::AnswerMatch::InOrder(), "forwarded_request");
   options.idle_timeout = kPeerIdleTimeout;
   options.head_request = head.method == "HEAD";
-  const std::string bytes = http::SerializeRequest(head, request_.request->body);
-  peers_.OnTraffic(TrafficKind::kRequests, node_, bytes.size());
-  call_ = pool_.Send(endpoint_, bytes, options, this);
+  const http::SerializedRequest request = http::SerializeSharedRequest(head, request_.request);
+  peers_.OnTraffic(TrafficKind::kRequests, node_, request.size());
+  call_ = pool_.Send(endpoint_, request, options, this);
 }
 
 void RemoteAttempt::Pause() {
--- a/source/sidecar/worker_gate.cc
+++ b/source/sidecar/worker_gate.cc
@@ -121,7 +121,7 @@
     head.headers.Set(names.caller_service, request_.caller_service);
     http::CallOptions options(Match(), "request");
     options.head_request = head.method == "HEAD";
-    call_ = gate_->pool_.Send(gate_->worker_, http::SerializeRequest(head, request_.request->body),
+    call_ = gate_->pool_.Send(gate_->worker_, http::SerializeSharedRequest(head, request_.request),
                               options, this);
   }
 
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <vector>
 
+#include "source/http/server.h"
 #include "tests/event/loop_runner.h"
 #include "tests/http/raw_server.h"
 
@@ -57,6 +58,32 @@
   }
 };
 
+// Guards against a copy of each large body that is sent, which stays until its connection closes.
+TEST(Client, ALargeBodyIsSentWithoutACopyAndThenReleased) {
+  std::vector<ExchangePtr> exchanges;
+  Server server(loop, [&](const ExchangePtr& exchange) { exchanges.push_back(exchange); });
+  CHECK_EQUAL(0, server.Listen({"127.0.0.1", 0}));
+  auto request = std::make_shared<Request>();
+  request->head.method = "POST";
+  request->head.target = "/";
+  for (size_t index = 0; index < size_t{20} * 1024 * 1024; ++index) {
+    request->body.push_back(static_cast<char>('a' + index % 23));
+  }
+  const SerializedRequest serialized = SerializeSharedRequest(request->head, request);
+  CHECK(serialized.bytes.size() < 1000);
+  CHECK_EQUAL(serialized.bytes.size() + request->body.size(), serialized.size());
+  CHECK_EQUAL(2, request.use_count());
+  Collector collector;
+  const auto call =
+      pool.Send({"127.0.0.1", server.bound_port()}, serialized, InOrder(), &collector);
+  CHECK_EQUAL(3, request.use_count());
+  CHECK(RunUntil(loop, [&] { return exchanges.size() == 1; }));
+  CHECK(exchanges[0]->request().body == request->body);
+  exchanges[0]->Respond(200, {}, "");
+  CHECK(RunUntil(loop, [&] { return collector.complete; }));
+  CHECK_EQUAL(2, request.use_count());
+}
+
 TEST(Client, AnAnswerWithALengthIsCompleteAndItsConnectionIsUsedAgain) {
   RawServer server([](int connection) {
     for (int round = 0; !RawServer::ReadHead(connection).empty(); ++round)
--- a/tests/overload/limited_fleet.cc
+++ b/tests/overload/limited_fleet.cc
@@ -1,12 +1,14 @@
 #include "tests/overload/limited_fleet.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "tests/event/loop_runner.h"
 #include "tests/platform_adapter/fixtures.h"
@@ -61,6 +63,33 @@
   return count;
 }
 
+// Number of connections accepted at these endpoints that the server has not closed.
+size_t AcceptedConnections(const std::vector<event::Endpoint>& endpoints) {
+  constexpr unsigned kEstablished = 1;
+  constexpr unsigned kCloseWait = 8;
+  std::vector<std::string> addresses;
+  for (const event::Endpoint& endpoint : endpoints) {
+    in_addr address{};
+    inet_pton(AF_INET, endpoint.ip.c_str(), &address);
+    addresses.push_back(fmt::format("{:08X}:{:04X}", address.s_addr, endpoint.port));
+  }
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  size_t count = 0;
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    unsigned state = 0;
+    fields >> number >> local >> remote >> std::hex >> state;
+    const bool open = state == kEstablished || state == kCloseWait;
+    if (open && std::find(addresses.begin(), addresses.end(), local) != addresses.end()) ++count;
+  }
+  return count;
+}
+
 // Most memory that the process has had in use.
 uint64_t PeakMemory(pid_t pid) {
   std::ifstream status(fmt::format("/proc/{}/status", pid));
@@ -86,8 +115,6 @@
     node.worker->StartHeartbeats(node.control_plane, kHeartbeatInterval);
   }
   for (const char* service : kServices) AwaitService(service);
-  MeasureDescriptors();
-  first_descriptors_ = most_descriptors_;
   measure_.Start(kMeasureInterval, /*repeating=*/true);
 }
 
@@ -216,17 +243,13 @@
 
 void LimitedFleet::AwaitCalm() {
   held_.clear();
-  constexpr size_t kSpareDescriptors = 16;  // Connections between the nodes and to the workers.
+  // Heartbeats, and the connections between the nodes.
+  constexpr size_t kOtherConnections = 4;
+  const Node& node = nodes_.front();
+  const std::vector<event::Endpoint> endpoints{node.outbound, node.inbound, node.readiness,
+                                               node.control_plane};
   const bool calm = event::RunUntil(
-      loop_,
-      [&] {
-        for (size_t index = 0; index < nodes_.size(); ++index) {
-          const size_t open = OpenDescriptors(nodes_[index].process->pid());
-          if (open > first_descriptors_[index] + kSpareDescriptors) return false;
-        }
-        return true;
-      },
-      kHangLimit);
+      loop_, [&] { return AcceptedConnections(endpoints) <= kOtherConnections; }, kHangLimit);
   CHECK_TEXT(calm, "connections of clients that left are still open");
 }
 
--- a/tests/overload/limited_fleet.h
+++ b/tests/overload/limited_fleet.h
@@ -59,7 +59,7 @@
   void CheckLimits();
   // Checks that requests of an ordinary size are answered by each worker.
   void CheckOrdinaryRequests();
-  // Waits until both processes have closed the connections opened since the start.
+  // Waits until the clients' node has closed the connections of clients that have left.
   void AwaitCalm();
 
   std::vector<Node>& nodes() { return nodes_; }
@@ -79,7 +79,6 @@
   std::vector<Node> nodes_;
   std::vector<http::ExchangePtr> held_;
   std::vector<size_t> most_descriptors_;
-  std::vector<size_t> first_descriptors_;
   event::Timer measure_;
   uint64_t next_id_ = 1;
   bool holds_large_bodies_ = false;
