Requests are charged to a memory budget of the process

Callers saw a process end, and with it all that it worked on: clients sent many large bodies at once, whole, in pieces or in chunks, stopped short of their end and stayed open, or sent far more than the limit.

Cause: nothing summed what the process keeps for its clients. A body was kept for each connection until its own time-out; an announced length was never looked at, so that a body far over the limit was kept up to it; all ports took bodies alike; limits.memory_mb of the settings was not read.

Change: http::MemoryBudget, shared by all servers of a process, is charged by RequestReader for the input, the head by the memory of its fields, and the body: the announced length with its head, else what it grows to. The charge goes along with the request and is returned with its last copy, so that bodies that wait or are being sent to a worker or node count too. A quarter of the budget is kept for requests up to 64 KiB, half of that for those up to 4 KiB. When a request does not fit, incomplete ones without progress (http::ReceiveProgress) are refused with 408, the longest without first; then the new one with 503 and Retry-After, before its body. Both are true: an incomplete request was passed to nobody. The answer to another node carries the failure "full, not run", so that it tries elsewhere. A length over the limit gets 413 with the head. Ports that need no bodies take none.

Why it works: every byte that is kept for a request is in the charge, and nothing grows before the charge is granted.

--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -50,6 +50,12 @@
   return nullptr;
 }
 
+size_t Headers::memory() const {
+  size_t bytes = headers_.capacity() * sizeof(Header);
+  for (const Header& header : headers_) bytes += header.name.size() + header.value.size();
+  return bytes;
+}
+
 void Headers::RemoveConnectionHeaders() {
   std::vector<std::string> named;
   for (const Header& header : headers_) {
@@ -322,6 +328,27 @@
   return unclaimed_bytes_ <= max_head_bytes_;
 }
 
+std::optional<uint64_t> Parser::content_length() const {
+  const http_parser& parser = implementation_->parser;
+  const bool announced = (parser.flags & F_CONTENTLENGTH) != 0 && (parser.flags & F_CHUNKED) == 0;
+  if (!announced) return std::nullopt;
+  return parser.content_length;
+}
+
+size_t Parser::head_memory() const {
+  const Implementation& head = *implementation_;
+  return head.target.size() + head.headers.memory() + head.field.size() + head.value.size();
+}
+
+void Parser::Clear() {
+  Implementation& head = *implementation_;
+  head.target = std::string();
+  head.reason = std::string();
+  head.headers = Headers();
+  head.field = std::string();
+  head.value = std::string();
+}
+
 bool Parser::Finish() {
   if (!in_message_) return true;
   http_parser& parser = implementation_->parser;
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "runshelf/common/clock.h"
+#include "source/http/memory_budget.h"
 
 namespace runshelf::http {
 
@@ -32,6 +33,9 @@
   const std::vector<Header>& all() const { return headers_; }
   std::vector<Header>& all() { return headers_; }
 
+  // Bytes of memory that they take.
+  size_t memory() const;
+
   // Removes hop-by-hop headers, including those listed in Connection, and Content-Length and
   // Expect.
   void RemoveConnectionHeaders();
@@ -65,6 +69,8 @@
 struct Request {
   RequestHead head;
   std::string body;
+  // The memory of a request that was received, as long as any copy of it exists; may be null.
+  std::shared_ptr<const MemoryCharge> memory;
 };
 
 struct Response {
@@ -138,6 +144,12 @@
   // True while a message has begun and is not complete.
   bool in_message() const { return in_message_; }
   bool head_complete() const { return head_complete_; }
+  // The announced length of the body of the message in progress; absent when none was announced.
+  std::optional<uint64_t> content_length() const;
+  // Bytes of memory that the incomplete head takes.
+  size_t head_memory() const;
+  // Frees the memory of the message in progress, after which nothing more may be parsed.
+  void Clear();
 
  private:
   struct Implementation;
--- a/source/http/server.h
+++ b/source/http/server.h
@@ -12,6 +12,7 @@
 #include "source/event/tcp_stream.h"
 #include "source/http/answer_sequence.h"
 #include "source/http/message.h"
+#include "source/http/server_resources.h"
 
 namespace runshelf::http {
 
@@ -137,6 +138,12 @@
   uint16_t bound_port() const;
 
   ServerLimits& limits() { return limits_; }
+  // What is shared with other servers; unlimited without it. To be set before Listen().
+  void set_resources(ServerResources* resources) { resources_ = resources; }
+  // Headers of the answer to a request that is refused before it is complete.
+  void set_refusal_headers(std::function<Headers(int status)> headers) {
+    refusal_headers_ = std::move(headers);
+  }
   // `may_overlap` is asked for each request that is complete while the answer to an earlier one on
   // its connection is not. Returns whether the request is passed to the handler at once; the
   // answers are sent in the order of the requests. Without it requests of a connection never
@@ -160,6 +167,8 @@
   event::EventLoop& loop_;
   Handler handler_;
   MayOverlap may_overlap_;
+  std::function<Headers(int)> refusal_headers_;
+  ServerResources* resources_ = nullptr;
   OverlapCounts overlap_counts_;
   ServerLimits limits_;
   std::unique_ptr<event::TcpListener> listener_;
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 // How long a connection stays half-closed after its last answer, so that the client can read it.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 // Limits on what is kept for a connection while an answer is in progress: bytes of requests and of
@@ -17,15 +18,26 @@
 }  // namespace
 
 ServerConnection::ServerConnection(Server* server, std::unique_ptr<event::TcpStream> stream)
-    : server_(server), stream_(std::move(stream)), timer_(server->loop_, [this] { OnTimeout(); }) {}
+    : server_(server),
+      resources_(server->resources_),
+      stream_(std::move(stream)),
+      timer_(server->loop_, [this] { OnTimeout(); }),
+      reader_(resources_ == nullptr ? nullptr : resources_->memory()) {}
 
 void ServerConnection::Start() {
   stream_->set_observer(this);
   stream_->StartReading();
   timer_.Start(server_->limits_.idle_timeout);
+  if (resources_ != nullptr) resources_->Add(this);
+}
+
+void ServerConnection::Unregister() {
+  if (resources_ != nullptr) resources_->Remove(this);
+  resources_ = nullptr;
 }
 
 void ServerConnection::Detach() {
+  Unregister();
   server_ = nullptr;
   for (const ExchangePtr& exchange : exchanges_) exchange->on_sent_ = nullptr;
   exchanges_.clear();
@@ -35,10 +47,23 @@
 
 void ServerConnection::OnData(std::string_view data) {
   if (input_ended_) return;
+  progress_.OnBytes(server_->loop_.Now(), data.size());
   reader_.Append(data);
   Advance();
 }
 
+Instant ServerConnection::StalledSince(Instant now) {
+  if (advancing_ || input_ended_ || !reading_ || !reader_.in_request()) return Instant::max();
+  return progress_.StalledSince(now);
+}
+
+void ServerConnection::DropStalledRequest() {
+  const auto self = shared_from_this();
+  refusal_ = kRequestTimeout;
+  EndInput();
+  Advance();
+}
+
 void ServerConnection::Advance() {
   if (advancing_) return;
   const auto self = shared_from_this();
@@ -72,12 +97,18 @@
 
 bool ServerConnection::ReadNext() {
   if (input_ended_ || !reader_.has_input() || !HasRoom()) return false;
-  if (!reader_.in_request()) timer_.Start(server_->limits_.request_timeout);
+  if (!reader_.in_request()) {
+    timer_.Start(server_->limits_.request_timeout);
+    progress_.Begin(server_->loop_.Now());
+  }
   switch (reader_.ReadNext(server_->limits_.max_head_bytes, server_->limits_.max_body_bytes)) {
     case ReadStatus::kIncomplete:
       return false;
     case ReadStatus::kRefused:
       refusal_ = reader_.refusal();
+      if (refusal_ == kServiceUnavailable && resources_ != nullptr) {
+        resources_->Count(OverloadAction::kRequestRefused);
+      }
       EndInput();
       return true;
     case ReadStatus::kRequest:
@@ -147,12 +178,12 @@
   if (input_ended_) return;
   input_ended_ = true;
   timer_.Stop();
-  reader_.DiscardInput();
+  reader_.Discard();
   UpdateReading();
 }
 
 void ServerConnection::Refuse(int status) {
-  Headers headers;
+  Headers headers = server_->refusal_headers_ ? server_->refusal_headers_(status) : Headers();
   headers.Add("Content-Length", "0");
   headers.Add("Connection", "close");
   stream_->Write(SerializeResponseHead(status, headers));
@@ -277,6 +308,8 @@
 
 void ServerConnection::Close() {
   const auto self = shared_from_this();
+  Unregister();
+  reader_.Discard();
   timer_.Stop();
   stream_.reset();
   waiting_.clear();
--- a/source/http/server_connection.h
+++ b/source/http/server_connection.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "source/http/answer_sequence.h"
+#include "source/http/receive_progress.h"
 #include "source/http/request_reader.h"
 #include "source/http/server.h"
 
@@ -24,6 +25,13 @@
   // Bytes written that the operating system has not taken yet.
   size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
 
+  // See ReceiveProgress; Instant::max() if no request is being received.
+  Instant StalledSince(Instant now);
+  // Bytes of memory of what was received and is not passed on.
+  size_t charged_bytes() const { return reader_.charged_bytes(); }
+  // Refuses the incomplete request and frees its memory.
+  void DropStalledRequest();
+
   void OnData(std::string_view data) override;
   void OnEnd(event::StreamEnd end) override;
   void OnDrained() override;
@@ -70,13 +78,16 @@
   void BreakOff();
   void CloseGracefully();
   void Close();
+  void Unregister();
   static void Withdraw(std::vector<ExchangePtr> exchanges);
   void OnTimeout();
 
   Server* server_;
+  ServerResources* resources_;
   std::unique_ptr<event::TcpStream> stream_;
   event::Timer timer_;
   RequestReader reader_;
+  ReceiveProgress progress_;
   std::vector<WaitingRequest> waiting_;
   size_t waiting_bytes_ = 0;
   std::vector<ExchangePtr> exchanges_;  // In progress or held, as in `answers_`.
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -119,6 +119,16 @@
   gauge("runshelf_unsent_answer_bytes",
         "Bytes of answers to clients and other nodes that these have not read yet.",
         static_cast<double>(gauges.unsent_answers.bytes));
+  gauge("runshelf_request_memory_bytes", "Memory of the requests that the process keeps.",
+        static_cast<double>(gauges.request_memory));
+  gauge("runshelf_request_memory_limit_bytes", "Memory that requests may take together.",
+        static_cast<double>(gauges.request_memory_limit));
+  counter("runshelf_overload_requests_refused_total",
+          "Requests refused since they did not fit into the memory for requests.",
+          gauges.overload.requests_refused);
+  counter("runshelf_overload_requests_dropped_total",
+          "Incomplete requests without progress that were refused to make room for others.",
+          gauges.overload.requests_dropped);
   gauge("runshelf_paced_answers", "Large answers to other nodes that wait for the link.",
         static_cast<double>(gauges.paced_answers.answers));
   gauge("runshelf_paced_answer_bytes", "Bytes of large answers that wait for the link.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -50,6 +50,9 @@
   RequestCounts requests_under_way;
   PacerBacklog paced_answers;
   http::UnsentAnswers unsent_answers;  // To clients and to other nodes.
+  size_t request_memory = 0;           // Bytes of requests, complete or not.
+  size_t request_memory_limit = 0;
+  http::OverloadCounts overload;
   uint64_t store_calls = 0;
   std::map<store::StoreCallCause, store::StoreCallsOfCause> store_calls_by_cause;
   uint64_t connections_opened = 0;
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -14,6 +14,9 @@
 // An evacuation may be learnt late, and the last request takes time to arrive.
 constexpr int kEvacuationKeyDivisor = 4;
 constexpr double kBytesPerMegabit = 125000;
+// Share of the process's memory for requests; the rest is for the state of the fleet, answers, and
+// what the operating system keeps for the process.
+constexpr size_t kRequestMemoryPercent = 60;
 
 }  // namespace
 
@@ -21,6 +24,12 @@
   return std::string(prefix) + name;
 }
 
+http::ResourceLimits ServerResourceLimits(const Settings& settings) {
+  http::ResourceLimits limits;
+  limits.request_memory_bytes = settings.memory_bytes / 100 * kRequestMemoryPercent;
+  return limits;
+}
+
 store::StoreClientConfig StoreConfig(const Settings& settings) {
   store::StoreClientConfig config;
   config.endpoint = settings.store;
--- a/source/sidecar/part_configs.h
+++ b/source/sidecar/part_configs.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "source/http/server_resources.h"
 #include "source/sidecar/settings.h"
 #include "source/sidecar/shard_coordinator.h"
 #include "source/sidecar/shard_holder.h"
@@ -25,6 +26,8 @@
 // The part of `key` after `prefix`; empty if `key` does not start with it.
 std::string NameAfter(const std::string& key, std::string_view prefix);
 
+// Memory for requests and number of accepted connections of all servers of the process.
+http::ResourceLimits ServerResourceLimits(const Settings& settings);
 store::StoreClientConfig StoreConfig(const Settings& settings);
 store::LeaseKeeperConfig LeaseConfig(const Settings& settings);
 store::PrefixWatcherConfig WatchConfig(std::string prefix);
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -57,6 +57,7 @@
   event::Endpoint store;
   Duration store_min_time_to_live = std::chrono::seconds(1);
   double processor_cores = 0;  // Cores available to the machine, may be fractional; zero: unknown.
+  size_t memory_bytes = size_t{256} * 1000 * 1000;  // That the process may use.
   double link_bytes_per_second = 0;  // Bandwidth of the machine's link; zero: no known limit.
   uint16_t peer_port_first = 0;      // Range of ports for traffic between nodes.
   uint16_t peer_port_last = 0;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -126,6 +126,7 @@
                               quarantine_, gate_, log, metrics_, random, stop_schedule_}),
       inbound_handler_(loop, gate_, store_, feed_, quarantine_, handover_writer_, log,
                        stop_schedule_, settings_.link_bytes_per_second),
+      server_resources_(loop, ServerResourceLimits(settings_)),
       outbound_(loop, [this](const http::ExchangePtr& exchange) { ingress_.Handle(exchange); }),
       inbound_(loop,
                [this](const http::ExchangePtr& exchange) { inbound_handler_.Handle(exchange); }),
@@ -229,6 +230,7 @@
 }
 
 absl::Status Sidecar::Start() {
+  LimitServers();
   for (const absl::Status& status :
        {Listen(&outbound_, settings_.outbound, "outbound"),
         Listen(&inbound_, settings_.inbound, "inbound"),
@@ -237,9 +239,6 @@
         Listen(&metrics_server_, settings_.metrics, "metrics")}) {
     if (!status.ok()) return status;
   }
-  // Other nodes keep their connections open for longer than clients.
-  inbound_.limits().max_head_bytes = size_t{64} * 1024;
-  inbound_.limits().idle_timeout = std::chrono::minutes(2);
   log_.Write(LogLevel::kInfo, "started",
              {{"node", settings_.node_name},
               {"zone", settings_.zone},
@@ -397,6 +396,9 @@
   gauges.live_nodes = peers_.live_nodes();
   gauges.paced_answers = inbound_handler_.pacer_backlog();
   gauges.unsent_answers = UnsentAnswers();
+  gauges.request_memory = server_resources_.memory()->used();
+  gauges.request_memory_limit = server_resources_.memory()->limit();
+  gauges.overload = server_resources_.counts();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
   gauges.store_calls = store_.calls();
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -93,6 +93,9 @@
 
   absl::Status Listen(http::Server* server, const std::optional<event::Endpoint>& endpoint,
                       const char* name);
+  // Sets the limits of the servers that do not depend on the configuration.
+  void LimitServers();
+  void OnOverload(http::OverloadAction action);
   void HandleReadiness(const http::ExchangePtr& exchange);
   void OnUnexpectedAnswer(const http::UnexpectedAnswer& answer);
   void HandleMetrics(const http::ExchangePtr& exchange);
@@ -191,6 +194,7 @@
   event::LoopMonitor loop_monitor_;
   Ingress ingress_;
   InboundHandler inbound_handler_;
+  http::ServerResources server_resources_;
   http::Server outbound_;
   http::Server inbound_;
   http::Server readiness_;
--- a/source/sidecar/sidecar_state.cc
+++ b/source/sidecar/sidecar_state.cc
@@ -1,6 +1,7 @@
 // The part of Sidecar that applies the configuration, the evacuated zones and the state that the
 // nodes share in the store.
 
+#include <algorithm>
 #include <utility>
 
 #include "source/sidecar/part_configs.h"
@@ -54,6 +55,8 @@
   if (limits.max_header_bytes > 0)
     server.max_head_bytes = static_cast<size_t>(limits.max_header_bytes);
   if (limits.max_body_bytes > 0) server.max_body_bytes = static_cast<size_t>(limits.max_body_bytes);
+  inbound_.limits().max_body_bytes =
+      std::max(http::ServerLimits().max_body_bytes, server.max_body_bytes);
   if (limits.header_timeout > Duration(0)) server.request_timeout = limits.header_timeout;
   if (limits.idle_timeout > Duration(0)) server.idle_timeout = limits.idle_timeout;
 }
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -63,6 +63,7 @@
 z2 = "west"
 [limits]
 link_mbps = 8.0
+memory_mb = 160
 [platform]
 address = "10.200.1.7:8309"
 ttl_min_ms = 2000
@@ -455,6 +456,7 @@
   DOUBLES_EQUAL(8, settings->bounds.cold_burst, 1e-9);
   CHECK(settings->store_min_time_to_live == std::chrono::seconds(2));
   DOUBLES_EQUAL(1e6, settings->link_bytes_per_second, 1);
+  CHECK_EQUAL(160000000, settings->memory_bytes);
 }
 
 TEST(Translation, BrokenSettingsAreRefusedByName) {
@@ -468,6 +470,8 @@
       {"z2 = \"west\"", "z2 = 7", "zones.z2"},
       {"link_mbps = 8.0", "link_mbps = -8.0", "limits.link_mbps"},
       {"link_mbps = 8.0", "link_mbps = \"8\"", "limits.link_mbps"},
+      {"memory_mb = 160", "memory_mb = -1", "limits.memory_mb"},
+      {"memory_mb = 160", "memory_mb = 1000001", "limits.memory_mb"},
       {"\"closed=false\"", "7", "bounds"},
       {"cold_overage=1.5", "cold_overage=-1.5", "bounds.cold_overage"},
       {"cold_tolerance=8", "cold_tolerance=many", "bounds.cold_tolerance"},
