Accepted connections are bounded, and the least used one makes room

Callers got 503 throughout: clients that connect and send nothing took every descriptor of the process, and none was left for connections to workers.

Cause: limits.file_descriptors of the settings was not read, and an accepted connection was kept until its idle time-out whatever it was used for.

Change: a process accepts three quarters of the descriptors that are for sockets, on all ports together. For a further one another is closed: one that is closing, else one that has not sent a complete request, else an idle one of clients, of each kind the one that has been so for the longest time. Idle connections of other nodes stay, as these may have sent a request that may not be repeated; a connection with a request is never closed.

ServerResources tests name the order.

--- a/source/http/server.h
+++ b/source/http/server.h
@@ -25,6 +25,8 @@
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
   Duration request_timeout = std::chrono::seconds(10);  // From the first byte to the last.
   Duration idle_timeout = std::chrono::seconds(30);     // Between requests.
+  // Idle connections may be closed sooner, to make room for others.
+  bool closes_idle = true;
 };
 
 // One request and its answer. Owned by the code that answers it; once the client has disconnected,
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -22,7 +22,8 @@
       resources_(server->resources_),
       stream_(std::move(stream)),
       timer_(server->loop_, [this] { OnTimeout(); }),
-      reader_(resources_ == nullptr ? nullptr : resources_->memory()) {}
+      reader_(resources_ == nullptr ? nullptr : resources_->memory()),
+      use_since_(server->loop_.Now()) {}
 
 void ServerConnection::Start() {
   stream_->set_observer(this);
@@ -52,6 +53,15 @@
   Advance();
 }
 
+ConnectionUse ServerConnection::use() const {
+  if (lingering_) return ConnectionUse::kClosing;
+  const bool has_requests = !exchanges_.empty() || !waiting_.empty() || advancing_;
+  if (server_ == nullptr || has_requests) return ConnectionUse::kInUse;
+  if (!used_) return ConnectionUse::kUnused;
+  if (!server_->limits_.closes_idle || reader_.in_request()) return ConnectionUse::kInUse;
+  return ConnectionUse::kIdle;
+}
+
 Instant ServerConnection::StalledSince(Instant now) {
   if (advancing_ || input_ended_ || !reading_ || !reader_.in_request()) return Instant::max();
   return progress_.StalledSince(now);
@@ -115,6 +125,7 @@
       break;
   }
   timer_.Stop();
+  used_ = true;
   WaitingRequest next{reader_.TakeRequest(), server_->loop_.Now()};
   if (!next.read.keep_alive) EndInput();
   if (waiting_.empty() && MayBegin(next)) {
@@ -240,6 +251,7 @@
   }
   if (IsOpen() && exchanges_.empty() && !reader_.in_request()) {
     timer_.Start(server_->limits_.idle_timeout);
+    use_since_ = server_->loop_.Now();
   }
 }
 
@@ -299,6 +311,7 @@
 
 void ServerConnection::CloseGracefully() {
   lingering_ = true;
+  use_since_ = server_->loop_.Now();
   EndInput();
   stream_->ShutdownWriting();
   timer_.Start(kLingerTime);
--- a/source/http/server_connection.h
+++ b/source/http/server_connection.h
@@ -12,6 +12,14 @@
 
 namespace runshelf::http {
 
+// What a connection is used for, from the least to the greatest harm of closing it.
+enum class ConnectionUse {
+  kClosing,  // The last answer was sent, or a refusal.
+  kUnused,   // Not one complete request has arrived yet.
+  kIdle,     // Between requests, where its server allows that it is closed.
+  kInUse,
+};
+
 // Reads requests ahead of the answers, begins those that may overlap, and sends the answers in the
 // order of the requests. Owned by the server and, while a callback runs, by that callback.
 class ServerConnection : public event::StreamObserver,
@@ -25,6 +33,11 @@
   // Bytes written that the operating system has not taken yet.
   size_t unsent_bytes() const { return stream_ == nullptr ? 0 : stream_->unsent_bytes(); }
 
+  ConnectionUse use() const;
+  // Since when the connection is used in this way.
+  Instant use_since() const { return use_since_; }
+  // Closes the connection, which is not in use or was just accepted.
+  void CloseForAnother() { Close(); }
   // See ReceiveProgress; Instant::max() if no request is being received.
   Instant StalledSince(Instant now);
   // Bytes of memory of what was received and is not passed on.
@@ -97,6 +110,8 @@
   bool input_ended_ = false;
   bool advancing_ = false;
   bool earlier_answer_unsent_ = false;  // The stream buffers bytes of an answer before the first.
+  Instant use_since_;                   // See use_since().
+  bool used_ = false;                   // A complete request has arrived.
   bool lingering_ = false;  // After the last answer: discards input until the client closes.
 };
 
--- a/source/http/server_resources.cc
+++ b/source/http/server_resources.cc
@@ -1,6 +1,7 @@
 #include "source/http/server_resources.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,13 @@
 // Requests may outlive this object, and their budget with them.
 ServerResources::~ServerResources() { memory_->set_reclaim(nullptr); }
 
+void ServerResources::Add(ServerConnection* connection) {
+  connections_.insert(connection);
+  if (limits_.connections > 0 && connections_.size() > limits_.connections) {
+    CloseForAnother(connection);
+  }
+}
+
 void ServerResources::Count(OverloadAction action) {
   switch (action) {
     case OverloadAction::kRequestRefused:
@@ -26,6 +34,9 @@
     case OverloadAction::kRequestDropped:
       ++counts_.requests_dropped;
       break;
+    case OverloadAction::kConnectionClosed:
+      ++counts_.connections_closed;
+      break;
   }
   if (on_overload_) on_overload_(action);
 }
@@ -50,4 +61,22 @@
   }
 }
 
+// The order is that of the harm: first the connections that are closing anyway, then those that
+// have not sent a complete request yet, then those that are idle between requests. Of each kind the
+// one that has been so for the longest time.
+void ServerResources::CloseForAnother(ServerConnection* newest) {
+  using Rank = std::tuple<ConnectionUse, Instant>;
+  ServerConnection* chosen = newest;
+  Rank lowest{ConnectionUse::kInUse, Instant::max()};
+  for (ServerConnection* connection : connections_) {
+    if (connection == newest) continue;
+    const Rank rank{connection->use(), connection->use_since()};
+    if (std::get<ConnectionUse>(rank) == ConnectionUse::kInUse || rank >= lowest) continue;
+    lowest = rank;
+    chosen = connection;
+  }
+  chosen->CloseForAnother();
+  Count(OverloadAction::kConnectionClosed);
+}
+
 }  // namespace runshelf::http
--- a/source/sidecar/node_metrics.cc
+++ b/source/sidecar/node_metrics.cc
@@ -129,6 +129,11 @@
   counter("runshelf_overload_requests_dropped_total",
           "Incomplete requests without progress that were refused to make room for others.",
           gauges.overload.requests_dropped);
+  gauge("runshelf_accepted_connections", "Open connections of clients and other nodes.",
+        static_cast<double>(gauges.accepted_connections));
+  counter("runshelf_overload_connections_closed_total",
+          "Accepted connections closed to make room for others.",
+          gauges.overload.connections_closed);
   gauge("runshelf_paced_answers", "Large answers to other nodes that wait for the link.",
         static_cast<double>(gauges.paced_answers.answers));
   gauge("runshelf_paced_answer_bytes", "Bytes of large answers that wait for the link.",
--- a/source/sidecar/node_metrics.h
+++ b/source/sidecar/node_metrics.h
@@ -52,6 +52,7 @@
   http::UnsentAnswers unsent_answers;  // To clients and to other nodes.
   size_t request_memory = 0;           // Bytes of requests, complete or not.
   size_t request_memory_limit = 0;
+  size_t accepted_connections = 0;
   http::OverloadCounts overload;
   uint64_t store_calls = 0;
   std::map<store::StoreCallCause, store::StoreCallsOfCause> store_calls_by_cause;
--- a/source/sidecar/part_configs.cc
+++ b/source/sidecar/part_configs.cc
@@ -17,6 +17,11 @@
 // Share of the process's memory for requests; the rest is for the state of the fleet, answers, and
 // what the operating system keeps for the process.
 constexpr size_t kRequestMemoryPercent = 60;
+// Descriptors that are not for sockets, and the share of the others for accepted connections; the
+// rest is for connections to the worker, the store and other nodes.
+constexpr size_t kDescriptorsOfFiles = 200;
+constexpr size_t kAcceptedConnectionsPercent = 75;
+constexpr size_t kMinAcceptedConnections = 64;
 
 }  // namespace
 
@@ -27,6 +32,10 @@
 http::ResourceLimits ServerResourceLimits(const Settings& settings) {
   http::ResourceLimits limits;
   limits.request_memory_bytes = settings.memory_bytes / 100 * kRequestMemoryPercent;
+  const size_t sockets =
+      settings.file_descriptors - std::min(settings.file_descriptors, kDescriptorsOfFiles);
+  limits.connections =
+      std::max(kMinAcceptedConnections, sockets * kAcceptedConnectionsPercent / 100);
   return limits;
 }
 
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -58,6 +58,7 @@
   Duration store_min_time_to_live = std::chrono::seconds(1);
   double processor_cores = 0;  // Cores available to the machine, may be fractional; zero: unknown.
   size_t memory_bytes = size_t{256} * 1000 * 1000;  // That the process may use.
+  size_t file_descriptors = 4096;                   // That the process may have open.
   double link_bytes_per_second = 0;  // Bandwidth of the machine's link; zero: no known limit.
   uint16_t peer_port_first = 0;      // Range of ports for traffic between nodes.
   uint16_t peer_port_last = 0;
--- a/source/sidecar/sidecar.cc
+++ b/source/sidecar/sidecar.cc
@@ -398,6 +398,7 @@
   gauges.unsent_answers = UnsentAnswers();
   gauges.request_memory = server_resources_.memory()->used();
   gauges.request_memory_limit = server_resources_.memory()->limit();
+  gauges.accepted_connections = server_resources_.connections();
   gauges.overload = server_resources_.counts();
   gauges.requests_under_way = ingress_.UnderWay() + inbound_handler_.UnderWay();
   gauges.stopping = stop_schedule_.begun();
--- a/source/sidecar/sidecar_overload.cc
+++ b/source/sidecar/sidecar_overload.cc
@@ -31,6 +31,8 @@
       return "request-refused";
     case http::OverloadAction::kRequestDropped:
       return "request-dropped";
+    case http::OverloadAction::kConnectionClosed:
+      return "connection-closed";
   }
   return "unknown";
 }
@@ -45,6 +47,9 @@
   server_resources_.set_on_overload([this](http::OverloadAction action) { OnOverload(action); });
   inbound_.limits().max_head_bytes = kMaxInboundHeadBytes;
   inbound_.limits().idle_timeout = kInboundIdleTimeout;
+  // Another node may have sent a request that may not be repeated when it finds the connection
+  // closed.
+  inbound_.limits().closes_idle = false;
   readiness_.limits().max_body_bytes = kMaxCheckBodyBytes;
   metrics_server_.limits().max_body_bytes = kMaxCheckBodyBytes;
   control_plane_.limits().max_body_bytes = kMaxHeartbeatBodyBytes;
@@ -67,7 +72,9 @@
   log_.Write(LogLevel::kWarning, "overload",
              {{"action", std::string(NameOf(action))},
               {"request_memory_bytes", server_resources_.memory()->used()},
-              {"request_memory_limit_bytes", server_resources_.memory()->limit()}});
+              {"request_memory_limit_bytes", server_resources_.memory()->limit()},
+              {"connections", server_resources_.connections()},
+              {"connections_limit", server_resources_.limits().connections}});
 }
 
 }  // namespace runshelf::sidecar
--- a/tests/http/server_resources_test.cc
+++ b/tests/http/server_resources_test.cc
@@ -1,4 +1,4 @@
-// Servers whose clients take more memory than there is.
+// Servers whose clients take more memory or connections than there are.
 
 #include "source/http/server_resources.h"
 
@@ -70,11 +70,17 @@
     }));
     return text;
   }
+
+  bool Closed(RawClient & client) {
+    bool ended = false;
+    client.Receive(&ended);
+    return ended;
+  }
 };
 
 // Guards against a client that is told nothing, or to stay away, for want of memory.
 TEST(ServerResources, ABodyThatDoesNotFitIsRefusedWithItsHead) {
-  Start({1024 * kKilobyte});
+  Start({1024 * kKilobyte, 0});
   Connect(Post(500 * kKilobyte, 100));
   RawClient& second = Connect(Post(500 * kKilobyte, 100));
   const std::string answer = ReadAll(second);
@@ -88,7 +94,7 @@
 
 // Guards against clients that stop before the end of their bodies and keep others out.
 TEST(ServerResources, AStalledRequestMakesRoom) {
-  Start({1024 * kKilobyte});
+  Start({1024 * kKilobyte, 0});
   RawClient& stalled = Connect(Post(500 * kKilobyte, 400 * kKilobyte));
   RunFor(loop, ReceiveProgress::kMaxDetectionTime);
   Connect(Post(500 * kKilobyte, 0));
@@ -100,7 +106,7 @@
 
 // Guards against memory of requests at work that counts as free.
 TEST(ServerResources, ARequestIsChargedUntilItIsDone) {
-  Start({1024 * kKilobyte});
+  Start({1024 * kKilobyte, 0});
   Connect(Post(200 * kKilobyte, 200 * kKilobyte));
   CHECK(RunUntil(loop, [&] { return exchanges.size() == 1; }));
   CHECK(resources->memory()->used() >= 200 * kKilobyte);
@@ -111,7 +117,7 @@
 
 // Guards against a refusal that overtakes the answers to earlier requests of the connection.
 TEST(ServerResources, AnswersBeforeARefusalAreSent) {
-  Start({1024 * kKilobyte});
+  Start({1024 * kKilobyte, 0});
   Connect(Post(600 * kKilobyte, 0));
   RawClient& client = Connect(Post(3, 3) + Post(500 * kKilobyte, 10));
   CHECK_EQUAL(1, exchanges.size());
@@ -121,3 +127,61 @@
   CHECK(answers.find("first") < answers.find("HTTP/1.1 503 "));
   CHECK(answers.find("HTTP/1.1 503 ") != std::string::npos);
 }
+
+// Guards against silent connections that keep others out.
+TEST(ServerResources, TheOldestUnusedConnectionMakesRoom) {
+  Start({0, 3});
+  RawClient& first = Connect("");
+  RawClient& second = Connect("GET / HT");
+  RawClient& third = Connect("");
+  RawClient& fourth = Connect("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Closed(first));
+  CHECK_FALSE(Closed(second));
+  CHECK_FALSE(Closed(third));
+  CHECK_FALSE(Closed(fourth));
+  CHECK_EQUAL(1, exchanges.size());
+  CHECK_EQUAL(3, resources->connections());
+  CHECK_EQUAL(1, resources->counts().connections_closed);
+}
+
+// Guards against requests at work that are cut to make room for connections.
+TEST(ServerResources, ConnectionsAtWorkAndThenIdleOnesGoLast) {
+  Start({0, 3});
+  RawClient& working = Connect("GET /1 HTTP/1.1\r\n\r\n");
+  RawClient& idle = Connect("GET /2 HTTP/1.1\r\n\r\n");
+  exchanges[1]->Respond(200, {}, "");
+  RawClient& unused = Connect("");
+  Connect("");
+  CHECK(Closed(unused));
+  RunFor(loop, milliseconds(10));
+  Connect("GET /3 HTTP/1.1\r\n\r\n");
+  Connect("GET /4 HTTP/1.1\r\n\r\n");
+  std::string text = ReadAll(idle);
+  CHECK(text.find("HTTP/1.1 200 OK\r\n") == 0);
+  RawClient& refused = Connect("GET /5 HTTP/1.1\r\n\r\n");
+  CHECK(Closed(refused));
+  CHECK_FALSE(Closed(working));
+  CHECK_EQUAL(4, exchanges.size());
+}
+
+// Guards against requests of other nodes, which may not be sent again, that cross such a close.
+TEST(ServerResources, IdleConnectionsStayWhereTheServerSaysSo) {
+  Start({0, 1});
+  server->limits().closes_idle = false;
+  RawClient& idle = Connect("GET /1 HTTP/1.1\r\n\r\n");
+  exchanges[0]->Respond(200, {}, "");
+  RawClient& refused = Connect("");
+  CHECK(Closed(refused));
+  CHECK_FALSE(Closed(idle));
+}
+
+// Guards against descriptors that connections hold after their last answer.
+TEST(ServerResources, ClosingConnectionsGoFirst) {
+  Start({0, 2});
+  RawClient& unused = Connect("");
+  RawClient& refused = Connect("nonsense\r\n\r\n");
+  Connect("GET / HTTP/1.1\r\n\r\n");
+  CHECK(ReadAll(refused).find("HTTP/1.1 400 ") == 0);
+  CHECK_FALSE(Closed(unused));
+  CHECK_EQUAL(1, exchanges.size());
+}
--- a/tests/platform_adapter/translation_test.cc
+++ b/tests/platform_adapter/translation_test.cc
@@ -64,6 +64,7 @@
 [limits]
 link_mbps = 8.0
 memory_mb = 160
+file_descriptors = 4100
 [platform]
 address = "10.200.1.7:8309"
 ttl_min_ms = 2000
@@ -457,6 +458,7 @@
   CHECK(settings->store_min_time_to_live == std::chrono::seconds(2));
   DOUBLES_EQUAL(1e6, settings->link_bytes_per_second, 1);
   CHECK_EQUAL(160000000, settings->memory_bytes);
+  CHECK_EQUAL(4100, settings->file_descriptors);
 }
 
 TEST(Translation, BrokenSettingsAreRefusedByName) {
@@ -471,6 +473,7 @@
       {"link_mbps = 8.0", "link_mbps = -8.0", "limits.link_mbps"},
       {"link_mbps = 8.0", "link_mbps = \"8\"", "limits.link_mbps"},
       {"memory_mb = 160", "memory_mb = -1", "limits.memory_mb"},
+      {"file_descriptors = 4100", "file_descriptors = \"4100\"", "limits.file_descriptors"},
       {"memory_mb = 160", "memory_mb = 1000001", "limits.memory_mb"},
       {"\"closed=false\"", "7", "bounds"},
       {"cold_overage=1.5", "cold_overage=-1.5", "bounds.cold_overage"},
