Heads and chunks are checked by the grammar of HTTP/1.1 before they are read

Callers got an answer whose status was 000 as an answer, with the worker's stamp (MIXED). So with 0, 099, 20, 0200 and 999, with heads in which a name holds a blank or a control byte, and with a chunk of another length than announced.

Cause: http_parser checks part of the grammar only. All that read by http::Parser had the fault: the request path, health checks, grants, the store, other nodes, and requests of clients. POCO, by which runshelfd and the client of etcd read, has a similar one.

Change: MessageGrammar reads heads and chunked bodies before http_parser and nothing is reported of one that breaks the grammar. A malformed answer is a broken connection (502, may have run), a malformed request gets 400. runshelfd checks the recorded head of each answer; the clients of etcd and of the list of machines check status and names as parsed.

Why it works: http_parser gets no byte of a head or chunk line that the grammar has not accepted, so that both agree on where a message ends.

--- a/source/http/message.cc
+++ b/source/http/message.cc
@@ -292,7 +292,10 @@
 };
 
 Parser::Parser(ParserKind kind, ParserObserver* observer)
-    : implementation_(std::make_unique<Implementation>()), observer_(observer), kind_(kind) {
+    : implementation_(std::make_unique<Implementation>()),
+      observer_(observer),
+      kind_(kind),
+      grammar_(kind) {
   http_parser_init(&implementation_->parser,
                    kind == ParserKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   implementation_->parser.data = implementation_.get();
@@ -302,10 +305,35 @@
 Parser::~Parser() = default;
 
 ParseResult Parser::Feed(std::string_view data) {
+  size_t consumed = 0;
+  while (consumed < data.size()) {
+    const bool in_head = !in_message_ || !head_complete_;
+    const auto part = NextPart(data.substr(consumed));
+    if (!part.has_value()) return {ParseStatus::kMalformed, consumed};
+    const ParseResult result = Execute(*part);
+    consumed += result.consumed;
+    if (result.status != ParseStatus::kOk) return {result.status, consumed};
+    if (in_head && in_message_ && InChunkedBody()) grammar_.BeginChunkedBody();
+  }
+  return {ParseStatus::kOk, consumed};
+}
+
+bool Parser::InChunkedBody() const {
+  return head_complete_ && (implementation_->parser.flags & F_CHUNKED) != 0;
+}
+
+std::optional<std::string_view> Parser::NextPart(std::string_view data) {
+  if (in_message_ && head_complete_ && !InChunkedBody()) return data;
+  const MessageGrammar::Result result = grammar_.Check(data);
+  if (result.status == MessageGrammar::Status::kMalformed) return std::nullopt;
+  return data.substr(0, result.size);
+}
+
+ParseResult Parser::Execute(std::string_view part) {
   http_parser& parser = implementation_->parser;
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) http_parser_pause(&parser, 0);
   size_t consumed =
-      http_parser_execute(&parser, &Implementation::Settings(), data.data(), data.size());
+      http_parser_execute(&parser, &Implementation::Settings(), part.data(), part.size());
   switch (HTTP_PARSER_ERRNO(&parser)) {
     case HPE_OK:
       if (!CountUnclaimed(consumed)) return {ParseStatus::kHeadTooLarge, consumed};
--- a/source/http/message.h
+++ b/source/http/message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "runshelf/common/clock.h"
+#include "runshelf/common/message_grammar.h"
 #include "source/http/memory_budget.h"
 
 namespace runshelf::http {
@@ -99,6 +100,8 @@
 // Serializes the head of a response. The caller must have set the framing headers.
 std::string SerializeResponseHead(int status, const Headers& headers);
 
+using ParserKind = MessageKind;
+
 // Receives the parts of messages as they are parsed.
 class ParserObserver {
  public:
@@ -110,8 +113,6 @@
   virtual void OnMessageComplete(bool keep_alive) = 0;
 };
 
-enum class ParserKind { kRequest, kResponse };
-
 enum class ParseStatus {
   kOk,            // Everything was consumed.
   kPaused,        // Stopped after a complete message; the rest was not consumed.
@@ -154,11 +155,16 @@
  private:
   struct Implementation;
   friend struct Implementation;
+  // The part of `data` that may be parsed next; nullopt if it is malformed.
+  std::optional<std::string_view> NextPart(std::string_view data);
+  ParseResult Execute(std::string_view part);
+  bool InChunkedBody() const;
   bool CountUnclaimed(size_t consumed);
 
   std::unique_ptr<Implementation> implementation_;
   ParserObserver* observer_;
   ParserKind kind_;
+  MessageGrammar grammar_;
   size_t max_head_bytes_ = size_t{64} * 1024;
   size_t head_bytes_ = 0;       // Of the head in progress, and of the interim answers before it.
   size_t unclaimed_bytes_ = 0;  // Received since the last message, before the next one began.
--- a/source/infrastructure/http_call.cc
+++ b/source/infrastructure/http_call.cc
@@ -10,10 +10,12 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <istream>
 #include <limits>
 #include <ostream>
 
+#include "runshelf/common/message_grammar.h"
 #include "source/infrastructure/observed_socket.h"
 
 namespace runshelf::infrastructure {
@@ -62,9 +64,16 @@
     RethrowNetworkError();
   }
 
-  // Reads the status line and the headers; the body can be read from the stream returned.
+  // Reads the status line and the headers; the body can be read from the stream returned. POCO
+  // takes any three characters for a status, and any text for the name of a header.
   std::streambuf& Receive(Poco::Net::HTTPResponse& response) {
-    return *session_.receiveResponse(response).rdbuf();
+    std::streambuf& body = *session_.receiveResponse(response).rdbuf();
+    const auto is_token = [](const auto& field) { return IsToken(field.first); };
+    if (!IsValidStatus(response.getStatus()) ||
+        !std::all_of(response.begin(), response.end(), is_token)) {
+      throw Poco::DataException("the head of the answer is malformed");
+    }
+    return body;
   }
 
  private:
--- a/source/transport/http_connection.cc
+++ b/source/transport/http_connection.cc
@@ -16,6 +16,7 @@
 #include <ostream>
 #include <utility>
 
+#include "runshelf/common/message_grammar.h"
 #include "runshelf/common/status_line.h"
 #include "runshelf/transport/ip_address.h"
 #include "source/transport/body_reader.h"
@@ -65,6 +66,15 @@
   return !head.empty() && ContainsStatusLine(head.substr(1));
 }
 
+// POCO takes any three characters for a status, and passes over lines that are no header.
+bool IsMalformed(std::string_view head, const Poco::Net::HTTPResponse& received) {
+  const auto is_token = [](const auto& field) { return IsToken(field.first); };
+  return MessageGrammar(MessageKind::kResponse).Check(head).status ==
+             MessageGrammar::Status::kMalformed ||
+         !IsValidStatus(static_cast<int>(received.getStatus())) ||
+         !std::all_of(received.begin(), received.end(), is_token);
+}
+
 bool HasNoBody(const HttpRequest& request, int status) {
   return request.method == "HEAD" || status == 204 || status == 304;
 }
@@ -168,6 +178,9 @@
   if (HasAnotherStatusLine(session_->guard().received_head())) {
     return Failed("response header goes on as another response");
   }
+  if (IsMalformed(session_->guard().received_head(), received)) {
+    return Failed("response header is malformed");
+  }
   HttpResult result;
   result.response = HeadOf(received);
   if (result.response.status / 100 == kInterimClass) {
--- a/tests/infrastructure/broken_service_test.cc
+++ b/tests/infrastructure/broken_service_test.cc
@@ -135,6 +135,8 @@
   const std::string deep = std::string(100'000, '[');
   const std::string replies[] = {
       Reply("200 OK", answer, answer.size() + 1),
+      "HTTP/1.1 200 OK\r\nX A: x\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" +
+          answer,
       Reply("200 OK", "{}"),
       Reply("200 OK", R"({"header":{"revision":"x"},"succeeded":true})"),
       Reply("200 OK", R"({"header":{"revision":"2"},"succeeded":1})"),
--- a/tests/transport/http_connection_pool_test.cc
+++ b/tests/transport/http_connection_pool_test.cc
@@ -68,6 +68,21 @@
   CHECK(seen.ends_with("\r\n\r\nhello"));
 }
 
+// Guards against answers whose status is none, or whose head two readers take for different ones.
+TEST(HttpConnectionPool, AMalformedHeadIsNoAnswer) {
+  const std::string rest = "Content-Length: 2\r\n\r\nab";
+  CHECK(OutcomeOf("HTTP/1.1 200 OK\r\n" + rest) == HttpOutcome::kAnswered);
+  for (const char* line : {"HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK",
+                           "HTTP/1.1 +20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 999 OK"}) {
+    CHECK_TEXT(OutcomeOf(std::string(line) + "\r\n" + rest) == HttpOutcome::kConnectionLost, line);
+  }
+  for (const char* field :
+       {"X-A : x", "X A: x", "X\x01-A: x", " X-A: x", "X-A", ": x", "X-A: a\x01", "X-A: a\r\n b"}) {
+    const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n" + rest;
+    CHECK_TEXT(OutcomeOf(head) == HttpOutcome::kConnectionLost, field);
+  }
+}
+
 TEST(HttpConnectionPool, KeepsConnectionsAlive) {
   ScriptedPeer peer([](auto& socket, const auto&, int, int) {
     SendAll(socket, Answer("ok"));
