Keys of a node that serves another service are taken over

Cause: a node's keys are taken over when its item is missing, when it gives them up, or when another worker of the same service is beside it. A node that comes back within its lease under another service is none of the three, and the planner looked up owners by node only.

Change: the planner counts an owner as departed once its item has named another service for 9 s, longer than any grant of its former process can be in force. The write has the revision of that item as its condition, so that a node that returns to the service keeps its keys.

Keys of such a node are refused for 9 s.

--- a/source/sharding/shard_planner.h
+++ b/source/sharding/shard_planner.h
@@ -23,8 +23,9 @@
 
 // Everything that a plan depends on besides the map.
 struct PlannerInput {
-  std::vector<PlannerWorker> workers;       // The current worker of each live node.
-  std::set<std::string> departed_nodes;     // Nodes that own shards but have no item in the store.
+  std::vector<PlannerWorker> workers;  // The current worker of each live node.
+  // Nodes that own shards, but have no item in the store or serve another service.
+  std::set<std::string> departed_nodes;
   std::map<std::string, LoadReport> loads;  // Latest report by node.
   // Workers may know tokens up to this one; a new map starts above it.
   FencingToken token_base = 0;
--- a/source/sidecar/peer_directory.cc
+++ b/source/sidecar/peer_directory.cc
@@ -47,12 +47,13 @@
   return InstanceId{node, 1};
 }
 
-void PeerDirectory::OnRecord(const NodeRecord& record) {
+void PeerDirectory::OnRecord(const NodeRecord& record, store::Revision revision) {
   removed_.erase(record.node);
   Peer& peer = peers_[record.node];
   // The process that announced its stop has been replaced.
   if (peer.record.incarnation != record.incarnation) peer.stop.reset();
   peer.record = record;
+  peer.revision = revision;
   peer.listed = true;
   targets_built_ = false;
 }
--- a/source/sidecar/peer_directory.h
+++ b/source/sidecar/peer_directory.h
@@ -17,6 +17,7 @@
 #include "source/sidecar/node_record.h"
 #include "source/sidecar/stop_notice.h"
 #include "source/sidecar/traffic_meter.h"
+#include "source/store/store_operations.h"
 
 namespace runshelf::sidecar {
 
@@ -30,6 +31,7 @@
 // A known node.
 struct Peer {
   NodeRecord record;
+  store::Revision revision = 0;  // Of the item that `record` was read from.
   std::optional<PeerStop> stop;  // Announced by the process that wrote `record`.
   bool listed = true;            // Its item is in the store.
   Instant unlisted_since{};      // Valid unless `listed`.
@@ -54,8 +56,8 @@
   PeerDirectory(std::string own_node, std::string own_zone,
                 std::map<std::string, std::string> regions = {});
 
-  // A node's item in the store was written or removed.
-  void OnRecord(const NodeRecord& record);
+  // A node's item in the store was written, with this revision, or removed.
+  void OnRecord(const NodeRecord& record, store::Revision revision = 0);
   void OnRemoved(Instant now, const std::string& node);
   // A node answered; `notice` is set when the answer announced a stop.
   void OnAnswer(Instant now, const std::string& node,
--- a/source/sidecar/shard_coordinator.cc
+++ b/source/sidecar/shard_coordinator.cc
@@ -57,6 +57,7 @@
     balance_pending_ = true;
     ObserveDemand();
   }
+  ObserveOwners();
   if (shards_.busy()) return;
   Repair();
   if (!balance_pending_ || shards_.busy() || !shards_.IsOfCurrentEra()) return;
@@ -88,7 +89,7 @@
     // The item of a node that was never seen was removed before this node started to watch.
     const bool never_seen =
         peers_.Find(node) == nullptr && now - active_since_ > config_.settle_time;
-    if (never_seen || peers_.Departed(now, node, departure_wait)) {
+    if (never_seen || peers_.Departed(now, node, departure_wait) || ServesOther(now, node)) {
       input.departed_nodes.insert(node);
     }
   }
@@ -101,6 +102,23 @@
   return input;
 }
 
+void ShardCoordinator::ObserveOwners() {
+  std::map<std::string, Instant> serving_other;
+  for (const sharding::Shard& shard : shards_.map().shards()) {
+    const std::string& node = shard.owner.node;
+    const Peer* peer = peers_.Find(node);
+    if (peer == nullptr || !peer->listed || peer->record.service == config_.service) continue;
+    const auto known = serving_other_since_.find(node);
+    serving_other[node] = known == serving_other_since_.end() ? loop_.Now() : known->second;
+  }
+  serving_other_since_ = std::move(serving_other);
+}
+
+bool ShardCoordinator::ServesOther(Instant now, const std::string& node) const {
+  const auto since = serving_other_since_.find(node);
+  return since != serving_other_since_.end() && now - since->second >= config_.other_service_wait;
+}
+
 size_t ShardCoordinator::Rank() const {
   size_t rank = 0;
   for (const auto& [node, peer] : peers_.peers()) {
@@ -226,15 +244,21 @@
   if (plan.changed) Commit(plan, "shard_map_balance");
 }
 
+store::Condition ShardCoordinator::DepartedCondition(const std::string& node) const {
+  const Peer* peer = peers_.Find(node);
+  const bool serves_other = peer != nullptr && serving_other_since_.contains(node);
+  return {config_.node_key_prefix + node, serves_other ? peer->revision : 0};
+}
+
 void ShardCoordinator::Commit(const sharding::Plan& plan, std::string_view purpose) {
-  std::vector<store::Condition> absent;
+  std::vector<store::Condition> departed;
   for (const std::string& node : plan.nodes_assumed_departed) {
-    absent.push_back({config_.node_key_prefix + node, 0});
+    departed.push_back(DepartedCondition(node));
   }
   const std::string reason = plan.reason;
   const store::Revision before = shards_.revision();
   const size_t count = plan.map.shards().size();
-  shards_.Replace(plan.map, purpose, absent,
+  shards_.Replace(plan.map, purpose, departed,
                   [this, reason, before, count](ShardStore::Outcome outcome) {
                     log_.Write(LogLevel::kInfo, "shard_map_planned",
                                {{"reason", reason},
--- a/source/sidecar/shard_coordinator.h
+++ b/source/sidecar/shard_coordinator.h
@@ -35,6 +35,9 @@
   Duration departure_wait = std::chrono::milliseconds(300);
   // The same after the store was restored from an older copy, as nodes have to rewrite their items.
   Duration departure_wait_restored = std::chrono::milliseconds(2500);
+  // How long a node's item must name another service before its shards are reassigned: until then
+  // grants of its former process may be in force.
+  Duration other_service_wait = std::chrono::seconds(9);
   // Wait before a node carries over a map that it has only from the restored copy, so that nodes
   // that know the map from before the restore come first.
   Duration carry_over_wait = std::chrono::seconds(3);
@@ -79,6 +82,11 @@
   void SendReport();
   void OnReport(std::string_view data);
   void Repair();
+  // Notes which owners of shards serve another service.
+  void ObserveOwners();
+  bool ServesOther(Instant now, const std::string& node) const;
+  // What must hold of the item of a departed node when its shards are reassigned.
+  store::Condition DepartedCondition(const std::string& node) const;
   // Carries the map that is known here over into the current era of the store.
   void CarryOver();
   // Whether it is this node's turn to act on a condition that has held since `since`: the nodes of
@@ -105,6 +113,8 @@
   std::function<bool()> load_sampler_;
   std::map<std::string, sharding::LoadReport> loads_;
   std::map<std::string, Instant> reported_at_;
+  // Since when owners of shards have been seen to serve another service.
+  std::map<std::string, Instant> serving_other_since_;
   Instant active_since_{};
   Instant repair_needed_since_{};
   Instant load_weighed_at_{};
--- a/source/sidecar/sidecar_state.cc
+++ b/source/sidecar/sidecar_state.cc
@@ -112,7 +112,7 @@
   if (!NameAfter(item.key, kNodePrefix).empty()) {
     const auto record = NodeRecord::Parse(item.value);
     if (record.has_value() && record->node == NameAfter(item.key, kNodePrefix)) {
-      peers_.OnRecord(*record);
+      peers_.OnRecord(*record, item.revision);
       quarantine_.OnWorkerAt(record->node, record->worker_id);
     } else {
       LogRefusedItem(item, "not a valid record of the node named by the key");
--- a/tests/platform_adapter/reused_address_test.cc
+++ b/tests/platform_adapter/reused_address_test.cc
@@ -23,6 +23,8 @@
 constexpr Duration kReuseAfter = milliseconds(800);
 constexpr Duration kHeartbeatInterval = milliseconds(100);
 constexpr Duration kRecovery = std::chrono::seconds(12);
+// The longest validity of a grant is 8 s.
+constexpr Duration kTakeover = std::chrono::seconds(14);
 
 // A fleet whose nodes know after which time an address may be used again.
 std::unique_ptr<Fleet> FleetThatReusesAddresses(
@@ -56,6 +58,16 @@
                                             kHeartbeatInterval);
 }
 
+// The machine loses power and comes back with a worker of another service at the same address, as
+// its settings say. Its name stays.
+void ReturnWithService(Fleet& fleet, size_t node, const std::string& id,
+                       const std::string& service) {
+  fleet.Kill(node);
+  GiveAddressTo(fleet, node, id, service, /*heartbeats=*/false);
+  fleet.nodes[node].settings.worker_service = service;
+  fleet.Restart(node);
+}
+
 // Sends requests of the route of "plain" to all nodes for `duration`. Returns how many succeeded.
 size_t SendFor(Fleet& fleet, Duration duration) {
   size_t served = 0;
@@ -239,3 +251,50 @@
   CHECK_EQUAL(0, fleet.nodes[0].worker->grants().size());
   CHECK_EQUAL(200, fleet.Keyed(0, 0)->status);
 }
+
+// Guards against keys that stay with a node which serves another service, so that nobody serves
+// them any more.
+TEST(ReusedAddress, KeysOfANodeThatServesAnotherServiceAreTakenOver) {
+  for (const auto delivery : {routes::GrantDelivery::kCalls, routes::GrantDelivery::kHeartbeats}) {
+    Fleet fleet({"keyed", "keyed", "other"}, delivery);
+    fleet.Start();
+    ReturnWithService(fleet, 0, "w0b", "other");
+    const auto held_by_other = [&] {
+      for (uint32_t key = 0; key < 65536; key += 512) {
+        if (fleet.nodes[1].worker->Holds(key) == nullptr) return false;
+      }
+      return true;
+    };
+    CHECK(RunUntil(fleet.loop, held_by_other, kTakeover));
+    const auto answer = fleet.Keyed(2, 7);
+    CHECK(answer.has_value());
+    CHECK_EQUAL(200, answer->status);
+  }
+}
+
+// Guards against two workers that hold a key: its former holder may hold it until its grant ends.
+TEST(ReusedAddress, SuchKeysAreNotTakenOverWhileGrantsMayBeInForce) {
+  Fleet fleet({"keyed", "keyed", "other"}, routes::GrantDelivery::kHeartbeats);
+  fleet.Start();
+  uint32_t key = 0;
+  while (fleet.nodes[0].worker->Holds(key) == nullptr) key += 512;
+  // The former worker lives on, unseen by the node, which has been given another one.
+  const auto former = std::move(fleet.nodes[0].worker);
+  fleet.Kill(0);
+  fleet.nodes[0].worker = std::make_unique<FakeWorker>(fleet.loop, "w0b", "other");
+  fleet.nodes[0].worker->Listen();
+  fleet.nodes[0].settings.worker = fleet.nodes[0].worker->endpoint();
+  fleet.nodes[0].settings.worker_service = "other";
+  former->set_heartbeats_cut(true);
+  fleet.Restart(0);
+  bool both = false;
+  CHECK(RunUntil(
+      fleet.loop,
+      [&] {
+        const bool taken = fleet.nodes[1].worker->Holds(key) != nullptr;
+        both = both || (taken && former->Holds(key) != nullptr);
+        return taken;
+      },
+      kTakeover));
+  CHECK_FALSE(both);
+}
