Soak: clients that exceed the limits or do not complete their requests

Cause: crowds beside stops, restarts, lost stores and cut links were in no test; combinations come up there.

Each process states 64 MB and 700 descriptors, and its peak of memory is checked twice a second beside the promises.

Conclusion: the crowds' part of tests/overload no longer needs the test framework, and the soak uses it.

--- a/tests/overload/crowd.cc
+++ b/tests/overload/crowd.cc
@@ -1,17 +1,11 @@
 #include "tests/overload/crowd.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <utility>
 
-#include "tests/event/loop_runner.h"
-
 namespace runshelf::overload {
 namespace {
 
-// Ends a test that hangs; nothing is judged by it.
-constexpr Duration kHangLimit = std::chrono::seconds(150);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -64,7 +58,7 @@
 
 Crowd::Crowd(event::EventLoop& loop, const event::Endpoint& server, size_t clients,
              RudeRequest request)
-    : loop_(loop), request_(std::move(request)) {
+    : request_(std::move(request)) {
   for (size_t count = 0; count < clients; ++count) {
     clients_.push_back(std::make_unique<Client>(loop, server, request_));
   }
@@ -72,15 +66,9 @@
 
 Crowd::~Crowd() = default;
 
-void Crowd::AwaitSent() {
-  const bool over = event::RunUntil(
-      loop_,
-      [&] {
-        return std::all_of(clients_.begin(), clients_.end(),
-                           [](const auto& client) { return client->over(); });
-      },
-      kHangLimit);
-  CHECK_TEXT(over, "clients of the crowd are held up");
+bool Crowd::sent() const {
+  return std::all_of(clients_.begin(), clients_.end(),
+                     [](const auto& client) { return client->over(); });
 }
 
 size_t Crowd::open() const {
--- a/tests/overload/crowd.h
+++ b/tests/overload/crowd.h
@@ -25,9 +25,8 @@
   Crowd(event::EventLoop& loop, const event::Endpoint& server, size_t clients, RudeRequest request);
   ~Crowd();
 
-  // Waits until each client has sent everything or has been closed by the server, or until it has
-  // received an answer.
-  void AwaitSent();
+  // Whether each client has sent everything, has received an answer, or was closed by the server.
+  bool sent() const;
   // Number of connections that the server has not closed.
   size_t open() const;
   // Number of answers with this status.
@@ -36,7 +35,6 @@
  private:
   class Client;
 
-  event::EventLoop& loop_;
   RudeRequest request_;
   std::vector<std::unique_ptr<Client>> clients_;
 };
--- a/tests/overload/crowd_test.cc
+++ b/tests/overload/crowd_test.cc
@@ -10,6 +10,7 @@
 
 #include <string>
 
+#include "tests/event/loop_runner.h"
 #include "tests/overload/limited_fleet.h"
 
 using namespace runshelf;
@@ -17,6 +18,8 @@
 
 namespace {
 
+// Ends a test that hangs; nothing is judged by it.
+constexpr Duration kHangLimit = std::chrono::seconds(150);
 constexpr size_t kClients = 32;
 // More than the descriptors of a process that are for sockets.
 constexpr size_t kSilentClients = 700;
@@ -52,9 +55,15 @@
   return request;
 }
 
+void AwaitSent(LimitedFleet& fleet, const Crowd& crowd) {
+  const bool sent = event::RunUntil(
+      fleet.loop(), [&] { return crowd.sent(); }, kHangLimit);
+  CHECK_TEXT(sent, "clients of the crowd are held up");
+}
+
 // Checks the processes while the crowd stays, and that the longest legal body is served after it.
 void CheckFleet(LimitedFleet& fleet, std::unique_ptr<Crowd> crowd) {
-  crowd->AwaitSent();
+  AwaitSent(fleet, *crowd);
   fleet.CheckLimits();
   fleet.CheckOrdinaryRequests();
   crowd.reset();
@@ -108,7 +117,7 @@
   RudeRequest request = StopsShort();
   ++request.body_bytes;
   auto crowd = MakeCrowd(fleet, fleet.nodes()[0].outbound, request);
-  crowd->AwaitSent();
+  AwaitSent(fleet, *crowd);
   fleet.nodes()[1].relay->set_slow(false);
   CheckFleet(fleet, std::move(crowd));
 }
--- a/tests/overload/limited_fleet.cc
+++ b/tests/overload/limited_fleet.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "tests/event/loop_runner.h"
+#include "tests/overload/peak_memory.h"
 #include "tests/platform_adapter/fixtures.h"
 
 namespace runshelf::overload {
@@ -90,16 +91,6 @@
   return count;
 }
 
-// Most memory that the process has had in use.
-uint64_t PeakMemory(pid_t pid) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) return std::stoull(line.substr(6)) * 1024;
-  }
-  return 0;
-}
-
 }  // namespace
 
 LimitedFleet::LimitedFleet(Limits limits)
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -60,6 +60,9 @@
                                  command);
     TCLAP::SwitchArg downloads(
         "w", "downloads", "clients download more than the links of the workers carry", command);
+    TCLAP::SwitchArg rude("u", "rude-clients",
+                          "some clients exceed the limits or do not complete their requests",
+                          command);
     command.parse(argc, argv);
     if (seconds.getValue() < kMinSeconds) return kExitBadArguments;
     options.nodes = NodeCount(seed.getValue());
@@ -70,6 +73,7 @@
     options.second_answers = twice.getValue();
     options.stated_limits = limits.getValue();
     options.downloads = downloads.getValue();
+    options.rude_clients = rude.getValue();
     options.evacuations = evacuations.getValue();
     options.program = program.getValue();
     options.directory = directory.getValue();
@@ -93,11 +97,11 @@
   fmt::print(
       "seed={} nodes={} requests={} served={} faults={} broken={} served_at_end={:.3f} "
       "cut_at_other_nodes={} stalls={} slowest_answer_ms={} fatal_ends={} second_answers={} "
-      "downloads={} verdict={}\n",
+      "downloads={} rude_connections={} verdict={}\n",
       options.seed, options.nodes, result.counts.sent, result.counts.served, result.faults.size(),
       result.violations.size(), result.served_at_end, result.counts.cut_at_other_nodes,
       result.stalls, runshelf::ToMilliseconds(result.slowest_answer), result.fatal_ends,
-      result.second_answers, result.downloads,
+      result.second_answers, result.downloads, result.rude_connections,
       result.violations.empty() && recovered ? "kept" : "broken");
   return result.violations.empty() && recovered ? 0 : kExitBroken;
 }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -27,6 +27,8 @@
 constexpr uint64_t kFatalSeedOffset = 3;
 // Likewise for downloads.
 constexpr uint64_t kDownloadSeedOffset = 5;
+// Likewise for clients that exceed the limits.
+constexpr uint64_t kRudeSeedOffset = 6;
 // Zones of a run in which operators evacuate some of them, and how long its workers are cold.
 constexpr size_t kZones = 3;
 constexpr Duration kColdTime = std::chrono::milliseconds(2500);
@@ -69,6 +71,10 @@
     fleet.cold_time = kColdTime;
   }
   if (options.downloads) fleet.link_megabits = kLinkMegabits;
+  if (options.rude_clients) {
+    fleet.memory_mb = kRudeMemoryMb;
+    fleet.file_descriptors = kRudeFileDescriptors;
+  }
   fleet.keys_in_heartbeats = options.seed % kGrantMethods == 0;
   return fleet;
 }
@@ -85,6 +91,7 @@
       clients_(loop_, witness_, fleet_.nodes(), options_.seed),
       fatal_requests_(loop_, witness_, fleet_.nodes(), options_.seed + kFatalSeedOffset),
       downloads_(loop_, witness_, fleet_.nodes(), options_.seed + kDownloadSeedOffset),
+      rude_clients_(loop_, fleet_.nodes(), options_.seed + kRudeSeedOffset),
       responsiveness_(loop_, fleet_.nodes()),
       watch_timer_(loop_, [this] { Watch(); }),
       end_timer_(loop_, [this] { loop_.Stop(); }),
@@ -110,6 +117,7 @@
   clients_.Start();
   if (options_.fatal_requests) fatal_requests_.Start();
   if (options_.downloads) downloads_.Start();
+  if (options_.rude_clients) rude_clients_.Start(end - kFaultFreeEnd);
   watched_at_ = loop_.Now();
   watch_timer_.Start(kWatchInterval, /*repeating=*/true);
   end_timer_.Start(options_.duration);
@@ -118,6 +126,10 @@
   witness_.Watch(started_);
   for (const PlannedFault& fault : plan_) result_.faults.push_back(Describe(fault));
   result_.violations = witness_.violations();
+  for (const std::string& violation : rude_clients_.violations()) {
+    result_.violations.push_back(violation);
+  }
+  result_.rude_connections = rude_clients_.connections();
   result_.counts = witness_.counts();
   result_.served_at_end = witness_.measured_share();
   for (const auto& [kind, count] : witness_.unserved()) {
@@ -142,6 +154,7 @@
   }
   fleet_.Watch();
   driver_.Watch();
+  if (options_.rude_clients) rude_clients_.Watch();
   witness_.Watch(started_);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,6 +12,7 @@
 #include "tests/soak/fatal_requests.h"
 #include "tests/soak/fault_driver.h"
 #include "tests/soak/responsiveness.h"
+#include "tests/soak/rude_clients.h"
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/witness.h"
 
@@ -29,6 +30,7 @@
   // Operators evacuate zones, and workers are cold after their start.
   bool evacuations = false;
   bool downloads = false;       // Clients download more than the workers' links carry.
+  bool rude_clients = false;    // Some clients exceed the limits of their requests.
   bool fatal_requests = false;  // Some requests terminate the worker that starts them.
 };
 
@@ -41,10 +43,11 @@
   std::vector<std::string> unserved_at_end;
   // Scheduling gaps of this process. Shows, like `slowest_answer`, how loaded the machine was.
   int stalls = 0;
-  int fatal_ends = 0;          // Workers terminated by fatal requests.
-  size_t second_answers = 0;   // Responses that workers sent twice.
-  uint64_t downloads = 0;      // Downloads that workers answered.
-  Duration slowest_answer{0};  // Slowest readiness response of any node.
+  int fatal_ends = 0;             // Workers terminated by fatal requests.
+  size_t second_answers = 0;      // Responses that workers sent twice.
+  uint64_t downloads = 0;         // Downloads that workers answered.
+  uint64_t rude_connections = 0;  // Connections of clients that exceed the limits.
+  Duration slowest_answer{0};     // Slowest readiness response of any node.
 };
 
 class Soak {
@@ -70,6 +73,7 @@
   Clients clients_;
   FatalRequests fatal_requests_;
   Downloads downloads_;
+  RudeClients rude_clients_;
   Responsiveness responsiveness_;
   event::Timer watch_timer_;
   event::Timer end_timer_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -141,8 +141,11 @@
       node.worker_proxy->endpoint().ToString(), node.service, node.inbound.ToString(),
       node.outbound.ToString(), node.readiness.ToString(), node.control_plane.ToString(),
       node.store_proxy->endpoint().ToString());
-  if (options_.link_megabits > 0) {
-    file << fmt::format("[limits]\nlink_mbps = {}\n", options_.link_megabits);
+  file << "[limits]\n";
+  if (options_.link_megabits > 0) file << fmt::format("link_mbps = {}\n", options_.link_megabits);
+  if (options_.memory_mb > 0) file << fmt::format("memory_mb = {}\n", options_.memory_mb);
+  if (options_.file_descriptors > 0) {
+    file << fmt::format("file_descriptors = {}\n", options_.file_descriptors);
   }
 }
 
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -27,6 +27,8 @@
   bool keys_in_heartbeats = false;    // Grants come in heartbeat responses instead of calls.
   size_t zones = 1;                   // The nodes are distributed among them in turn.
   Duration cold_time{0};              // How long workers are cold after their start.
+  uint64_t memory_mb = 0;             // Memory of each process; zero: not stated.
+  uint64_t file_descriptors = 0;      // Descriptors of each process; zero: not stated.
   int link_megabits = 0;              // Bandwidth of each machine's link; zero: not stated.
 };
 
