--- a/source/sidecar/request_flow_quarantine.cc
+++ b/source/sidecar/request_flow_quarantine.cc
@@ -61,6 +61,12 @@
           self->RefuseQuarantined();
           return;
         }
+        if (self->context_.peers.Find(node) == nullptr) {
+          // The node was forgotten meanwhile. Another one needs another trial.
+          quarantine.ReturnTrial(fingerprint);
+          self->TryNext();
+          return;
+        }
         self->trial_ = true;
         self->StartAttempt(node, worker_id);
       });
