--- a/source/common/message_grammar.cc
+++ b/source/common/message_grammar.cc
@@ -8,8 +8,8 @@
 
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
 constexpr size_t kStatusDigits = 3;
-constexpr char kMinStatusClass = '1';
-constexpr char kMaxStatusClass = '5';
+constexpr unsigned char kMinStatusClass = '1';
+constexpr unsigned char kMaxStatusClass = '5';
 constexpr unsigned kHexBits = 4;
 constexpr uint64_t kMaxChunkBytes = uint64_t{1} << 60U;
 
@@ -21,7 +21,9 @@
   for (int byte = '0'; byte <= '9'; ++byte) allowed[byte] = true;
   for (int byte = 'A'; byte <= 'Z'; ++byte) allowed[byte] = true;
   for (int byte = 'a'; byte <= 'z'; ++byte) allowed[byte] = true;
-  for (const char byte : std::string_view("!#$%&'*+-.^_`|~")) allowed[byte] = true;
+  for (const char byte : std::string_view("!#$%&'*+-.^_`|~")) {
+    allowed[static_cast<unsigned char>(byte)] = true;
+  }
   return allowed;
 }();
 
@@ -127,7 +129,9 @@
 }
 
 bool MessageGrammar::AcceptVersion(unsigned char byte) {
-  if (position_ < kVersionPrefix.size()) return byte == kVersionPrefix[position_++];
+  if (position_ < kVersionPrefix.size()) {
+    return byte == static_cast<unsigned char>(kVersionPrefix[position_++]);
+  }
   if (position_ == kVersionPrefix.size()) {
     ++position_;
     return IsDigit(byte);
--- a/source/sidecar/shard_store.cc
+++ b/source/sidecar/shard_store.cc
@@ -1,7 +1,5 @@
 #include "source/sidecar/shard_store.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace runshelf::sidecar {
@@ -80,8 +78,10 @@
   store::Transaction transaction;
   transaction.purpose = "shard_map_carry_over";
   transaction.conditions.push_back({key.ToString(), 0});
-  const size_t removed = std::min(former_keys_.size(), kMaxRemovedMaps);
-  transaction.removals.assign(former_keys_.begin(), std::next(former_keys_.begin(), removed));
+  for (const std::string& former : former_keys_) {
+    if (transaction.removals.size() == kMaxRemovedMaps) break;
+    transaction.removals.push_back(former);
+  }
   Commit(transaction, key, map, std::move(callback));
 }
 
